--- /dev/null
+++ b/table/types.go
@@ -0,0 +1,105 @@
+// Package table defines what operators publish: services, their backend
+// servers (upstreams), weights, limits, routes and objectives.
+//
+// The types are plain data. Parse reads and checks a whole table; nothing
+// else of the project accepts one that was not checked.
+package table
+
+import "fuchsiapick.example/fuchsiapick/clock"
+
+// Format is the table format that this release writes and reads.
+const Format = 1
+
+// Caution says how a service trades detection time for false ejections.
+type Caution string
+
+// The values of Caution, from the quickest to set an upstream aside to the
+// slowest.
+const (
+	Fast     Caution = "fast"
+	Balanced Caution = "balanced"
+	Cautious Caution = "cautious"
+)
+
+// Table is one published edition of the whole configuration.
+type Table struct {
+	// Format names the rules that this table was written for.
+	Format int `toml:"format"`
+	// Version orders editions: a higher one replaces a lower one.
+	Version  uint64    `toml:"version"`
+	Services []Service `toml:"service"`
+	Routes   []Route   `toml:"route"`
+	// Callers overrides the limits of single callers.
+	Callers []Caller `toml:"caller"`
+}
+
+// Service is a group of upstreams that answer the same requests.
+type Service struct {
+	Name string `toml:"name"`
+	// Caution sets the thresholds of the health verdict.
+	Caution Caution `toml:"caution"`
+	// Floor is the share of the service's capacity (weight x slots), from 0
+	// to 1, that setting upstreams aside must leave in use.
+	Floor float64 `toml:"floor"`
+	// Deadline is the time a request may take in all, retries included.
+	Deadline clock.Millis `toml:"deadline"`
+	// Drain is how long a leaving upstream may still get new work.
+	Drain clock.Millis `toml:"drain"`
+	// Queue is how many requests may wait at a gate for a slot of one upstream.
+	Queue int `toml:"queue"`
+	// Retries is the share of requests, from 0 to 1, that may be sent again.
+	Retries float64 `toml:"retries"`
+	// Rate limits the requests a second that one entry admits for the
+	// service; 0 means no limit.
+	Rate float64 `toml:"rate"`
+	// CallerRate limits the requests a second that one entry admits from one
+	// caller; 0 means no limit.
+	CallerRate float64    `toml:"caller_rate"`
+	Objective  Objective  `toml:"objective"`
+	Upstreams  []Upstream `toml:"upstream"`
+}
+
+// Objective is a service's service-level objective.
+type Objective struct {
+	// Availability is the share of requests, from 0 to 1, to be served.
+	Availability float64 `toml:"availability"`
+	// Latency is the time within which Within of the served requests end.
+	Latency clock.Millis `toml:"latency"`
+	// Within is the share, from 0 to 1, that Latency is promised to.
+	Within float64 `toml:"within"`
+}
+
+// Upstream is one backend server.
+type Upstream struct {
+	Name string `toml:"name"`
+	// Address is the backend server's own HTTP address, IP number and port.
+	Address string `toml:"address"`
+	// Node is the link address, IP number and port, of the node beside it.
+	Node string `toml:"node"`
+	// Domain is the failure domain the instance is in.
+	Domain string `toml:"domain"`
+	// Weight is the share of work relative to other upstreams; 0 means that
+	// it gets no new work.
+	Weight int `toml:"weight"`
+	// Slots is how many requests it serves at once.
+	Slots int `toml:"slots"`
+	// Connections bounds the connections that its gate opens to it.
+	Connections int `toml:"connections"`
+}
+
+// Route sends requests by path prefix to a service.
+type Route struct {
+	// Prefix is matched against whole path segments; the longest one wins.
+	Prefix  string `toml:"prefix"`
+	Service string `toml:"service"`
+	// Repeatable lists the methods that may run more than once. Empty means
+	// GET and HEAD.
+	Repeatable []string `toml:"repeatable"`
+}
+
+// Caller overrides limits for one caller.
+type Caller struct {
+	Name string `toml:"name"`
+	// Rate limits its requests a second at one entry, over all services.
+	Rate float64 `toml:"rate"`
+}
