feat(wire,lease): encode frames and fence dispatches by lease

Cause: a request that may not be repeated must run at most once though frames are late, doubled or overtaken. Change: CBOR frames with decoding bounds, a mutual proof of the shared secret, the entry's estimate of a gate's clock and the gate's fence. Ruled out: synchronised clocks, and forgetting a key at its lease, for a settlement asked later would deny a request that ran.

--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,256 @@
+package wire
+
+import (
+	"strconv"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// RequestID names one request of a caller in the whole fleet.
+type RequestID struct {
+	_ struct{} `cbor:",toarray"`
+	// Entry is the incarnation of the entry that received the request.
+	Entry uint64
+	// Seq counts the requests of that incarnation.
+	Seq uint64
+}
+
+// String writes the id as logs, headers and reports show it.
+func (id RequestID) String() string {
+	buf := make([]byte, 0, 33)
+	buf = strconv.AppendUint(buf, id.Entry, 16)
+	buf = append(buf, '-')
+	buf = strconv.AppendUint(buf, id.Seq, 16)
+	return string(buf)
+}
+
+// Header is one header field of a request or an answer.
+type Header struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Baseline is what is usual for a service: the median over its gates.
+type Baseline struct {
+	_      struct{} `cbor:",toarray"`
+	Known  bool
+	Failed float64
+	// Latency is the median time of an answer.
+	Latency clock.Millis
+}
+
+// Upstream is what a gate says of its upstream on every reply and heartbeat.
+type Upstream struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	State    uint8
+	Severity float64
+	// Share is the part of normal load to give it, from 0 to 1.
+	Share    float64
+	InFlight int
+	Waiting  int
+	// Until is how much longer the state holds at least.
+	Until   clock.Millis
+	Leaving bool
+	Own     Baseline
+}
+
+// Challenge is the first frame on a link, from the node that accepted it.
+type Challenge struct {
+	_           struct{} `cbor:",toarray"`
+	Format      int
+	Node        string
+	Incarnation uint64
+	Nonce       []byte
+}
+
+// Proof answers a challenge: the dialling node holds the shared secret.
+type Proof struct {
+	_     struct{} `cbor:",toarray"`
+	Node  string
+	Entry uint64
+	Nonce []byte
+	MAC   []byte
+}
+
+// Welcome ends the handshake: the accepting node holds the secret too and is
+// the node that was dialled.
+type Welcome struct {
+	_   struct{} `cbor:",toarray"`
+	MAC []byte
+	// Time is the gate's clock, from which leases are made.
+	Time clock.Millis
+}
+
+// Dispatch asks a gate to run a request at its upstream.
+type Dispatch struct {
+	_       struct{} `cbor:",toarray"`
+	ID      RequestID
+	Attempt uint8
+	// Incarnation is the gate's, as the entry knows it.
+	Incarnation uint64
+	// Lease is the latest instant of the gate's clock at which the gate may
+	// still begin the request.
+	Lease clock.Millis
+	// Budget is what is left of the request's deadline.
+	Budget     clock.Millis
+	Upstream   string
+	Caller     string
+	Method     string
+	URI        string
+	Headers    []Header
+	Body       []byte
+	Repeatable bool
+	// Forced asks the gate to serve in spite of its verdict, for the floor.
+	Forced   bool
+	Baseline Baseline
+}
+
+// Outcome says what became of a dispatch at its gate.
+type Outcome uint8
+
+// The outcomes of a dispatch. Their numbers are part of the format.
+const (
+	// NotRun is definite: the upstream never saw the request and never will.
+	NotRun Outcome = iota + 1
+	// Answered means that the upstream gave a whole answer.
+	Answered
+	// Broken means that the upstream got the request and gave no whole answer.
+	Broken
+)
+
+// Reason says why a gate did not run a request or got no answer.
+type Reason string
+
+// The reasons. They stand in headers, logs, metrics and reports.
+const (
+	ReasonAside    Reason = "set-aside"
+	ReasonLeaving  Reason = "leaving"
+	ReasonFull     Reason = "full"
+	ReasonLate     Reason = "deadline-too-short"
+	ReasonStale    Reason = "stale-lease"
+	ReasonVoided   Reason = "voided"
+	ReasonNobody   Reason = "no-such-upstream"
+	ReasonRefused  Reason = "connection-refused"
+	ReasonShed     Reason = "upstream-shed"
+	ReasonTimeout  Reason = "timeout"
+	ReasonTorn     Reason = "torn-answer"
+	ReasonTooLarge Reason = "answer-too-large"
+)
+
+// Reply is a gate's answer to a dispatch. A body longer than ChunkSize goes on
+// in Chunk frames.
+type Reply struct {
+	_       struct{} `cbor:",toarray"`
+	ID      RequestID
+	Attempt uint8
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when to come back, for a request that was not run.
+	RetryAfter clock.Millis
+	Status     int
+	Headers    []Header
+	// Length is the whole body's, Body its beginning.
+	Length   int
+	Body     []byte
+	Time     clock.Millis
+	Upstream Upstream
+}
+
+// Chunk carries the body bytes of a reply from Offset on.
+type Chunk struct {
+	_       struct{} `cbor:",toarray"`
+	ID      RequestID
+	Attempt uint8
+	Offset  int
+	Data    []byte
+}
+
+// Settle asks a gate what became of a dispatch and forbids it to begin one
+// that it has not begun.
+type Settle struct {
+	_       struct{} `cbor:",toarray"`
+	ID      RequestID
+	Attempt uint8
+	// Incarnation, Upstream and Lease are those of the dispatch.
+	Incarnation uint64
+	Upstream    string
+	Lease       clock.Millis
+}
+
+// Settled answers Settle for a dispatch without a reply yet.
+type Settled struct {
+	_       struct{} `cbor:",toarray"`
+	ID      RequestID
+	Attempt uint8
+	// Voided is true for a dispatch that was not run and never will be; false
+	// for one that has begun or that the gate can't vouch for.
+	Voided bool
+	// Forgotten is true for one that the gate can't vouch for: no reply will
+	// follow.
+	Forgotten bool
+	Time      clock.Millis
+}
+
+// Beat is the heartbeat of a link, both ways.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+	// Time is the sender's clock.
+	Time clock.Millis
+	// Heard echoes the Time of the last beat that the sender heard from the
+	// receiver; 0 means none yet.
+	Heard clock.Millis
+	// Version and Digest name the table edition that the sender has in force.
+	Version uint64
+	Digest  string
+	Leaving bool
+	// Upstreams holds those whose state changed since the last beat.
+	Upstreams []Upstream
+}
+
+// Ask asks a peer for the table edition that it has in force.
+type Ask struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+}
+
+// Edition carries a whole table as it was published.
+type Edition struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Text    []byte
+}
+
+// Kind names the frame.
+func (*Challenge) Kind() Kind { return KindChallenge }
+
+// Kind names the frame.
+func (*Proof) Kind() Kind { return KindProof }
+
+// Kind names the frame.
+func (*Welcome) Kind() Kind { return KindWelcome }
+
+// Kind names the frame.
+func (*Dispatch) Kind() Kind { return KindDispatch }
+
+// Kind names the frame.
+func (*Reply) Kind() Kind { return KindReply }
+
+// Kind names the frame.
+func (*Chunk) Kind() Kind { return KindChunk }
+
+// Kind names the frame.
+func (*Settle) Kind() Kind { return KindSettle }
+
+// Kind names the frame.
+func (*Settled) Kind() Kind { return KindSettled }
+
+// Kind names the frame.
+func (*Beat) Kind() Kind { return KindBeat }
+
+// Kind names the frame.
+func (*Ask) Kind() Kind { return KindAsk }
+
+// Kind names the frame.
+func (*Edition) Kind() Kind { return KindEdition }
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,149 @@
+// Package wire defines the messages between nodes and their encoding.
+//
+// A message travels as one binary WebSocket message: a byte that names its
+// kind, then the message's fields as one CBOR array. Whatever comes from a
+// peer is bounded in size, depth and element counts before it is decoded.
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Format is the version of the messages. Nodes of different formats refuse
+// each other's links.
+const Format = 1
+
+// Bounds on what a peer may send.
+const (
+	// Overhead is the most that a frame may take beside the body it carries.
+	Overhead = 64 << 10
+	// ChunkSize is the most body bytes in one frame of an answer, so that a
+	// large answer doesn't hold up small ones on the same link.
+	ChunkSize = 64 << 10
+	maxDepth  = 8
+	maxItems  = 4096
+)
+
+// Faults of a frame that a peer sent.
+const (
+	ErrFrame = errors.ConstError("malformed frame")
+	ErrKind  = errors.ConstError("unknown kind of frame")
+	ErrLarge = errors.ConstError("frame over the bound")
+)
+
+// Kind says which message a frame carries.
+type Kind uint8
+
+// The kinds of frames. Their numbers are part of the format.
+const (
+	KindChallenge Kind = iota + 1
+	KindProof
+	KindWelcome
+	KindDispatch
+	KindReply
+	KindChunk
+	KindSettle
+	KindSettled
+	KindBeat
+	KindAsk
+	KindEdition
+)
+
+// Message is one of the message types of this package, by pointer.
+type Message interface {
+	Kind() Kind
+}
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// A peer that nests or lengthens without bound would take the node's memory or
+// stack; the decoder refuses such input before it allocates for it.
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:   maxDepth,
+		MaxArrayElements:  maxItems,
+		MaxMapPairs:       maxItems,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the frame of a message.
+func Encode(m Message) ([]byte, error) {
+	return Append(nil, m)
+}
+
+// Append appends the frame of a message to dst.
+func Append(dst []byte, m Message) ([]byte, error) {
+	body, err := encoder.Marshal(m)
+	if err != nil {
+		return dst, errors.Annotatef(err, "encoding frame of kind %d", m.Kind())
+	}
+	dst = append(dst, byte(m.Kind()))
+	return append(dst, body...), nil
+}
+
+// Decode reads one frame. It returns ErrLarge, ErrKind or ErrFrame for input
+// that no node of this format sends.
+func Decode(frame []byte, limit int) (Message, error) {
+	if len(frame) > limit {
+		return nil, errors.Annotatef(ErrLarge, "%d bytes, at most %d", len(frame), limit)
+	}
+	if len(frame) == 0 {
+		return nil, errors.Annotate(ErrFrame, "empty")
+	}
+	m := blank(Kind(frame[0]))
+	if m == nil {
+		return nil, errors.Annotatef(ErrKind, "kind %d", frame[0])
+	}
+	if err := decoder.Unmarshal(frame[1:], m); err != nil {
+		return nil, errors.Annotatef(ErrFrame, "kind %d: %v", frame[0], err)
+	}
+	return m, nil
+}
+
+func blank(k Kind) Message {
+	switch k {
+	case KindChallenge:
+		return new(Challenge)
+	case KindProof:
+		return new(Proof)
+	case KindWelcome:
+		return new(Welcome)
+	case KindDispatch:
+		return new(Dispatch)
+	case KindReply:
+		return new(Reply)
+	case KindChunk:
+		return new(Chunk)
+	case KindSettle:
+		return new(Settle)
+	case KindSettled:
+		return new(Settled)
+	case KindBeat:
+		return new(Beat)
+	case KindAsk:
+		return new(Ask)
+	case KindEdition:
+		return new(Edition)
+	default:
+		return nil
+	}
+}
