--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,39 @@
+package settings
+
+import "fuchsiapick.example/fuchsiapick/clock"
+
+// Defaults of what the settings leave out.
+const (
+	// DefaultBody carries forms and price lists many times over, and keeps
+	// DefaultRequests bodies within a few gigabytes at the very worst.
+	DefaultBody = 1 << 20
+	// DefaultAnswer leaves room for a page with pictures: an answer is held
+	// whole before a caller gets any of it.
+	DefaultAnswer = 8 << 20
+	// DefaultRequests is ten times the connections of one upstream.
+	DefaultRequests = 4096
+	// DefaultRecords is some minutes of one instance's requests in a few
+	// megabytes.
+	DefaultRecords = 20_000
+	// DefaultGrace is what process supervisors commonly allow between the
+	// termination signal and the kill.
+	DefaultGrace = 30 * clock.Second
+	// DefaultPoll keeps a change in force within seconds when a watch is lost.
+	DefaultPoll = 5 * clock.Second
+	// DefaultLog shows each decision and no single request.
+	DefaultLog = "info"
+)
+
+func defaults() Settings {
+	return Settings{
+		Platform: Platform{Poll: DefaultPoll},
+		Limits: Limits{
+			Body:     DefaultBody,
+			Answer:   DefaultAnswer,
+			Requests: DefaultRequests,
+			Records:  DefaultRecords,
+		},
+		Grace: DefaultGrace,
+		Log:   DefaultLog,
+	}
+}
--- /dev/null
+++ b/table/index.go
@@ -0,0 +1,85 @@
+package table
+
+import "strings"
+
+// index holds what look-ups need, built once when a table was accepted and
+// only read afterwards, so that requests may share it without a lock.
+type index struct {
+	routes    map[string]int
+	services  map[string]int
+	upstreams map[string]place
+}
+
+type place struct{ service, upstream int }
+
+func (t *Table) buildIndex() {
+	x := index{
+		routes:    make(map[string]int, len(t.Routes)),
+		services:  make(map[string]int, len(t.Services)),
+		upstreams: make(map[string]place),
+	}
+	for i := range t.Routes {
+		x.routes[trimSlash(t.Routes[i].Prefix)] = i
+	}
+	for i := range t.Services {
+		x.services[t.Services[i].Name] = i
+		for j := range t.Services[i].Upstreams {
+			x.upstreams[t.Services[i].Upstreams[j].Name] = place{i, j}
+		}
+	}
+	t.lookup = x
+}
+
+// Route finds the route with the longest prefix that the path begins with, in
+// whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab.
+func (t *Table) Route(path string) (*Route, bool) {
+	path = trimSlash(path)
+	for {
+		if i, ok := t.lookup.routes[path]; ok {
+			return &t.Routes[i], true
+		}
+		cut := strings.LastIndexByte(path, '/')
+		if cut < 0 {
+			return nil, false
+		}
+		path = path[:cut]
+	}
+}
+
+// Service finds a service by its name.
+func (t *Table) Service(name string) (*Service, bool) {
+	i, ok := t.lookup.services[name]
+	if !ok {
+		return nil, false
+	}
+	return &t.Services[i], true
+}
+
+// Upstream finds an upstream and its service by the upstream's name, which is
+// unique in the whole table.
+func (t *Table) Upstream(name string) (*Service, *Upstream, bool) {
+	p, ok := t.lookup.upstreams[name]
+	if !ok {
+		return nil, nil, false
+	}
+	service := &t.Services[p.service]
+	return service, &service.Upstreams[p.upstream], true
+}
+
+// MayRepeat reports whether a request by this route and method may run more
+// than once.
+func (r *Route) MayRepeat(method string) bool {
+	if len(r.Repeatable) == 0 {
+		return method == "GET" || method == "HEAD"
+	}
+	for _, m := range r.Repeatable {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+func trimSlash(path string) string {
+	return strings.TrimSuffix(path, "/")
+}
--- a/table/types.go
+++ b/table/types.go
@@ -31,6 +31,8 @@
 	Routes   []Route   `toml:"route"`
 	// Callers overrides the limits of single callers.
 	Callers []Caller `toml:"caller"`
+
+	lookup index
 }
 
 // Service is a group of upstreams that answer the same requests.
