feat(link): carry frames between nodes over WebSocket

Cause: entries must reach the gates of other nodes. Change: links that prove the secret both ways first, heartbeats on their own clocks, replacement of a silent link with settlement of what is undecided. Ruled out: answering beats, which can't tell a one-way cut from a dead peer.

--- /dev/null
+++ b/link/answer.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// reply takes in the head of an answer. An answer to an attempt that isn't
+// pending any more is dropped: it can't be taken for that of a later attempt,
+// because the attempt is part of the key.
+func (p *Peer) reply(r *wire.Reply) {
+	p.config.Watcher.PeerUpstream(p.config.Address, r.Upstream)
+	key := keyOf(r.ID, r.Attempt)
+	now := p.config.Now()
+	p.mu.Lock()
+	p.judge.Heard(now)
+	p.estimate.Heard(now, p.estimate.Incarnation(), r.Time)
+	one, ok := p.pending[key]
+	switch {
+	case !ok:
+		p.mu.Unlock()
+		return
+	case len(r.Body) < r.Length && r.Length <= p.config.Answer:
+		body := make([]byte, len(r.Body), r.Length)
+		copy(body, r.Body)
+		r.Body = body
+		one.partial = r
+		p.mu.Unlock()
+		return
+	case len(r.Body) != r.Length:
+		tear(r)
+	}
+	p.remove(key)
+	p.mu.Unlock()
+	one.waiter.Replied(r)
+}
+
+// chunk takes in the next bytes of an answer. The caller gets the answer only
+// once all of it stands: a missing or misplaced chunk makes it a torn one.
+func (p *Peer) chunk(c *wire.Chunk) {
+	key := keyOf(c.ID, c.Attempt)
+	p.mu.Lock()
+	p.judge.Heard(p.config.Now())
+	one, ok := p.pending[key]
+	if !ok || one.partial == nil {
+		p.mu.Unlock()
+		return
+	}
+	r := one.partial
+	if c.Offset != len(r.Body) || len(r.Body)+len(c.Data) > r.Length {
+		tear(r)
+	} else {
+		r.Body = append(r.Body, c.Data...)
+	}
+	if len(r.Body) < r.Length {
+		p.mu.Unlock()
+		return
+	}
+	p.remove(key)
+	p.mu.Unlock()
+	one.waiter.Replied(r)
+}
+
+func tear(r *wire.Reply) {
+	r.Outcome, r.Reason = wire.Broken, wire.ReasonTorn
+	r.Body, r.Length = nil, 0
+}
+
+// settled takes in what the gate says of an undecided dispatch. One that has
+// begun stays pending, for its reply follows.
+func (p *Peer) settled(s *wire.Settled) {
+	key := keyOf(s.ID, s.Attempt)
+	p.mu.Lock()
+	p.judge.Heard(p.config.Now())
+	one, ok := p.pending[key]
+	if !ok || !(s.Voided || s.Forgotten) {
+		p.mu.Unlock()
+		return
+	}
+	p.remove(key)
+	p.mu.Unlock()
+	one.waiter.Settled(s.Voided)
+}
--- /dev/null
+++ b/link/handshake.go
@@ -0,0 +1,140 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Path is where a node's link address takes WebSocket links.
+const Path = "/link"
+
+// Identity is what a node says of itself on its links.
+type Identity struct {
+	// Node is the link address under which the table names the node.
+	Node string
+	// Incarnation is drawn at random when the process starts.
+	Incarnation uint64
+	Secret      string
+}
+
+// Remote is what a proven handshake told of the other side.
+type Remote struct {
+	Node        string
+	Incarnation uint64
+	// Time is the clock of the accepting side.
+	Time clock.Millis
+}
+
+func deadline(span clock.Millis) time.Time {
+	return time.Now().Add(span.Duration())
+}
+
+// Dial opens a link to a node and proves both sides. It returns ErrProof,
+// ErrFormat or ErrPeer when the other side isn't the node at that address.
+func Dial(ctx context.Context, address string, self Identity, limit int) (*Conn, Remote, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
+	defer cancel()
+	dialer := websocket.Dialer{
+		NetDialContext:  (&net.Dialer{}).DialContext,
+		ReadBufferSize:  bufferSize,
+		WriteBufferSize: bufferSize,
+	}
+	socket, response, err := dialer.DialContext(ctx, "ws://"+address+Path, http.Header{})
+	if err != nil {
+		return nil, Remote{}, errors.Annotatef(err, "dialling %s", address)
+	}
+	_ = response.Body.Close()
+	c := newConn(socket, limit)
+	remote, err := c.introduce(address, self)
+	if err != nil {
+		c.Close()
+		return nil, Remote{}, errors.Annotatef(err, "shaking hands with %s", address)
+	}
+	go c.write()
+	return c, remote, nil
+}
+
+func (c *Conn) introduce(address string, self Identity) (Remote, error) {
+	if err := c.socket.SetReadDeadline(deadline(handshakeTimeout)); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	challenge, err := expect[*wire.Challenge](c)
+	if err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	if challenge.Format != wire.Format {
+		return Remote{}, errors.Annotatef(ErrFormat, "format %d, want %d", challenge.Format, wire.Format)
+	}
+	if challenge.Node != address {
+		return Remote{}, errors.Annotatef(ErrPeer, "it says it is %s", challenge.Node)
+	}
+	nonce := wire.Nonce()
+	proof := &wire.Proof{Node: self.Node, Entry: self.Incarnation, Nonce: nonce}
+	proof.MAC = wire.Prove(self.Secret, wire.Dialler, self.Node, self.Incarnation, nonce, challenge.Nonce)
+	if err := c.sendNow(proof); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	welcome, err := expect[*wire.Welcome](c)
+	if err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	want := wire.Prove(self.Secret, wire.Acceptor, challenge.Node, challenge.Incarnation, challenge.Nonce, nonce)
+	if !wire.Proved(welcome.MAC, want) {
+		return Remote{}, ErrProof
+	}
+	remote := Remote{Node: challenge.Node, Incarnation: challenge.Incarnation, Time: welcome.Time}
+	return remote, errors.Trace(c.socket.SetReadDeadline(time.Time{}))
+}
+
+// accept proves the dialling side. Nothing else is read from a peer before.
+func (c *Conn) accept(self Identity, now func() clock.Millis) (Remote, error) {
+	if err := c.socket.SetReadDeadline(deadline(handshakeTimeout)); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	nonce := wire.Nonce()
+	challenge := &wire.Challenge{Format: wire.Format, Node: self.Node, Incarnation: self.Incarnation, Nonce: nonce}
+	if err := c.sendNow(challenge); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	proof, err := expect[*wire.Proof](c)
+	if err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	want := wire.Prove(self.Secret, wire.Dialler, proof.Node, proof.Entry, proof.Nonce, nonce)
+	if len(proof.Nonce) != wire.NonceSize || !wire.Proved(proof.MAC, want) {
+		return Remote{}, ErrProof
+	}
+	mac := wire.Prove(self.Secret, wire.Acceptor, self.Node, self.Incarnation, nonce, proof.Nonce)
+	if err := c.sendNow(&wire.Welcome{MAC: mac, Time: now()}); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
+	remote := Remote{Node: proof.Node, Incarnation: proof.Entry}
+	return remote, errors.Trace(c.socket.SetReadDeadline(time.Time{}))
+}
+
+// expect receives the one message that the handshake allows next. Frames of a
+// peer that isn't proven yet are held to a small bound.
+func expect[M wire.Message](c *Conn) (M, error) {
+	var none M
+	c.socket.SetReadLimit(handshakeLimit)
+	m, err := c.receive()
+	c.socket.SetReadLimit(int64(c.limit))
+	if err != nil {
+		return none, errors.Trace(err)
+	}
+	got, ok := m.(M)
+	if !ok {
+		return none, errors.Annotatef(wire.ErrFrame, "kind %d out of turn", m.Kind())
+	}
+	return got, nil
+}
+
+const handshakeLimit = 1 << 10
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,265 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Handler takes what entries of other nodes send. Its methods must not block.
+type Handler interface {
+	// Dispatch takes in a request; the answer goes out by Server.Answer.
+	Dispatch(entry uint64, d *wire.Dispatch)
+	Settle(entry uint64, s *wire.Settle)
+	// Beat takes a heartbeat in. The peer's link address is node.
+	Beat(node string, b *wire.Beat)
+	// Status returns what this node's own heartbeats say; Time and Heard are
+	// filled in by the link.
+	Status() wire.Beat
+	// Ask returns the table edition in force, if it is newer.
+	Ask(a *wire.Ask) (*wire.Edition, bool)
+	Edition(node string, e *wire.Edition)
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Identity Identity
+	// Limit bounds a frame in bytes.
+	Limit   int
+	Beat    clock.Millis
+	Now     func() clock.Millis
+	Handler Handler
+	Log     logrus.FieldLogger
+}
+
+// Server accepts links from the entries of other nodes.
+type Server struct {
+	config   ServerConfig
+	upgrader websocket.FastHTTPUpgrader
+	http     *fasthttp.Server
+
+	mu sync.Mutex
+	// latest holds the newest link of each entry: answers go there, so that an
+	// entry that replaced a silent link gets them on the new one.
+	latest map[uint64]*Conn
+	all    map[*Conn]struct{}
+}
+
+// NewServer returns a server that isn't listening yet.
+func NewServer(c ServerConfig) *Server {
+	s := &Server{
+		config: c,
+		latest: map[uint64]*Conn{},
+		all:    map[*Conn]struct{}{},
+		upgrader: websocket.FastHTTPUpgrader{
+			ReadBufferSize:  bufferSize,
+			WriteBufferSize: bufferSize,
+		},
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.upgrade,
+		Name:                  "fuchsiapick",
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    handshakeLimit,
+		ReadTimeout:           handshakeTimeout.Duration(),
+		Logger:                quiet{},
+	}
+	return s
+}
+
+// quiet drops what the HTTP library logs of malformed handshakes: anything may
+// connect to a port, and it must not fill the log.
+type quiet struct{}
+
+// Printf drops a line.
+func (quiet) Printf(string, ...any) {}
+
+// Serve accepts links until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	return errors.Annotate(s.http.Serve(listener), "serving links")
+}
+
+// Close ends all links.
+func (s *Server) Close() {
+	s.mu.Lock()
+	conns := make([]*Conn, 0, len(s.all))
+	for c := range s.all {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+func (s *Server) upgrade(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != Path {
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	err := s.upgrader.Upgrade(ctx, s.serve)
+	if err != nil {
+		s.config.Log.WithError(err).WithField("remote", ctx.RemoteAddr().String()).Debug("link refused")
+	}
+}
+
+func (s *Server) serve(socket *websocket.Conn) {
+	c := newConn(socket, s.config.Limit)
+	defer c.Close()
+	log := s.config.Log.WithField("remote", c.Remote().String())
+	remote, err := c.accept(s.config.Identity, s.config.Now)
+	if err != nil {
+		log.WithError(err).Warn("link refused")
+		return
+	}
+	s.register(remote.Incarnation, c)
+	defer s.unregister(remote.Incarnation, c)
+	go c.write()
+	session := &session{server: s, conn: c, remote: remote}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go session.beat(ctx)
+	err = c.read(session.handle)
+	log.WithError(err).WithField("peer", remote.Node).Debug("link ended")
+}
+
+func (s *Server) register(entry uint64, c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest[entry] = c
+	s.all[c] = struct{}{}
+}
+
+func (s *Server) unregister(entry uint64, c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, c)
+	if s.latest[entry] == c {
+		delete(s.latest, entry)
+	}
+}
+
+// Answer sends a reply to an entry over its newest link. An entry without a
+// link asks for the outcome when it is back.
+func (s *Server) Answer(entry uint64, r *wire.Reply) {
+	s.mu.Lock()
+	c, ok := s.latest[entry]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	if err := sendReply(c, r); err != nil {
+		// The entry would wait for the rest of an answer that never comes.
+		c.Close()
+	}
+}
+
+// Settled sends a settlement to an entry.
+func (s *Server) Settled(entry uint64, m *wire.Settled) {
+	s.mu.Lock()
+	c, ok := s.latest[entry]
+	s.mu.Unlock()
+	if ok {
+		_ = c.Send(m) // an entry without an answer asks again
+	}
+}
+
+// sendReply splits a body over frames, so that a large answer doesn't hold up
+// the small ones behind it.
+func sendReply(c *Conn, r *wire.Reply) error {
+	if len(r.Body) <= wire.ChunkSize {
+		return c.Send(r)
+	}
+	head := *r
+	head.Body = r.Body[:wire.ChunkSize]
+	if err := c.Send(&head); err != nil {
+		return errors.Trace(err)
+	}
+	for offset := wire.ChunkSize; offset < len(r.Body); offset += wire.ChunkSize {
+		end := min(offset+wire.ChunkSize, len(r.Body))
+		chunk := &wire.Chunk{ID: r.ID, Attempt: r.Attempt, Offset: offset, Data: r.Body[offset:end]}
+		if err := c.Send(chunk); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// session is one proven link at the accepting side.
+type session struct {
+	server *Server
+	conn   *Conn
+	remote Remote
+
+	mu    sync.Mutex
+	heard clock.Millis
+}
+
+func (s *session) handle(m wire.Message) {
+	h := s.server.config.Handler
+	switch m := m.(type) {
+	case *wire.Dispatch:
+		h.Dispatch(s.remote.Incarnation, m)
+	case *wire.Settle:
+		h.Settle(s.remote.Incarnation, m)
+	case *wire.Beat:
+		s.mu.Lock()
+		s.heard = m.Time
+		s.mu.Unlock()
+		h.Beat(s.remote.Node, m)
+	case *wire.Ask:
+		if e, ok := h.Ask(m); ok {
+			_ = s.conn.Send(e) // the peer asks again after the next heartbeat
+		}
+	case *wire.Edition:
+		h.Edition(s.remote.Node, m)
+	default:
+		s.conn.Close()
+	}
+}
+
+// beat sends this side's heartbeats on its own, not as answers, so that a peer
+// whose frames are lost on the way here still hears that they are.
+func (s *session) beat(ctx context.Context) {
+	ticker := time.NewTicker(s.server.config.Beat.Duration())
+	defer ticker.Stop()
+	for {
+		s.sendBeat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.conn.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *session) sendBeat() {
+	b := s.server.config.Handler.Status()
+	b.Time = s.server.config.Now()
+	s.mu.Lock()
+	b.Heard = s.heard
+	s.mu.Unlock()
+	_ = s.conn.Send(&b) // a full queue shows at the peer as a missing beat
+}
+
+// BeatNow sends a heartbeat on every link at once, for news that can't wait.
+func (s *Server) BeatNow() {
+	b := s.config.Handler.Status()
+	b.Time = s.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.all {
+		_ = c.Send(&b) // the next regular beat says it again
+	}
+}
