fix(link): dial beside the peer's loop

Cause: a frozen node accepts a connection but no handshake; dialling it in the loop held up heartbeats and the path's verdict for the handshake's timeout. Change: one dial at a time in its own goroutine.

--- a/link/peer.go
+++ b/link/peer.go
@@ -71,6 +71,7 @@
 
 	mu       sync.Mutex
 	conn     *Conn
+	dialling bool
 	judge    *path.Judge
 	state    path.State
 	estimate lease.Estimate
@@ -249,16 +250,21 @@
 func (p *Peer) open(ctx context.Context) {
 	now := p.config.Now()
 	p.mu.Lock()
-	due := (p.conn == nil || p.judge.State(now) != path.Good) && p.judge.Redial(now)
+	due := !p.dialling && (p.conn == nil || p.judge.State(now) != path.Good) && p.judge.Redial(now)
+	p.dialling = p.dialling || due
 	p.mu.Unlock()
-	if !due {
-		return
+	if due {
+		go p.dial(ctx)
 	}
+}
+
+func (p *Peer) dial(ctx context.Context) {
 	conn, remote, err := Dial(ctx, p.config.Address, p.config.Self, p.config.Limit)
-	now = p.config.Now()
+	now := p.config.Now()
 	if err != nil {
 		p.log.WithError(err).Debug("link not opened")
 		p.mu.Lock()
+		p.dialling = false
 		p.judge.Failed(now)
 		lost := p.conn == nil
 		p.mu.Unlock()
@@ -268,7 +274,7 @@
 		return
 	}
 	p.adopt(now, conn, remote)
-	go p.serve(conn)
+	p.serve(conn)
 }
 
 // adopt replaces the link and settles what is undecided over the new one.
@@ -276,6 +282,7 @@
 	p.mu.Lock()
 	old := p.conn
 	p.conn = conn
+	p.dialling = false
 	p.judge.Opened(now)
 	changed := p.estimate.Heard(now, remote.Incarnation, remote.Time)
 	undecided := make([]*pending, 0, len(p.pending))
