--- /dev/null
+++ b/limit/slots.go
@@ -0,0 +1,191 @@
+package limit
+
+import (
+	"math/rand/v2"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// SlotsConfig is what a gate's Slots are made from.
+type SlotsConfig struct {
+	// Slots is how many requests the upstream serves at once.
+	Slots int
+	// Queue is how many more may wait for a slot.
+	Queue int
+	// Seed makes the jitter of RetryAfter repeatable.
+	Seed uint64
+}
+
+// Answer says what becomes of an offered request.
+type Answer uint8
+
+// The values of Answer.
+const (
+	// Run means that the request has a slot.
+	Run Answer = iota
+	// Wait means that it is in the queue: Release, Resize or Expire names its
+	// ticket later.
+	Wait
+	// Full means not run: there is no place in the queue.
+	Full
+	// Late means not run: its turn can't come within its deadline.
+	Late
+)
+
+// Offer is the answer to one request.
+type Offer struct {
+	Answer Answer
+	// RetryAfter is when to come back; it is set for Full and Late.
+	RetryAfter clock.Millis
+}
+
+// Load is what a gate publishes about its upstream's slots.
+type Load struct {
+	InFlight int
+	Waiting  int
+	Free     int
+}
+
+// Slots admits requests to one upstream: at most Slots run, at most Queue wait.
+// It is not safe for concurrent use.
+type Slots struct {
+	config  SlotsConfig
+	random  *rand.Rand
+	running int
+	waiting []waiter
+	// missed are waiters that were passed over, until Expire reports them.
+	missed []uint64
+	drain  drain
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	ticket   uint64
+	deadline clock.Millis
+}
+
+// NewSlots makes Slots with none in use.
+func NewSlots(c SlotsConfig) *Slots {
+	return &Slots{config: c, random: rand.New(rand.NewPCG(c.Seed, 0))}
+}
+
+// Offer asks for a slot until the deadline, an instant. The ticket names the
+// request; it must differ from those of all requests waiting.
+func (s *Slots) Offer(now clock.Millis, ticket uint64, deadline clock.Millis) Offer {
+	s.drain.advance(now, s.running)
+	if deadline <= now {
+		return Offer{Answer: Late, RetryAfter: s.retryAfter()}
+	}
+	if s.running < s.config.Slots {
+		s.running++
+		return Offer{Answer: Run}
+	}
+	if len(s.waiting) >= s.config.Queue {
+		return Offer{Answer: Full, RetryAfter: s.retryAfter()}
+	}
+	if now+s.wait(len(s.waiting)+1)+s.drain.need() > deadline {
+		return Offer{Answer: Late, RetryAfter: s.retryAfter()}
+	}
+	s.waiting = append(s.waiting, waiter{ticket: ticket, deadline: deadline})
+	return Offer{Answer: Wait}
+}
+
+// Release frees the slot of a request that ended. The next waiter whose
+// deadline can still be met takes it and is returned; those passed over are
+// returned by the next Expire.
+func (s *Slots) Release(now clock.Millis) (ticket uint64, ok bool) {
+	s.drain.advance(now, s.running)
+	if s.running == 0 {
+		return 0, false
+	}
+	s.running--
+	s.drain.release()
+	return s.next()
+}
+
+// Expire removes and returns the waiters whose deadline has passed or that
+// were passed over because it can't be met. They were not run.
+func (s *Slots) Expire(now clock.Millis) []uint64 {
+	s.drain.advance(now, s.running)
+	expired := s.missed
+	s.missed = nil
+	kept := s.waiting[:0]
+	for _, w := range s.waiting {
+		if w.deadline <= now {
+			expired = append(expired, w.ticket)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	s.waiting = kept
+	return expired
+}
+
+// Withdraw removes a waiter that was cancelled. It returns false if no such
+// ticket waits: it runs, or it was refused.
+func (s *Slots) Withdraw(ticket uint64) bool {
+	for i, w := range s.waiting {
+		if w.ticket == ticket {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Load returns the slots' present use.
+func (s *Slots) Load() Load {
+	return Load{
+		InFlight: s.running,
+		Waiting:  len(s.waiting),
+		Free:     max(s.config.Slots-s.running, 0),
+	}
+}
+
+// Resize puts an edited table in force and returns the tickets of waiters that
+// run now. Requests that run or wait beyond the new numbers are let finish.
+func (s *Slots) Resize(c SlotsConfig) []uint64 {
+	s.config = c
+	var run []uint64
+	for {
+		ticket, ok := s.next()
+		if !ok {
+			return run
+		}
+		run = append(run, ticket)
+	}
+}
+
+// next gives a free slot to the first waiter whose deadline can be met.
+func (s *Slots) next() (ticket uint64, ok bool) {
+	for s.running < s.config.Slots && len(s.waiting) > 0 {
+		w := s.waiting[0]
+		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
+		if s.drain.now+max(s.drain.need(), 1) <= w.deadline {
+			s.running++
+			return w.ticket, true
+		}
+		s.missed = append(s.missed, w.ticket)
+	}
+	return 0, false
+}
+
+// wait estimates the time until the given place in the queue gets a slot.
+func (s *Slots) wait(place int) clock.Millis {
+	return clock.Millis(float64(place) * s.drain.mean() / float64(max(s.config.Slots, 1)))
+}
+
+// retryAfter estimates when a place in the queue will be free.
+func (s *Slots) retryAfter() clock.Millis {
+	span := max(s.wait(len(s.waiting)+1), leastRetryAfter)
+	return min(span, mostRetryAfter) + clock.Millis(s.random.Int64N(int64(min(span, mostRetryAfter))))
+}
+
+// Bounds of a computed RetryAfter before jitter.
+const (
+	// leastRetryAfter keeps a caller from coming back before the refusal has
+	// reached it: about one round trip to callers at 8 ms one way.
+	leastRetryAfter clock.Millis = 20
+	// mostRetryAfter bounds the estimate while an upstream hangs.
+	mostRetryAfter = 30 * clock.Second
+)
