feat(gate,entry): serve a request from caller to backend server

Change: the gate admits, queues, runs and judges; the entry picks, sends, waits, settles and answers. Ruled out: the HTTP library's own retries, which would repeat what may not be repeated.

--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// write gives the caller the final answer: the upstream's whole, or our own.
+func write(ctx *fasthttp.RequestCtx, id wire.RequestID, f *final) {
+	ctx.Response.Reset()
+	ctx.Response.Header.DisableNormalizing()
+	ctx.SetStatusCode(f.status)
+	if f.reply != nil {
+		for _, h := range f.reply.Headers {
+			ctx.Response.Header.Add(h.Name, h.Value)
+		}
+		ctx.Response.SetBodyRaw(f.reply.Body)
+	} else {
+		explain(ctx, f)
+	}
+	ctx.Response.Header.Set(HeaderOutcome, string(f.outcome))
+	ctx.Response.Header.Set(HeaderRequest, id.String())
+	if f.reason != "" {
+		ctx.Response.Header.Set(HeaderReason, f.reason)
+	}
+}
+
+func explain(ctx *fasthttp.RequestCtx, f *final) {
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(sentence(f) + "\n")
+	if f.outcome == account.NotRun && f.status != fasthttp.StatusNotFound {
+		if seconds := wholeSeconds(f.retryAfter); seconds > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+		}
+	}
+}
+
+// wholeSeconds rounds up: coming back early would be refused again.
+func wholeSeconds(span clock.Millis) int64 {
+	return int64((span + clock.Second - 1) / clock.Second)
+}
+
+func sentence(f *final) string {
+	if f.outcome == account.Unknown {
+		return "The request may have run; its outcome is unknown (" + f.reason + "). It will not be run again."
+	}
+	return "The request was not run (" + f.reason + ")."
+}
+
+// headersOf copies the headers that go on to the upstream: those of the one
+// connection and our own stay behind.
+func headersOf(request *fasthttp.Request) []wire.Header {
+	headers := make([]wire.Header, 0, request.Header.Len())
+	for name, value := range request.Header.All() {
+		if forwarded(string(name)) {
+			headers = append(headers, wire.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return headers
+}
+
+func forwarded(name string) bool {
+	switch strings.ToLower(name) {
+	case "host", "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer",
+		"proxy-connection", "expect":
+		return false
+	default:
+		return !strings.HasPrefix(strings.ToLower(name), "fuchsiapick-")
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,193 @@
+// Package entry takes callers' requests for any service, picks an upstream for
+// each, sends it to the gate beside that upstream, and gives the caller the
+// whole answer. It alone sees the whole service: it holds the floor, spends
+// the retry budget and closes the account of every request.
+package entry
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Target is the way to one node's gates: a peer, or this node itself.
+type Target interface {
+	// Dispatch sends a request. After an error nothing was sent.
+	Dispatch(d *wire.Dispatch, w link.Waiter) error
+	Settle(id wire.RequestID, attempt uint8)
+	Forget(id wire.RequestID, attempt uint8)
+}
+
+// Journal takes in accounts and events.
+type Journal interface {
+	Received()
+	Close(now clock.Millis, r account.Record)
+	Note(e account.Event)
+}
+
+// Config configures an Entry.
+type Config struct {
+	Domain      string
+	Incarnation uint64
+	Seed        uint64
+	Now         func() clock.Millis
+	Pool        *ants.Pool
+	Journal     Journal
+	// Target returns the way to the node beside an upstream.
+	Target func(u table.Upstream) Target
+	Log    logrus.FieldLogger
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	config   Config
+	sequence atomic.Uint64
+	busy     atomic.Int64
+
+	table    atomic.Pointer[table.Table]
+	callers  atomic.Pointer[map[string]float64] // their own rates
+	services atomic.Pointer[map[string]*service]
+
+	mu    sync.Mutex // guards rates
+	rates *limit.Rates
+}
+
+// mostCallers bounds the callers whose rates are remembered; the one heard
+// least lately is forgotten first.
+const mostCallers = 50_000
+
+// New returns an entry without a table: it refuses requests until Update.
+func New(c Config) *Entry {
+	e := &Entry{config: c, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
+	e.services.Store(&map[string]*service{})
+	e.callers.Store(&map[string]float64{})
+	return e
+}
+
+// Update puts a table in force.
+func (e *Entry) Update(t *table.Table) {
+	old := *e.services.Load()
+	next := make(map[string]*service, len(t.Services))
+	for _, c := range t.Services {
+		s, ok := old[c.Name]
+		if !ok {
+			seed := e.config.Seed + uint64(len(next))
+			s = newService(c, e.config.Domain, seed, e.config.Journal, e.config.Log)
+		}
+		s.update(c, e.config.Target)
+		next[c.Name] = s
+	}
+	callers := make(map[string]float64, len(t.Callers))
+	for _, c := range t.Callers {
+		callers[c.Name] = c.Rate
+	}
+	e.callers.Store(&callers)
+	e.services.Store(&next)
+	e.table.Store(t)
+}
+
+// Heard takes in what a gate says of its upstream.
+func (e *Entry) Heard(u wire.Upstream) {
+	t := e.table.Load()
+	if t == nil {
+		return
+	}
+	if c, _, ok := t.Upstream(u.Name); ok {
+		if s, found := (*e.services.Load())[c.Name]; found {
+			s.heard(e.config.Now(), u)
+		}
+	}
+}
+
+// Path takes in whether a node can be reached from here.
+func (e *Entry) Path(node string, lost bool) {
+	for _, s := range *e.services.Load() {
+		s.path(node, lost)
+	}
+}
+
+// Instance takes in what the instance list says of a node.
+func (e *Entry) Instance(node string, leaving bool) {
+	for _, s := range *e.services.Load() {
+		s.instance(node, leaving)
+	}
+}
+
+// Busy returns how many requests are in flight.
+func (e *Entry) Busy() int {
+	return int(e.busy.Load())
+}
+
+// States describes all upstreams as this entry sees them.
+func (e *Entry) States() []account.UpstreamState {
+	var all []account.UpstreamState
+	t := e.table.Load()
+	if t == nil {
+		return nil
+	}
+	now := e.config.Now()
+	services := *e.services.Load()
+	for _, c := range t.Services {
+		if s, ok := services[c.Name]; ok {
+			all = append(all, s.states(now)...)
+		}
+	}
+	return all
+}
+
+// Serve answers one request of a caller. A full pool refuses at once.
+func (e *Entry) Serve(ctx *fasthttp.RequestCtx) {
+	e.busy.Add(1)
+	defer e.busy.Add(-1)
+	e.config.Journal.Received()
+	r := e.newRequest(ctx)
+	done := make(chan struct{})
+	err := e.config.Pool.Submit(func() {
+		defer close(done)
+		r.serve()
+	})
+	if err != nil {
+		r.finish(refused(fasthttp.StatusServiceUnavailable, reasonBusy, clock.Second))
+		return
+	}
+	<-done
+}
+
+// Malformed answers what the HTTP library could not read as a request.
+func (e *Entry) Malformed(ctx *fasthttp.RequestCtx, err error) {
+	e.config.Journal.Received()
+	r := e.newRequest(ctx)
+	status, reason := fasthttp.StatusBadRequest, reasonMalformed
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		status, reason = fasthttp.StatusRequestEntityTooLarge, reasonLargeBody
+	}
+	e.config.Log.WithError(err).WithField("request", r.id.String()).Debug("malformed request")
+	r.finish(refused(status, reason, 0))
+}
+
+func (e *Entry) allow(now clock.Millis, s *table.Service, caller string) limit.Grant {
+	callerRate := s.CallerRate
+	if own, ok := (*e.callers.Load())[caller]; ok {
+		callerRate = own
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rates.Allow(now, s.Name, s.Rate, caller, callerRate)
+}
+
+func milliseconds(text []byte) (clock.Millis, bool) {
+	n, err := strconv.ParseInt(string(text), 10, 32)
+	return clock.Millis(n), err == nil && n > 0
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,376 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Headers between callers and an entry.
+const (
+	// HeaderOutcome tells the three final answers apart: served, not-run,
+	// unknown.
+	HeaderOutcome = "Fuchsiapick-Outcome"
+	// HeaderReason says why a request was not served.
+	HeaderReason = "Fuchsiapick-Reason"
+	// HeaderRequest carries the request id.
+	HeaderRequest = "Fuchsiapick-Request"
+	// HeaderCaller names the caller; without it the caller is its IP number.
+	HeaderCaller = "Fuchsiapick-Caller"
+	// HeaderDeadline shortens the service's deadline, in milliseconds.
+	HeaderDeadline = "Fuchsiapick-Deadline"
+)
+
+// Reasons of the entry itself, beside those of the gates.
+const (
+	reasonBusy      = "node-busy"
+	reasonMalformed = "malformed"
+	reasonLargeBody = "body-too-large"
+	reasonNoTable   = "no-table"
+	reasonNoRoute   = "unknown-route"
+	reasonNobody    = "no-upstream-usable"
+	reasonNoPath    = "unreachable"
+	reasonSilent    = "no-answer"
+	reasonReplaced  = "node-replaced"
+)
+
+const (
+	longestCaller = 64
+	// settleShare is the part of the deadline kept back to ask the gate what
+	// became of a request that got no answer, so that fewer end as unknown.
+	settleShare = 8
+	// settleMost bounds it: a settlement takes one round trip.
+	settleMost = clock.Millis(250)
+)
+
+// request is one request of a caller on its way.
+type request struct {
+	entry   *Entry
+	ctx     *fasthttp.RequestCtx
+	id      wire.RequestID
+	caller  string
+	method  string
+	started clock.Millis
+
+	route      *table.Route
+	service    *service
+	config     table.Service
+	baseline   wire.Baseline
+	deadline   clock.Millis // an instant
+	repeatable bool
+
+	headers  []wire.Header
+	body     []byte
+	tried    []*member
+	attempts uint8
+	forced   bool
+	// begun means that an upstream may have run the request: it can't be
+	// refused as not run any more.
+	begun bool
+	last  *member
+}
+
+// final is the answer that the caller gets.
+type final struct {
+	outcome    account.Outcome
+	status     int
+	reason     string
+	retryAfter clock.Millis
+	reply      *wire.Reply
+}
+
+func refused(status int, reason string, after clock.Millis) final {
+	return final{outcome: account.NotRun, status: status, reason: reason, retryAfter: after}
+}
+
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx) *request {
+	return &request{
+		entry:   e,
+		ctx:     ctx,
+		id:      wire.RequestID{Entry: e.config.Incarnation, Seq: e.sequence.Add(1)},
+		caller:  callerOf(ctx),
+		method:  string(ctx.Method()),
+		started: e.config.Now(),
+	}
+}
+
+// callerOf names the caller. The name ends up in logs and reports, so it is
+// held to printable characters and a bounded length.
+func callerOf(ctx *fasthttp.RequestCtx) string {
+	name := ctx.Request.Header.Peek(HeaderCaller)
+	if len(name) == 0 {
+		return ctx.RemoteIP().String()
+	}
+	if len(name) > longestCaller {
+		name = name[:longestCaller]
+	}
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r > '~' {
+			return '_'
+		}
+		return r
+	}, string(name))
+}
+
+func (r *request) serve() {
+	if refusal, ok := r.admit(); !ok {
+		r.finish(refusal)
+		return
+	}
+	r.headers = headersOf(&r.ctx.Request)
+	// A gate may still hold the body when the caller's connection already
+	// carries the next request in the same buffer.
+	r.body = append(r.body, r.ctx.PostBody()...)
+	r.finish(r.run())
+}
+
+// admit finds the service and checks the limits.
+func (r *request) admit() (final, bool) {
+	t := r.entry.table.Load()
+	if t == nil {
+		return refused(fasthttp.StatusServiceUnavailable, reasonNoTable, clock.Second), false
+	}
+	route, ok := t.Route(string(r.ctx.Path()))
+	if !ok {
+		return refused(fasthttp.StatusNotFound, reasonNoRoute, 0), false
+	}
+	r.route = route
+	r.service = (*r.entry.services.Load())[route.Service]
+	if r.service == nil {
+		return refused(fasthttp.StatusServiceUnavailable, reasonNoTable, clock.Second), false
+	}
+	r.config, r.baseline = r.service.admit(r.started)
+	r.repeatable = route.MayRepeat(r.method)
+	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
+		return refused(fasthttp.StatusTooManyRequests, grant.By+"-limit", grant.RetryAfter), false
+	}
+	r.deadline = r.started + r.budget()
+	return final{}, true
+}
+
+// budget is the service's deadline, or the caller's own shorter one.
+func (r *request) budget() clock.Millis {
+	if own, ok := milliseconds(r.ctx.Request.Header.Peek(HeaderDeadline)); ok {
+		return min(own, r.config.Deadline)
+	}
+	return r.config.Deadline
+}
+
+// run tries upstreams until the request has a final answer.
+func (r *request) run() final {
+	for {
+		now := r.entry.config.Now()
+		choice, untried, ok := r.service.choose(now, r.repeatable, r.tried)
+		if !ok {
+			return r.nowhere(now)
+		}
+		result := r.try(now, choice, untried)
+		if answer, done := r.judge(result, untried); done {
+			return answer
+		}
+	}
+}
+
+// nowhere is the final answer when no upstream is left to try.
+func (r *request) nowhere(now clock.Millis) final {
+	if r.begun {
+		return r.unknown(reasonNobody)
+	}
+	return refused(fasthttp.StatusServiceUnavailable, reasonNobody, r.service.comeBack(now))
+}
+
+// result is what one try came to.
+type result struct {
+	kind   retry.Result
+	reply  *wire.Reply // nil without one
+	reason string
+	served bool
+	after  clock.Millis
+	full   bool
+}
+
+// try sends the request to one upstream and waits for what becomes of it.
+func (r *request) try(now clock.Millis, a attempt, untried int) result {
+	r.attempts++
+	r.tried = append(r.tried, a.member)
+	r.last, r.forced = a.member, a.forced
+	d := r.dispatch(now, a, untried)
+	w := newWaiter()
+	err := a.member.target.Dispatch(d, w)
+	if err != nil {
+		r.service.ended(now, a.member, false)
+		return result{kind: retry.NotRun, reason: reasonNoPath}
+	}
+	outcome := r.await(d, a.member, w)
+	a.member.target.Forget(d.ID, d.Attempt)
+	r.service.ended(r.entry.config.Now(), a.member, outcome.full)
+	return outcome
+}
+
+func (r *request) dispatch(now clock.Millis, a attempt, untried int) *wire.Dispatch {
+	return &wire.Dispatch{
+		ID:         r.id,
+		Attempt:    r.attempts,
+		Budget:     r.attemptBudget(now, untried),
+		Upstream:   a.member.upstream.Name,
+		Caller:     r.caller,
+		Method:     r.method,
+		URI:        string(r.ctx.RequestURI()),
+		Headers:    r.headers,
+		Body:       r.body,
+		Repeatable: r.repeatable,
+		Forced:     a.forced,
+		Baseline:   r.baseline,
+	}
+}
+
+// attemptBudget is the time that one try may take. A repeatable request keeps
+// half of what is left for another upstream: one that hangs would take all.
+func (r *request) attemptBudget(now clock.Millis, untried int) clock.Millis {
+	left := max(r.deadline-now, 1)
+	if r.repeatable && untried > 0 {
+		return max(left/2, 1)
+	}
+	return max(left-r.settleTime(), 1)
+}
+
+func (r *request) settleTime() clock.Millis {
+	return min((r.deadline-r.started)/settleShare, settleMost)
+}
+
+// await waits for the outcome of a dispatch. Without one by the end of its
+// budget it asks the gate, which voids a dispatch that it has not begun.
+func (r *request) await(d *wire.Dispatch, m *member, w *waiter) result {
+	until := r.entry.config.Now() + d.Budget
+	asked := false
+	for {
+		now := r.entry.config.Now()
+		e := w.next(max(until-now, 0) + 1)
+		switch {
+		case e.kind == replied:
+			return resultOf(e.reply)
+		case e.kind == voided:
+			return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}
+		case e.kind == forgotten:
+			return result{kind: retry.Silent, reason: reasonReplaced}
+		case e.kind == lost && r.repeatable:
+			return result{kind: retry.Silent, reason: reasonNoPath}
+		case e.kind == expired && asked:
+			return result{kind: retry.Silent, reason: reasonSilent}
+		case e.kind == expired:
+			asked = true
+			until = min(r.entry.config.Now()+r.settleTime(), r.deadline)
+			m.target.Settle(d.ID, d.Attempt)
+		}
+	}
+}
+
+func resultOf(reply *wire.Reply) result {
+	out := result{reply: reply, reason: string(reply.Reason), after: reply.RetryAfter}
+	switch reply.Outcome {
+	case wire.NotRun:
+		out.kind = retry.NotRun
+		out.full = reply.Reason == wire.ReasonFull || reply.Reason == wire.ReasonLate || reply.Reason == wire.ReasonShed
+	case wire.Answered:
+		out.kind = retry.Failed
+		out.served = reply.Status < fasthttp.StatusInternalServerError
+		if !out.served {
+			out.reason = "status-" + strconv.Itoa(reply.Status)
+		}
+	default:
+		out.kind = retry.Failed
+	}
+	return out
+}
+
+// judge turns the result of a try into the final answer, or lets the next try
+// go on.
+func (r *request) judge(o result, untried int) (final, bool) {
+	if o.served {
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply}, true
+	}
+	if o.kind != retry.NotRun {
+		r.begun = true
+	}
+	now := r.entry.config.Now()
+	decision := r.service.retry(now, retry.Attempt{
+		Result:     o.kind,
+		ForLoad:    o.full,
+		Repeatable: r.repeatable,
+		Tried:      int(r.attempts),
+		Remaining:  r.deadline - now,
+		RetryAfter: o.after,
+		Untried:    untried,
+	})
+	if decision.Retry {
+		return final{}, false
+	}
+	switch {
+	case o.reply != nil && o.reply.Outcome == wire.Answered:
+		// The upstream's own answer, though an error, says more than ours.
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, reason: o.reason}, true
+	case r.begun:
+		return r.unknown(o.reason), true
+	default:
+		after := max(decision.RetryAfter, o.after, r.service.comeBack(now))
+		return refused(fasthttp.StatusServiceUnavailable, o.reason, after), true
+	}
+}
+
+// unknown is said when an upstream may have run the request and its outcome
+// can't be learned.
+func (r *request) unknown(reason string) final {
+	status := fasthttp.StatusBadGateway
+	if reason == string(wire.ReasonTimeout) || reason == reasonSilent {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	return final{outcome: account.Unknown, status: status, reason: reason}
+}
+
+// finish writes the answer and closes the account.
+func (r *request) finish(f final) {
+	write(r.ctx, r.id, &f)
+	now := r.entry.config.Now()
+	record := account.Record{
+		ID:       r.id.String(),
+		Caller:   r.caller,
+		Method:   r.method,
+		Outcome:  f.outcome,
+		Reason:   f.reason,
+		Attempts: int(r.attempts),
+		Status:   f.status,
+		Started:  r.started,
+		Took:     now - r.started,
+		Forced:   r.forced,
+	}
+	if r.route != nil {
+		record.Service, record.Route = r.route.Service, r.route.Prefix
+	}
+	if r.last != nil {
+		record.Upstream, record.Domain = r.last.upstream.Name, r.last.upstream.Domain
+	}
+	r.entry.config.Journal.Close(now, record)
+	if f.outcome != account.Served {
+		r.log(&record)
+	}
+}
+
+func (r *request) log(record *account.Record) {
+	r.entry.config.Log.WithFields(logrus.Fields{
+		"request":  record.ID,
+		"caller":   record.Caller,
+		"service":  record.Service,
+		"upstream": record.Upstream,
+		"outcome":  record.Outcome,
+		"reason":   record.Reason,
+		"attempts": record.Attempts,
+	}).Info("request not served")
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,345 @@
+package entry
+
+import (
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/choice"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/floor"
+	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// baselineEvery is how often the median over a service's gates is worked out
+// anew: often against the seconds in which a common fault spreads, seldom
+// against the requests in between.
+const baselineEvery = clock.Millis(200)
+
+// service is this entry's view of one service.
+type service struct {
+	log     logrus.FieldLogger
+	journal Journal
+
+	mu       sync.Mutex
+	config   table.Service
+	members  []*member
+	byName   map[string]*member
+	chooser  *choice.Chooser
+	budget   *retry.Budget
+	baseline health.Baseline
+	computed clock.Millis
+	dirty    bool
+	recheck  clock.Millis // when the first hold-off ends; 0 without one
+	uses     []floor.Use
+
+	candidates []choice.Candidate
+	floors     []floor.Member
+	own        []health.Baseline
+}
+
+// member is one upstream as this entry sees it.
+type member struct {
+	upstream table.Upstream
+	target   Target
+	state    wire.Upstream
+	heard    clock.Millis // when state was heard
+	lost     bool
+	gone     bool // the instance list says that it is leaving
+	sent     int  // dispatches of this entry without an outcome
+}
+
+func newService(c table.Service, domain string, seed uint64, journal Journal, log logrus.FieldLogger) *service {
+	return &service{
+		log:     log.WithField("service", c.Name),
+		journal: journal,
+		config:  c,
+		byName:  map[string]*member{},
+		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
+		budget:  retry.New(retry.Config{Share: c.Retries, Seed: seed}),
+		dirty:   true,
+	}
+}
+
+// update puts a table edit in force. What is known of upstreams that stay is
+// kept.
+func (s *service) update(c table.Service, target func(u table.Upstream) Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Retries != s.config.Retries {
+		s.budget = retry.New(retry.Config{Share: c.Retries})
+	}
+	s.config = c
+	old := s.byName
+	s.byName = make(map[string]*member, len(c.Upstreams))
+	s.members = make([]*member, 0, len(c.Upstreams))
+	for _, u := range c.Upstreams {
+		m, ok := old[u.Name]
+		if !ok || m.upstream.Node != u.Node {
+			m = &member{target: target(u), state: wire.Upstream{Share: 1}}
+		}
+		m.upstream = u
+		s.members = append(s.members, m)
+		s.byName[u.Name] = m
+	}
+	s.dirty = true
+}
+
+// attempt is a choice of an upstream for one try at a request.
+type attempt struct {
+	member *member
+	forced bool
+}
+
+// choose picks the upstream for the next try. It reports how many usable ones
+// were not tried before.
+func (s *service) choose(now clock.Millis, repeatable bool, tried []*member) (a attempt, untried int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	s.candidates = s.candidates[:0]
+	for i, m := range s.members {
+		usable := s.usable(now, i, repeatable)
+		s.candidates = append(s.candidates, m.candidate(usable))
+		if usable && !contains(tried, m) {
+			untried++
+		}
+	}
+	i, ok := s.chooser.Choose(s.candidates, func(i int) bool { return contains(tried, s.members[i]) })
+	if !ok {
+		return attempt{}, untried, false
+	}
+	m := s.members[i]
+	m.sent++
+	return attempt{member: m, forced: s.uses[i] == floor.Forced}, untried - 1, true
+}
+
+// usable says whether a request may go to an upstream. One that is back for
+// trial gets repeatable requests only: should it still be sick, another can
+// serve them again.
+func (s *service) usable(now clock.Millis, i int, repeatable bool) bool {
+	switch s.uses[i] {
+	case floor.Normal, floor.Forced:
+		return true
+	case floor.Aside:
+		return repeatable && s.members[i].verdict(now) == health.Trial
+	default:
+		return false
+	}
+}
+
+// verdict is the gate's as last heard. A hold-off that has run out since is a
+// trial: the link may have been closed for want of requests, and then no
+// heartbeat says so.
+func (m *member) verdict(now clock.Millis) health.State {
+	state := health.State(m.state.State)
+	if state == health.Aside && now >= m.heard+m.state.Until {
+		return health.Trial
+	}
+	return state
+}
+
+// setAside reports a verdict that the floor decides about.
+func (m *member) setAside(now clock.Millis) bool {
+	state := m.verdict(now)
+	return state == health.Aside || state == health.Trial
+}
+
+func (m *member) candidate(usable bool) choice.Candidate {
+	return choice.Candidate{
+		Domain:   m.upstream.Domain,
+		Weight:   m.upstream.Weight,
+		Slots:    m.upstream.Slots,
+		InFlight: max(m.sent, m.state.InFlight+m.state.Waiting),
+		Share:    m.state.Share,
+		Usable:   usable,
+	}
+}
+
+func contains(members []*member, m *member) bool {
+	for _, other := range members {
+		if other == m {
+			return true
+		}
+	}
+	return false
+}
+
+// refresh works out the floor and the baseline where something changed.
+func (s *service) refresh(now clock.Millis) {
+	if s.dirty || (s.recheck > 0 && now >= s.recheck) {
+		s.decideFloor(now)
+		s.dirty = false
+	}
+	if now-s.computed >= baselineEvery {
+		s.computed = now
+		s.own = s.own[:0]
+		for _, m := range s.members {
+			s.own = append(s.own, baselineOf(m.state.Own))
+		}
+		s.baseline = health.Median(s.own)
+	}
+}
+
+func baselineOf(b wire.Baseline) health.Baseline {
+	return health.Baseline{Known: b.Known, Failed: b.Failed, Latency: b.Latency}
+}
+
+func (s *service) decideFloor(now clock.Millis) {
+	s.floors = s.floors[:0]
+	s.recheck = 0
+	for _, m := range s.members {
+		if end := m.heard + m.state.Until; m.verdict(now) == health.Aside && (s.recheck == 0 || end < s.recheck) {
+			s.recheck = end
+		}
+		s.floors = append(s.floors, floor.Member{
+			Capacity: float64(m.upstream.Weight * m.upstream.Slots),
+			Aside:    m.setAside(now),
+			Severity: m.state.Severity,
+			Leaving:  m.state.Leaving || m.gone,
+			Lost:     m.lost,
+		})
+	}
+	before := append([]floor.Use(nil), s.uses...)
+	s.uses = floor.Decide(s.uses[:0], s.config.Floor, s.floors)
+	for i, use := range s.uses {
+		if use == floor.Forced && (i >= len(before) || before[i] != floor.Forced) {
+			s.noteForced(now, s.members[i])
+		}
+	}
+}
+
+func (s *service) noteForced(now clock.Millis, m *member) {
+	s.log.WithField("upstream", m.upstream.Name).Warn("kept in use under the floor")
+	s.journal.Note(account.Event{
+		At:       now,
+		Kind:     account.KeptUnderFloor,
+		Service:  s.config.Name,
+		Upstream: m.upstream.Name,
+		Node:     m.upstream.Node,
+		Reason:   "floor",
+	})
+}
+
+// heard takes in what a gate says of its upstream.
+func (s *service) heard(now clock.Millis, u wire.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.byName[u.Name]
+	if !ok {
+		return
+	}
+	old := m.state
+	m.state, m.heard = u, now
+	if old.State != u.State || old.Severity != u.Severity || old.Leaving != u.Leaving {
+		s.dirty = true
+	}
+}
+
+// path takes in whether a node can be reached from here.
+func (s *service) path(node string, isLost bool) {
+	s.each(node, func(m *member) { m.lost = isLost })
+}
+
+// instance takes in what the instance list says of a node. The list lags, so a
+// live link that says leaving stands whatever the list says.
+func (s *service) instance(node string, leaving bool) {
+	s.each(node, func(m *member) { m.gone = leaving })
+}
+
+func (s *service) each(node string, change func(m *member)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.members {
+		if m.upstream.Node == node {
+			change(m)
+			s.dirty = true
+		}
+	}
+}
+
+// ended gives back the place of a dispatch and feeds the retry budget.
+func (s *service) ended(now clock.Millis, m *member, full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.sent--
+	s.budget.Refused(now, full)
+}
+
+func (s *service) retry(now clock.Millis, a retry.Attempt) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Decide(now, a)
+}
+
+// admit counts a request and returns the service as the table has it.
+func (s *service) admit(now clock.Millis) (table.Service, wire.Baseline) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(now)
+	return s.config, wire.Baseline{Known: s.baseline.Known, Failed: s.baseline.Failed, Latency: s.baseline.Latency}
+}
+
+// states describes the upstreams for the report.
+func (s *service) states(now clock.Millis) []account.UpstreamState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	all := make([]account.UpstreamState, 0, len(s.members))
+	for i, m := range s.members {
+		all = append(all, account.UpstreamState{
+			Service:  s.config.Name,
+			Name:     m.upstream.Name,
+			Domain:   m.upstream.Domain,
+			Node:     m.upstream.Node,
+			State:    m.describe(now, s.uses[i]),
+			Weight:   m.upstream.Weight,
+			Slots:    m.upstream.Slots,
+			InFlight: max(m.sent, m.state.InFlight),
+			Severity: m.state.Severity,
+		})
+	}
+	return all
+}
+
+func (m *member) describe(now clock.Millis, use floor.Use) string {
+	switch {
+	case m.state.Leaving || m.gone:
+		return account.StateLeaving
+	case m.upstream.Weight == 0:
+		return account.StateOff
+	case m.lost:
+		return account.StateUnreachable
+	case use == floor.Forced:
+		return account.StateKept
+	}
+	switch m.verdict(now) {
+	case health.Aside:
+		return account.StateSetAside
+	case health.Trial:
+		return account.StateTrial
+	case health.Ramp:
+		return account.StateRamp
+	default:
+		return account.StateInUse
+	}
+}
+
+// comeBack is when a caller may find an upstream again: when the first
+// hold-off ends, at least a second.
+func (s *service) comeBack(now clock.Millis) clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := clock.Millis(0)
+	for _, m := range s.members {
+		left := m.heard + m.state.Until - now
+		if m.verdict(now) == health.Aside && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return max(first, clock.Second)
+}
--- /dev/null
+++ b/entry/waiter.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// eventKind says what a waiter was told of its dispatch.
+type eventKind uint8
+
+const (
+	replied eventKind = iota
+	voided
+	forgotten
+	lost
+	expired
+)
+
+type event struct {
+	kind  eventKind
+	reply *wire.Reply
+}
+
+// waiter receives what becomes of one dispatch. A dispatch ends with one reply
+// or settlement; the second place is for one notice that the path is lost.
+type waiter struct {
+	events chan event
+}
+
+func newWaiter() *waiter {
+	return &waiter{events: make(chan event, 2)}
+}
+
+// Replied takes in the gate's whole answer.
+func (w *waiter) Replied(r *wire.Reply) {
+	w.put(event{kind: replied, reply: r})
+}
+
+// Settled takes in a settlement.
+func (w *waiter) Settled(isVoided bool) {
+	if isVoided {
+		w.put(event{kind: voided})
+		return
+	}
+	w.put(event{kind: forgotten})
+}
+
+// Lost takes in that the path is lost for now.
+func (w *waiter) Lost() {
+	if len(w.events) == 0 {
+		w.put(event{kind: lost})
+	}
+}
+
+func (w *waiter) put(e event) {
+	select {
+	case w.events <- e:
+	default: // the entry has its outcome and isn't listening any more
+	}
+}
+
+var timers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+
+// next waits for the next event, at most for the span.
+func (w *waiter) next(span clock.Millis) event {
+	timer, _ := timers.Get().(*time.Timer)
+	timer.Reset(span.Duration())
+	defer timers.Put(timer)
+	select {
+	case e := <-w.events:
+		timer.Stop()
+		return e
+	case <-timer.C:
+		return event{kind: expired}
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,348 @@
+// Package gate is the only way to the backend server beside a node. It admits,
+// queues briefly, runs or refuses each request, sees every outcome, and from
+// these decides whether the backend server is set aside.
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Backend runs one request at the backend server, errors as HTTP.Do returns
+// them.
+type Backend interface {
+	Do(c *Call) (Answer, error)
+	Close()
+}
+
+// Journal takes in what the gate decides.
+type Journal interface {
+	Note(e account.Event)
+}
+
+// Config configures a Gate.
+type Config struct {
+	Service     table.Service
+	Upstream    table.Upstream
+	Incarnation uint64
+	Seed        uint64
+	Now         func() clock.Millis
+	Backend     Backend
+	Pool        *ants.Pool
+	Journal     Journal
+	Log         logrus.FieldLogger
+}
+
+// Gate guards one upstream. It is safe for concurrent use.
+type Gate struct {
+	config Config
+	log    logrus.FieldLogger
+
+	mu       sync.Mutex
+	service  table.Service
+	upstream table.Upstream
+	fence    *lease.Fence[*wire.Reply]
+	judge    *health.Judge
+	slots    *limit.Slots
+	jobs     map[uint64]*job
+	tickets  uint64
+	leaving  bool
+	state    health.State
+}
+
+// job is one dispatch that waits for a slot or runs.
+type job struct {
+	dispatch *wire.Dispatch
+	answer   func(*wire.Reply)
+	key      lease.Key
+	ticket   uint64
+	until    clock.Millis
+	running  bool
+	overdue  bool
+	timer    *time.Timer
+}
+
+// New returns a gate that admits requests.
+func New(c Config) *Gate {
+	return &Gate{
+		config:   c,
+		log:      c.Log.WithFields(logrus.Fields{"service": c.Service.Name, "upstream": c.Upstream.Name}),
+		service:  c.Service,
+		upstream: c.Upstream,
+		fence:    lease.NewFence[*wire.Reply](c.Incarnation),
+		judge:    health.New(health.Config{Caution: c.Service.Caution, Seed: c.Seed}),
+		slots:    limit.NewSlots(limit.SlotsConfig{Slots: c.Upstream.Slots, Queue: c.Service.Queue}),
+		jobs:     map[uint64]*job{},
+	}
+}
+
+// Handle takes in a dispatch. The answer function is called once, or never for
+// a duplicate, whose first copy is answered.
+func (g *Gate) Handle(d *wire.Dispatch, answer func(*wire.Reply)) {
+	now := g.config.Now()
+	key := lease.Key{Entry: d.ID.Entry, Seq: d.ID.Seq, Attempt: d.Attempt}
+	g.mu.Lock()
+	verdict := g.fence.Take(now, key, d.Incarnation, d.Lease)
+	if verdict == lease.Duplicate {
+		g.mu.Unlock()
+		return
+	}
+	g.learn(d)
+	reason, after := g.refusal(now, verdict, d)
+	if reason != "" {
+		g.refuse(now, key, d, answer, reason, after)
+		return
+	}
+	g.offer(now, key, d, answer)
+}
+
+// learn takes over the service's baseline as the entry sees it.
+func (g *Gate) learn(d *wire.Dispatch) {
+	if d.Baseline.Known {
+		g.judge.SetBaseline(health.Baseline{Known: true, Failed: d.Baseline.Failed, Latency: d.Baseline.Latency})
+	}
+}
+
+// refusal says why a dispatch isn't admitted, or nothing.
+func (g *Gate) refusal(now clock.Millis, v lease.Verdict, d *wire.Dispatch) (wire.Reason, clock.Millis) {
+	switch {
+	case v == lease.Stale:
+		return wire.ReasonStale, 0
+	case v == lease.Voided:
+		return wire.ReasonVoided, 0
+	case g.leaving || g.upstream.Weight == 0:
+		return wire.ReasonLeaving, 0
+	case d.Forced || g.judge.Admit(now, d.Repeatable):
+		return "", 0
+	default:
+		g.noteState(now)
+		return wire.ReasonAside, max(g.judge.Status(now).Until-now, 0)
+	}
+}
+
+// refuse answers that a dispatch was not run. It unlocks the gate.
+func (g *Gate) refuse(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply), reason wire.Reason, after clock.Millis) {
+	g.fence.Refuse(key)
+	reply := g.reply(now, d)
+	g.mu.Unlock()
+	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, after
+	answer(reply)
+}
+
+// offer gives a dispatch a slot, a place in the queue, or a refusal. It
+// unlocks the gate.
+func (g *Gate) offer(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply)) {
+	g.tickets++
+	j := &job{dispatch: d, answer: answer, key: key, ticket: g.tickets, until: min(now+d.Budget, d.Lease)}
+	offer := g.slots.Offer(now, j.ticket, j.until)
+	switch offer.Answer {
+	case limit.Run:
+		g.jobs[j.ticket] = j
+		g.mu.Unlock()
+		g.start(j)
+	case limit.Wait:
+		g.jobs[j.ticket] = j
+		j.timer = time.AfterFunc((j.until - now + 1).Duration(), g.expire)
+		g.mu.Unlock()
+	case limit.Late:
+		g.refuse(now, key, d, answer, wire.ReasonLate, offer.RetryAfter)
+	default:
+		g.refuse(now, key, d, answer, wire.ReasonFull, offer.RetryAfter)
+	}
+}
+
+// expire refuses the waiters whose deadline passed.
+func (g *Gate) expire() {
+	now := g.config.Now()
+	g.mu.Lock()
+	var late []*job
+	for _, ticket := range g.slots.Expire(now) {
+		if j, ok := g.jobs[ticket]; ok {
+			delete(g.jobs, ticket)
+			g.fence.Refuse(j.key)
+			late = append(late, j)
+		}
+	}
+	load := g.slots.Load()
+	g.mu.Unlock()
+	for _, j := range late {
+		g.answerLate(j, load)
+	}
+}
+
+func (g *Gate) answerLate(j *job, load limit.Load) {
+	g.mu.Lock()
+	reply := g.reply(g.config.Now(), j.dispatch)
+	g.mu.Unlock()
+	reply.Outcome, reply.Reason = wire.NotRun, wire.ReasonLate
+	reply.RetryAfter = clock.Second * clock.Millis(1+load.Waiting/max(load.InFlight, 1))
+	j.answer(reply)
+}
+
+// Settle says what became of a dispatch and voids one that has not begun. It
+// returns the reply once more if there is one.
+func (g *Gate) Settle(s *wire.Settle) (*wire.Settled, *wire.Reply) {
+	now := g.config.Now()
+	key := lease.Key{Entry: s.ID.Entry, Seq: s.ID.Seq, Attempt: s.Attempt}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state, reply := g.fence.Settle(now, key, s.Incarnation, s.Lease)
+	if state == lease.Done && reply != nil {
+		return nil, reply
+	}
+	return &wire.Settled{
+		ID:        s.ID,
+		Attempt:   s.Attempt,
+		Voided:    state == lease.NotRun,
+		Forgotten: state == lease.Forgotten || state == lease.Done,
+		Time:      now,
+	}, nil
+}
+
+// Leave ends new work for good. What was admitted is finished.
+func (g *Gate) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.leaving {
+		g.leaving = true
+		g.log.Info("leaving")
+		g.note(account.Event{At: g.config.Now(), Kind: account.Leaving})
+	}
+}
+
+// Update puts a table edit in force.
+func (g *Gate) Update(s table.Service, u table.Upstream) {
+	g.mu.Lock()
+	if s.Caution != g.service.Caution {
+		g.judge = health.New(health.Config{Caution: s.Caution, Seed: g.config.Seed})
+	}
+	g.service, g.upstream = s, u
+	var ready []*job
+	for _, ticket := range g.slots.Resize(limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue}) {
+		if j, ok := g.jobs[ticket]; ok {
+			ready = append(ready, j)
+		}
+	}
+	g.mu.Unlock()
+	for _, j := range ready {
+		g.start(j)
+	}
+}
+
+// Probed takes in the result of a health probe.
+func (g *Gate) Probed(ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.judge.Probed(g.config.Now(), ok)
+}
+
+// Busy returns how many requests wait or run.
+func (g *Gate) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.jobs)
+}
+
+// Status is what heartbeats and replies say of the upstream.
+func (g *Gate) Status() wire.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status(g.config.Now())
+}
+
+// State is what the report says of the upstream.
+func (g *Gate) State() (health.Status, limit.Load, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.judge.Status(g.config.Now()), g.slots.Load(), g.leaving || g.upstream.Weight == 0
+}
+
+// Close lets go of the backend server's connections.
+func (g *Gate) Close() {
+	g.config.Backend.Close()
+}
+
+func (g *Gate) status(now clock.Millis) wire.Upstream {
+	g.noteState(now)
+	s := g.judge.Status(now)
+	load := g.slots.Load()
+	own := g.judge.Own()
+	return wire.Upstream{
+		Name:     g.upstream.Name,
+		State:    uint8(s.State),
+		Severity: s.Severity,
+		Share:    s.Share,
+		InFlight: load.InFlight,
+		Waiting:  load.Waiting,
+		Until:    max(s.Until-now, 0),
+		Leaving:  g.leaving || g.upstream.Weight == 0,
+		Own:      wire.Baseline{Known: own.Known, Failed: own.Failed, Latency: own.Latency},
+	}
+}
+
+func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
+	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
+}
+
+func (g *Gate) note(e account.Event) {
+	e.Service, e.Upstream, e.Node = g.service.Name, g.upstream.Name, g.upstream.Node
+	g.config.Journal.Note(e)
+}
+
+// noteState journals a change of the verdict.
+func (g *Gate) noteState(now clock.Millis) {
+	s := g.judge.Status(now)
+	if s.State == g.state {
+		return
+	}
+	g.state = s.State
+	e := account.Event{At: now, Kind: kindOf(s.State), Reason: s.Evidence.Reason}
+	if s.State == health.Aside {
+		e.Until = s.Until
+		e.Evidence = evidenceOf(s.Evidence)
+	}
+	g.note(e)
+	g.log.WithFields(logrus.Fields{
+		"state":    s.State.String(),
+		"evidence": e.Evidence,
+		"reason":   e.Reason,
+	}).Info("verdict changed")
+}
+
+func kindOf(s health.State) account.EventKind {
+	switch s {
+	case health.Aside:
+		return account.SetAside
+	case health.Trial:
+		return account.Trial
+	case health.Ramp:
+		return account.Ramp
+	default:
+		return account.Back
+	}
+}
+
+func evidenceOf(e health.Evidence) account.Evidence {
+	return account.Evidence{
+		Outcomes:        e.Outcomes,
+		Failed:          e.Failed,
+		Slow:            e.Slow,
+		Overdue:         e.Overdue,
+		Score:           e.Score,
+		Threshold:       e.Threshold,
+		BaselineFailed:  e.Baseline.Failed,
+		BaselineLatency: e.Baseline.Latency,
+	}
+}
+
--- /dev/null
+++ b/gate/run.go
@@ -0,0 +1,173 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// start hands a job that has a slot to the pool's workers.
+func (g *Gate) start(j *job) {
+	if err := g.config.Pool.Submit(func() { g.run(j) }); err != nil {
+		g.log.WithError(err).Warn("request not run")
+		g.finishNotRun(j, wire.ReasonFull)
+	}
+}
+
+func (g *Gate) run(j *job) {
+	now, ok := g.begin(j)
+	if !ok {
+		g.finishNotRun(j, wire.ReasonVoided)
+		return
+	}
+	d := j.dispatch
+	answer, err := g.config.Backend.Do(&Call{
+		ID:       d.ID,
+		Caller:   d.Caller,
+		Method:   d.Method,
+		URI:      d.URI,
+		Headers:  d.Headers,
+		Body:     d.Body,
+		Deadline: j.until - now,
+	})
+	g.finish(j, now, answer, err)
+}
+
+// begin is the last step before the request goes out. A dispatch that was
+// settled as not run while it waited stops here.
+func (g *Gate) begin(j *job) (clock.Millis, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	if now >= j.until || !g.fence.Begin(now, j.key) {
+		return now, false
+	}
+	j.running = true
+	if j.timer != nil {
+		j.timer.Stop()
+	}
+	j.timer = time.AfterFunc(g.judge.OverdueAfter().Duration(), func() { g.overdue(j) })
+	return now, true
+}
+
+// overdue counts a request that has no outcome yet as evidence: a backend
+// server that hangs gives no outcome to count.
+func (g *Gate) overdue(j *job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.jobs[j.ticket]; !ok || j.overdue {
+		return
+	}
+	j.overdue = true
+	now := g.config.Now()
+	g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller})
+	g.noteState(now)
+}
+
+func (g *Gate) finish(j *job, began clock.Millis, a Answer, err error) {
+	g.mu.Lock()
+	now := g.config.Now()
+	j.timer.Stop()
+	delete(g.jobs, j.ticket)
+	if !j.overdue {
+		result := resultOf(a, err, j.until-began < g.judge.OverdueAfter())
+		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller})
+	}
+	reply := g.reply(now, j.dispatch)
+	describe(reply, a, err)
+	g.fence.Finish(j.key, kept(j.dispatch, reply))
+	next := g.release(now)
+	g.mu.Unlock()
+	j.answer(reply)
+	if next != nil {
+		g.start(next)
+	}
+}
+
+// kept is the reply that a settlement may ask for again. A repeatable request
+// is sent anew in place of asking, so its answer takes no memory here.
+func kept(d *wire.Dispatch, reply *wire.Reply) *wire.Reply {
+	if d.Repeatable {
+		return nil
+	}
+	return reply
+}
+
+func (g *Gate) finishNotRun(j *job, reason wire.Reason) {
+	g.mu.Lock()
+	now := g.config.Now()
+	if j.timer != nil {
+		j.timer.Stop()
+	}
+	delete(g.jobs, j.ticket)
+	g.fence.Refuse(j.key)
+	reply := g.reply(now, j.dispatch)
+	next := g.release(now)
+	g.mu.Unlock()
+	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
+	j.answer(reply)
+	if next != nil {
+		g.start(next)
+	}
+}
+
+// release frees a slot and returns the job that takes it.
+func (g *Gate) release(now clock.Millis) *job {
+	for {
+		ticket, ok := g.slots.Release(now)
+		if !ok {
+			return nil
+		}
+		if j, found := g.jobs[ticket]; found {
+			return j
+		}
+	}
+}
+
+// resultOf sorts an outcome for the verdict. What says nothing about sickness
+// must not count as failed: shed load, the caller's own faults, and deadlines
+// that no healthy upstream would have met.
+func resultOf(a Answer, err error, tooShort bool) health.Result {
+	switch {
+	case errors.Is(err, ErrTimeout) && tooShort:
+		return health.ShortDeadline
+	case errors.Is(err, ErrTimeout):
+		return health.Overdue
+	case errors.Is(err, ErrLarge):
+		return health.CallerFault
+	case err != nil:
+		return health.Failed
+	case a.Overloaded:
+		return health.Shed
+	case a.Status >= 500:
+		return health.Failed
+	case a.Status >= 400:
+		return health.CallerFault
+	default:
+		return health.Good
+	}
+}
+
+// describe fills in what the entry is told. Not run is said only where the
+// backend server got nothing, or says itself that it did not begin.
+func describe(r *wire.Reply, a Answer, err error) {
+	switch {
+	case errors.Is(err, ErrRefused):
+		r.Outcome, r.Reason = wire.NotRun, wire.ReasonRefused
+	case errors.Is(err, ErrTimeout):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonTimeout
+	case errors.Is(err, ErrLarge):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonTooLarge
+	case err != nil:
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonTorn
+	case a.Shed:
+		r.Outcome, r.Reason, r.RetryAfter = wire.NotRun, wire.ReasonShed, a.RetryAfter
+	default:
+		r.Outcome, r.Status, r.Headers, r.Body, r.Length = wire.Answered, a.Status, a.Headers, a.Body, len(a.Body)
+		r.RetryAfter = a.RetryAfter
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -226,7 +226,7 @@
 }
 
 func (p *Peer) pathChanged(state path.State) {
-	p.log.WithField("path", state.String()).Info("path changed")
+	p.log.WithField("path", pathName(state)).Info("path changed")
 	p.config.Watcher.PeerPath(p.config.Address, state)
 	if state == path.Lost {
 		p.lose()
@@ -376,3 +376,17 @@
 func settleOf(d *wire.Dispatch) *wire.Settle {
 	return &wire.Settle{ID: d.ID, Attempt: d.Attempt, Incarnation: d.Incarnation, Upstream: d.Upstream, Lease: d.Lease}
 }
+
+// pathName is a path's state as logs show it.
+func pathName(s path.State) string {
+	switch s {
+	case path.Good:
+		return "good"
+	case path.Doubted:
+		return "doubted"
+	case path.Lost:
+		return "lost"
+	default:
+		return "unknown"
+	}
+}
