--- a/floor/floor.go
+++ b/floor/floor.go
@@ -38,7 +38,7 @@
 )
 
 // tolerance is the part of the whole capacity by which rounding may hide that
-// the floor is exactly met: 0.55 x 20 is 11.000000000000002.
+// the floor is exactly met: 0.56 x 25 is 14.000000000000002.
 const tolerance = 1e-9
 
 // Decide appends the use of each member to dst[:0], in the order of members.
