feat(account): keep totals, burn and filters in bounded memory

A node of 1.3 million callers can't keep totals for each. Totals by caller, service, upstream, outcome and reason are kept for 1,024 callers by the space-saving algorithm; what a caller may have missed stands beside it (at most 1/1024 of all requests), and the rest is under (other), so that the sum of all totals is the number of accounts. A count-min sketch was ruled out: it gives no list of callers and its sums don't add up. No library of the module list does space-saving.

--- a/account/book.go
+++ b/account/book.go
@@ -1,9 +1,12 @@
 package account
 
 import (
+	"strings"
 	"sync"
 
+	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // Config bounds a Book's memory. A bound of zero or less takes its default.
@@ -15,6 +18,8 @@
 	Events int
 	// Callers bounds the callers whose totals are kept apart.
 	Callers int
+	// Start is the instant the node started.
+	Start clock.Millis
 }
 
 // Defaults of Config.
@@ -23,27 +28,40 @@
 	DefaultRecords = 16384
 	// DefaultEvents is about 0.5 MB of events.
 	DefaultEvents = 2048
-	// DefaultCallers keeps totals within about 3 MB.
+	// DefaultCallers keeps totals within about 3 MB, and a caller's error
+	// within a thousandth of all requests.
 	DefaultCallers = 1024
+	// textBound bounds each text of a record in bytes, since callers choose
+	// some of them. Request ids, routes and names are well under it.
+	textBound = 256
 )
 
 // Book is a node's account of its requests. It is safe for concurrent use.
 type Book struct {
-	mu       sync.Mutex
-	received uint64
-	closed   uint64
-	served   *ring[Record]
-	others   *ring[Record]
-	events   *ring[Event]
+	mu         sync.Mutex
+	start      clock.Millis
+	received   uint64
+	closed     uint64
+	unmatched  uint64
+	served     *ring[Record]
+	unserved   *ring[Record]
+	events     *ring[Event]
+	tally      *tally
+	meter      *burn.Meter
+	objectives map[string]Objective
 }
 
 // New returns an empty Book.
 func New(c Config) *Book {
 	c = c.withDefaults()
 	return &Book{
-		served: newRing[Record](max(c.Records/2, 1)),
-		others: newRing[Record](max(c.Records/2, 1)),
-		events: newRing[Event](c.Events),
+		start:      c.Start,
+		served:     newRing[Record](max(c.Records/2, 1)),
+		unserved:   newRing[Record](max(c.Records/2, 1)),
+		events:     newRing[Event](c.Events),
+		tally:      newTally(c.Callers),
+		meter:      burn.NewMeter(burn.Config{}),
+		objectives: make(map[string]Objective),
 	}
 }
 
@@ -60,6 +78,18 @@
 	return c
 }
 
+// SetServices takes the objectives of the table in force. Requests are judged
+// by the objective in force when they end.
+func (b *Book) SetServices(services []table.Service) {
+	objectives := make(map[string]Objective, len(services))
+	for _, s := range services {
+		objectives[s.Name] = Objective(s.Objective)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.objectives = objectives
+}
+
 // Received counts a request that reached the entry. Each call must be followed
 // by one Close.
 func (b *Book) Received() {
@@ -69,20 +99,47 @@
 }
 
 // Close enters the single account of a request that Received counted.
-func (b *Book) Close(_ clock.Millis, r Record) {
+func (b *Book) Close(now clock.Millis, r Record) {
+	r.clip()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.closed == b.received {
+		b.unmatched++
+		return
+	}
 	b.closed++
 	if r.Outcome == Served {
 		b.served.put(r)
+	} else {
+		b.unserved.put(r)
+	}
+	b.tally.add(&r)
+	if r.Service == "" {
 		return
 	}
-	b.others.put(r)
+	if s, counts := r.sample(b.objectives[r.Service].Latency); counts {
+		b.meter.Add(now, r.Service, s)
+	}
 }
 
 // Note enters an event.
 func (b *Book) Note(e Event) {
+	e.Reason = clip(e.Reason)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.events.put(e)
 }
+
+func (r *Record) clip() {
+	for _, text := range []*string{&r.ID, &r.Caller, &r.Service, &r.Route, &r.Method, &r.Reason, &r.Upstream} {
+		*text = clip(*text)
+	}
+}
+
+// clip copies what it shortens, so that the long text isn't kept.
+func clip(text string) string {
+	if len(text) <= textBound {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:textBound]), "")
+}
--- a/account/ring.go
+++ b/account/ring.go
@@ -23,12 +23,11 @@
 	r.lost++
 }
 
-// newest calls yield from the last value put in to the oldest one held, until
-// it returns false.
-func (r *ring[T]) newest(yield func(T) bool) {
+// newest ranges from the last value put in to the oldest one held.
+func (r *ring[T]) newest(yield func(*T) bool) {
 	for i := range r.values {
 		at := (r.next - 1 - i + 2*len(r.values)) % len(r.values)
-		if !yield(r.values[at]) {
+		if !yield(&r.values[at]) {
 			return
 		}
 	}
--- a/account/snapshot.go
+++ b/account/snapshot.go
@@ -1,46 +1,184 @@
 package account
 
-import "fuchsiapick.example/fuchsiapick/clock"
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/burn"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
 
 // Format is the version of Snapshot's JSON.
 const Format = 1
 
-// Filter narrows a Snapshot. An empty field lets everything pass.
-type Filter struct {
-	Service  string `json:"service,omitempty"`
-	Caller   string `json:"caller,omitempty"`
-	Upstream string `json:"upstream,omitempty"`
-	// Since is a span back from now; 0 means all that is kept.
-	Since clock.Millis `json:"since,omitempty"`
-}
-
-// Snapshot is a node's book at one instant, as plain data.
+// Snapshot is a node's book at one instant, as plain data. The node fills
+// Name, Node, Domain, Table and Upstreams.
 type Snapshot struct {
 	Format int `json:"format"`
-	// Node is the node's link address, Domain its failure domain and Table
-	// the version in force; the node fills them, and Upstreams too.
-	Node   string       `json:"node"`
-	Domain string       `json:"domain"`
+	// Name is the node's own, Node its link address, as the table has it.
+	Name   string `json:"name"`
+	Node   string `json:"node"`
+	Domain string `json:"domain"`
+	// Table is the version in force; 0 if none is.
 	Table  uint64       `json:"table"`
 	Now    clock.Millis `json:"now"`
 	Filter Filter       `json:"filter"`
-	// Received is Closed plus Open, over the node's whole life.
-	Received  uint64          `json:"received"`
-	Closed    uint64          `json:"closed"`
-	Open      uint64          `json:"open"`
+	// Life is the span since the node started; nothing is older.
+	Life clock.Millis `json:"life"`
+	// Span is how far back Totals reach. It is Life, or the filter's Since, or
+	// less than that if records within it were overwritten.
+	Span clock.Millis `json:"span"`
+	// Received is Closed plus Open, over the node's whole life and unfiltered.
+	Received uint64 `json:"received"`
+	Closed   uint64 `json:"closed"`
+	Open     uint64 `json:"open"`
+	// Totals is sorted, the largest first. Without a filter and over the whole
+	// life their sum is Closed.
+	Totals    []Total         `json:"totals"`
+	Callers   []CallerCount   `json:"callers"`
 	Records   []Record        `json:"records"`
 	Events    []Event         `json:"events"`
 	Upstreams []UpstreamState `json:"upstreams"`
+	Burn      []ServiceBurn   `json:"burn"`
+	Dropped   Dropped         `json:"dropped"`
+}
+
+// Objective is a service's objective, as the table has it.
+type Objective struct {
+	Availability float64      `json:"availability"`
+	Latency      clock.Millis `json:"latency"`
+	Within       float64      `json:"within"`
+}
+
+// ServiceBurn holds the counts that a service's burn is worked out from. They
+// are of all callers and upstreams, whatever the filter says of these.
+type ServiceBurn struct {
+	Service   string        `json:"service"`
+	Objective Objective     `json:"objective"`
+	Windows   []burn.Window `json:"windows"`
+}
+
+// Dropped says what the bounds of memory took from a Snapshot.
+type Dropped struct {
+	// Served and Unserved count the records that newer ones overwrote.
+	Served   uint64 `json:"served"`
+	Unserved uint64 `json:"unserved"`
+	// Events counts the events that newer ones overwrote.
+	Events uint64 `json:"events"`
+	// Limited counts the records that the filter's Limit left out.
+	Limited uint64 `json:"limited"`
+	// Unplaced counts requests whose service and upstream are not known any
+	// more, so that the filter may have passed them over.
+	Unplaced uint64 `json:"unplaced"`
+	// Unmetered counts requests that burn left out: they were of a service
+	// beyond the bound on services.
+	Unmetered uint64 `json:"unmetered"`
+	// Unmatched counts calls of Close with no request open. They are a fault
+	// of the program and in no other count.
+	Unmatched uint64 `json:"unmatched"`
 }
 
 // Snapshot copies what the filter lets pass, newest first. The now is the
 // node's clock.
 func (b *Book) Snapshot(now clock.Millis, f Filter) Snapshot {
+	s := b.copy(now, f)
+	sortTotals(s.Totals)
+	slices.SortFunc(s.Callers, func(a, b CallerCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Caller, b.Caller))
+	})
+	slices.SortStableFunc(s.Records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.end(), a.end()), cmp.Compare(a.ID, b.ID))
+	})
+	if over := len(s.Records) - f.Limit; f.Limit > 0 && over > 0 {
+		s.Records = s.Records[:f.Limit]
+		s.Dropped.Limited += uint64(over)
+	}
+	return s
+}
+
+// copy is the part of Snapshot that needs the lock.
+func (b *Book) copy(now clock.Millis, f Filter) Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Snapshot{Format: Format, Now: now, Filter: f, Received: b.received, Closed: b.closed, Open: b.received - b.closed}
-	b.served.newest(func(r Record) bool { s.Records = append(s.Records, r); return true })
-	b.others.newest(func(r Record) bool { s.Records = append(s.Records, r); return true })
-	b.events.newest(func(e Event) bool { s.Events = append(s.Events, e); return true })
+	s := Snapshot{
+		Format: Format, Now: now, Filter: f, Life: now - b.start, Span: now - b.start,
+		Received: b.received, Closed: b.closed, Open: b.received - b.closed,
+		Callers: b.tally.counts(f), Records: []Record{}, Events: []Event{},
+		Upstreams: []UpstreamState{}, Burn: b.burns(now, f),
+		Dropped: Dropped{
+			Served: b.served.lost, Unserved: b.unserved.lost, Events: b.events.lost,
+			Unmetered: b.meter.Unmetered(), Unmatched: b.unmatched,
+		},
+	}
+	recent := newTally(b.tally.bound)
+	for _, records := range []*ring[Record]{b.served, b.unserved} {
+		s.Dropped.Limited += collect(&s.Records, records, recent, now, f)
+		if f.Since > 0 {
+			s.Span = min(s.Span, f.Since, reach(records, now))
+		}
+	}
+	if f.Since > 0 {
+		s.Callers = recent.counts(f)
+		s.Totals, s.Dropped.Unplaced = recent.totals(f)
+	} else {
+		s.Totals, s.Dropped.Unplaced = b.tally.totals(f)
+	}
+	for e := range b.events.newest {
+		if f.passesEvent(e, now) {
+			s.Events = append(s.Events, *e)
+		}
+	}
 	return s
 }
+
+// collect appends the records that pass, up to the filter's limit, and adds
+// them to recent, which only a filter with Since needs. It returns how many
+// the limit left out.
+func collect(into *[]Record, from *ring[Record], recent *tally, now clock.Millis, f Filter) (limited uint64) {
+	taken := 0
+	for r := range from.newest {
+		if !f.recent(r.end(), now) || !f.passes(r.Caller, r.Service, r.Upstream) {
+			continue
+		}
+		if f.Since > 0 {
+			recent.add(r)
+		}
+		if f.Limit > 0 && taken >= f.Limit {
+			limited++
+			continue
+		}
+		taken++
+		*into = append(*into, *r)
+	}
+	return limited
+}
+
+// reach returns how far back a ring of records has lost none.
+func reach(records *ring[Record], now clock.Millis) clock.Millis {
+	if records.lost == 0 {
+		return now
+	}
+	oldest := now
+	for r := range records.newest {
+		oldest = min(oldest, r.end())
+	}
+	return now - oldest
+}
+
+func (b *Book) burns(now clock.Millis, f Filter) []ServiceBurn {
+	found := []ServiceBurn{}
+	for _, name := range b.meter.Services() {
+		if match(f.Service, name) {
+			found = append(found, ServiceBurn{
+				Service:   name,
+				Objective: b.objectives[name],
+				Windows:   b.meter.Windows(now, now-b.start, name),
+			})
+		}
+	}
+	return found
+}
+
+func (r *Record) end() clock.Millis {
+	return r.Started + r.Took
+}
--- /dev/null
+++ b/account/tally.go
@@ -0,0 +1,216 @@
+package account
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// Others stands for the callers, services and upstreams beyond a bound.
+const Others = "(other)"
+
+// cellsEach is how many cells of totals there may be for each caller kept
+// apart, on average: some three services of three upstreams, and outcomes.
+const cellsEach = 16
+
+// Total counts the requests of one caller to one service that ended at one
+// upstream with one outcome and reason.
+type Total struct {
+	Caller   string  `json:"caller"`
+	Service  string  `json:"service"`
+	Upstream string  `json:"upstream"`
+	Outcome  Outcome `json:"outcome"`
+	Reason   string  `json:"reason"`
+	Count    uint64  `json:"count"`
+	// Took is the sum of the requests' spans.
+	Took clock.Millis `json:"took"`
+}
+
+// CallerCount says how exact the totals of one caller are.
+type CallerCount struct {
+	Caller string `json:"caller"`
+	// Count is how many of its requests stand under its name.
+	Count uint64 `json:"count"`
+	// Missed is how many more at most stand under Others.
+	Missed uint64 `json:"missed"`
+}
+
+// cellKey is what totals are kept by within a caller.
+type cellKey struct {
+	service  string
+	upstream string
+	outcome  Outcome
+	reason   string
+}
+
+type cell struct {
+	count uint64
+	took  clock.Millis
+}
+
+// tracked is a caller whose totals are kept apart.
+type tracked struct {
+	name string
+	// weight is the space-saving counter: the caller's requests under its
+	// name, plus missed.
+	weight uint64
+	missed uint64
+	cells  map[cellKey]cell
+	at     int
+}
+
+// tally keeps totals by caller in bounded memory by the space-saving
+// algorithm (Metwally, Agrawal and El Abbadi, 2005). With n callers kept
+// apart, each caller that made more than 1/n of all requests is among them,
+// and none misses more than 1/n of all requests. What isn't kept apart is
+// under Others, so that the sum of all totals is the number of accounts.
+type tally struct {
+	bound   int
+	callers map[string]*tracked
+	order   lightest
+	others  map[cellKey]cell
+	cells   int
+}
+
+func newTally(callers int) *tally {
+	return &tally{
+		bound:   callers,
+		callers: make(map[string]*tracked),
+		others:  make(map[cellKey]cell),
+	}
+}
+
+func (t *tally) add(r *Record) {
+	c := t.track(r.Caller)
+	c.weight++
+	heap.Fix(&t.order, c.at)
+	key := cellKey{service: r.Service, upstream: r.Upstream, outcome: r.Outcome, reason: r.Reason}
+	t.put(c.cells, key, cell{count: 1, took: r.Took})
+}
+
+// track returns the caller's entry; it takes the place of the lightest one if
+// there is no room.
+func (t *tally) track(name string) *tracked {
+	if c := t.callers[name]; c != nil {
+		return c
+	}
+	c := &tracked{name: name, cells: make(map[cellKey]cell, 1)}
+	if len(t.callers) >= t.bound {
+		out := heap.Pop(&t.order).(*tracked)
+		delete(t.callers, out.name)
+		t.cells -= len(out.cells)
+		for key, v := range out.cells {
+			t.put(t.others, key, v)
+		}
+		c.weight, c.missed = out.weight, out.weight
+	}
+	t.callers[name] = c
+	heap.Push(&t.order, c)
+	return c
+}
+
+// put adds to a cell. Beyond the bound on cells only the outcome is kept.
+func (t *tally) put(cells map[cellKey]cell, key cellKey, v cell) {
+	if _, known := cells[key]; !known {
+		if t.cells >= t.bound*cellsEach {
+			key = cellKey{service: Others, upstream: Others, outcome: key.outcome}
+		}
+		if _, known := cells[key]; !known {
+			t.cells++
+		}
+	}
+	sum := cells[key]
+	sum.count += v.count
+	sum.took += v.took
+	cells[key] = sum
+}
+
+// totals returns the cells that the filter lets pass, and how many requests
+// stand in cells that it can't judge.
+func (t *tally) totals(f Filter) (found []Total, unplaced uint64) {
+	collect := func(caller string, cells map[cellKey]cell) {
+		for key, v := range cells {
+			if key.service == Others && (f.Service != "" || f.Upstream != "") {
+				unplaced += v.count
+				continue
+			}
+			total := Total{
+				Caller: caller, Service: key.service, Upstream: key.upstream,
+				Outcome: key.outcome, Reason: key.reason, Count: v.count, Took: v.took,
+			}
+			if f.passes(caller, key.service, key.upstream) {
+				found = append(found, total)
+			}
+		}
+	}
+	for name, c := range t.callers {
+		collect(name, c.cells)
+	}
+	collect(Others, t.others)
+	return found, unplaced
+}
+
+// counts returns how exact the callers' totals are. A caller asked for by name
+// that isn't kept apart is in it too.
+func (t *tally) counts(f Filter) []CallerCount {
+	found := []CallerCount{}
+	for name, c := range t.callers {
+		if f.Caller == "" || f.Caller == name {
+			found = append(found, CallerCount{Caller: name, Count: c.weight - c.missed, Missed: c.missed})
+		}
+	}
+	if f.Caller != "" && len(found) == 0 && len(t.callers) >= t.bound {
+		found = append(found, CallerCount{Caller: f.Caller, Missed: t.order[0].weight})
+	}
+	return found
+}
+
+func sortTotals(totals []Total) {
+	slices.SortFunc(totals, func(a, b Total) int {
+		return cmp.Or(
+			cmp.Compare(b.Count, a.Count),
+			cmp.Compare(a.Caller, b.Caller),
+			cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Upstream, b.Upstream),
+			cmp.Compare(a.Outcome, b.Outcome),
+			cmp.Compare(a.Reason, b.Reason),
+		)
+	})
+}
+
+// lightest is a heap with the caller of the least weight first.
+type lightest []*tracked
+
+func (l lightest) Len() int { return len(l) }
+
+// Less settles equal weights by name, so that the same requests give the same
+// totals on every run.
+func (l lightest) Less(i, j int) bool {
+	if l[i].weight != l[j].weight {
+		return l[i].weight < l[j].weight
+	}
+	return l[i].name < l[j].name
+}
+
+func (l lightest) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].at, l[j].at = i, j
+}
+
+// Push implements heap.Interface.
+func (l *lightest) Push(x any) {
+	c := x.(*tracked)
+	c.at = len(*l)
+	*l = append(*l, c)
+}
+
+// Pop implements heap.Interface.
+func (l *lightest) Pop() any {
+	last := len(*l) - 1
+	c := (*l)[last]
+	(*l)[last] = nil
+	*l = (*l)[:last]
+	return c
+}
