feat(standin): add platform, backend server and relay stand-ins

fasthttp reads nothing while a handler runs, so that a cancelled request went unseen; a connection that reads one byte ahead while the handler runs reports it.

--- /dev/null
+++ b/standin/admin.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// adminPrefix is where scripts drive a stand-in that runs as a process of its
+// own. No fault or mode touches these paths.
+const adminPrefix = "/standin/"
+
+// Paths of administration.
+const (
+	publishPath = adminPrefix + "publish"
+	restorePath = adminPrefix + "restore"
+	modePath    = adminPrefix + "mode"
+	callsPath   = adminPrefix + "calls"
+	faultPath   = adminPrefix + "fault"
+	ledgerPath  = adminPrefix + "ledger"
+	totalsPath  = adminPrefix + "totals"
+)
+
+func (p *Platform) admin(ctx *fasthttp.RequestCtx, path string) {
+	post := map[string]func(*fasthttp.RequestCtx) error{
+		publishPath: p.adminPublish,
+		restorePath: p.adminRestore,
+		modePath:    p.adminMode,
+	}
+	if path == callsPath && ctx.IsGet() {
+		writeJSON(ctx, p.Calls())
+		return
+	}
+	runPost(ctx, post[path])
+}
+
+func (p *Platform) adminPublish(ctx *fasthttp.RequestCtx) error {
+	key, version, err := publishArguments(ctx)
+	if err != nil {
+		return err
+	}
+	p.Publish(key, version, ctx.PostBody())
+	return nil
+}
+
+func (p *Platform) adminRestore(ctx *fasthttp.RequestCtx) error {
+	key, version, err := publishArguments(ctx)
+	if err != nil {
+		return err
+	}
+	p.Restore(key, version, ctx.PostBody())
+	return nil
+}
+
+func publishArguments(ctx *fasthttp.RequestCtx) (key string, version uint64, err error) {
+	args := ctx.QueryArgs()
+	key = string(args.Peek("key"))
+	if key == "" {
+		return "", 0, errors.New("key is missing")
+	}
+	version, err = strconv.ParseUint(string(args.Peek("version")), 10, 64)
+	if err != nil {
+		return "", 0, errors.Annotate(err, "reading version")
+	}
+	return key, version, nil
+}
+
+func (p *Platform) adminMode(ctx *fasthttp.RequestCtx) error {
+	args := ctx.QueryArgs()
+	if text := args.Peek("delay"); len(text) > 0 {
+		var delay clock.Millis
+		if err := delay.UnmarshalText(text); err != nil {
+			return errors.Annotate(err, "reading delay")
+		}
+		p.SetDelay(delay)
+	}
+	mode := PlatformMode(args.Peek("mode"))
+	switch mode {
+	case Up, Down, Stale, Slow:
+		p.SetMode(mode)
+		return nil
+	default:
+		return errors.Annotatef(ErrMode, "reading mode %q", string(mode))
+	}
+}
+
+// runPost answers 204 when the action was done, 400 with the reason when its
+// arguments are wrong, and 404 for no such action.
+func runPost(ctx *fasthttp.RequestCtx, action func(*fasthttp.RequestCtx) error) {
+	if action == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !ctx.IsPost() {
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	if err := action(ctx); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
--- /dev/null
+++ b/standin/ledger.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"sync"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// Outcome is how a request that a backend server began has ended.
+type Outcome string
+
+// Outcomes of begun requests.
+const (
+	Running   Outcome = "running"
+	Served    Outcome = "served"
+	Failed    Outcome = "failed"
+	Cancelled Outcome = "cancelled"
+)
+
+// Entry is one request that a backend server began. A refused request has
+// none. Instants are of the backend server's own clock.
+type Entry struct {
+	ID     string `json:"id"`
+	Caller string `json:"caller"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// BodyHash is the SHA-256 of the request's body, in hexadecimal.
+	BodyHash string       `json:"body"`
+	Started  clock.Millis `json:"started"`
+	Ended    clock.Millis `json:"ended"`
+	Outcome  Outcome      `json:"outcome"`
+}
+
+// Totals counts all requests since the start, those that the ledger no longer
+// holds included.
+type Totals struct {
+	Begun     uint64 `json:"begun"`
+	Served    uint64 `json:"served"`
+	Failed    uint64 `json:"failed"`
+	Cancelled uint64 `json:"cancelled"`
+	// Refused counts requests that did not run and have no entry.
+	Refused uint64 `json:"refused"`
+	// Dropped counts entries that newer ones have replaced.
+	Dropped uint64 `json:"dropped"`
+}
+
+// ledgerSize bounds the entries held: some 20 MB, and minutes of a busy
+// backend server of the users' sizes.
+const ledgerSize = 1 << 16
+
+// ledger is a ring of the latest entries.
+type ledger struct {
+	mu     sync.Mutex
+	ring   []Entry
+	totals Totals
+}
+
+// begin enters a request and returns its number.
+func (l *ledger) begin(entry Entry) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	number := l.totals.Begun
+	l.totals.Begun++
+	if len(l.ring) < ledgerSize {
+		l.ring = append(l.ring, entry)
+		return number
+	}
+	l.ring[number%ledgerSize] = entry
+	l.totals.Dropped++
+	return number
+}
+
+func (l *ledger) end(number uint64, outcome Outcome, at clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch outcome {
+	case Served:
+		l.totals.Served++
+	case Failed:
+		l.totals.Failed++
+	case Cancelled:
+		l.totals.Cancelled++
+	case Running:
+	}
+	if l.totals.Begun-number > ledgerSize {
+		return
+	}
+	entry := &l.ring[number%ledgerSize]
+	entry.Ended = at
+	entry.Outcome = outcome
+}
+
+func (l *ledger) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.totals.Refused++
+}
+
+// entries returns a copy, oldest first.
+func (l *ledger) entries() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Entry, 0, len(l.ring))
+	if len(l.ring) == ledgerSize {
+		first := l.totals.Begun % ledgerSize
+		out = append(out, l.ring[first:]...)
+		return append(out, l.ring[:first]...)
+	}
+	return append(out, l.ring...)
+}
+
+func (l *ledger) counts() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.totals
+}
--- /dev/null
+++ b/standin/listener.go
@@ -0,0 +1,158 @@
+// Package standin holds small stand-ins for what a node talks to: the
+// platform's configuration service, a backend server, and a TCP relay that
+// breaks connections. Tests, sessions and the demo use them; a node never does.
+package standin
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// listener hands out connections that report when the other end is gone, and
+// closes them all when the stand-in ends.
+type listener struct {
+	net.Listener
+	mu     sync.Mutex
+	open   map[*watchedConn]struct{}
+	closed bool
+	served sync.WaitGroup
+}
+
+func listen(address string) (*listener, error) {
+	var config net.ListenConfig
+	ln, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listening on %s", address)
+	}
+	return &listener{Listener: ln, open: make(map[*watchedConn]struct{})}, nil
+}
+
+// Accept returns a *watchedConn.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &watchedConn{Conn: raw, owner: l, gone: make(chan struct{})}
+		if l.add(conn) {
+			return conn, nil
+		}
+		closeQuietly(raw)
+	}
+}
+
+func (l *listener) add(conn *watchedConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.open[conn] = struct{}{}
+	l.served.Add(1)
+	return true
+}
+
+func (l *listener) remove(conn *watchedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.open[conn]; ok {
+		delete(l.open, conn)
+		l.served.Done()
+	}
+}
+
+// shut closes the listener and every connection, and waits until the server
+// has let go of the last one.
+func (l *listener) shut() {
+	l.mu.Lock()
+	l.closed = true
+	for conn := range l.open {
+		conn.abort()
+	}
+	l.mu.Unlock()
+	closeQuietly(l.Listener)
+	l.served.Wait()
+}
+
+// watchedConn tells a handler that the other end closed the connection while
+// the request was being served; fasthttp itself reads nothing until the answer
+// is written, so that a cancelled request would run to its end unseen.
+type watchedConn struct {
+	net.Conn
+	owner *listener
+
+	mu    sync.Mutex
+	spare []byte        // byte of a next request, read while watching
+	gone  chan struct{} // closed when the other end is known to be gone
+	lost  bool
+}
+
+// Read returns the byte that a watch took before it reads on.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.spare) > 0 && len(p) > 0 {
+		n := copy(p, c.spare)
+		c.spare = c.spare[n:]
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// Close is called by the server when it is done with the connection.
+func (c *watchedConn) Close() error {
+	c.owner.remove(c)
+	return c.Conn.Close()
+}
+
+// abort closes the connection with a reset, without an answer.
+func (c *watchedConn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	closeQuietly(c.Conn)
+}
+
+// watch reports on the returned channel when the other end goes. The handler
+// calls stop before it returns, so that the server reads the next request.
+func (c *watchedConn) watch() (gone <-chan struct{}, stop func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var one [1]byte
+		n, err := c.Conn.Read(one[:])
+		c.note(one[:n], err)
+	}()
+	return c.gone, func() {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *watchedConn) note(read []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.spare = append(c.spare, read...)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.lost {
+		c.lost = true
+		close(c.gone)
+	}
+}
+
+func connOf(ctx *fasthttp.RequestCtx) (*watchedConn, bool) {
+	conn, ok := ctx.Conn().(*watchedConn)
+	return conn, ok
+}
+
+func closeQuietly(c interface{ Close() error }) {
+	_ = c.Close()
+}
--- /dev/null
+++ b/standin/program/relaycmd.go
@@ -0,0 +1,26 @@
+package main
+
+import "fuchsiapick.example/fuchsiapick/standin"
+
+type relayCmd struct {
+	Address string `arg:"--address" default:"127.0.0.1:0" help:"IP number and port to listen on"`
+	Target  string `arg:"--target,required" help:"IP number and port to relay to"`
+	Admin   string `arg:"--admin" default:"127.0.0.1:0" help:"IP number and port for the admin paths"`
+}
+
+func (c *relayCmd) start() (ready, func(), error) {
+	r, err := standin.StartRelay(standin.RelayConfig{Address: c.Address, Target: c.Target})
+	if err != nil {
+		return ready{}, nil, err
+	}
+	admin, err := standin.StartRelayAdmin(c.Admin, r)
+	if err != nil {
+		r.Close()
+		return ready{}, nil, err
+	}
+	end := func() {
+		admin.Close()
+		r.Close()
+	}
+	return ready{Kind: "relay", Address: r.Address(), Admin: admin.Address()}, end, nil
+}
--- /dev/null
+++ b/standin/relayadmin.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// RelayAdmin serves a relay's admin paths at an address of its own, since the
+// relay's address belongs to its target.
+type RelayAdmin struct {
+	ln    *listener
+	relay *Relay
+}
+
+// StartRelayAdmin listens and serves until Close.
+func StartRelayAdmin(address string, relay *Relay) (*RelayAdmin, error) {
+	ln, err := listen(address)
+	if err != nil {
+		return nil, errors.Annotate(err, "starting the relay's admin paths")
+	}
+	a := &RelayAdmin{ln: ln, relay: relay}
+	go serve(ln, a.handle)
+	return a, nil
+}
+
+// Address returns the IP number and port of the admin paths.
+func (a *RelayAdmin) Address() string {
+	return a.ln.Addr().String()
+}
+
+// Close ends the admin paths; the relay goes on.
+func (a *RelayAdmin) Close() {
+	a.ln.shut()
+}
+
+func (a *RelayAdmin) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != modePath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	runPost(ctx, a.setMode)
+}
+
+func (a *RelayAdmin) setMode(ctx *fasthttp.RequestCtx) error {
+	mode := RelayMode(ctx.QueryArgs().Peek("mode"))
+	switch mode {
+	case Pass, DropToTarget, DropFromTarget, Freeze, SilentOld, Refuse:
+		a.relay.SetMode(mode)
+		return nil
+	default:
+		return errors.Annotatef(ErrMode, "reading mode %q", string(mode))
+	}
+}
