--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,90 @@
+// Package admin serves a node's admin address: metrics, health, readiness and
+// what reports read.
+package admin
+
+import (
+	"encoding/json"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+)
+
+// Node is what the admin address tells about.
+type Node interface {
+	Ready() bool
+	Snapshot(f account.Filter) account.Snapshot
+}
+
+// Config configures a Server.
+type Config struct {
+	Node Node
+	Log  logrus.FieldLogger
+	// Metrics serves /metrics.
+	Metrics fasthttp.RequestHandler
+}
+
+// Server answers on the admin address.
+type Server struct {
+	config Config
+}
+
+// New returns a server that isn't listening yet.
+func New(c Config) *Server {
+	return &Server{config: c}
+}
+
+// maxRequest bounds a request to the admin address, which has no body.
+const maxRequest = 16 << 10
+
+// HTTP returns the HTTP server.
+func (s *Server) HTTP() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               s.serve,
+		Name:                  "fuchsiapick",
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    maxRequest,
+		GetOnly:               true,
+		CloseOnShutdown:       true,
+	}
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		s.ready(ctx)
+	case "/metrics":
+		s.config.Metrics(ctx)
+	case "/report":
+		s.report(ctx)
+	default:
+		ctx.Error("not found; there are /healthz, /readyz, /metrics and /report\n", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if s.config.Node.Ready() {
+		ctx.SetBodyString("ready\n")
+		return
+	}
+	ctx.Error("no table in force, or leaving\n", fasthttp.StatusServiceUnavailable)
+}
+
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	filter, err := account.ParseFilter(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
+	if err != nil {
+		ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
+		return
+	}
+	body, err := json.Marshal(s.config.Node.Snapshot(filter))
+	if err != nil {
+		s.config.Log.WithError(err).Error("report not written")
+		ctx.Error("report not written\n", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -17,6 +17,7 @@
 )
 
 type arguments struct {
+	Node    *nodeCmd    `arg:"subcommand:node" help:"run a node beside its backend servers"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
 
@@ -33,6 +34,8 @@
 		return ExitUsage
 	}
 	switch {
+	case parsed.Node != nil:
+		return parsed.Node.run(stderr)
 	case parsed.Version != nil:
 		return parsed.Version.run(stdout)
 	default:
--- /dev/null
+++ b/cmd/nodecmd.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
+)
+
+type nodeCmd struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the node's settings, TOML"`
+}
+
+// run serves until a termination signal. The first one starts a graceful
+// shutdown, a second one ends it at once.
+func (c *nodeCmd) run(stderr io.Writer) int {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
+		return ExitFault
+	}
+	log, err := newLog(stderr, s.Log)
+	if err != nil {
+		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
+		return ExitFault
+	}
+	n, err := node.New(node.Config{Settings: s, Log: log})
+	if err != nil {
+		log.WithError(err).Error("node not built")
+		return ExitFault
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	go func() {
+		<-signals
+		n.Leave()
+		<-signals
+		log.Warn("second signal: requests in flight are cut")
+		cancel()
+	}()
+	if err := n.Run(ctx); err != nil {
+		log.WithError(err).Error("node failed")
+		return ExitFault
+	}
+	return ExitOK
+}
+
+func newLog(out io.Writer, level string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}})
+	return log, nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,7 +159,7 @@
 		r.serve()
 	})
 	if err != nil {
-		r.finish(refused(fasthttp.StatusServiceUnavailable, reasonBusy, clock.Second))
+		r.finish(refused(fasthttp.StatusServiceUnavailable, account.ReasonBusy, clock.Second))
 		return
 	}
 	<-done
@@ -169,9 +169,9 @@
 func (e *Entry) Malformed(ctx *fasthttp.RequestCtx, err error) {
 	e.config.Journal.Received()
 	r := e.newRequest(ctx)
-	status, reason := fasthttp.StatusBadRequest, reasonMalformed
+	status, reason := fasthttp.StatusBadRequest, account.ReasonCallerFault
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		status, reason = fasthttp.StatusRequestEntityTooLarge, reasonLargeBody
+		status, reason = fasthttp.StatusRequestEntityTooLarge, account.ReasonBodyTooLarge
 	}
 	e.config.Log.WithError(err).WithField("request", r.id.String()).Debug("malformed request")
 	r.finish(refused(status, reason, 0))
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -29,17 +28,12 @@
 	HeaderDeadline = "Fuchsiapick-Deadline"
 )
 
-// Reasons of the entry itself, beside those of the gates.
+// Reasons of the entry itself, beside those that reports know.
 const (
-	reasonBusy      = "node-busy"
-	reasonMalformed = "malformed"
-	reasonLargeBody = "body-too-large"
-	reasonNoTable   = "no-table"
-	reasonNoRoute   = "unknown-route"
-	reasonNobody    = "no-upstream-usable"
-	reasonNoPath    = "unreachable"
-	reasonSilent    = "no-answer"
-	reasonReplaced  = "node-replaced"
+	// reasonSilent means that neither an answer nor a settlement came in time.
+	reasonSilent = "no-answer"
+	// reasonReplaced means that the gate which had the request is gone.
+	reasonReplaced = "node-replaced"
 )
 
 const (
@@ -136,26 +130,33 @@
 func (r *request) admit() (final, bool) {
 	t := r.entry.table.Load()
 	if t == nil {
-		return refused(fasthttp.StatusServiceUnavailable, reasonNoTable, clock.Second), false
+		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
 	route, ok := t.Route(string(r.ctx.Path()))
 	if !ok {
-		return refused(fasthttp.StatusNotFound, reasonNoRoute, 0), false
+		return refused(fasthttp.StatusNotFound, account.ReasonNoRoute, 0), false
 	}
 	r.route = route
 	r.service = (*r.entry.services.Load())[route.Service]
 	if r.service == nil {
-		return refused(fasthttp.StatusServiceUnavailable, reasonNoTable, clock.Second), false
+		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
 	r.config, r.baseline = r.service.admit(r.started)
 	r.repeatable = route.MayRepeat(r.method)
 	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
-		return refused(fasthttp.StatusTooManyRequests, grant.By+"-limit", grant.RetryAfter), false
+		return refused(fasthttp.StatusTooManyRequests, limitReason(grant.By), grant.RetryAfter), false
 	}
 	r.deadline = r.started + r.budget()
 	return final{}, true
 }
 
+func limitReason(by string) string {
+	if by == "caller" {
+		return account.ReasonCallerLimit
+	}
+	return account.ReasonServiceLimit
+}
+
 // budget is the service's deadline, or the caller's own shorter one.
 func (r *request) budget() clock.Millis {
 	if own, ok := milliseconds(r.ctx.Request.Header.Peek(HeaderDeadline)); ok {
@@ -182,9 +183,9 @@
 // nowhere is the final answer when no upstream is left to try.
 func (r *request) nowhere(now clock.Millis) final {
 	if r.begun {
-		return r.unknown(reasonNobody)
+		return r.unknown(account.ReasonNoUpstream)
 	}
-	return refused(fasthttp.StatusServiceUnavailable, reasonNobody, r.service.comeBack(now))
+	return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoUpstream, r.service.comeBack(now))
 }
 
 // result is what one try came to.
@@ -207,7 +208,7 @@
 	err := a.member.target.Dispatch(d, w)
 	if err != nil {
 		r.service.ended(now, a.member, false)
-		return result{kind: retry.NotRun, reason: reasonNoPath}
+		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
 	}
 	outcome := r.await(d, a.member, w)
 	a.member.target.Forget(d.ID, d.Attempt)
@@ -262,7 +263,7 @@
 		case e.kind == forgotten:
 			return result{kind: retry.Silent, reason: reasonReplaced}
 		case e.kind == lost && r.repeatable:
-			return result{kind: retry.Silent, reason: reasonNoPath}
+			return result{kind: retry.Silent, reason: account.ReasonUnreachable}
 		case e.kind == expired && asked:
 			return result{kind: retry.Silent, reason: reasonSilent}
 		case e.kind == expired:
@@ -283,7 +284,7 @@
 		out.kind = retry.Failed
 		out.served = reply.Status < fasthttp.StatusInternalServerError
 		if !out.served {
-			out.reason = "status-" + strconv.Itoa(reply.Status)
+			out.reason = account.ReasonUpstreamError
 		}
 	default:
 		out.kind = retry.Failed
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -346,3 +346,12 @@
 	}
 }
 
+
+// Serves reports whether the gate is that of a service's upstream at an
+// address. An edit of either needs a gate of its own: what was learned is of
+// another backend server.
+func (g *Gate) Serves(service, address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.service.Name == service && g.upstream.Address == address
+}
--- /dev/null
+++ b/node/gates.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"strconv"
+
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+func formatVersion(v uint64) string {
+	return strconv.FormatUint(v, 10)
+}
+
+// applyGates makes, edits and removes the gates of the upstreams beside this
+// node. A gate that is removed finishes what it has admitted.
+func (n *Node) applyGates(t *table.Table) {
+	beside := map[string]bool{}
+	for i := range t.Services {
+		s := &t.Services[i]
+		for _, u := range s.Upstreams {
+			if u.Node == n.address() {
+				beside[u.Name] = true
+				n.applyGate(*s, u)
+			}
+		}
+	}
+	for name, g := range n.gates {
+		if !beside[name] {
+			g.Leave()
+			delete(n.gates, name)
+		}
+	}
+}
+
+func (n *Node) applyGate(s table.Service, u table.Upstream) {
+	if g, ok := n.gates[u.Name]; ok && g.Serves(s.Name, u.Address) {
+		g.Update(s, u)
+		return
+	}
+	if old, ok := n.gates[u.Name]; ok {
+		old.Leave()
+	}
+	n.gates[u.Name] = gate.New(gate.Config{
+		Service:     s,
+		Upstream:    u,
+		Incarnation: n.incarnation,
+		Seed:        n.seed + uint64(len(n.gates)),
+		Now:         n.clock.Now,
+		Backend: gate.NewHTTP(gate.HTTPConfig{
+			Address:     u.Address,
+			Connections: u.Connections,
+			Limit:       n.settings.Limits.Answer,
+		}),
+		Pool:    n.gatePool,
+		Journal: n.metrics,
+		Log:     n.log,
+	})
+	if n.leaving {
+		n.gates[u.Name].Leave()
+	}
+}
+
+func (n *Node) gate(upstream string) (*gate.Gate, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, ok := n.gates[upstream]
+	return g, ok
+}
+
+func (n *Node) allGates() []*gate.Gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]*gate.Gate, 0, len(n.gates))
+	for _, g := range n.gates {
+		all = append(all, g)
+	}
+	return all
+}
+
+// handle gives a dispatch to its gate.
+func (n *Node) handle(d *wire.Dispatch, answer func(*wire.Reply)) {
+	g, ok := n.gate(d.Upstream)
+	if !ok {
+		answer(&wire.Reply{
+			ID:       d.ID,
+			Attempt:  d.Attempt,
+			Outcome:  wire.NotRun,
+			Reason:   wire.ReasonNobody,
+			Time:     n.clock.Now(),
+			Upstream: wire.Upstream{Name: d.Upstream, Leaving: true},
+		})
+		return
+	}
+	g.Handle(d, answer)
+}
+
+// Dispatch takes in a request from another node's entry.
+func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
+	n.handle(d, func(r *wire.Reply) { n.links.Answer(from, r) })
+}
+
+// Settle answers another node's entry about one of its dispatches.
+func (n *Node) Settle(from uint64, s *wire.Settle) {
+	g, ok := n.gate(s.Upstream)
+	if !ok {
+		n.links.Settled(from, &wire.Settled{ID: s.ID, Attempt: s.Attempt, Forgotten: true, Time: n.clock.Now()})
+		return
+	}
+	settled, reply := g.Settle(s)
+	if reply != nil {
+		n.links.Answer(from, reply)
+		return
+	}
+	n.links.Settled(from, settled)
+}
+
+// local is the way from this node's entry to its own gates.
+type local struct {
+	node *Node
+}
+
+// Dispatch hands a request to the gate in this process.
+func (l local) Dispatch(d *wire.Dispatch, w link.Waiter) error {
+	now := l.node.clock.Now()
+	d.Incarnation = l.node.incarnation
+	d.Lease = now + d.Budget
+	l.node.handle(d, func(r *wire.Reply) {
+		l.node.entry.Heard(r.Upstream)
+		w.Replied(r)
+	})
+	return nil
+}
+
+// Settle has nothing to ask: in one process a reply can't be lost.
+func (local) Settle(wire.RequestID, uint8) {}
+
+// Forget has nothing to drop.
+func (local) Forget(wire.RequestID, uint8) {}
+
+// target returns the way to the node beside an upstream.
+func (n *Node) target(u table.Upstream) entry.Target {
+	if u.Node == n.address() {
+		return local{n}
+	}
+	return n.peers[u.Node].link
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,202 @@
+// Package node runs one instance's process: an entry for callers, a gate for
+// each upstream beside it, links to other nodes, the reader of the platform and
+// the admin address, under one supervisor.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/edition"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/metrics"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const (
+	// beat is the heartbeat interval of links. Two missed ones within a second
+	// show a lost path well before a request's usual deadline of 2 s, and at
+	// 200 bytes both ways it leaves room for some links in 2 KB/s.
+	beat = clock.Millis(500)
+	// gateWorkers bounds the requests that all gates of a node run at once:
+	// 83 upstreams of 7 slots at the size to design for, and as many waiting.
+	gateWorkers = 2048
+	eventsKept  = 2000
+	callersKept = 1000
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings *settings.Settings
+	Log      *logrus.Logger
+}
+
+// Node is one process of the fleet. It is safe for concurrent use.
+type Node struct {
+	settings    *settings.Settings
+	log         logrus.FieldLogger
+	clock       *clock.System
+	incarnation uint64
+	seed        uint64
+	book        *account.Book
+	metrics     *metrics.Set
+	entry       *entry.Entry
+	links       *link.Server
+	entryPool   *ants.Pool
+	gatePool    *ants.Pool
+	root        *suture.Supervisor
+	leave       chan struct{}
+	leaveOnce   sync.Once
+	// consulted is closed when a peer has said which table it has in force.
+	consulted     chan struct{}
+	consultedOnce sync.Once
+
+	mu      sync.Mutex
+	fence   *edition.Fence
+	table   *table.Table
+	text    []byte
+	gates   map[string]*gate.Gate
+	peers   map[string]*peer
+	leaving bool
+	listed  map[string]bool // nodes that the instance list says are leaving
+}
+
+// New builds a node; Run starts it.
+func New(c Config) (*Node, error) {
+	n := &Node{
+		settings:    c.Settings,
+		log:         c.Log.WithField("node", c.Settings.Node),
+		clock:       clock.NewSystem(),
+		incarnation: random(),
+		leave:       make(chan struct{}),
+		consulted:   make(chan struct{}),
+		fence:       edition.New(),
+		gates:       map[string]*gate.Gate{},
+		peers:       map[string]*peer{},
+		listed:      map[string]bool{},
+		book: account.New(account.Config{
+			Records: c.Settings.Limits.Records,
+			Events:  eventsKept,
+			Callers: callersKept,
+		}),
+	}
+	n.seed = n.incarnation
+	n.metrics = metrics.New(metrics.Config{Book: n.book, State: n})
+	if err := n.buildPools(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	n.entry = entry.New(entry.Config{
+		Domain:      c.Settings.Domain,
+		Incarnation: n.incarnation,
+		Seed:        n.seed,
+		Now:         n.clock.Now,
+		Pool:        n.entryPool,
+		Journal:     n.metrics,
+		Target:      n.target,
+		Log:         n.log,
+	})
+	n.links = link.NewServer(link.ServerConfig{
+		Identity: n.identity(),
+		Limit:    n.frameLimit(),
+		Beat:     beat,
+		Now:      n.clock.Now,
+		Handler:  n,
+		Log:      n.log,
+	})
+	return n, nil
+}
+
+func (n *Node) buildPools() error {
+	var err error
+	n.entryPool, err = ants.NewPool(n.settings.Limits.Requests, ants.WithNonblocking(true))
+	if err != nil {
+		return errors.Annotate(err, "making the entry's pool")
+	}
+	n.gatePool, err = ants.NewPool(gateWorkers, ants.WithNonblocking(true))
+	return errors.Annotate(err, "making the gates' pool")
+}
+
+func random() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// address is the link address under which tables name this node.
+func (n *Node) address() string {
+	if n.settings.Listen.Announce != "" {
+		return n.settings.Listen.Announce
+	}
+	return n.settings.Listen.Link
+}
+
+func (n *Node) identity() link.Identity {
+	return link.Identity{Node: n.address(), Incarnation: n.incarnation, Secret: n.settings.Secret}
+}
+
+func (n *Node) frameLimit() int {
+	return max(n.settings.Limits.Body, wire.ChunkSize, platformLimit) + wire.Overhead
+}
+
+// platformLimit is the largest value of the platform, which an edition frame
+// carries.
+const platformLimit = 1 << 20
+
+// Run serves until the context ends or Leave has finished.
+func (n *Node) Run(ctx context.Context) error {
+	listeners, err := n.listen()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer listeners.close()
+	n.root = suture.New("fuchsiapick", suture.Spec{EventHook: n.supervised})
+	n.addServices(listeners)
+	n.bootstrap()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := n.root.ServeBackground(ctx)
+	n.log.WithFields(logrus.Fields{
+		"caller": listeners.caller.Addr().String(),
+		"link":   listeners.link.Addr().String(),
+		"admin":  listeners.admin.Addr().String(),
+	}).Info("node started")
+	select {
+	case <-ctx.Done():
+	case <-n.leave:
+		n.drain(ctx)
+	}
+	cancel()
+	<-done
+	n.stop()
+	n.log.Info("node stopped")
+	return nil
+}
+
+func (n *Node) stop() {
+	n.links.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, g := range n.gates {
+		g.Close()
+	}
+	n.entryPool.Release()
+	n.gatePool.Release()
+}
+
+// supervised logs what the supervisor restarts.
+func (n *Node) supervised(e suture.Event) {
+	n.log.WithFields(logrus.Fields(e.Map())).Warn("supervisor event")
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/path"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// peer is another node that this one may dial.
+type peer struct {
+	link  *link.Peer
+	token suture.ServiceToken
+}
+
+// applyPeers makes and removes the peers that the table names.
+func (n *Node) applyPeers(t *table.Table) {
+	named := map[string]bool{}
+	for i := range t.Services {
+		for _, u := range t.Services[i].Upstreams {
+			if u.Node != n.address() {
+				named[u.Node] = true
+				n.addPeer(u.Node)
+			}
+		}
+	}
+	for address, p := range n.peers {
+		if !named[address] {
+			delete(n.peers, address)
+			_ = n.root.Remove(p.token) // removed already when the node stops
+		}
+	}
+}
+
+// addPeer makes a peer unless it is there. The node's lock is held.
+func (n *Node) addPeer(address string) *peer {
+	if p, ok := n.peers[address]; ok {
+		return p
+	}
+	p := &peer{link: link.NewPeer(link.PeerConfig{
+		Address: address,
+		Self:    n.identity(),
+		Limit:   n.frameLimit(),
+		Answer:  n.settings.Limits.Answer,
+		Beat:    beat,
+		Seed:    n.seed + uint64(len(n.peers)),
+		Now:     n.clock.Now,
+		Status:  n.Status,
+		Watcher: n,
+		Log:     n.log,
+	})}
+	p.token = n.root.Add(service{"peer " + address, func(ctx context.Context) error { return p.link.Run(ctx) }})
+	n.peers[address] = p
+	return p
+}
+
+// Status is what this node's heartbeats say.
+func (n *Node) Status() wire.Beat {
+	gates := n.allGates()
+	upstreams := make([]wire.Upstream, 0, len(gates))
+	for _, g := range gates {
+		upstreams = append(upstreams, g.Status())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := n.fence.Current()
+	return wire.Beat{Version: current.Version, Digest: current.Digest, Leaving: n.leaving, Upstreams: upstreams}
+}
+
+// Beat takes in a heartbeat of an entry that dialled this node.
+func (n *Node) Beat(node string, b *wire.Beat) {
+	if version := n.version(); b.Version > version {
+		n.ask(node, version)
+	}
+}
+
+func (n *Node) ask(node string, version uint64) {
+	n.mu.Lock()
+	p, ok := n.peers[node]
+	n.mu.Unlock()
+	if ok {
+		p.link.Wake()
+		p.link.Ask(version)
+	}
+}
+
+// PeerBeat takes in a heartbeat of a node that this one dialled.
+func (n *Node) PeerBeat(node string, b *wire.Beat) {
+	for _, u := range b.Upstreams {
+		n.entry.Heard(u)
+	}
+	version := n.version()
+	if b.Version > version {
+		n.ask(node, version)
+		return
+	}
+	if b.Version > 0 {
+		n.consultedOnce.Do(func() { close(n.consulted) })
+	}
+}
+
+// PeerUpstream takes in what a gate says of its upstream on a reply.
+func (n *Node) PeerUpstream(_ string, u wire.Upstream) {
+	n.entry.Heard(u)
+}
+
+// PeerEdition takes in a table that was asked for.
+func (n *Node) PeerEdition(node string, e *wire.Edition) {
+	n.Edition(node, e)
+}
+
+// PeerPath takes in whether a node can be reached from here.
+func (n *Node) PeerPath(node string, state path.State) {
+	n.entry.Path(node, state == path.Lost)
+	kind := account.PathBack
+	switch state {
+	case path.Lost:
+		kind = account.PathLost
+	case path.Doubted:
+		return
+	default:
+	}
+	n.metrics.Note(account.Event{At: n.clock.Now(), Kind: kind, Node: node, Reason: account.ReasonUnreachable})
+}
+
+// bootstrap asks the peers that the settings name for a table, so that a node
+// that starts while the platform is away, or meets a stale replica of it, gets
+// the edition that the fleet has in force.
+func (n *Node) bootstrap() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range n.settings.Peers {
+		if address != n.address() {
+			n.addPeer(address).link.Wake()
+		}
+	}
+}
--- /dev/null
+++ b/node/services.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/admin"
+	"fuchsiapick.example/fuchsiapick/platform"
+)
+
+// Keys of the platform's values.
+const (
+	keyTable     = "table"
+	keyInstances = "instances"
+)
+
+const (
+	// callerIdle closes a caller's connection that sends nothing.
+	callerIdle = 75 * time.Second
+	// callerRead and callerWrite bound a caller that sends or reads slowly.
+	callerRead  = 30 * time.Second
+	callerWrite = 60 * time.Second
+)
+
+// listeners are the node's open ports.
+type listeners struct {
+	caller net.Listener
+	link   net.Listener
+	admin  net.Listener
+}
+
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{}
+	var err error
+	for _, one := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"caller", n.settings.Listen.Caller, &l.caller},
+		{"link", n.settings.Listen.Link, &l.link},
+		{"admin", n.settings.Listen.Admin, &l.admin},
+	} {
+		*one.into, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", one.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Annotatef(err, "listening on the %s address %s", one.name, one.address)
+		}
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.caller, l.link, l.admin} {
+		if one != nil {
+			_ = one.Close() // closed already by its service, or no longer wanted
+		}
+	}
+}
+
+// service adapts a function to the supervisor.
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve runs until the context ends.
+func (s service) Serve(ctx context.Context) error {
+	err := s.run(ctx)
+	if ctx.Err() != nil {
+		return errors.Trace(ctx.Err())
+	}
+	return errors.Trace(err)
+}
+
+// String names the service in the supervisor's events.
+func (s service) String() string {
+	return s.name
+}
+
+func (n *Node) addServices(l *listeners) {
+	callers := &fasthttp.Server{
+		Handler:                       n.entry.Serve,
+		ErrorHandler:                  n.entry.Malformed,
+		Name:                          "fuchsiapick",
+		NoDefaultServerHeader:         true,
+		DisableHeaderNamesNormalizing: true,
+		MaxRequestBodySize:            n.settings.Limits.Body,
+		Concurrency:                   n.settings.Limits.Requests * 2,
+		ReadTimeout:                   callerRead,
+		WriteTimeout:                  callerWrite,
+		IdleTimeout:                   callerIdle,
+		CloseOnShutdown:               true,
+		Logger:                        quiet{},
+	}
+	n.root.Add(serveHTTP("callers", callers, l.caller))
+	n.root.Add(service{"links", func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = l.link.Close() })
+		defer stop()
+		return n.links.Serve(l.link)
+	}})
+	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
+	n.root.Add(serveHTTP("admin", adminServer.HTTP(), l.admin))
+	n.addPlatform()
+}
+
+// quiet drops what the HTTP library logs: malformed requests are accounted
+// for, and a caller must not be able to fill the log.
+type quiet struct{}
+
+// Printf drops a line.
+func (quiet) Printf(string, ...any) {}
+
+// serveHTTP runs an HTTP server that finishes what it has begun before it
+// stops.
+func serveHTTP(name string, server *fasthttp.Server, l net.Listener) suture.Service {
+	return service{name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() {
+			bound, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = server.ShutdownWithContext(bound) // what is left is cut by the exit
+		})
+		defer stop()
+		return server.Serve(l)
+	}}
+}
+
+func (n *Node) addPlatform() {
+	if n.settings.Platform.Address == "" {
+		return
+	}
+	reader := platform.New(platform.Config{Address: n.settings.Platform.Address, Seed: n.seed})
+	tables := platform.NewFollower(platform.FollowerConfig{
+		Source:     reader,
+		Key:        keyTable,
+		After:      n.version,
+		Deliver:    func(v platform.Value) { n.offer(v.Version, v.Body, fromPlatform) },
+		Report:     n.platformFault,
+		BackoffMax: n.settings.Platform.Poll,
+		Seed:       n.seed,
+	})
+	n.root.Add(service{"table reader", func(ctx context.Context) error {
+		n.consult(ctx)
+		return tables.Serve(ctx)
+	}})
+	var seen uint64
+	n.root.Add(platform.NewFollower(platform.FollowerConfig{
+		Source: reader,
+		Key:    keyInstances,
+		After:  func() uint64 { return seen },
+		Deliver: func(v platform.Value) {
+			seen = v.Version
+			n.instances(v.Body)
+		},
+		BackoffMax: n.settings.Platform.Poll,
+		Seed:       n.seed + 1,
+	}))
+}
+
+// consultTime bounds the wait for the peers that the settings name.
+const consultTime = 2 * time.Second
+
+// consult waits until a peer has said which table it has in force. A node that
+// is replaced while the platform's replica is stale would otherwise put an
+// older table in force than the one its predecessor served.
+func (n *Node) consult(ctx context.Context) {
+	if len(n.settings.Peers) == 0 {
+		return
+	}
+	timer := time.NewTimer(consultTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.consulted:
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,9 @@
 	Caller string `toml:"caller"`
 	// Link takes other nodes' links.
 	Link string `toml:"link"`
+	// Announce is the link address under which tables name the node, if it is
+	// another one than Link.
+	Announce string `toml:"announce"`
 	// Admin serves metrics, health and what the report reads.
 	Admin string `toml:"admin"`
 }
