--- a/gate/gate.go
+++ b/gate/gate.go
@@ -346,7 +346,6 @@
 	}
 }
 
-
 // Serves reports whether the gate is that of a service's upstream at an
 // address. An edit of either needs a gate of its own: what was learned is of
 // another backend server.
--- a/link/answer.go
+++ b/link/answer.go
@@ -72,7 +72,7 @@
 	p.mu.Lock()
 	p.judge.Heard(p.config.Now())
 	one, ok := p.pending[key]
-	if !ok || !(s.Voided || s.Forgotten) {
+	if !ok || (!s.Voided && !s.Forgotten) {
 		p.mu.Unlock()
 		return
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -96,7 +96,6 @@
 	return s
 }
 
-
 // States describes all upstreams as this node's entry sees them.
 func (n *Node) States() []account.UpstreamState {
 	return n.entry.States()
--- a/node/node.go
+++ b/node/node.go
@@ -157,7 +157,7 @@
 
 // Run serves until the context ends or Leave has finished.
 func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen()
+	listeners, err := n.listen(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -179,7 +179,7 @@
 		n.drain(ctx)
 	}
 	cancel()
-	<-done
+	_ = <-done // the context ended: nothing new to learn from its error
 	n.stop()
 	n.log.Info("node stopped")
 	return nil
--- a/node/services.go
+++ b/node/services.go
@@ -34,7 +34,7 @@
 	admin  net.Listener
 }
 
-func (n *Node) listen() (*listeners, error) {
+func (n *Node) listen(ctx context.Context) (*listeners, error) {
 	l := &listeners{}
 	var err error
 	for _, one := range []struct {
@@ -46,7 +46,7 @@
 		{"link", n.settings.Listen.Link, &l.link},
 		{"admin", n.settings.Listen.Admin, &l.admin},
 	} {
-		*one.into, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", one.address)
+		*one.into, err = (&net.ListenConfig{}).Listen(ctx, "tcp", one.address)
 		if err != nil {
 			l.close()
 			return nil, errors.Annotatef(err, "listening on the %s address %s", one.name, one.address)
@@ -121,7 +121,7 @@
 func serveHTTP(name string, server *fasthttp.Server, l net.Listener) suture.Service {
 	return service{name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() {
-			bound, cancel := context.WithTimeout(context.Background(), time.Second)
+			bound, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 			defer cancel()
 			_ = server.ShutdownWithContext(bound) // what is left is cut by the exit
 		})
