--- /dev/null
+++ b/health/cusum.go
@@ -0,0 +1,59 @@
+package health
+
+import "math"
+
+// cusum is a cumulative sum test: the log-likelihood ratio of a sick share of
+// bad outcomes against the usual one, restarted whenever it falls to zero. It
+// keeps counts in place of a sum, so that a new baseline rescores what was
+// counted under the old one: else a fault common to the service would set
+// aside whoever was scored before the baseline followed.
+type cusum struct {
+	// up and down are what a bad and a good outcome add.
+	up, down float64
+	// head is the score to start from.
+	head      float64
+	bad, good int
+}
+
+// compare sets the two shares to tell apart.
+func (c *cusum) compare(usual, sick float64) {
+	c.up = math.Log(sick / usual)
+	c.down = math.Log((1 - sick) / (1 - usual))
+	c.settle()
+}
+
+func (c *cusum) score() float64 {
+	return c.head + float64(c.bad)*c.up + float64(c.good)*c.down
+}
+
+func (c *cusum) add(bad bool) {
+	switch {
+	case bad:
+		c.bad++
+	case c.running():
+		c.good++
+		c.settle()
+	}
+}
+
+// running reports whether the score is above zero.
+func (c *cusum) running() bool {
+	return c.bad > 0 || c.head > 0
+}
+
+// settle restarts the sum once the good outcomes outweigh the bad ones.
+func (c *cusum) settle() {
+	if c.running() && c.score() <= 0 {
+		c.restart(0)
+	}
+}
+
+func (c *cusum) restart(head float64) {
+	c.head, c.bad, c.good = head, 0, 0
+}
+
+// raise returns the share whose odds are factor times those of share.
+func raise(share, factor float64) float64 {
+	odds := factor * share / (1 - share)
+	return odds / (1 + odds)
+}
--- /dev/null
+++ b/health/own.go
@@ -0,0 +1,121 @@
+package health
+
+import (
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+const (
+	// quickMemory and steadyMemory are the outcomes over which the shares of
+	// failures fade. The quick one must follow a common fault before the
+	// tests end, the steady one tells 1% from 2%.
+	quickMemory  = 16
+	steadyMemory = 256
+	// ownOutcomes are needed before the own figures are worth telling.
+	ownOutcomes = 20
+	// latencies kept for median and tail: three slow ones move the tail.
+	latencies = 32
+	// tailPart is the part of the latencies up to the tail.
+	tailPart = 0.9
+	// sortEvery bounds the cost of median and tail.
+	sortEvery = 4
+)
+
+// sample is the latency of one answer, and whether it was left out of the
+// evidence.
+type sample struct {
+	latency clock.Millis
+	excused bool
+}
+
+// own holds an upstream's recent figures.
+type own struct {
+	outcomes      int
+	quick, steady float64
+	samples       [latencies]sample
+	taken         int
+	median, tail  clock.Millis
+}
+
+// count takes an outcome that was good or bad.
+func (o *own) count(bad bool) {
+	o.outcomes++
+	x := 0.0
+	if bad {
+		x = 1
+	}
+	o.quick += (x - o.quick) / quickMemory
+	// Until the steady share has its memory full it is a plain mean.
+	o.steady += (x - o.steady) / float64(min(o.outcomes, steadyMemory))
+}
+
+func (o *own) sample(s sample) {
+	o.samples[o.taken%latencies] = s
+	o.taken++
+	if o.taken%sortEvery == 0 {
+		o.sort()
+	}
+}
+
+func (o *own) sort() {
+	var sorted [latencies]clock.Millis
+	n := min(o.taken, latencies)
+	for i := range n {
+		sorted[i] = o.samples[i].latency
+	}
+	slices.Sort(sorted[:n])
+	o.median = sorted[n/2]
+	o.tail = sorted[int(tailPart*float64(n))]
+}
+
+// last calls visit with the n latest samples, the oldest first.
+func (o *own) last(n int, visit func(sample)) {
+	n = min(n, o.taken, latencies)
+	for i := o.taken - n; i < o.taken; i++ {
+		visit(o.samples[i%latencies])
+	}
+}
+
+// baseline returns the figures as other judges take them. The higher share
+// of the two: a baseline that is too low sets healthy upstreams aside.
+func (o *own) baseline() Baseline {
+	return Baseline{
+		Known:   o.outcomes >= ownOutcomes,
+		Failed:  max(o.quick, o.steady),
+		Latency: o.median,
+		Tail:    o.tail,
+	}
+}
+
+// Median returns the usual figures of a service, given those of all gates in
+// view. It is known when at least two gates and half of those in view told
+// theirs. Of an even count it takes the lower one of the middle two, so that
+// half of the upstreams may be sick without their becoming the usual.
+func Median(all []Baseline) Baseline {
+	var known int
+	for _, b := range all {
+		if b.Known {
+			known++
+		}
+	}
+	if known < 2 || 2*known < len(all) {
+		return Baseline{}
+	}
+	failed := make([]float64, 0, known)
+	latency := make([]clock.Millis, 0, known)
+	tail := make([]clock.Millis, 0, known)
+	for _, b := range all {
+		if b.Known {
+			failed = append(failed, b.Failed)
+			latency = append(latency, b.Latency)
+			tail = append(tail, b.Tail)
+		}
+	}
+	return Baseline{Known: true, Failed: middle(failed), Latency: middle(latency), Tail: middle(tail)}
+}
+
+func middle[T float64 | clock.Millis](values []T) T {
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
--- a/health/types.go
+++ b/health/types.go
@@ -49,8 +49,7 @@
 // Observation is the outcome of one request.
 type Observation struct {
 	Result Result
-	// Latency is the time from dispatch to the whole answer. It is read for
-	// Good only.
+	// Latency is the time from dispatch to the outcome.
 	Latency clock.Millis
 	// Caller bounds what one caller can contribute. Empty is a caller too.
 	Caller string
@@ -64,6 +63,9 @@
 	Failed float64
 	// Latency is the usual median latency.
 	Latency clock.Millis
+	// Tail is the latency that one good answer in ten usually exceeds. 0
+	// means that it wasn't told; then the judge takes a multiple of Latency.
+	Tail clock.Millis
 }
 
 // Config configures a Judge.
