feat(limit): pace refused callers, refuse what can't be served in time

The queue was bounded by its length only: a request could get its slot with too little time left, be cut off and end as unknown, and all those refused in one burst were told the same span to come back.

Offer refuses a turn that can't come in time, Release passes over waiters that would be cut off. Refused callers get one place after the other at the drain rate, at slots and at rates.

A property test over tickets found two faults on the way: a passed-over waiter couldn't be withdrawn and was named again by Expire (mended), and Resize, which has no instant, could run a waiter past its deadline (Expire goes before it, now said in its comment).

--- a/limit/rates.go
+++ b/limit/rates.go
@@ -41,8 +41,14 @@
 // It is not safe for concurrent use.
 type Rates struct {
 	random   *rand.Rand
-	services *simplelru.LRU[string, *rate.Limiter]
-	callers  *simplelru.LRU[callerKey, *rate.Limiter]
+	services *simplelru.LRU[string, *bucket]
+	callers  *simplelru.LRU[callerKey, *bucket]
+}
+
+// bucket is one limit and the places given to those that it refused.
+type bucket struct {
+	limiter  *rate.Limiter
+	comeback comeback
 }
 
 // callerKey names a caller's bucket: one for each service that it calls.
@@ -57,11 +63,11 @@
 
 // NewRates makes Rates with every bucket full.
 func NewRates(c RatesConfig) *Rates {
-	services, err := simplelru.NewLRU[string, *rate.Limiter](mostServices, nil)
+	services, err := simplelru.NewLRU[string, *bucket](mostServices, nil)
 	if err != nil {
 		panic(err) // only a size below 1 is refused
 	}
-	callers, err := simplelru.NewLRU[callerKey, *rate.Limiter](max(c.Callers, 1), nil)
+	callers, err := simplelru.NewLRU[callerKey, *bucket](max(c.Callers, 1), nil)
 	if err != nil {
 		panic(err) // only a size below 1 is refused
 	}
@@ -75,64 +81,65 @@
 func (r *Rates) Allow(
 	now clock.Millis, service string, serviceRate float64, caller string, callerRate float64,
 ) Grant {
-	byCaller := bucket(r.callers, callerKey{service: service, caller: caller}, now, callerRate)
-	byService := bucket(r.services, service, now, serviceRate)
-	if wait := missing(byCaller, now); wait > 0 {
-		return Grant{By: ByCaller, RetryAfter: r.jitter(wait)}
+	byCaller := find(r.callers, callerKey{service: service, caller: caller}, now, callerRate)
+	byService := find(r.services, service, now, serviceRate)
+	if lack := byCaller.lack(now); lack > 0 {
+		return Grant{By: ByCaller, RetryAfter: byCaller.retryAfter(now, lack, r.random)}
 	}
-	if wait := missing(byService, now); wait > 0 {
-		return Grant{By: ByService, RetryAfter: r.jitter(wait)}
+	if lack := byService.lack(now); lack > 0 {
+		return Grant{By: ByService, RetryAfter: byService.retryAfter(now, lack, r.random)}
 	}
-	take(byCaller, now)
-	take(byService, now)
+	byCaller.take(now)
+	byService.take(now)
 	return Grant{OK: true}
 }
 
-// bucket returns the limiter of the key at the given rate, nil for no limit.
-func bucket[K comparable](
-	all *simplelru.LRU[K, *rate.Limiter], key K, now clock.Millis, perSecond float64,
-) *rate.Limiter {
+// find returns the bucket of the key at the given rate, nil for no limit.
+func find[K comparable](
+	all *simplelru.LRU[K, *bucket], key K, now clock.Millis, perSecond float64,
+) *bucket {
 	if !(perSecond > 0) {
 		return nil
 	}
-	limiter, ok := all.Get(key)
+	limit := rate.Limit(min(perSecond, math.MaxInt32))
+	b, ok := all.Get(key)
 	if !ok {
-		limiter = rate.NewLimiter(rate.Limit(perSecond), burst(perSecond))
-		all.Add(key, limiter)
-		return limiter
+		b = &bucket{limiter: rate.NewLimiter(limit, burst(limit))}
+		all.Add(key, b)
+		return b
 	}
-	if limiter.Limit() != rate.Limit(perSecond) {
-		limiter.SetLimitAt(now.Time(), rate.Limit(perSecond))
-		limiter.SetBurstAt(now.Time(), burst(perSecond))
+	if b.limiter.Limit() != limit {
+		b.limiter.SetLimitAt(now.Time(), limit)
+		b.limiter.SetBurstAt(now.Time(), burst(limit))
 	}
-	return limiter
+	return b
 }
 
 // burst is one second's requests: a page that loads its parts at once isn't
 // refused, and no second admits more than twice the rate.
-func burst(perSecond float64) int {
-	return int(math.Ceil(min(perSecond, math.MaxInt32)))
+func burst(limit rate.Limit) int {
+	return int(math.Ceil(float64(limit)))
 }
 
-// missing is the time until the limiter has one request to give.
-func missing(l *rate.Limiter, now clock.Millis) clock.Millis {
-	if l == nil {
-		return 0
-	}
-	lack := 1 - l.TokensAt(now.Time())
-	if lack <= 0 {
+// lack is the part of a request that the bucket lacks to admit one; 0 or less
+// admits it.
+func (b *bucket) lack(now clock.Millis) float64 {
+	if b == nil {
 		return 0
 	}
-	span := lack / float64(l.Limit()) * float64(clock.Second)
-	return clock.Millis(math.Ceil(min(span, float64(clock.Day))))
+	return 1 - b.limiter.TokensAt(now.Time())
 }
 
-func take(l *rate.Limiter, now clock.Millis) {
-	if l != nil {
-		l.AllowN(now.Time(), 1)
+// take counts one admitted request.
+func (b *bucket) take(now clock.Millis) {
+	if b != nil {
+		b.limiter.AllowN(now.Time(), 1)
 	}
 }
 
-func (r *Rates) jitter(span clock.Millis) clock.Millis {
-	return span + clock.Millis(r.random.Int64N(int64(span)+1))
+// retryAfter is the time until the bucket has what it lacks and those refused
+// before have had their turn.
+func (b *bucket) retryAfter(now clock.Millis, lack float64, random *rand.Rand) clock.Millis {
+	gap := float64(clock.Second) / float64(b.limiter.Limit())
+	return b.comeback.after(now, lack*gap, gap, random)
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 )
@@ -54,8 +55,9 @@
 	running int
 	waiting []waiter
 	// missed are waiters that were passed over, until Expire reports them.
-	missed []uint64
-	drain  drain
+	missed   []uint64
+	drain    drain
+	comeback comeback
 }
 
 // waiter is a request in the queue.
@@ -73,18 +75,16 @@
 // request; it must differ from those of all requests waiting.
 func (s *Slots) Offer(now clock.Millis, ticket uint64, deadline clock.Millis) Offer {
 	s.drain.advance(now, s.running)
-	if deadline <= now {
-		return Offer{Answer: Late, RetryAfter: s.retryAfter()}
-	}
-	if s.running < s.config.Slots {
+	switch {
+	case deadline <= now:
+		return s.refuse(now, Late)
+	case s.running < s.config.Slots:
 		s.running++
 		return Offer{Answer: Run}
-	}
-	if len(s.waiting) >= s.config.Queue {
-		return Offer{Answer: Full, RetryAfter: s.retryAfter()}
-	}
-	if now+s.wait(len(s.waiting)+1)+s.drain.need() > deadline {
-		return Offer{Answer: Late, RetryAfter: s.retryAfter()}
+	case len(s.waiting) >= s.config.Queue:
+		return s.refuse(now, Full)
+	case !s.drain.reaches(s.gap()*float64(len(s.waiting)+1), deadline):
+		return s.refuse(now, Late)
 	}
 	s.waiting = append(s.waiting, waiter{ticket: ticket, deadline: deadline})
 	return Offer{Answer: Wait}
@@ -121,16 +121,19 @@
 	return expired
 }
 
-// Withdraw removes a waiter that was cancelled. It returns false if no such
-// ticket waits: it runs, or it was refused.
+// Withdraw removes a waiter that was cancelled; its ticket isn't named again.
+// It returns false if no such ticket waits: it runs, or was refused.
 func (s *Slots) Withdraw(ticket uint64) bool {
-	for i, w := range s.waiting {
-		if w.ticket == ticket {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return true
-		}
+	if i := slices.Index(s.missed, ticket); i >= 0 {
+		s.missed = slices.Delete(s.missed, i, i+1)
+		return true
+	}
+	i := slices.IndexFunc(s.waiting, func(w waiter) bool { return w.ticket == ticket })
+	if i < 0 {
+		return false
 	}
-	return false
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	return true
 }
 
 // Load returns the slots' present use.
@@ -143,7 +146,8 @@
 }
 
 // Resize puts an edited table in force and returns the tickets of waiters that
-// run now. Requests that run or wait beyond the new numbers are let finish.
+// run now. Requests that run or wait beyond the new numbers are let finish. It
+// judges deadlines at the last instant seen: call Expire just before.
 func (s *Slots) Resize(c SlotsConfig) []uint64 {
 	s.config = c
 	var run []uint64
@@ -156,12 +160,15 @@
 	}
 }
 
-// next gives a free slot to the first waiter whose deadline can be met.
+// next gives a free slot to the first waiter whose deadline can be met. A
+// waiter that would be cut off while it runs is passed over: it would take the
+// slot from one that can be served whole, and a request that may not be
+// repeated would end as unknown in place of not run.
 func (s *Slots) next() (ticket uint64, ok bool) {
 	for s.running < s.config.Slots && len(s.waiting) > 0 {
 		w := s.waiting[0]
-		s.waiting = append(s.waiting[:0], s.waiting[1:]...)
-		if s.drain.now+max(s.drain.need(), 1) <= w.deadline {
+		s.waiting = slices.Delete(s.waiting, 0, 1)
+		if s.drain.reaches(0, w.deadline) {
 			s.running++
 			return w.ticket, true
 		}
@@ -170,22 +177,19 @@
 	return 0, false
 }
 
-// wait estimates the time until the given place in the queue gets a slot.
-func (s *Slots) wait(place int) clock.Millis {
-	return clock.Millis(float64(place) * s.drain.mean() / float64(max(s.config.Slots, 1)))
+// gap estimates the milliseconds between two requests that end while all slots
+// are in use.
+func (s *Slots) gap() float64 {
+	return s.drain.mean() / float64(max(s.config.Slots, 1))
 }
 
-// retryAfter estimates when a place in the queue will be free.
-func (s *Slots) retryAfter() clock.Millis {
-	span := max(s.wait(len(s.waiting)+1), leastRetryAfter)
-	return min(span, mostRetryAfter) + clock.Millis(s.random.Int64N(int64(min(span, mostRetryAfter))))
+// refuse answers a request that isn't run with the time until the queue has
+// drained and those refused before have had their turn.
+func (s *Slots) refuse(now clock.Millis, a Answer) Offer {
+	gap := s.gap()
+	first := gap * float64(len(s.waiting)+1)
+	if s.config.Slots <= 0 {
+		first = mostRetryAfter
+	}
+	return Offer{Answer: a, RetryAfter: s.comeback.after(now, first, gap, s.random)}
 }
-
-// Bounds of a computed RetryAfter before jitter.
-const (
-	// leastRetryAfter keeps a caller from coming back before the refusal has
-	// reached it: about one round trip to callers at 8 ms one way.
-	leastRetryAfter clock.Millis = 20
-	// mostRetryAfter bounds the estimate while an upstream hangs.
-	mostRetryAfter = 30 * clock.Second
-)
