--- a/standin/admin.go
+++ b/standin/admin.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"strconv"
 
@@ -23,6 +24,8 @@
 	faultPath   = adminPrefix + "fault"
 	ledgerPath  = adminPrefix + "ledger"
 	totalsPath  = adminPrefix + "totals"
+	awaitPath   = adminPrefix + "await"
+	statsPath   = adminPrefix + "stats"
 )
 
 func (p *Platform) admin(ctx *fasthttp.RequestCtx, path string) {
@@ -31,11 +34,71 @@
 		restorePath: p.adminRestore,
 		modePath:    p.adminMode,
 	}
-	if path == callsPath && ctx.IsGet() {
+	switch {
+	case path == callsPath && ctx.IsGet():
 		writeJSON(ctx, p.Calls())
+	case path == awaitPath && ctx.IsGet():
+		p.adminAwait(ctx)
+	default:
+		runPost(ctx, post[path])
+	}
+}
+
+// adminAwait answers GET /standin/await?calls=N&wait=10s.
+func (p *Platform) adminAwait(ctx *fasthttp.RequestCtx) {
+	calls, err := countArgument(ctx, "calls")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	runAwait(ctx, func(wait context.Context) error { return p.AwaitCalls(wait, calls) })
+	if ctx.Response.StatusCode() == fasthttp.StatusOK {
+		writeJSON(ctx, p.Calls())
+	}
+}
+
+// countArgument reads a count, 0 if it isn't given.
+func countArgument(ctx *fasthttp.RequestCtx, name string) (uint64, error) {
+	text := ctx.QueryArgs().Peek(name)
+	if len(text) == 0 {
+		return 0, nil
+	}
+	count, err := strconv.ParseUint(string(text), 10, 64)
+	return count, errors.Annotatef(err, "reading %s", name)
+}
+
+// defaultAwait bounds GET /standin/await for scripts that name no wait.
+const defaultAwait = 10 * clock.Second
+
+// runAwait sets status 200 when what a script waits for has come, and 408 when
+// ?wait= is over.
+func runAwait(ctx *fasthttp.RequestCtx, await func(context.Context) error) {
+	span := defaultAwait
+	if text := ctx.QueryArgs().Peek("wait"); len(text) > 0 {
+		if err := span.UnmarshalText(text); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	conn, ok := connOf(ctx)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	runPost(ctx, post[path])
+	wait, cancel := context.WithTimeout(ctx, span.Duration())
+	defer cancel()
+	gone, release := conn.watch()
+	defer release()
+	go func() {
+		defer cancel()
+		select {
+		case <-gone:
+		case <-wait.Done():
+		}
+	}()
+	if err := await(wait); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusRequestTimeout)
+	}
 }
 
 func (p *Platform) adminPublish(ctx *fasthttp.RequestCtx) error {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,13 +1,10 @@
 package standin
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"context"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -31,9 +28,6 @@
 	BackendHeader = "Backend"
 )
 
-// maxRequestBody bounds the bodies that stand-ins accept, in bytes.
-const maxRequestBody = 16 << 20
-
 // loadLag is after how many begun requests /load is brought up to date.
 const loadLag = 32
 
@@ -117,6 +111,15 @@
 	return b.ledger.counts()
 }
 
+// Await waits until the totals reach what is asked, or ctx ends.
+func (b *Backend) Await(ctx context.Context, reached func(Totals) bool) error {
+	return await(ctx, func() (bool, <-chan struct{}) {
+		b.ledger.mu.Lock()
+		defer b.ledger.mu.Unlock()
+		return reached(b.ledger.totals), b.ledger.changed.wait()
+	})
+}
+
 // Close ends the backend server and all its connections.
 func (b *Backend) Close() {
 	close(b.stop)
@@ -149,6 +152,8 @@
 		writeJSON(ctx, b.Ledger())
 	case path == totalsPath && ctx.IsGet():
 		writeJSON(ctx, b.Totals())
+	case path == awaitPath && ctx.IsGet():
+		b.adminAwait(ctx)
 	case path == faultPath:
 		runPost(ctx, b.adminFault)
 	default:
@@ -165,197 +170,23 @@
 	return nil
 }
 
-// plan is what the present fault does to one request.
-type plan struct {
-	fault Fault
-	drawn bool // the fault's share met this request
-	takes time.Duration
-}
-
-func (b *Backend) plan() plan {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := plan{fault: b.fault}
-	share := p.fault.Share
-	if share == 0 && p.fault.Kind != Sheds {
-		share = 1
-	}
-	p.drawn = b.rand.Float64() < share
-	p.takes = time.Duration(float64(b.config.Service.Duration()) * p.fault.stretch(b.sequence, p.drawn))
-	b.sequence++
-	return p
-}
-
-func (b *Backend) request(ctx *fasthttp.RequestCtx) {
-	conn, ok := connOf(ctx)
-	if !ok {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	left, err := deadlineLeft(ctx)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	gone, release := conn.watch()
-	answered := b.admit(ctx, b.plan(), left, gone)
-	release()
-	if !answered {
-		conn.abort()
-	}
-}
-
-// deadlineLeft reads how long the request may still take; without the header
-// it may take an hour.
-func deadlineLeft(ctx *fasthttp.RequestCtx) (time.Duration, error) {
-	text := ctx.Request.Header.Peek(DeadlineHeader)
-	if len(text) == 0 {
-		return time.Hour, nil
-	}
-	left, err := strconv.ParseInt(string(text), 10, 64)
-	if err != nil {
-		return 0, errors.Annotatef(err, "reading %s", DeadlineHeader)
-	}
-	return clock.Millis(left).Duration(), nil
-}
-
-// admit gets the request a slot or refuses it, and tells whether there is an
-// answer to write.
-func (b *Backend) admit(ctx *fasthttp.RequestCtx, p plan, left time.Duration, gone <-chan struct{}) bool {
-	if p.fault.Kind == Drains {
-		ctx.SetConnectionClose()
-		b.refuse(ctx)
-		return true
-	}
-	if p.fault.Kind == Sheds && p.drawn || p.takes > left {
-		b.refuse(ctx)
-		return true
-	}
-	select {
-	case b.slots <- struct{}{}:
-	default:
-		if p.fault.Kind == Sheds {
-			b.refuse(ctx)
-			return true
-		}
-		if answered, got := b.queue(ctx, left-p.takes, gone); !got {
-			return answered
+// adminAwait answers GET /standin/await?begun=N&ended=N&refused=N&wait=10s.
+func (b *Backend) adminAwait(ctx *fasthttp.RequestCtx) {
+	var wanted [3]uint64
+	for i, name := range []string{"begun", "ended", "refused"} {
+		count, err := countArgument(ctx, name)
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
 		}
+		wanted[i] = count
+	}
+	runAwait(ctx, func(wait context.Context) error {
+		return b.Await(wait, func(t Totals) bool {
+			return t.Begun >= wanted[0] && t.Ended() >= wanted[1] && t.Refused >= wanted[2]
+		})
+	})
+	if ctx.Response.StatusCode() == fasthttp.StatusOK {
+		writeJSON(ctx, b.Totals())
 	}
-	defer func() { <-b.slots }()
-	return b.run(ctx, p, gone)
-}
-
-// queue waits for a slot for as long as the deadline can still be met.
-func (b *Backend) queue(ctx *fasthttp.RequestCtx, patience time.Duration, gone <-chan struct{}) (answered, got bool) {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case b.slots <- struct{}{}:
-		return false, true
-	case <-timer.C:
-		b.refuse(ctx)
-		return true, false
-	case <-gone:
-		return false, false
-	case <-b.stop:
-		return false, false
-	}
-}
-
-// refuse answers a request that did not run.
-func (b *Backend) refuse(ctx *fasthttp.RequestCtx) {
-	b.ledger.refuse()
-	ctx.Response.Header.Set(RefusalHeader, RefusalShed)
-	ctx.Response.Header.Set("Retry-After", "1")
-	ctx.Response.Header.Set(BackendHeader, b.config.Name)
-	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-}
-
-// run enters the request into the ledger and serves it, and tells whether
-// there is an answer to write.
-func (b *Backend) run(ctx *fasthttp.RequestCtx, p plan, gone <-chan struct{}) bool {
-	number := b.ledger.begin(b.entry(ctx))
-	b.noteLoad(number)
-	if !b.work(p, gone) {
-		b.ledger.end(number, Cancelled, b.clock.Now())
-		return false
-	}
-	if p.fault.Kind == Fails && p.drawn {
-		b.ledger.end(number, Failed, b.clock.Now())
-		ctx.Response.Header.Set(BackendHeader, b.config.Name)
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return true
-	}
-	b.ledger.end(number, Served, b.clock.Now())
-	b.answer(ctx)
-	return true
-}
-
-func (b *Backend) entry(ctx *fasthttp.RequestCtx) Entry {
-	hash := sha256.Sum256(ctx.PostBody())
-	return Entry{
-		ID:       string(ctx.Request.Header.Peek(RequestHeader)),
-		Caller:   string(ctx.Request.Header.Peek(CallerHeader)),
-		Method:   string(ctx.Method()),
-		Path:     string(ctx.Path()),
-		BodyHash: hex.EncodeToString(hash[:]),
-		Started:  b.clock.Now(),
-		Outcome:  Running,
-	}
-}
-
-func (b *Backend) noteLoad(number uint64) {
-	if number%loadLag != 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load.Running = len(b.slots)
-}
-
-// work takes the request's time, and tells whether it came to its end.
-func (b *Backend) work(p plan, gone <-chan struct{}) bool {
-	if p.fault.Kind == Hangs && p.drawn {
-		select {
-		case <-gone:
-		case <-b.stop:
-		}
-		return false
-	}
-	if p.takes <= 0 {
-		return true
-	}
-	timer := time.NewTimer(p.takes)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-gone:
-		return false
-	case <-b.stop:
-		return false
-	}
-}
-
-func (b *Backend) answer(ctx *fasthttp.RequestCtx) {
-	id := string(ctx.Request.Header.Peek(RequestHeader))
-	size, err := ctx.QueryArgs().GetUint("size")
-	if err != nil {
-		size = 0
-	}
-	ctx.Response.Header.Set(RequestHeader, id)
-	ctx.Response.Header.Set(BackendHeader, b.config.Name)
-	ctx.SetContentType("application/octet-stream")
-	ctx.SetBody(AnswerBody(id, min(size, maxRequestBody)))
-}
-
-// AnswerBody returns the body of the answer to a request: size bytes that
-// depend on the id only, and then the id.
-func AnswerBody(id string, size int) []byte {
-	sum := sha256.Sum256([]byte(id))
-	source := rand.NewChaCha8(sum)
-	body := make([]byte, size, size+len(id))
-	_, _ = source.Read(body)
-	return append(body, id...)
 }
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -78,6 +78,15 @@
 	return value, errors.Annotatef(err, "reading %s", name)
 }
 
+// share returns the share of requests that the fault meets. Sheds alone means
+// its 0, since it refuses besides whatever finds no free slot.
+func (f Fault) share() float64 {
+	if f.Share == 0 && f.Kind != Sheds {
+		return 1
+	}
+	return f.Share
+}
+
 // stretch returns what the fault multiplies the service time of the
 // sequence-th request since it was set by; the first has sequence 0.
 func (f Fault) stretch(sequence int, drawn bool) float64 {
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -44,21 +44,28 @@
 	Dropped uint64 `json:"dropped"`
 }
 
+// Ended counts begun requests that are over.
+func (t Totals) Ended() uint64 {
+	return t.Served + t.Failed + t.Cancelled
+}
+
 // ledgerSize bounds the entries held: some 20 MB, and minutes of a busy
 // backend server of the users' sizes.
 const ledgerSize = 1 << 16
 
 // ledger is a ring of the latest entries.
 type ledger struct {
-	mu     sync.Mutex
-	ring   []Entry
-	totals Totals
+	mu      sync.Mutex
+	ring    []Entry
+	totals  Totals
+	changed broadcast
 }
 
 // begin enters a request and returns its number.
 func (l *ledger) begin(entry Entry) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.changed.notify()
 	number := l.totals.Begun
 	l.totals.Begun++
 	if len(l.ring) < ledgerSize {
@@ -73,6 +80,7 @@
 func (l *ledger) end(number uint64, outcome Outcome, at clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer l.changed.notify()
 	switch outcome {
 	case Served:
 		l.totals.Served++
@@ -94,6 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.totals.Refused++
+	l.changed.notify()
 }
 
 // entries returns a copy, oldest first.
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -115,10 +115,14 @@
 
 // abort closes the connection with a reset, without an answer.
 func (c *watchedConn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	reset(c.Conn)
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	closeQuietly(c.Conn)
+	closeQuietly(conn)
 }
 
 // watch reports on the returned channel when the other end goes. The handler
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -29,15 +29,23 @@
 	Refuse RelayMode = "refuse"
 )
 
-// relayBuffer is how many bytes a direction reads at once.
-const relayBuffer = 32 << 10
-
 // RelayConfig describes a relay to start.
 type RelayConfig struct {
 	Address string
 	Target  string
 }
 
+// RelayStats counts what a relay has done.
+type RelayStats struct {
+	// Opened connections that reached the target.
+	Opened uint64 `json:"opened"`
+	// Passed and Lost are in bytes, both ways together.
+	Passed uint64 `json:"passed"`
+	Lost   uint64 `json:"lost"`
+	// Held counts reads whose bytes, or end, wait for the end of Freeze.
+	Held uint64 `json:"held"`
+}
+
 // Relay passes TCP connections to its target and breaks them as told. It is
 // safe for concurrent use.
 type Relay struct {
@@ -49,15 +57,11 @@
 
 	mu      sync.Mutex
 	mode    RelayMode
-	changed chan struct{} // closed when the mode changes
+	changed broadcast // of the mode
 	crossed map[*crossing]struct{}
 	closed  bool
-}
-
-// crossing is one connection through the relay.
-type crossing struct {
-	near, far net.Conn
-	silent    bool // guarded by the relay's lock
+	stats   RelayStats
+	counted broadcast
 }
 
 // StartRelay listens and relays until Close.
@@ -72,7 +76,6 @@
 		cancel:  cancel,
 		target:  config.Target,
 		mode:    Pass,
-		changed: make(chan struct{}),
 		crossed: make(map[*crossing]struct{}),
 	}
 	r.ended.Add(1)
@@ -99,8 +102,23 @@
 		default:
 		}
 	}
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.changed.notify()
+}
+
+// Stats returns the counts so far.
+func (r *Relay) Stats() RelayStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+// Await waits until the counts reach what is asked, or ctx ends.
+func (r *Relay) Await(ctx context.Context, reached func(RelayStats) bool) error {
+	return await(ctx, func() (bool, <-chan struct{}) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return reached(r.stats), r.counted.wait()
+	})
 }
 
 // Close ends the relay and resets its connections.
@@ -110,8 +128,7 @@
 	for c := range r.crossed {
 		c.reset()
 	}
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.changed.notify()
 	r.mu.Unlock()
 	r.cancel()
 	closeQuietly(r.ln)
@@ -129,131 +146,3 @@
 		go r.cross(ctx, near)
 	}
 }
-
-// cross carries one connection until both ways have ended.
-func (r *Relay) cross(ctx context.Context, near net.Conn) {
-	defer r.ended.Done()
-	c := &crossing{near: near}
-	if !r.connect(ctx, c) {
-		c.reset()
-		return
-	}
-	defer r.forget(c)
-	var ways sync.WaitGroup
-	ways.Add(2)
-	go func() {
-		defer ways.Done()
-		r.pump(way{crossing: c, from: c.near, to: c.far, drop: DropToTarget})
-	}()
-	go func() {
-		defer ways.Done()
-		r.pump(way{crossing: c, from: c.far, to: c.near, drop: DropFromTarget})
-	}()
-	ways.Wait()
-}
-
-// connect dials the target once the relay isn't frozen.
-func (r *Relay) connect(ctx context.Context, c *crossing) bool {
-	if !r.thawed() {
-		return false
-	}
-	far, err := r.dialer.DialContext(ctx, "tcp", r.target)
-	if err != nil {
-		return false
-	}
-	c.far = far
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.closed || r.mode == Refuse {
-		return false
-	}
-	r.crossed[c] = struct{}{}
-	return true
-}
-
-// thawed waits while the relay is frozen, and tells whether it still relays.
-func (r *Relay) thawed() bool {
-	for {
-		r.mu.Lock()
-		mode, closed, changed := r.mode, r.closed, r.changed
-		r.mu.Unlock()
-		if closed || mode == Refuse {
-			return false
-		}
-		if mode != Freeze {
-			return true
-		}
-		<-changed
-	}
-}
-
-func (r *Relay) forget(c *crossing) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.crossed, c)
-	closeQuietly(c.near)
-	closeQuietly(c.far)
-}
-
-// drops tells whether bytes of the way are lost now.
-func (r *Relay) drops(w way) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return w.crossing.silent || r.mode == w.drop
-}
-
-// way is one direction of a crossing.
-type way struct {
-	crossing *crossing
-	from, to net.Conn
-	drop     RelayMode // the mode that loses this way's bytes
-}
-
-// pump carries one way until it ends. An end that is lost isn't handed on, so
-// that the receiver sees silence and no close.
-func (r *Relay) pump(w way) {
-	buffer := make([]byte, relayBuffer)
-	lost := false
-	for {
-		if !r.thawed() {
-			return
-		}
-		n, err := w.from.Read(buffer)
-		if !r.thawed() {
-			return
-		}
-		lost = lost || r.drops(w)
-		if n > 0 && !lost {
-			if _, err := w.to.Write(buffer[:n]); err != nil {
-				w.crossing.reset()
-				return
-			}
-		}
-		if err == nil {
-			continue
-		}
-		if !lost {
-			w.finish()
-		}
-		return
-	}
-}
-
-// finish hands on the end of the way.
-func (w way) finish() {
-	if tcp, ok := w.to.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-}
-
-func (c *crossing) reset() {
-	for _, conn := range []net.Conn{c.near, c.far} {
-		if conn == nil {
-			continue
-		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		closeQuietly(conn)
-	}
-}
--- a/standin/relayadmin.go
+++ b/standin/relayadmin.go
@@ -34,11 +34,14 @@
 }
 
 func (a *RelayAdmin) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != modePath {
+	switch path := string(ctx.Path()); {
+	case path == statsPath && ctx.IsGet():
+		writeJSON(ctx, a.relay.Stats())
+	case path == modePath:
+		runPost(ctx, a.setMode)
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
 	}
-	runPost(ctx, a.setMode)
 }
 
 func (a *RelayAdmin) setMode(ctx *fasthttp.RequestCtx) error {
