feat(fleet): run a deployment on loopback, hold dispatches for an opening link

Cause: the first requests through a node that had no link yet were refused as unreachable; seen in TestRefusedConnectionIsNotRun, where three links were still closed. Change: a dispatch waits for the link that is being opened, and its wait is taken from its budget. Ruled out: links to all peers at the start, which doesn't fit 2,400 nodes.

--- a/entry/request.go
+++ b/entry/request.go
@@ -260,6 +260,8 @@
 			return resultOf(e.reply)
 		case e.kind == voided:
 			return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}
+		case e.kind == unsent:
+			return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
 		case e.kind == forgotten:
 			return result{kind: retry.Silent, reason: reasonReplaced}
 		case e.kind == lost && r.repeatable:
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -15,6 +15,7 @@
 	replied eventKind = iota
 	voided
 	forgotten
+	unsent
 	lost
 	expired
 )
@@ -48,6 +49,11 @@
 	w.put(event{kind: forgotten})
 }
 
+// Unsent takes in that nothing was sent.
+func (w *waiter) Unsent() {
+	w.put(event{kind: unsent})
+}
+
 // Lost takes in that the path is lost for now.
 func (w *waiter) Lost() {
 	if len(w.events) == 0 {
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,274 @@
+// Package fleet runs a whole deployment on loopback in one process: a stand-in
+// platform, stand-in backend servers and real nodes that reach each other over
+// real links. The demo, the sessions and the benchmarks run on it.
+package fleet
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// Config configures a Fleet.
+type Config struct {
+	// Table is the deployment. Its addresses are replaced by open ports of
+	// this machine; upstreams that name one node get one node.
+	Table *table.Table
+	// Service is the time that a backend server takes for a request.
+	Service clock.Millis
+	// Relays puts a relay before each node's link address, to cut it.
+	Relays bool
+	// Adjust may change a node's settings before it starts.
+	Adjust func(s *settings.Settings)
+	// Log takes the nodes' logs; nil drops them.
+	Log io.Writer
+}
+
+// Member is one running node.
+type Member struct {
+	Name   string
+	Node   *node.Node
+	Caller string
+	Admin  string
+	Link   string
+	Relay  *standin.Relay // nil without relays
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Platform *standin.Platform
+	Backends map[string]*standin.Backend
+	Members  []*Member
+	Table    *table.Table
+
+	config Config
+	log    *logrus.Logger
+	mu     sync.Mutex
+}
+
+const secret = "a secret of the loopback fleet"
+
+// Start starts everything and returns when every node has the table in force.
+func Start(ctx context.Context, c Config) (*Fleet, error) {
+	f := &Fleet{Backends: map[string]*standin.Backend{}, config: c, log: logrus.New()}
+	f.log.SetFormatter(&logrus.JSONFormatter{})
+	f.log.SetOutput(io.Discard)
+	if c.Log != nil {
+		f.log.SetOutput(c.Log)
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, errors.Annotate(err, "starting a fleet on loopback")
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	f.Platform, err = standin.StartPlatform(standin.PlatformConfig{Address: loopback})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f.Table = f.config.Table.Clone()
+	if err := f.startBackends(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := f.addMembers(ctx); err != nil {
+		return errors.Trace(err)
+	}
+	if err := f.publish(); err != nil {
+		return errors.Trace(err)
+	}
+	for _, m := range f.Members {
+		if err := m.wait(ctx); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+const loopback = "127.0.0.1:0"
+
+func (f *Fleet) startBackends() error {
+	for i := range f.Table.Services {
+		s := &f.Table.Services[i]
+		for j := range s.Upstreams {
+			u := &s.Upstreams[j]
+			b, err := standin.StartBackend(standin.BackendConfig{
+				Name:    u.Name,
+				Address: loopback,
+				Slots:   u.Slots,
+				Service: f.config.Service,
+				Seed:    uint64(i*len(s.Upstreams) + j),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			f.Backends[u.Name] = b
+			u.Address = b.Address()
+		}
+	}
+	return nil
+}
+
+// addMembers opens the ports of one node for each node address in the table
+// and puts its address there.
+func (f *Fleet) addMembers(ctx context.Context) error {
+	known := map[string]*Member{}
+	for i := range f.Table.Services {
+		s := &f.Table.Services[i]
+		for j := range s.Upstreams {
+			u := &s.Upstreams[j]
+			m, ok := known[u.Node]
+			if !ok {
+				var err error
+				m, err = f.AddMember(ctx, u.Name, u.Domain)
+				if err != nil {
+					return errors.Trace(err)
+				}
+				known[u.Node] = m
+			}
+			u.Node = m.Link
+		}
+	}
+	return nil
+}
+
+// AddMember starts one more node, which reads the table from the platform.
+func (f *Fleet) AddMember(ctx context.Context, name, domain string) (*Member, error) {
+	listeners, err := node.Listen(ctx, settings.Listen{Caller: loopback, Link: loopback, Admin: loopback})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	m := &Member{
+		Name:   name,
+		Caller: listeners.Caller.Addr().String(),
+		Admin:  listeners.Admin.Addr().String(),
+		Link:   listeners.Link.Addr().String(),
+		done:   make(chan struct{}),
+	}
+	if f.config.Relays {
+		m.Relay, err = standin.StartRelay(standin.RelayConfig{Address: loopback, Target: m.Link})
+		if err != nil {
+			listeners.Close()
+			return nil, errors.Trace(err)
+		}
+		m.Link = m.Relay.Address()
+	}
+	if err := f.run(ctx, m, domain, listeners); err != nil {
+		listeners.Close()
+		return nil, errors.Trace(err)
+	}
+	f.Members = append(f.Members, m)
+	return m, nil
+}
+
+func (f *Fleet) run(ctx context.Context, m *Member, domain string, listeners *node.Listeners) error {
+	s, err := settings.Parse([]byte(baseSettings))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.Node, s.Domain, s.Listen.Announce = m.Name, domain, m.Link
+	s.Platform.Address = f.Platform.Address()
+	if f.config.Adjust != nil {
+		f.config.Adjust(s)
+	}
+	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, m.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	go func() {
+		defer close(m.done)
+		if err := m.Node.Run(ctx); err != nil {
+			f.log.WithError(err).Error("node failed")
+		}
+	}()
+	return nil
+}
+
+// baseSettings is filled in for each node; its ports are already open.
+const baseSettings = `
+node = "loopback"
+domain = "loopback"
+secret = "` + secret + `"
+grace = "10s"
+[listen]
+caller = "127.0.0.1:1"
+link = "127.0.0.1:2"
+admin = "127.0.0.1:3"
+[platform]
+address = "127.0.0.1:4"
+`
+
+// Publish edits the table, raises its version and publishes it.
+func (f *Fleet) Publish(edit func(t *table.Table)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Table.Version++
+	edit(f.Table)
+	return f.publish()
+}
+
+func (f *Fleet) publish() error {
+	text, err := toml.Marshal(f.Table)
+	if err != nil {
+		return errors.Annotate(err, "writing the table")
+	}
+	f.Platform.Publish("table", f.Table.Version, text)
+	return nil
+}
+
+func (m *Member) wait(ctx context.Context) error {
+	select {
+	case <-m.Node.InForce():
+		return nil
+	case <-m.done:
+		return errors.Errorf("node %s stopped", m.Name)
+	case <-ctx.Done():
+		return errors.Annotatef(ctx.Err(), "waiting for node %s", m.Name)
+	}
+}
+
+// Done is closed when the node has stopped.
+func (m *Member) Done() <-chan struct{} {
+	return m.done
+}
+
+// Stop ends the node at once, requests in flight included.
+func (m *Member) Stop() {
+	m.cancel()
+	<-m.done
+}
+
+// Close stops everything.
+func (f *Fleet) Close() {
+	for _, m := range f.Members {
+		m.cancel()
+	}
+	for _, m := range f.Members {
+		<-m.done
+		if m.Relay != nil {
+			m.Relay.Close()
+		}
+	}
+	for _, b := range f.Backends {
+		b.Close()
+	}
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,136 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// patience bounds a test that waits for an event that never comes.
+const patience = 30 * time.Second
+
+func deployment(upstreams int) *table.Table {
+	s := table.Service{
+		Name:     "conferme",
+		Caution:  table.Fast,
+		Floor:    0.5,
+		Deadline: 2 * clock.Second,
+		Drain:    3 * clock.Second,
+		Queue:    6,
+		Retries:  0.2,
+		Objective: table.Objective{
+			Availability: 0.999, Latency: 500, Within: 0.99,
+		},
+	}
+	for i := range upstreams {
+		s.Upstreams = append(s.Upstreams, table.Upstream{
+			Name:   fmt.Sprintf("conferme-%d", i+1),
+			Node:   fmt.Sprintf("127.0.0.1:%d", i+1),
+			Domain: "palermo", Weight: 100, Slots: 3, Connections: 100,
+		})
+	}
+	return &table.Table{
+		Format: table.Format, Version: 1,
+		Services: []table.Service{s},
+		Routes:   []table.Route{{Prefix: "/conferme/", Service: "conferme"}},
+	}
+}
+
+func start(t *testing.T, c fleet.Config) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	f, err := fleet.Start(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	backend string
+	id      string
+	body    string
+}
+
+func send(t *testing.T, method, address, path, body string) answer {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBodyString(body)
+	if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+		t.Fatalf("%s %s: got error %v", method, path, err)
+	}
+	return answer{
+		status:  response.StatusCode(),
+		outcome: string(response.Header.Peek(entry.HeaderOutcome)),
+		reason:  string(response.Header.Peek(entry.HeaderReason)),
+		backend: string(response.Header.Peek("Backend")),
+		id:      string(response.Header.Peek(entry.HeaderRequest)),
+		body:    string(response.Body()),
+	}
+}
+
+func TestServesThroughEveryNode(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(3)})
+	for _, m := range f.Members {
+		for _, method := range []string{"GET", "POST"} {
+			got := send(t, method, m.Caller, "/conferme/turno?size=200000", "x")
+			if got.status != 200 || got.outcome != "served" {
+				t.Errorf("%s through %s: got %d %q %q, want 200 served", method, m.Name, got.status, got.outcome, got.reason)
+			}
+			if want := string(standin.AnswerBody(got.id, 200000)); got.body != want {
+				t.Errorf("%s through %s: got a body of %d bytes that isn't the answer to its request", method, m.Name, len(got.body))
+			}
+		}
+	}
+}
+
+// A confirmation is sent while its upstream hangs: nobody can tell whether it
+// ran. The caller must hear unknown, in time, and no other upstream may get it.
+func TestHangEndsAsUnknown(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(3)})
+	for _, b := range f.Backends {
+		b.SetFault(standin.Fault{Kind: standin.Hangs, Share: 1})
+	}
+	got := send(t, "POST", f.Members[0].Caller, "/conferme/turno", "x")
+	if got.outcome != "unknown" || got.status != 504 {
+		t.Errorf("got %d %q %q, want 504 unknown", got.status, got.outcome, got.reason)
+	}
+	runs := 0
+	for _, b := range f.Backends {
+		runs += len(b.Ledger())
+	}
+	if runs != 1 {
+		t.Errorf("got %d runs, want 1", runs)
+	}
+}
+
+// One upstream's backend server is gone: connections are refused. Nothing ran
+// there, so that confirmations go to the others and all are served once.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(3)})
+	f.Backends["conferme-2"].Close()
+	for i := range 30 {
+		got := send(t, "POST", f.Members[i%3].Caller, "/conferme/turno", "x")
+		if got.outcome != "served" {
+			t.Errorf("request %d: got %q %q, want served", i, got.outcome, got.reason)
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -27,13 +27,15 @@
 )
 
 // Waiter is told what becomes of a dispatch. Its methods must not block. A
-// dispatch ends with one Replied or Settled call; Lost may come before.
+// dispatch ends with one Replied, Settled or Unsent call; Lost may come before.
 type Waiter interface {
 	// Replied hands over the gate's whole answer.
 	Replied(r *wire.Reply)
 	// Settled says that the dispatch is voided, or that the gate can't vouch
 	// for it.
 	Settled(voided bool)
+	// Unsent says that no link opened in time: nothing was sent.
+	Unsent()
 	// Lost says that the path is lost for now: an answer may still come.
 	Lost()
 }
@@ -83,7 +85,8 @@
 type pending struct {
 	dispatch *wire.Dispatch
 	waiter   Waiter
-	sent     clock.Millis
+	queued   clock.Millis
+	unsent   bool
 	partial  *wire.Reply
 }
 
@@ -119,35 +122,61 @@
 	}
 }
 
-// Dispatch sends a request and fills in its incarnation and lease. It returns
-// ErrNoLink, ErrBusy or ErrClosed when nothing was sent.
+// Dispatch sends a request and fills in its incarnation and lease. Without an
+// open link it waits for one that is being opened. It returns ErrNoLink,
+// ErrBusy or ErrClosed when nothing was sent or will be.
 func (p *Peer) Dispatch(d *wire.Dispatch, w Waiter) error {
-	p.Wake()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Now()
 	p.used = now
-	if p.conn == nil || !p.estimate.Known() {
+	one := &pending{dispatch: d, waiter: w, queued: now}
+	if p.conn != nil {
+		return p.send(now, one)
+	}
+	p.Wake()
+	if p.state == path.Lost || len(p.pending) >= queueLength {
 		return ErrNoLink
 	}
+	one.unsent = true
+	p.pending[keyOf(d.ID, d.Attempt)] = one
+	return nil
+}
+
+// send gives a dispatch its lease and queues it on the link. The time that it
+// waited for a link is taken from its budget.
+func (p *Peer) send(now clock.Millis, one *pending) error {
+	d := one.dispatch
+	d.Budget -= now - one.queued
 	d.Incarnation = p.estimate.Incarnation()
 	d.Lease = p.estimate.At(now) + d.Budget
 	key := keyOf(d.ID, d.Attempt)
-	p.pending[key] = &pending{dispatch: d, waiter: w, sent: now}
 	if err := p.conn.Send(d); err != nil {
 		delete(p.pending, key)
 		return errors.Trace(err)
 	}
-	p.judge.Sent(now, d.ID.Seq<<8|uint64(d.Attempt), now+d.Budget)
+	one.unsent = false
+	p.pending[key] = one
+	p.judge.Sent(now, judged(key), now+d.Budget)
 	return nil
 }
 
+// judged is the number by which the path's judge knows a dispatch.
+func judged(key lease.Key) uint64 {
+	return key.Seq<<8 | uint64(key.Attempt)
+}
+
 // Settle asks the gate what became of a dispatch and forbids it to begin one
 // that it has not begun. The waiter is told.
 func (p *Peer) Settle(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if one, ok := p.pending[keyOf(id, attempt)]; ok && p.conn != nil {
+	one, ok := p.pending[keyOf(id, attempt)]
+	switch {
+	case ok && one.unsent:
+		p.remove(keyOf(id, attempt))
+		one.waiter.Unsent()
+	case ok && p.conn != nil:
 		_ = p.conn.Send(settleOf(one.dispatch)) // without an answer the outcome stays unknown
 	}
 }
@@ -246,6 +275,22 @@
 	}
 }
 
+// withdraw ends the dispatches that still wait for a link: none was sent.
+func (p *Peer) withdraw() {
+	p.mu.Lock()
+	var waiters []Waiter
+	for key, one := range p.pending {
+		if one.unsent {
+			waiters = append(waiters, one.waiter)
+			p.remove(key)
+		}
+	}
+	p.mu.Unlock()
+	for _, w := range waiters {
+		w.Unsent()
+	}
+}
+
 // open dials unless a good link is open or the backoff of a failed dial runs.
 func (p *Peer) open(ctx context.Context) {
 	now := p.config.Now()
@@ -270,6 +315,7 @@
 		p.mu.Unlock()
 		if lost {
 			p.lose()
+			p.withdraw()
 		}
 		return
 	}
@@ -287,6 +333,10 @@
 	changed := p.estimate.Heard(now, remote.Incarnation, remote.Time)
 	undecided := make([]*pending, 0, len(p.pending))
 	for _, one := range p.pending {
+		if one.unsent {
+			p.sendLate(now, one)
+			continue
+		}
 		undecided = append(undecided, one)
 		one.partial = nil
 	}
@@ -304,6 +354,16 @@
 	p.sendBeat()
 }
 
+// sendLate sends a dispatch that waited for the link, or ends it as not sent.
+func (p *Peer) sendLate(now clock.Millis, one *pending) {
+	own := *one.dispatch // the entry still reads the one it made
+	one.dispatch = &own
+	if now-one.queued >= one.dispatch.Budget || p.send(now, one) != nil {
+		delete(p.pending, keyOf(one.dispatch.ID, one.dispatch.Attempt))
+		one.waiter.Unsent()
+	}
+}
+
 func (p *Peer) serve(conn *Conn) {
 	err := conn.read(func(m wire.Message) { p.handle(conn, m) })
 	p.log.WithError(err).Debug("link ended")
@@ -366,7 +426,7 @@
 
 func (p *Peer) remove(key lease.Key) {
 	delete(p.pending, key)
-	p.judge.Settled(p.config.Now(), key.Seq<<8|uint64(key.Attempt))
+	p.judge.Settled(p.config.Now(), judged(key))
 }
 
 func keyOf(id wire.RequestID, attempt uint8) lease.Key {
--- a/node/edition.go
+++ b/node/edition.go
@@ -57,6 +57,7 @@
 	switch verdict {
 	case edition.Accept:
 		log.Info("table in force")
+		n.inForceOnce.Do(func() { close(n.inForce) })
 		e.Kind = account.TableAccepted
 	case edition.Older:
 		log.Warn("older table not put in force; publish above the version in force")
--- a/node/leave.go
+++ b/node/leave.go
@@ -84,6 +84,11 @@
 	return n.table != nil && !n.leaving
 }
 
+// InForce is closed when the first table is in force.
+func (n *Node) InForce() <-chan struct{} {
+	return n.inForce
+}
+
 // Snapshot is what a report reads of this node.
 func (n *Node) Snapshot(f account.Filter) account.Snapshot {
 	s := n.book.Snapshot(n.clock.Now(), f)
--- a/node/node.go
+++ b/node/node.go
@@ -42,11 +42,15 @@
 type Config struct {
 	Settings *settings.Settings
 	Log      *logrus.Logger
+	// Listeners are open ports to serve on. Without them Run opens those that
+	// the settings name. Run closes them.
+	Listeners *Listeners
 }
 
 // Node is one process of the fleet. It is safe for concurrent use.
 type Node struct {
 	settings    *settings.Settings
+	listeners   *Listeners
 	log         logrus.FieldLogger
 	clock       *clock.System
 	incarnation uint64
@@ -63,6 +67,9 @@
 	// consulted is closed when a peer has said which table it has in force.
 	consulted     chan struct{}
 	consultedOnce sync.Once
+	// inForce is closed when the first table is in force.
+	inForce     chan struct{}
+	inForceOnce sync.Once
 
 	mu      sync.Mutex
 	fence   *edition.Fence
@@ -78,11 +85,13 @@
 func New(c Config) (*Node, error) {
 	n := &Node{
 		settings:    c.Settings,
+		listeners:   c.Listeners,
 		log:         c.Log.WithField("node", c.Settings.Node),
 		clock:       clock.NewSystem(),
 		incarnation: random(),
 		leave:       make(chan struct{}),
 		consulted:   make(chan struct{}),
+		inForce:     make(chan struct{}),
 		fence:       edition.New(),
 		gates:       map[string]*gate.Gate{},
 		peers:       map[string]*peer{},
@@ -157,11 +166,15 @@
 
 // Run serves until the context ends or Leave has finished.
 func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen(ctx)
-	if err != nil {
-		return errors.Trace(err)
+	listeners := n.listeners
+	if listeners == nil {
+		var err error
+		listeners, err = Listen(ctx, n.settings.Listen)
+		if err != nil {
+			return errors.Trace(err)
+		}
 	}
-	defer listeners.close()
+	defer listeners.Close()
 	n.root = suture.New("fuchsiapick", suture.Spec{EventHook: n.supervised})
 	n.addServices(listeners)
 	n.bootstrap()
@@ -169,9 +182,9 @@
 	defer cancel()
 	done := n.root.ServeBackground(ctx)
 	n.log.WithFields(logrus.Fields{
-		"caller": listeners.caller.Addr().String(),
-		"link":   listeners.link.Addr().String(),
-		"admin":  listeners.admin.Addr().String(),
+		"caller": listeners.Caller.Addr().String(),
+		"link":   listeners.Link.Addr().String(),
+		"admin":  listeners.Admin.Addr().String(),
 	}).Info("node started")
 	select {
 	case <-ctx.Done():
@@ -179,7 +192,9 @@
 		n.drain(ctx)
 	}
 	cancel()
-	_ = <-done // the context ended: nothing new to learn from its error
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		n.log.WithError(err).Warn("supervisor ended")
+	}
 	n.stop()
 	n.log.Info("node stopped")
 	return nil
--- a/node/services.go
+++ b/node/services.go
@@ -11,6 +11,7 @@
 
 	"fuchsiapick.example/fuchsiapick/admin"
 	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/settings"
 )
 
 // Keys of the platform's values.
@@ -27,36 +28,38 @@
 	callerWrite = 60 * time.Second
 )
 
-// listeners are the node's open ports.
-type listeners struct {
-	caller net.Listener
-	link   net.Listener
-	admin  net.Listener
+// Listeners are a node's open ports.
+type Listeners struct {
+	Caller net.Listener
+	Link   net.Listener
+	Admin  net.Listener
 }
 
-func (n *Node) listen(ctx context.Context) (*listeners, error) {
-	l := &listeners{}
+// Listen opens the ports that the settings name.
+func Listen(ctx context.Context, addresses settings.Listen) (*Listeners, error) {
+	l := &Listeners{}
 	var err error
 	for _, one := range []struct {
 		name    string
 		address string
 		into    *net.Listener
 	}{
-		{"caller", n.settings.Listen.Caller, &l.caller},
-		{"link", n.settings.Listen.Link, &l.link},
-		{"admin", n.settings.Listen.Admin, &l.admin},
+		{"caller", addresses.Caller, &l.Caller},
+		{"link", addresses.Link, &l.Link},
+		{"admin", addresses.Admin, &l.Admin},
 	} {
 		*one.into, err = (&net.ListenConfig{}).Listen(ctx, "tcp", one.address)
 		if err != nil {
-			l.close()
+			l.Close()
 			return nil, errors.Annotatef(err, "listening on the %s address %s", one.name, one.address)
 		}
 	}
 	return l, nil
 }
 
-func (l *listeners) close() {
-	for _, one := range []net.Listener{l.caller, l.link, l.admin} {
+// Close closes the ports.
+func (l *Listeners) Close() {
+	for _, one := range []net.Listener{l.Caller, l.Link, l.Admin} {
 		if one != nil {
 			_ = one.Close() // closed already by its service, or no longer wanted
 		}
@@ -83,7 +86,7 @@
 	return s.name
 }
 
-func (n *Node) addServices(l *listeners) {
+func (n *Node) addServices(l *Listeners) {
 	callers := &fasthttp.Server{
 		Handler:                       n.entry.Serve,
 		ErrorHandler:                  n.entry.Malformed,
@@ -98,14 +101,14 @@
 		CloseOnShutdown:               true,
 		Logger:                        quiet{},
 	}
-	n.root.Add(serveHTTP("callers", callers, l.caller))
+	n.root.Add(serveHTTP("callers", callers, l.Caller))
 	n.root.Add(service{"links", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = l.link.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
-		return n.links.Serve(l.link)
+		return n.links.Serve(l.Link)
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
-	n.root.Add(serveHTTP("admin", adminServer.HTTP(), l.admin))
+	n.root.Add(serveHTTP("admin", adminServer.HTTP(), l.Admin))
 	n.addPlatform()
 }
 
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -47,6 +47,7 @@
 type Backend struct {
 	config BackendConfig
 	ln     *listener
+	once   sync.Once
 	stop   chan struct{}
 	clock  *clock.System
 	slots  chan struct{}
@@ -120,10 +121,13 @@
 	})
 }
 
-// Close ends the backend server and all its connections.
+// Close ends the backend server and all its connections. A second call does
+// nothing.
 func (b *Backend) Close() {
-	close(b.stop)
-	b.ln.shut()
+	b.once.Do(func() {
+		close(b.stop)
+		b.ln.shut()
+	})
 }
 
 func (b *Backend) handle(ctx *fasthttp.RequestCtx) {
--- /dev/null
+++ b/table/clone.go
@@ -0,0 +1,22 @@
+package table
+
+import "slices"
+
+// Clone returns a copy that shares nothing with the table and has no index:
+// Parse makes one for a table in force.
+func (t *Table) Clone() *Table {
+	c := &Table{
+		Format:   t.Format,
+		Version:  t.Version,
+		Services: slices.Clone(t.Services),
+		Routes:   slices.Clone(t.Routes),
+		Callers:  slices.Clone(t.Callers),
+	}
+	for i := range c.Services {
+		c.Services[i].Upstreams = slices.Clone(t.Services[i].Upstreams)
+	}
+	for i := range c.Routes {
+		c.Routes[i].Repeatable = slices.Clone(t.Routes[i].Repeatable)
+	}
+	return c
+}
