feat(path): judge flapping, one-way and silent paths, and this entry's own pauses

The thin judge called any quiet a loss: an entry that wakes from a pause lost all its peers at once, a path that flaps was used again with each return, and State searched all requests sent on every call.

Quiet counts from the last new link or the last wake (a gap of more than two beats between two calls). What the peer says it heard counts as of when it said so, so that a cut towards the peer shows while its beats keep coming. An overdue answer alone asks for a check and never loses a path that beats both ways: the gate sees hangs, and one common to all upstreams would lose all paths. A path lost again within 30 beats of its return is held off, growing to 64 beats. Checks that cure nothing are paced.

Closed(now) is new beside the agreed methods: without it a broken link is found only after two beats of quiet.

--- /dev/null
+++ b/path/dial.go
@@ -0,0 +1,73 @@
+package path
+
+import (
+	"math/rand/v2"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// dial paces the opening of links to one peer.
+type dial struct {
+	beat   clock.Millis
+	random *rand.Rand
+	// running since started, until opened or failed.
+	running bool
+	started clock.Millis
+	next    clock.Millis
+	// failedAt is when a dial failed last.
+	failedAt clock.Millis
+	// failures counts the dials that failed since a link was opened, checks
+	// those that opened a link while the last one stood and cured nothing.
+	failures int
+	checks   int
+}
+
+// due says whether a dial is to be started, and counts it as started. Checking
+// says that a link is open and in doubt.
+func (d *dial) due(now clock.Millis, checking bool) bool {
+	if now < d.next || (d.running && now-d.started <= lostBeats*d.beat) {
+		return false
+	}
+	d.running = true
+	d.started = now
+	if checking {
+		d.checks++
+		d.next = now + backoff(d.random, d.beat, min(d.checks-1, dialDoublings))
+	}
+	return true
+}
+
+func (d *dial) opened() {
+	d.running = false
+	d.failures = 0
+}
+
+func (d *dial) failed(now clock.Millis) {
+	d.running = false
+	d.failures++
+	d.failedAt = now
+	d.next = now + backoff(d.random, d.beat, min(d.failures-1, dialDoublings))
+}
+
+// settled ends the pacing of checks: answers come.
+func (d *dial) settled() {
+	d.checks = 0
+}
+
+// Most doublings of a backoff.
+const (
+	// dialDoublings bounds it at 16 beats: a peer that returns is found within
+	// 24, and 2,400 entries that lost one peer dial it 150 times a beat.
+	dialDoublings = 4
+	// holdDoublings bounds it at 64 beats: nothing is sent to hold a path off,
+	// so it may grow further than the span between two dials.
+	holdDoublings = 6
+)
+
+// backoff returns a span of about 2^doublings beats, between half and one and
+// a half of it at random, so that the entries that lost one peer together
+// don't come back to it together.
+func backoff(random *rand.Rand, beat clock.Millis, doublings int) clock.Millis {
+	span := beat << max(doublings, 0)
+	return span/2 + clock.Millis(random.Int64N(int64(span)+1))
+}
--- a/path/path.go
+++ b/path/path.go
@@ -1,6 +1,10 @@
 // Package path judges the way from an entry to one peer: unreachable, paused,
 // one-way or silent. The judgement is the entry's own and is never published:
 // it says nothing about the backend servers behind the peer.
+//
+// The driver beats on every open link and calls State at least once a beat. It
+// makes a new Judge when it closes an idle link, and calls Closed when a link
+// breaks.
 package path
 
 import (
@@ -24,120 +28,214 @@
 
 // Config is what a Judge is made from.
 type Config struct {
-	// Beat is the span between two heartbeats of the peer.
+	// Beat is the span between two heartbeats, the peer's and the entry's own.
 	Beat clock.Millis
 	// Seed makes the jitter of Redial repeatable.
 	Seed uint64
 }
 
+// Spans in beats.
 const (
-	// doubtBeats is how many beats without a frame raise a doubt: one beat
-	// lost and the next one late.
+	// doubtBeats without a frame raise a doubt: one beat lost, the next late.
 	doubtBeats = 2
-	// lostBeats is how many beats without a frame lose the path: it leaves one
-	// beat for the check by a new link.
+	// lostBeats without a frame lose the path: one beat more, in which the
+	// check by a new link can answer.
 	lostBeats = 3
+	// pauseBeats between two calls mean that this process was paused. Beside
+	// the beat that may just have been due, that is less than lostBeats: a
+	// pause too short to be seen as one loses no path.
+	pauseBeats = 2
+	// graceBeats after a new link, an overdue answer is not held against it:
+	// what was sent on the old one is being settled on the new one.
+	graceBeats = 1
+	// steadyBeats after its return, a path that is lost again is flapping.
+	steadyBeats = 30
 )
 
 // Judge judges one peer's path. It is not safe for concurrent use.
 type Judge struct {
 	beat   clock.Millis
 	random *rand.Rand
-
-	linked   bool
-	dialling bool
-	failures int
-	nextDial clock.Millis
-	heard    clock.Millis
-	echo     clock.Millis
-	sent     map[uint64]clock.Millis
+	sent   outstanding
+	dial   dial
+
+	// linked says that a link is open; used that one was opened before.
+	linked bool
+	used   bool
+	// seen is the last instant of any call.
+	seen clock.Millis
+	// fresh is the last new link or wake of this process: quiet before it
+	// isn't held against the peer.
+	fresh clock.Millis
+	// heard is when the last frame came. Echo is when the peer last heard from
+	// this entry, as it said at told.
+	heard clock.Millis
+	echo  clock.Millis
+	told  clock.Millis
+
+	lost     bool
+	lostAt   clock.Millis
+	returned clock.Millis
+	relapses int
+	hold     clock.Millis
 }
 
-// New makes a Judge of a peer to which no link was opened yet.
+// New makes a Judge of a peer to which no link was opened yet. The path is
+// good until something speaks against it: an entry that has just started knows
+// nothing of its peers and must serve.
 func New(c Config) *Judge {
+	beat := max(c.Beat, 1)
+	random := rand.New(rand.NewPCG(c.Seed, 0))
 	return &Judge{
-		beat:   max(c.Beat, 1),
-		random: rand.New(rand.NewPCG(c.Seed, 0)),
-		sent:   make(map[uint64]clock.Millis),
+		beat:   beat,
+		random: random,
+		dial:   dial{beat: beat, random: random},
+		sent:   outstanding{due: make(map[uint64]clock.Millis)},
 	}
 }
 
-// Opened tells that a link was opened and the peer proved itself on it.
+// Opened tells that a link was opened and the peer proved itself on it: both
+// directions worked.
 func (j *Judge) Opened(now clock.Millis) {
-	j.linked = true
-	j.dialling = false
-	j.failures = 0
-	j.heard = now
-	j.echo = now
-	clear(j.sent)
+	j.wake(now)
+	j.linked, j.used = true, true
+	j.fresh, j.heard, j.echo, j.told = now, now, now, now
+	j.dial.opened()
+	j.sent.forget(now)
 }
 
-// Failed tells that a link couldn't be opened.
+// Failed tells that a link couldn't be opened, or that the peer didn't prove
+// itself on it.
 func (j *Judge) Failed(now clock.Millis) {
-	j.dialling = false
-	j.failures++
-	span := j.beat << min(j.failures, 5)
-	j.nextDial = now + span/2 + clock.Millis(j.random.Int64N(int64(span)))
+	j.wake(now)
+	j.dial.failed(now)
+}
+
+// Closed tells that the last open link broke.
+func (j *Judge) Closed(now clock.Millis) {
+	j.wake(now)
+	j.linked = false
 }
 
 // Heard tells that a frame came from the peer.
 func (j *Judge) Heard(now clock.Millis) {
-	j.heard = max(j.heard, now)
+	j.wake(now)
+	j.heard = now
 }
 
-// Echoed tells when, in this entry's own clock, the peer last heard from it.
-func (j *Judge) Echoed(_, heard clock.Millis) {
+// Echoed tells that the peer says that it last heard from this entry at the
+// instant heard, which is one of this entry's own clock that the peer returns.
+func (j *Judge) Echoed(now, heard clock.Millis) {
+	j.wake(now)
+	j.told = now
 	j.echo = max(j.echo, heard)
 }
 
-// Sent tells that a request was sent that should be answered by due.
-func (j *Judge) Sent(_ clock.Millis, id uint64, due clock.Millis) {
-	j.sent[id] = due
+// Sent tells that a request was sent that should be answered by due, an
+// instant.
+func (j *Judge) Sent(now clock.Millis, id uint64, due clock.Millis) {
+	j.wake(now)
+	j.sent.add(id, due)
 }
 
-// Settled tells that a request was answered or given up.
-func (j *Judge) Settled(_ clock.Millis, id uint64) {
-	delete(j.sent, id)
+// Settled tells that a request was answered or given up. Every request told to
+// Sent must come here, or it stays overdue.
+func (j *Judge) Settled(now clock.Millis, id uint64) {
+	j.wake(now)
+	j.sent.remove(id)
+	j.dial.settled()
 }
 
 // State returns the judgement now.
 func (j *Judge) State(now clock.Millis) State {
-	if !j.linked {
-		if j.failures > 0 {
-			return Lost
-		}
-		return Good
+	j.wake(now)
+	switch {
+	case !j.lost && j.cut(now):
+		j.lose(now)
+	case j.lost && j.back(now):
+		j.lost = false
+		j.returned = now
 	}
-	quiet := now - min(j.heard, j.echo)
 	switch {
-	case quiet > lostBeats*j.beat, j.failures > 0 && quiet > doubtBeats*j.beat:
+	case j.lost:
 		return Lost
-	case quiet > doubtBeats*j.beat, j.overdue(now):
+	case j.doubted(now):
 		return Doubted
 	default:
 		return Good
 	}
 }
 
-// Redial says whether the driver is to open a link now, which it then does:
-// at once on first need and on a doubt, after a growing jittered span when
-// links can't be opened.
+// Redial says whether the driver is to open a link now, which it then does and
+// reports by Opened or Failed: at once on first need, when a link broke and on
+// a doubt; after a growing jittered span when that doesn't help.
 func (j *Judge) Redial(now clock.Millis) bool {
-	if j.dialling || now < j.nextDial {
-		return false
+	lost := j.State(now) == Lost
+	wanted := !j.linked || j.doubted(now) || (lost && !j.proven(now))
+	return wanted && j.dial.due(now, j.linked)
+}
+
+// wake notices that this process was paused. All peers look silent then, for
+// their frames wait unread: losing all paths at once would refuse every caller
+// although nothing but this entry failed. Quiet counts from the wake instead.
+func (j *Judge) wake(now clock.Millis) {
+	if now-j.seen > pauseBeats*j.beat {
+		j.fresh = max(j.fresh, now)
 	}
-	if j.linked && j.State(now) == Good {
-		return false
+	j.seen = max(j.seen, now)
+}
+
+// quiet is how long the path has been without proof that the peer is there and
+// hears this entry. A one-way cut towards the peer shows only in the second:
+// its heartbeats keep coming.
+func (j *Judge) quiet(now clock.Millis) clock.Millis {
+	silent := now - max(j.heard, j.fresh)
+	unheard := j.told - max(j.echo, j.fresh)
+	return max(silent, unheard)
+}
+
+// cut says whether the evidence loses the path.
+func (j *Judge) cut(now clock.Millis) bool {
+	if !j.linked {
+		return j.dial.failures > 0
 	}
-	j.dialling = true
-	return true
+	quiet := j.quiet(now)
+	return quiet > lostBeats*j.beat || (quiet > doubtBeats*j.beat && j.dial.failedAt > j.heard)
 }
 
-func (j *Judge) overdue(now clock.Millis) bool {
-	for _, due := range j.sent {
-		if due < now {
-			return true
-		}
+// doubted says whether the path wants a check. An overdue answer alone never
+// loses a path that beats both ways: the gate sees requests that hang, too,
+// and a hang common to all upstreams would lose all paths.
+func (j *Judge) doubted(now clock.Millis) bool {
+	if !j.linked {
+		return j.used
 	}
-	return false
+	return j.quiet(now) > doubtBeats*j.beat ||
+		(now > j.fresh+graceBeats*j.beat && j.sent.overdue(now))
+}
+
+// lose marks the path lost. One that flaps returns only after a span that
+// grows with each relapse: each return would cost requests whose answers are
+// cut off with the next loss.
+func (j *Judge) lose(now clock.Millis) {
+	j.hold = 0
+	if j.returned > 0 && now-j.returned <= steadyBeats*j.beat {
+		j.relapses++
+		j.hold = backoff(j.random, j.beat, min(j.relapses, holdDoublings))
+	} else {
+		j.relapses = 0
+	}
+	j.lost = true
+	j.lostAt = now
+}
+
+// back says whether a lost path has returned.
+func (j *Judge) back(now clock.Millis) bool {
+	return now-j.lostAt >= j.hold && j.proven(now)
+}
+
+// proven says whether the path has worked both ways since it was lost: a frame
+// came, and the peer has heard this entry.
+func (j *Judge) proven(now clock.Millis) bool {
+	return j.linked && j.heard > j.lostAt && j.echo > j.lostAt && j.quiet(now) <= doubtBeats*j.beat
 }
