feat(retry): let the burst follow the traffic, tell a full service by shares

A fixed burst of 10 for each entry and service adds up at 2,400 entries to many times what one service can serve, and counting refusals in a row called a service full or not on one answer.

The burst goes from 5 to 20 with the requests of the last ten seconds; over any window retries stay within share x requests + 20 (property test). A service is full while half of the last second's attempts were refused for load: then a retry is more likely refused than not. RetryAfter is the gate's where there is one, else the time in which the budget earns a retry at the present rate, with jitter; it is 0 where the request may have run.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -70,54 +70,73 @@
 }
 
 const (
-	// Burst is how many retries a service may make beyond its share.
-	Burst = 10
-	// MostAttempts bounds the attempts of one request.
+	// LeastBurst is how many retries an idle service may make beyond its
+	// share: a handful of callers that meet a sick upstream before its verdict
+	// (six outcomes of an upstream that fails all) are served elsewhere.
+	LeastBurst = 5
+	// MostBurst is how many a busy one may, and the bound over any window.
+	MostBurst = 20
+	// burstSpan is the time over which a service's requests set its burst
+	// between the two. Many entries before one service see few requests each;
+	// with a burst that doesn't follow the traffic, theirs would add up to
+	// many times what the service can serve.
+	burstSpan = 10 * clock.Second
+	// MostAttempts bounds the attempts of one request: of those that meet a
+	// sick third of the upstreams at random, 1 in 27 does so three times.
 	MostAttempts = 3
 	// LeastRemaining is the time below which a further attempt can't be
-	// answered: a cross-domain round trip at both hops.
+	// answered: two cross-domain round trips (1 ms one way), rounded up.
 	LeastRemaining clock.Millis = 5
 )
 
 // Budget holds the retries of one service at one entry. It is not safe for
 // concurrent use.
 type Budget struct {
-	share   float64
-	random  *rand.Rand
-	tokens  float64
-	refused int
+	share    float64
+	random   *rand.Rand
+	tokens   float64
+	requests decayed
+	pressure pressure
 }
 
-// New makes a Budget with its whole burst.
+// New makes a Budget with the burst of an idle service.
 func New(c Config) *Budget {
-	return &Budget{share: c.Share, random: rand.New(rand.NewPCG(c.Seed, 0)), tokens: Burst}
+	return &Budget{
+		share:    min(max(c.Share, 0), 1),
+		random:   rand.New(rand.NewPCG(c.Seed, 0)),
+		tokens:   LeastBurst,
+		requests: decayed{span: burstSpan},
+		pressure: newPressure(),
+	}
 }
 
 // Request counts a first attempt, which earns its share of a retry.
-func (b *Budget) Request(_ clock.Millis) {
-	b.tokens = min(b.tokens+b.share, Burst)
+func (b *Budget) Request(now clock.Millis) {
+	b.requests.add(now, 1)
+	most := min(max(b.share*b.requests.value, LeastBurst), MostBurst)
+	b.tokens = min(b.tokens+b.share, most)
 }
 
-// Refused tells whether a gate refused an attempt for load (true) or took it.
-func (b *Budget) Refused(_ clock.Millis, full bool) {
-	if full {
-		b.refused++
-		return
-	}
-	b.refused = 0
+// Refused tells whether a gate refused an attempt for load (true) or took it
+// (false). It is to be told of each attempt that a gate answered.
+func (b *Budget) Refused(now clock.Millis, full bool) {
+	b.pressure.add(now, full)
 }
 
 // Decide says whether to send the request again, and takes it from the budget
 // if so.
-func (b *Budget) Decide(_ clock.Millis, a Attempt) Decision {
-	if why := b.against(a); why != "" {
-		return Decision{Why: why, RetryAfter: b.retryAfter(a)}
+func (b *Budget) Decide(now clock.Millis, a Attempt) Decision {
+	why := b.against(now, a)
+	if why == "" {
+		b.tokens--
+		return Decision{Retry: true}
 	}
-	b.tokens--
-	return Decision{Retry: true}
+	return Decision{Why: why, RetryAfter: b.retryAfter(now, why, a.RetryAfter)}
 }
 
-func (b *Budget) against(a Attempt) Reason {
+// against returns the reason not to send the request again, "" if there is
+// none.
+func (b *Budget) against(now clock.Millis, a Attempt) Reason {
 	switch {
 	case a.Result != NotRun && !a.Repeatable:
 		return NotRepeatable
@@ -127,7 +146,7 @@
 		return TooMany
 	case a.Remaining < LeastRemaining:
 		return NoTime
-	case b.refused >= fullAfter:
+	case b.pressure.full(now):
 		return ServiceFull
 	case b.tokens < 1:
 		return NoBudget
@@ -136,10 +155,40 @@
 	}
 }
 
-// fullAfter is how many refusals for load in a row say that a service is full.
-const fullAfter = 8
+// Bounds of a computed RetryAfter before jitter.
+const (
+	// leastRetryAfter is the least that the HTTP header can say.
+	leastRetryAfter = clock.Second
+	// mostRetryAfter bounds the time in which an idle service earns a retry.
+	mostRetryAfter = 30 * clock.Second
+)
 
-func (b *Budget) retryAfter(a Attempt) clock.Millis {
-	span := max(a.RetryAfter, clock.Second)
-	return span + clock.Millis(b.random.Int64N(int64(span)))
+// retryAfter is when the caller may come back: what the gate computed from its
+// queue, else what the reason lets expect, with jitter. It is 0 where coming
+// back isn't safe, for the request may have run.
+func (b *Budget) retryAfter(now clock.Millis, why Reason, gate clock.Millis) clock.Millis {
+	span := leastRetryAfter
+	switch {
+	case why == NotRepeatable:
+		return 0
+	case gate > 0:
+		return gate
+	case why == ServiceFull:
+		span = pressureSpan
+	case why == NoBudget:
+		span = b.earning(now)
+	}
+	span = min(max(span, leastRetryAfter), mostRetryAfter)
+	return span + clock.Millis(b.random.Int64N(int64(span)/2))
+}
+
+// earning is the time in which the service earns what a retry lacks, at its
+// present rate of requests.
+func (b *Budget) earning(now clock.Millis) clock.Millis {
+	perMilli := b.share * b.requests.read(now) / float64(burstSpan)
+	span := (1 - b.tokens) / perMilli
+	if span < float64(mostRetryAfter) {
+		return clock.Millis(span)
+	}
+	return mostRetryAfter
 }
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,155 @@
+package retry_test
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/retry"
+)
+
+// The draws are the same on every run unless -rapid.seed is given.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// attempt is one that may be made again; cases change it.
+func attempt(change func(a *retry.Attempt)) retry.Attempt {
+	a := retry.Attempt{Tried: 1, Remaining: clock.Second, Untried: 5}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(a *retry.Attempt)
+		want   retry.Reason
+	}{
+		{"not run", nil, ""},
+		{"not run for load", func(a *retry.Attempt) { a.ForLoad = true }, ""},
+		{"failed", func(a *retry.Attempt) { a.Result = retry.Failed }, retry.NotRepeatable},
+		{"silent", func(a *retry.Attempt) { a.Result = retry.Silent }, retry.NotRepeatable},
+		{"silent, repeatable", func(a *retry.Attempt) { a.Result, a.Repeatable = retry.Silent, true }, ""},
+		{"third attempt", func(a *retry.Attempt) { a.Tried = 3 }, retry.TooMany},
+		{"no time", func(a *retry.Attempt) { a.Remaining = 4 }, retry.NoTime},
+		{"all tried", func(a *retry.Attempt) { a.Untried = 0 }, retry.NowhereLeft},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := retry.New(retry.Config{Share: 0.1}).Decide(0, attempt(tt.change))
+			if got.Why != tt.want || got.Retry != (tt.want == "") {
+				t.Errorf("got %+v, want reason %q", got, tt.want)
+			}
+			back := tt.want != "" && tt.want != retry.NotRepeatable
+			if (got.RetryAfter > 0) != back {
+				t.Errorf("got RetryAfter %v, want one: %v", got.RetryAfter, back)
+			}
+		})
+	}
+}
+
+// Requests and failures come in any order and at any rate. Retries beyond the
+// share would multiply the load of a service that fails because of its load.
+func TestBudgetBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		b, now := retry.New(retry.Config{Share: share}), clock.Millis(0)
+		// excess is the greatest of retries - share x requests over all windows
+		// that end now.
+		excess := 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now += clock.Millis(rapid.SampledFrom([]int{0, 1, 100, 10000}).Draw(t, "span"))
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				excess = max(excess-share, 0)
+			}
+			if b.Decide(now, attempt(nil)).Retry {
+				excess++
+			}
+			if excess > retry.MostBurst+1e-6 {
+				t.Fatalf("got %v retries beyond the share, want at most %v", excess, retry.MostBurst)
+			}
+		}
+	})
+}
+
+// spend makes retries until one is refused and counts them.
+func spend(b *retry.Budget, now clock.Millis) (n int) {
+	for b.Decide(now, attempt(nil)).Retry {
+		n++
+	}
+	return n
+}
+
+// 2,400 entries see one request each three seconds of a service, and it begins
+// to fail. Each entry's burst must stay small, or theirs add up to minutes of
+// the service's whole work.
+func TestBurstFollowsTheTraffic(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		gap  clock.Millis
+		want int
+	}{{"idle", 3 * clock.Second, retry.LeastBurst}, {"busy", 10, retry.MostBurst}} {
+		b, now := retry.New(retry.Config{Share: 0.1}), clock.Millis(0)
+		for range 10000 {
+			now += tt.gap
+			b.Request(now)
+		}
+		if got := spend(b, now); got != tt.want {
+			t.Errorf("%s: got a burst of %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// All gates refuse for load. A retry into them is a message that buys nothing;
+// one gate that refuses beside five that don't is a retry that serves. When
+// the rush is over, retries must come back by themselves.
+func TestNoRetryIntoAFullService(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		refused int
+		after   clock.Millis
+		want    retry.Reason
+	}{
+		{"all of six refuse", 6, 0, retry.ServiceFull},
+		{"one of six refuses", 1, 0, ""},
+		{"all refused a while ago", 6, 5 * clock.Second, ""},
+	} {
+		b := retry.New(retry.Config{Share: 0.1})
+		for i := range 60 {
+			b.Refused(clock.Millis(i), i%6 < tt.refused)
+		}
+		if got := b.Decide(60+tt.after, attempt(nil)).Why; got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestRetryAfterIsComputed(t *testing.T) {
+	b, now := retry.New(retry.Config{Share: 0.1}), clock.Millis(0)
+	spend(b, now)
+	if got := b.Decide(now, attempt(nil)).RetryAfter; got < 30*clock.Second {
+		t.Errorf("no traffic: got %v, want the bound of 30s or more", got)
+	}
+	for range 200 {
+		now += 250
+		b.Request(now)
+		b.Decide(now, attempt(nil))
+	}
+	// four requests a second earn a retry in 2.5 s
+	if got := b.Decide(now, attempt(nil)); got.Retry || got.RetryAfter < clock.Second || got.RetryAfter > 4*clock.Second {
+		t.Errorf("some traffic: got %+v, want a refusal of 1s to 4s", got)
+	}
+	if got := b.Decide(now, attempt(func(a *retry.Attempt) { a.RetryAfter = 70 })).RetryAfter; got != 70 {
+		t.Errorf("computed by the gate: got %v, want 70ms", got)
+	}
+}
