feat(report): merge nodes' accounts into text, JSON and HTML

Managers read one report, not a node's counters. Fetch asks nodes over fasthttp in an ants pool under one deadline; Merge sums totals, takes an upstream's state from its own gate and paths from entries, and makes episodes of events; Text, JSON and HTML share one set of tables. The HTML page is one template with inline SVG: charting libraries bring fonts and scripts that three bar drawings don't need.

--- a/account/account_test.go
+++ b/account/account_test.go
@@ -67,7 +67,7 @@
 			delete(truth, c.Caller)
 		}
 		for name, n := range truth {
-			if n > closed/bound {
+			if n > closed/bound || n > s.Missable {
 				t.Fatalf("got no totals of caller %s with %d of %d requests, want them", name, n, closed)
 			}
 		}
@@ -152,8 +152,8 @@
 			}
 		})
 	}
-	if got := b.Snapshot(10, account.Filter{Caller: "palermo"}).Callers; len(got) != 1 || got[0].Missed < 2 {
-		t.Errorf("got %+v, want a caller that may have missed 2", got)
+	if got := b.Snapshot(10, account.Filter{Caller: "palermo"}).Missable; got < 2 {
+		t.Errorf("got %d missable, want at least the 2 that palermo made", got)
 	}
 }
 
--- a/account/snapshot.go
+++ b/account/snapshot.go
@@ -34,8 +34,11 @@
 	Open     uint64 `json:"open"`
 	// Totals is sorted, the largest first. Without a filter and over the whole
 	// life their sum is Closed.
-	Totals    []Total         `json:"totals"`
-	Callers   []CallerCount   `json:"callers"`
+	Totals  []Total       `json:"totals"`
+	Callers []CallerCount `json:"callers"`
+	// Missable is how many requests at most of a caller that isn't among
+	// Callers stand under Others.
+	Missable  uint64          `json:"missable"`
 	Records   []Record        `json:"records"`
 	Events    []Event         `json:"events"`
 	Upstreams []UpstreamState `json:"upstreams"`
@@ -82,10 +85,8 @@
 // node's clock.
 func (b *Book) Snapshot(now clock.Millis, f Filter) Snapshot {
 	s := b.copy(now, f)
-	sortTotals(s.Totals)
-	slices.SortFunc(s.Callers, func(a, b CallerCount) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Caller, b.Caller))
-	})
+	SortTotals(s.Totals)
+	SortCallers(s.Callers)
 	slices.SortStableFunc(s.Records, func(a, b Record) int {
 		return cmp.Or(cmp.Compare(b.end(), a.end()), cmp.Compare(a.ID, b.ID))
 	})
@@ -103,7 +104,7 @@
 	s := Snapshot{
 		Format: Format, Now: now, Filter: f, Life: now - b.start, Span: now - b.start,
 		Received: b.received, Closed: b.closed, Open: b.received - b.closed,
-		Callers: b.tally.counts(f), Records: []Record{}, Events: []Event{},
+		Records: []Record{}, Events: []Event{},
 		Upstreams: []UpstreamState{}, Burn: b.burns(now, f),
 		Dropped: Dropped{
 			Served: b.served.lost, Unserved: b.unserved.lost, Events: b.events.lost,
@@ -117,12 +118,11 @@
 			s.Span = min(s.Span, f.Since, reach(records, now))
 		}
 	}
-	if f.Since > 0 {
-		s.Callers = recent.counts(f)
-		s.Totals, s.Dropped.Unplaced = recent.totals(f)
-	} else {
-		s.Totals, s.Dropped.Unplaced = b.tally.totals(f)
+	if f.Since <= 0 {
+		recent = b.tally
 	}
+	s.Callers, s.Missable = recent.counts(f), recent.missable()
+	s.Totals, s.Dropped.Unplaced = recent.totals(f)
 	for e := range b.events.newest {
 		if f.passesEvent(e, now) {
 			s.Events = append(s.Events, *e)
--- a/account/tally.go
+++ b/account/tally.go
@@ -130,6 +130,7 @@
 // totals returns the cells that the filter lets pass, and how many requests
 // stand in cells that it can't judge.
 func (t *tally) totals(f Filter) (found []Total, unplaced uint64) {
+	found = []Total{}
 	collect := func(caller string, cells map[cellKey]cell) {
 		for key, v := range cells {
 			if key.service == Others && (f.Service != "" || f.Upstream != "") {
@@ -152,22 +153,28 @@
 	return found, unplaced
 }
 
-// counts returns how exact the callers' totals are. A caller asked for by name
-// that isn't kept apart is in it too.
+// counts returns how exact the totals of the callers kept apart are.
 func (t *tally) counts(f Filter) []CallerCount {
 	found := []CallerCount{}
 	for name, c := range t.callers {
-		if f.Caller == "" || f.Caller == name {
+		if match(f.Caller, name) {
 			found = append(found, CallerCount{Caller: name, Count: c.weight - c.missed, Missed: c.missed})
 		}
 	}
-	if f.Caller != "" && len(found) == 0 && len(t.callers) >= t.bound {
-		found = append(found, CallerCount{Caller: f.Caller, Missed: t.order[0].weight})
-	}
 	return found
 }
 
-func sortTotals(totals []Total) {
+// missable is how many requests at most of a caller not kept apart are under
+// Others.
+func (t *tally) missable() uint64 {
+	if len(t.callers) < t.bound {
+		return 0
+	}
+	return t.order[0].weight
+}
+
+// SortTotals puts the largest totals first.
+func SortTotals(totals []Total) {
 	slices.SortFunc(totals, func(a, b Total) int {
 		return cmp.Or(
 			cmp.Compare(b.Count, a.Count),
@@ -180,6 +187,13 @@
 	})
 }
 
+// SortCallers puts the callers with the most requests first.
+func SortCallers(callers []CallerCount) {
+	slices.SortFunc(callers, func(a, b CallerCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Caller, b.Caller))
+	})
+}
+
 // lightest is a heap with the caller of the least weight first.
 type lightest []*tracked
 
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -17,6 +17,7 @@
 )
 
 type arguments struct {
+	Report  *reportCmd  `arg:"subcommand:report" help:"ask nodes who got what, and merge their accounts"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
 
@@ -33,6 +34,8 @@
 		return ExitUsage
 	}
 	switch {
+	case parsed.Report != nil:
+		return parsed.Report.run(stdout, stderr)
 	case parsed.Version != nil:
 		return parsed.Version.run(stdout)
 	default:
--- /dev/null
+++ b/report/fetch.go
@@ -0,0 +1,127 @@
+package report
+
+import (
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+const (
+	// ErrAddress reports an admin address that is no IP number and port.
+	ErrAddress = errors.ConstError("not an IP number and port")
+	// ErrAnswer reports an answer that is no account of a node.
+	ErrAnswer = errors.ConstError("not a node's account")
+)
+
+const (
+	// path is what a node's admin address serves its account at.
+	path = "/report"
+	// concurrent bounds the nodes asked at once; 2,400 take 38 rounds.
+	concurrent = 64
+	// recordsEach bounds the single records that a node sends. Totals are of
+	// all.
+	recordsEach = 400
+	// answerBound bounds an answer in bytes. With all bounds of account at
+	// their defaults an answer is under 16 MB.
+	answerBound = 32 << 20
+)
+
+// Query says which nodes to ask for what.
+type Query struct {
+	// Nodes are admin addresses, IP number and port.
+	Nodes  []string
+	Filter account.Filter
+	// Timeout bounds the whole query.
+	Timeout clock.Millis
+}
+
+// NodeResult is one node's answer, or why there is none.
+type NodeResult struct {
+	Address  string
+	Snapshot *account.Snapshot
+	Err      error
+}
+
+// Check returns ErrAddress for an address that can't be asked.
+func (q Query) Check() error {
+	for _, address := range q.Nodes {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return errors.Annotatef(ErrAddress, "node %q", address)
+		}
+	}
+	return nil
+}
+
+// Fetch asks the nodes concurrently and returns one result for each address,
+// in order; an address given twice is asked once. Its error is ErrAddress.
+func Fetch(q Query) ([]NodeResult, error) {
+	if err := q.Check(); err != nil {
+		return nil, err
+	}
+	if q.Filter.Limit == 0 {
+		q.Filter.Limit = recordsEach
+	}
+	results := make([]NodeResult, 0, len(q.Nodes))
+	seen := make(map[string]bool, len(q.Nodes))
+	for _, address := range q.Nodes {
+		if !seen[address] {
+			results = append(results, NodeResult{Address: address})
+		}
+		seen[address] = true
+	}
+	deadline := time.Now().Add(q.Timeout.Duration())
+	client := &fasthttp.Client{
+		MaxResponseBodySize: answerBound,
+		ReadTimeout:         q.Timeout.Duration(),
+		WriteTimeout:        q.Timeout.Duration(),
+	}
+	defer client.CloseIdleConnections()
+	pool, err := ants.NewPool(min(concurrent, max(len(results), 1)))
+	if err != nil {
+		return nil, errors.Annotate(err, "making the pool of fetchers")
+	}
+	defer pool.Release()
+	var wait sync.WaitGroup
+	for i := range results {
+		wait.Add(1)
+		err := pool.Submit(func() {
+			defer wait.Done()
+			results[i].Snapshot, results[i].Err = ask(client, results[i].Address, q.Filter, deadline)
+		})
+		if err != nil {
+			wait.Done()
+			results[i].Err = errors.Annotate(err, "starting a fetch")
+		}
+	}
+	wait.Wait()
+	return results, nil
+}
+
+func ask(client *fasthttp.Client, address string, f account.Filter, deadline time.Time) (*account.Snapshot, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path + "?" + f.Query())
+	if err := client.DoDeadline(request, response, deadline); err != nil {
+		return nil, errors.Annotatef(err, "asking %s", address)
+	}
+	if code := response.StatusCode(); code != fasthttp.StatusOK {
+		return nil, errors.Annotatef(ErrAnswer, "status %d", code)
+	}
+	var s account.Snapshot
+	if err := json.Unmarshal(response.Body(), &s); err != nil {
+		return nil, errors.Annotatef(ErrAnswer, "%v", err)
+	}
+	if s.Format != account.Format {
+		return nil, errors.Annotatef(ErrAnswer, "format %d, this release reads %d", s.Format, account.Format)
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/report/html.go
@@ -0,0 +1,48 @@
+package report
+
+import (
+	_ "embed" // the page's template is in page.html
+	"html/template"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// page is what the template is filled with.
+type page struct {
+	Date     string
+	Partial  bool
+	Scope    string
+	Cards    []card
+	Findings []Finding
+	Plots    []plot
+	Sheets   []sheet
+}
+
+// card is one number at the top of the page.
+type card struct {
+	Class string
+	Text  string
+	Count string
+}
+
+// HTML writes the report as one page without outside assets.
+func (r *Report) HTML(w io.Writer) error {
+	finder := finder{report: r}
+	view := page{
+		Date: r.date(), Partial: r.Partial, Scope: finder.scope(), Findings: r.Findings,
+		Plots: r.plots(), Sheets: r.sheets(),
+		Cards: []card{
+			{"served", "served", number(r.Requests.Served)},
+			{"notrun", "refused, not run", number(r.Requests.NotRun)},
+			{"unknown", "unknown outcome", number(r.Requests.Unknown)},
+			{"open", "still open", number(r.Requests.Open)},
+		},
+	}
+	return errors.Annotate(pageTemplate.Execute(w, view), "writing the report")
+}
--- /dev/null
+++ b/report/plot.go
@@ -0,0 +1,278 @@
+package report
+
+import (
+	"cmp"
+	"math"
+
+	"fuchsiapick.example/fuchsiapick/burn"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// plot is one drawing in the units of its view box, which the page renders as
+// inline SVG. Charting libraries were weighed: they bring fonts and scripts
+// for axes that three plain drawings don't need, and the page must escape what
+// callers chose by the same rules as its tables.
+type plot struct {
+	Title  string
+	Note   string
+	Width  int
+	Height int
+	Boxes  []box
+	Labels []label
+	Legend []legend
+}
+
+// box is a bar. Class names its colour, Hint is shown on hovering.
+type box struct {
+	X, Y, W, H int
+	Class      string
+	Hint       string
+}
+
+// label is a text; Anchor is start, middle or end.
+type label struct {
+	X, Y   int
+	Anchor string
+	Text   string
+}
+
+type legend struct {
+	Class string
+	Text  string
+}
+
+// Measures of the drawings.
+const (
+	plotWidth  = 760
+	plotLeft   = 150
+	rowHeight  = 26
+	barHeight  = 16
+	textShift  = 12
+	mostPlots  = 12
+	leastWidth = 2
+)
+
+func (r *Report) plots() []plot {
+	all := make([]plot, 0, 2+mostPlots)
+	if len(r.Services) > 0 {
+		all = append(all, r.outcomePlot())
+	}
+	if len(r.Asides)+len(r.Paths) > 0 {
+		all = append(all, r.historyPlot())
+	}
+	for _, b := range r.Burn {
+		if len(b.Rates) > 0 && len(all) < cap(all) {
+			all = append(all, burnPlot(b))
+		}
+	}
+	return all
+}
+
+// outcomePlot draws a bar for each service, cut by outcome. An outcome that
+// occurred is never thinner than a line, so that three of a million show.
+func (r *Report) outcomePlot() plot {
+	const width, right = 330, plotLeft + 330 + 10
+	p := plot{
+		Title: "How requests ended, by service",
+		Note:  "Each bar is all of a service's finished requests. Thin slices are drawn wider than they are, so that they can be seen.",
+		Width: plotWidth,
+		Legend: []legend{
+			{"served", "served"}, {"notrun", "refused and not run"}, {"unknown", "unknown outcome"},
+		},
+	}
+	for _, s := range r.Services {
+		y := p.Height
+		p.Height += rowHeight
+		name := cmp.Or(s.Name, "(no service)")
+		p.Labels = append(p.Labels, label{plotLeft - 8, y + textShift, "end", name})
+		x := plotLeft
+		end := plotLeft + width
+		for _, part := range []struct {
+			n     uint64
+			class string
+		}{{s.Unknown, "unknown"}, {s.NotRun, "notrun"}, {s.Served, "served"}} {
+			if part.n == 0 {
+				continue
+			}
+			w := max(int(math.Round(float64(part.n)/float64(s.Sum())*width)), leastWidth)
+			if part.class == "served" {
+				w = end - x
+			}
+			p.Boxes = append(p.Boxes, box{x, y, w, barHeight, part.class, name + ": " + number(part.n)})
+			x += w
+		}
+		text := number(s.Served) + " served, " + number(s.NotRun) + " not run, " + number(s.Unknown) + " unknown"
+		p.Labels = append(p.Labels, label{right, y + textShift, "start", text})
+	}
+	return p
+}
+
+// historyPlot draws when upstreams were out of use and paths lost.
+func (r *Report) historyPlot() plot {
+	p := plot{
+		Title: "Set aside and lost paths over time",
+		Width: plotWidth,
+		Legend: []legend{
+			{"out", "out of use"}, {"trial", "on trial"}, {"ramp", "coming back slowly"}, {"path", "path lost"},
+		},
+	}
+	var oldest clock.Millis
+	for _, a := range r.Asides {
+		oldest = max(oldest, a.Age)
+	}
+	for _, x := range r.Paths {
+		oldest = max(oldest, x.Age)
+	}
+	axis := timeAxis{oldest: oldest + oldest/20 + 1}
+	rows := make(map[string]int)
+	row := func(name string) int {
+		y, known := rows[name]
+		if !known {
+			y = p.Height
+			rows[name] = y
+			p.Height += rowHeight
+			p.Boxes = append(p.Boxes, box{plotLeft, y, axis.width(), barHeight, "ground", name})
+			p.Labels = append(p.Labels, label{plotLeft - 8, y + textShift, "end", name})
+		}
+		return y
+	}
+	for i := range r.Asides {
+		a := &r.Asides[i]
+		y := row(a.Upstream)
+		hint := a.Upstream + ": " + evidenceWords(a.Evidence, a.Reason)
+		for _, phase := range a.phases() {
+			p.Boxes = append(p.Boxes, axis.box(phase.from, phase.to, y, phase.class, hint))
+		}
+	}
+	for _, x := range r.Paths {
+		y := row(x.From + " to " + x.To)
+		p.Boxes = append(p.Boxes, axis.box(x.Age, max(x.Back, 0), y, "path", "path lost"))
+	}
+	p.Labels = append(p.Labels, axis.labels(p.Height+textShift)...)
+	p.Height += rowHeight
+	return p
+}
+
+// phase is a part of an Aside between two ages.
+type phase struct {
+	from, to clock.Millis
+	class    string
+}
+
+// phases cuts an Aside into the time out of use, on trial and coming back.
+func (a *Aside) phases() []phase {
+	steps := []phase{{from: a.Age, class: "out"}, {from: a.Trial, class: "trial"}, {from: a.Ramp, class: "ramp"}}
+	end := max(a.Back, 0)
+	if a.State == StateRelapsed {
+		steps, end = steps[:1], a.Trial
+	}
+	var found []phase
+	for _, s := range steps {
+		if s.from == none {
+			continue
+		}
+		if len(found) > 0 {
+			found[len(found)-1].to = s.from
+		}
+		s.to = end
+		found = append(found, s)
+	}
+	return found
+}
+
+// timeAxis places ages from oldest at the left to now at the right.
+type timeAxis struct {
+	oldest clock.Millis
+}
+
+func (timeAxis) width() int { return plotWidth - plotLeft - 10 }
+
+func (t timeAxis) at(age clock.Millis) int {
+	left := float64(t.oldest-age) / float64(t.oldest)
+	return plotLeft + int(math.Round(left*float64(t.width())))
+}
+
+func (t timeAxis) box(from, to clock.Millis, y int, class, hint string) box {
+	x := t.at(from)
+	return box{x, y, max(t.at(to)-x, leastWidth), barHeight, class, hint + " (" + ago(from) + ")"}
+}
+
+func (t timeAxis) labels(y int) []label {
+	return []label{
+		{t.at(t.oldest), y, "start", ago(t.oldest)},
+		{t.at(t.oldest / 2), y, "middle", ago(t.oldest / 2)},
+		{t.at(0), y, "end", "now"},
+	}
+}
+
+// burnPlot draws the share of bad requests in each slice of the shortest
+// window that covers the nodes' lives.
+func burnPlot(b Burn) plot {
+	const height, top, slices = 90, 14, 13
+	at := 0
+	for at < len(b.Rates)-1 && b.Rates[at].Covered >= b.Rates[at].Span {
+		at++
+	}
+	rate := b.Rates[at]
+	p := plot{
+		Title:  "Bad requests of " + b.Service + ", last " + span(rate.Span),
+		Note:   "Share of the requests in each " + span(rate.Span/12) + ". Grey: no requests.",
+		Width:  plotWidth,
+		Height: top + height + rowHeight,
+		Legend: []legend{{"failed", "not served well"}, {"slow", "slow"}},
+	}
+	worst := 0.0
+	for _, x := range rate.Series {
+		worst = max(worst, badShare(x))
+	}
+	scale := niceShare(max(worst, 1-b.Objective.Availability))
+	step := (plotWidth - plotLeft - 10) / slices
+	for i := range slices {
+		p.Boxes = append(p.Boxes, box{plotLeft + i*step, top + height, step - 2, 2, "ground", "no requests"})
+	}
+	for _, x := range rate.Series {
+		left, y := plotLeft+(slices-1-x.Slice)*step, top+height
+		p.Boxes = append(p.Boxes, box{left, y, step - 2, 2, "served", number(x.Total) + " requests"})
+		for _, part := range []struct {
+			n     uint64
+			class string
+		}{{x.Failed, "failed"}, {x.Slow, "slow"}} {
+			if part.n == 0 {
+				continue
+			}
+			h := max(int(math.Round(float64(part.n)/float64(x.Total)/scale*height)), leastWidth)
+			y -= h
+			hint := number(part.n) + " of " + number(x.Total) + " " + part.class
+			p.Boxes = append(p.Boxes, box{left, y, step - 2, h, part.class, hint})
+		}
+	}
+	p.Labels = append(
+		p.Labels,
+		label{plotLeft - 8, top + 8, "end", share(scale)},
+		label{plotLeft - 8, top + height, "end", "0%"},
+		label{plotLeft, p.Height - 8, "start", ago(rate.Span)},
+		label{plotWidth - 10, p.Height - 8, "end", "now"},
+	)
+	return p
+}
+
+func badShare(p burn.Point) float64 {
+	if p.Total == 0 {
+		return 0
+	}
+	return float64(p.Failed+p.Slow) / float64(p.Total)
+}
+
+// niceShare rounds a share up to 1, 2 or 5 of a power of ten, at most 1.
+func niceShare(x float64) float64 {
+	if x <= 0 {
+		return 0.01
+	}
+	power := math.Pow(10, math.Floor(math.Log10(x)))
+	for _, step := range []float64{1, 2, 5, 10} {
+		if x <= step*power*(1+1e-9) {
+			return min(step*power, 1)
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/report/sheet.go
@@ -0,0 +1,344 @@
+package report
+
+import (
+	"cmp"
+	"strconv"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/burn"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// mostRows bounds the rows of a table for people; JSON has all.
+const mostRows = 40
+
+// column is a heading; numbers are set to the right.
+type column struct {
+	Name   string
+	Number bool
+}
+
+// sheet is one table for people, the same in text and in HTML.
+type sheet struct {
+	Title string
+	// Note says in a sentence how to read the table.
+	Note    string
+	Columns []column
+	Rows    [][]string
+	// Empty stands in place of a table without rows.
+	Empty string
+	// Left is how many rows are not shown.
+	Left int
+}
+
+func words(name string) column { return column{Name: name} }
+
+func count(name string) column { return column{Name: name, Number: true} }
+
+// cut bounds the rows shown.
+func (s sheet) cut() sheet {
+	if over := len(s.Rows) - mostRows; over > 0 {
+		s.Rows, s.Left = s.Rows[:mostRows], over
+	}
+	return s
+}
+
+// sheets returns the report's tables in the order that people read them.
+func (r *Report) sheets() []sheet {
+	all := []sheet{
+		r.upstreamSheet(), r.totalSheet(), r.refusalSheet(), r.asideSheet(), r.pathSheet(),
+		r.burnSheet(), r.causeSheet(), r.unservedSheet(), r.eventSheet(), r.nodeSheet(),
+	}
+	for i := range all {
+		all[i] = all[i].cut()
+	}
+	return all
+}
+
+func (r *Report) upstreamSheet() sheet {
+	s := sheet{
+		Title: "Upstreams",
+		Note: "Set aside means sick by its own gate's evidence. Unreachable is about a path, " +
+			"leaving and off are planned, over its limit is busy.",
+		Columns: []column{
+			words("service"), words("upstream"), words("domain"), words("state"), count("weight"), count("slots"),
+			count("busy"), count("served"), count("not run"), count("unknown"), count("mean time"),
+		},
+		Empty: "No upstream is known to the nodes that answered.",
+	}
+	for _, u := range r.Upstreams {
+		s.Rows = append(s.Rows, []string{
+			u.Service, u.Name, u.Domain, upstreamWords(u), number(u.Weight), number(u.Slots),
+			number(u.InFlight), number(u.Served), number(u.NotRun), number(u.Unknown), meanWords(u),
+		})
+	}
+	return s
+}
+
+func meanWords(u Upstream) string {
+	if u.Sum() == 0 {
+		return "-"
+	}
+	return span(u.Mean)
+}
+
+// upstreamWords says an upstream's state, and beside it what only entries
+// know: from where its node can't be reached, and who keeps using it.
+func upstreamWords(u Upstream) string {
+	text := stateWords(u.State)
+	if len(u.Kept) > 0 && u.State != account.StateKept {
+		text += ", kept in use by " + number(len(u.Kept)) + " of " + number(u.Views)
+	}
+	if len(u.Lost) > 0 {
+		if u.State != account.StateUnreachable {
+			text += ", unreachable"
+		}
+		text += " from " + number(len(u.Lost)) + " of " + plural(u.Views, "node", "nodes")
+	}
+	return text
+}
+
+// totalSheet is who got what. Refusals that one upstream's gate gave stand
+// with that upstream.
+func (r *Report) totalSheet() sheet {
+	s := sheet{
+		Title: "Who got what",
+		Note: "Every finished request, by caller, service, upstream and outcome. A caller's number may " +
+			"miss requests that a node counted under (other); \"may miss\" says how many at most.",
+		Columns: []column{
+			words("caller"), words("service"), words("upstream"), words("outcome"), words("reason"),
+			count("requests"), count("mean time"), count("may miss"),
+		},
+		Empty: "No request is on account.",
+	}
+	missed := make(map[string]uint64)
+	for _, c := range r.Callers {
+		missed[c.Caller] = c.Missed
+	}
+	for _, t := range r.Totals {
+		reason := ""
+		if t.Reason != "" || t.Outcome != account.Served {
+			reason = meaning(t.Reason)
+		}
+		s.Rows = append(s.Rows, []string{
+			cmp.Or(t.Caller, "(unnamed)"), cmp.Or(t.Service, "(no service)"), cmp.Or(t.Upstream, "(none)"),
+			outcomeWords(t.Outcome), reason, number(t.Count),
+			span(t.Took / clock.Millis(max(t.Count, 1))), number(missed[t.Caller]),
+		})
+	}
+	return s
+}
+
+func outcomeWords(o account.Outcome) string {
+	if o == account.NotRun {
+		return "not run"
+	}
+	return string(o)
+}
+
+func (r *Report) refusalSheet() sheet {
+	s := sheet{
+		Title: "Refused or unknown, by reason",
+		Note:  "Not run means that no upstream began it. Unknown means that one may have.",
+		Columns: []column{
+			words("service"), words("outcome"), words("reason"), count("requests"), words("answers for it"),
+		},
+		Empty: "No request was refused or has an unknown outcome.",
+	}
+	for _, f := range r.Refusals {
+		who := "the service"
+		if f.Fault {
+			who = "the caller"
+		}
+		s.Rows = append(s.Rows, []string{
+			cmp.Or(f.Service, "(no service)"), outcomeWords(f.Outcome), f.Meaning, number(f.Count), who,
+		})
+	}
+	return s
+}
+
+func (r *Report) asideSheet() sheet {
+	s := sheet{
+		Title: "Set aside",
+		Note:  "Each time that a gate set its upstream aside, with what it had seen. The score sets an upstream aside at its limit.",
+		Columns: []column{
+			words("service"), words("upstream"), words("by gate"), words("when"), words("evidence"),
+			count("score/limit"), count("out for"), words("now"), words("kept in use by"),
+		},
+		Empty: "No upstream was set aside in the time that the nodes remember.",
+	}
+	for _, a := range r.Asides {
+		now := stateWords(a.State)
+		if a.Left > 0 {
+			now += ", tried again in " + span(a.Left)
+		}
+		s.Rows = append(s.Rows, []string{
+			a.Service, a.Upstream, a.By, ago(a.Age), evidenceWords(a.Evidence, a.Reason),
+			scoreWords(a.Evidence), span(a.Out), now, cmp.Or(list(a.Kept), "nobody"),
+		})
+	}
+	return s
+}
+
+func scoreWords(e account.Evidence) string {
+	return strconv.FormatFloat(e.Score, 'f', 1, 64) + "/" + strconv.FormatFloat(e.Threshold, 'f', 1, 64)
+}
+
+func (r *Report) pathSheet() sheet {
+	s := sheet{
+		Title:   "Paths lost between nodes",
+		Note:    "A lost path says nothing about the health of the upstreams at its other end.",
+		Columns: []column{words("from"), words("to"), words("lost"), words("for"), words("now")},
+		Empty:   "No path was lost in the time that the nodes remember.",
+	}
+	for _, p := range r.Paths {
+		lasted, now := p.Age, "still lost"
+		if p.Back != none {
+			lasted, now = p.Age-p.Back, "back "+ago(p.Back)
+		}
+		s.Rows = append(s.Rows, []string{p.From, p.To, ago(p.Age), span(lasted), now})
+	}
+	return s
+}
+
+func (r *Report) burnSheet() sheet {
+	s := sheet{
+		Title: "Burn of objectives",
+		Note: "At 1.0x the budget of bad requests lasts exactly as long as the objective's period. Requests that fail " +
+			"by a caller's own limit or fault don't count. Nothing is older than the nodes: \"covered\" is what a window spans.",
+		Columns: []column{
+			words("service"), words("objective"), count("last 5m"), count("1h"), count("6h"), count("3d"),
+			count("bad"), count("allowed"), count("budget left"), words("covered"), words("alert"),
+		},
+		Empty: "No service has counted a request.",
+	}
+	for _, b := range r.Burn {
+		for _, left := range b.Budgets {
+			row := make([]string, 0, len(s.Columns))
+			row = append(row, b.Service, objectiveWords(b.Objective, left.Kind))
+			for _, rate := range b.Rates {
+				row = append(row, times(rateOf(rate, left.Kind)))
+			}
+			row = append(row, number(left.Spent), decimal(left.Allowed), share(left.Left),
+				coveredWords(b.Rates), alertWords(b.Alerts, left.Kind))
+			s.Rows = append(s.Rows, row)
+		}
+	}
+	return s
+}
+
+func rateOf(r burn.Rate, kind burn.Kind) float64 {
+	if kind == burn.Latency {
+		return r.Latency
+	}
+	return r.Availability
+}
+
+func objectiveWords(o account.Objective, kind burn.Kind) string {
+	if kind == burn.Latency {
+		return promise(o.Within) + " within " + span(o.Latency)
+	}
+	return promise(o.Availability) + " served"
+}
+
+// coveredWords says what the longest window spans; nodes that started at
+// different times cover different parts of it.
+func coveredWords(rates []burn.Rate) string {
+	if len(rates) == 0 {
+		return "-"
+	}
+	last := rates[len(rates)-1]
+	if last.Least == last.Covered {
+		return span(last.Covered)
+	}
+	return span(last.Least) + " to " + span(last.Covered)
+}
+
+func alertWords(alerts []burn.Alert, kind burn.Kind) string {
+	var names []string
+	for _, a := range alerts {
+		if a.Kind == kind {
+			names = append(names, a.Name+" ("+string(a.Severity)+")")
+		}
+	}
+	return cmp.Or(list(names), "none")
+}
+
+func (r *Report) causeSheet() sheet {
+	s := sheet{
+		Title:   "What spent the budgets",
+		Note:    "Over the longest window, the largest first.",
+		Columns: []column{words("service"), words("objective"), words("upstream"), words("reason"), count("requests")},
+		Empty:   "No budget was spent.",
+	}
+	for _, b := range r.Burn {
+		if len(b.Rates) == 0 {
+			continue
+		}
+		for _, c := range b.Rates[len(b.Rates)-1].Causes {
+			s.Rows = append(s.Rows, []string{
+				b.Service, string(c.Kind), cmp.Or(c.Upstream, "(none)"), meaning(c.Reason), number(c.Count),
+			})
+		}
+	}
+	return s
+}
+
+func (r *Report) unservedSheet() sheet {
+	s := sheet{
+		Title: "Latest requests that were not served",
+		Note:  "The id finds the request in the logs of its entry and its gate.",
+		Columns: []column{
+			words("when"), words("caller"), words("method"), words("route"), words("upstream"), words("outcome"),
+			words("reason"), count("tries"), count("took"), words("entry"), words("id"),
+		},
+		Empty: "None is on record.",
+	}
+	for _, u := range r.Unserved {
+		s.Rows = append(s.Rows, []string{
+			ago(u.Age), cmp.Or(u.Caller, "(unnamed)"), u.Method, cmp.Or(u.Route, "(none)"), cmp.Or(u.Upstream, "(none)"),
+			outcomeWords(u.Outcome), meaning(u.Reason), number(u.Attempts), span(u.Took), u.Entry, u.ID,
+		})
+	}
+	return s
+}
+
+func (r *Report) eventSheet() sheet {
+	s := sheet{
+		Title:   "What the nodes noted",
+		Columns: []column{words("when"), words("by"), words("what"), words("upstream or node"), words("reason")},
+		Empty:   "Nothing is on record.",
+	}
+	for _, e := range r.Events {
+		s.Rows = append(s.Rows, []string{
+			ago(e.Age), e.By, kindWords(e.Kind), cmp.Or(e.Upstream, e.Node), e.Reason,
+		})
+	}
+	return s
+}
+
+func (r *Report) nodeSheet() sheet {
+	s := sheet{
+		Title: "Nodes asked",
+		Note:  "A node keeps a bounded number of single records; totals go on counting what was overwritten.",
+		Columns: []column{
+			words("admin address"), words("node"), words("domain"), words("answer"), words("table"),
+			count("up for"), count("totals reach"), count("open"), count("records overwritten"),
+		},
+	}
+	for _, n := range r.Nodes {
+		if n.Fault != "" || n.Duplicate {
+			fault := n.Fault
+			if n.Duplicate {
+				fault = "counted at another address"
+			}
+			s.Rows = append(s.Rows, []string{n.Address, n.Name, "", fault, "", "", "", "", ""})
+			continue
+		}
+		s.Rows = append(s.Rows, []string{
+			n.Address, n.Name, n.Domain, "whole", tableName(n.Table), span(n.Life), span(n.Span),
+			number(n.Open), number(n.Dropped.Served + n.Dropped.Unserved),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/report/text.go
@@ -0,0 +1,114 @@
+package report
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+	"unicode/utf8"
+
+	"github.com/juju/errors"
+)
+
+// Text writes the report for a terminal.
+func (r *Report) Text(w io.Writer) error {
+	out := bufio.NewWriter(w)
+	p := &printer{out: out}
+	p.line("fuchsiapick: who got what, as of ", r.date())
+	if r.Partial {
+		p.line("PARTIAL: not every node answered.")
+	}
+	p.line()
+	for _, f := range r.Findings {
+		p.line(marks[f.Level], " ", f.Text)
+	}
+	for _, s := range r.sheets() {
+		p.sheet(s)
+	}
+	return errors.Annotate(out.Flush(), "writing the report")
+}
+
+// marks stand before findings, so that a level shows without colour.
+var marks = map[Level]string{Bad: "!!", Watch: " !", Note: "  "}
+
+func (r *Report) date() string {
+	return r.AsOf.UTC().Format(time.RFC1123)
+}
+
+// JSON writes the report for programs.
+func (r *Report) JSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Annotate(encoder.Encode(r), "writing the report")
+}
+
+// printer writes text whose errors the buffer keeps for its Flush.
+type printer struct {
+	out *bufio.Writer
+}
+
+func (p *printer) line(parts ...string) {
+	_, _ = p.out.WriteString(plain(strings.Join(parts, "")) + "\n")
+}
+
+func (p *printer) sheet(s sheet) {
+	p.line()
+	p.line(strings.ToUpper(s.Title))
+	if len(s.Rows) == 0 {
+		p.line("  ", s.Empty)
+		return
+	}
+	if s.Note != "" {
+		p.line("  ", s.Note)
+	}
+	table := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	widths := s.widths()
+	head := make([]string, len(s.Columns))
+	for i, c := range s.Columns {
+		head[i] = c.Name
+	}
+	for _, row := range append([][]string{head}, s.Rows...) {
+		var text strings.Builder
+		for i, c := range row {
+			text.WriteString("  ")
+			if s.Columns[i].Number {
+				text.WriteString(strings.Repeat(" ", widths[i]-utf8.RuneCountInString(c)))
+			}
+			text.WriteString(plain(c))
+			if i < len(row)-1 {
+				text.WriteByte('\t')
+			}
+		}
+		_, _ = io.WriteString(table, strings.TrimRight(text.String(), " ")+"\n")
+	}
+	_ = table.Flush()
+	if s.Left > 0 {
+		p.line("  and ", plural(s.Left, "more row", "more rows"), "; --format json has all.")
+	}
+}
+
+func (s *sheet) widths() []int {
+	widths := make([]int, len(s.Columns))
+	for i, c := range s.Columns {
+		widths[i] = utf8.RuneCountInString(c.Name)
+	}
+	for _, row := range s.Rows {
+		for i, c := range row {
+			widths[i] = max(widths[i], utf8.RuneCountInString(c))
+		}
+	}
+	return widths
+}
+
+// plain drops control characters: callers choose some texts, and a terminal
+// obeys escape sequences in them.
+func plain(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r >= 0x7f && r < 0xa0 {
+			return -1
+		}
+		return r
+	}, text)
+}
--- /dev/null
+++ b/report/upstreams.go
@@ -0,0 +1,88 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// StateGone is the state of an upstream that had requests and that no node's
+// table names.
+const StateGone = "gone"
+
+// upstreamKey names an upstream among all services.
+type upstreamKey struct {
+	service string
+	name    string
+}
+
+// upstreamSum gathers what nodes say of one upstream.
+type upstreamSum struct {
+	Upstream
+
+	took clock.Millis
+	seen bool
+}
+
+// mergeUpstreams takes each upstream's state from its own gate, which sees all
+// its outcomes. What only entries can tell, that they can't reach it, stands
+// beside that state: it is about the path, not about the upstream.
+func (m *merger) mergeUpstreams() {
+	sums := make(map[upstreamKey]*upstreamSum)
+	at := func(service, name string) *upstreamSum {
+		key := upstreamKey{service, name}
+		if sums[key] == nil {
+			sums[key] = &upstreamSum{Upstream: Upstream{
+				UpstreamState: account.UpstreamState{Service: service, Name: name, State: StateGone},
+				Lost:          []string{}, Kept: []string{},
+			}}
+		}
+		return sums[key]
+	}
+	for _, s := range m.snapshots {
+		for _, u := range s.Upstreams {
+			if s.Filter.PassesUpstream(u) {
+				at(u.Service, u.Name).view(s, u)
+			}
+		}
+	}
+	for _, t := range m.report.Totals {
+		if t.Upstream == "" || t.Upstream == account.Others {
+			continue
+		}
+		u := at(t.Service, t.Upstream)
+		u.add(t.Outcome, t.Count)
+		u.took += t.Took
+	}
+	for _, u := range sums {
+		u.Node = m.nameOf(u.Node)
+		if n := u.Sum(); n > 0 {
+			u.Mean = u.took / clock.Millis(n)
+		}
+		m.report.Upstreams = append(m.report.Upstreams, u.Upstream)
+	}
+	slices.SortFunc(m.report.Upstreams, func(a, b Upstream) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// view takes in one node's view.
+func (u *upstreamSum) view(s *account.Snapshot, state account.UpstreamState) {
+	u.Views++
+	lost := state.State == account.StateUnreachable
+	if lost {
+		u.Lost = append(u.Lost, s.Name)
+	}
+	if state.State == account.StateKept {
+		u.Kept = append(u.Kept, s.Name)
+	}
+	gate := s.Node != "" && s.Node == state.Node
+	better := !u.seen || u.State == account.StateUnreachable && !lost || !lost && state.Severity > u.Severity
+	if gate || !u.Gate && better {
+		u.UpstreamState = state
+		u.Gate = gate
+	}
+	u.seen = true
+}
--- /dev/null
+++ b/report/words.go
@@ -0,0 +1,228 @@
+package report
+
+import (
+	"cmp"
+	"strconv"
+	"strings"
+
+	"github.com/dustin/go-humanize"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/burn"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// meanings says the reasons of entries and gates in words that need no
+// knowledge of the program.
+var meanings = map[string]string{
+	account.ReasonCallerLimit:   "the caller was over its own limit",
+	account.ReasonServiceLimit:  "the service was over its limit",
+	account.ReasonBusy:          "the node held as many requests as it may",
+	account.ReasonCallerFault:   "the request was malformed",
+	account.ReasonCallerGone:    "the caller hung up",
+	account.ReasonNoRoute:       "the table has no route for the path",
+	account.ReasonBodyTooLarge:  "the request's body was too large",
+	account.ReasonNoTable:       "the node had no table yet",
+	account.ReasonNoUpstream:    "no upstream of the service could take it",
+	account.ReasonUnreachable:   "the upstream's node could not be reached",
+	account.ReasonShutdown:      "the node was shutting down",
+	account.ReasonUpstreamError: "the upstream answered with an error",
+	account.ReasonSlow:          "the answer came late",
+	"set-aside":                 "the upstream was set aside as sick",
+	"leaving":                   "the upstream was leaving",
+	"full":                      "the upstream had no slot free in time",
+	"deadline-too-short":        "too little time was left to run it",
+	"stale-lease":               "it reached the gate too late to be run safely",
+	"voided":                    "it was called back before it ran",
+	"no-such-upstream":          "the node did not know the upstream",
+	"connection-refused":        "the upstream refused the connection",
+	"upstream-shed":             "the upstream shed load",
+	"timeout":                   "no answer came in time",
+	"torn-answer":               "the answer broke off",
+	"answer-too-large":          "the answer was too large",
+	burn.Other:                  "other reasons",
+	"":                          "no reason was noted",
+}
+
+// meaning says a reason in words; one that is not known stands for itself.
+func meaning(reason string) string {
+	return cmp.Or(meanings[reason], reason)
+}
+
+// stateWords says an upstream's state in words.
+func stateWords(state string) string {
+	switch state {
+	case account.StateInUse:
+		return "in use"
+	case account.StateSetAside:
+		return "set aside: sick"
+	case account.StateTrial:
+		return "on trial"
+	case account.StateRamp:
+		return "coming back slowly"
+	case account.StateKept:
+		return "sick, kept for the floor"
+	case account.StateUnreachable:
+		return "unreachable"
+	case account.StateLeaving:
+		return "leaving"
+	case account.StateOff:
+		return "off: weight 0"
+	case account.StateFull:
+		return "over its limit"
+	case StateGone:
+		return "not in the table"
+	case StateRelapsed:
+		return "set aside again"
+	case string(account.Back):
+		return "back in use"
+	case account.StateUnknown, "":
+		return "not known"
+	default:
+		return state
+	}
+}
+
+// kindWords says an event's kind in words.
+func kindWords(kind account.EventKind) string {
+	switch kind {
+	case account.SetAside:
+		return "set aside as sick"
+	case account.Trial:
+		return "tried again"
+	case account.Ramp:
+		return "coming back slowly"
+	case account.Back:
+		return "back in full use"
+	case account.KeptUnderFloor:
+		return "kept in use for the floor"
+	case account.PathLost:
+		return "path lost"
+	case account.PathBack:
+		return "path back"
+	case account.Leaving:
+		return "leaving"
+	case account.TableAccepted:
+		return "table accepted"
+	case account.TableRejected:
+		return "table rejected"
+	case account.TableOlder:
+		return "older table not taken"
+	case account.PlatformLost:
+		return "platform stopped answering"
+	case account.PlatformBack:
+		return "platform answers again"
+	default:
+		return string(kind)
+	}
+}
+
+// span writes a span with two units at most: 850ms, 45s, 2m 10s, 3h 5m, 2d 4h.
+func span(d clock.Millis) string {
+	type unit struct {
+		size clock.Millis
+		name string
+	}
+	if d < clock.Second {
+		return strconv.FormatInt(int64(d), 10) + "ms"
+	}
+	units := []unit{{clock.Day, "d"}, {clock.Hour, "h"}, {clock.Minute, "m"}, {clock.Second, "s"}}
+	for i, u := range units {
+		if d < u.size {
+			continue
+		}
+		text := strconv.FormatInt(int64(d/u.size), 10) + u.name
+		if i+1 < len(units) {
+			if rest := d % u.size / units[i+1].size; rest > 0 {
+				text += " " + strconv.FormatInt(int64(rest), 10) + units[i+1].name
+			}
+		}
+		return text
+	}
+	return ""
+}
+
+func ago(d clock.Millis) string {
+	return span(d) + " ago"
+}
+
+// number writes a count with thousands apart: 12,345.
+func number[T uint64 | int](n T) string {
+	return humanize.Comma(int64(n))
+}
+
+// decimal writes a count that need not be whole, with a digit after the point
+// if it is small.
+func decimal(x float64) string {
+	if x < 10 {
+		return strconv.FormatFloat(x, 'f', 1, 64)
+	}
+	return number(uint64(x))
+}
+
+// share writes a share of 1 in percent with two digits that count.
+func share(x float64) string {
+	percent := 100 * x
+	switch {
+	case percent == 0 || percent >= 10:
+		return strconv.FormatFloat(percent, 'f', 0, 64) + "%"
+	case percent >= 1:
+		return strconv.FormatFloat(percent, 'f', 1, 64) + "%"
+	default:
+		return strconv.FormatFloat(percent, 'g', 2, 64) + "%"
+	}
+}
+
+// promise writes the share that an objective promises, with all its digits.
+func promise(x float64) string {
+	return strconv.FormatFloat(100*x, 'g', 6, 64) + "%"
+}
+
+// times writes a burn rate.
+func times(rate float64) string {
+	if rate >= 10 {
+		return strconv.FormatFloat(rate, 'f', 0, 64) + "x"
+	}
+	return strconv.FormatFloat(rate, 'f', 1, 64) + "x"
+}
+
+func plural[T uint64 | int](n T, one, many string) string {
+	if n == 1 {
+		return number(n) + " " + one
+	}
+	return number(n) + " " + many
+}
+
+// list joins names as a sentence does: a, b and c.
+func list(names []string) string {
+	switch len(names) {
+	case 0:
+		return ""
+	case 1:
+		return names[0]
+	default:
+		last := len(names) - 1
+		return strings.Join(names[:last], ", ") + " and " + names[last]
+	}
+}
+
+// evidenceWords says what a gate had seen when it set its upstream aside.
+func evidenceWords(e account.Evidence, reason string) string {
+	var parts []string
+	of := " of " + plural(e.Outcomes, "request", "requests")
+	if e.Failed > 0 {
+		parts = append(parts, number(e.Failed)+of+" failed against a usual "+share(e.BaselineFailed))
+		of = ""
+	}
+	if e.Slow > 0 {
+		parts = append(parts, number(e.Slow)+of+" were slow against a usual "+span(e.BaselineLatency))
+		of = ""
+	}
+	if e.Overdue > 0 {
+		parts = append(parts, number(e.Overdue)+of+" had no answer in time")
+	}
+	if len(parts) == 0 {
+		parts = append(parts, meaning(reason))
+	}
+	return list(parts)
+}
