--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -3,10 +3,12 @@
 package cmd
 
 import (
+
 	"fmt"
 	"io"
 
 	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
 )
 
 // Exit codes of the program.
@@ -16,11 +18,27 @@
 	ExitUsage = 2
 )
 
+// command is a subcommand with its arguments filled in.
+type command interface {
+	run(stdout, stderr io.Writer) int
+}
+
 type arguments struct {
 	Node    *nodeCmd    `arg:"subcommand:node" help:"run a node beside its backend servers"`
+	Report  *reportCmd  `arg:"subcommand:report" help:"ask nodes and say who got what"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
 
+// Description is what help begins with.
+func (arguments) Description() string {
+	return "fuchsiapick is a proxy fleet for backend servers with gray failures."
+}
+
+// Epilogue is what help ends with.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a report that lacks nodes."
+}
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var parsed arguments
@@ -29,17 +47,25 @@
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitUsage
 	}
-	if err := parser.Parse(args); err != nil {
-		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		return help(parser, stdout)
+	case err != nil:
+		fmt.Fprintf(stderr, "fuchsiapick: %v; see fuchsiapick --help\n", err)
 		return ExitUsage
 	}
-	switch {
-	case parsed.Node != nil:
-		return parsed.Node.run(stderr)
-	case parsed.Version != nil:
-		return parsed.Version.run(stdout)
-	default:
-		parser.WriteHelp(stderr)
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		_ = help(parser, stderr)
 		return ExitUsage
 	}
+	return chosen.run(stdout, stderr)
+}
+
+// help writes the help of the subcommand that was named, or of the program.
+func help(parser *arg.Parser, out io.Writer) int {
+	if err := parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...); err != nil {
+		return ExitFault
+	}
+	return ExitOK
 }
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -20,7 +20,7 @@
 
 // run serves until a termination signal. The first one starts a graceful
 // shutdown, a second one ends it at once.
-func (c *nodeCmd) run(stderr io.Writer) int {
+func (c *nodeCmd) run(_, stderr io.Writer) int {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
--- a/cmd/versioncmd.go
+++ b/cmd/versioncmd.go
@@ -12,7 +12,7 @@
 
 type versionCmd struct{}
 
-func (*versionCmd) run(stdout io.Writer) int {
+func (*versionCmd) run(stdout, _ io.Writer) int {
 	fmt.Fprintf(stdout, "fuchsiapick %s, table format %d\n", Release, table.Format)
 	return ExitOK
 }
