feat(table): name every fault by line, fill in defaults

Cause: the decoder stops at the first value of a wrong kind, takes a key in other letter case for a known one, and knows no ranges, so that an operator would mend a table fault by fault. Change: document keeps a tree of the text with lines. A look at the shape finds all unknown keys and wrong kinds; those expressions are blanked, and the rest is decoded and checked for ranges, duplicates and references. Weighed and left: a second set of types with pointers for presence, which would name every key twice; the decoder's own strict mode alone, which stops early. A newer format is refused by that fault alone (ErrFormat). The key of Service.CallerRate is now quota, one word as the house style asks. Diff names what an edition changed. Both deployments stand in examples.

--- /dev/null
+++ b/document/shape.go
@@ -0,0 +1,158 @@
+package document
+
+import (
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+var millisType = reflect.TypeFor[clock.Millis]()
+
+// shape compares a tree with the struct that it is to fill and collects every
+// unknown key and every value of a wrong kind. The decoder would stop at the
+// first, and it would take a key in other letter case for a known one.
+type shape struct {
+	faults  Faults
+	refused []*Node
+}
+
+func (s *shape) check(n *Node, t reflect.Type) {
+	switch {
+	case t == millisType:
+		s.span(n)
+	case t.Kind() == reflect.Struct:
+		s.table(n, t)
+	case t.Kind() == reflect.Slice:
+		s.array(n, t.Elem())
+	default:
+		s.scalar(n, t)
+	}
+}
+
+func (s *shape) table(n *Node, t reflect.Type) {
+	if n.kind != unstable.Table {
+		s.refuse(n, "is "+kindName(n), "a table")
+		return
+	}
+	known := make(map[string]reflect.Type, t.NumField())
+	for f := range t.Fields() {
+		if f.IsExported() {
+			known[f.Tag.Get("toml")] = f.Type
+		}
+	}
+	for _, f := range n.fields {
+		if want, ok := known[f.key]; ok {
+			s.check(f, want)
+		} else {
+			s.refuse(f, "unknown key", keyList(known))
+		}
+	}
+}
+
+func keyList(known map[string]reflect.Type) string {
+	keys := make([]string, 0, len(known))
+	for key := range known {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return strings.Join(keys, ", ")
+}
+
+func (s *shape) array(n *Node, elem reflect.Type) {
+	if n.kind != unstable.Array {
+		s.refuse(n, "is "+kindName(n), arrayName(n, elem))
+		return
+	}
+	for _, item := range n.items {
+		s.check(item, elem)
+	}
+}
+
+func arrayName(n *Node, elem reflect.Type) string {
+	if elem.Kind() == reflect.Struct {
+		return "tables that each begin with [[" + n.path() + "]]"
+	}
+	return "an array of texts"
+}
+
+// path writes a node's key as a table header does.
+func (n *Node) path() string {
+	if n.parent == nil {
+		return ""
+	}
+	if n.item > 0 {
+		return n.parent.path()
+	}
+	if outer := n.parent.path(); outer != "" {
+		return outer + "." + n.key
+	}
+	return n.key
+}
+
+func (s *shape) span(n *Node) {
+	const allowed = `a span in whole milliseconds, such as "250ms" or "5s"`
+	if n.kind != unstable.String {
+		s.refuse(n, "is "+kindName(n), allowed)
+		return
+	}
+	var m clock.Millis
+	if err := m.UnmarshalText([]byte(n.scalar)); err != nil {
+		s.refuse(n, Quote(n.scalar)+" is not a span", allowed)
+	}
+}
+
+func (s *shape) scalar(n *Node, t reflect.Type) {
+	var ok bool
+	var allowed string
+	switch t.Kind() {
+	case reflect.String:
+		ok, allowed = n.kind == unstable.String, "a text in quotes"
+	case reflect.Bool:
+		ok, allowed = n.kind == unstable.Bool, "true or false"
+	case reflect.Float64:
+		ok, allowed = n.kind == unstable.Float || isInteger(n), "a number"
+	case reflect.Uint64:
+		value, whole := n.Integer()
+		ok, allowed = whole && value >= 0, "a whole number from 0"
+	case reflect.Int:
+		ok, allowed = isInteger(n), "a whole number"
+	default:
+		allowed = "nothing: this release can't read the key"
+	}
+	if !ok {
+		s.refuse(n, "is "+kindName(n), allowed)
+	}
+}
+
+func isInteger(n *Node) bool {
+	_, ok := n.Integer()
+	return ok
+}
+
+func (s *shape) refuse(n *Node, problem, allowed string) {
+	s.faults = append(s.faults, Fault{Line: n.Line, Where: n.label(), Problem: problem, Allowed: allowed})
+	n.refused = true
+	if n.expression != nil {
+		n.expression.refused = true
+		n = n.expression
+	}
+	s.refused = append(s.refused, n)
+}
+
+// kindName says what a value is, with the value where it is short.
+func kindName(n *Node) string {
+	switch n.kind {
+	case unstable.Table:
+		return "a table"
+	case unstable.Array:
+		return "an array"
+	case unstable.String:
+		return "the text " + Quote(n.scalar)
+	default:
+		return printable(n.scalar)
+	}
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,16 @@
+// Package examples holds the tables of both of today's deployments, on
+// addresses of one machine.
+package examples
+
+import _ "embed"
+
+var (
+	// Sicily is the table of Pulizie Trinacria Personale.
+	//
+	//go:embed sicily.toml
+	Sicily []byte
+	// Kingston is the table of Island Polish Price Watch.
+	//
+	//go:embed kingston.toml
+	Kingston []byte
+)
--- /dev/null
+++ b/table/check.go
@@ -0,0 +1,240 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/document"
+)
+
+// Bounds of what a table may say. They are wide: they are there to catch a
+// slip of the hand, such as a unit or a digit too many, not to advise.
+const (
+	// MinDeadline is about a round trip between failure domains and back.
+	MinDeadline = 10 * clock.Millis(1)
+	// MaxDeadline is beyond what any caller waits for.
+	MaxDeadline = 10 * clock.Minute
+	// MaxDrain keeps the promise that a leaving upstream gets no new work
+	// after a few seconds.
+	MaxDrain = 30 * clock.Second
+	// MaxQueue is hundreds of times what the slots of today serve at once.
+	MaxQueue = 10_000
+	// MaxRate is a hundred times the planned peak of the whole fleet.
+	MaxRate = 1e9
+	// MaxWeight leaves weight x slots of all upstreams far below overflow.
+	MaxWeight = 10_000
+	// MaxSlots is more than one instance serves at once.
+	MaxSlots = 10_000
+	// MaxConnections is more than one process may open to one address.
+	MaxConnections = 60_000
+	// MaxPrefix bounds the work of a look-up by a hostile path.
+	MaxPrefix = 256
+	// MaxCallerName bounds what a label or a column has to bear.
+	MaxCallerName = 128
+)
+
+// methods are those that a route may call repeatable.
+var methods = []string{"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
+// checker collects the faults of one table.
+type checker struct {
+	doc   *document.Document
+	table *Table
+	// lines of the names, addresses and prefixes seen so far, for duplicates.
+	services, upstreams, addresses, prefixes, callers map[string]int
+	// nodes keeps who is beside each link address.
+	nodes map[string]*Upstream
+}
+
+func (t *Table) check(doc *document.Document) {
+	c := checker{
+		doc:       doc,
+		table:     t,
+		services:  make(map[string]int),
+		upstreams: make(map[string]int),
+		addresses: make(map[string]int),
+		prefixes:  make(map[string]int),
+		callers:   make(map[string]int),
+		nodes:     make(map[string]*Upstream),
+	}
+	root := doc.Root
+	if t.Format != Format {
+		doc.Refuse(root, "format", strconv.Itoa(t.Format), strconv.Itoa(Format))
+	}
+	if t.Version == 0 {
+		doc.Refuse(root, "version", "0", "1 or more, above the last published")
+	}
+	if len(t.Services) == 0 {
+		doc.Add(root, "service", "is missing", "one [[service]] or more")
+	}
+	for i := range t.Services {
+		c.service(root.Field("service").Item(i), &t.Services[i])
+	}
+	for i := range t.Services {
+		c.nodeAddresses(root.Field("service").Item(i), &t.Services[i])
+	}
+	for i := range t.Routes {
+		c.route(root.Field("route").Item(i), &t.Routes[i])
+	}
+	for i := range t.Callers {
+		c.caller(root.Field("caller").Item(i), &t.Callers[i])
+	}
+}
+
+// once notes a fault if the value was seen before.
+func (c *checker) once(seen map[string]int, n *document.Node, key, value, allowed string) {
+	if first, ok := seen[value]; ok {
+		problem := document.Quote(value) + " stands twice"
+		if first > 0 {
+			problem += fmt.Sprintf(", first on line %d", first)
+		}
+		c.doc.Add(n, key, problem, allowed)
+		return
+	}
+	seen[value] = n.LineOf(key)
+}
+
+func (c *checker) service(n *document.Node, s *Service) {
+	c.doc.Name(n, "name", s.Name)
+	if s.Name != "" {
+		c.once(c.services, n, "name", s.Name, "a name that no other service has")
+	}
+	switch s.Caution {
+	case Fast, Balanced, Cautious:
+	default:
+		c.doc.Refuse(n, "caution", document.Quote(string(s.Caution)), "fast, balanced, cautious")
+	}
+	document.Within(c.doc, n, "floor", s.Floor, 0, 1)
+	c.doc.Span(n, "deadline", s.Deadline, MinDeadline, MaxDeadline)
+	c.doc.Span(n, "drain", s.Drain, 0, MaxDrain)
+	document.Within(c.doc, n, "queue", s.Queue, 0, MaxQueue)
+	document.Within(c.doc, n, "retries", s.Retries, 0, 1)
+	document.Within(c.doc, n, "rate", s.Rate, 0, MaxRate)
+	document.Within(c.doc, n, "quota", s.CallerRate, 0, MaxRate)
+	c.objective(n.Field("objective"), s)
+	if len(s.Upstreams) == 0 {
+		c.doc.Add(n, "upstream", "is missing", "one [[service.upstream]] or more")
+		return
+	}
+	weight := 0
+	for i := range s.Upstreams {
+		c.upstream(n.Field("upstream").Item(i), &s.Upstreams[i])
+		weight += max(s.Upstreams[i].Weight, 0)
+	}
+	if weight == 0 && s.Floor > 0 {
+		c.doc.Add(n, "floor", fmt.Sprintf("%v can't be reached: every weight is 0", s.Floor),
+			"0, or a weight above 0")
+	}
+}
+
+func (c *checker) objective(n *document.Node, s *Service) {
+	document.Between(c.doc, n, "availability", s.Objective.Availability, 0, 1)
+	document.Between(c.doc, n, "within", s.Objective.Within, 0, 1)
+	if s.Deadline >= MinDeadline {
+		c.doc.Span(n, "latency", s.Objective.Latency, 1, s.Deadline)
+	}
+}
+
+func (c *checker) upstream(n *document.Node, u *Upstream) {
+	c.doc.Name(n, "name", u.Name)
+	if u.Name != "" {
+		c.once(c.upstreams, n, "name", u.Name, "a name that no other upstream of the table has")
+	}
+	if c.doc.Address(n, "address", u.Address) {
+		c.once(c.addresses, n, "address", u.Address, "an address that no other upstream has")
+	}
+	c.doc.Address(n, "node", u.Node)
+	c.doc.Name(n, "domain", u.Domain)
+	document.Within(c.doc, n, "weight", u.Weight, 0, MaxWeight)
+	document.Within(c.doc, n, "slots", u.Slots, 1, MaxSlots)
+	if u.Slots >= 1 && u.Slots <= MaxSlots {
+		document.Within(c.doc, n, "connections", u.Connections, u.Slots, MaxConnections)
+	}
+}
+
+// nodeAddresses compares link addresses with those of upstreams and with each
+// other's failure domain, once all of them are known.
+func (c *checker) nodeAddresses(n *document.Node, s *Service) {
+	for i := range s.Upstreams {
+		u, at := &s.Upstreams[i], n.Field("upstream").Item(i)
+		if u.Node == "" {
+			continue
+		}
+		if line, ok := c.addresses[u.Node]; ok {
+			c.doc.Add(at, "node", fmt.Sprintf("%q is an upstream's address%s", u.Node, onLine(line)),
+				"the link address of a node")
+		}
+		first, ok := c.nodes[u.Node]
+		if !ok {
+			c.nodes[u.Node] = u
+			continue
+		}
+		if first.Domain != u.Domain && first.Domain != "" {
+			c.doc.Add(at, "domain", fmt.Sprintf("%q, but upstream %s beside the same node has %q", u.Domain, first.Name, first.Domain),
+				"one failure domain for all upstreams beside a node")
+		}
+	}
+}
+
+func onLine(line int) string {
+	if line == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" on line %d", line)
+}
+
+func (c *checker) route(n *document.Node, r *Route) {
+	if isPrefix(r.Prefix) {
+		c.once(c.prefixes, n, "prefix", trimSlash(r.Prefix)+"/", "a prefix that no other route has")
+	} else {
+		c.doc.Refuse(n, "prefix", document.Quote(r.Prefix),
+			fmt.Sprintf("a path that begins with '/', without empty or dot segments, '?', '#' or spaces, at most %d bytes", MaxPrefix))
+	}
+	if _, ok := c.services[r.Service]; !ok {
+		c.doc.Refuse(n, "service", document.Quote(r.Service), "the name of a [[service]] of this table")
+	}
+	for _, m := range r.Repeatable {
+		if !slices.Contains(methods, m) {
+			c.doc.Refuse(n, "repeatable", document.Quote(m), strings.Join(methods, ", "))
+		}
+	}
+}
+
+func isPrefix(p string) bool {
+	if !strings.HasPrefix(p, "/") || len(p) > MaxPrefix {
+		return false
+	}
+	for i := range len(p) {
+		if c := p[i]; c <= ' ' || c >= 0x7f || c == '?' || c == '#' {
+			return false
+		}
+	}
+	for segment := range strings.SplitSeq(strings.Trim(p, "/"), "/") {
+		if segment == "." || segment == ".." || segment == "" && p != "/" {
+			return false
+		}
+	}
+	return !strings.HasPrefix(p, "//") && !strings.HasSuffix(p, "//")
+}
+
+func (c *checker) caller(n *document.Node, k *Caller) {
+	if isCallerName(k.Name) {
+		c.once(c.callers, n, "name", k.Name, "a name that no other caller has")
+	} else {
+		c.doc.Refuse(n, "name", document.Quote(k.Name),
+			fmt.Sprintf("1 to %d printable characters without spaces", MaxCallerName))
+	}
+	document.Within(c.doc, n, "rate", k.Rate, 0, MaxRate)
+}
+
+func isCallerName(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != "" && len(s) <= MaxCallerName
+}
--- /dev/null
+++ b/table/diff_test.go
@@ -0,0 +1,55 @@
+package table_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// A manager asks why an upstream got no work since Tuesday. The cause stands
+// in an edit of the table, so each accepted edition must account for what it
+// changed.
+func TestDiffNamesEachChange(t *testing.T) {
+	older := mustParse(t, small)
+	text := strings.NewReplacer(
+		"version = 7", "version = 8",
+		"floor = 0.4", "floor = 0.6\n[service.objective]\nlatency = \"250ms\"",
+		"slots = 3", "slots = 3\nweight = 0",
+		`"b2"`, `"b3"`,
+		"rate = 5", "rate = 6",
+		"[[caller]]", "[[route]]\nprefix = \"/van\"\nservice = \"bacheca\"\nrepeatable = [\"PUT\"]\n[[caller]]",
+	).Replace(small)
+	newer := mustParse(t, text)
+	want := []string{
+		"changed version: 7 to 8",
+		"changed service bacheca: floor: 0.4 to 0.6",
+		"changed service bacheca: objective: latency: 500ms to 250ms",
+		"changed service bacheca: upstream b1: weight: 100 to 0",
+		"added service bacheca: upstream b3: address 10.0.0.2:8080, node 10.0.0.2:7000, domain catania, weight 100, slots 5, connections 400",
+		"removed service bacheca: upstream b2: address 10.0.0.2:8080, node 10.0.0.2:7000, domain catania, weight 100, slots 5, connections 400",
+		"added route /van: service bacheca, repeatable [PUT]",
+		"changed caller van-1: rate: 5 to 6",
+	}
+	changes := table.Diff(older, newer)
+	got := make([]string, 0, len(changes))
+	for _, c := range changes {
+		got = append(got, c.String())
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+func TestDiffTakesNoOrderForAChange(t *testing.T) {
+	older := mustParse(t, small)
+	newer := mustParse(t, small)
+	slices.Reverse(newer.Services[0].Upstreams)
+	if got := table.Diff(older, newer); len(got) != 0 {
+		t.Errorf("got %v, want no change", got)
+	}
+	if got := table.Diff(nil, older); len(got) == 0 || got[0].Where != "format" {
+		t.Errorf("got %v, want the whole table as new", got)
+	}
+}
--- a/table/index.go
+++ b/table/index.go
@@ -1,6 +1,9 @@
 package table
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // index holds what look-ups need, built once when a table was accepted and
 // only read afterwards, so that requests may share it without a lock.
@@ -8,6 +11,10 @@
 	routes    map[string]int
 	services  map[string]int
 	upstreams map[string]place
+	// depth is the segments of the deepest prefix. A path is compared no
+	// deeper, so that one with thousands of segments costs no more than the
+	// table's own prefixes do.
+	depth int
 }
 
 type place struct{ service, upstream int }
@@ -19,7 +26,9 @@
 		upstreams: make(map[string]place),
 	}
 	for i := range t.Routes {
-		x.routes[trimSlash(t.Routes[i].Prefix)] = i
+		prefix := trimSlash(t.Routes[i].Prefix)
+		x.routes[prefix] = i
+		x.depth = max(x.depth, strings.Count(prefix, "/"))
 	}
 	for i := range t.Services {
 		x.services[t.Services[i].Name] = i
@@ -31,9 +40,10 @@
 }
 
 // Route finds the route with the longest prefix that the path begins with, in
-// whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab.
+// whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab. The path is
+// taken as it is: the caller decodes and cleans it.
 func (t *Table) Route(path string) (*Route, bool) {
-	path = trimSlash(path)
+	path = trimSlash(firstSegments(path, t.lookup.depth))
 	for {
 		if i, ok := t.lookup.routes[path]; ok {
 			return &t.Routes[i], true
@@ -46,6 +56,20 @@
 	}
 }
 
+// firstSegments cuts a path before the slash that follows its n-th segment.
+func firstSegments(path string, n int) string {
+	for i := range len(path) {
+		if path[i] != '/' {
+			continue
+		}
+		if n == 0 {
+			return path[:i]
+		}
+		n--
+	}
+	return path
+}
+
 // Service finds a service by its name.
 func (t *Table) Service(name string) (*Service, bool) {
 	i, ok := t.lookup.services[name]
@@ -72,12 +96,7 @@
 	if len(r.Repeatable) == 0 {
 		return method == "GET" || method == "HEAD"
 	}
-	for _, m := range r.Repeatable {
-		if m == method {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.Repeatable, method)
 }
 
 func trimSlash(path string) string {
--- a/table/parse.go
+++ b/table/parse.go
@@ -1,9 +1,9 @@
 package table
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -11,8 +11,17 @@
 	"fuchsiapick.example/fuchsiapick/document"
 )
 
-// ErrInvalid is matched by the error of a table that was not accepted.
-const ErrInvalid = document.ErrInvalid
+const (
+	// ErrInvalid is matched by the error of a table that was not accepted.
+	ErrInvalid = document.ErrInvalid
+	// ErrFormat is matched too if the table is of a format that this release
+	// does not read. The table may well be right for a newer release.
+	ErrFormat = errors.ConstError("format of another release")
+)
+
+// MaxBytes bounds a table's text to what the platform holds in one value. A
+// longer one is refused before it is decoded.
+const MaxBytes = 1 << 20
 
 // Fault is one thing wrong with a table.
 type Fault = document.Fault
@@ -23,25 +32,64 @@
 // Parse reads a table and checks the whole of it. What the text leaves out
 // gets its default. The error of a text that is not accepted is a Faults.
 func Parse(text []byte) (*Table, error) {
-	var t Table
-	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := decoder.Decode(&t); err != nil {
-		return nil, Faults{{Line: lineOf(err), Problem: err.Error()}}
+	return parse(text, MaxBytes)
+}
+
+// Build checks and indexes a table that was made by a program and not read
+// from a text. It fills in no defaults, and its faults have no lines. It may
+// be larger than MaxBytes. The table given is not changed.
+func Build(t Table) (*Table, error) {
+	text, err := toml.Marshal(t)
+	if err != nil {
+		return nil, errors.Annotate(err, "writing the table")
+	}
+	built, err := parse(text, len(text))
+	var faults Faults
+	if errors.As(err, &faults) {
+		for i := range faults {
+			faults[i].Line = 0
+		}
+	}
+	return built, err
+}
+
+func parse(text []byte, bound int) (*Table, error) {
+	doc, err := document.Parse(text, bound)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := checkNewer(doc.Root); err != nil {
+		return nil, err
+	}
+	t := new(Table)
+	if !doc.Decode(t) {
+		return nil, doc.Err()
+	}
+	for i := range t.Services {
+		t.Services[i].setDefaults(doc.Root.Field("service").Item(i))
 	}
-	if t.Format != Format {
-		return nil, Faults{{Where: "format", Problem: "not a format of this release"}}
+	t.check(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
 	}
 	t.buildIndex()
-	return &t, nil
+	return t, nil
 }
 
-func lineOf(err error) int {
-	var fault *toml.DecodeError
-	if !errors.As(err, &fault) {
-		return 0
+// checkNewer refuses a table of a newer format by that fault alone. Everything
+// that the newer format added would otherwise be called an unknown key, and an
+// operator would mend a table that is right.
+func checkNewer(root *document.Node) error {
+	format, ok := root.Field("format").Integer()
+	if !ok || format <= Format {
+		return nil
 	}
-	line, _ := fault.Position()
-	return line
+	return errors.WithType(Faults{{
+		Line:    root.LineOf("format"),
+		Where:   "format",
+		Problem: fmt.Sprintf("%d is of a newer release, so that nothing else was checked", format),
+		Allowed: fmt.Sprintf("%d; upgrade the nodes before the table", Format),
+	}}, ErrFormat)
 }
 
 // Digest names a table's text for comparison between nodes: SHA-256 in
--- a/table/types.go
+++ b/table/types.go
@@ -56,7 +56,7 @@
 	Rate float64 `toml:"rate"`
 	// CallerRate limits the requests a second that one entry admits from one
 	// caller; 0 means no limit.
-	CallerRate float64    `toml:"caller_rate"`
+	CallerRate float64    `toml:"quota"`
 	Objective  Objective  `toml:"objective"`
 	Upstreams  []Upstream `toml:"upstream"`
 }
