feat(settings): check settings as tables are checked

Cause: a node that starts on half-right settings fails later and elsewhere. Change: ranges, addresses, secret and references are checked, each fault by line; a refused secret is never written out. Listeners may take port 0, and caller and admin any address, which tests and small instances need; the link address may not be 0.0.0.0, for the table names it. Conclusion: faults read the same for both kinds of text.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,136 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/document"
+)
+
+// Bounds of what settings may say. They catch a slip of the hand.
+const (
+	// MinSecret is the least length of the secret in bytes: shorter ones can
+	// be guessed from one recorded exchange.
+	MinSecret = 16
+	// MaxBody keeps the size of one request in memory, and of one answer,
+	// far below that of a small instance.
+	MaxBody = 64 << 20
+	// MaxRequests is far above what a small instance serves at once.
+	MaxRequests = 1 << 20
+	// MaxRecords keeps records within a few hundred megabytes.
+	MaxRecords = 1_000_000
+	// MaxGrace is longer than any deadline that a table may set.
+	MaxGrace = 15 * clock.Minute
+	// MinPoll keeps a few thousand nodes below the reads that the platform
+	// bears.
+	MinPoll = clock.Second
+	// MaxPoll keeps a table in force within minutes at worst.
+	MaxPoll = 10 * clock.Minute
+	// MaxPeers is many more than a starting node has time to ask.
+	MaxPeers = 64
+)
+
+// levels are those of the log, from the quietest.
+var levels = []string{"error", "warn", "info", "debug"}
+
+func (s *Settings) check(doc *document.Document) {
+	root := doc.Root
+	doc.Name(root, "node", s.Node)
+	doc.Name(root, "domain", s.Domain)
+	s.checkListen(doc)
+	s.checkPlatform(doc)
+	s.checkSecret(doc)
+	s.checkPeers(doc)
+	s.checkLimits(doc)
+	doc.Span(root, "grace", s.Grace, 0, MaxGrace)
+	if !slices.Contains(levels, s.Log) {
+		doc.Refuse(root, "log", document.Quote(s.Log), strings.Join(levels, ", "))
+	}
+}
+
+func (s *Settings) checkListen(doc *document.Document) {
+	n := doc.Root.Field("listen")
+	if n == nil {
+		doc.Refuse(doc.Root, "listen", "", "a table [listen] with caller, link and admin")
+		return
+	}
+	seen := make(map[string]string, 3)
+	for _, l := range []struct{ key, address string }{
+		{"caller", s.Listen.Caller}, {"link", s.Listen.Link}, {"admin", s.Listen.Admin},
+	} {
+		if !doc.Listener(n, l.key, l.address) {
+			continue
+		}
+		address := netip.MustParseAddrPort(l.address)
+		if l.key == "link" && address.Addr().IsUnspecified() {
+			doc.Refuse(n, l.key, document.Quote(l.address), "the IP number that the table gives for this node")
+		}
+		if first, ok := seen[l.address]; ok && address.Port() != 0 {
+			doc.Add(n, l.key, document.Quote(l.address)+" is that of "+first+" too", "an address of its own")
+		}
+		seen[l.address] = l.key
+	}
+}
+
+func (s *Settings) checkPlatform(doc *document.Document) {
+	n := doc.Root.Field("platform")
+	if n == nil {
+		doc.Refuse(doc.Root, "platform", "", "a table [platform] with address")
+		return
+	}
+	doc.Address(n, "address", s.Platform.Address)
+	doc.Span(n, "poll", s.Platform.Poll, MinPoll, MaxPoll)
+}
+
+func (s *Settings) checkSecret(doc *document.Document) {
+	root := doc.Root
+	if root.Has("secretfile") {
+		if root.Has("secret") {
+			doc.Add(root, "secretfile", "stands beside secret", "one of secret and secretfile")
+		}
+		if s.SecretFile == "" {
+			doc.Refuse(root, "secretfile", `""`, "the path of a file")
+		}
+		return
+	}
+	if problem, ok := weakSecret(s.Secret); !ok {
+		if !root.Has("secret") {
+			problem = "is missing"
+		}
+		// The secret itself must not reach a log.
+		doc.Add(root, "secret", problem, secretAllowed()+", or secretfile")
+	}
+}
+
+func weakSecret(secret string) (string, bool) {
+	if len(secret) < MinSecret {
+		return "has " + strconv.Itoa(len(secret)) + " bytes", false
+	}
+	return "", true
+}
+
+func secretAllowed() string {
+	return fmt.Sprintf("%d bytes or more", MinSecret)
+}
+
+func (s *Settings) checkPeers(doc *document.Document) {
+	root := doc.Root
+	document.Within(doc, root, "peers", len(s.Peers), 0, MaxPeers)
+	for i, peer := range s.Peers {
+		if doc.Address(root, "peers", peer) && slices.Contains(s.Peers[:i], peer) {
+			doc.Add(root, "peers", document.Quote(peer)+" stands twice", "each peer once")
+		}
+	}
+}
+
+func (s *Settings) checkLimits(doc *document.Document) {
+	n := doc.Root.Field("limits")
+	document.Within(doc, n, "body", s.Limits.Body, 0, MaxBody)
+	document.Within(doc, n, "answer", s.Limits.Answer, 1, MaxBody)
+	document.Within(doc, n, "requests", s.Limits.Requests, 1, MaxRequests)
+	document.Within(doc, n, "records", s.Limits.Records, 1, MaxRecords)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,11 +3,10 @@
 package settings
 
 import (
-	"bytes"
 	"os"
+	"strings"
 
 	"github.com/juju/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/document"
@@ -37,11 +36,13 @@
 	Log string `toml:"log"`
 }
 
-// Listen holds the node's own addresses, IP number and port.
+// Listen holds the node's own addresses, IP number and port. Port 0 takes any
+// free one, for tests.
 type Listen struct {
 	// Caller takes callers' requests.
 	Caller string `toml:"caller"`
-	// Link takes other nodes' links.
+	// Link takes other nodes' links. It is what the table gives as the node of
+	// the upstreams beside it.
 	Link string `toml:"link"`
 	// Admin serves metrics, health and what the report reads.
 	Admin string `toml:"admin"`
@@ -67,19 +68,30 @@
 	Records int `toml:"records"`
 }
 
+// MaxBytes bounds the text of settings, far above what they need.
+const MaxBytes = 64 << 10
+
 // Parse reads settings and checks the whole of them. What the text leaves out
 // gets its default. The error of a text that is not accepted is a
-// document.Faults.
+// document.Faults. A secret file is not read: Load does that.
 func Parse(text []byte) (*Settings, error) {
+	doc, err := document.Parse(text, MaxBytes)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	s := defaults()
-	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return nil, document.Faults{{Problem: err.Error()}}
+	if !doc.Decode(&s) {
+		return nil, doc.Err()
+	}
+	s.check(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
 	}
 	return &s, nil
 }
 
-// Load reads and checks the settings in a file. Errors name the file.
+// Load reads and checks the settings in a file, and reads the secret file if
+// they name one, so that Secret is set. Errors name the file.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -89,5 +101,24 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "settings %s", path)
 	}
+	if s.SecretFile != "" {
+		if err := s.loadSecret(); err != nil {
+			return nil, errors.Annotatef(err, "settings %s", path)
+		}
+	}
 	return s, nil
 }
+
+// loadSecret reads the secret file without the line end that editors add.
+func (s *Settings) loadSecret() error {
+	text, err := os.ReadFile(s.SecretFile) //nolint:gosec // the settings name the file, and who writes them runs the node
+	if err != nil {
+		return errors.Annotate(err, "reading secretfile")
+	}
+	secret := strings.TrimRight(string(text), "\r\n")
+	if problem, ok := weakSecret(secret); !ok {
+		return document.Faults{{Where: "secretfile " + s.SecretFile, Problem: problem, Allowed: secretAllowed()}}
+	}
+	s.Secret = secret
+	return nil
+}
