feat(edition): settle two edits of one version alike at every node

Cause: two operators who publish one version at once would split the fleet between two tables, for each node would keep the one it heard first. Change: the text with the higher digest wins at every node; the other stays known as the rival, for logs and the report. Ruled out: going by source or by time of arrival, which differ between nodes. Before, with the first one heard kept: TestFencesEndOnOneOfTwoEditsAtOnce and the property test fail (node one ends on aa, node two on bb). After: both pass. Conclusion: fences that saw the same set of editions end equal.

--- a/edition/edition.go
+++ b/edition/edition.go
@@ -1,5 +1,9 @@
-// Package edition decides which edition of the table is in force: the fence
-// that a node's configuration never falls behind.
+// Package edition decides which edition of the table is in force: the version
+// fence that a node's configuration never falls behind.
+//
+// Every node takes the same decision about the same set of editions, in
+// whatever order and however often it hears them, so that nodes need no
+// agreement to end on the same one.
 package edition
 
 // Source says where an edition was heard.
@@ -11,9 +15,12 @@
 	Peer     Source = "peer"
 )
 
-// Offer is one edition that was read whole and passed the table's check. A
-// version number that merely was heard must not be offered: one bad frame with
-// a huge version would freeze the configuration for good.
+// Offer is one edition that was read whole and passed the table's check.
+//
+// A version number that was merely heard must not be offered. One bad frame
+// with a huge version would then raise the fence above all that operators
+// publish, and the configuration would stand still for good, with no fault to
+// see but that edits have no effect.
 type Offer struct {
 	Version uint64
 	// Digest names the text; see table.Digest.
@@ -30,15 +37,19 @@
 	Accept Verdict = "accept"
 	// Same is what is in force already.
 	Same Verdict = "same"
-	// Older is below the version in force and stays out.
+	// Older is below the version in force and stays out. From the platform it
+	// means that a replica is stale, or that an operator published below the
+	// version in force; the way out is to publish above it.
 	Older Verdict = "older"
-	// Conflict has the version in force with another text, and stays out.
+	// Conflict has the version in force with another text and stays out: two
+	// operators edited at once, and the other text won.
 	Conflict Verdict = "conflict"
 )
 
-// Fence holds the edition in force. It never goes back to a lower version.
+// Fence holds the edition in force. Its version never goes back.
 type Fence struct {
 	current Offer
+	rival   Offer
 }
 
 // New returns a fence with no edition in force.
@@ -46,22 +57,47 @@
 	return &Fence{}
 }
 
-// Current returns the edition in force; its version is 0 before the first.
+// Current returns the edition in force. Its version is 0 before the first.
 func (f *Fence) Current() Offer {
 	return f.current
 }
 
+// Rival returns an edition that lost against the one in force although it has
+// the same version. While there is one, an operator's edit is not in force
+// anywhere and its author may not know: logs and the report must say so.
+func (f *Fence) Rival() (Offer, bool) {
+	return f.rival, f.rival.Version != 0
+}
+
 // Offer decides about one edition and puts it in force if it is to be.
+//
+// Of two texts with one version, the one with the higher digest wins. Which
+// operator that favours is chance, but it is the same one at every node. Going
+// by who was heard first would split the fleet for as long as the version
+// stands, with each half sure of its table.
 func (f *Fence) Offer(o Offer) Verdict {
 	switch {
+	case o.Version < f.current.Version || o.Version == 0:
+		return Older
 	case o.Version > f.current.Version:
-		f.current = o
+		f.current, f.rival = o, Offer{}
 		return Accept
-	case o.Version < f.current.Version:
-		return Older
 	case o.Digest == f.current.Digest:
 		return Same
-	default:
+	case o.Digest < f.current.Digest:
+		f.noteRival(o)
 		return Conflict
+	default:
+		f.noteRival(f.current)
+		f.current = o
+		return Accept
+	}
+}
+
+// noteRival keeps the highest loser, so that fences that saw the same editions
+// name the same rival.
+func (f *Fence) noteRival(o Offer) {
+	if o.Digest > f.rival.Digest || f.rival.Version == 0 {
+		f.rival = o
 	}
 }
--- /dev/null
+++ b/edition/edition_test.go
@@ -0,0 +1,99 @@
+package edition_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"fuchsiapick.example/fuchsiapick/edition"
+)
+
+func offer(version uint64, digest string) edition.Offer {
+	return edition.Offer{Version: version, Digest: digest, Source: edition.Platform}
+}
+
+func TestOfferVerdicts(t *testing.T) {
+	steps := []struct {
+		name  string
+		offer edition.Offer
+		want  edition.Verdict
+		force edition.Offer
+	}{
+		{"no version", offer(0, "a"), edition.Older, edition.Offer{}},
+		{"first", offer(3, "b"), edition.Accept, offer(3, "b")},
+		{"again", offer(3, "b"), edition.Same, offer(3, "b")},
+		{"below", offer(2, "z"), edition.Older, offer(3, "b")},
+		{"other text that loses", offer(3, "a"), edition.Conflict, offer(3, "b")},
+		{"other text that wins", offer(3, "c"), edition.Accept, offer(3, "c")},
+		{"the loser again", offer(3, "b"), edition.Conflict, offer(3, "c")},
+		{"above", offer(4, "a"), edition.Accept, offer(4, "a")},
+	}
+	f := edition.New()
+	for _, s := range steps {
+		if got := f.Offer(s.offer); got != s.want || f.Current() != s.force {
+			t.Errorf("%s: got %s with %v in force, want %s with %v", s.name, got, f.Current(), s.want, s.force)
+		}
+	}
+}
+
+// Two operators edit version 7 at once and both publish version 8. Half of the
+// callers would get one table and half the other, for hours. The cause: each
+// node keeps the text that it heard first. All must end on one, and say that
+// there was another.
+func TestFencesEndOnOneOfTwoEditsAtOnce(t *testing.T) {
+	a, b := offer(8, "aa"), offer(8, "bb")
+	first, second := edition.New(), edition.New()
+	first.Offer(a)
+	first.Offer(b)
+	second.Offer(b)
+	second.Offer(a)
+	for name, f := range map[string]*edition.Fence{"a first": first, "b first": second} {
+		if rival, ok := f.Rival(); f.Current() != b || !ok || rival != a {
+			t.Errorf("%s: got %v in force with rival %v, want %v with %v", name, f.Current(), rival, b, a)
+		}
+	}
+	first.Offer(offer(9, "a"))
+	if rival, ok := first.Rival(); ok {
+		t.Errorf("got rival %v after a newer version, want none", rival)
+	}
+}
+
+// A node hears editions from a stale replica, from peers and twice over. If
+// the order could decide, the fleet would end on two tables, or go back to a
+// weight that an operator has withdrawn.
+func TestFenceNeverRevertsAndOrderDecidesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) edition.Offer {
+			return offer(rapid.Uint64Range(0, 5).Draw(t, "version"), rapid.StringMatching(`[abc]`).Draw(t, "digest"))
+		})
+		set := rapid.SliceOfN(draw, 1, 20).Draw(t, "offers")
+		repeats := rapid.SliceOfN(rapid.SampledFrom(set), 0, 20).Draw(t, "repeats")
+		orders := rapid.Permutation(append(repeats, set...))
+		want := replay(t, set)
+		got := replay(t, orders.Draw(t, "order"))
+		if got.Current() != want.Current() {
+			t.Errorf("got %v in force, want %v", got.Current(), want.Current())
+		}
+		gotRival, _ := got.Rival()
+		wantRival, _ := want.Rival()
+		if gotRival != wantRival {
+			t.Errorf("got rival %v, want %v", gotRival, wantRival)
+		}
+	})
+}
+
+func replay(t *rapid.T, offers []edition.Offer) *edition.Fence {
+	f := edition.New()
+	for _, o := range offers {
+		before := f.Current()
+		verdict := f.Offer(o)
+		after := f.Current()
+		if after.Version < before.Version {
+			t.Errorf("got version %d after %d, want no return", after.Version, before.Version)
+		}
+		if accepted := verdict == edition.Accept; accepted != (after != before) || accepted && after != o {
+			t.Errorf("%v: got %s with %v after %v in force", o, verdict, after, before)
+		}
+	}
+	return f
+}
