feat(demo): show a deployment with a gray and a leaving upstream

Change: fleet on loopback, traffic, the report at the end; a reply states the load after its own slot is free, and a path to a node that said it leaves is no finding. Before: the report named 23 lost paths after a planned leave.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -3,7 +3,6 @@
 package cmd
 
 import (
-
 	"fmt"
 	"io"
 
@@ -26,6 +25,7 @@
 type arguments struct {
 	Node    *nodeCmd    `arg:"subcommand:node" help:"run a node beside its backend servers"`
 	Report  *reportCmd  `arg:"subcommand:report" help:"ask nodes and say who got what"`
+	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a deployment on loopback, with a gray upstream, and report"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
 
--- /dev/null
+++ b/demo/traffic.go
@@ -0,0 +1,106 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/fleet"
+)
+
+const (
+	// callers come at once, each on its own.
+	callers = 12
+	// pause between two requests of one caller.
+	pause = 4 * time.Millisecond
+	// writeShare is the share of requests that may not be repeated.
+	writeShare = 0.3
+	callerWait = 5 * time.Second
+)
+
+// traffic is callers at work.
+type traffic struct {
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+	once   sync.Once
+
+	mu       sync.Mutex
+	outcomes map[string]int
+}
+
+func startTraffic(ctx context.Context, f *fleet.Fleet) *traffic {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &traffic{cancel: cancel, outcomes: map[string]int{}}
+	for i := range callers {
+		c := &caller{
+			name:   fmt.Sprintf("caller-%d", i+1),
+			fleet:  f,
+			random: rand.New(rand.NewPCG(uint64(i), 1)),
+			client: &fasthttp.Client{},
+		}
+		t.group.Go(func() { c.run(ctx, t) })
+	}
+	return t
+}
+
+func (t *traffic) stop() {
+	t.once.Do(func() {
+		t.cancel()
+		t.group.Wait()
+	})
+}
+
+func (t *traffic) count(outcome string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes[outcome]++
+}
+
+func (t *traffic) summary() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("Callers heard: %d served, %d not run, %d unknown, %d without an answer.",
+		t.outcomes["served"], t.outcomes["not-run"], t.outcomes["unknown"], t.outcomes[""])
+}
+
+// caller sends one request after another through nodes at random.
+type caller struct {
+	name   string
+	fleet  *fleet.Fleet
+	random *rand.Rand
+	client *fasthttp.Client
+}
+
+func (c *caller) run(ctx context.Context, t *traffic) {
+	for sleep(ctx, pause) == nil {
+		m := c.fleet.Members[c.random.IntN(len(c.fleet.Members))]
+		select {
+		case <-m.Done(): // it has left
+		default:
+			t.count(c.send(m))
+		}
+	}
+}
+
+func (c *caller) send(m *fleet.Member) string {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	route := c.fleet.Table.Routes[c.random.IntN(len(c.fleet.Table.Routes))]
+	request.SetRequestURI("http://" + m.Caller + route.Prefix + "today")
+	request.Header.Set(entry.HeaderCaller, c.name)
+	request.SetConnectionClose()
+	if c.random.Float64() < writeShare {
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBodyString("entry")
+	}
+	if err := c.client.DoTimeout(request, response, callerWait); err != nil {
+		return ""
+	}
+	return string(response.Header.Peek(entry.HeaderOutcome))
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -77,10 +77,10 @@
 		result := resultOf(a, err, j.until-began < g.judge.OverdueAfter())
 		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller})
 	}
+	next := g.release(now) // first: the reply says how busy the upstream is now
 	reply := g.reply(now, j.dispatch)
 	describe(reply, a, err)
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
-	next := g.release(now)
 	g.mu.Unlock()
 	j.answer(reply)
 	if next != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -16,6 +16,8 @@
 type peer struct {
 	link  *link.Peer
 	token suture.ServiceToken
+	// leaving is what the node last said of itself.
+	leaving bool
 }
 
 // applyPeers makes and removes the peers that the table names.
@@ -94,6 +96,11 @@
 	for _, u := range b.Upstreams {
 		n.entry.Heard(u)
 	}
+	n.mu.Lock()
+	if p, ok := n.peers[node]; ok {
+		p.leaving = b.Leaving
+	}
+	n.mu.Unlock()
 	version := n.version()
 	if b.Version > version {
 		n.ask(node, version)
@@ -115,8 +122,18 @@
 }
 
 // PeerPath takes in whether a node can be reached from here.
+//
+// The path to a node that said it is leaving ends as announced: that is no
+// finding for a manager.
 func (n *Node) PeerPath(node string, state path.State) {
 	n.entry.Path(node, state == path.Lost)
+	n.mu.Lock()
+	p, ok := n.peers[node]
+	announced := ok && p.leaving
+	n.mu.Unlock()
+	if announced {
+		return
+	}
 	kind := account.PathBack
 	switch state {
 	case path.Lost:
