perf(wire): carry header fields as one block

Cause: the profile's largest allocator was the copying of header fields into strings, two for each at the gate, twice over the link. Change: one block of bytes a message. Ruled out: raw header bytes as received, which would carry fields of the connection.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"bytes"
 	"strconv"
-	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -17,8 +17,8 @@
 	ctx.Response.Header.DisableNormalizing()
 	ctx.SetStatusCode(f.status)
 	if f.reply != nil {
-		for _, h := range f.reply.Headers {
-			ctx.Response.Header.Add(h.Name, h.Value)
+		for name, value := range f.reply.Headers.All() {
+			ctx.Response.Header.AddBytesKV(name, value)
 		}
 		ctx.Response.SetBodyRaw(f.reply.Body)
 	} else {
@@ -55,22 +55,30 @@
 
 // headersOf copies the headers that go on to the upstream: those of the one
 // connection and our own stay behind.
-func headersOf(request *fasthttp.Request) []wire.Header {
-	headers := make([]wire.Header, 0, request.Header.Len())
+func headersOf(request *fasthttp.Request) wire.Headers {
+	headers := make(wire.Headers, 0, usualHeaders)
 	for name, value := range request.Header.All() {
-		if forwarded(string(name)) {
-			headers = append(headers, wire.Header{Name: string(name), Value: string(value)})
+		if forwarded(name) {
+			headers = headers.Add(name, value)
 		}
 	}
 	return headers
 }
 
-func forwarded(name string) bool {
-	switch strings.ToLower(name) {
-	case "host", "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer",
-		"proxy-connection", "expect":
+// usualHeaders is the room for the headers of a browser's request.
+const usualHeaders = 512
+
+// ownPrefix begins the names of our own headers.
+var ownPrefix = []byte("fuchsiapick-")
+
+func forwarded(name []byte) bool {
+	if len(name) >= len(ownPrefix) && bytes.EqualFold(name[:len(ownPrefix)], ownPrefix) {
 		return false
-	default:
-		return !strings.HasPrefix(strings.ToLower(name), "fuchsiapick-")
 	}
+	return !wire.OfConnection(name) && !bytes.EqualFold(name, hostHeader) && !bytes.EqualFold(name, expectHeader)
 }
+
+var (
+	hostHeader   = []byte("Host")
+	expectHeader = []byte("Expect")
+)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,6 +188,9 @@
 }
 
 func milliseconds(text []byte) (clock.Millis, bool) {
+	if len(text) == 0 {
+		return 0, false
+	}
 	n, err := strconv.ParseInt(string(text), 10, 32)
 	return clock.Millis(n), err == nil && n > 0
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -61,7 +61,7 @@
 	deadline   clock.Millis // an instant
 	repeatable bool
 
-	headers  []wire.Header
+	headers  wire.Headers
 	body     []byte
 	tried    []*member
 	attempts uint8
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,7 +42,7 @@
 	Caller   string
 	Method   string
 	URI      string
-	Headers  []wire.Header
+	Headers  wire.Headers
 	Body     []byte
 	Deadline clock.Millis
 }
@@ -51,7 +50,7 @@
 // Answer is a whole answer of the backend server.
 type Answer struct {
 	Status  int
-	Headers []wire.Header
+	Headers wire.Headers
 	Body    []byte
 	// Shed means that the backend server says it did not begin the request.
 	Shed bool
@@ -140,8 +139,8 @@
 	request.Header.DisableNormalizing()
 	request.Header.SetMethod(c.Method)
 	request.SetRequestURI(c.URI)
-	for _, header := range c.Headers {
-		request.Header.Add(header.Name, header.Value)
+	for name, value := range c.Headers.All() {
+		request.Header.AddBytesKV(name, value)
 	}
 	request.SetHost(h.client.Addr)
 	request.Header.Set(HeaderRequest, c.ID.String())
@@ -170,28 +169,25 @@
 	a := Answer{Status: response.StatusCode()}
 	a.Body = append(a.Body, response.Body()...)
 	for name, value := range response.Header.All() {
-		if !hopByHop(name) {
-			a.Headers = append(a.Headers, wire.Header{Name: string(name), Value: string(value)})
+		if !wire.OfConnection(name) {
+			a.Headers = a.Headers.Add(name, value)
 		}
 	}
-	after, err := strconv.ParseInt(string(response.Header.Peek(fasthttp.HeaderRetryAfter)), 10, 32)
-	if err == nil && after >= 0 {
-		a.RetryAfter = clock.Millis(after) * clock.Second
-	}
+	after, told := retryAfter(response.Header.Peek(fasthttp.HeaderRetryAfter))
+	a.RetryAfter = after
 	limited := a.Status == fasthttp.StatusTooManyRequests
 	unavailable := a.Status == fasthttp.StatusServiceUnavailable
 	a.Shed = (limited || unavailable) && string(response.Header.Peek(HeaderBackend)) == shed
-	a.Overloaded = a.Shed || limited || (unavailable && err == nil)
+	a.Overloaded = a.Shed || limited || (unavailable && told)
 	return a
 }
 
-// hopByHop reports headers that are about one connection only, and those that
-// the whole body's length replaces.
-func hopByHop(name []byte) bool {
-	switch strings.ToLower(string(name)) {
-	case "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer", "proxy-connection":
-		return true
-	default:
-		return false
+// retryAfter reads the header's form in seconds, the one that servers under
+// load use.
+func retryAfter(text []byte) (clock.Millis, bool) {
+	if len(text) == 0 {
+		return 0, false
 	}
+	seconds, err := strconv.ParseUint(string(text), 10, 16)
+	return clock.Millis(seconds) * clock.Second, err == nil
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -24,13 +24,6 @@
 	return string(buf)
 }
 
-// Header is one header field of a request or an answer.
-type Header struct {
-	_     struct{} `cbor:",toarray"`
-	Name  string
-	Value string
-}
-
 // Baseline is what is usual for a service: the median over its gates.
 type Baseline struct {
 	_      struct{} `cbor:",toarray"`
@@ -99,7 +92,7 @@
 	Caller     string
 	Method     string
 	URI        string
-	Headers    []Header
+	Headers    Headers
 	Body       []byte
 	Repeatable bool
 	// Forced asks the gate to serve in spite of its verdict, for the floor.
@@ -150,7 +143,7 @@
 	// RetryAfter is when to come back, for a request that was not run.
 	RetryAfter clock.Millis
 	Status     int
-	Headers    []Header
+	Headers    Headers
 	// Length is the whole body's, Body its beginning.
 	Length   int
 	Body     []byte
