--- a/burn/judge.go
+++ b/burn/judge.go
@@ -9,9 +9,9 @@
 	// leastAllowed stands for the allowed share of an objective of exactly 1,
 	// so that its burn is a large number in place of an infinite one.
 	leastAllowed = 1e-9
-	// leastBad is how many bad requests a window must hold before it can
+	// LeastBad is how many bad requests a window must hold before it can
 	// alert: on a quiet service two in a minute say little about a rate.
-	leastBad = 10
+	LeastBad = 10
 )
 
 // Severity says how soon an alert wants a person.
@@ -122,7 +122,8 @@
 	return float64(bad) / float64(total) / max(1-promised, leastAllowed)
 }
 
-func (r *Rate) of(kind Kind) (burn float64, bad uint64) {
+// Of returns the burn rate of one promise and the bad requests behind it.
+func (r *Rate) Of(kind Kind) (burn float64, bad uint64) {
 	if kind == Latency {
 		return r.Latency, r.Slow
 	}
@@ -136,9 +137,9 @@
 		if short == nil || long == nil {
 			continue
 		}
-		shortRate, _ := short.of(kind)
-		longRate, bad := long.of(kind)
-		if shortRate < r.rate || longRate < r.rate || bad < leastBad {
+		shortRate, _ := short.Of(kind)
+		longRate, bad := long.Of(kind)
+		if shortRate < r.rate || longRate < r.rate || bad < LeastBad {
 			continue
 		}
 		found = append(found, Alert{
--- a/cmd/reportcmd.go
+++ b/cmd/reportcmd.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,7 +18,8 @@
 const ExitPartial = 3
 
 type reportCmd struct {
-	Node     []string     `arg:"--node,required" placeholder:"ADDR" help:"admin addresses of the nodes to ask, IP number and port"`
+	Node     []string     `arg:"--node,separate" placeholder:"ADDR" help:"admin address of a node to ask, IP number and port; more may follow"`
+	More     []string     `arg:"positional" placeholder:"ADDR" help:"admin addresses of more nodes"`
 	Service  string       `arg:"--service" help:"only this service"`
 	Caller   string       `arg:"--caller" help:"only this caller"`
 	Upstream string       `arg:"--upstream" help:"only this upstream"`
@@ -35,7 +37,7 @@
 		return ExitUsage
 	}
 	results, err := report.Fetch(report.Query{
-		Nodes:   c.Node,
+		Nodes:   slices.Concat(c.Node, c.More),
 		Filter:  account.Filter{Service: c.Service, Caller: c.Caller, Upstream: c.Upstream, Since: c.Since},
 		Timeout: c.Timeout,
 	})
@@ -63,6 +65,8 @@
 // check returns an error for arguments that parse and make no sense.
 func (c *reportCmd) check() error {
 	switch {
+	case len(c.Node)+len(c.More) == 0:
+		return errors.New("no node is named; give --node and an admin address")
 	case c.Format != "text" && c.Format != "json" && c.Format != "html":
 		return errors.Errorf("--format %q is none of text, json and html", c.Format)
 	case c.Since < 0:
--- a/report/findings.go
+++ b/report/findings.go
@@ -17,8 +17,6 @@
 // findings says in sentences what a manager must know, the most pressing first.
 func findings(r *Report) []Finding {
 	f := &finder{report: r}
-	f.missing()
-	f.headline()
 	f.asides()
 	f.upstreams()
 	f.paths()
@@ -28,7 +26,10 @@
 	f.memory()
 	f.calm()
 	slices.SortStableFunc(f.found, func(a, b Finding) int { return rank(a.Level) - rank(b.Level) })
-	return f.found
+	first := &finder{report: r}
+	first.missing()
+	first.headline()
+	return append(first.found, f.found...)
 }
 
 func rank(l Level) int {
@@ -41,7 +42,7 @@
 }
 
 func (f *finder) say(level Level, parts ...string) {
-	f.found = append(f.found, Finding{Level: level, Text: strings.Join(parts, "")})
+	f.found = append(f.found, Finding{Level: level, Text: plain(strings.Join(parts, ""))})
 }
 
 // more stands for the findings beyond mostAlike.
@@ -74,7 +75,7 @@
 		number(r.Served) + " were served, " + number(r.NotRun) + " were refused and not run, and " +
 		number(r.Unknown) + " have an unknown outcome"
 	if f.report.Filter == (account.Filter{Limit: f.report.Filter.Limit}) {
-		text += "; " + number(r.Open) + " of " + number(r.Received) + " received are still open"
+		text += "; of " + number(r.Received) + " received, " + number(r.Open) + " still open"
 	}
 	f.say(Note, text, ".")
 }
@@ -112,8 +113,7 @@
 		text := a.Upstream + " was set aside " + ago(a.Age) + " by its gate: " +
 			evidenceWords(a.Evidence, a.Reason) + "; " + asideNow(a)
 		if len(a.Kept) > 0 {
-			text += " Meanwhile " + list(a.Kept) + " went on using it, since the floor of " +
-				a.Service + " left no choice."
+			text += " All the same " + list(a.Kept) + " used it, since the floor of " + a.Service + " left no choice."
 		}
 		level := Bad
 		if !a.Lasts() {
@@ -238,7 +238,7 @@
 	text := b.Service + " spends its " + string(a.Kind) + " budget " + times(a.Rate) +
 		" as fast as the objective allows, over the last " + span(a.Long)
 	if a.Partial {
-		text += " as far as the nodes' lives cover it"
+		text += ", of which the nodes cover " + span(b.covered(a.Long))
 	}
 	if causes := mainCauses(b, a.Kind, a.Long); causes != "" {
 		text += "; most of it by " + causes
@@ -246,6 +246,16 @@
 	return text + "."
 }
 
+// covered returns the part of a window that the longest-lived node counted.
+func (b *Burn) covered(long clock.Millis) clock.Millis {
+	for _, r := range b.Rates {
+		if r.Span == long {
+			return r.Covered
+		}
+	}
+	return 0
+}
+
 // mainCauses names the two largest causes within a window.
 func mainCauses(b *Burn, kind burn.Kind, long clock.Millis) string {
 	var names []string
@@ -294,6 +304,6 @@
 	}
 	if n := f.report.Requests.Unknown; n > 0 {
 		f.say(Watch, plural(n, "request has", "requests have"),
-			" an unknown outcome: an upstream may have run it. None was sent again; the table of unserved requests names the latest.")
+			" an unknown outcome: an upstream may have run it, and its caller was told so. The table of unserved requests names the latest.")
 	}
 }
--- /dev/null
+++ b/report/fixture_test.go
@@ -0,0 +1,148 @@
+package report_test
+
+import (
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/report"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// Link addresses of the fixture's nodes; messina's doesn't answer.
+const (
+	palermo = "10.1.0.1:7301"
+	catania = "10.2.0.1:7301"
+	messina = "10.3.0.1:7301"
+)
+
+// evil is a caller's name that a terminal or a browser must not obey.
+const evil = "\x1b[31m<script>alert(1)</script>"
+
+var services = []table.Service{
+	{Name: "bacheca", Objective: table.Objective{Availability: 0.999, Latency: 250, Within: 0.99}},
+	{Name: "conferme", Objective: table.Objective{Availability: 0.9995, Latency: 400, Within: 0.95}},
+}
+
+// node drives a book through its life.
+type node struct {
+	*account.Book
+
+	now clock.Millis
+	seq int
+}
+
+func (n *node) close(count int, r account.Record) {
+	for range count {
+		n.now += clock.Second
+		n.seq++
+		n.Received()
+		r.ID = fmt.Sprintf("%s-%04d", r.Caller[:1], n.seq)
+		r.Started = n.now - r.Took
+		n.Close(n.now, r)
+	}
+}
+
+func served(caller, service, upstream string, took clock.Millis) account.Record {
+	return account.Record{
+		Caller: caller, Service: service, Upstream: upstream, Route: "/" + service, Domain: "palermo",
+		Method: "GET", Outcome: account.Served, Attempts: 1, Status: 200, Took: took,
+	}
+}
+
+func refused(caller, service, upstream, reason string, outcome account.Outcome) account.Record {
+	return account.Record{
+		Caller: caller, Service: service, Upstream: upstream, Route: "/" + service, Domain: "catania",
+		Method: "POST", Outcome: outcome, Reason: reason, Attempts: 2, Status: 503, Took: 180,
+	}
+}
+
+func upstream(service string, i int, link, domain, state string) account.UpstreamState {
+	return account.UpstreamState{
+		Service: service, Name: fmt.Sprintf("%s-%d", service, i), Domain: domain, Node: link,
+		State: state, Weight: 10, Slots: 3, InFlight: i % 3,
+	}
+}
+
+// view is how both nodes see the upstreams; palermo can't reach messina.
+func view(lost bool, worse string) []account.UpstreamState {
+	there := account.StateInUse
+	if lost {
+		there = account.StateUnreachable
+	}
+	off := upstream("conferme", 3, palermo, "palermo", account.StateOff)
+	off.Weight = 0
+	return []account.UpstreamState{
+		upstream("bacheca", 1, palermo, "palermo", account.StateInUse),
+		upstream("bacheca", 2, messina, "messina", there),
+		upstream("bacheca", 3, palermo, "palermo", account.StateLeaving),
+		upstream("bacheca", 4, catania, "catania", worse),
+		upstream("conferme", 1, messina, "messina", there),
+		upstream("conferme", 2, catania, "catania", account.StateInUse),
+		off,
+	}
+}
+
+func palermoNode() account.Snapshot {
+	n := &node{Book: account.New(account.Config{Records: 200, Callers: 5})}
+	n.SetServices(services)
+	n.Note(account.Event{At: 2 * clock.Second, Kind: account.TableAccepted, Reason: "version 7"})
+	n.close(9000, served("clinica-etna", "bacheca", "bacheca-1", 40))
+	n.close(400, served("hotel-aretusa", "conferme", "conferme-2", 90))
+	n.close(60, served("hotel-aretusa", "bacheca", "bacheca-4", 700))
+	n.Note(account.Event{At: n.now, Kind: account.PathLost, Node: messina, Reason: "unreachable"})
+	n.close(25, refused("ufficio-noto", "bacheca", "", account.ReasonCallerLimit, account.NotRun))
+	n.close(12, refused("hotel-aretusa", "bacheca", "bacheca-4", "set-aside", account.NotRun))
+	n.close(2, refused("clinica-etna", "conferme", "conferme-1", "timeout", account.Unknown))
+	n.Note(account.Event{
+		At: n.now, Kind: account.KeptUnderFloor, Service: "bacheca", Upstream: "bacheca-4", Node: catania, Reason: "floor",
+	})
+	n.close(300, served("clinica-etna", "bacheca", "bacheca-2", 35))
+	n.Note(account.Event{At: n.now, Kind: account.TableOlder, Reason: "version 5, below 7"})
+	n.Received()
+	s := n.Snapshot(n.now, account.Filter{})
+	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "palermo-1", palermo, "palermo", 7, view(true, account.StateKept)
+	return s
+}
+
+func cataniaNode() account.Snapshot {
+	n := &node{Book: account.New(account.Config{Start: clock.Hour}), now: clock.Hour}
+	n.SetServices(services)
+	n.close(300, served("clinica-etna", "conferme", "conferme-2", 80))
+	aside := account.Event{
+		At: n.now, Kind: account.SetAside, Service: "conferme", Upstream: "conferme-2", Node: catania,
+		Until: n.now + 60*clock.Second, Reason: "its requests are slower than the service's",
+		Evidence: account.Evidence{Outcomes: 55, Slow: 21, Overdue: 2, Score: 9.4, Threshold: 9.2, BaselineLatency: 85},
+	}
+	n.Note(aside)
+	for _, kind := range []account.EventKind{account.Trial, account.Ramp, account.Back} {
+		n.close(60, served("scuola-gela", "conferme", "conferme-1", 70))
+		n.Note(account.Event{At: n.now, Kind: kind, Service: "conferme", Upstream: "conferme-2", Node: catania})
+	}
+	aside.Service, aside.Upstream, aside.Reason = "bacheca", "bacheca-4", "its share of failures is above the service's"
+	aside.Evidence = account.Evidence{Outcomes: 40, Failed: 12, Score: 9.8, Threshold: 9.2, BaselineFailed: 0.004}
+	aside.At, aside.Until = n.now, n.now+30*clock.Second
+	n.Note(aside)
+	n.close(30, served("scuola-gela", "bacheca", "bacheca-1", 50))
+	n.Note(account.Event{At: n.now, Kind: account.Trial, Service: "bacheca", Upstream: "bacheca-4", Node: catania})
+	aside.At, aside.Until = n.now+2*clock.Second, n.now+500*clock.Second
+	n.Note(aside)
+	n.close(3, refused(evil, "bacheca", "bacheca-4", "torn-answer", account.Unknown))
+	n.close(400, served("scuola-gela", "bacheca", "bacheca-1", 45))
+	n.Note(account.Event{At: n.now - 20*clock.Second, Kind: account.PlatformLost, Reason: "timeout"})
+	s := n.Snapshot(n.now, account.Filter{})
+	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "catania-1", catania, "catania", 6, view(false, account.StateSetAside)
+	return s
+}
+
+// results is what two nodes answered and a third did not.
+func results() []report.NodeResult {
+	here, there := palermoNode(), cataniaNode()
+	return []report.NodeResult{
+		{Address: "10.1.0.1:7302", Snapshot: &here},
+		{Address: "10.2.0.1:7302", Snapshot: &there},
+		{Address: "10.3.0.1:7302", Err: fasthttp.ErrTimeout},
+	}
+}
--- a/report/fleet.go
+++ b/report/fleet.go
@@ -71,7 +71,7 @@
 			}
 			told[string(e.Kind)+e.Reason] = true
 			if e.Kind == account.TableOlder {
-				f.say(Watch, "The platform offers an older table than the one in force (", e.Reason,
+				f.say(Watch, "The platform offers ", e.By, " an older table than the one in force (", e.Reason,
 					"). It is not taken; publish a higher version to move on.")
 				continue
 			}
@@ -121,7 +121,7 @@
 // calm says so if nothing needs a person, which an empty list would leave open.
 func (f *finder) calm() {
 	pressing := slices.ContainsFunc(f.found, func(x Finding) bool { return x.Level != Note })
-	if !pressing && f.report.Answered() > 0 {
+	if !pressing && !f.report.Partial && f.report.Answered() > 0 {
 		f.say(Note, "Nothing needs attention: all nodes answered, no upstream was set aside, no path is lost, no budget burns.")
 	}
 }
--- a/report/history.go
+++ b/report/history.go
@@ -68,10 +68,7 @@
 
 // relapse ends the episode where the next one begins.
 func (a *Aside) relapse(e Event) {
-	a.State, a.Left = StateRelapsed, 0
-	if a.Trial == none {
-		a.Trial = e.Age
-	}
+	a.State, a.Left, a.Back = StateRelapsed, 0, e.Age
 }
 
 // Lasts tells whether the upstream is not in full use yet.
@@ -86,8 +83,6 @@
 		return a.Age - a.Ramp
 	case a.Back != none:
 		return a.Age - a.Back
-	case a.State == StateRelapsed:
-		return a.Age - a.Trial
 	default:
 		return a.Age
 	}
--- a/report/plot.go
+++ b/report/plot.go
@@ -44,7 +44,7 @@
 // Measures of the drawings.
 const (
 	plotWidth  = 760
-	plotLeft   = 150
+	plotLeft   = 190
 	rowHeight  = 26
 	barHeight  = 16
 	textShift  = 12
@@ -71,7 +71,7 @@
 // outcomePlot draws a bar for each service, cut by outcome. An outcome that
 // occurred is never thinner than a line, so that three of a million show.
 func (r *Report) outcomePlot() plot {
-	const width, right = 330, plotLeft + 330 + 10
+	const width, right = 290, plotLeft + 290 + 10
 	p := plot{
 		Title: "How requests ended, by service",
 		Note:  "Each bar is all of a service's finished requests. Thin slices are drawn wider than they are, so that they can be seen.",
@@ -163,9 +163,6 @@
 func (a *Aside) phases() []phase {
 	steps := []phase{{from: a.Age, class: "out"}, {from: a.Trial, class: "trial"}, {from: a.Ramp, class: "ramp"}}
 	end := max(a.Back, 0)
-	if a.State == StateRelapsed {
-		steps, end = steps[:1], a.Trial
-	}
 	var found []phase
 	for _, s := range steps {
 		if s.from == none {
@@ -205,15 +202,16 @@
 	}
 }
 
-// burnPlot draws the share of bad requests in each slice of the shortest
-// window that covers the nodes' lives.
+// burnPlot draws the share of bad requests in each slice of a window: the
+// longest of up to six hours that the nodes' lives cover, or the shortest.
 func burnPlot(b Burn) plot {
 	const height, top, slices = 90, 14, 13
-	at := 0
-	for at < len(b.Rates)-1 && b.Rates[at].Covered >= b.Rates[at].Span {
-		at++
+	rate := b.Rates[0]
+	for _, r := range b.Rates {
+		if r.Covered >= r.Span && r.Span <= 6*clock.Hour {
+			rate = r
+		}
 	}
-	rate := b.Rates[at]
 	p := plot{
 		Title:  "Bad requests of " + b.Service + ", last " + span(rate.Span),
 		Note:   "Share of the requests in each " + span(rate.Span/12) + ". Grey: no requests.",
--- a/report/report.go
+++ b/report/report.go
@@ -121,7 +121,7 @@
 	account.UpstreamState
 	Outcomes
 
-	// Mean is the mean span of its requests.
+	// Mean is the mean span of the requests it served.
 	Mean clock.Millis `json:"mean"`
 	// Gate means that the state is from the upstream's own gate.
 	Gate bool `json:"gate"`
@@ -165,7 +165,8 @@
 	State string `json:"state"`
 	// Out is how long it had no work, trials not counted.
 	Out clock.Millis `json:"out"`
-	// Trial, Ramp and Back are ages; each is -1 if it did not come to that.
+	// Trial, Ramp and Back are ages; each is -1 if it did not come to that. Of
+	// a relapsed one, Back is when it was set aside again.
 	Trial clock.Millis `json:"trial"`
 	Ramp  clock.Millis `json:"ramp"`
 	Back  clock.Millis `json:"back"`
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -9,13 +9,19 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
-// mostRows bounds the rows of a table for people; JSON has all.
-const mostRows = 40
+// Bounds on the rows of a table for people; JSON has all.
+const (
+	mostRows = 40
+	// mostLatest is for tables of single requests and events.
+	mostLatest = 20
+)
 
-// column is a heading; numbers are set to the right.
+// column is a heading. Numbers are set to the right; only long texts are
+// broken into lines.
 type column struct {
 	Name   string
 	Number bool
+	Long   bool
 }
 
 // sheet is one table for people, the same in text and in HTML.
@@ -33,26 +39,34 @@
 
 func words(name string) column { return column{Name: name} }
 
+func phrase(name string) column { return column{Name: name, Long: true} }
+
 func count(name string) column { return column{Name: name, Number: true} }
 
-// cut bounds the rows shown.
-func (s sheet) cut() sheet {
-	if over := len(s.Rows) - mostRows; over > 0 {
-		s.Rows, s.Left = s.Rows[:mostRows], over
+// cut bounds the rows shown, and takes control characters out of them.
+func (s sheet) cut(most int) sheet {
+	if over := len(s.Rows) - most; over > 0 {
+		s.Rows, s.Left = s.Rows[:most], over
+	}
+	for _, row := range s.Rows {
+		for i := range row {
+			row[i] = plain(row[i])
+		}
 	}
 	return s
 }
 
 // sheets returns the report's tables in the order that people read them.
 func (r *Report) sheets() []sheet {
-	all := []sheet{
-		r.upstreamSheet(), r.totalSheet(), r.refusalSheet(), r.asideSheet(), r.pathSheet(),
-		r.burnSheet(), r.causeSheet(), r.unservedSheet(), r.eventSheet(), r.nodeSheet(),
+	if r.Answered() == 0 {
+		return []sheet{r.nodeSheet().cut(mostRows)}
 	}
-	for i := range all {
-		all[i] = all[i].cut()
+	return []sheet{
+		r.upstreamSheet().cut(mostRows), r.totalSheet().cut(mostRows), r.refusalSheet().cut(mostRows),
+		r.asideSheet().cut(mostRows), r.pathSheet().cut(mostRows), r.burnSheet().cut(mostRows),
+		r.causeSheet().cut(mostRows), r.unservedSheet().cut(mostLatest), r.eventSheet().cut(mostLatest),
+		r.nodeSheet().cut(mostRows),
 	}
-	return all
 }
 
 func (r *Report) upstreamSheet() sheet {
@@ -61,8 +75,8 @@
 		Note: "Set aside means sick by its own gate's evidence. Unreachable is about a path, " +
 			"leaving and off are planned, over its limit is busy.",
 		Columns: []column{
-			words("service"), words("upstream"), words("domain"), words("state"), count("weight"), count("slots"),
-			count("busy"), count("served"), count("not run"), count("unknown"), count("mean time"),
+			words("service"), words("upstream"), words("domain"), phrase("state"), count("weight"), count("slots"),
+			count("busy"), count("served"), count("not run"), count("unknown"), count("mean time served"),
 		},
 		Empty: "No upstream is known to the nodes that answered.",
 	}
@@ -76,7 +90,7 @@
 }
 
 func meanWords(u Upstream) string {
-	if u.Sum() == 0 {
+	if u.Served == 0 {
 		return "-"
 	}
 	return span(u.Mean)
@@ -106,7 +120,7 @@
 		Note: "Every finished request, by caller, service, upstream and outcome. A caller's number may " +
 			"miss requests that a node counted under (other); \"may miss\" says how many at most.",
 		Columns: []column{
-			words("caller"), words("service"), words("upstream"), words("outcome"), words("reason"),
+			phrase("caller"), words("service"), words("upstream"), words("outcome"), phrase("reason"),
 			count("requests"), count("mean time"), count("may miss"),
 		},
 		Empty: "No request is on account.",
@@ -141,7 +155,7 @@
 		Title: "Refused or unknown, by reason",
 		Note:  "Not run means that no upstream began it. Unknown means that one may have.",
 		Columns: []column{
-			words("service"), words("outcome"), words("reason"), count("requests"), words("answers for it"),
+			words("service"), words("outcome"), phrase("reason"), count("requests"), words("answers for it"),
 		},
 		Empty: "No request was refused or has an unknown outcome.",
 	}
@@ -162,8 +176,8 @@
 		Title: "Set aside",
 		Note:  "Each time that a gate set its upstream aside, with what it had seen. The score sets an upstream aside at its limit.",
 		Columns: []column{
-			words("service"), words("upstream"), words("by gate"), words("when"), words("evidence"),
-			count("score/limit"), count("out for"), words("now"), words("kept in use by"),
+			words("service"), words("upstream"), words("by gate"), words("when"), phrase("evidence"),
+			count("score/limit"), count("out for"), phrase("now"), phrase("kept in use by"),
 		},
 		Empty: "No upstream was set aside in the time that the nodes remember.",
 	}
@@ -188,7 +202,7 @@
 	s := sheet{
 		Title:   "Paths lost between nodes",
 		Note:    "A lost path says nothing about the health of the upstreams at its other end.",
-		Columns: []column{words("from"), words("to"), words("lost"), words("for"), words("now")},
+		Columns: []column{words("from"), words("to"), words("lost"), words("for"), phrase("now")},
 		Empty:   "No path was lost in the time that the nodes remember.",
 	}
 	for _, p := range r.Paths {
@@ -205,7 +219,8 @@
 	s := sheet{
 		Title: "Burn of objectives",
 		Note: "At 1.0x the budget of bad requests lasts exactly as long as the objective's period. Requests that fail " +
-			"by a caller's own limit or fault don't count. Nothing is older than the nodes: \"covered\" is what a window spans.",
+			"by a caller's own limit or fault don't count. Nothing is older than the nodes: \"covered\" is what a window spans. " +
+			"A rate with * is of fewer than ten bad requests, too few to alert.",
 		Columns: []column{
 			words("service"), words("objective"), count("last 5m"), count("1h"), count("6h"), count("3d"),
 			count("bad"), count("allowed"), count("budget left"), words("covered"), words("alert"),
@@ -217,7 +232,7 @@
 			row := make([]string, 0, len(s.Columns))
 			row = append(row, b.Service, objectiveWords(b.Objective, left.Kind))
 			for _, rate := range b.Rates {
-				row = append(row, times(rateOf(rate, left.Kind)))
+				row = append(row, rateWords(rate, left.Kind))
 			}
 			row = append(row, number(left.Spent), decimal(left.Allowed), share(left.Left),
 				coveredWords(b.Rates), alertWords(b.Alerts, left.Kind))
@@ -227,11 +242,13 @@
 	return s
 }
 
-func rateOf(r burn.Rate, kind burn.Kind) float64 {
-	if kind == burn.Latency {
-		return r.Latency
+// rateWords marks a rate above 1 that too few bad requests make.
+func rateWords(r burn.Rate, kind burn.Kind) string {
+	rate, bad := r.Of(kind)
+	if rate > 1 && bad < burn.LeastBad {
+		return times(rate) + "*"
 	}
-	return r.Availability
+	return times(rate)
 }
 
 func objectiveWords(o account.Objective, kind burn.Kind) string {
@@ -268,7 +285,7 @@
 	s := sheet{
 		Title:   "What spent the budgets",
 		Note:    "Over the longest window, the largest first.",
-		Columns: []column{words("service"), words("objective"), words("upstream"), words("reason"), count("requests")},
+		Columns: []column{words("service"), words("objective"), words("upstream"), phrase("reason"), count("requests")},
 		Empty:   "No budget was spent.",
 	}
 	for _, b := range r.Burn {
@@ -289,8 +306,8 @@
 		Title: "Latest requests that were not served",
 		Note:  "The id finds the request in the logs of its entry and its gate.",
 		Columns: []column{
-			words("when"), words("caller"), words("method"), words("route"), words("upstream"), words("outcome"),
-			words("reason"), count("tries"), count("took"), words("entry"), words("id"),
+			words("when"), phrase("caller"), words("method"), phrase("route"), words("upstream"), words("outcome"),
+			phrase("reason"), count("tries"), count("took"), words("entry"), words("id"),
 		},
 		Empty: "None is on record.",
 	}
@@ -306,7 +323,7 @@
 func (r *Report) eventSheet() sheet {
 	s := sheet{
 		Title:   "What the nodes noted",
-		Columns: []column{words("when"), words("by"), words("what"), words("upstream or node"), words("reason")},
+		Columns: []column{words("when"), words("by"), words("what"), words("upstream or node"), phrase("reason")},
 		Empty:   "Nothing is on record.",
 	}
 	for _, e := range r.Events {
@@ -322,7 +339,7 @@
 		Title: "Nodes asked",
 		Note:  "A node keeps a bounded number of single records; totals go on counting what was overwritten.",
 		Columns: []column{
-			words("admin address"), words("node"), words("domain"), words("answer"), words("table"),
+			words("admin address"), words("node"), words("domain"), phrase("answer"), words("table"),
 			count("up for"), count("totals reach"), count("open"), count("records overwritten"),
 		},
 	}
--- a/report/text.go
+++ b/report/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 	"strings"
@@ -50,7 +51,7 @@
 }
 
 func (p *printer) line(parts ...string) {
-	_, _ = p.out.WriteString(plain(strings.Join(parts, "")) + "\n")
+	_, _ = p.out.WriteString(strings.Join(parts, "") + "\n")
 }
 
 func (p *printer) sheet(s sheet) {
@@ -63,7 +64,8 @@
 	if s.Note != "" {
 		p.line("  ", s.Note)
 	}
-	table := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	var grid bytes.Buffer
+	table := tabwriter.NewWriter(&grid, 0, 0, 2, ' ', 0)
 	widths := s.widths()
 	head := make([]string, len(s.Columns))
 	for i, c := range s.Columns {
@@ -76,14 +78,15 @@
 			if s.Columns[i].Number {
 				text.WriteString(strings.Repeat(" ", widths[i]-utf8.RuneCountInString(c)))
 			}
-			text.WriteString(plain(c))
-			if i < len(row)-1 {
-				text.WriteByte('\t')
-			}
+			text.WriteString(c)
+			text.WriteByte('\t')
 		}
-		_, _ = io.WriteString(table, strings.TrimRight(text.String(), " ")+"\n")
+		_, _ = io.WriteString(table, text.String()+"\n")
 	}
 	_ = table.Flush()
+	for row := range strings.Lines(grid.String()) {
+		p.line(strings.TrimRight(row, " \n"))
+	}
 	if s.Left > 0 {
 		p.line("  and ", plural(s.Left, "more row", "more rows"), "; --format json has all.")
 	}
@@ -101,14 +104,3 @@
 	}
 	return widths
 }
-
-// plain drops control characters: callers choose some texts, and a terminal
-// obeys escape sequences in them.
-func plain(text string) string {
-	return strings.Map(func(r rune) rune {
-		if r < ' ' || r >= 0x7f && r < 0xa0 {
-			return -1
-		}
-		return r
-	}, text)
-}
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -54,12 +54,14 @@
 		}
 		u := at(t.Service, t.Upstream)
 		u.add(t.Outcome, t.Count)
-		u.took += t.Took
+		if t.Outcome == account.Served {
+			u.took += t.Took
+		}
 	}
 	for _, u := range sums {
 		u.Node = m.nameOf(u.Node)
-		if n := u.Sum(); n > 0 {
-			u.Mean = u.took / clock.Millis(n)
+		if u.Served > 0 {
+			u.Mean = u.took / clock.Millis(u.Served)
 		}
 		m.report.Upstreams = append(m.report.Upstreams, u.Upstream)
 	}
--- a/report/words.go
+++ b/report/words.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"github.com/dustin/go-humanize"
 
@@ -143,6 +145,9 @@
 }
 
 func ago(d clock.Millis) string {
+	if d < clock.Second {
+		return "just now"
+	}
 	return span(d) + " ago"
 }
 
@@ -163,10 +168,11 @@
 // share writes a share of 1 in percent with two digits that count.
 func share(x float64) string {
 	percent := 100 * x
+	size := math.Abs(percent)
 	switch {
-	case percent == 0 || percent >= 10:
+	case size == 0 || size >= 10:
 		return strconv.FormatFloat(percent, 'f', 0, 64) + "%"
-	case percent >= 1:
+	case size >= 1:
 		return strconv.FormatFloat(percent, 'f', 1, 64) + "%"
 	default:
 		return strconv.FormatFloat(percent, 'g', 2, 64) + "%"
@@ -226,3 +232,14 @@
 	}
 	return list(parts)
 }
+
+// plain drops control characters: callers choose some texts, and a terminal
+// obeys escape sequences in them.
+func plain(text string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return -1
+		}
+		return r
+	}, text)
+}
