--- /dev/null
+++ b/cmd/reportcmd_test.go
@@ -0,0 +1,69 @@
+package cmd_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/cmd"
+)
+
+// Scripts act on exit codes: a report that lacks a node must not look whole.
+func TestReportExitCodes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(account.New(account.Config{}).Snapshot(0, account.Filter{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBody(body) }}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	up, down := l.Addr().String(), "127.0.0.1:1"
+	file := filepath.Join(t.TempDir(), "report.html")
+	tests := []struct {
+		name string
+		args []string
+		code int
+		out  string
+		err  string
+	}{
+		{"whole", []string{"--node", up}, cmd.ExitOK, "Nothing needs attention", ""},
+		{"json", []string{"--node", up, "--format", "json"}, cmd.ExitOK, `"format": 1`, ""},
+		{"file", []string{"--node", up, "--format", "html", "--output", file}, cmd.ExitOK, "", ""},
+		{"bad file", []string{"--node", up, "--output", t.TempDir()}, cmd.ExitFault, "", "creating the report's file"},
+		{"partial", []string{"--node", up, "--node", down}, cmd.ExitPartial, "PARTIAL", ""},
+		{"partial, in a row", []string{"--node", up, down}, cmd.ExitPartial, "PARTIAL", ""},
+		{"none", []string{"--node", down}, cmd.ExitFault, "PARTIAL", "no node answered"},
+		{"no address", nil, cmd.ExitUsage, "", "no node is named"},
+		{"a name", []string{"--node", "foo"}, cmd.ExitUsage, "", `node "foo": not an IP number and port`},
+		{"format", []string{"--node", up, "--format", "pdf"}, cmd.ExitUsage, "", `--format "pdf"`},
+		{"since", []string{"--node", up, "--since", "5"}, cmd.ExitUsage, "", "not a span of time"},
+		{"timeout", []string{"--node", up, "--timeout", "0s"}, cmd.ExitUsage, "", "--timeout"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out, fault bytes.Buffer
+			code := cmd.Main(append([]string{"report"}, tt.args...), &out, &fault)
+			if code != tt.code || !strings.Contains(out.String(), tt.out) || !strings.Contains(fault.String(), tt.err) {
+				t.Errorf("got %d, %q, %q; want %d, %q, %q", code, out.String(), fault.String(), tt.code, tt.out, tt.err)
+			}
+			if got := strings.Count(fault.String(), "\n"); tt.err != "" && got != 1 {
+				t.Errorf("got %d lines %q, want one", got, fault.String())
+			}
+		})
+	}
+	page, err := os.ReadFile(file)
+	if err != nil || !bytes.HasPrefix(page, []byte("<!DOCTYPE html>")) {
+		t.Errorf("got %d bytes, %v; want a page", len(page), err)
+	}
+}
--- /dev/null
+++ b/report/fetch_test.go
@@ -0,0 +1,91 @@
+package report_test
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/report"
+)
+
+// listen returns a listener on a port of its own, closed with the test.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// serve answers with the status and the body on a port of its own, and sends
+// the query of each request to asked.
+func serve(t *testing.T, status int, body []byte, asked chan<- string) string {
+	t.Helper()
+	l := listen(t)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if asked != nil {
+			asked <- string(ctx.Path()) + "?" + string(ctx.QueryArgs().QueryString())
+		}
+		ctx.SetStatusCode(status)
+		ctx.SetBody(body)
+	}}
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// A manager's total is silently short: of five nodes one answers, and the
+// others hang, are gone, refuse, or speak another format. Each must be named
+// with its own fault, and none may hold up the report beyond its deadline.
+func TestFetchNamesNodesThatDoNotAnswer(t *testing.T) {
+	body, err := json.Marshal(palermoNode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan string, 1)
+	gone := listen(t)
+	_ = gone.Close()
+	q := report.Query{
+		Nodes: []string{
+			serve(t, 200, body, asked), listen(t).Addr().String(), gone.Addr().String(),
+			serve(t, 404, nil, nil), serve(t, 200, []byte(`{"format":2}`), nil), serve(t, 200, []byte("<html>"), nil),
+		},
+		Filter: account.Filter{Service: "bacheca", Since: 10 * clock.Minute},
+		// The hanging node takes all of this, the others a millisecond.
+		Timeout: 500,
+	}
+	q.Nodes = append(q.Nodes, q.Nodes[0])
+	results, err := report.Fetch(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-asked, "/report?limit=400&service=bacheca&since=10m0s"; got != want {
+		t.Errorf("got request %q, want %q", got, want)
+	}
+	r := report.Merge(results)
+	for i, want := range []string{
+		"", "did not answer in time", "refused the connection", "status 404", "format 2", "can't be read",
+	} {
+		if got := r.Nodes[i].Fault; !strings.Contains(got, want) || (want == "") != (got == "") {
+			t.Errorf("got fault %q of node %d, want %q", got, i, want)
+		}
+	}
+	if !r.Partial || len(r.Nodes) != 6 || !strings.HasPrefix(r.Findings[0].Text, "5 of 6 nodes gave no account") {
+		t.Errorf("got partial %v, %d nodes, first finding %q; want 5 of 6 named", r.Partial, len(r.Nodes), r.Findings[0].Text)
+	}
+}
+
+func TestFetchRefusesNames(t *testing.T) {
+	for _, address := range []string{"node-1:7302", "127.0.0.1", "", "127.0.0.1:x"} {
+		if _, err := report.Fetch(report.Query{Nodes: []string{address}}); !errors.Is(err, report.ErrAddress) {
+			t.Errorf("got error %v for %q, want ErrAddress", err, address)
+		}
+	}
+}
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -37,6 +37,9 @@
 	Left int
 }
 
+// Short tells whether the table should stay on one printed page.
+func (s sheet) Short() bool { return len(s.Rows) <= mostLatest }
+
 func words(name string) column { return column{Name: name} }
 
 func phrase(name string) column { return column{Name: name, Long: true} }
