feat(cmd): add check, with what an edition changes

Cause: operators need to know before they publish whether nodes will take a table, and what it changes of the one in force. Errors of very many faults are cut at 100 lines. The property test of the fence now draws the source of an offer too.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -17,6 +17,7 @@
 )
 
 type arguments struct {
+	Check   *checkCmd   `arg:"subcommand:check" help:"check tables and settings"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
 
@@ -33,6 +34,8 @@
 		return ExitUsage
 	}
 	switch {
+	case parsed.Check != nil:
+		return parsed.Check.run(stdout, stderr)
 	case parsed.Version != nil:
 		return parsed.Version.run(stdout)
 	default:
--- a/document/fault.go
+++ b/document/fault.go
@@ -43,12 +43,22 @@
 // Faults lists all that is wrong with one text. As an error it is ErrInvalid.
 type Faults []Fault //nolint:errname // a list of faults is data first, and an error where one is returned
 
-// Error writes one line for each fault.
+// mostLines keeps a text that is wrong in each of its lines, such as one of
+// another kind, from filling the log of every node. All faults are still in
+// the list.
+const mostLines = 100
+
+// Error writes one line for each fault. Of very many it writes the first, and
+// how many more there are.
 func (fs Faults) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
+	shown := fs[:min(len(fs), mostLines)]
+	lines := make([]string, len(shown), len(shown)+1)
+	for i, f := range shown {
 		lines[i] = f.String()
 	}
+	if more := len(fs) - len(shown); more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
+	}
 	return strings.Join(lines, "\n")
 }
 
--- a/document/shape.go
+++ b/document/shape.go
@@ -44,11 +44,12 @@
 			known[f.Tag.Get("toml")] = f.Type
 		}
 	}
+	allowed := keyList(known)
 	for _, f := range n.fields {
 		if want, ok := known[f.key]; ok {
 			s.check(f, want)
 		} else {
-			s.refuse(f, "unknown key", keyList(known))
+			s.refuse(f, "unknown key", allowed)
 		}
 	}
 }
@@ -114,7 +115,7 @@
 	case reflect.Bool:
 		ok, allowed = n.kind == unstable.Bool, "true or false"
 	case reflect.Float64:
-		ok, allowed = n.kind == unstable.Float || isInteger(n), "a number"
+		ok, allowed = n.kind == unstable.Float || isDecimal(n), "a decimal number"
 	case reflect.Uint64:
 		value, whole := n.Integer()
 		ok, allowed = whole && value >= 0, "a whole number from 0"
@@ -128,6 +129,12 @@
 	}
 }
 
+// isDecimal leaves out 0x10 and its like, which the decoder takes for integers
+// only.
+func isDecimal(n *Node) bool {
+	return isInteger(n) && !strings.ContainsAny(n.scalar, "xob")
+}
+
 func isInteger(n *Node) bool {
 	_, ok := n.Integer()
 	return ok
--- a/edition/edition_test.go
+++ b/edition/edition_test.go
@@ -64,24 +64,30 @@
 func TestFenceNeverRevertsAndOrderDecidesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := rapid.Custom(func(t *rapid.T) edition.Offer {
-			return offer(rapid.Uint64Range(0, 5).Draw(t, "version"), rapid.StringMatching(`[abc]`).Draw(t, "digest"))
+			o := offer(rapid.Uint64Range(0, 5).Draw(t, "version"), rapid.StringMatching(`[abc]`).Draw(t, "digest"))
+			o.Source = rapid.SampledFrom([]edition.Source{edition.Platform, edition.Peer}).Draw(t, "source")
+			return o
 		})
 		set := rapid.SliceOfN(draw, 1, 20).Draw(t, "offers")
 		repeats := rapid.SliceOfN(rapid.SampledFrom(set), 0, 20).Draw(t, "repeats")
 		orders := rapid.Permutation(append(repeats, set...))
 		want := replay(t, set)
 		got := replay(t, orders.Draw(t, "order"))
-		if got.Current() != want.Current() {
+		if !sameText(got.Current(), want.Current()) {
 			t.Errorf("got %v in force, want %v", got.Current(), want.Current())
 		}
 		gotRival, _ := got.Rival()
 		wantRival, _ := want.Rival()
-		if gotRival != wantRival {
+		if !sameText(gotRival, wantRival) {
 			t.Errorf("got rival %v, want %v", gotRival, wantRival)
 		}
 	})
 }
 
+func sameText(a, b edition.Offer) bool {
+	return a.Version == b.Version && a.Digest == b.Digest
+}
+
 func replay(t *rapid.T, offers []edition.Offer) *edition.Fence {
 	f := edition.New()
 	for _, o := range offers {
