perf(table): read keys once, keep values in place

Change: the keys of each struct are collected once per text, key strings are shared, values point into the text, nodes are taken 128 at a time.

--- a/document/node.go
+++ b/document/node.go
@@ -13,8 +13,10 @@
 	// Line is where the value's key or table header stands.
 	Line int
 
-	kind   unstable.Kind
-	scalar string
+	kind unstable.Kind
+	// scalar is the decoded text of a string, the written one of a number. It
+	// mostly points into the text that was read.
+	scalar []byte
 	parent *Node
 	key    string
 	// item counts from 1 within an array, 0 elsewhere.
@@ -83,7 +85,7 @@
 	if n == nil || n.kind != unstable.Integer {
 		return 0, false
 	}
-	value, err := strconv.ParseInt(n.scalar, 0, 64)
+	value, err := strconv.ParseInt(string(n.scalar), 0, 64)
 	return value, err == nil
 }
 
@@ -126,8 +128,8 @@
 	}
 	array := n.parent
 	for _, key := range []string{"name", "prefix"} {
-		if f := n.Field(key); f != nil && f.kind == unstable.String && f.scalar != "" {
-			return array.label() + " " + printable(f.scalar)
+		if f := n.Field(key); f != nil && f.kind == unstable.String && len(f.scalar) > 0 {
+			return array.label() + " " + printable(string(f.scalar))
 		}
 	}
 	return array.label() + " " + strconv.Itoa(n.item)
--- a/document/read.go
+++ b/document/read.go
@@ -38,7 +38,7 @@
 // wrong kind become faults and are passed over, so that the rest can still be
 // checked. It reports false if the rest can't be decoded either.
 func (d *Document) Decode(into any) bool {
-	var s shape
+	s := shape{known: make(map[reflect.Type]keySet)}
 	s.check(d.Root, reflect.TypeOf(into).Elem())
 	d.faults = append(d.faults, s.faults...)
 	text := blank(d.tree.text, append(s.refused, d.tree.twice...))
--- a/document/shape.go
+++ b/document/shape.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"reflect"
 	"sort"
 	"strings"
@@ -18,6 +19,15 @@
 type shape struct {
 	faults  Faults
 	refused []*Node
+	// known keeps the keys of each struct, for a table holds thousands of one
+	// type.
+	known map[reflect.Type]keySet
+}
+
+// keySet is the keys of a struct and, on one line, what a fault says of them.
+type keySet struct {
+	types   map[string]reflect.Type
+	allowed string
 }
 
 func (s *shape) check(n *Node, t reflect.Type) {
@@ -38,20 +48,29 @@
 		s.refuse(n, "is "+kindName(n), "a table")
 		return
 	}
-	known := make(map[string]reflect.Type, t.NumField())
-	for f := range t.Fields() {
-		if f.IsExported() {
-			known[f.Tag.Get("toml")] = f.Type
-		}
-	}
-	allowed := keyList(known)
+	known := s.keysOf(t)
 	for _, f := range n.fields {
-		if want, ok := known[f.key]; ok {
+		if want, ok := known.types[f.key]; ok {
 			s.check(f, want)
 		} else {
-			s.refuse(f, "unknown key", allowed)
+			s.refuse(f, "unknown key", known.allowed)
+		}
+	}
+}
+
+func (s *shape) keysOf(t reflect.Type) keySet {
+	if known, ok := s.known[t]; ok {
+		return known
+	}
+	types := make(map[string]reflect.Type, t.NumField())
+	for f := range t.Fields() {
+		if f.IsExported() {
+			types[f.Tag.Get("toml")] = f.Type
 		}
 	}
+	known := keySet{types: types, allowed: keyList(types)}
+	s.known[t] = known
+	return known
 }
 
 func keyList(known map[string]reflect.Type) string {
@@ -101,8 +120,8 @@
 		return
 	}
 	var m clock.Millis
-	if err := m.UnmarshalText([]byte(n.scalar)); err != nil {
-		s.refuse(n, Quote(n.scalar)+" is not a span", allowed)
+	if err := m.UnmarshalText(n.scalar); err != nil {
+		s.refuse(n, Quote(string(n.scalar))+" is not a span", allowed)
 	}
 }
 
@@ -132,7 +151,7 @@
 // isDecimal leaves out 0x10 and its like, which the decoder takes for integers
 // only.
 func isDecimal(n *Node) bool {
-	return isInteger(n) && !strings.ContainsAny(n.scalar, "xob")
+	return isInteger(n) && !bytes.ContainsAny(n.scalar, "xob")
 }
 
 func isInteger(n *Node) bool {
@@ -158,8 +177,8 @@
 	case unstable.Array:
 		return "an array"
 	case unstable.String:
-		return "the text " + Quote(n.scalar)
+		return "the text " + Quote(string(n.scalar))
 	default:
-		return printable(n.scalar)
+		return printable(string(n.scalar))
 	}
 }
--- a/document/tree.go
+++ b/document/tree.go
@@ -19,12 +19,37 @@
 	// twice lists repeated keys, which must be passed over for the decoder
 	// to go on.
 	twice []*Node
+	// keys holds one string for each key, and spare nodes not yet taken:
+	// a table repeats a dozen keys thousands of times.
+	keys  map[string]string
+	spare []Node
+}
+
+// nodesAtOnce is how many nodes are allocated together.
+const nodesAtOnce = 128
+
+func (b *builder) takeNode() *Node {
+	if len(b.spare) == 0 {
+		b.spare = make([]Node, nodesAtOnce)
+	}
+	n := &b.spare[0]
+	b.spare = b.spare[1:]
+	return n
+}
+
+func (b *builder) internKey(data []byte) string {
+	if key, ok := b.keys[string(data)]; ok {
+		return key
+	}
+	key := string(data)
+	b.keys[key] = key
+	return key
 }
 
 // parseTree returns the tree of a text, and the faults of its grammar. Only a
 // text without those has a whole tree.
 func parseTree(text []byte) (*builder, error) {
-	b := &builder{text: text, lines: lineStarts(text)}
+	b := &builder{text: text, lines: lineStarts(text), keys: make(map[string]string)}
 	b.root = &Node{Line: 1, kind: unstable.Table}
 	var parser unstable.Parser
 	parser.Reset(text)
@@ -151,7 +176,7 @@
 			b.keyValue(n, expression, it.Node())
 		}
 	default:
-		n.scalar = string(v.Data)
+		n.scalar = v.Data
 	}
 }
 
@@ -162,16 +187,15 @@
 }
 
 func (b *builder) newNode(parent *Node, key *unstable.Node, kind unstable.Kind) *Node {
-	return &Node{
-		Line:   b.lineAt(int(key.Raw.Offset)),
-		kind:   kind,
-		parent: parent,
-		key:    string(key.Data),
-	}
+	n := b.takeNode()
+	n.Line = b.lineAt(int(key.Raw.Offset))
+	n.kind, n.parent, n.key = kind, parent, b.internKey(key.Data)
+	return n
 }
 
 func (b *builder) addItem(array *Node, kind unstable.Kind) *Node {
-	n := &Node{Line: array.Line, kind: kind, parent: array, item: len(array.items) + 1}
+	n := b.takeNode()
+	n.Line, n.kind, n.parent, n.item = array.Line, kind, array, len(array.items)+1
 	array.items = append(array.items, n)
 	return n
 }
