fix(table): take an empty list of repeatable methods for none

Cause: repeatable = [] meant GET and HEAD, as if it were left out, so that a read which must not run twice could not be said to be one. Change: presence decides, as for weights; Parse and Build write the default out, so that a change of it shows in the diff. Before: TestMayRepeat fails, [] and GET: got true, want false. After: passes. Conclusion: Route.Repeatable nil is the default, empty is none.

--- a/table/defaults.go
+++ b/table/defaults.go
@@ -37,6 +37,10 @@
 	DefaultConnections = 400
 )
 
+// defaultRepeatable are the methods that HTTP defines as safe and that callers
+// use to read. Whoever gets the slice must not change it.
+var defaultRepeatable = []string{"GET", "HEAD"}
+
 // setDefault fills in a value whose key the text does not give. Presence
 // decides and not the value: a weight of 0 is an operator's decision.
 func setDefault[T any](n *document.Node, key string, value *T, standard T) {
@@ -45,6 +49,15 @@
 	}
 }
 
+func (t *Table) setDefaults(root *document.Node) {
+	for i := range t.Services {
+		t.Services[i].setDefaults(root.Field("service").Item(i))
+	}
+	for i := range t.Routes {
+		setDefault(root.Field("route").Item(i), "repeatable", &t.Routes[i].Repeatable, defaultRepeatable)
+	}
+}
+
 func (s *Service) setDefaults(n *document.Node) {
 	setDefault(n, "caution", &s.Caution, DefaultCaution)
 	setDefault(n, "floor", &s.Floor, DefaultFloor)
--- a/table/diff.go
+++ b/table/diff.go
@@ -129,7 +129,6 @@
 		key := f.Tag.Get("toml")
 		switch {
 		case key == "name" || key == "prefix":
-		case f.Type.Kind() == reflect.Slice && v.Field(i).Len() == 0:
 		case isList(f.Type):
 			words = append(words, fmt.Sprintf("%d %ss", v.Field(i).Len(), key))
 		case f.Type.Kind() == reflect.Struct:
--- a/table/index.go
+++ b/table/index.go
@@ -93,8 +93,8 @@
 // MayRepeat reports whether a request by this route and method may run more
 // than once.
 func (r *Route) MayRepeat(method string) bool {
-	if len(r.Repeatable) == 0 {
-		return method == "GET" || method == "HEAD"
+	if r.Repeatable == nil {
+		return slices.Contains(defaultRepeatable, method)
 	}
 	return slices.Contains(r.Repeatable, method)
 }
--- a/table/index_test.go
+++ b/table/index_test.go
@@ -78,7 +78,15 @@
 	})
 }
 
+// A route counts each read as a use, so that its operators write an empty list
+// of methods; a read runs twice all the same. The cause would be that a list
+// that is empty is taken for one that was left out.
 func TestMayRepeat(t *testing.T) {
+	none := mustParse(t, strings.Replace(small, "[[caller]]", "repeatable = []\n[[caller]]", 1)).Routes[0]
+	built, err := table.Build(*mustParse(t, small))
+	if err != nil {
+		t.Fatal(err)
+	}
 	byDefault := table.Route{}
 	listed := table.Route{Repeatable: []string{"GET", "PUT"}}
 	tests := []struct {
@@ -90,6 +98,10 @@
 		{byDefault, "HEAD", true},
 		{byDefault, "POST", false},
 		{byDefault, "get", false},
+		{mustParse(t, small).Routes[0], "GET", true},
+		{built.Routes[0], "HEAD", true},
+		{none, "GET", false},
+		{none, "POST", false},
 		{listed, "PUT", true},
 		{listed, "HEAD", false},
 		{listed, "POST", false},
--- a/table/parse.go
+++ b/table/parse.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -36,9 +37,17 @@
 }
 
 // Build checks and indexes a table that was made by a program and not read
-// from a text. It fills in no defaults, and its faults have no lines. It may
-// be larger than MaxBytes. The table given is not changed.
+// from a text. It fills in no defaults but that of Route.Repeatable, and its
+// faults have no lines. It may be larger than MaxBytes. The table given is not
+// changed.
 func Build(t Table) (*Table, error) {
+	t.Routes = slices.Clone(t.Routes)
+	for i := range t.Routes {
+		if t.Routes[i].Repeatable == nil {
+			// As text, nil would be an empty list, which means none.
+			t.Routes[i].Repeatable = defaultRepeatable
+		}
+	}
 	text, err := toml.Marshal(t)
 	if err != nil {
 		return nil, errors.Annotate(err, "writing the table")
@@ -65,9 +74,7 @@
 	if !doc.Decode(t) {
 		return nil, doc.Err()
 	}
-	for i := range t.Services {
-		t.Services[i].setDefaults(doc.Root.Field("service").Item(i))
-	}
+	t.setDefaults(doc.Root)
 	t.check(doc)
 	if err := doc.Err(); err != nil {
 		return nil, err
--- a/table/types.go
+++ b/table/types.go
@@ -94,8 +94,8 @@
 	// Prefix is matched against whole path segments; the longest one wins.
 	Prefix  string `toml:"prefix"`
 	Service string `toml:"service"`
-	// Repeatable lists the methods that may run more than once. Empty means
-	// GET and HEAD.
+	// Repeatable lists the methods that may run more than once. Nil means GET
+	// and HEAD, an empty list means none.
 	Repeatable []string `toml:"repeatable"`
 }
 
