--- a/settings/check.go
+++ b/settings/check.go
@@ -58,6 +58,9 @@
 		doc.Refuse(doc.Root, "listen", "", "a table [listen] with caller, link and admin")
 		return
 	}
+	if s.Listen.Announce != "" {
+		doc.Address(n, "announce", s.Listen.Announce)
+	}
 	seen := make(map[string]string, 3)
 	for _, l := range []struct{ key, address string }{
 		{"caller", s.Listen.Caller}, {"link", s.Listen.Link}, {"admin", s.Listen.Admin},
@@ -66,7 +69,7 @@
 			continue
 		}
 		address := netip.MustParseAddrPort(l.address)
-		if l.key == "link" && address.Addr().IsUnspecified() {
+		if l.key == "link" && s.Listen.Announce == "" && address.Addr().IsUnspecified() {
 			doc.Refuse(n, l.key, document.Quote(l.address), "the IP number that the table gives for this node")
 		}
 		if first, ok := seen[l.address]; ok && address.Port() != 0 {
