test(cmd): serve every route through every node as separate processes

Change: a testscript session that starts platform, backend servers and three nodes as processes; the stand-ins' command line becomes a package of its own so that the session can start it.

--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -1,18 +1,29 @@
 package cmd_test
 
 import (
+	"fmt"
+	"net"
 	"os"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/cmd"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/standin/command"
 )
 
-// TestMain lets the sessions under testdata run this program as a process.
+// patience bounds a wait for an event that never comes.
+const patience = 30 * time.Second
+
+// TestMain lets the sessions under testdata run the programs as processes.
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"fuchsiapick": func() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin":     func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
 
@@ -24,5 +35,78 @@
 			env.Setenv("EXAMPLES", root+"/../examples")
 			return err
 		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":   ports,
+			"publish": publish,
+			"fill":    fill,
+			"await":   await,
+			"send":    send,
+		},
 	})
 }
+
+// ports NAME... gives each variable a free address of this machine.
+func ports(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(name, l.Addr().String())
+		ts.Check(l.Close())
+	}
+}
+
+// fill FILE... replaces $VARIABLES in files.
+func fill(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// publish PLATFORM KEY VERSION FILE gives the stand-in platform a value.
+func publish(ts *testscript.TestScript, _ bool, args []string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + args[0] + "/standin/publish?key=" + args[1] + "&version=" + args[2])
+	request.SetBodyString(ts.ReadFile(args[3]))
+	ts.Check(fasthttp.DoTimeout(request, response, patience))
+	if response.StatusCode() != fasthttp.StatusNoContent {
+		ts.Fatalf("got %d %s, want %d", response.StatusCode(), response.Body(), fasthttp.StatusNoContent)
+	}
+}
+
+// await STATUS URL [TEXT] asks until the status comes, with the text in the
+// answer.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	last := ""
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		status, body, err := fasthttp.GetTimeout(nil, args[1], time.Second)
+		last = fmt.Sprintf("%d %v %s", status, err, body)
+		if fmt.Sprint(status) == args[0] && (len(args) < 3 || strings.Contains(string(body), args[2])) {
+			return
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	ts.Fatalf("got %s, want %s", last, strings.Join(args, " "))
+}
+
+// send METHOD URL [BODY] prints status, outcome, reason and backend server.
+func send(ts *testscript.TestScript, _ bool, args []string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(args[0])
+	request.SetRequestURI(args[1])
+	request.Header.Set(entry.HeaderCaller, "hotel-ortigia")
+	if len(args) > 2 {
+		request.SetBodyString(args[2])
+	}
+	ts.Check(fasthttp.DoTimeout(request, response, patience))
+	served := response.Header.Peek("Backend")
+	_, err := fmt.Fprintf(ts.Stdout(), "%d outcome=%s reason=%s by=%s\n", response.StatusCode(),
+		response.Header.Peek(entry.HeaderOutcome), response.Header.Peek(entry.HeaderReason),
+		strings.TrimRight(string(served), "-0123456789"))
+	ts.Check(err)
+}
--- a/standin/program/backendcmd.go
+++ b/standin/command/backendcmd.go
@@ -1,4 +1,4 @@
-package main
+package command
 
 import (
 	"fuchsiapick.example/fuchsiapick/clock"
