--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,110 @@
+package wire_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const limit = 1 << 20
+
+func messages() []wire.Message {
+	id := wire.RequestID{Entry: 7, Seq: 9}
+	return []wire.Message{
+		&wire.Challenge{Format: wire.Format, Node: "127.0.0.1:1", Incarnation: 3, Nonce: wire.Nonce()},
+		&wire.Proof{Node: "127.0.0.1:2", Entry: 4, Nonce: wire.Nonce(), MAC: []byte("mac")},
+		&wire.Welcome{MAC: []byte("mac"), Time: 5},
+		&wire.Dispatch{ID: id, Attempt: 1, Upstream: "conferme-1", Method: "POST", URI: "/x", Body: []byte("turno")},
+		&wire.Reply{ID: id, Attempt: 1, Outcome: wire.Answered, Status: 200, Length: 2, Body: []byte("ok")},
+		&wire.Chunk{ID: id, Attempt: 1, Offset: 2, Data: []byte("more")},
+		&wire.Settle{ID: id, Attempt: 1, Upstream: "conferme-1", Lease: 100},
+		&wire.Settled{ID: id, Attempt: 1, Voided: true},
+		&wire.Beat{Time: 1, Version: 2, Digest: "d", Upstreams: []wire.Upstream{{Name: "conferme-1", Share: 1}}},
+		&wire.Ask{Version: 1},
+		&wire.Edition{Version: 2, Text: []byte("format = 1")},
+	}
+}
+
+func TestDecodeReadsWhatEncodeWrote(t *testing.T) {
+	for _, m := range messages() {
+		frame, err := wire.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := wire.Decode(frame, limit)
+		if err != nil {
+			t.Fatalf("kind %d: got error %v", m.Kind(), err)
+		}
+		again, err := wire.Encode(got)
+		if err != nil || !bytes.Equal(again, frame) {
+			t.Errorf("kind %d: got %x, want %x (%v)", m.Kind(), again, frame, err)
+		}
+	}
+}
+
+// A peer with a fault, or a stranger, sends frames that nest or lengthen
+// without bound. Decoded as they claim, they would take the node's stack or
+// memory, and every request of its callers with it.
+func TestDecodeRefuses(t *testing.T) {
+	nested := append([]byte{byte(wire.KindAsk)}, bytes.Repeat([]byte{0x81}, 10000)...)
+	tests := []struct {
+		name  string
+		frame []byte
+		want  error
+	}{
+		{"empty", nil, wire.ErrFrame},
+		{"kind zero", []byte{0, 0x80}, wire.ErrKind},
+		{"kind of a later release", []byte{200, 0x80}, wire.ErrKind},
+		{"nested without bound", nested, wire.ErrFrame},
+		{"array that claims 4 billion elements", []byte{byte(wire.KindBeat), 0x9a, 0xff, 0xff, 0xff, 0xff}, wire.ErrFrame},
+		{"byte string that claims 2 GB", []byte{byte(wire.KindEdition), 0x82, 0x01, 0x5a, 0x7f, 0xff, 0xff, 0xff}, wire.ErrFrame},
+		{"indefinite length", []byte{byte(wire.KindAsk), 0x9f, 0x01, 0xff}, wire.ErrFrame},
+		{"too few fields", []byte{byte(wire.KindSettled), 0x81, 0x01}, wire.ErrFrame},
+		{"trailing bytes", []byte{byte(wire.KindAsk), 0x81, 0x01, 0x01}, wire.ErrFrame},
+		{"over the bound", make([]byte, limit+1), wire.ErrLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := wire.Decode(tt.frame, limit)
+			if !errors.Is(err, tt.want) {
+				t.Errorf("got error %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestHeadersKeepFieldsAndOrder(t *testing.T) {
+	var h wire.Headers
+	h = h.Add([]byte("Accept"), []byte("text/html"))
+	h = h.Add([]byte("X-Time"), []byte("10:30"))
+	h = append(h, "broken line\n"...)
+	got := ""
+	for name, value := range h.All() {
+		got += string(name) + "=" + string(value) + ";"
+	}
+	if want := "Accept=text/html;X-Time=10:30;"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		frame, err := wire.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		m, err := wire.Decode(frame, limit)
+		if err != nil {
+			return
+		}
+		if _, err := wire.Encode(m); err != nil {
+			t.Errorf("got error %v encoding what was decoded", err)
+		}
+	})
+}
