test(link,fleet): refuse strangers on links and bad input of callers

Change: tests of claimed identities, other secrets, frames before the proof, and malformed, oversized and unroutable requests with their accounts.

--- /dev/null
+++ b/fleet/badinput_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/settings"
+)
+
+// raw sends bytes as they are and reads one answer.
+func raw(t *testing.T, address, text string) *http.Response {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", address, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response
+}
+
+// Whatever a caller sends, it gets a clear answer that nothing was run, the
+// node goes on serving, and the request has its account.
+func TestBadInputIsRefusedAndAccounted(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(1), Adjust: func(s *settings.Settings) {
+		s.Limits.Body = 1000
+		s.Limits.Answer = 5000
+	}})
+	node := f.Members[0]
+	tests := []struct {
+		name, text string
+		status     int
+		outcome    account.Outcome
+		reason     string
+	}{
+		{"no HTTP", "hello\r\n\r\n", 400, account.NotRun, account.ReasonCallerFault},
+		{"bad length", "POST /conferme/x HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", 400, account.NotRun, account.ReasonCallerFault},
+		{
+			"body over the bound", "POST /conferme/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000),
+			413, account.NotRun, account.ReasonBodyTooLarge,
+		},
+		{"unknown route", "GET /orari HTTP/1.1\r\nHost: a\r\n\r\n", 404, account.NotRun, account.ReasonNoRoute},
+		{"prefix of a segment", "GET /confermeX HTTP/1.1\r\nHost: a\r\n\r\n", 404, account.NotRun, account.ReasonNoRoute},
+		{"answer over the bound", "GET /conferme/x?size=9000 HTTP/1.1\r\nHost: a\r\n\r\n", 502, account.Unknown, "answer-too-large"},
+		{"long caller", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Caller: " + strings.Repeat("c", 3000) + "\r\n\r\n", 200, account.Served, ""},
+		{"no deadline", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Deadline: -3\r\n\r\n", 200, account.Served, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			response := raw(t, node.Caller, tt.text)
+			got := fmt.Sprint(response.StatusCode, response.Header.Get(entry.HeaderOutcome), response.Header.Get(entry.HeaderReason))
+			if want := fmt.Sprint(tt.status, tt.outcome, tt.reason); got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+	s := node.Node.Snapshot(account.Filter{})
+	if want := uint64(len(tests)); s.Received != want || s.Closed != want || s.Open != 0 {
+		t.Errorf("got %d received, %d closed, %d open; want %d, %d, 0", s.Received, s.Closed, s.Open, want, want)
+	}
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,175 @@
+package link_test
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const (
+	secret = "sixteen letters!"
+	limit  = 1 << 20
+)
+
+// counter is a handler that counts the dispatches that reach it.
+type counter struct {
+	dispatched atomic.Int64
+}
+
+func (c *counter) Dispatch(uint64, *wire.Dispatch)     { c.dispatched.Add(1) }
+func (c *counter) Settle(uint64, *wire.Settle)         {}
+func (c *counter) Beat(string, *wire.Beat)             {}
+func (c *counter) Status() wire.Beat                   { return wire.Beat{} }
+func (c *counter) Ask(*wire.Ask) (*wire.Edition, bool) { return nil, false }
+func (c *counter) Edition(string, *wire.Edition)       {}
+func identity(node, secret string) link.Identity {
+	return link.Identity{Node: node, Incarnation: 1, Secret: secret}
+}
+func logger() logrus.FieldLogger { l, _ := logtest.NewNullLogger(); return l }
+
+// serve starts a node's link side that says it is claims, or its own address.
+func serve(t *testing.T, claims string) (address string, handler *counter) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = listener.Addr().String()
+	if claims == "" {
+		claims = address
+	}
+	handler = &counter{}
+	s := link.NewServer(link.ServerConfig{
+		Identity: identity(claims, secret), Limit: limit, Beat: clock.Second, Now: clock.NewSystem().Now,
+		Handler: handler, Log: logger(),
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.Close()
+		<-done
+	})
+	return address, handler
+}
+
+// An instance is replaced by that of another node on the same address, or a
+// stranger listens there: requests must not go to a node that the table does
+// not mean, nor be taken from one that doesn't hold the secret.
+func TestDialRefusesStrangers(t *testing.T) {
+	tests := []struct {
+		name   string
+		claims string
+		secret string
+		want   error
+	}{
+		{"the node itself", "", secret, nil},
+		{"another node's identity", "10.0.0.9:7000", secret, link.ErrPeer},
+		{"another secret", "", "another sixteen!", nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, handler := serve(t, tt.claims)
+			conn, remote, err := link.Dial(t.Context(), address, identity("10.0.0.1:7000", tt.secret), limit)
+			if tt.secret != secret {
+				if err == nil || handler.dispatched.Load() != 0 {
+					t.Fatalf("got no error with another secret, want one")
+				}
+				return
+			}
+			if !errors.Is(err, tt.want) {
+				t.Fatalf("got error %v, want %v", err, tt.want)
+			}
+			if err == nil {
+				defer conn.Close()
+				if remote.Node != address {
+					t.Errorf("got node %s, want %s", remote.Node, address)
+				}
+			}
+		})
+	}
+}
+
+// A stranger that reaches the link port sends a confirmation before it has
+// proven anything, or plays back another's proof. None may reach a gate.
+func TestNothingIsReadBeforeTheProof(t *testing.T) {
+	tests := []struct {
+		name  string
+		first func(challenge *wire.Challenge) wire.Message
+	}{
+		{"dispatch first", func(*wire.Challenge) wire.Message { return &wire.Dispatch{Upstream: "conferme-1"} }},
+		{"proof of another challenge", func(*wire.Challenge) wire.Message {
+			own, other := wire.Nonce(), wire.Nonce()
+			mac := wire.Prove(secret, wire.Dialler, "10.0.0.1:1", 1, own, other)
+			return &wire.Proof{Node: "10.0.0.1:1", Entry: 1, Nonce: own, MAC: mac}
+		}},
+		{"identity of another under a valid proof", func(c *wire.Challenge) wire.Message {
+			own := wire.Nonce()
+			mac := wire.Prove(secret, wire.Dialler, "10.0.0.1:1", 1, own, c.Nonce)
+			return &wire.Proof{Node: "10.0.0.2:1", Entry: 1, Nonce: own, MAC: mac}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address, handler := serve(t, "")
+			socket, response, err := websocket.DefaultDialer.DialContext(t.Context(), "ws://"+address+link.Path, http.Header{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			defer func() { _ = socket.Close() }()
+			if err := socket.SetReadDeadline(time.Now().Add(30 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			challenge := receive(t, socket)
+			post(t, socket, tt.first(challenge))
+			post(t, socket, &wire.Dispatch{Upstream: "conferme-1"})
+			if _, _, err := socket.ReadMessage(); err == nil {
+				t.Error("got an answer, want a closed link")
+			}
+			if got := handler.dispatched.Load(); got != 0 {
+				t.Errorf("got %d dispatches, want 0", got)
+			}
+		})
+	}
+}
+
+func receive(t *testing.T, socket *websocket.Conn) *wire.Challenge {
+	t.Helper()
+	_, frame, err := socket.ReadMessage()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := wire.Decode(frame, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	challenge, ok := m.(*wire.Challenge)
+	if !ok {
+		t.Fatalf("got kind %d, want a challenge", m.Kind())
+	}
+	return challenge
+}
+
+func post(t *testing.T, socket *websocket.Conn, m wire.Message) {
+	t.Helper()
+	frame, err := wire.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = socket.WriteMessage(websocket.BinaryMessage, frame) // the peer may have closed already
+}
