feat(node): finish what callers began before the port closes

Cause: a leaving node closed its port whenever its grace ended, and under steady load it never fell quiet; a race found by the rolling replacement under -race let a table edit change what a request was reading. Change: gates refuse at once, callers are served for at most 5 s more, then the server finishes; an attempt keeps a copy of its upstream; the instance list can be taken back. Conclusion: all nodes replaced one by one under load, no request cut.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	config   Config
 	sequence atomic.Uint64
 	busy     atomic.Int64
+	leaving  atomic.Bool
 
 	table    atomic.Pointer[table.Table]
 	callers  atomic.Pointer[map[string]float64] // their own rates
@@ -125,6 +126,12 @@
 	}
 }
 
+// Leave tells callers, with every answer from now on, to open their next
+// connection elsewhere.
+func (e *Entry) Leave() {
+	e.leaving.Store(true)
+}
+
 // Busy returns how many requests are in flight.
 func (e *Entry) Busy() int {
 	return int(e.busy.Load())
@@ -151,6 +158,7 @@
 func (e *Entry) Serve(ctx *fasthttp.RequestCtx) {
 	e.busy.Add(1)
 	defer e.busy.Add(-1)
+	defer e.closing(ctx)
 	e.config.Journal.Received()
 	r := e.newRequest(ctx)
 	done := make(chan struct{})
@@ -165,6 +173,12 @@
 	<-done
 }
 
+func (e *Entry) closing(ctx *fasthttp.RequestCtx) {
+	if e.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // Malformed answers what the HTTP library could not read as a request.
 func (e *Entry) Malformed(ctx *fasthttp.RequestCtx, err error) {
 	e.config.Journal.Received()
--- a/entry/request.go
+++ b/entry/request.go
@@ -69,7 +69,7 @@
 	// begun means that an upstream may have run the request: it can't be
 	// refused as not run any more.
 	begun bool
-	last  *member
+	last  table.Upstream // tried last
 }
 
 // final is the answer that the caller gets.
@@ -202,7 +202,7 @@
 func (r *request) try(now clock.Millis, a attempt, untried int) result {
 	r.attempts++
 	r.tried = append(r.tried, a.member)
-	r.last, r.forced = a.member, a.forced
+	r.last, r.forced = a.upstream, a.forced
 	d := r.dispatch(now, a, untried)
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
@@ -221,7 +221,7 @@
 		ID:         r.id,
 		Attempt:    r.attempts,
 		Budget:     r.attemptBudget(now, untried),
-		Upstream:   a.member.upstream.Name,
+		Upstream:   a.upstream.Name,
 		Caller:     r.caller,
 		Method:     r.method,
 		URI:        string(r.ctx.RequestURI()),
@@ -353,13 +353,12 @@
 		Started:  r.started,
 		Took:     now - r.started,
 		Forced:   r.forced,
+		Upstream: r.last.Name,
+		Domain:   r.last.Domain,
 	}
 	if r.route != nil {
 		record.Service, record.Route = r.route.Service, r.route.Prefix
 	}
-	if r.last != nil {
-		record.Upstream, record.Domain = r.last.upstream.Name, r.last.upstream.Domain
-	}
 	r.entry.config.Journal.Close(now, record)
 	if f.outcome != account.Served {
 		r.log(&record)
--- a/entry/service.go
+++ b/entry/service.go
@@ -92,7 +92,9 @@
 // attempt is a choice of an upstream for one try at a request.
 type attempt struct {
 	member *member
-	forced bool
+	// upstream is as the table had it at the choice: an edit may follow.
+	upstream table.Upstream
+	forced   bool
 }
 
 // choose picks the upstream for the next try. It reports how many usable ones
@@ -115,7 +117,7 @@
 	}
 	m := s.members[i]
 	m.sent++
-	return attempt{member: m, forced: s.uses[i] == floor.Forced}, untried - 1, true
+	return attempt{member: m, upstream: m.upstream, forced: s.uses[i] == floor.Forced}, untried - 1, true
 }
 
 // usable says whether a request may go to an upstream. One that is back for
@@ -308,10 +310,10 @@
 
 func (m *member) describe(now clock.Millis, use floor.Use) string {
 	switch {
-	case m.state.Leaving || m.gone:
-		return account.StateLeaving
 	case m.upstream.Weight == 0:
 		return account.StateOff
+	case m.state.Leaving || m.gone:
+		return account.StateLeaving
 	case m.lost:
 		return account.StateUnreachable
 	case use == floor.Forced:
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -134,3 +134,17 @@
 		}
 	}
 }
+
+// until waits for a condition that some event brings about.
+func until(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	for !reached() {
+		select {
+		case <-deadline.C:
+			t.Fatalf("got no %s within %s", what, patience)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/fleet/leave_test.go
@@ -0,0 +1,183 @@
+package fleet_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// steady sends requests one after another, each on a connection of its own,
+// until told to stop. It uses the nodes that the test has not taken out.
+type steady struct {
+	mu     sync.Mutex
+	nodes  []string
+	stop   chan struct{}
+	group  sync.WaitGroup
+	failed []string
+	served int
+}
+
+func startSteady(callers int, nodes []string) *steady {
+	s := &steady{nodes: nodes, stop: make(chan struct{})}
+	for i := range callers {
+		s.group.Go(func() { s.run(i) })
+	}
+	return s
+}
+
+func (s *steady) run(seed int) {
+	client := &fasthttp.Client{}
+	for i := seed; ; i++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		s.mu.Lock()
+		address := s.nodes[i%len(s.nodes)]
+		s.mu.Unlock()
+		outcome, err := once(client, address, i%2 == 0)
+		s.mu.Lock()
+		if err == nil && outcome == string(account.Served) {
+			s.served++
+		} else {
+			s.failed = append(s.failed, fmt.Sprintf("%s: %q %v", address, outcome, err))
+		}
+		s.mu.Unlock()
+	}
+}
+
+func once(client *fasthttp.Client, address string, write bool) (outcome string, err error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + "/conferme/turno")
+	request.SetConnectionClose()
+	if write {
+		request.Header.SetMethod(fasthttp.MethodPost)
+	}
+	err = client.DoTimeout(request, response, patience)
+	return string(response.Header.Peek(entry.HeaderOutcome)), err
+}
+
+func (s *steady) use(nodes []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes = nodes
+}
+
+func (s *steady) end(t *testing.T) {
+	t.Helper()
+	close(s.stop)
+	s.group.Wait()
+	if len(s.failed) > 0 {
+		t.Errorf("got %d requests not served, want 0; first: %s", len(s.failed), s.failed[0])
+	}
+	if s.served == 0 {
+		t.Error("got no request served")
+	}
+}
+
+// A release replaces all nodes one by one under load. A request cut in flight
+// would be a lost confirmation, found at dawn.
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(3), Service: 20})
+	addresses := func() []string {
+		var all []string
+		for _, m := range f.Members {
+			all = append(all, m.Caller)
+		}
+		return all
+	}
+	s := startSteady(5, addresses())
+	for i := range 3 {
+		old := f.Members[0]
+		fresh, err := f.AddMember(t.Context(), fmt.Sprintf("fresh-%d", i), "palermo")
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-fresh.Node.InForce()
+		f.Members = f.Members[1:]
+		s.use(addresses())
+		old.Node.Leave()
+		<-old.Done()
+		if err := f.Publish(func(tt *table.Table) {
+			for j := range tt.Services[0].Upstreams {
+				if tt.Services[0].Upstreams[j].Node == old.Link {
+					tt.Services[0].Upstreams[j].Node = fresh.Link
+				}
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+		awaitVersion(t, f)
+	}
+	s.end(t)
+}
+
+func awaitVersion(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, m := range f.Members {
+		until(t, fmt.Sprintf("table at %s", m.Name), func() bool { return m.Node.Version() == f.Table.Version })
+	}
+}
+
+// An operator sets a weight to zero, or the instance list says leaving: the
+// upstream gets no new work, and what it has begun is finished.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	ways := []struct {
+		name  string
+		state string
+		leave func(f *fleet.Fleet) error
+	}{
+		{"zero weight", account.StateOff, func(f *fleet.Fleet) error {
+			return f.Publish(func(tt *table.Table) { tt.Services[0].Upstreams[0].Weight = 0 })
+		}},
+		{"instance list", account.StateLeaving, func(f *fleet.Fleet) error {
+			list := fmt.Sprintf("version = 1\n[[instance]]\nnode = %q\ndomain = \"palermo\"\nstate = \"leaving\"\n", f.Members[0].Link)
+			f.Platform.Publish("instances", 1, []byte(list))
+			return nil
+		}},
+	}
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			f := start(t, fleet.Config{Table: deployment(3), Service: 10})
+			var all []string
+			for _, m := range f.Members {
+				all = append(all, m.Caller)
+			}
+			s := startSteady(4, all)
+			leaving := f.Backends["conferme-1"]
+			await(t, leaving, ran(5))
+			if err := way.leave(f); err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range f.Members {
+				until(t, "leaving at "+m.Name, func() bool { return stateOf(m, "conferme-1") == way.state })
+			}
+			before := leaving.Totals().Begun
+			others := f.Backends["conferme-2"]
+			await(t, others, ran(others.Totals().Begun+100))
+			if got := leaving.Totals().Begun; got != before {
+				t.Errorf("got %d new requests at the leaving upstream, want 0", got-before)
+			}
+			s.end(t)
+		})
+	}
+}
+
+func stateOf(m *fleet.Member, upstream string) string {
+	for _, u := range m.Node.States() {
+		if u.Name == upstream {
+			return u.State
+		}
+	}
+	return ""
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -57,7 +57,8 @@
 	slots    *limit.Slots
 	jobs     map[uint64]*job
 	tickets  uint64
-	leaving  bool
+	leaving  bool // for good, as the node is shutting down
+	listed   bool // as the instance list says
 	state    health.State
 }
 
@@ -121,7 +122,7 @@
 		return wire.ReasonStale, 0
 	case v == lease.Voided:
 		return wire.ReasonVoided, 0
-	case g.leaving || g.upstream.Weight == 0:
+	case g.left():
 		return wire.ReasonLeaving, 0
 	case d.Forced || g.judge.Admit(now, d.Repeatable):
 		return "", 0
@@ -214,10 +215,29 @@
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.leaving {
-		g.leaving = true
-		g.log.Info("leaving")
-		g.note(account.Event{At: g.config.Now(), Kind: account.Leaving})
+	before := g.left()
+	g.leaving = true
+	g.noteLeft(before, "shutdown")
+}
+
+// Listed takes in whether the instance list says that the instance is leaving.
+func (g *Gate) Listed(leaving bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.left()
+	g.listed = leaving
+	g.noteLeft(before, "instance list")
+}
+
+// left reports whether the upstream gets no new work.
+func (g *Gate) left() bool {
+	return g.leaving || g.listed || g.upstream.Weight == 0
+}
+
+func (g *Gate) noteLeft(before bool, reason string) {
+	if !before && g.left() {
+		g.log.WithField("reason", reason).Info("leaving")
+		g.note(account.Event{At: g.config.Now(), Kind: account.Leaving, Reason: reason})
 	}
 }
 
@@ -227,7 +247,9 @@
 	if s.Caution != g.service.Caution {
 		g.judge = health.New(health.Config{Caution: s.Caution, Seed: g.config.Seed})
 	}
+	before := g.left()
 	g.service, g.upstream = s, u
+	g.noteLeft(before, "zero weight")
 	var ready []*job
 	for _, ticket := range g.slots.Resize(limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue}) {
 		if j, ok := g.jobs[ticket]; ok {
@@ -265,7 +287,7 @@
 func (g *Gate) State() (health.Status, limit.Load, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.judge.Status(g.config.Now()), g.slots.Load(), g.leaving || g.upstream.Weight == 0
+	return g.judge.Status(g.config.Now()), g.slots.Load(), g.left()
 }
 
 // Close lets go of the backend server's connections.
@@ -286,7 +308,7 @@
 		InFlight: load.InFlight,
 		Waiting:  load.Waiting,
 		Until:    max(s.Until-now, 0),
-		Leaving:  g.leaving || g.upstream.Weight == 0,
+		Leaving:  g.left(),
 		Own:      wire.Baseline{Known: own.Known, Failed: own.Failed, Latency: own.Latency},
 	}
 }
--- a/node/edition.go
+++ b/node/edition.go
@@ -75,6 +75,9 @@
 // apply puts a checked table in force. The node's lock is held.
 func (n *Node) apply(t *table.Table) {
 	n.applyGates(t)
+	for _, g := range n.gates {
+		g.Listed(n.listed[n.address()])
+	}
 	n.applyPeers(t)
 	n.entry.Update(t)
 	n.book.SetServices(t.Services)
@@ -115,11 +118,21 @@
 	for node, leaving := range listed {
 		n.entry.Instance(node, leaving)
 	}
-	self := listed[n.address()]
 	n.mu.Unlock()
-	if self {
-		n.leaveGates()
+	n.listGates()
+}
+
+// listGates passes on what the instance list says of this node, and tells the
+// peers at once.
+func (n *Node) listGates() {
+	n.mu.Lock()
+	self := n.listed[n.address()]
+	n.mu.Unlock()
+	for _, g := range n.allGates() {
+		g.Listed(self)
+		n.entry.Heard(g.Status())
 	}
+	n.links.BeatNow()
 }
 
 // Ask returns the table in force for a peer whose own is older.
--- a/node/leave.go
+++ b/node/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -34,38 +35,53 @@
 	n.links.BeatNow()
 }
 
-// drain waits until nothing is in flight. Callers get answers all the while:
-// the entry goes on, over other nodes, until the callers' connections are
-// closed by the server's shutdown.
+// callersMost bounds how long a leaving node still takes callers' requests: the
+// instance list lags, and a caller that follows it needs some seconds.
+const callersMost = 5 * clock.Second
+
+// drain finishes what is in flight. Gates refuse new work at once, and entries
+// send it elsewhere. Callers are served, over other nodes, until none has come
+// for a while; then their port closes, and what they have begun is finished.
 func (n *Node) drain(ctx context.Context) {
+	n.entry.Leave()
 	n.leaveGates()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
-	deadline := time.NewTimer(n.settings.Grace.Duration())
-	defer deadline.Stop()
-	quietSince := n.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Grace.Duration())
+	defer cancel()
+	callers, stop := context.WithTimeout(ctx, callersMost.Duration())
+	defer stop()
+	_ = n.quiet(callers, n.entry.Busy) // callers that go on coming don't hold the node
+	if err := n.callers.ShutdownWithContext(ctx); err != nil {
+		n.log.WithError(err).Warn("callers' connections are cut")
+	}
+	if err := n.quiet(ctx, n.Busy); err != nil {
+		n.log.WithFields(logrus.Fields{"requests": n.Busy()}).Warn("grace is over; requests are cut")
+	}
+}
+
+// quiet waits until nothing has been in flight for settleDown.
+func (n *Node) quiet(ctx context.Context, busy func() int) error {
+	since := n.clock.Now()
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
 	for {
+		now := n.clock.Now()
+		if busy() > 0 {
+			since = now
+		}
+		if now-since > settleDown {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-deadline.C:
-			n.log.WithFields(logrus.Fields{"requests": n.Busy()}).Warn("grace is over; requests are cut")
-			return
+			return errors.Trace(ctx.Err())
 		case <-ticker.C:
 		}
-		now := n.clock.Now()
-		if n.Busy() > 0 {
-			quietSince = now
-		}
-		if now-quietSince > settleDown {
-			return
-		}
 	}
 }
 
-// settleDown is how long a leaving node stays after its last request, so that
-// peers hear that it is leaving before its links close.
+// settleDown is how long nothing must be in flight: peers hear within it that
+// the node leaves, before its links close.
 const settleDown = clock.Millis(300)
 
 // Busy counts the requests in flight, as entry and as gate.
@@ -77,6 +93,12 @@
 	return busy
 }
 
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
 // Ready reports whether the node has a table in force and isn't leaving.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -59,6 +60,7 @@
 	metrics     *metrics.Set
 	entry       *entry.Entry
 	links       *link.Server
+	callers     *fasthttp.Server
 	entryPool   *ants.Pool
 	gatePool    *ants.Pool
 	root        *suture.Supervisor
--- a/node/services.go
+++ b/node/services.go
@@ -87,7 +87,7 @@
 }
 
 func (n *Node) addServices(l *Listeners) {
-	callers := &fasthttp.Server{
+	n.callers = &fasthttp.Server{
 		Handler:                       n.entry.Serve,
 		ErrorHandler:                  n.entry.Malformed,
 		Name:                          "fuchsiapick",
@@ -101,14 +101,14 @@
 		CloseOnShutdown:               true,
 		Logger:                        quiet{},
 	}
-	n.root.Add(serveHTTP("callers", callers, l.Caller))
+	n.root.Add(n.serveHTTP("callers", n.callers, l.Caller))
 	n.root.Add(service{"links", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
 		return n.links.Serve(l.Link)
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
-	n.root.Add(serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	n.root.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
 	n.addPlatform()
 }
 
@@ -121,7 +121,7 @@
 
 // serveHTTP runs an HTTP server that finishes what it has begun before it
 // stops.
-func serveHTTP(name string, server *fasthttp.Server, l net.Listener) suture.Service {
+func (n *Node) serveHTTP(name string, server *fasthttp.Server, l net.Listener) suture.Service {
 	return service{name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() {
 			bound, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -129,7 +129,11 @@
 			_ = server.ShutdownWithContext(bound) // what is left is cut by the exit
 		})
 		defer stop()
-		return server.Serve(l)
+		err := server.Serve(l)
+		if n.isLeaving() {
+			return suture.ErrDoNotRestart
+		}
+		return err
 	}}
 }
 
