fix(document): say plainly that a text begins with a byte order mark

Cause: some editors write one, it can't be seen, and the fault said that line 1 begins with a wrong character. Change: a fault of its own. Conclusion: line ends of both kinds are counted alike, now tested.

--- a/document/read.go
+++ b/document/read.go
@@ -18,6 +18,10 @@
 	tree   *builder
 }
 
+// byteOrderMark is invisible in an editor, so that an operator could not see
+// what the grammar's own message about line 1 means.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // Parse reads the grammar of a text. A text longer than bound bytes is refused
 // before anything of it is decoded. The error is a Faults.
 func Parse(text []byte, bound int) (*Document, error) {
@@ -27,6 +31,11 @@
 			Allowed: fmt.Sprintf("at most %d bytes", bound),
 		}}
 	}
+	if bytes.HasPrefix(text, byteOrderMark) {
+		return nil, Faults{{
+			Line: 1, Problem: "begins with a byte order mark, as some editors write it", Allowed: "UTF-8 without one",
+		}}
+	}
 	tree, err := parseTree(text)
 	if err != nil {
 		return nil, err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,7 +77,7 @@
 func Parse(text []byte) (*Settings, error) {
 	doc, err := document.Parse(text, MaxBytes)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, err
 	}
 	s := defaults()
 	if !doc.Decode(&s) {
--- a/table/parse.go
+++ b/table/parse.go
@@ -31,7 +31,8 @@
 type Faults = document.Faults //nolint:errname // see document.Faults
 
 // Parse reads a table and checks the whole of it. What the text leaves out
-// gets its default. The error of a text that is not accepted is a Faults.
+// gets its default. The error of a text that is not accepted is a Faults; that
+// of a newer format wraps one and is ErrFormat too.
 func Parse(text []byte) (*Table, error) {
 	return parse(text, MaxBytes)
 }
--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -72,6 +72,8 @@
 func TestParseNamesSingleFaults(t *testing.T) {
 	tests := map[string]struct{ old, new, want string }{
 		"grammar":      {"slots = 3", "slots = = 3", "line 11: not TOML"},
+		"mark":         {"format = 1", "\ufeffformat = 1", "line 1: begins with a byte order mark"},
+		"line ends":    {small, strings.ReplaceAll(small, "\n", "\r\n") + "name = 1\r\n", "line 24: caller van-1: name: given twice"},
 		"table twice":  {"[[route]]", "[format]\n[[route]]", "line 18: "},
 		"no format":    {"format = 1", "", "line 1: format: is missing; allowed: 1"},
 		"older format": {"format = 1", "format = 0", "line 1: format: 0 is not allowed; allowed: 1"},
