feat(overload): measure queues, retries and routing against the usual rules

Whether limits, budget and choice hold under load was unproven. A driver in virtual time plays one service's entries and gates, beside baselines of the same run: round robin, unlimited retries, a queue blind to deadlines, hedged requests, a constant Retry-After.

choice.Fade is new: a load heard fades over 2 s, else an entry that sends little keeps away from an upstream that was busy once.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiapick.example/fuchsiapick/choice"
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 // The draws are the same on every run unless -rapid.seed is given.
@@ -110,6 +111,17 @@
 	}
 }
 
+func TestFade(t *testing.T) {
+	for _, tt := range []struct {
+		age  clock.Millis
+		want int
+	}{{-5, 8}, {0, 8}, {clock.Second, 4}, {2 * clock.Second, 0}, {clock.Hour, 0}} {
+		if got := choice.Fade(8, tt.age); got != tt.want {
+			t.Errorf("age %v: got %d, want %d", tt.age, got, tt.want)
+		}
+	}
+}
+
 // fortyNine is the mean service of the size to design for.
 func fortyNine() []choice.Candidate {
 	all := make([]choice.Candidate, 49)
--- /dev/null
+++ b/measure/overload/overload_test.go
@@ -0,0 +1,91 @@
+package overload_test
+
+import (
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/measure/overload"
+)
+
+// run plays one scenario by its name.
+func run(t *testing.T, name string) overload.Result {
+	t.Helper()
+	for _, s := range overload.Scenarios() {
+		if s.Name == name {
+			return overload.Run(s.Config)
+		}
+	}
+	t.Fatalf("got no scenario %s", name)
+	return overload.Result{}
+}
+
+// Twice the work that a service can do arrives for half a minute. By the usual
+// rules the queue grows past what callers wait for, they ask again, and soon
+// every slot runs work that nobody waits for: the service is up and serves no
+// one. Here those refused are told at once, and the slots do useful work.
+func TestUsefulWorkUnderOverload(t *testing.T) {
+	usual := run(t, "overload/usual")
+	if usual.Useful > 0.2 {
+		t.Errorf("usual rules: got useful work %.3f of capacity, want the collapse, at most 0.2", usual.Useful)
+	}
+	for _, size := range []string{"sicily", "kingston", "planned"} {
+		got := run(t, "overload/"+size)
+		if got.Useful < 0.9 || got.Wasted > 0.01 {
+			t.Errorf("%s: got useful work %.3f and wasted %.3f of capacity, want 0.9 and 0.01", size, got.Useful, got.Wasted)
+		}
+		if got.PerRequest() > 1.2 {
+			t.Errorf("%s: got %.2f attempts a request, want at most 1.2", size, got.PerRequest())
+		}
+		if got.Late > 0 || got.Served+got.Refused != got.Requests {
+			t.Errorf("%s: got %d late, %d served, %d refused of %d, want each served or refused",
+				size, got.Late, got.Served, got.Refused, got.Requests)
+		}
+	}
+}
+
+// One of nine upstreams takes ten times as long, before any verdict. In turn,
+// each ninth request goes there and waits behind the others that do.
+func TestTwoChoicesAgainstRoundRobin(t *testing.T) {
+	for _, size := range []string{"sicily", "kingston"} {
+		for _, load := range []string{"", "-high", "-slow"} {
+			got, robin := run(t, "routing/"+size+load), run(t, "routing/"+size+load+"-robin")
+			if got.Wait(0.99) >= robin.Wait(0.99) {
+				t.Errorf("%s%s: got a p99 wait of %v, want less than round robin's %v",
+					size, load, got.Wait(0.99), robin.Wait(0.99))
+			}
+			if 2*got.Refusals > robin.Refusals {
+				t.Errorf("%s%s: got %d refusals, want at most half of round robin's %d",
+					size, load, got.Refusals, robin.Refusals)
+			}
+		}
+	}
+}
+
+// Four hundred callers come at once, and those refused come back when they are
+// told to. Told all the same second, they are refused again together.
+func TestComputedComebacksAreRefusedLess(t *testing.T) {
+	got, constant := run(t, "comeback/computed"), run(t, "comeback/constant")
+	if got.Served != got.Requests {
+		t.Errorf("got %d of %d served, want all", got.Served, got.Requests)
+	}
+	if float64(got.Refusals) > 0.6*float64(constant.Refusals) {
+		t.Errorf("got %d refusals, want at most 0.6 of the %d with a constant", got.Refusals, constant.Refusals)
+	}
+}
+
+func BenchmarkOverload(b *testing.B) {
+	for _, s := range overload.Scenarios() {
+		b.Run(s.Name, func(b *testing.B) {
+			var r overload.Result
+			for b.Loop() {
+				r = overload.Run(s.Config)
+			}
+			b.ReportMetric(r.Useful, "useful/capacity")
+			b.ReportMetric(r.Wasted, "wasted/capacity")
+			b.ReportMetric(float64(r.Refused+r.Late)/float64(r.Requests), "lost/request")
+			b.ReportMetric(r.PerRequest(), "attempts/request")
+			b.ReportMetric(float64(r.Refusals), "refusals")
+			b.ReportMetric(float64(r.Wait(0.5)), "p50-wait-ms")
+			b.ReportMetric(float64(r.Wait(0.99)), "p99-wait-ms")
+		})
+	}
+}
