feat(path,limit): tell a link closed for want of requests from a lost one

A driver that closes an idle link and keeps its judge sees no frame any more: after three beats the path is lost, and an entry whose callers sleep has lost all its peers by the time they wake. Idle(now) says that the closing was its own; a story holds it (without the call it ends in lost).

--- a/limit/slots.go
+++ b/limit/slots.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// RetryAfter tells a request that isn't run when to come back: when the queue
+// has drained and those refused before have had their turn. Each call takes
+// one turn. Offer calls it itself; it is for those that Expire names.
+func (s *Slots) RetryAfter(now clock.Millis) clock.Millis {
+	gap := s.gap()
+	first := gap * float64(len(s.waiting)+1)
+	if s.config.Slots <= 0 {
+		first = mostRetryAfter
+	}
+	return s.comeback.after(now, first, gap, s.random)
+}
+
 // Resize puts an edited table in force and returns the tickets of waiters that
 // run now. Requests that run or wait beyond the new numbers are let finish. It
 // judges deadlines at the last instant seen: call Expire just before.
@@ -183,13 +195,7 @@
 	return s.drain.mean() / float64(max(s.config.Slots, 1))
 }
 
-// refuse answers a request that isn't run with the time until the queue has
-// drained and those refused before have had their turn.
+// refuse answers a request that isn't run.
 func (s *Slots) refuse(now clock.Millis, a Answer) Offer {
-	gap := s.gap()
-	first := gap * float64(len(s.waiting)+1)
-	if s.config.Slots <= 0 {
-		first = mostRetryAfter
-	}
-	return Offer{Answer: a, RetryAfter: s.comeback.after(now, first, gap, s.random)}
+	return Offer{Answer: a, RetryAfter: s.RetryAfter(now)}
 }
--- a/measure/overload/gate.go
+++ b/measure/overload/gate.go
@@ -97,10 +97,11 @@
 
 // expire refuses the waiters whose turn comes too late.
 func (g *gate) expire() {
-	for _, ticket := range g.slots.Expire(g.world.events.now) {
+	now := g.world.events.now
+	for _, ticket := range g.slots.Expire(now) {
 		a := g.queued[ticket]
 		delete(g.queued, ticket)
-		g.refuse(a, clock.Second)
+		g.refuse(a, g.slots.RetryAfter(now))
 	}
 }
 
--- a/path/path.go
+++ b/path/path.go
@@ -3,8 +3,7 @@
 // it says nothing about the backend servers behind the peer.
 //
 // The driver beats on every open link and calls State at least once a beat. It
-// makes a new Judge when it closes an idle link, and calls Closed when a link
-// breaks.
+// calls Closed when the link breaks and Idle when it closes the link itself.
 package path
 
 import (
@@ -111,12 +110,21 @@
 	j.dial.failed(now)
 }
 
-// Closed tells that the last open link broke.
+// Closed tells that the last open link broke. A new one is due at once; until
+// it is opened or fails, the path is doubted.
 func (j *Judge) Closed(now clock.Millis) {
 	j.wake(now)
 	j.linked = false
 }
 
+// Idle tells that the link was closed for want of requests. The quiet that
+// follows says nothing about the peer: were it held against it, an entry whose
+// callers sleep would have lost all peers by the time that they wake.
+func (j *Judge) Idle(now clock.Millis) {
+	j.wake(now)
+	j.linked, j.used = false, false
+}
+
 // Heard tells that a frame came from the peer.
 func (j *Judge) Heard(now clock.Millis) {
 	j.wake(now)
--- a/path/path_test.go
+++ b/path/path_test.go
@@ -30,7 +30,9 @@
 	// they don't on the link now open, in either direction, but on a new one.
 	out, in, silent bool
 	// paused says that this entry's own process doesn't run.
-	paused  bool
+	paused bool
+	// idle says that the entry has closed the link for want of requests.
+	idle    bool
 	heard   clock.Millis
 	dialled clock.Millis
 	dials   int
@@ -52,7 +54,7 @@
 		p.dialled = 0
 		p.judge.Failed(now)
 	}
-	if p.judge.Redial(now) {
+	if !p.idle && p.judge.Redial(now) {
 		p.dials++
 		p.dialled = now
 	}
@@ -146,6 +148,15 @@
 			[]event{{1000, func(p *peer) { p.judge.Closed(1000) }}},
 			"1000 doubted, 1010 good", 2,
 		},
+		{
+			"idle link", "No caller comes from 1000 to 9000 and the link is closed meanwhile. The " +
+				"first request after it must find the path as good as before.",
+			[]event{
+				{1000, func(p *peer) { p.idle, p.in, p.out = true, false, false; p.judge.Idle(1000) }},
+				{9000, func(p *peer) { p.idle, p.in, p.out = false, true, true }},
+			},
+			"", 2,
+		},
 		{
 			"paused entry", "This process stops from 1000 to 9000. All its peers look silent " +
 				"when it wakes; were they lost, it would refuse every caller.",
