--- a/report/findings.go
+++ b/report/findings.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"fuchsiapick.example/fuchsiapick/account"
-	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -100,28 +99,31 @@
 	return " " + strings.Join(parts, " ")
 }
 
+// asides tells of what lasts first, so that a bound leaves out what is over.
 func (f *finder) asides() {
-	told := 0
+	var lasting, over []*Aside
 	for i := range f.report.Asides {
-		a := &f.report.Asides[i]
-		if a.State == StateRelapsed {
-			continue
-		}
-		if told++; told > mostAlike {
-			continue
+		switch a := &f.report.Asides[i]; {
+		case a.Lasts():
+			lasting = append(lasting, a)
+		case a.State != StateRelapsed:
+			over = append(over, a)
 		}
-		text := a.Upstream + " was set aside " + ago(a.Age) + " by its gate: " +
+	}
+	all := slices.Concat(lasting, over)
+	for _, a := range all[:min(len(all), mostAlike)] {
+		text := f.report.label(a.Service, a.Upstream) + " was set aside " + ago(a.Age) + " by its gate: " +
 			evidenceWords(a.Evidence, a.Reason) + "; " + asideNow(a)
 		if len(a.Kept) > 0 {
 			text += " All the same " + list(a.Kept) + " used it, since the floor of " + a.Service + " left no choice."
 		}
-		level := Bad
-		if !a.Lasts() {
-			level = Watch
+		level := Watch
+		if a.State == account.StateSetAside || a.State == account.StateTrial {
+			level = Bad
 		}
 		f.say(level, text)
 	}
-	f.more(told, "upstreams set aside")
+	f.more(len(all), "times that an upstream was set aside")
 }
 
 // asideNow says what became of an upstream that was set aside.
@@ -163,7 +165,7 @@
 	for _, u := range f.report.Upstreams {
 		sick := u.State == account.StateSetAside || u.State == account.StateKept
 		if sick && !f.hasAside(u) {
-			f.say(Bad, u.Name, " is set aside as sick. The evidence isn't here, since its gate gave no account of it.")
+			f.say(Bad, f.report.label(u.Service, u.Name), " is set aside as sick. The evidence isn't here, since its gate gave no account of it.")
 		}
 	}
 }
@@ -172,7 +174,7 @@
 	var names []string
 	for _, u := range f.report.Upstreams {
 		if u.State == state {
-			names = append(names, u.Name)
+			names = append(names, f.report.label(u.Service, u.Name))
 		}
 	}
 	return names
@@ -184,102 +186,52 @@
 	})
 }
 
+// lostNode gathers who can't reach a node.
+type lostNode struct {
+	to      string
+	from    []string
+	longest clock.Millis
+}
+
 func (f *finder) paths() {
-	told := 0
+	var lost []*lostNode
 	for _, p := range f.report.Paths {
 		if p.Back != none {
 			continue
 		}
-		if told++; told > mostAlike {
-			continue
-		}
-		var names []string
-		for _, u := range f.report.Upstreams {
-			if u.Node == p.To {
-				names = append(names, u.Name)
-			}
+		at := slices.IndexFunc(lost, func(l *lostNode) bool { return l.to == p.To })
+		if at < 0 {
+			at = len(lost)
+			lost = append(lost, &lostNode{to: p.To})
 		}
-		text := p.From + " has not reached node " + p.To + " for " + span(p.Age)
-		if len(names) > 0 {
-			text += " and sends nothing to " + list(names) + " there"
-		}
-		f.say(Bad, text, ". That is about the path between the two; whether the upstreams are sick is for their own gate to say.")
+		lost[at].from = append(lost[at].from, p.From)
+		lost[at].longest = max(lost[at].longest, p.Age)
 	}
-	f.more(told, "paths lost")
-}
-
-func (f *finder) burn() {
-	for _, b := range f.report.Burn {
-		for _, a := range b.Alerts {
-			level := Bad
-			if a.Severity == burn.Ticket {
-				level = Watch
-			}
-			f.say(level, burnWords(&b, a))
-		}
-		for _, left := range b.Budgets {
-			if left.Left < 0 {
-				f.say(Watch, b.Service, " missed its ", string(left.Kind), " objective over the time covered: ",
-					plural(left.Spent, "request was ", "requests were "), badWord(left.Kind), " where ",
-					decimal(left.Allowed), " were allowed.")
-			}
-		}
+	for _, l := range lost[:min(len(lost), mostAlike)] {
+		f.say(Bad, f.lostWords(l))
 	}
+	f.more(len(lost), "nodes out of reach")
 }
 
-func badWord(kind burn.Kind) string {
-	if kind == burn.Latency {
-		return "slow"
+func (f *finder) lostWords(l *lostNode) string {
+	who := list(l.from) + " has"
+	if len(l.from) > 1 {
+		who = number(len(l.from)) + " of " + plural(f.report.Answered(), "node", "nodes") + " have"
 	}
-	return "not served well"
-}
-
-func burnWords(b *Burn, a burn.Alert) string {
-	text := b.Service + " spends its " + string(a.Kind) + " budget " + times(a.Rate) +
-		" as fast as the objective allows, over the last " + span(a.Long)
-	if a.Partial {
-		text += ", of which the nodes cover " + span(b.covered(a.Long))
-	}
-	if causes := mainCauses(b, a.Kind, a.Long); causes != "" {
-		text += "; most of it by " + causes
-	}
-	return text + "."
-}
-
-// covered returns the part of a window that the longest-lived node counted.
-func (b *Burn) covered(long clock.Millis) clock.Millis {
-	for _, r := range b.Rates {
-		if r.Span == long {
-			return r.Covered
-		}
-	}
-	return 0
-}
-
-// mainCauses names the two largest causes within a window.
-func mainCauses(b *Burn, kind burn.Kind, long clock.Millis) string {
+	text := who + " not reached node " + l.to + " for " + span(l.longest)
 	var names []string
-	for _, r := range b.Rates {
-		if r.Span != long {
-			continue
-		}
-		for _, c := range r.Causes {
-			if c.Kind == kind && len(names) < 2 {
-				names = append(names, causeWords(c))
-			}
+	for _, u := range f.report.Upstreams {
+		if u.Node == l.to {
+			names = append(names, f.report.label(u.Service, u.Name))
 		}
 	}
-	return list(names)
-}
-
-// causeWords says what spent budget, for example "bacheca-4 (the answer broke
-// off: 12)".
-func causeWords(c burn.Spent) string {
-	at := c.Upstream
-	if at == "" {
-		at = "no upstream"
+	if len(names) > 0 {
+		text += ", so nothing goes that way to " + list(names)
+	}
+	if len(l.from) > 1 && len(l.from) == f.report.Answered() {
+		return text + ". No node that answered reaches it: it may be down or cut off."
 	}
-	return at + " (" + meaning(c.Reason) + ": " + number(c.Count) + ")"
+	return text + ". That is about the path; whether the upstreams are sick is for their own gate to say."
 }
 
 func (f *finder) refusals() {
--- a/report/plot.go
+++ b/report/plot.go
@@ -138,7 +138,7 @@
 	}
 	for i := range r.Asides {
 		a := &r.Asides[i]
-		y := row(a.Upstream)
+		y := row(r.label(a.Service, a.Upstream))
 		hint := a.Upstream + ": " + evidenceWords(a.Evidence, a.Reason)
 		for _, phase := range a.phases() {
 			p.Boxes = append(p.Boxes, axis.box(phase.from, phase.to, y, phase.class, hint))
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -88,3 +88,14 @@
 	}
 	u.seen = true
 }
+
+// label names an upstream for people: by its service too if another service
+// has one of the same name.
+func (r *Report) label(service, upstream string) string {
+	for _, u := range r.Upstreams {
+		if u.Name == upstream && u.Service != service {
+			return service + "/" + upstream
+		}
+	}
+	return upstream
+}
