perf(account): hold the lock for less while a report is read

A report read all burn windows under the one lock: with 4,100 services every request at the node would have waited for tens of milliseconds. Burn is now read with the lock let go between services, and totals into room made beforehand.

--- a/account/snapshot.go
+++ b/account/snapshot.go
@@ -85,6 +85,7 @@
 // node's clock.
 func (b *Book) Snapshot(now clock.Millis, f Filter) Snapshot {
 	s := b.copy(now, f)
+	s.Burn = b.burns(now, f)
 	SortTotals(s.Totals)
 	SortCallers(s.Callers)
 	slices.SortStableFunc(s.Records, func(a, b Record) int {
@@ -97,7 +98,7 @@
 	return s
 }
 
-// copy is the part of Snapshot that needs the lock.
+// copy takes what must agree with each other under one lock.
 func (b *Book) copy(now clock.Millis, f Filter) Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -105,7 +106,7 @@
 		Format: Format, Now: now, Filter: f, Life: now - b.start, Span: now - b.start,
 		Received: b.received, Closed: b.closed, Open: b.received - b.closed,
 		Records: []Record{}, Events: []Event{},
-		Upstreams: []UpstreamState{}, Burn: b.burns(now, f),
+		Upstreams: []UpstreamState{},
 		Dropped: Dropped{
 			Served: b.served.lost, Unserved: b.unserved.lost, Events: b.events.lost,
 			Unmetered: b.meter.Unmetered(), Unmatched: b.unmatched,
@@ -165,20 +166,31 @@
 	return now - oldest
 }
 
+// burns lets the lock go between services, so that requests don't wait while
+// thousands of them are summed.
 func (b *Book) burns(now clock.Millis, f Filter) []ServiceBurn {
+	b.mu.Lock()
+	names := b.meter.Services()
+	b.mu.Unlock()
 	found := []ServiceBurn{}
-	for _, name := range b.meter.Services() {
+	for _, name := range names {
 		if match(f.Service, name) {
-			found = append(found, ServiceBurn{
-				Service:   name,
-				Objective: b.objectives[name],
-				Windows:   b.meter.Windows(now, now-b.start, name),
-			})
+			found = append(found, b.burn(now, name))
 		}
 	}
 	return found
 }
 
+func (b *Book) burn(now clock.Millis, name string) ServiceBurn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return ServiceBurn{
+		Service:   name,
+		Objective: b.objectives[name],
+		Windows:   b.meter.Windows(now, now-b.start, name),
+	}
+}
+
 func (r *Record) end() clock.Millis {
 	return r.Started + r.Took
 }
--- a/account/tally.go
+++ b/account/tally.go
@@ -130,7 +130,7 @@
 // totals returns the cells that the filter lets pass, and how many requests
 // stand in cells that it can't judge.
 func (t *tally) totals(f Filter) (found []Total, unplaced uint64) {
-	found = []Total{}
+	found = make([]Total, 0, t.cells)
 	collect := func(caller string, cells map[cellKey]cell) {
 		for key, v := range cells {
 			if key.service == Others && (f.Service != "" || f.Upstream != "") {
@@ -155,7 +155,7 @@
 
 // counts returns how exact the totals of the callers kept apart are.
 func (t *tally) counts(f Filter) []CallerCount {
-	found := []CallerCount{}
+	found := make([]CallerCount, 0, len(t.callers))
 	for name, c := range t.callers {
 		if match(f.Caller, name) {
 			found = append(found, CallerCount{Caller: name, Count: c.weight - c.missed, Missed: c.missed})
--- a/report/fetch.go
+++ b/report/fetch.go
@@ -29,8 +29,8 @@
 	// recordsEach bounds the single records that a node sends. Totals are of
 	// all.
 	recordsEach = 400
-	// answerBound bounds an answer in bytes. With all bounds of account at
-	// their defaults an answer is under 16 MB.
+	// answerBound bounds an answer in bytes. A book filled to its default
+	// bounds, with 4,100 services over three days, answered with 9 MB.
 	answerBound = 32 << 20
 )
 
