feat(report): sum up callers and say which nodes are not in the report

A trial of the demo with 24 nodes gave 289 lines of who got what and no line for one caller; a table of callers now stands before it. A report of one node of 24 looked whole: it now says how many nodes the table names and how many it is of. Burn windows of all nodes are merged in one pass over maps, where each node's causes were searched and sorted again.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -131,7 +131,7 @@
 				right.Add(now, "s", s)
 			}
 		}
-		got := burn.Merge(burn.Merge(nil, left.Windows(now, now, "s")), right.Windows(now, now, "s"))
+		got := burn.Merge(left.Windows(now, now, "s"), right.Windows(now, now, "s"))
 		if want := one.Windows(now, now, "s"); !reflect.DeepEqual(got, want) {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
--- a/burn/meter.go
+++ b/burn/meter.go
@@ -162,19 +162,16 @@
 	}
 	windows := make([]Window, 0, len(Spans))
 	for i, span := range Spans {
-		w := Window{
-			Span: span, Covered: min(span, life), Least: min(span, life),
-			Causes: []Spent{}, Series: []Point{},
-		}
+		covered := min(span, life)
+		w := newSum(span, covered, covered)
 		last := slot(now, span)
 		for age := range int64(parts + 1) {
 			b := &rows[i][max(last-age, 0)%(parts+1)]
 			if b.index == last-age && b.total > 0 {
-				w.add(b, int(age))
+				w.bucket(b, int(age))
 			}
 		}
-		w.sort()
-		windows = append(windows, w)
+		windows = append(windows, w.window())
 	}
 	return windows
 }
--- a/burn/window.go
+++ b/burn/window.go
@@ -61,39 +61,65 @@
 	return w.Total - w.Failed
 }
 
-func (w *Window) add(b *bucket, age int) {
+// sum adds up a window. Slices are kept by number, causes by themselves.
+type sum struct {
+	Window
+
+	causes map[Cause]uint64
+	slices [parts + 1]Point
+}
+
+func newSum(span, covered, least clock.Millis) *sum {
+	return &sum{
+		Window: Window{Span: span, Covered: covered, Least: least},
+		causes: make(map[Cause]uint64),
+	}
+}
+
+// point adds the requests of a slice.
+func (s *sum) point(p Point) {
+	s.Total += p.Total
+	s.Failed += p.Failed
+	s.Slow += p.Slow
+	if p.Slice >= 0 && p.Slice < len(s.slices) {
+		at := &s.slices[p.Slice]
+		at.Total += p.Total
+		at.Failed += p.Failed
+		at.Slow += p.Slow
+	}
+}
+
+// bucket adds a bucket that is so many slices old. What its causes leave out,
+// for want of room, is counted as Other.
+func (s *sum) bucket(b *bucket, age int) {
 	p := Point{Slice: age, Total: uint64(b.total), Failed: uint64(b.failed), Slow: uint64(b.slow)}
-	w.Total += p.Total
-	w.Failed += p.Failed
-	w.Slow += p.Slow
-	w.Series = append(w.Series, p)
+	s.point(p)
 	failed, slow := p.Failed, p.Slow
 	for c, n := range b.causes {
-		w.spend(c, uint64(n))
+		s.spend(c, uint64(n))
 		if c.Kind == Availability {
 			failed -= uint64(n)
 		} else {
 			slow -= uint64(n)
 		}
 	}
-	w.spend(Cause{Kind: Availability, Upstream: Other, Reason: Other}, failed)
-	w.spend(Cause{Kind: Latency, Upstream: Other, Reason: Other}, slow)
+	s.spend(Cause{Kind: Availability, Upstream: Other, Reason: Other}, failed)
+	s.spend(Cause{Kind: Latency, Upstream: Other, Reason: Other}, slow)
 }
 
-func (w *Window) spend(c Cause, n uint64) {
-	if n == 0 {
-		return
+func (s *sum) spend(c Cause, n uint64) {
+	if n > 0 {
+		s.causes[c] += n
 	}
-	for i := range w.Causes {
-		if w.Causes[i].Cause == c {
-			w.Causes[i].Count += n
-			return
-		}
-	}
-	w.Causes = append(w.Causes, Spent{Cause: c, Count: n})
 }
 
-func (w *Window) sort() {
+// window returns the sum, in order.
+func (s *sum) window() Window {
+	w := s.Window
+	w.Causes = make([]Spent, 0, len(s.causes))
+	for c, n := range s.causes {
+		w.Causes = append(w.Causes, Spent{Cause: c, Count: n})
+	}
 	slices.SortFunc(w.Causes, func(a, b Spent) int {
 		return cmp.Or(
 			cmp.Compare(b.Count, a.Count),
@@ -102,46 +128,44 @@
 			cmp.Compare(a.Kind, b.Kind),
 		)
 	})
+	w.Series = []Point{}
+	for i, p := range s.slices {
+		if p.Total > 0 {
+			p.Slice = i
+			w.Series = append(w.Series, p)
+		}
+	}
+	return w
 }
 
 // Merge adds up the windows that nodes counted for one service. Nodes cut
 // their slices by their own clocks, so that slices match within one slice.
-func Merge(into, from []Window) []Window {
-	for _, w := range from {
-		at := slices.IndexFunc(into, func(x Window) bool { return x.Span == w.Span })
-		if at < 0 {
-			into = append(into, Window{Span: w.Span, Least: w.Least, Causes: []Spent{}, Series: []Point{}})
-			at = len(into) - 1
+func Merge(nodes ...[]Window) []Window {
+	var sums []*sum
+	for _, windows := range nodes {
+		for _, w := range windows {
+			at := slices.IndexFunc(sums, func(s *sum) bool { return s.Span == w.Span })
+			if at < 0 {
+				at = len(sums)
+				sums = append(sums, newSum(w.Span, w.Covered, w.Least))
+			}
+			sums[at].merge(w)
 		}
-		into[at].merge(w)
 	}
-	return into
+	merged := make([]Window, 0, len(sums))
+	for _, s := range sums {
+		merged = append(merged, s.window())
+	}
+	return merged
 }
 
-func (w *Window) merge(from Window) {
-	w.Covered = max(w.Covered, from.Covered)
-	w.Least = min(w.Least, from.Least)
-	w.Total += from.Total
-	w.Failed += from.Failed
-	w.Slow += from.Slow
-	for _, s := range from.Causes {
-		w.spend(s.Cause, s.Count)
+func (s *sum) merge(from Window) {
+	s.Covered = max(s.Covered, from.Covered)
+	s.Least = min(s.Least, from.Least)
+	for _, c := range from.Causes {
+		s.spend(c.Cause, c.Count)
 	}
-	w.sort()
 	for _, p := range from.Series {
-		w.plot(p)
-	}
-	slices.SortFunc(w.Series, func(a, b Point) int { return cmp.Compare(a.Slice, b.Slice) })
-}
-
-func (w *Window) plot(p Point) {
-	for i := range w.Series {
-		if w.Series[i].Slice == p.Slice {
-			w.Series[i].Total += p.Total
-			w.Series[i].Failed += p.Failed
-			w.Series[i].Slow += p.Slow
-			return
-		}
+		s.point(p)
 	}
-	w.Series = append(w.Series, p)
 }
--- /dev/null
+++ b/report/callers.go
@@ -0,0 +1,103 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// callerSum gathers a caller's totals.
+type callerSum struct {
+	Caller
+
+	took      clock.Millis
+	upstreams map[string]bool
+}
+
+// mergeCallers sums the callers' totals and says how exact they are.
+func (m *merger) mergeCallers() {
+	sums := make(map[string]*callerSum)
+	at := func(name string) *callerSum {
+		if sums[name] == nil {
+			sums[name] = &callerSum{Caller: Caller{Name: name}, upstreams: make(map[string]bool)}
+		}
+		return sums[name]
+	}
+	for _, t := range m.report.Totals {
+		c := at(t.Caller)
+		c.add(t.Outcome, t.Count)
+		if t.Upstream != "" {
+			c.upstreams[t.Upstream] = true
+		}
+		if t.Outcome == account.Served {
+			c.took += t.Took
+		}
+	}
+	if asked := m.report.Filter.Caller; asked != "" {
+		at(asked)
+	}
+	m.miss(sums)
+	for _, c := range sums {
+		c.Upstreams = len(c.upstreams)
+		if c.Served > 0 {
+			c.Mean = c.took / clock.Millis(c.Served)
+		}
+		m.report.Callers = append(m.report.Callers, c.Caller)
+	}
+	slices.SortFunc(m.report.Callers, func(a, b Caller) int {
+		return cmp.Or(cmp.Compare(b.Sum(), a.Sum()), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// miss adds up what nodes may have counted under Others. A node that doesn't
+// keep a caller apart may hold some of its requests there too.
+func (m *merger) miss(sums map[string]*callerSum) {
+	for _, s := range m.snapshots {
+		listed := make(map[string]bool, len(s.Callers))
+		for _, c := range s.Callers {
+			if sum := sums[c.Caller]; sum != nil {
+				sum.Missed += c.Missed
+			}
+			listed[c.Caller] = true
+		}
+		for name, sum := range sums {
+			if !listed[name] && name != account.Others {
+				sum.Missed += s.Missable
+			}
+		}
+	}
+}
+
+func (r *Report) callerSheet() sheet {
+	s := sheet{
+		Title: "Callers",
+		Note: "A node keeps its busiest callers apart. \"May miss\" says how many more of a caller's " +
+			"requests at most stand under (other).",
+		Columns: []column{
+			phrase("caller"), count("requests"), count("served"), count("not run"), count("unknown"),
+			count("upstreams"), count("mean time served"), count("may miss"),
+		},
+		Empty: "No request is on account.",
+	}
+	for _, c := range r.Callers {
+		s.Rows = append(s.Rows, []string{
+			callerName(c.Name), number(c.Sum()), number(c.Served), number(c.NotRun), number(c.Unknown),
+			number(c.Upstreams), meanWords(c.Mean, c.Served), number(c.Missed),
+		})
+	}
+	return s
+}
+
+func callerName(name string) string {
+	return cmp.Or(name, "(unnamed)")
+}
+
+// meanWords writes a mean over the requests served, if there are any.
+func meanWords(mean clock.Millis, served uint64) string {
+	if served == 0 {
+		return "-"
+	}
+	return span(mean)
+}
--- a/report/findings.go
+++ b/report/findings.go
@@ -27,6 +27,7 @@
 	slices.SortStableFunc(f.found, func(a, b Finding) int { return rank(a.Level) - rank(b.Level) })
 	first := &finder{report: r}
 	first.missing()
+	first.notAsked()
 	first.headline()
 	return append(first.found, f.found...)
 }
@@ -65,6 +66,20 @@
 		" gave no account, so every total here may be too small: ", list(missing), ".")
 }
 
+// notAsked tells of a report that is whole and yet not of the whole fleet.
+func (f *finder) notAsked() {
+	answered, faults := f.report.Answered(), 0
+	for _, n := range f.report.Nodes {
+		if n.Fault != "" {
+			faults++
+		}
+	}
+	if answered > 0 && f.report.Named > answered+faults {
+		f.say(Watch, "The table names ", plural(f.report.Named, "node", "nodes"), "; this report is of ", number(answered),
+			" of them: requests that reached the fleet through the others are not counted.")
+	}
+}
+
 func (f *finder) headline() {
 	r := &f.report.Requests
 	if f.report.Answered() == 0 {
--- a/report/merge.go
+++ b/report/merge.go
@@ -20,7 +20,7 @@
 	m := &merger{names: make(map[string]string), totals: make(map[totalKey]*account.Total)}
 	m.report = Report{
 		Format: Format, Nodes: []Node{}, Findings: []Finding{},
-		Totals: []account.Total{}, Callers: []account.CallerCount{}, Refusals: []Refusal{},
+		Totals: []account.Total{}, Callers: []Caller{}, Refusals: []Refusal{},
 		Services: []Service{}, Upstreams: []Upstream{}, Asides: []Aside{}, Paths: []Path{},
 		Events: []Event{}, Unserved: []Record{}, Burn: []Burn{},
 	}
@@ -176,47 +176,13 @@
 	slices.SortStableFunc(m.report.Unserved, func(a, b Record) int { return cmp.Compare(a.Age, b.Age) })
 }
 
-// mergeCallers sums how exact the callers' totals are. A node that doesn't
-// keep a caller apart may hold some of its requests under Others.
-func (m *merger) mergeCallers() {
-	callers := make(map[string]account.CallerCount)
-	for _, s := range m.snapshots {
-		for _, c := range s.Callers {
-			callers[c.Caller] = account.CallerCount{Caller: c.Caller}
-		}
-	}
-	if asked := m.report.Filter.Caller; asked != "" {
-		callers[asked] = account.CallerCount{Caller: asked}
-	}
-	for _, s := range m.snapshots {
-		listed := make(map[string]bool, len(s.Callers))
-		for _, c := range s.Callers {
-			sum := callers[c.Caller]
-			sum.Count += c.Count
-			sum.Missed += c.Missed
-			callers[c.Caller] = sum
-			listed[c.Caller] = true
-		}
-		for name, sum := range callers {
-			if !listed[name] {
-				sum.Missed += s.Missable
-				callers[name] = sum
-			}
-		}
-	}
-	for _, c := range callers {
-		m.report.Callers = append(m.report.Callers, c)
-	}
-	account.SortCallers(m.report.Callers)
-}
-
 // mergeBurn judges each service's merged windows by the objective of the node
 // with the newest table.
 func (m *merger) mergeBurn() {
 	type merged struct {
 		table     uint64
 		objective account.Objective
-		windows   []burn.Window
+		windows   [][]burn.Window
 	}
 	services := make(map[string]*merged)
 	for _, s := range m.snapshots {
@@ -229,13 +195,13 @@
 			if known.windows == nil || s.Table > known.table {
 				known.table, known.objective = s.Table, b.Objective
 			}
-			known.windows = burn.Merge(known.windows, b.Windows)
+			known.windows = append(known.windows, b.Windows)
 		}
 	}
 	for name, b := range services {
 		m.report.Burn = append(m.report.Burn, Burn{
 			Service: name, Objective: b.objective,
-			Verdict: burn.Judge(table.Objective(b.objective), b.windows),
+			Verdict: burn.Judge(table.Objective(b.objective), burn.Merge(b.windows...)),
 		})
 	}
 	slices.SortFunc(m.report.Burn, func(a, b Burn) int { return cmp.Compare(a.Service, b.Service) })
--- a/report/report.go
+++ b/report/report.go
@@ -26,7 +26,10 @@
 	Filter account.Filter `json:"filter"`
 	// Partial means that a node did not answer, so that every total may be
 	// too small.
-	Partial   bool       `json:"partial"`
+	Partial bool `json:"partial"`
+	// Named is how many nodes the upstreams' table names, so that a reader
+	// sees whether all of them were asked.
+	Named     int        `json:"named"`
 	Findings  []Finding  `json:"findings"`
 	Nodes     []Node     `json:"nodes"`
 	Requests  Requests   `json:"requests"`
@@ -34,11 +37,11 @@
 	// Totals says who got what, the largest first.
 	Totals []account.Total `json:"totals"`
 	// Callers says how exact each caller's totals are.
-	Callers  []account.CallerCount `json:"callers"`
-	Services []Service             `json:"services"`
-	Refusals []Refusal             `json:"refusals"`
-	Asides   []Aside               `json:"asides"`
-	Paths    []Path                `json:"paths"`
+	Callers  []Caller  `json:"callers"`
+	Services []Service `json:"services"`
+	Refusals []Refusal `json:"refusals"`
+	Asides   []Aside   `json:"asides"`
+	Paths    []Path    `json:"paths"`
 	// Events is the newest first; those that Asides and Paths tell of are in
 	// it too.
 	Events []Event `json:"events"`
@@ -134,6 +137,20 @@
 	Views int      `json:"views"`
 }
 
+// Caller counts a caller's requests.
+type Caller struct {
+	Name string `json:"name"`
+	Outcomes
+
+	// Missed is how many more of its requests at most stand under
+	// account.Others.
+	Missed uint64 `json:"missed"`
+	// Upstreams is how many upstreams had its requests.
+	Upstreams int `json:"upstreams"`
+	// Mean is the mean span of the requests that were served.
+	Mean clock.Millis `json:"mean"`
+}
+
 // Service counts a service's requests.
 type Service struct {
 	Name string `json:"name"`
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -115,3 +116,49 @@
 		})
 	}
 }
+
+// A caller that a node no longer keeps apart may have made requests there: the
+// report must say how many at most, and not that there were none.
+func TestMissedCallersAddUp(t *testing.T) {
+	all := make([]report.NodeResult, 0, 2)
+	for _, link := range []string{palermo, catania} {
+		n := &node{Book: account.New(account.Config{Callers: 1})}
+		n.close(3, served("hotel-aretusa", "bacheca", "bacheca-1", 40))
+		n.close(1, served("clinica-etna", "bacheca", "bacheca-1", 40))
+		s := n.Snapshot(n.now, account.Filter{Caller: "hotel-aretusa"})
+		s.Node = link
+		all = append(all, report.NodeResult{Snapshot: &s})
+	}
+	r := report.Merge(all)
+	if len(r.Callers) != 1 || r.Callers[0].Sum() != 0 || r.Callers[0].Missed < 6 {
+		t.Errorf("got callers %+v, want hotel-aretusa with 6 missed or more", r.Callers)
+	}
+}
+
+// An operator asks one node of a fleet: the report is whole, and must not look
+// like the fleet's.
+func TestFindingsNameNodesNotAsked(t *testing.T) {
+	r := report.Merge(results()[:1])
+	const want = "The table names 3 nodes; this report is of 1 of them"
+	if got := r.Findings[0].Text; !strings.HasPrefix(got, want) || r.Partial {
+		t.Errorf("got first finding %q, partial %v; want %q", got, r.Partial, want)
+	}
+}
+
+// BenchmarkMerge gives the cost of a report over growing numbers of nodes.
+func BenchmarkMerge(b *testing.B) {
+	for _, nodes := range []int{10, 100, 1000, 2400} {
+		b.Run(strconv.Itoa(nodes), func(b *testing.B) {
+			all := make([]report.NodeResult, 0, nodes)
+			for i := range nodes {
+				s := cataniaNode()
+				s.Node = strconv.Itoa(i)
+				all = append(all, report.NodeResult{Snapshot: &s})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				report.Merge(all)
+			}
+		})
+	}
+}
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -64,7 +64,7 @@
 		return []sheet{r.nodeSheet().cut(mostRows)}
 	}
 	return []sheet{
-		r.upstreamSheet().cut(mostRows), r.totalSheet().cut(mostRows), r.refusalSheet().cut(mostRows),
+		r.upstreamSheet().cut(mostRows), r.callerSheet().cut(mostRows), r.totalSheet().cut(mostRows), r.refusalSheet().cut(mostRows),
 		r.asideSheet().cut(mostRows), r.pathSheet().cut(mostRows), r.burnSheet().cut(mostRows),
 		r.causeSheet().cut(mostRows), r.unservedSheet().cut(mostLatest), r.eventSheet().cut(mostLatest),
 		r.nodeSheet().cut(mostRows),
@@ -85,19 +85,12 @@
 	for _, u := range r.Upstreams {
 		s.Rows = append(s.Rows, []string{
 			u.Service, u.Name, u.Domain, upstreamWords(u), number(u.Weight), number(u.Slots),
-			number(u.InFlight), number(u.Served), number(u.NotRun), number(u.Unknown), meanWords(u),
+			number(u.InFlight), number(u.Served), number(u.NotRun), number(u.Unknown), meanWords(u.Mean, u.Served),
 		})
 	}
 	return s
 }
 
-func meanWords(u Upstream) string {
-	if u.Served == 0 {
-		return "-"
-	}
-	return span(u.Mean)
-}
-
 // upstreamWords says an upstream's state, and beside it what only entries
 // know: from where its node can't be reached, and who keeps using it.
 func upstreamWords(u Upstream) string {
@@ -119,27 +112,22 @@
 func (r *Report) totalSheet() sheet {
 	s := sheet{
 		Title: "Who got what",
-		Note: "Every finished request, by caller, service, upstream and outcome. A caller's number may " +
-			"miss requests that a node counted under (other); \"may miss\" says how many at most.",
+		Note:  "Every finished request, by caller, service, upstream and outcome.",
 		Columns: []column{
 			phrase("caller"), words("service"), words("upstream"), words("outcome"), phrase("reason"),
-			count("requests"), count("mean time"), count("may miss"),
+			count("requests"), count("mean time"),
 		},
 		Empty: "No request is on account.",
 	}
-	missed := make(map[string]uint64)
-	for _, c := range r.Callers {
-		missed[c.Caller] = c.Missed
-	}
 	for _, t := range r.Totals {
 		reason := ""
 		if t.Reason != "" || t.Outcome != account.Served {
 			reason = meaning(t.Reason)
 		}
 		s.Rows = append(s.Rows, []string{
-			cmp.Or(t.Caller, "(unnamed)"), cmp.Or(t.Service, "(no service)"), cmp.Or(t.Upstream, "(none)"),
+			callerName(t.Caller), cmp.Or(t.Service, "(no service)"), cmp.Or(t.Upstream, "(none)"),
 			outcomeWords(t.Outcome), reason, number(t.Count),
-			span(t.Took / clock.Millis(max(t.Count, 1))), number(missed[t.Caller]),
+			span(t.Took / clock.Millis(max(t.Count, 1))),
 		})
 	}
 	return s
@@ -229,7 +217,7 @@
 	}
 	for _, u := range r.Unserved {
 		s.Rows = append(s.Rows, []string{
-			ago(u.Age), cmp.Or(u.Caller, "(unnamed)"), u.Method, cmp.Or(u.Route, "(none)"), cmp.Or(u.Upstream, "(none)"),
+			ago(u.Age), callerName(u.Caller), u.Method, cmp.Or(u.Route, "(none)"), cmp.Or(u.Upstream, "(none)"),
 			outcomeWords(u.Outcome), meaning(u.Reason), number(u.Attempts), span(u.Took), u.Entry, u.ID,
 		})
 	}
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -41,13 +41,16 @@
 		}
 		return sums[key]
 	}
+	named := make(map[string]bool)
 	for _, s := range m.snapshots {
 		for _, u := range s.Upstreams {
+			named[u.Node] = true
 			if s.Filter.PassesUpstream(u) {
 				at(u.Service, u.Name).view(s, u)
 			}
 		}
 	}
+	m.report.Named = len(named)
 	for _, t := range m.report.Totals {
 		if t.Upstream == "" || t.Upstream == account.Others {
 			continue
