feat(report): count what was served with an upstream's error

In a trial of the demo a gray upstream answered with 5xx, callers were served just these, and the report showed 0 of anything but served. Outcomes now count the errors among those served, in sentences, tables, the plot and JSON; Close gives such a record its reason. Services without bad requests get no empty plot.

--- a/account/book.go
+++ b/account/book.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"net/http"
 	"strings"
 	"sync"
 
@@ -101,6 +102,9 @@
 // Close enters the single account of a request that Received counted.
 func (b *Book) Close(now clock.Millis, r Record) {
 	r.clip()
+	if r.Outcome == Served && r.Status >= http.StatusInternalServerError {
+		r.Reason = ReasonUpstreamError
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closed == b.received {
--- a/account/reason.go
+++ b/account/reason.go
@@ -34,7 +34,8 @@
 	ReasonUnreachable = "unreachable"
 	// ReasonShutdown means that the node was shutting down.
 	ReasonShutdown = "shutting-down"
-	// ReasonUpstreamError means that the upstream answered with a 5xx.
+	// ReasonUpstreamError means that the upstream answered with a 5xx. Close
+	// sets it for a request that was served so.
 	ReasonUpstreamError = "upstream-error"
 	// ReasonSlow means that a good answer came later than the objective says.
 	ReasonSlow = "slow"
--- a/account/record.go
+++ b/account/record.go
@@ -36,7 +36,7 @@
 	Domain  string  `json:"domain"`
 	Method  string  `json:"method"`
 	Outcome Outcome `json:"outcome"`
-	// Reason says why a request was not served, one of the Reason constants.
+	// Reason says why a request was not served, or not well.
 	Reason string `json:"reason,omitempty"`
 	// Upstream served the request or had it last; empty if none had it.
 	Upstream string `json:"upstream,omitempty"`
--- a/report/callers.go
+++ b/report/callers.go
@@ -27,7 +27,7 @@
 	}
 	for _, t := range m.report.Totals {
 		c := at(t.Caller)
-		c.add(t.Outcome, t.Count)
+		c.add(&t)
 		if t.Upstream != "" {
 			c.upstreams[t.Upstream] = true
 		}
@@ -76,14 +76,14 @@
 		Note: "A node keeps its busiest callers apart. \"May miss\" says how many more of a caller's " +
 			"requests at most stand under (other).",
 		Columns: []column{
-			phrase("caller"), count("requests"), count("served"), count("not run"), count("unknown"),
+			phrase("caller"), count("requests"), count("served"), count("with error"), count("not run"), count("unknown"),
 			count("upstreams"), count("mean time served"), count("may miss"),
 		},
 		Empty: "No request is on account.",
 	}
 	for _, c := range r.Callers {
 		s.Rows = append(s.Rows, []string{
-			callerName(c.Name), number(c.Sum()), number(c.Served), number(c.NotRun), number(c.Unknown),
+			callerName(c.Name), number(c.Sum()), number(c.Served), number(c.Errors), number(c.NotRun), number(c.Unknown),
 			number(c.Upstreams), meanWords(c.Mean, c.Served), number(c.Missed),
 		})
 	}
--- a/report/findings.go
+++ b/report/findings.go
@@ -86,7 +86,7 @@
 		return
 	}
 	text := "Of " + plural(r.Sum(), "finished request", "finished requests") + f.scope() + ", " +
-		number(r.Served) + " were served, " + number(r.NotRun) + " were refused and not run, and " +
+		number(r.Served) + " were served" + errorWords(r.Errors) + ", " + number(r.NotRun) + " were refused and not run, and " +
 		number(r.Unknown) + " have an unknown outcome"
 	if f.report.Filter == (account.Filter{Limit: f.report.Filter.Limit}) {
 		text += "; of " + number(r.Received) + " received, " + number(r.Open) + " still open"
@@ -94,6 +94,14 @@
 	f.say(Note, text, ".")
 }
 
+// errorWords says how many were served with an upstream's error.
+func errorWords(n uint64) string {
+	if n == 0 {
+		return ""
+	}
+	return " (" + number(n) + " of them with an upstream's error)"
+}
+
 // scope says what the report was narrowed to.
 func (f *finder) scope() string {
 	filter := f.report.Filter
--- a/report/fixture_test.go
+++ b/report/fixture_test.go
@@ -92,6 +92,9 @@
 	n.close(9000, served("clinica-etna", "bacheca", "bacheca-1", 40))
 	n.close(400, served("hotel-aretusa", "conferme", "conferme-2", 90))
 	n.close(60, served("hotel-aretusa", "bacheca", "bacheca-4", 700))
+	broken := served("hotel-aretusa", "bacheca", "bacheca-4", 30)
+	broken.Status = 500
+	n.close(4, broken)
 	n.Note(account.Event{At: n.now, Kind: account.PathLost, Node: messina, Reason: "unreachable"})
 	n.close(25, refused("ufficio-noto", "bacheca", "", account.ReasonCallerLimit, account.NotRun))
 	n.close(12, refused("hotel-aretusa", "bacheca", "bacheca-4", "set-aside", account.NotRun))
--- a/report/merge.go
+++ b/report/merge.go
@@ -110,7 +110,7 @@
 	r.Closed += s.Closed
 	r.Open += s.Open
 	for _, t := range s.Totals {
-		r.add(t.Outcome, t.Count)
+		r.add(&t)
 		key := totalKey{t.Caller, t.Service, t.Upstream, t.Outcome, t.Reason}
 		if known := m.totals[key]; known != nil {
 			known.Count += t.Count
@@ -153,7 +153,7 @@
 		if services[t.Service] == nil {
 			services[t.Service] = &Service{Name: t.Service}
 		}
-		services[t.Service].add(t.Outcome, t.Count)
+		services[t.Service].add(t)
 		if t.Outcome != account.Served {
 			key := Refusal{Service: t.Service, Outcome: t.Outcome, Reason: t.Reason}
 			refusals[key] += t.Count
--- a/report/plot.go
+++ b/report/plot.go
@@ -61,8 +61,9 @@
 		all = append(all, r.historyPlot())
 	}
 	for _, b := range r.Burn {
-		if len(b.Rates) > 0 && len(all) < cap(all) {
-			all = append(all, burnPlot(b))
+		rate, drawn := b.drawn()
+		if drawn && len(all) < cap(all) {
+			all = append(all, burnPlot(b, rate))
 		}
 	}
 	return all
@@ -77,7 +78,7 @@
 		Note:  "Each bar is all of a service's finished requests. Thin slices are drawn wider than they are, so that they can be seen.",
 		Width: plotWidth,
 		Legend: []legend{
-			{"served", "served"}, {"notrun", "refused and not run"}, {"unknown", "unknown outcome"},
+			{"served", "served"}, {"failed", "served with an upstream's error"}, {"notrun", "refused and not run"}, {"unknown", "unknown outcome"},
 		},
 	}
 	for _, s := range r.Services {
@@ -90,7 +91,7 @@
 		for _, part := range []struct {
 			n     uint64
 			class string
-		}{{s.Unknown, "unknown"}, {s.NotRun, "notrun"}, {s.Served, "served"}} {
+		}{{s.Unknown, "unknown"}, {s.NotRun, "notrun"}, {s.Errors, "failed"}, {s.Served - s.Errors, "served"}} {
 			if part.n == 0 {
 				continue
 			}
@@ -202,16 +203,25 @@
 	}
 }
 
-// burnPlot draws the share of bad requests in each slice of a window: the
-// longest of up to six hours that the nodes' lives cover, or the shortest.
-func burnPlot(b Burn) plot {
-	const height, top, slices = 90, 14, 13
+// drawn returns the window that a plot shows: the longest of up to six hours
+// that the nodes' lives cover, or the shortest. It returns false if that has
+// no bad requests.
+func (b *Burn) drawn() (burn.Rate, bool) {
+	if len(b.Rates) == 0 {
+		return burn.Rate{}, false
+	}
 	rate := b.Rates[0]
 	for _, r := range b.Rates {
 		if r.Covered >= r.Span && r.Span <= 6*clock.Hour {
 			rate = r
 		}
 	}
+	return rate, rate.Failed+rate.Slow > 0
+}
+
+// burnPlot draws the share of bad requests in each slice of a window.
+func burnPlot(b Burn, rate burn.Rate) plot {
+	const height, top, slices = 90, 14, 13
 	p := plot{
 		Title:  "Bad requests of " + b.Service + ", last " + span(rate.Span),
 		Note:   "Share of the requests in each " + span(rate.Span/12) + ". Grey: no requests.",
--- a/report/report.go
+++ b/report/report.go
@@ -97,7 +97,9 @@
 
 // Outcomes counts accounts by outcome.
 type Outcomes struct {
-	Served  uint64 `json:"served"`
+	Served uint64 `json:"served"`
+	// Errors is how many of those served got an upstream's 5xx.
+	Errors  uint64 `json:"errors"`
 	NotRun  uint64 `json:"notrun"`
 	Unknown uint64 `json:"unknown"`
 }
@@ -107,14 +109,17 @@
 	return o.Served + o.NotRun + o.Unknown
 }
 
-func (o *Outcomes) add(outcome account.Outcome, n uint64) {
-	switch outcome {
+func (o *Outcomes) add(t *account.Total) {
+	switch t.Outcome {
 	case account.Served:
-		o.Served += n
+		o.Served += t.Count
+		if t.Reason == account.ReasonUpstreamError {
+			o.Errors += t.Count
+		}
 	case account.NotRun:
-		o.NotRun += n
+		o.NotRun += t.Count
 	default:
-		o.Unknown += n
+		o.Unknown += t.Count
 	}
 }
 
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -78,14 +78,15 @@
 			"leaving and off are planned, over its limit is busy.",
 		Columns: []column{
 			words("service"), words("upstream"), words("domain"), phrase("state"), count("weight"), count("slots"),
-			count("busy"), count("served"), count("not run"), count("unknown"), count("mean time served"),
+			count("busy"), count("served"), count("with error"),
+			count("not run"), count("unknown"), count("mean time served"),
 		},
 		Empty: "No upstream is known to the nodes that answered.",
 	}
 	for _, u := range r.Upstreams {
 		s.Rows = append(s.Rows, []string{
 			u.Service, u.Name, u.Domain, upstreamWords(u), number(u.Weight), number(u.Slots),
-			number(u.InFlight), number(u.Served), number(u.NotRun), number(u.Unknown), meanWords(u.Mean, u.Served),
+			number(u.InFlight), number(u.Served), number(u.Errors), number(u.NotRun), number(u.Unknown), meanWords(u.Mean, u.Served),
 		})
 	}
 	return s
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		u := at(t.Service, t.Upstream)
-		u.add(t.Outcome, t.Count)
+		u.add(&t)
 		if t.Outcome == account.Served {
 			u.took += t.Took
 		}
