--- a/report/sheet.go
+++ b/report/sheet.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"fuchsiapick.example/fuchsiapick/account"
-	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -65,7 +64,7 @@
 		return []sheet{r.nodeSheet().cut(mostRows)}
 	}
 	return []sheet{
-		r.upstreamSheet().cut(mostRows), r.totalSheet().cut(mostRows), r.refusalSheet().cut(mostRows),
+		r.upstreamSheet().cut(mostRows), r.callerSheet().cut(mostRows), r.totalSheet().cut(mostRows), r.refusalSheet().cut(mostRows),
 		r.asideSheet().cut(mostRows), r.pathSheet().cut(mostRows), r.burnSheet().cut(mostRows),
 		r.causeSheet().cut(mostRows), r.unservedSheet().cut(mostLatest), r.eventSheet().cut(mostLatest),
 		r.nodeSheet().cut(mostRows),
@@ -79,26 +78,20 @@
 			"leaving and off are planned, over its limit is busy.",
 		Columns: []column{
 			words("service"), words("upstream"), words("domain"), phrase("state"), count("weight"), count("slots"),
-			count("busy"), count("served"), count("not run"), count("unknown"), count("mean time served"),
+			count("busy"), count("served"), count("with error"),
+			count("not run"), count("unknown"), count("mean time served"),
 		},
 		Empty: "No upstream is known to the nodes that answered.",
 	}
 	for _, u := range r.Upstreams {
 		s.Rows = append(s.Rows, []string{
 			u.Service, u.Name, u.Domain, upstreamWords(u), number(u.Weight), number(u.Slots),
-			number(u.InFlight), number(u.Served), number(u.NotRun), number(u.Unknown), meanWords(u),
+			number(u.InFlight), number(u.Served), number(u.Errors), number(u.NotRun), number(u.Unknown), meanWords(u.Mean, u.Served),
 		})
 	}
 	return s
 }
 
-func meanWords(u Upstream) string {
-	if u.Served == 0 {
-		return "-"
-	}
-	return span(u.Mean)
-}
-
 // upstreamWords says an upstream's state, and beside it what only entries
 // know: from where its node can't be reached, and who keeps using it.
 func upstreamWords(u Upstream) string {
@@ -120,27 +113,22 @@
 func (r *Report) totalSheet() sheet {
 	s := sheet{
 		Title: "Who got what",
-		Note: "Every finished request, by caller, service, upstream and outcome. A caller's number may " +
-			"miss requests that a node counted under (other); \"may miss\" says how many at most.",
+		Note:  "Every finished request, by caller, service, upstream and outcome.",
 		Columns: []column{
 			phrase("caller"), words("service"), words("upstream"), words("outcome"), phrase("reason"),
-			count("requests"), count("mean time"), count("may miss"),
+			count("requests"), count("mean time"),
 		},
 		Empty: "No request is on account.",
 	}
-	missed := make(map[string]uint64)
-	for _, c := range r.Callers {
-		missed[c.Caller] = c.Missed
-	}
 	for _, t := range r.Totals {
 		reason := ""
 		if t.Reason != "" || t.Outcome != account.Served {
 			reason = meaning(t.Reason)
 		}
 		s.Rows = append(s.Rows, []string{
-			cmp.Or(t.Caller, "(unnamed)"), cmp.Or(t.Service, "(no service)"), cmp.Or(t.Upstream, "(none)"),
+			callerName(t.Caller), cmp.Or(t.Service, "(no service)"), cmp.Or(t.Upstream, "(none)"),
 			outcomeWords(t.Outcome), reason, number(t.Count),
-			span(t.Took / clock.Millis(max(t.Count, 1))), number(missed[t.Caller]),
+			span(t.Took / clock.Millis(max(t.Count, 1))),
 		})
 	}
 	return s
@@ -218,92 +206,6 @@
 	return s
 }
 
-func (r *Report) burnSheet() sheet {
-	s := sheet{
-		Title: "Burn of objectives",
-		Note: "At 1.0x the budget of bad requests lasts exactly as long as the objective's period. Requests that fail " +
-			"by a caller's own limit or fault don't count. Nothing is older than the nodes: \"covered\" is what a window spans. " +
-			"A rate with * is of fewer than ten bad requests, too few to alert.",
-		Columns: []column{
-			words("service"), words("objective"), count("last 5m"), count("1h"), count("6h"), count("3d"),
-			count("bad"), count("allowed"), count("budget left"), words("covered"), words("alert"),
-		},
-		Empty: "No service has counted a request.",
-	}
-	for _, b := range r.Burn {
-		for _, left := range b.Budgets {
-			row := make([]string, 0, len(s.Columns))
-			row = append(row, b.Service, objectiveWords(b.Objective, left.Kind))
-			for _, rate := range b.Rates {
-				row = append(row, rateWords(rate, left.Kind))
-			}
-			row = append(row, number(left.Spent), decimal(left.Allowed), share(left.Left),
-				coveredWords(b.Rates), alertWords(b.Alerts, left.Kind))
-			s.Rows = append(s.Rows, row)
-		}
-	}
-	return s
-}
-
-// rateWords marks a rate above 1 that too few bad requests make.
-func rateWords(r burn.Rate, kind burn.Kind) string {
-	rate, bad := r.Of(kind)
-	if rate > 1 && bad < burn.LeastBad {
-		return times(rate) + "*"
-	}
-	return times(rate)
-}
-
-func objectiveWords(o account.Objective, kind burn.Kind) string {
-	if kind == burn.Latency {
-		return promise(o.Within) + " within " + span(o.Latency)
-	}
-	return promise(o.Availability) + " served"
-}
-
-// coveredWords says what the longest window spans; nodes that started at
-// different times cover different parts of it.
-func coveredWords(rates []burn.Rate) string {
-	if len(rates) == 0 {
-		return "-"
-	}
-	last := rates[len(rates)-1]
-	if last.Least == last.Covered {
-		return span(last.Covered)
-	}
-	return span(last.Least) + " to " + span(last.Covered)
-}
-
-func alertWords(alerts []burn.Alert, kind burn.Kind) string {
-	var names []string
-	for _, a := range alerts {
-		if a.Kind == kind {
-			names = append(names, a.Name+" ("+string(a.Severity)+")")
-		}
-	}
-	return cmp.Or(list(names), "none")
-}
-
-func (r *Report) causeSheet() sheet {
-	s := sheet{
-		Title:   "What spent the budgets",
-		Note:    "Over the longest window, the largest first.",
-		Columns: []column{words("service"), words("objective"), words("upstream"), phrase("reason"), count("requests")},
-		Empty:   "No budget was spent.",
-	}
-	for _, b := range r.Burn {
-		if len(b.Rates) == 0 {
-			continue
-		}
-		for _, c := range b.Rates[len(b.Rates)-1].Causes {
-			s.Rows = append(s.Rows, []string{
-				b.Service, string(c.Kind), cmp.Or(c.Upstream, "(none)"), meaning(c.Reason), number(c.Count),
-			})
-		}
-	}
-	return s
-}
-
 func (r *Report) unservedSheet() sheet {
 	s := sheet{
 		Title: "Latest requests that were not served",
@@ -316,7 +218,7 @@
 	}
 	for _, u := range r.Unserved {
 		s.Rows = append(s.Rows, []string{
-			ago(u.Age), cmp.Or(u.Caller, "(unnamed)"), u.Method, cmp.Or(u.Route, "(none)"), cmp.Or(u.Upstream, "(none)"),
+			ago(u.Age), callerName(u.Caller), u.Method, cmp.Or(u.Route, "(none)"), cmp.Or(u.Upstream, "(none)"),
 			outcomeWords(u.Outcome), meaning(u.Reason), number(u.Attempts), span(u.Took), u.Entry, u.ID,
 		})
 	}
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -41,19 +41,22 @@
 		}
 		return sums[key]
 	}
+	named := make(map[string]bool)
 	for _, s := range m.snapshots {
 		for _, u := range s.Upstreams {
+			named[u.Node] = true
 			if s.Filter.PassesUpstream(u) {
 				at(u.Service, u.Name).view(s, u)
 			}
 		}
 	}
+	m.report.Named = len(named)
 	for _, t := range m.report.Totals {
 		if t.Upstream == "" || t.Upstream == account.Others {
 			continue
 		}
 		u := at(t.Service, t.Upstream)
-		u.add(t.Outcome, t.Count)
+		u.add(&t)
 		if t.Outcome == account.Served {
 			u.took += t.Took
 		}
@@ -88,3 +91,14 @@
 	}
 	u.seen = true
 }
+
+// label names an upstream for people: by its service too if another service
+// has one of the same name.
+func (r *Report) label(service, upstream string) string {
+	for _, u := range r.Upstreams {
+		if u.Name == upstream && u.Service != service {
+			return service + "/" + upstream
+		}
+	}
+	return upstream
+}
