fix(node): settle two edits of one version, log what an edition changes

Cause: peers were asked only for higher versions, so that of two texts with one version the fleet stayed split (found in review of the edition fence).

--- a/edition/edition.go
+++ b/edition/edition.go
@@ -46,6 +46,15 @@
 	Conflict Verdict = "conflict"
 )
 
+// Before reports whether an edition goes before another: by its version, and
+// among texts of one version by its digest.
+func (o Offer) Before(other Offer) bool {
+	if o.Version != other.Version {
+		return o.Version > other.Version
+	}
+	return o.Digest > other.Digest
+}
+
 // Fence holds the edition in force. Its version never goes back.
 type Fence struct {
 	current Offer
--- a/link/peer.go
+++ b/link/peer.go
@@ -188,12 +188,12 @@
 	p.remove(keyOf(id, attempt))
 }
 
-// Ask asks the node for a newer table edition than the given one.
-func (p *Peer) Ask(version uint64) {
+// Ask asks the node for a table edition that goes before the named one.
+func (p *Peer) Ask(a wire.Ask) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil {
-		_ = p.conn.Send(&wire.Ask{Version: version}) // asked again after the next heartbeat
+		_ = p.conn.Send(&a) // asked again after the next heartbeat
 	}
 }
 
--- a/node/edition.go
+++ b/node/edition.go
@@ -44,34 +44,62 @@
 	}
 	n.mu.Lock()
 	verdict := n.fence.Offer(edition.Offer{Version: version, Digest: table.Digest(text), Source: source})
+	rival, contested := n.fence.Rival()
+	var changes []table.Change
 	if verdict == edition.Accept {
+		changes = table.Diff(n.table, t)
 		n.table, n.text = t, text
 		n.apply(t)
 	}
 	n.mu.Unlock()
-	n.noteEdition(log, version, verdict)
+	n.noteEdition(log, version, verdict, changes)
+	if contested && verdict != edition.Same {
+		n.noteRival(log, version, rival)
+	}
 }
 
-func (n *Node) noteEdition(log logrus.FieldLogger, version uint64, verdict edition.Verdict) {
+func (n *Node) noteEdition(log logrus.FieldLogger, version uint64, verdict edition.Verdict, changes []table.Change) {
 	e := account.Event{At: n.clock.Now(), Reason: "version " + formatVersion(version)}
 	switch verdict {
 	case edition.Accept:
-		log.Info("table in force")
+		log.WithField("changes", len(changes)).Info("table in force")
 		n.inForceOnce.Do(func() { close(n.inForce) })
+		logChanges(log, changes)
 		e.Kind = account.TableAccepted
 	case edition.Older:
 		log.Warn("older table not put in force; publish above the version in force")
 		e.Kind = account.TableOlder
-	case edition.Conflict:
-		log.Warn("two tables have this version; publish one above it")
-		e.Kind = account.TableRejected
-		e.Reason += " was published twice with different text"
 	default:
 		return
 	}
 	n.metrics.Note(e)
 }
 
+// noteRival says that two texts were published under one version: the edit in
+// one of them is not in force, and its author may not know.
+func (n *Node) noteRival(log logrus.FieldLogger, version uint64, rival edition.Offer) {
+	log.WithField("digest", rival.Digest).Warn("two tables have this version; this one is not in force; publish one above it")
+	n.metrics.Note(account.Event{
+		At:     n.clock.Now(),
+		Kind:   account.TableRejected,
+		Reason: "version " + formatVersion(version) + " was published twice with different text",
+	})
+}
+
+// changesLogged bounds the lines for one edition: a first table or a large
+// edit would fill the log.
+const changesLogged = 50
+
+func logChanges(log logrus.FieldLogger, changes []table.Change) {
+	for i, c := range changes {
+		if i == changesLogged {
+			log.WithField("changes", len(changes)-i).Info("more changes, not listed")
+			return
+		}
+		log.WithFields(logrus.Fields{"what": string(c.What), "where": c.Where, "from": c.From, "to": c.To}).Info("table changed")
+	}
+}
+
 // apply puts a checked table in force. The node's lock is held.
 func (n *Node) apply(t *table.Table) {
 	n.applyGates(t)
@@ -135,21 +163,21 @@
 	n.links.BeatNow()
 }
 
-// Ask returns the table in force for a peer whose own is older.
+// Ask returns the table in force for a peer whose own it goes before.
 func (n *Node) Ask(a *wire.Ask) (*wire.Edition, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	current := n.fence.Current().Version
-	if current <= a.Version {
+	current := n.fence.Current()
+	if !current.Before(edition.Offer{Version: a.Version, Digest: a.Digest}) {
 		return nil, false
 	}
-	return &wire.Edition{Version: current, Text: n.text}, true
+	return &wire.Edition{Version: current.Version, Text: n.text}, true
 }
 
 // Edition takes in a table that a peer relays; it passes the same check as one
 // from the platform.
 func (n *Node) Edition(node string, e *wire.Edition) {
-	if e.Version <= n.version() {
+	if e.Version < n.version() {
 		return
 	}
 	n.log.WithField("peer", node).Debug("table relayed")
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -76,19 +77,25 @@
 
 // Beat takes in a heartbeat of an entry that dialled this node.
 func (n *Node) Beat(node string, b *wire.Beat) {
-	if version := n.version(); b.Version > version {
-		n.ask(node, version)
-	}
+	n.compare(node, b)
 }
 
-func (n *Node) ask(node string, version uint64) {
+// compare asks a peer for its table if that goes before this node's. It
+// reports whether the peer has one that doesn't.
+func (n *Node) compare(node string, b *wire.Beat) (settled bool) {
 	n.mu.Lock()
+	current := n.fence.Current()
 	p, ok := n.peers[node]
 	n.mu.Unlock()
+	theirs := edition.Offer{Version: b.Version, Digest: b.Digest}
+	if !theirs.Before(current) {
+		return b.Version > 0
+	}
 	if ok {
 		p.link.Wake()
-		p.link.Ask(version)
+		p.link.Ask(wire.Ask{Version: current.Version, Digest: current.Digest})
 	}
+	return false
 }
 
 // PeerBeat takes in a heartbeat of a node that this one dialled.
@@ -101,12 +108,7 @@
 		p.leaving = b.Leaving
 	}
 	n.mu.Unlock()
-	version := n.version()
-	if b.Version > version {
-		n.ask(node, version)
-		return
-	}
-	if b.Version > 0 {
+	if n.compare(node, b) {
 		n.consultedOnce.Do(func() { close(n.consulted) })
 	}
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -202,10 +202,12 @@
 	Upstreams []Upstream
 }
 
-// Ask asks a peer for the table edition that it has in force.
+// Ask asks a peer for the table edition that it has in force, if that goes
+// before the asker's own, which Version and Digest name.
 type Ask struct {
 	_       struct{} `cbor:",toarray"`
 	Version uint64
+	Digest  string
 }
 
 // Edition carries a whole table as it was published.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -63,7 +63,7 @@
 		{"byte string that claims 2 GB", []byte{byte(wire.KindEdition), 0x82, 0x01, 0x5a, 0x7f, 0xff, 0xff, 0xff}, wire.ErrFrame},
 		{"indefinite length", []byte{byte(wire.KindAsk), 0x9f, 0x01, 0xff}, wire.ErrFrame},
 		{"too few fields", []byte{byte(wire.KindSettled), 0x81, 0x01}, wire.ErrFrame},
-		{"trailing bytes", []byte{byte(wire.KindAsk), 0x81, 0x01, 0x01}, wire.ErrFrame},
+		{"trailing bytes", []byte{byte(wire.KindAsk), 0x82, 0x01, 0x61, 0x61, 0x01}, wire.ErrFrame},
 		{"over the bound", make([]byte, limit+1), wire.ErrLarge},
 	}
 	for _, tt := range tests {
