--- a/measure/overload/overload.go
+++ b/measure/overload/overload.go
@@ -54,6 +54,10 @@
 	Never Comeback = iota
 	// Computed is the RetryAfter of the refusal.
 	Computed
+	// Rounded is that in whole seconds, as the HTTP header says it.
+	Rounded
+	// Spread is that and up to a second that the caller adds at random.
+	Spread
 	// Constant is one second for all.
 	Constant
 )
--- a/measure/overload/overload_test.go
+++ b/measure/overload/overload_test.go
@@ -70,6 +70,12 @@
 	if float64(got.Refusals) > 0.6*float64(constant.Refusals) {
 		t.Errorf("got %d refusals, want at most 0.6 of the %d with a constant", got.Refusals, constant.Refusals)
 	}
+	got, constant = run(t, "comeback/flood"), run(t, "comeback/flood-constant")
+	rounded := run(t, "comeback/flood-rounded")
+	if got.Refused > 0 || rounded.Refused >= constant.Refused {
+		t.Errorf("flood: got %d given up, %d in whole seconds, want 0 and less than the constant's %d",
+			got.Refused, rounded.Refused, constant.Refused)
+	}
 }
 
 func BenchmarkOverload(b *testing.B) {
--- a/measure/overload/scenarios.go
+++ b/measure/overload/scenarios.go
@@ -43,11 +43,17 @@
 func unlimited(c *Config) { c.Retries = Unlimited }
 func burst(c *Config)     { c.Load, c.Burst, c.Comeback = 0.5, 400, Computed }
 func constant(c *Config)  { c.Comeback = Constant }
+func rounded(c *Config)   { c.Comeback = Rounded }
+func spread(c *Config)    { c.Comeback = Spread }
+func flood(c *Config)     { c.Burst = 4000 }
 
 // endless makes the queue the backend server's own, blind to deadlines; what
 // isn't answered in Timeout is sent again.
 func endless(c *Config) { c.Queue, c.Timeout = Endless, 100 }
 
+func waiting(n int) change         { return func(c *Config) { c.Waiting = n } }
+func retries(share float64) change { return func(c *Config) { c.Share = share } }
+
 // short keeps a run of several hundred attempts a request bearable.
 func short(c *Config) { c.Span = 2 * clock.Second }
 
@@ -72,7 +78,23 @@
 		scenario("hedge/slow-aside-none", Sicily(), slow, aside),
 		scenario("hedge/high", Sicily(), high, hedge),
 		scenario("comeback/computed", Sicily(), burst),
+		scenario("comeback/rounded", Sicily(), burst, rounded),
+		scenario("comeback/spread", Sicily(), burst, spread),
 		scenario("comeback/constant", Sicily(), burst, constant),
+		scenario("comeback/flood", Sicily(), burst, flood),
+		scenario("comeback/flood-rounded", Sicily(), burst, flood, rounded),
+		scenario("comeback/flood-spread", Sicily(), burst, flood, spread),
+		scenario("comeback/flood-constant", Sicily(), burst, flood, constant),
+		scenario("queue/0", Sicily(), high, waiting(0)),
+		scenario("queue/3", Sicily(), high, waiting(3)),
+		scenario("queue/6", Sicily(), high, waiting(6)),
+		scenario("queue/12", Sicily(), high, waiting(12)),
+		scenario("queue/24", Sicily(), high, waiting(24)),
+		scenario("queue/24-double", Sicily(), double, waiting(24)),
+		scenario("retries/0", Sicily(), high, waiting(3), retries(0)),
+		scenario("retries/0.1", Sicily(), high, waiting(3), retries(0.1)),
+		scenario("retries/0.2", Sicily(), high, waiting(3), retries(0.2)),
+		scenario("retries/0.5", Sicily(), high, waiting(3), retries(0.5)),
 	)
 }
 
--- a/measure/overload/world.go
+++ b/measure/overload/world.go
@@ -119,8 +119,15 @@
 		w.result.Refused++
 		return
 	}
-	if w.config.Comeback == Constant {
+	whole := (after + clock.Second - 1) / clock.Second * clock.Second
+	switch w.config.Comeback {
+	case Constant:
 		after = clock.Second
+	case Rounded:
+		after = whole
+	case Spread:
+		after = whole + clock.Millis(w.random.Int64N(int64(clock.Second)))
+	case Never, Computed:
 	}
 	r.returns++
 	w.events.after(after, func() { w.begin(r) })
