--- a/limit/rates_test.go
+++ b/limit/rates_test.go
@@ -66,6 +66,19 @@
 	}
 }
 
+func TestRefusedByRateComeBackInTurn(t *testing.T) {
+	r := limit.NewRates(limit.RatesConfig{Callers: 10})
+	for range 5 {
+		r.Allow(clock.Minute, "salons", 5, "", 0)
+	}
+	for turn := range clock.Millis(3) {
+		got, least := r.Allow(clock.Minute, "salons", 5, "", 0), 200*(turn+1)
+		if got.By != limit.ByService || got.RetryAfter < least || got.RetryAfter > least*5/4 {
+			t.Errorf("turn %d: got %+v, want the service's refusal with %v to %v", turn, got, least, least*5/4)
+		}
+	}
+}
+
 func TestRatesForgetTheLeastRecentCaller(t *testing.T) {
 	r := limit.NewRates(limit.RatesConfig{Callers: 100})
 	for i := range 1000 {
