fix(link,entry,gate): keep idle peers, pace refusals, use all limits

A broken link waited two beats for a redial, a caller's own rate counted per service, a refusal for load told the hold-off of another upstream, and waiters that were passed over heard late. Proof: TestIdleLinkIsNotLost fails with the guard out (path lost) and passes with it. Conclusion: link and fleet tests pass under -race.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -34,10 +34,9 @@
 func explain(ctx *fasthttp.RequestCtx, f *final) {
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(sentence(f) + "\n")
-	if f.outcome == account.NotRun && f.status != fasthttp.StatusNotFound {
-		if seconds := wholeSeconds(f.retryAfter); seconds > 0 {
-			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
-		}
+	if f.outcome == account.NotRun && f.retryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(wholeSeconds(f.retryAfter), 10))
+		ctx.Response.Header.Set(HeaderRetryAfter, strconv.FormatInt(int64(f.retryAfter), 10))
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -191,14 +191,17 @@
 	r.finish(refused(status, reason, 0))
 }
 
+// allow asks the limits: a caller's own, over all services, then the service's.
 func (e *Entry) allow(now clock.Millis, s *table.Service, caller string) limit.Grant {
-	callerRate := s.CallerRate
-	if own, ok := (*e.callers.Load())[caller]; ok {
-		callerRate = own
-	}
+	own, has := (*e.callers.Load())[caller]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rates.Allow(now, s.Name, s.Rate, caller, callerRate)
+	if has {
+		if grant := e.rates.Allow(now, "", 0, caller, own); !grant.OK {
+			return grant
+		}
+	}
+	return e.rates.Allow(now, s.Name, s.Rate, caller, s.CallerRate)
 }
 
 func milliseconds(text []byte) (clock.Millis, bool) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -24,6 +24,10 @@
 	HeaderRequest = "Fuchsiapick-Request"
 	// HeaderCaller names the caller; without it the caller is its IP number.
 	HeaderCaller = "Fuchsiapick-Caller"
+	// HeaderRetryAfter is when to come back in milliseconds, spread so that
+	// refused callers don't come back as one wave: the standard header's whole
+	// seconds undo the spreading.
+	HeaderRetryAfter = "Fuchsiapick-Retry-After"
 	// HeaderDeadline shortens the service's deadline, in milliseconds.
 	HeaderDeadline = "Fuchsiapick-Deadline"
 )
@@ -207,12 +211,13 @@
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
 	if err != nil {
-		r.service.ended(now, a.member, false)
-		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		unsent := result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		r.service.ended(now, a.member, &unsent)
+		return unsent
 	}
 	outcome := r.await(d, a.member, w)
 	a.member.target.Forget(d.ID, d.Attempt)
-	r.service.ended(r.entry.config.Now(), a.member, outcome.full)
+	r.service.ended(r.entry.config.Now(), a.member, &outcome)
 	return outcome
 }
 
@@ -323,8 +328,7 @@
 	case r.begun:
 		return r.unknown(o.reason), true
 	default:
-		after := max(decision.RetryAfter, o.after, r.service.comeBack(now))
-		return refused(fasthttp.StatusServiceUnavailable, o.reason, after), true
+		return refused(fasthttp.StatusServiceUnavailable, o.reason, max(decision.RetryAfter, o.after)), true
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -25,6 +25,7 @@
 	log     logrus.FieldLogger
 	journal Journal
 
+	seed     uint64
 	mu       sync.Mutex
 	config   table.Service
 	members  []*member
@@ -57,6 +58,7 @@
 	return &service{
 		log:     log.WithField("service", c.Name),
 		journal: journal,
+		seed:    seed,
 		config:  c,
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
@@ -71,7 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.Retries != s.config.Retries {
-		s.budget = retry.New(retry.Config{Share: c.Retries})
+		s.budget = retry.New(retry.Config{Share: c.Retries, Seed: s.seed})
 	}
 	s.config = c
 	old := s.byName
@@ -106,7 +108,7 @@
 	s.candidates = s.candidates[:0]
 	for i, m := range s.members {
 		usable := s.usable(now, i, repeatable)
-		s.candidates = append(s.candidates, m.candidate(usable))
+		s.candidates = append(s.candidates, m.candidate(now, usable))
 		if usable && !contains(tried, m) {
 			untried++
 		}
@@ -151,12 +153,12 @@
 	return state == health.Aside || state == health.Trial
 }
 
-func (m *member) candidate(usable bool) choice.Candidate {
+func (m *member) candidate(now clock.Millis, usable bool) choice.Candidate {
 	return choice.Candidate{
 		Domain:   m.upstream.Domain,
 		Weight:   m.upstream.Weight,
 		Slots:    m.upstream.Slots,
-		InFlight: max(m.sent, m.state.InFlight+m.state.Waiting),
+		InFlight: max(m.sent, choice.Fade(m.state.InFlight+m.state.Waiting, now-m.heard)),
 		Share:    m.state.Share,
 		Usable:   usable,
 	}
@@ -264,12 +266,15 @@
 	}
 }
 
-// ended gives back the place of a dispatch and feeds the retry budget.
-func (s *service) ended(now clock.Millis, m *member, full bool) {
+// ended gives back the place of a dispatch and feeds the retry budget with
+// what a gate said, if one did.
+func (s *service) ended(now clock.Millis, m *member, o *result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.sent--
-	s.budget.Refused(now, full)
+	if o.reply != nil {
+		s.budget.Refused(now, o.full)
+	}
 }
 
 func (s *service) retry(now clock.Millis, a retry.Attempt) retry.Decision {
--- a/fleet/badinput_test.go
+++ b/fleet/badinput_test.go
@@ -16,7 +16,7 @@
 )
 
 // raw sends bytes as they are and reads one answer.
-func raw(t *testing.T, address, text string) *http.Response {
+func raw(t *testing.T, address, text string) (status int, header http.Header) {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", address, patience)
 	if err != nil {
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	_ = response.Body.Close()
-	return response
+	return response.StatusCode, response.Header
 }
 
 // Whatever a caller sends, it gets a clear answer that nothing was run, the
@@ -65,8 +65,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			response := raw(t, node.Caller, tt.text)
-			got := fmt.Sprint(response.StatusCode, response.Header.Get(entry.HeaderOutcome), response.Header.Get(entry.HeaderReason))
+			status, header := raw(t, node.Caller, tt.text)
+			got := fmt.Sprint(status, header.Get(entry.HeaderOutcome), header.Get(entry.HeaderReason))
 			if want := fmt.Sprint(tt.status, tt.outcome, tt.reason); got != want {
 				t.Errorf("got %s, want %s", got, want)
 			}
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -89,14 +89,7 @@
 // would be a lost confirmation, found at dawn.
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	f := start(t, fleet.Config{Table: deployment(3), Service: 20})
-	addresses := func() []string {
-		var all []string
-		for _, m := range f.Members {
-			all = append(all, m.Caller)
-		}
-		return all
-	}
-	s := startSteady(5, addresses())
+	s := startSteady(5, callers(f))
 	for i := range 3 {
 		old := f.Members[0]
 		fresh, err := f.AddMember(t.Context(), fmt.Sprintf("fresh-%d", i), "palermo")
@@ -105,7 +98,7 @@
 		}
 		<-fresh.Node.InForce()
 		f.Members = f.Members[1:]
-		s.use(addresses())
+		s.use(callers(f))
 		old.Node.Leave()
 		<-old.Done()
 		if err := f.Publish(func(tt *table.Table) {
@@ -122,6 +115,15 @@
 	s.end(t)
 }
 
+// callers returns the addresses that callers use.
+func callers(f *fleet.Fleet) []string {
+	all := make([]string, 0, len(f.Members))
+	for _, m := range f.Members {
+		all = append(all, m.Caller)
+	}
+	return all
+}
+
 func awaitVersion(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
 	for _, m := range f.Members {
@@ -149,11 +151,7 @@
 	for _, way := range ways {
 		t.Run(way.name, func(t *testing.T) {
 			f := start(t, fleet.Config{Table: deployment(3), Service: 10})
-			var all []string
-			for _, m := range f.Members {
-				all = append(all, m.Caller)
-			}
-			s := startSteady(4, all)
+			s := startSteady(4, callers(f))
 			leaving := f.Backends["conferme-1"]
 			await(t, leaving, ran(5))
 			if err := way.leave(f); err != nil {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -83,7 +83,7 @@
 		upstream: c.Upstream,
 		fence:    lease.NewFence[*wire.Reply](c.Incarnation),
 		judge:    health.New(health.Config{Caution: c.Service.Caution, Seed: c.Seed}),
-		slots:    limit.NewSlots(limit.SlotsConfig{Slots: c.Upstream.Slots, Queue: c.Service.Queue}),
+		slots:    limit.NewSlots(limit.SlotsConfig{Slots: c.Upstream.Slots, Queue: c.Service.Queue, Seed: c.Seed}),
 		jobs:     map[uint64]*job{},
 	}
 }
@@ -165,30 +165,40 @@
 
 // expire refuses the waiters whose deadline passed.
 func (g *Gate) expire() {
-	now := g.config.Now()
 	g.mu.Lock()
-	var late []*job
-	for _, ticket := range g.slots.Expire(now) {
-		if j, ok := g.jobs[ticket]; ok {
-			delete(g.jobs, ticket)
-			g.fence.Refuse(j.key)
-			late = append(late, j)
-		}
-	}
-	load := g.slots.Load()
+	late := g.late(g.config.Now())
 	g.mu.Unlock()
-	for _, j := range late {
-		g.answerLate(j, load)
+	answerAll(late)
+}
+
+// refusedJob is a waiter with its refusal.
+type refusedJob struct {
+	job   *job
+	reply *wire.Reply
+}
+
+func answerAll(late []refusedJob) {
+	for _, one := range late {
+		one.job.answer(one.reply)
 	}
 }
 
-func (g *Gate) answerLate(j *job, load limit.Load) {
-	g.mu.Lock()
-	reply := g.reply(g.config.Now(), j.dispatch)
-	g.mu.Unlock()
-	reply.Outcome, reply.Reason = wire.NotRun, wire.ReasonLate
-	reply.RetryAfter = clock.Second * clock.Millis(1+load.Waiting/max(load.InFlight, 1))
-	j.answer(reply)
+// late takes out the waiters whose deadline passed. The gate's lock is held;
+// the answers are given without it.
+func (g *Gate) late(now clock.Millis) []refusedJob {
+	var late []refusedJob
+	for _, ticket := range g.slots.Expire(now) {
+		j, ok := g.jobs[ticket]
+		if !ok {
+			continue
+		}
+		delete(g.jobs, ticket)
+		g.fence.Refuse(j.key)
+		reply := g.reply(now, j.dispatch)
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, wire.ReasonLate, g.slots.RetryAfter(now)
+		late = append(late, refusedJob{j, reply})
+	}
+	return late
 }
 
 // Settle says what became of a dispatch and voids one that has not begun. It
@@ -250,13 +260,15 @@
 	before := g.left()
 	g.service, g.upstream = s, u
 	g.noteLeft(before, "zero weight")
+	late := g.late(g.config.Now()) // first: a new slot must not go to one of them
 	var ready []*job
-	for _, ticket := range g.slots.Resize(limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue}) {
+	for _, ticket := range g.slots.Resize(limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue, Seed: g.config.Seed}) {
 		if j, ok := g.jobs[ticket]; ok {
 			ready = append(ready, j)
 		}
 	}
 	g.mu.Unlock()
+	answerAll(late)
 	for _, j := range ready {
 		g.start(j)
 	}
--- a/gate/run.go
+++ b/gate/run.go
@@ -78,11 +78,13 @@
 		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller})
 	}
 	next := g.release(now) // first: the reply says how busy the upstream is now
+	late := g.late(now)    // those that were passed over
 	reply := g.reply(now, j.dispatch)
 	describe(reply, a, err)
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
 	g.mu.Unlock()
 	j.answer(reply)
+	answerAll(late)
 	if next != nil {
 		g.start(next)
 	}
@@ -107,9 +109,11 @@
 	g.fence.Refuse(j.key)
 	reply := g.reply(now, j.dispatch)
 	next := g.release(now)
+	late := g.late(now)
 	g.mu.Unlock()
 	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
 	j.answer(reply)
+	answerAll(late)
 	if next != nil {
 		g.start(next)
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -173,3 +175,56 @@
 	}
 	_ = socket.WriteMessage(websocket.BinaryMessage, frame) // the peer may have closed already
 }
+
+// lost records whether a peer was ever judged lost.
+type lost struct {
+	seen atomic.Bool
+}
+
+func (l *lost) PeerBeat(string, *wire.Beat)        {}
+func (l *lost) PeerUpstream(string, wire.Upstream) {}
+func (l *lost) PeerEdition(string, *wire.Edition)  {}
+func (l *lost) PeerPath(_ string, state path.State) {
+	l.seen.Store(l.seen.Load() || state == path.Lost)
+}
+
+// Callers sleep at night, and links without requests are closed. An entry that
+// took the quiet that follows for a dead peer would send all of the morning's
+// requests to the upstream beside it.
+func TestIdleLinkIsNotLost(t *testing.T) {
+	address, _ := serve(t, "")
+	const beat = clock.Millis(20)
+	watcher := &lost{}
+	peer := link.NewPeer(link.PeerConfig{
+		Address: address, Self: identity("10.0.0.1:7000", secret), Limit: limit, Answer: limit,
+		Beat: beat, Idle: beat, Now: clock.NewSystem().Now,
+		Status: func() wire.Beat { return wire.Beat{} }, Watcher: watcher, Log: logger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.Run(ctx)
+	}()
+	peer.Wake()
+	reach(t, peer.Ready)
+	reach(t, func() bool { return !peer.Ready() })
+	<-time.After((30 * beat).Duration())
+	cancel()
+	<-done
+	if watcher.seen.Load() {
+		t.Error("got the path lost after its link was closed for want of requests, want it kept")
+	}
+}
+
+func reach(t *testing.T, reached func() bool) {
+	t.Helper()
+	deadline := time.After(30 * time.Second)
+	for !reached() {
+		select {
+		case <-deadline:
+			t.Fatal("got no change of the link within 30s")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -53,6 +53,9 @@
 	// Address is the node's link address.
 	Address string
 	Self    Identity
+	// Idle closes a link that carried no request for so long; 0 stands for
+	// half a minute.
+	Idle clock.Millis
 	// Limit bounds a frame in bytes, Answer an answer's body.
 	Limit  int
 	Answer int
@@ -92,6 +95,9 @@
 
 // NewPeer returns a peer without a link; Run opens one on first need.
 func NewPeer(c PeerConfig) *Peer {
+	if c.Idle == 0 {
+		c.Idle = idleAfter
+	}
 	return &Peer{
 		config:  c,
 		log:     c.Log.WithField("peer", c.Address),
@@ -234,7 +240,7 @@
 func (p *Peer) tick(ctx context.Context) {
 	now := p.config.Now()
 	p.mu.Lock()
-	idle := now-p.used > idleAfter && len(p.pending) == 0
+	idle := now-p.used > p.config.Idle && len(p.pending) == 0
 	open := p.conn != nil
 	state := p.judge.State(now)
 	changed := state != p.state
@@ -242,6 +248,7 @@
 	if idle && open {
 		p.conn.Close()
 		p.conn = nil
+		p.judge.Idle(now)
 	}
 	p.mu.Unlock()
 	if changed {
@@ -371,7 +378,7 @@
 	current := p.conn == conn
 	if current {
 		p.conn = nil
-		p.judge.Failed(p.config.Now())
+		p.judge.Closed(p.config.Now())
 	}
 	busy := len(p.pending) > 0
 	p.mu.Unlock()
