test(report): fuzz merging of what nodes answer

Line ends in reasons, as a table's faults have them, become spaces, and the entry's own reasons have words.

--- /dev/null
+++ b/report/fuzz_test.go
@@ -0,0 +1,37 @@
+package report_test
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/report"
+)
+
+// A node of another release, or what else listens at its address, answers with
+// odd numbers. The report must come out all the same, for the other nodes'
+// sake.
+func FuzzMerge(f *testing.F) {
+	for _, r := range results() {
+		body, err := json.Marshal(r.Snapshot)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Add([]byte(`{"now":"-1s","events":[{"at":"9h","kind":"set-aside"}],"totals":[{"count":0}]}`))
+	f.Add([]byte(`{"burn":[{"windows":[{"span":"0s","total":1,"failed":9,"series":[{"slice":-1,"total":1}]}]}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var s account.Snapshot
+		if json.Unmarshal(body, &s) != nil {
+			return
+		}
+		r := report.Merge([]report.NodeResult{{Snapshot: &s}})
+		for _, write := range []func(io.Writer) error{r.Text, r.JSON, r.HTML} {
+			if err := write(io.Discard); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
--- a/report/words.go
+++ b/report/words.go
@@ -42,6 +42,8 @@
 	"timeout":                   "no answer came in time",
 	"torn-answer":               "the answer broke off",
 	"answer-too-large":          "the answer was too large",
+	"no-answer":                 "the node beside the upstream did not answer",
+	"node-replaced":             "the node beside the upstream was replaced meanwhile",
 	burn.Other:                  "other reasons",
 	"":                          "no reason was noted",
 }
@@ -234,12 +236,17 @@
 }
 
 // plain drops control characters: callers choose some texts, and a terminal
-// obeys escape sequences in them.
+// obeys escape sequences in them. Line ends, as in a table's list of faults,
+// become spaces.
 func plain(text string) string {
 	return strings.Map(func(r rune) rune {
-		if unicode.IsControl(r) {
+		switch {
+		case unicode.IsSpace(r):
+			return ' '
+		case unicode.IsControl(r):
 			return -1
+		default:
+			return r
 		}
-		return r
 	}, text)
 }
