fix(link): end a link's writer before its connection's memory is used again

Change: the handler waits for the writer. With it: a try of a repeatable request lasts several times the usual latency, HEAD keeps the length, the host and the caller's address go on.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -52,16 +52,17 @@
 	return "The request was not run (" + f.reason + ")."
 }
 
-// headersOf copies the headers that go on to the upstream: those of the one
-// connection and our own stay behind.
-func headersOf(request *fasthttp.Request) wire.Headers {
+// headersOf copies the headers that go on to the upstream, with the address
+// that the request came from. Those of the one connection and our own stay
+// behind.
+func headersOf(ctx *fasthttp.RequestCtx) wire.Headers {
 	headers := make(wire.Headers, 0, usualHeaders)
-	for name, value := range request.Header.All() {
+	for name, value := range ctx.Request.Header.All() {
 		if forwarded(name) {
 			headers = headers.Add(name, value)
 		}
 	}
-	return headers
+	return headers.Add(forwardedFor, []byte(ctx.RemoteIP().String()))
 }
 
 // usualHeaders is the room for the headers of a browser's request.
@@ -74,10 +75,10 @@
 	if len(name) >= len(ownPrefix) && bytes.EqualFold(name[:len(ownPrefix)], ownPrefix) {
 		return false
 	}
-	return !wire.OfConnection(name) && !bytes.EqualFold(name, hostHeader) && !bytes.EqualFold(name, expectHeader)
+	return !wire.OfConnection(name) && !bytes.EqualFold(name, expectHeader)
 }
 
 var (
-	hostHeader   = []byte("Host")
 	expectHeader = []byte("Expect")
+	forwardedFor = []byte(fasthttp.HeaderXForwardedFor)
 )
--- a/entry/request.go
+++ b/entry/request.go
@@ -45,6 +45,9 @@
 	// settleShare is the part of the deadline kept back to ask the gate what
 	// became of a request that got no answer, so that fewer end as unknown.
 	settleShare = 8
+	// patience is how many times the usual latency a try lasts at least: of
+	// answers as widely spread as those of real services few take longer.
+	patience = 8
 	// settleMost bounds it: a settlement takes one round trip.
 	settleMost = clock.Millis(250)
 )
@@ -123,7 +126,7 @@
 		r.finish(refusal)
 		return
 	}
-	r.headers = headersOf(&r.ctx.Request)
+	r.headers = headersOf(r.ctx)
 	// A gate may still hold the body when the caller's connection already
 	// carries the next request in the same buffer.
 	r.body = append(r.body, r.ctx.PostBody()...)
@@ -239,13 +242,16 @@
 }
 
 // attemptBudget is the time that one try may take. A repeatable request keeps
-// half of what is left for another upstream: one that hangs would take all.
+// half of what is left for another upstream: one that hangs would take all. A
+// service that is slow by nature must not be cut off by that, so a try lasts
+// several times what is usual, and to the end while that isn't known.
 func (r *request) attemptBudget(now clock.Millis, untried int) clock.Millis {
 	left := max(r.deadline-now, 1)
-	if r.repeatable && untried > 0 {
-		return max(left/2, 1)
+	whole := max(left-r.settleTime(), 1)
+	if !r.repeatable || untried <= 0 || !r.baseline.Known {
+		return whole
 	}
-	return max(left-r.settleTime(), 1)
+	return min(max(left/2, patience*r.baseline.Latency), whole)
 }
 
 func (r *request) settleTime() clock.Millis {
@@ -271,6 +277,9 @@
 			return result{kind: retry.Silent, reason: reasonReplaced}
 		case e.kind == lost && r.repeatable:
 			return result{kind: retry.Silent, reason: account.ReasonUnreachable}
+		case e.kind == expired && r.repeatable:
+			m.target.Settle(d.ID, d.Attempt) // frees its place in a queue
+			return result{kind: retry.Silent, reason: reasonSilent}
 		case e.kind == expired && asked:
 			return result{kind: retry.Silent, reason: reasonSilent}
 		case e.kind == expired:
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return Answer{}, errors.Annotatef(fault(err), "%v", err)
 	}
-	return answerOf(response), nil
+	return answerOf(c.Method, response), nil
 }
 
 // probeTimeout is many times what a probe takes on today's upstreams, 25 ms.
@@ -157,7 +157,9 @@
 	for name, value := range c.Headers.All() {
 		request.Header.AddBytesKV(name, value)
 	}
-	request.SetHost(h.client.Addr)
+	if len(request.Header.Host()) == 0 {
+		request.SetHost(h.client.Addr)
+	}
 	request.Header.Set(HeaderRequest, c.ID.String())
 	request.Header.Set(HeaderCaller, c.Caller)
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(int64(c.Deadline), 10))
@@ -180,7 +182,7 @@
 	}
 }
 
-func answerOf(response *fasthttp.Response) Answer {
+func answerOf(method string, response *fasthttp.Response) Answer {
 	a := Answer{Status: response.StatusCode()}
 	a.Body = append(a.Body, response.Body()...)
 	for name, value := range response.Header.All() {
@@ -188,6 +190,10 @@
 			a.Headers = a.Headers.Add(name, value)
 		}
 	}
+	if length := response.Header.ContentLength(); method == fasthttp.MethodHead && length >= 0 {
+		// It has no body whose length could tell.
+		a.Headers = a.Headers.Add([]byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(length), 10))
+	}
 	after, told := retryAfter(response.Header.Peek(fasthttp.HeaderRetryAfter))
 	a.RetryAfter = after
 	limited := a.Status == fasthttp.StatusTooManyRequests
--- a/link/server.go
+++ b/link/server.go
@@ -123,7 +123,13 @@
 	}
 	s.register(remote.Incarnation, c)
 	defer s.unregister(remote.Incarnation, c)
-	go c.write()
+	var writer sync.WaitGroup
+	writer.Go(c.write)
+	// The HTTP library uses the connection's memory again when this returns. A
+	// writer that is still at work would then write another link's bytes, or
+	// crash the node: it must end first.
+	defer writer.Wait()
+	defer c.Close()
 	session := &session{server: s, conn: c, remote: remote}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
