--- a/standin/backend.go
+++ b/standin/backend.go
@@ -39,6 +39,8 @@
 	Slots int
 	// Service is the time that a request takes.
 	Service clock.Millis
+	// Ledger is how many entries the ledger holds; 0 stands for 65,536.
+	Ledger int
 	// Seed draws which requests a fault's share meets.
 	Seed uint64
 }
@@ -70,6 +72,9 @@
 	if config.Slots <= 0 {
 		config.Slots = 1
 	}
+	if config.Ledger <= 0 {
+		config.Ledger = defaultLedger
+	}
 	ln, err := listen(config.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting backend server %s", config.Name)
@@ -80,6 +85,7 @@
 		stop:   make(chan struct{}),
 		clock:  clock.NewSystem(),
 		slots:  make(chan struct{}, config.Slots),
+		ledger: ledger{size: uint64(config.Ledger)},
 		rand:   rand.New(rand.NewPCG(config.Seed, 1)),
 		fault:  Fault{Kind: Healthy},
 		load:   load{Slots: config.Slots},
--- /dev/null
+++ b/standin/backend_test.go
@@ -0,0 +1,211 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/standin"
+)
+
+func startBackend(t *testing.T, config standin.BackendConfig) *standin.Backend {
+	t.Helper()
+	config.Address = "127.0.0.1:0"
+	b, err := standin.StartBackend(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// ask sends a GET and returns its answer.
+func ask(t *testing.T, address, path string, headers ...string) *fasthttp.Response {
+	t.Helper()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + address + path)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp := new(fasthttp.Response)
+	if err := fasthttp.Do(req, resp); err != nil {
+		t.Fatalf("GET %s: %v", path, err)
+	}
+	return resp
+}
+
+// open writes the head of a request and leaves the connection open.
+func open(t *testing.T, address, id string) net.Conn {
+	t.Helper()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = conn.Write([]byte("GET /open HTTP/1.1\r\nHost: x\r\nFuchsiapick-Request: " + id + "\r\n\r\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func awaitBackend(t *testing.T, b *standin.Backend, reached func(standin.Totals) bool) {
+	t.Helper()
+	if err := b.Await(t.Context(), reached); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBackendAnswersWhole(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{Name: "a1", Service: 1})
+	for _, id := range []string{"first", "second", "third"} {
+		got := ask(t, b.Address(), "/rosters?size=5000", standin.RequestHeader, id, standin.CallerHeader, "hotel")
+		if want := standin.AnswerBody(id, 5000); !bytes.Equal(got.Body(), want) {
+			t.Errorf("%s: got %d bytes that differ, want its own %d", id, len(got.Body()), len(want))
+		}
+		if name := string(got.Header.Peek(standin.BackendHeader)); name != "a1" {
+			t.Errorf("%s: got answer of %q, want a1", id, name)
+		}
+	}
+	got := b.Ledger()
+	if len(got) != 3 || got[0].ID != "first" || got[2].ID != "third" {
+		t.Fatalf("got ledger %+v, want the three requests in order", got)
+	}
+	e := got[1]
+	if e.Caller != "hotel" || e.Method != fasthttp.MethodGet || e.Path != "/rosters" || e.Outcome != standin.Served || e.Ended <= e.Started {
+		t.Errorf("got entry %+v, want a served GET /rosters of hotel", e)
+	}
+}
+
+func TestBackendFaults(t *testing.T) {
+	tests := []struct {
+		name     string
+		fault    standin.Fault
+		deadline string
+		status   int
+		refused  bool
+	}{
+		{"healthy", standin.Fault{Kind: standin.Healthy}, "60000", fasthttp.StatusOK, false},
+		{"fails", standin.Fault{Kind: standin.Fails}, "60000", fasthttp.StatusInternalServerError, false},
+		{"sheds its share", standin.Fault{Kind: standin.Sheds, Share: 1}, "60000", fasthttp.StatusServiceUnavailable, true},
+		{"sheds with a free slot", standin.Fault{Kind: standin.Sheds}, "60000", fasthttp.StatusOK, false},
+		{"drains", standin.Fault{Kind: standin.Drains}, "60000", fasthttp.StatusServiceUnavailable, true},
+		{"deadline too short", standin.Fault{Kind: standin.Healthy}, "1", fasthttp.StatusServiceUnavailable, true},
+		{"slow", standin.Fault{Kind: standin.Slow, Factor: 3}, "60000", fasthttp.StatusOK, false},
+		{"cold start", standin.Fault{Kind: standin.ColdStart, Factor: 3}, "60000", fasthttp.StatusOK, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := startBackend(t, standin.BackendConfig{Service: 2})
+			b.SetFault(tt.fault)
+			got := ask(t, b.Address(), "/x", standin.DeadlineHeader, tt.deadline)
+			if got.StatusCode() != tt.status {
+				t.Errorf("got status %d, want %d", got.StatusCode(), tt.status)
+			}
+			if refused := string(got.Header.Peek(standin.RefusalHeader)) == standin.RefusalShed; refused != tt.refused {
+				t.Errorf("got refusal %v, want %v", refused, tt.refused)
+			}
+			if closes := got.ConnectionClose(); closes != (tt.fault.Kind == standin.Drains) {
+				t.Errorf("got connection closed %v, want it under drain only", closes)
+			}
+			if ran := len(b.Ledger()) == 1; ran == tt.refused {
+				t.Errorf("got entry %v, want one just if the request ran", ran)
+			}
+			if tt.fault.Factor > 1 {
+				if took := b.Ledger()[0].Ended - b.Ledger()[0].Started; took < 5*clock.Millis(1) {
+					t.Errorf("got %v, want the service time three times", took)
+				}
+			}
+			if status := ask(t, b.Address(), "/healthz").StatusCode(); status != fasthttp.StatusOK {
+				t.Errorf("got health %d, want 200 whatever the fault", status)
+			}
+		})
+	}
+}
+
+// A caller gives up on a hanging request; its gate closes the connection. The
+// backend server must end the request then, or its slot stays taken for good
+// and a test would take a cancelled request for one that still runs.
+func TestBackendHangEndsWithItsConnection(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{Slots: 1})
+	b.SetFault(standin.Fault{Kind: standin.Hangs})
+	conn := open(t, b.Address(), "lost")
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Begun == 1 })
+	if got := b.Ledger()[0].Outcome; got != standin.Running {
+		t.Errorf("got %s while it hangs, want running", got)
+	}
+	b.SetFault(standin.Fault{Kind: standin.Sheds})
+	if got := ask(t, b.Address(), "/x").StatusCode(); got != fasthttp.StatusServiceUnavailable {
+		t.Errorf("got status %d with all slots taken, want 503", got)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Cancelled == 1 })
+	b.SetFault(standin.Fault{Kind: standin.Healthy})
+	if got := ask(t, b.Address(), "/x").StatusCode(); got != fasthttp.StatusOK {
+		t.Errorf("got status %d after the slot was freed, want 200", got)
+	}
+}
+
+// A request waits for a slot and its caller hangs up. It must neither run later
+// nor be entered, or the ledger shows work that nobody asked for any more.
+func TestBackendQueuedRequestEndsWithItsConnection(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{Slots: 1})
+	b.SetFault(standin.Fault{Kind: standin.Hangs})
+	holder := open(t, b.Address(), "holder")
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Begun == 1 })
+	waiter := open(t, b.Address(), "waiter")
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Queued == 1 })
+	_ = waiter.Close()
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Abandoned == 1 })
+	_ = holder.Close()
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Ended() == 1 })
+	if got := b.Totals().Begun; got != 1 {
+		t.Errorf("got %d begun, want the holder only", got)
+	}
+}
+
+func TestBackendShareIsSeeded(t *testing.T) {
+	failed := func() uint64 {
+		b := startBackend(t, standin.BackendConfig{Seed: 7})
+		b.SetFault(standin.Fault{Kind: standin.Fails, Share: 0.3})
+		for range 200 {
+			ask(t, b.Address(), "/x")
+		}
+		return b.Totals().Failed
+	}
+	first, second := failed(), failed()
+	if first != second || first < 40 || first > 80 {
+		t.Errorf("got %d and %d failed of 200, want the same and about 60", first, second)
+	}
+}
+
+func TestBackendLedgerIsBounded(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{Ledger: 4})
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		ask(t, b.Address(), "/x", standin.RequestHeader, id)
+	}
+	got := b.Ledger()
+	if len(got) != 4 || got[0].ID != "c" || got[3].ID != "f" {
+		t.Errorf("got %+v, want c to f", got)
+	}
+	if totals := b.Totals(); totals.Begun != 6 || totals.Served != 6 || totals.Dropped != 2 {
+		t.Errorf("got totals %+v, want 6 begun and served, 2 dropped", totals)
+	}
+}
+
+func TestAwaitEndsWithItsContext(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := b.Await(ctx, func(standin.Totals) bool { return false }); err == nil {
+		t.Error("got no error, want that of the context")
+	}
+}
--- a/standin/crossing.go
+++ b/standin/crossing.go
@@ -96,7 +96,7 @@
 // pump carries one way until it ends.
 func (r *Relay) pump(w *way) {
 	buffer := make([]byte, relayBuffer)
-	for r.thawed() {
+	for {
 		n, err := w.from.Read(buffer)
 		if !r.release() {
 			return
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -40,6 +40,10 @@
 	Cancelled uint64 `json:"cancelled"`
 	// Refused counts requests that did not run and have no entry.
 	Refused uint64 `json:"refused"`
+	// Queued counts requests that found no free slot and waited for one.
+	Queued uint64 `json:"queued"`
+	// Abandoned counts requests whose connection closed while they waited.
+	Abandoned uint64 `json:"abandoned"`
 	// Dropped counts entries that newer ones have replaced.
 	Dropped uint64 `json:"dropped"`
 }
@@ -49,12 +53,13 @@
 	return t.Served + t.Failed + t.Cancelled
 }
 
-// ledgerSize bounds the entries held: some 20 MB, and minutes of a busy
+// defaultLedger bounds the entries held: some 20 MB, and minutes of a busy
 // backend server of the users' sizes.
-const ledgerSize = 1 << 16
+const defaultLedger = 1 << 16
 
 // ledger is a ring of the latest entries.
 type ledger struct {
+	size    uint64 // entries held at most
 	mu      sync.Mutex
 	ring    []Entry
 	totals  Totals
@@ -68,11 +73,11 @@
 	defer l.changed.notify()
 	number := l.totals.Begun
 	l.totals.Begun++
-	if len(l.ring) < ledgerSize {
+	if uint64(len(l.ring)) < l.size {
 		l.ring = append(l.ring, entry)
 		return number
 	}
-	l.ring[number%ledgerSize] = entry
+	l.ring[number%l.size] = entry
 	l.totals.Dropped++
 	return number
 }
@@ -90,18 +95,19 @@
 		l.totals.Cancelled++
 	case Running:
 	}
-	if l.totals.Begun-number > ledgerSize {
+	if l.totals.Begun-number > l.size {
 		return
 	}
-	entry := &l.ring[number%ledgerSize]
+	entry := &l.ring[number%l.size]
 	entry.Ended = at
 	entry.Outcome = outcome
 }
 
-func (l *ledger) refuse() {
+// tally changes the counts by what isn't entered.
+func (l *ledger) tally(change func(*Totals)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.totals.Refused++
+	change(&l.totals)
 	l.changed.notify()
 }
 
@@ -110,8 +116,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]Entry, 0, len(l.ring))
-	if len(l.ring) == ledgerSize {
-		first := l.totals.Begun % ledgerSize
+	if uint64(len(l.ring)) == l.size {
+		first := l.totals.Begun % l.size
 		out = append(out, l.ring[first:]...)
 		return append(out, l.ring[:first]...)
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -20,7 +20,8 @@
 	DropToTarget RelayMode = "droptotarget"
 	// DropFromTarget loses what the target sends, likewise.
 	DropFromTarget RelayMode = "dropfromtarget"
-	// Freeze reads neither side; what was held back arrives late.
+	// Freeze hands on nothing and reads no more than one buffer each way; what
+	// was held back arrives late.
 	Freeze RelayMode = "freeze"
 	// SilentOld loses, for good and both ways, what is sent on connections
 	// that were open when the mode was set. New ones pass.
--- a/standin/request.go
+++ b/standin/request.go
@@ -95,6 +95,7 @@
 
 // queue waits for a slot for as long as the deadline can still be met.
 func (b *Backend) queue(ctx *fasthttp.RequestCtx, patience time.Duration, gone <-chan struct{}) (answered, got bool) {
+	b.ledger.tally(func(t *Totals) { t.Queued++ })
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -104,6 +105,7 @@
 		b.refuse(ctx)
 		return true, false
 	case <-gone:
+		b.ledger.tally(func(t *Totals) { t.Abandoned++ })
 		return false, false
 	case <-b.stop:
 		return false, false
@@ -112,7 +114,7 @@
 
 // refuse answers a request that did not run.
 func (b *Backend) refuse(ctx *fasthttp.RequestCtx) {
-	b.ledger.refuse()
+	b.ledger.tally(func(t *Totals) { t.Refused++ })
 	ctx.Response.Header.Set(RefusalHeader, RefusalShed)
 	ctx.Response.Header.Set("Retry-After", "1")
 	ctx.Response.Header.Set(BackendHeader, b.config.Name)
