--- a/standin/platform.go
+++ b/standin/platform.go
@@ -55,6 +55,7 @@
 // can be read and watched over HTTP. It is safe for concurrent use.
 type Platform struct {
 	ln   *listener
+	once sync.Once
 	stop chan struct{}
 
 	mu      sync.Mutex
@@ -157,8 +158,10 @@
 	p.called.notify()
 }
 
-// Close ends the platform and all its connections.
+// Close ends the platform and all its connections. A second call does nothing.
 func (p *Platform) Close() {
-	close(p.stop)
-	p.ln.shut()
+	p.once.Do(func() {
+		close(p.stop)
+		p.ln.shut()
+	})
 }
--- /dev/null
+++ b/standin/program/main_test.go
@@ -0,0 +1,112 @@
+package main_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/standin"
+)
+
+// process is a stand-in that runs as a process of its own.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	Kind    string
+	Address string
+	Admin   string
+}
+
+func start(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, cmd: exec.CommandContext(t.Context(), program, args...)}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ready, err := bufio.NewReader(out).ReadBytes('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(ready, p); err != nil {
+		t.Fatalf("got %q, want a line of JSON: %v", ready, err)
+	}
+	return p
+}
+
+// terminate sends SIGTERM and checks the exit code.
+func (p *process) terminate() {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := p.cmd.Wait(); err != nil {
+		p.t.Errorf("%s: got %v after SIGTERM, want exit 0", p.Kind, err)
+	}
+}
+
+func call(t *testing.T, method, address, path, body string, want int) []byte {
+	t.Helper()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	req.SetBodyString(body)
+	if err := fasthttp.Do(&req, &resp); err != nil || resp.StatusCode() != want {
+		t.Fatalf("%s %s: got status %d, error %v, want %d", method, path, resp.StatusCode(), err, want)
+	}
+	return resp.Body()
+}
+
+// A script drives the stand-ins as processes: it waits for their ready lines,
+// breaks them by their admin paths, and reads what they did.
+func TestProgramsByTheirAdminPaths(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "standin")
+	if out, err := exec.CommandContext(context.Background(), "go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, out)
+	}
+	platform := start(t, program, "platform")
+	backend := start(t, program, "backend", "--name", "b1", "--service", "1ms")
+	relay := start(t, program, "relay", "--target", backend.Address)
+
+	call(t, "POST", platform.Address, "/standin/publish?key=table&version=2", "t2", 204)
+	call(t, "POST", platform.Address, "/standin/restore?key=table&version=1", "t1", 204)
+	if got := call(t, "GET", platform.Address, "/v1/values/table", "", 200); string(got) != "t1" {
+		t.Errorf("got %q, want the restored t1", got)
+	}
+	call(t, "POST", platform.Address, "/standin/mode?mode=down", "", 204)
+	call(t, "POST", platform.Address, "/standin/mode?mode=asleep", "", 400)
+	call(t, "POST", platform.Address, "/standin/publish?version=3", "", 400)
+	call(t, "POST", platform.Address, "/standin/nothing", "", 404)
+	if got := call(t, "GET", platform.Address, "/standin/await?calls=1", "", 200); string(got) != "1\n" {
+		t.Errorf("got %q calls, want 1", got)
+	}
+	call(t, "GET", platform.Address, "/standin/await?calls=2&wait=1ms", "", 408)
+
+	call(t, "GET", relay.Address, "/through", "", 200)
+	call(t, "POST", relay.Admin, "/standin/mode?mode=silentold", "", 204)
+	call(t, "POST", relay.Admin, "/standin/mode?mode=away", "", 400)
+	call(t, "POST", backend.Address, "/standin/fault?kind=fails&share=1&factor=2&requests=3", "", 204)
+	call(t, "POST", backend.Address, "/standin/fault?kind=tired", "", 400)
+	call(t, "GET", backend.Address, "/x", "", 500)
+	call(t, "GET", backend.Address, "/standin/await?begun=2&ended=2", "", 200)
+	var entries []standin.Entry
+	if err := json.Unmarshal(call(t, "GET", backend.Address, "/standin/ledger", "", 200), &entries); err != nil {
+		t.Fatal(err)
+	}
+	if len(entries) != 2 || entries[0].Path != "/through" || entries[1].Outcome != standin.Failed {
+		t.Errorf("got %+v, want a served and a failed request", entries)
+	}
+	for _, p := range []*process{relay, backend, platform} {
+		p.terminate()
+	}
+}
