--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,12 +78,12 @@
 
 func (f *Fleet) start(ctx context.Context) error {
 	var err error
-	f.Platform, err = standin.StartPlatform(standin.PlatformConfig{Address: loopback})
+	f.Platform, err = standin.StartPlatform(ctx, standin.PlatformConfig{Address: loopback})
 	if err != nil {
 		return errors.Trace(err)
 	}
 	f.Table = f.config.Table.Clone()
-	if err := f.startBackends(); err != nil {
+	if err := f.startBackends(ctx); err != nil {
 		return errors.Trace(err)
 	}
 	if err := f.addMembers(ctx); err != nil {
@@ -102,12 +102,12 @@
 
 const loopback = "127.0.0.1:0"
 
-func (f *Fleet) startBackends() error {
+func (f *Fleet) startBackends(ctx context.Context) error {
 	for i := range f.Table.Services {
 		s := &f.Table.Services[i]
 		for j := range s.Upstreams {
 			u := &s.Upstreams[j]
-			b, err := standin.StartBackend(standin.BackendConfig{
+			b, err := standin.StartBackend(ctx, standin.BackendConfig{
 				Name:    u.Name,
 				Address: loopback,
 				Slots:   u.Slots,
@@ -161,7 +161,7 @@
 		done:   make(chan struct{}),
 	}
 	if f.config.Relays {
-		m.Relay, err = standin.StartRelay(standin.RelayConfig{Address: loopback, Target: m.Link})
+		m.Relay, err = standin.StartRelay(ctx, standin.RelayConfig{Address: loopback, Target: m.Link})
 		if err != nil {
 			listeners.Close()
 			return nil, errors.Trace(err)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -69,14 +69,14 @@
 }
 
 // StartBackend listens and serves until Close.
-func StartBackend(config BackendConfig) (*Backend, error) {
+func StartBackend(ctx context.Context, config BackendConfig) (*Backend, error) {
 	if config.Slots <= 0 {
 		config.Slots = 1
 	}
 	if config.Ledger <= 0 {
 		config.Ledger = defaultLedger
 	}
-	ln, err := listen(config.Address)
+	ln, err := listen(ctx, config.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting backend server %s", config.Name)
 	}
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -14,7 +14,7 @@
 func startBackend(t *testing.T, config standin.BackendConfig) *standin.Backend {
 	t.Helper()
 	config.Address = "127.0.0.1:0"
-	b, err := standin.StartBackend(config)
+	b, err := standin.StartBackend(t.Context(), config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/bench_test.go
+++ b/standin/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkBackend is the least that a request sent straight to a backend
 // server costs; what a proxy adds is measured against it.
 func BenchmarkBackend(b *testing.B) {
-	backend, err := standin.StartBackend(standin.BackendConfig{Address: "127.0.0.1:0", Slots: 7})
+	backend, err := standin.StartBackend(b.Context(), standin.BackendConfig{Address: "127.0.0.1:0", Slots: 7})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/standin/command/backendcmd.go
+++ b/standin/command/backendcmd.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"context"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/standin"
 )
@@ -13,8 +15,8 @@
 	Seed    uint64       `arg:"--seed" default:"1" help:"seed that draws which requests a fault meets"`
 }
 
-func (c *backendCmd) start() (ready, func(), error) {
-	b, err := standin.StartBackend(standin.BackendConfig{
+func (c *backendCmd) start(ctx context.Context) (ready, func(), error) {
+	b, err := standin.StartBackend(ctx, standin.BackendConfig{
 		Name:    c.Name,
 		Address: c.Address,
 		Slots:   c.Slots,
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -28,7 +28,7 @@
 
 // command starts a stand-in and says where it listens.
 type command interface {
-	start() (ready, func(), error)
+	start(ctx context.Context) (ready, func(), error)
 }
 
 // ready is the line that the program prints once it listens.
@@ -63,7 +63,7 @@
 		parser.WriteHelp(stderr)
 		return exitUsage
 	}
-	where, end, err := chosen.start()
+	where, end, err := chosen.start(ctx)
 	if err != nil {
 		fmt.Fprintf(stderr, "standin: %v\n", err)
 		return exitFault
--- a/standin/command/relaycmd.go
+++ b/standin/command/relaycmd.go
@@ -1,6 +1,10 @@
 package command
 
-import "fuchsiapick.example/fuchsiapick/standin"
+import (
+	"context"
+
+	"fuchsiapick.example/fuchsiapick/standin"
+)
 
 type relayCmd struct {
 	Address string `arg:"--address" default:"127.0.0.1:0" help:"IP number and port to listen on"`
@@ -8,12 +12,12 @@
 	Admin   string `arg:"--admin" default:"127.0.0.1:0" help:"IP number and port for the admin paths"`
 }
 
-func (c *relayCmd) start() (ready, func(), error) {
-	r, err := standin.StartRelay(standin.RelayConfig{Address: c.Address, Target: c.Target})
+func (c *relayCmd) start(ctx context.Context) (ready, func(), error) {
+	r, err := standin.StartRelay(ctx, standin.RelayConfig{Address: c.Address, Target: c.Target})
 	if err != nil {
 		return ready{}, nil, err
 	}
-	admin, err := standin.StartRelayAdmin(c.Admin, r)
+	admin, err := standin.StartRelayAdmin(ctx, c.Admin, r)
 	if err != nil {
 		r.Close()
 		return ready{}, nil, err
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -24,9 +24,9 @@
 	served sync.WaitGroup
 }
 
-func listen(address string) (*listener, error) {
+func listen(ctx context.Context, address string) (*listener, error) {
 	var config net.ListenConfig
-	ln, err := config.Listen(context.Background(), "tcp", address)
+	ln, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening on %s", address)
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -69,8 +69,8 @@
 }
 
 // StartPlatform listens and serves until Close.
-func StartPlatform(config PlatformConfig) (*Platform, error) {
-	ln, err := listen(config.Address)
+func StartPlatform(ctx context.Context, config PlatformConfig) (*Platform, error) {
+	ln, err := listen(ctx, config.Address)
 	if err != nil {
 		return nil, errors.Annotate(err, "starting the platform")
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -66,12 +66,12 @@
 }
 
 // StartRelay listens and relays until Close.
-func StartRelay(config RelayConfig) (*Relay, error) {
-	ln, err := listen(config.Address)
+func StartRelay(ctx context.Context, config RelayConfig) (*Relay, error) {
+	ln, err := listen(ctx, config.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "starting the relay on %s", config.Address)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // it relays until Close
 	r := &Relay{
 		ln:      ln.Listener,
 		cancel:  cancel,
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -45,7 +45,7 @@
 
 func startRelay(t *testing.T) *standin.Relay {
 	t.Helper()
-	r, err := standin.StartRelay(standin.RelayConfig{Address: "127.0.0.1:0", Target: startEcho(t)})
+	r, err := standin.StartRelay(t.Context(), standin.RelayConfig{Address: "127.0.0.1:0", Target: startEcho(t)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/relayadmin.go
+++ b/standin/relayadmin.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"context"
+
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -13,8 +15,8 @@
 }
 
 // StartRelayAdmin listens and serves until Close.
-func StartRelayAdmin(address string, relay *Relay) (*RelayAdmin, error) {
-	ln, err := listen(address)
+func StartRelayAdmin(ctx context.Context, address string, relay *Relay) (*RelayAdmin, error) {
+	ln, err := listen(ctx, address)
 	if err != nil {
 		return nil, errors.Annotate(err, "starting the relay's admin paths")
 	}
