test(fleet): see the guards of whole answers and leaving fail when taken out

On a scratch copy, guard out, then test: answers not kept -> SilentLink got 502 unknown, want served; silence retried though not repeatable -> HangEnds got 2 runs, want 1; request not in the key -> EachCaller got 65,555 bytes that aren't its own 19; first frame taken for whole -> EachCaller got unknown; node ends at once -> Rolling got 5 requests not served; floor ignores leaving -> LeavingUpstream got 99 new requests; drain doesn't wait for gates -> first survived, so a test of its own was added, which got 504 unknown. Conclusion: assertions made stricter where a mutant survived.

--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -26,8 +26,8 @@
 			for i := range 12 {
 				size := []int{0, 10, 65_536, 65_537, 300_000, 1_000_000}[(caller+i)%6]
 				got := send(t, "GET", far.Caller, fmt.Sprintf("/conferme/turno?size=%d", size), "")
-				if want := string(standin.AnswerBody(got.id, size)); got.outcome == "served" && got.body != want {
-					return fmt.Errorf("request %s: got %d bytes that aren't its own answer of %d", got.id, len(got.body), len(want))
+				if want := string(standin.AnswerBody(got.id, size)); got.outcome != "served" || got.body != want {
+					return fmt.Errorf("request %s: got %s, %d bytes; want served, its own %d", got.id, got.outcome, len(got.body), len(want))
 				}
 			}
 			return nil
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -88,7 +88,7 @@
 // A release replaces all nodes one by one under load. A request cut in flight
 // would be a lost confirmation, found at dawn.
 func TestRollingReplacementCutsNothing(t *testing.T) {
-	f := start(t, fleet.Config{Table: deployment(3), Service: 20})
+	f := start(t, fleet.Config{Table: deployment(3), Service: 600})
 	s := startSteady(5, callers(f))
 	for i := range 3 {
 		old := f.Members[0]
@@ -179,3 +179,19 @@
 	}
 	return ""
 }
+
+// A node without callers of its own leaves while its gate runs a confirmation
+// for another entry. It must not end before the answer is out.
+func TestLeavingGateFinishesForOthers(t *testing.T) {
+	f, far, beside, backend := two(t, 900)
+	w := newWitness()
+	done := make(chan answer)
+	go func() { done <- w.post(t, far.Caller) }()
+	await(t, backend, ran(1))
+	beside.Node.Leave()
+	if got := <-done; got.outcome != "served" {
+		t.Errorf("got %d %s %s, want served", got.status, got.outcome, got.reason)
+	}
+	<-beside.Done()
+	w.check(t, f)
+}
