perf(link): use frame memory again

Cause: the profile's next allocators were frames read whole into new memory and encoded twice. Change: one buffer for the reader of a link, pooled ones for frames to write. Ruled out: writing from the caller's goroutine, which a peer that reads nothing would hold up.

--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 package link
 
 import (
+	"bytes"
 	"net"
 	"sync"
 
@@ -39,7 +40,8 @@
 // Conn is one open link. It is safe for concurrent use.
 type Conn struct {
 	socket *websocket.Conn
-	frames chan []byte
+	frames chan *bytes.Buffer
+	input  bytes.Buffer // of the one goroutine that reads
 	closed chan struct{}
 	once   sync.Once
 	limit  int
@@ -49,7 +51,7 @@
 	socket.SetReadLimit(int64(limit))
 	return &Conn{
 		socket: socket,
-		frames: make(chan []byte, queueLength),
+		frames: make(chan *bytes.Buffer, queueLength),
 		closed: make(chan struct{}),
 		limit:  limit,
 	}
@@ -58,23 +60,51 @@
 // Send queues a message. It never blocks: it returns ErrBusy when the queue is
 // full and ErrClosed on a closed link. After nil the message may arrive.
 func (c *Conn) Send(m wire.Message) error {
-	frame, err := wire.Encode(m)
-	if err != nil {
-		return errors.Trace(err)
-	}
 	select {
 	case <-c.closed:
 		return ErrClosed
 	default:
 	}
+	frame := buffers.Get()
+	if err := wire.EncodeTo(frame, m); err != nil {
+		return errors.Trace(err)
+	}
 	select {
 	case c.frames <- frame:
 		return nil
 	default:
+		buffers.Put(frame)
 		return ErrBusy
 	}
 }
 
+// buffers holds the memory of frames that were written.
+var buffers bufferPool
+
+type bufferPool struct {
+	pool sync.Pool
+}
+
+// keptBuffer bounds what the pool keeps of one frame: a rare large body must
+// not stay in memory for good.
+const keptBuffer = 128 << 10
+
+// Get returns an empty buffer.
+func (p *bufferPool) Get() *bytes.Buffer {
+	if b, ok := p.pool.Get().(*bytes.Buffer); ok {
+		b.Reset()
+		return b
+	}
+	return new(bytes.Buffer)
+}
+
+// Put gives a buffer back.
+func (p *bufferPool) Put(b *bytes.Buffer) {
+	if b.Cap() <= keptBuffer {
+		p.pool.Put(b)
+	}
+}
+
 // Close ends the link. Frames not yet written are dropped.
 func (c *Conn) Close() {
 	c.once.Do(func() {
@@ -95,7 +125,9 @@
 		case <-c.closed:
 			return
 		case frame := <-c.frames:
-			if err := c.writeFrame(frame); err != nil {
+			err := c.writeFrame(frame.Bytes())
+			buffers.Put(frame)
+			if err != nil {
 				return
 			}
 		}
@@ -122,14 +154,21 @@
 }
 
 func (c *Conn) receive() (wire.Message, error) {
-	kind, frame, err := c.socket.ReadMessage()
+	kind, reader, err := c.socket.NextReader()
 	if err != nil {
+		return nil, errors.Annotate(err, "waiting for a frame")
+	}
+	if c.input.Cap() > keptBuffer {
+		c.input = bytes.Buffer{}
+	}
+	c.input.Reset()
+	if _, err := c.input.ReadFrom(reader); err != nil {
 		return nil, errors.Annotate(err, "reading a frame")
 	}
 	if kind != websocket.BinaryMessage {
 		return nil, errors.Annotate(wire.ErrFrame, "not a binary message")
 	}
-	m, err := wire.Decode(frame, c.limit)
+	m, err := wire.Decode(c.input.Bytes(), c.limit) // copies what it keeps
 	return m, errors.Trace(err)
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -6,6 +6,8 @@
 package wire
 
 import (
+	"bytes"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 )
@@ -60,8 +62,8 @@
 	decoder = mustDecoder()
 )
 
-func mustEncoder() cbor.EncMode {
-	mode, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+func mustEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortNone}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -87,17 +89,16 @@
 
 // Encode returns the frame of a message.
 func Encode(m Message) ([]byte, error) {
-	return Append(nil, m)
+	var buffer bytes.Buffer
+	err := EncodeTo(&buffer, m)
+	return buffer.Bytes(), err
 }
 
-// Append appends the frame of a message to dst.
-func Append(dst []byte, m Message) ([]byte, error) {
-	body, err := encoder.Marshal(m)
-	if err != nil {
-		return dst, errors.Annotatef(err, "encoding frame of kind %d", m.Kind())
-	}
-	dst = append(dst, byte(m.Kind()))
-	return append(dst, body...), nil
+// EncodeTo appends the frame of a message to a buffer.
+func EncodeTo(buffer *bytes.Buffer, m Message) error {
+	buffer.WriteByte(byte(m.Kind()))
+	err := encoder.MarshalToBuffer(m, buffer)
+	return errors.Annotatef(err, "encoding frame of kind %d", m.Kind())
 }
 
 // Decode reads one frame. It returns ErrLarge, ErrKind or ErrFrame for input
