--- /dev/null
+++ b/gate/backend_test.go
@@ -0,0 +1,149 @@
+package gate_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/gate"
+)
+
+// answering starts a server that reads a request on each connection, writes
+// the text and closes the connection, or keeps it open and silent.
+func answering(t *testing.T, text string, silent bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		close(done)
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				if silent {
+					<-done
+				}
+				_, _ = conn.Write([]byte(text))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// closedPort returns an address where nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// Only a connection that could not be opened proves that the backend server
+// got nothing. Were a broken answer taken for that, a payroll entry would be
+// sent a second time elsewhere.
+func TestBackendFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		address string
+		want    error
+	}{
+		{"nothing listens", closedPort(t), gate.ErrRefused},
+		{"closes without an answer", answering(t, "", false), gate.ErrTorn},
+		{"half a header", answering(t, "HTTP/1.1 200 OK\r\nConte", false), gate.ErrTorn},
+		{"half a body", answering(t, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false), gate.ErrTorn},
+		{"no HTTP", answering(t, "220 ready\r\n\r\n", false), gate.ErrTorn},
+		{"silent", answering(t, "", true), gate.ErrTimeout},
+		{"body over the bound", answering(t, "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n", false), gate.ErrLarge},
+		{"whole", answering(t, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false), nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			backend := gate.NewHTTP(gate.HTTPConfig{Address: tt.address, Connections: 1, Limit: 1000})
+			defer backend.Close()
+			_, err := backend.Do(&gate.Call{Method: "POST", URI: "/x", Deadline: 300})
+			if !errors.Is(err, tt.want) {
+				t.Errorf("got error %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+// A backend server closes the connection on a request that must run once. The
+// HTTP library may not send it again by itself on a new connection.
+func TestBackendIsSentARequestOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	got := make(chan int, 16)
+	go func() {
+		for n := 1; ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_ = conn.Close()
+			got <- n
+		}
+	}()
+	backend := gate.NewHTTP(gate.HTTPConfig{Address: listener.Addr().String(), Connections: 4, Limit: 1000})
+	defer backend.Close()
+	for _, method := range []string{"GET", "POST"} {
+		if _, err := backend.Do(&gate.Call{Method: method, URI: "/x", Deadline: clock.Second}); !errors.Is(err, gate.ErrTorn) {
+			t.Errorf("%s: got error %v, want %v", method, err, gate.ErrTorn)
+		}
+	}
+	<-got
+	<-got
+	select {
+	case n := <-got:
+		t.Errorf("got connection %d for two requests, want 2", n)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+func TestBackendTellsShedLoad(t *testing.T) {
+	tests := []struct {
+		name, text       string
+		shed, overloaded bool
+		after            clock.Millis
+	}{
+		{"marked", "HTTP/1.1 503 X\r\nFuchsiapick-Backend: shed\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", true, true, 2000},
+		{"503 that says when", "HTTP/1.1 503 X\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", false, true, 3000},
+		{"503 alone", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false, false, 0},
+		{"429", "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", false, true, 0},
+		{"mark on another status", "HTTP/1.1 500 X\r\nFuchsiapick-Backend: shed\r\nContent-Length: 0\r\n\r\n", false, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			backend := gate.NewHTTP(gate.HTTPConfig{Address: answering(t, tt.text, false), Connections: 1, Limit: 1000})
+			defer backend.Close()
+			got, err := backend.Do(&gate.Call{Method: "GET", URI: "/x", Deadline: clock.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.Shed != tt.shed || got.Overloaded != tt.overloaded || got.RetryAfter != tt.after {
+				t.Errorf("got shed %v, overloaded %v, after %v; want %v, %v, %v",
+					got.Shed, got.Overloaded, got.RetryAfter, tt.shed, tt.overloaded, tt.after)
+			}
+		})
+	}
+}
