--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	entryPool   *ants.Pool
 	gatePool    *ants.Pool
 	root        *suture.Supervisor
+	peerTree    *suture.Supervisor
 	leave       chan struct{}
 	leaveOnce   sync.Once
 	// consulted is closed when a peer has said which table it has in force.
@@ -177,8 +178,7 @@
 		}
 	}
 	defer listeners.Close()
-	n.root = suture.New("fuchsiapick", suture.Spec{EventHook: n.supervised})
-	n.addServices(listeners)
+	n.buildTree(listeners)
 	n.bootstrap()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/node/peers.go
+++ b/node/peers.go
@@ -35,7 +35,7 @@
 	for address, p := range n.peers {
 		if !named[address] {
 			delete(n.peers, address)
-			_ = n.root.Remove(p.token) // removed already when the node stops
+			_ = n.peerTree.Remove(p.token) // removed already when the node stops
 		}
 	}
 }
@@ -57,7 +57,7 @@
 		Watcher: n,
 		Log:     n.log,
 	})}
-	p.token = n.root.Add(service{"peer " + address, func(ctx context.Context) error { return p.link.Run(ctx) }})
+	p.token = n.peerTree.Add(service{"peer " + address, func(ctx context.Context) error { return p.link.Run(ctx) }})
 	n.peers[address] = p
 	return p
 }
--- a/node/services.go
+++ b/node/services.go
@@ -86,7 +86,39 @@
 	return s.name
 }
 
-func (n *Node) addServices(l *Listeners) {
+// buildTree lays out the supervisors. A part that fails is restarted beside the
+// others: a platform that can't be read stops no request, and peers that come
+// and go hold up neither.
+func (n *Node) buildTree(l *Listeners) {
+	n.root = n.supervisor("node")
+	serving := n.supervisor("serving")
+	reading := n.supervisor("platform")
+	n.peerTree = n.supervisor("peers")
+	for _, branch := range []*suture.Supervisor{serving, reading, n.peerTree} {
+		n.root.Add(branch)
+	}
+	n.addServing(serving, l)
+	n.addReading(reading)
+}
+
+// restart policy of each branch: more than failures within a minute or so make
+// it pause before it tries again.
+const (
+	failuresAllowed = 5
+	failuresDecay   = 30 // seconds
+	failuresPause   = 2 * time.Second
+)
+
+func (n *Node) supervisor(name string) *suture.Supervisor {
+	return suture.New(name, suture.Spec{
+		EventHook:        n.supervised,
+		FailureThreshold: failuresAllowed,
+		FailureDecay:     failuresDecay,
+		FailureBackoff:   failuresPause,
+	})
+}
+
+func (n *Node) addServing(tree *suture.Supervisor, l *Listeners) {
 	n.callers = &fasthttp.Server{
 		Handler:                       n.entry.Serve,
 		ErrorHandler:                  n.entry.Malformed,
@@ -101,16 +133,15 @@
 		CloseOnShutdown:               true,
 		Logger:                        quiet{},
 	}
-	n.root.Add(n.serveHTTP("callers", n.callers, l.Caller))
-	n.root.Add(service{"links", func(ctx context.Context) error {
+	tree.Add(n.serveHTTP("callers", n.callers, l.Caller))
+	tree.Add(service{"links", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
 		return n.links.Serve(l.Link)
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
-	n.root.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
-	n.addPlatform()
-	n.root.Add(service{"probes", n.probe})
+	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	tree.Add(service{"probes", n.probe})
 }
 
 // probeEvery is the interval of probes: a probe may end a hold-off of 5 s or
@@ -158,7 +189,7 @@
 	}}
 }
 
-func (n *Node) addPlatform() {
+func (n *Node) addReading(tree *suture.Supervisor) {
 	if n.settings.Platform.Address == "" {
 		return
 	}
@@ -172,12 +203,12 @@
 		BackoffMax: n.settings.Platform.Poll,
 		Seed:       n.seed,
 	})
-	n.root.Add(service{"table reader", func(ctx context.Context) error {
+	tree.Add(service{"table reader", func(ctx context.Context) error {
 		n.consult(ctx)
 		return tables.Serve(ctx)
 	}})
 	var seen uint64
-	n.root.Add(platform.NewFollower(platform.FollowerConfig{
+	tree.Add(platform.NewFollower(platform.FollowerConfig{
 		Source: reader,
 		Key:    keyInstances,
 		After:  func() uint64 { return seen },
