--- a/standin/program/main_test.go
+++ b/standin/program/main_test.go
@@ -1,7 +1,6 @@
 package main_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"os/exec"
@@ -14,44 +13,31 @@
 	"fuchsiapick.example/fuchsiapick/standin"
 )
 
-// process is a stand-in that runs as a process of its own.
-type process struct {
-	t       *testing.T
-	cmd     *exec.Cmd
-	Kind    string
-	Address string
-	Admin   string
-}
+// ready is the line that a stand-in prints when it listens.
+type ready struct{ Kind, Address, Admin string }
 
-func start(t *testing.T, program string, args ...string) *process {
+// start runs a stand-in until the test ends, which checks its exit code.
+func start(t *testing.T, program string, args ...string) ready {
 	t.Helper()
-	p := &process{t: t, cmd: exec.CommandContext(t.Context(), program, args...)}
-	out, err := p.cmd.StdoutPipe()
+	cmd := exec.CommandContext(context.Background(), program, args...)
+	out, err := cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.cmd.Start(); err != nil {
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	ready, err := bufio.NewReader(out).ReadBytes('\n')
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := json.Unmarshal(ready, p); err != nil {
-		t.Fatalf("got %q, want a line of JSON: %v", ready, err)
-	}
-	return p
-}
-
-// terminate sends SIGTERM and checks the exit code.
-func (p *process) terminate() {
-	p.t.Helper()
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		p.t.Fatal(err)
-	}
-	if err := p.cmd.Wait(); err != nil {
-		p.t.Errorf("%s: got %v after SIGTERM, want exit 0", p.Kind, err)
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("%v: got %v after SIGTERM, want exit 0", args, err)
+		}
+	})
+	var where ready
+	if err := json.NewDecoder(out).Decode(&where); err != nil || where.Kind != args[0] {
+		t.Fatalf("got %+v, error %v, want a line of JSON of a %s", where, err, args[0])
 	}
+	return where
 }
 
 func call(t *testing.T, method, address, path, body string, want int) []byte {
@@ -106,7 +92,4 @@
 	if len(entries) != 2 || entries[0].Path != "/through" || entries[1].Outcome != standin.Failed {
 		t.Errorf("got %+v, want a served and a failed request", entries)
 	}
-	for _, p := range []*process{relay, backend, platform} {
-		p.terminate()
-	}
 }
