test(cmd): kill entries and gates in whole processes

Cause: the promise that nothing runs twice was shown within one process only; a SIGKILL leaves no defer, no close frame and no goodbye.

Change: sessions may start, stop, kill and end processes by their own ids, break relays and stand-ins, send load, and judge all recorded answers against all ledgers. Each request has a path of its own, so that the ledgers know one whose caller was cut off without an id. Two sessions: the gate's node killed before, while and after the backend server ran the request and replaced on the same address; the entry killed between send and answer. Ports of sessions lie below the kernel's range for outgoing connections, one of which could take the port of a node that is away.

--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,14 +33,35 @@
 		Setup: func(env *testscript.Env) error {
 			root, err := os.Getwd()
 			env.Setenv("EXAMPLES", root+"/../examples")
+			env.Values[sessionKey{}] = newSession()
 			return err
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ports":   ports,
 			"publish": publish,
+			"restore": restore,
 			"fill":    fill,
 			"await":   await,
 			"send":    send,
+
+			"configure": configure,
+			"start":     start,
+			"sigstop":   signals(syscall.SIGSTOP),
+			"sigcont":   signals(syscall.SIGCONT),
+			"sigkill":   signals(syscall.SIGKILL),
+			"sigterm":   signals(syscall.SIGTERM),
+			"ended":     ended,
+			"logged":    logged,
+			"relay":     relay,
+			"mode":      relay,
+			"fault":     fault,
+			"ledger":    ledger,
+			"calls":     calls,
+			"load":      sendLoad,
+			"begin":     begin,
+			"steady":    steady,
+			"join":      join,
+			"judge":     judge,
 		},
 	})
 }
@@ -48,10 +69,7 @@
 // ports NAME... gives each variable a free address of this machine.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		ts.Setenv(name, freePort(ts))
 	}
 }
 
@@ -63,13 +81,24 @@
 	}
 }
 
-// publish PLATFORM KEY VERSION FILE gives the stand-in platform a value.
+// publish PLATFORM KEY VERSION FILE gives the stand-in platform a value; it
+// takes no version that isn't above the one it holds.
 func publish(ts *testscript.TestScript, _ bool, args []string) {
+	give(ts, "publish", args)
+}
+
+// restore PLATFORM KEY VERSION FILE gives it a value at any version, as from a
+// backup.
+func restore(ts *testscript.TestScript, _ bool, args []string) {
+	give(ts, "restore", args)
+}
+
+func give(ts *testscript.TestScript, how string, args []string) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + args[0] + "/standin/publish?key=" + args[1] + "&version=" + args[2])
+	request.SetRequestURI("http://" + args[0] + "/standin/" + how + "?key=" + args[1] + "&version=" + args[2])
 	request.SetBodyString(ts.ReadFile(args[3]))
 	ts.Check(fasthttp.DoTimeout(request, response, patience))
 	if response.StatusCode() != fasthttp.StatusNoContent {
@@ -80,16 +109,11 @@
 // await STATUS URL [TEXT] asks until the status comes, with the text in the
 // answer.
 func await(ts *testscript.TestScript, _ bool, args []string) {
-	last := ""
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+	poll(ts, strings.Join(args, " "), func() (string, bool) {
 		status, body, err := fasthttp.GetTimeout(nil, args[1], time.Second)
-		last = fmt.Sprintf("%d %v %s", status, err, body)
-		if fmt.Sprint(status) == args[0] && (len(args) < 3 || strings.Contains(string(body), args[2])) {
-			return
-		}
-		<-time.After(10 * time.Millisecond)
-	}
-	ts.Fatalf("got %s, want %s", last, strings.Join(args, " "))
+		got := fmt.Sprintf("%d %v %s", status, err, body)
+		return got, fmt.Sprint(status) == args[0] && (len(args) < 3 || strings.Contains(string(body), args[2]))
+	})
 }
 
 // send METHOD URL [BODY] prints status, outcome, reason and backend server.
