--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -107,8 +107,16 @@
 }
 
 // await STATUS URL [TEXT] asks until the status comes, with the text in the
-// answer.
-func await(ts *testscript.TestScript, _ bool, args []string) {
+// answer. ! await asks once and fails if they are there.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		status, body, err := fasthttp.GetTimeout(nil, args[1], patience)
+		ts.Check(err)
+		if fmt.Sprint(status) == args[0] && (len(args) < 3 || strings.Contains(string(body), args[2])) {
+			ts.Fatalf("got %s, want none", strings.Join(args, " "))
+		}
+		return
+	}
 	poll(ts, strings.Join(args, " "), func() (string, bool) {
 		status, body, err := fasthttp.GetTimeout(nil, args[1], time.Second)
 		got := fmt.Sprintf("%d %v %s", status, err, body)
