test(cmd): take the platform away, leave it stale, edit twice

Cause: that an accepted table never reverts was shown over one process and one replica of the platform; replicas differ, and nodes are replaced.

Down while nodes start and are replaced, who get the table from peers, also from one that never read the platform; a replica that stays behind, a backup restored, both met by replaced nodes, an invalid table in the middle; two texts under one version at two replicas. The platform's counted calls are held to bounds.

--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -133,11 +133,14 @@
 	fmt.Fprint(ts.Stderr(), p.stderr.String())
 }
 
-// logged NAME TEXT... waits for one log line with all the texts.
+// logged NAME[,NAME...] TEXT... waits for one log line with all the texts, of
+// any of the processes.
 func logged(ts *testscript.TestScript, _ bool, args []string) {
-	p := processOf(ts, args[0])
 	poll(ts, "log line of "+args[0]+" with "+strings.Join(args[1:], " and "), func() (string, bool) {
-		text := p.stderr.String()
+		text := ""
+		for _, name := range strings.Split(args[0], ",") {
+			text += processOf(ts, name).stderr.String()
+		}
 		for line := range strings.Lines(text) {
 			if containsAll(line, args[1:]) {
 				ts.Logf("%s", line)
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -57,6 +57,7 @@
 			"fault":     fault,
 			"ledger":    ledger,
 			"calls":     calls,
+			"same":      same,
 			"load":      sendLoad,
 			"begin":     begin,
 			"steady":    steady,
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -83,12 +83,12 @@
 
 [platform]
 address = %q
-poll = "1s"
+poll = %q
 `
 
 // configure NAME DOMAIN PLATFORM [PEER...] writes NAME.toml. The node's
 // addresses are $C_NAME, $L_NAME and $A_NAME, its announced one $R_NAME if
-// that is set, and its grace $GRACE.
+// that is set; $GRACE and $POLL are its grace and poll if they are set.
 func configure(ts *testscript.TestScript, _ bool, args []string) {
 	name := args[0]
 	for _, kind := range []string{"C_", "L_", "A_"} {
@@ -96,23 +96,25 @@
 			ts.Setenv(kind+name, freePort(ts))
 		}
 	}
-	announce := ts.Getenv("R_" + name)
-	if announce == "" {
-		announce = ts.Getenv("L_" + name)
-	}
-	grace := ts.Getenv("GRACE")
-	if grace == "" {
-		grace = "10s"
-	}
+	announce := orElse(ts.Getenv("R_"+name), ts.Getenv("L_"+name))
+	grace := orElse(ts.Getenv("GRACE"), "10s")
+	poll := orElse(ts.Getenv("POLL"), "5s")
 	peers := make([]string, 0, len(args))
 	for _, peer := range args[3:] {
 		peers = append(peers, strconv.Quote(peer))
 	}
 	text := fmt.Sprintf(settingsOf, name, args[1], grace, strings.Join(peers, ", "),
-		ts.Getenv("C_"+name), ts.Getenv("L_"+name), announce, ts.Getenv("A_"+name), args[2])
+		ts.Getenv("C_"+name), ts.Getenv("L_"+name), announce, ts.Getenv("A_"+name), args[2], poll)
 	ts.Check(os.WriteFile(ts.MkAbs(name+".toml"), []byte(text), 0o600))
 }
 
+func orElse(text, standard string) string {
+	if text == "" {
+		return standard
+	}
+	return text
+}
+
 // drive posts to a stand-in's admin path.
 func drive(ts *testscript.TestScript, uri string) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -167,6 +169,28 @@
 	}
 }
 
+// same TEXT URL URL waits until both answers have the same lines with the
+// text, and some.
+func same(ts *testscript.TestScript, _ bool, args []string) {
+	poll(ts, "the same lines with "+args[0], func() (string, bool) {
+		one, other := linesOf(ts, args[1], args[0]), linesOf(ts, args[2], args[0])
+		return one + "and " + other, one == other && one != ""
+	})
+	ts.Logf("%s", linesOf(ts, args[1], args[0]))
+}
+
+func linesOf(ts *testscript.TestScript, uri, text string) string {
+	_, body, err := fasthttp.GetTimeout(nil, uri, patience)
+	ts.Check(err)
+	found := ""
+	for line := range strings.Lines(string(body)) {
+		if strings.Contains(line, text) {
+			found += line
+		}
+	}
+	return found
+}
+
 func entriesOf(ts *testscript.TestScript, backend string) []standin.Entry {
 	var entries []standin.Entry
 	fetch(ts, "http://"+backend+"/standin/ledger", &entries)
