feat(metrics): expose readiness, objectives, platform, links and gates

Alerts need what a scrape did not have: whether a node is ready, how reading the platform goes, links, queues and refusals at gates, and burn per service. The existing request counters can't carry burn: their series appear with the first failure, whose increase a store then never sees.

Add optional sources, read at each scrape, and counters of what objectives are judged by, which begin at 0 with the table. Events are counted from 0 too. Ruled out: one gauge of burn per node, which can't be summed over nodes.

Nothing is wired in package node yet; a source that isn't given is not exposed.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -12,6 +12,8 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 const namespace = "fuchsiapick"
@@ -30,10 +32,17 @@
 	Busy() int
 }
 
-// Config configures a Set.
+// Config configures a Set. Book and State are required; what else is left out
+// is not exposed.
 type Config struct {
-	Book  Book
-	State State
+	Book      Book
+	State     State
+	Readiness Readiness
+	Platform  Platform
+	Links     Links
+	Gates     Gates
+	// Requests bounds callers' concurrent requests, as the settings have it.
+	Requests int
 }
 
 // Set wraps a Book and counts what passes. It is safe for concurrent use.
@@ -45,6 +54,8 @@
 	attempts *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	events   *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	promises *objectives
 }
 
 // New returns a set with its registry.
@@ -73,12 +84,31 @@
 			Namespace: namespace, Name: "events_total",
 			Help: "Verdicts, path losses, tables and other events by kind.",
 		}, []string{"kind"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "gate_refusals_total",
+			Help: "Dispatches that a gate of this node refused to run.",
+		}, []string{"service", "upstream", "reason"}),
+		promises: newObjectives(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.took, s.events, &states{source: c.State},
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.took, s.events, s.refusals,
+		&states{source: c.State}, &sources{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.registry.MustRegister(s.promises.collectors()...)
+	for _, kind := range kinds {
+		s.events.WithLabelValues(string(kind))
+	}
 	return s
 }
 
+// kinds of events are counted from 0 on: an alert on the first table that is
+// rejected needs a series that was there before.
+var kinds = []account.EventKind{
+	account.SetAside, account.Trial, account.Ramp, account.Back, account.KeptUnderFloor,
+	account.PathLost, account.PathBack, account.Leaving,
+	account.TableAccepted, account.TableRejected, account.TableOlder,
+	account.PlatformLost, account.PlatformBack,
+}
+
 // Handler serves the metrics over HTTP.
 func (s *Set) Handler() fasthttp.RequestHandler {
 	return fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
@@ -95,6 +125,7 @@
 	s.requests.WithLabelValues(r.Service, r.Upstream, string(r.Outcome), r.Reason).Inc()
 	s.attempts.WithLabelValues(r.Service).Add(float64(r.Attempts))
 	s.took.WithLabelValues(r.Service, string(r.Outcome)).Observe(r.Took.Seconds())
+	s.promises.count(&r)
 	s.config.Book.Close(now, r)
 }
 
@@ -103,3 +134,14 @@
 	s.events.WithLabelValues(string(e.Kind)).Inc()
 	s.config.Book.Note(e)
 }
+
+// Refused counts a dispatch that a gate beside this node refused to run.
+func (s *Set) Refused(service, upstream string, reason wire.Reason) {
+	s.refusals.WithLabelValues(service, upstream, string(reason)).Inc()
+}
+
+// SetServices takes the table in force: the objectives that requests are judged
+// by from now on.
+func (s *Set) SetServices(services []table.Service) {
+	s.promises.set(services)
+}
--- /dev/null
+++ b/metrics/sources.go
@@ -0,0 +1,163 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Readiness tells whether the node takes callers' requests.
+type Readiness interface {
+	Ready() bool
+}
+
+// Platform tells how reading the platform's values goes.
+type Platform interface {
+	Readings() []Reading
+}
+
+// Reading counts the calls for one of the platform's values since the node
+// started.
+type Reading struct {
+	// Key names the value, for example "table".
+	Key string
+	// Calls counts all calls, Errors those without an answer, Stale those
+	// answered with a version below the one that the node knows.
+	Calls, Errors, Stale uint64
+	// Seen is the version that the platform last named.
+	Seen uint64
+}
+
+// Links tells how many links this node has to and from other nodes.
+type Links interface {
+	Links() LinkCount
+}
+
+// LinkCount counts links that are open now.
+type LinkCount struct {
+	// Peers are the nodes that this one may dial.
+	Peers int
+	// Dialled are open links that this node opened, Accepted those of others.
+	Dialled, Accepted int
+}
+
+// Gates tells how the gates beside the node's backend servers do.
+type Gates interface {
+	GateStates() []GateState
+}
+
+// GateState is what one gate itself says of its upstream.
+type GateState struct {
+	Service, Upstream string
+	// State is the gate's own verdict, as health.State writes it.
+	State string
+	// Running requests hold a slot, Waiting ones are in the queue.
+	Running, Waiting int
+	// Slots and Queue are the most of each, as the table has them.
+	Slots, Queue int
+}
+
+var (
+	readyDesc = prometheus.NewDesc(namespace+"_ready",
+		"1 with a table in force, 0 before that and when leaving.", nil, nil)
+	boundDesc = prometheus.NewDesc(namespace+"_requests_bound",
+		"Concurrent requests of callers that the settings allow.", nil, nil)
+	readDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
+		"Calls to the platform by what came of them.", []string{"key", "result"}, nil)
+	seenDesc = prometheus.NewDesc(namespace+"_platform_version",
+		"Version that the platform last named.", []string{"key"}, nil)
+	peersDesc = prometheus.NewDesc(namespace+"_peers",
+		"Nodes that this one may dial.", nil, nil)
+	linksDesc = prometheus.NewDesc(namespace+"_links",
+		"Open links by who opened them.", []string{"direction"}, nil)
+	verdictDesc = prometheus.NewDesc(namespace+"_gate_state",
+		"1 for the verdict of the gate itself on its upstream.", []string{"service", "upstream", "state"}, nil)
+	slotsDesc = prometheus.NewDesc(namespace+"_gate_requests",
+		"Requests at a gate that run or wait.", []string{"service", "upstream", "place"}, nil)
+	roomDesc = prometheus.NewDesc(namespace+"_gate_bound",
+		"Requests that may run or wait at a gate.", []string{"service", "upstream", "place"}, nil)
+)
+
+// Results of a call to the platform.
+const (
+	resultAnswered = "answered"
+	resultStale    = "stale"
+	resultError    = "error"
+)
+
+// Places of a request at a gate.
+const (
+	placeSlot  = "slot"
+	placeQueue = "queue"
+)
+
+// sources reads the node's parts at each scrape. A part that isn't given is
+// not exposed.
+type sources struct {
+	config Config
+}
+
+// Describe sends the descriptions.
+func (*sources) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		readyDesc, boundDesc, readDesc, seenDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
+	} {
+		out <- d
+	}
+}
+
+// Collect sends what the parts say now.
+func (s *sources) Collect(out chan<- prometheus.Metric) {
+	c := s.config
+	if c.Readiness != nil {
+		out <- gauge(readyDesc, boolean(c.Readiness.Ready()))
+	}
+	if c.Requests > 0 {
+		out <- gauge(boundDesc, float64(c.Requests))
+	}
+	if c.Platform != nil {
+		for _, r := range c.Platform.Readings() {
+			collectReading(out, &r)
+		}
+	}
+	if c.Links != nil {
+		l := c.Links.Links()
+		out <- gauge(peersDesc, float64(l.Peers))
+		out <- gauge(linksDesc, float64(l.Dialled), "dialled")
+		out <- gauge(linksDesc, float64(l.Accepted), "accepted")
+	}
+	if c.Gates != nil {
+		for _, g := range c.Gates.GateStates() {
+			collectGate(out, &g)
+		}
+	}
+}
+
+func collectReading(out chan<- prometheus.Metric, r *Reading) {
+	answered := r.Calls - min(r.Calls, r.Errors+r.Stale)
+	out <- counter(readDesc, answered, r.Key, resultAnswered)
+	out <- counter(readDesc, r.Stale, r.Key, resultStale)
+	out <- counter(readDesc, r.Errors, r.Key, resultError)
+	out <- gauge(seenDesc, float64(r.Seen), r.Key)
+}
+
+func collectGate(out chan<- prometheus.Metric, g *GateState) {
+	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.State)
+	out <- gauge(slotsDesc, float64(g.Running), g.Service, g.Upstream, placeSlot)
+	out <- gauge(slotsDesc, float64(g.Waiting), g.Service, g.Upstream, placeQueue)
+	out <- gauge(roomDesc, float64(g.Slots), g.Service, g.Upstream, placeSlot)
+	out <- gauge(roomDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
+}
+
+func gauge(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+}
+
+func counter(d *prometheus.Desc, value uint64, labels ...string) prometheus.Metric {
+	return prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(value), labels...)
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
