feat(embedding): show the decision packages in a plain Go program

Others are to embed the decisions, and nothing showed how, nor what a caller must bring itself: locks, clocks, seeds, timers and the I/O.

Ruled out: one large example, which Go's documentation shows badly.

--- /dev/null
+++ b/embedding/example_edition_test.go
@@ -0,0 +1,62 @@
+package embedding_test
+
+import (
+	"fmt"
+
+	"fuchsiapick.example/fuchsiapick/edition"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// published is a text of some configuration with its version.
+type published struct {
+	version uint64
+	text    string
+	source  edition.Source
+}
+
+// member is a process that follows the configuration.
+type member struct {
+	fence *edition.Fence
+	text  string
+}
+
+// hear takes in an edition that was read whole and checked. A version that is
+// merely heard of must not be offered: see edition.Offer.
+func (m *member) hear(p published) edition.Verdict {
+	offer := edition.Offer{Version: p.version, Digest: table.Digest([]byte(p.text)), Source: p.source}
+	verdict := m.fence.Offer(offer)
+	if verdict == edition.Accept {
+		m.text = p.text
+	}
+	return verdict
+}
+
+// Two processes hear the same editions in different orders, among them two that
+// were published under one version, and a stale replica. Both end with the same
+// configuration and never go back.
+func Example_edition() {
+	editions := []published{
+		{1, "floor = 0.5", edition.Platform},
+		{2, "floor = 0.6", edition.Platform},
+		{2, "floor = 0.7", edition.Platform}, // a second operator's edit
+		{1, "floor = 0.5", edition.Platform}, // a stale replica
+	}
+	one, other := member{fence: edition.New()}, member{fence: edition.New()}
+	for _, p := range editions {
+		one.hear(p)
+	}
+	for i := len(editions) - 1; i >= 0; i-- {
+		editions[i].source = edition.Peer
+		other.hear(editions[i])
+	}
+	fmt.Println("same text:", one.text == other.text)
+	fmt.Println("version:", one.fence.Current().Version, other.fence.Current().Version)
+	_, contested := one.fence.Rival()
+	fmt.Println("tell the operators of a lost edit:", contested)
+	fmt.Println("stale replica:", one.hear(editions[0]))
+	// Output:
+	// same text: true
+	// version: 2 2
+	// tell the operators of a lost edit: true
+	// stale replica: older
+}
--- /dev/null
+++ b/embedding/example_slots_test.go
@@ -0,0 +1,32 @@
+package embedding_test
+
+import (
+	"fmt"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/limit"
+)
+
+// One backend server serves one request at once; one more may wait. The
+// program keeps the tickets of those that wait, and sets a timer for Expire.
+func Example_slots() {
+	var now clock.Manual
+	s := limit.NewSlots(limit.SlotsConfig{Slots: 1, Queue: 1, Seed: 1})
+	deadline := now.Now() + clock.Second
+
+	fmt.Println("first runs:", s.Offer(now.Now(), 1, deadline).Answer == limit.Run)
+	fmt.Println("second waits:", s.Offer(now.Now(), 2, deadline).Answer == limit.Wait)
+	third := s.Offer(now.Now(), 3, deadline)
+	fmt.Println("third is not run:", third.Answer == limit.Full)
+	fmt.Println("and is told when to come back:", third.RetryAfter > 0)
+
+	now.Advance(20)
+	ticket, ok := s.Release(now.Now())
+	fmt.Println("the first has ended, now runs:", ticket, ok)
+	// Output:
+	// first runs: true
+	// second waits: true
+	// third is not run: true
+	// and is told when to come back: true
+	// the first has ended, now runs: 2 true
+}
