--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -55,7 +55,7 @@
 	took     *prometheus.HistogramVec
 	events   *prometheus.CounterVec
 	refusals *prometheus.CounterVec
-	promises *objectives
+	services *services
 }
 
 // New returns a set with its registry.
@@ -88,12 +88,12 @@
 			Namespace: namespace, Name: "gate_refusals_total",
 			Help: "Dispatches that a gate of this node refused to run.",
 		}, []string{"service", "upstream", "reason"}),
-		promises: newObjectives(),
+		services: newServices(),
 	}
 	s.registry.MustRegister(s.received, s.requests, s.attempts, s.took, s.events, s.refusals,
 		&states{source: c.State}, &sources{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s.registry.MustRegister(s.promises.collectors()...)
+	s.registry.MustRegister(s.services.collectors()...)
 	for _, kind := range kinds {
 		s.events.WithLabelValues(string(kind))
 	}
@@ -125,7 +125,7 @@
 	s.requests.WithLabelValues(r.Service, r.Upstream, string(r.Outcome), r.Reason).Inc()
 	s.attempts.WithLabelValues(r.Service).Add(float64(r.Attempts))
 	s.took.WithLabelValues(r.Service, string(r.Outcome)).Observe(r.Took.Seconds())
-	s.promises.count(&r)
+	s.services.count(&r)
 	s.config.Book.Close(now, r)
 }
 
@@ -143,5 +143,5 @@
 // SetServices takes the table in force: the objectives that requests are judged
 // by from now on.
 func (s *Set) SetServices(services []table.Service) {
-	s.promises.set(services)
+	s.services.set(services)
 }
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -2,6 +2,9 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/health"
 )
 
 // Readiness tells whether the node takes callers' requests.
@@ -47,8 +50,10 @@
 // GateState is what one gate itself says of its upstream.
 type GateState struct {
 	Service, Upstream string
-	// State is the gate's own verdict, as health.State writes it.
-	State string
+	// Verdict is the gate's own.
+	Verdict health.State
+	// Leaving upstreams get no new work, whatever the verdict.
+	Leaving bool
 	// Running requests hold a slot, Waiting ones are in the queue.
 	Running, Waiting int
 	// Slots and Queue are the most of each, as the table has them.
@@ -140,13 +145,30 @@
 }
 
 func collectGate(out chan<- prometheus.Metric, g *GateState) {
-	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.State)
+	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.state())
 	out <- gauge(slotsDesc, float64(g.Running), g.Service, g.Upstream, placeSlot)
 	out <- gauge(slotsDesc, float64(g.Waiting), g.Service, g.Upstream, placeQueue)
 	out <- gauge(roomDesc, float64(g.Slots), g.Service, g.Upstream, placeSlot)
 	out <- gauge(roomDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
 }
 
+// state writes the verdict as the report does.
+func (g *GateState) state() string {
+	if g.Leaving {
+		return account.StateLeaving
+	}
+	switch g.Verdict {
+	case health.Aside:
+		return account.StateSetAside
+	case health.Trial:
+		return account.StateTrial
+	case health.Ramp:
+		return account.StateRamp
+	default:
+		return account.StateInUse
+	}
+}
+
 func gauge(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
 	return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 }
