--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -42,25 +42,33 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "fuchsiapick", Out: stderr}, &parsed)
-	if err != nil {
-		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
-		return ExitUsage
-	}
-	switch err := parser.Parse(args); {
+	parser, chosen, err := parse(args, stderr)
+	switch {
 	case errors.Is(err, arg.ErrHelp):
 		return help(parser, stdout)
 	case err != nil:
 		fmt.Fprintf(stderr, "fuchsiapick: %v; see fuchsiapick --help\n", err)
 		return ExitUsage
-	}
-	chosen, ok := parser.Subcommand().(command)
-	if !ok {
+	case chosen == nil:
 		_ = help(parser, stderr)
 		return ExitUsage
+	default:
+		return chosen.run(stdout, stderr)
+	}
+}
+
+// parse reads a command line. The command is nil if none is named.
+func parse(args []string, out io.Writer) (*arg.Parser, command, error) {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "fuchsiapick", Out: out}, &parsed)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	if err := parser.Parse(args); err != nil {
+		return parser, nil, err
 	}
-	return chosen.run(stdout, stderr)
+	chosen, _ := parser.Subcommand().(command)
+	return parser, chosen, nil
 }
 
 // help writes the help of the subcommand that was named, or of the program.
