fix(metrics): forget services that are gone, count a full node's first refusal

Series of a service that the table no longer names stayed in every scrape for a node's life, and a full node's first refusal made its series appear at 1, which an increase doesn't show. Now SetServices drops the former, and the latter begins at 0. Series of single upstreams that are gone stay until the node is replaced: to find them would cost a pass over all upstreams at each edit.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,6 +1,6 @@
 // Package metrics counts what a node does, for scraping in the Prometheus text
-// format. Label sets are bounded by the table: services, upstreams, outcomes
-// and reasons; callers are never labels.
+// format. Label sets are bounded by the tables of a node's life: services,
+// upstreams, outcomes and reasons; callers are never labels.
 package metrics
 
 import (
@@ -97,6 +97,8 @@
 	for _, kind := range kinds {
 		s.events.WithLabelValues(string(kind))
 	}
+	// A full node refuses before it knows the service.
+	s.requests.WithLabelValues("", "", string(account.NotRun), account.ReasonBusy)
 	return s
 }
 
@@ -141,7 +143,13 @@
 }
 
 // SetServices takes the table in force: the objectives that requests are judged
-// by from now on.
+// by from now on. Series of services that it no longer names vanish.
 func (s *Set) SetServices(services []table.Service) {
-	s.services.set(services)
+	for _, gone := range s.services.set(services) {
+		labels := prometheus.Labels{"service": gone}
+		s.requests.DeletePartialMatch(labels)
+		s.attempts.DeletePartialMatch(labels)
+		s.took.DeletePartialMatch(labels)
+		s.refusals.DeletePartialMatch(labels)
+	}
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -6,6 +6,7 @@
 	"go/parser"
 	"go/token"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -159,6 +160,9 @@
 			t.Errorf("%s: got %v, want 0", kind, got)
 		}
 	}
+	if got := value(t, families, "fuchsiapick_requests_total", "outcome=not-run", "reason=node-busy", "service=", "upstream="); got != 0 {
+		t.Errorf("node-busy: got %v, want 0", got)
+	}
 	for _, outcome := range []string{"served", "not-run", "unknown"} {
 		if got := value(t, families, "fuchsiapick_outcomes_total", "outcome="+outcome, "service=conferme"); got != 0 {
 			t.Errorf("%s: got %v, want 0", outcome, got)
@@ -166,15 +170,24 @@
 	}
 }
 
+var gauges = []string{
+	"fuchsiapick_upstream_state", "fuchsiapick_upstream_severity",
+	"fuchsiapick_gate_state", "fuchsiapick_gate_requests", "fuchsiapick_gate_bound",
+}
+
 // A service that the table no longer names must not stay in every scrape for
 // as long as the node lives.
 func TestServicesThatAreGoneVanish(t *testing.T) {
-	s := newSet(account.New(account.Config{}))
+	s := wholeSet(t)
 	s.SetServices(nil)
-	families := scrape(t, s)
-	for _, name := range []string{"outcomes_total", "objective_requests_total", "objective_bad_total", "objective_ratio"} {
-		if got := len(families["fuchsiapick_"+name].GetMetric()); got != 0 {
-			t.Errorf("%s: got %d series, want 0", name, got)
+	for name, family := range scrape(t, s) {
+		if slices.Contains(gauges, name) {
+			continue // read anew from the node
+		}
+		for _, m := range family.GetMetric() {
+			if strings.Contains(m.String(), `"conferme"`) {
+				t.Errorf("%s: got %v, want no series of the service", name, m)
+			}
 		}
 	}
 }
--- a/metrics/services.go
+++ b/metrics/services.go
@@ -52,18 +52,22 @@
 	return []prometheus.Collector{s.outcomes, s.requests, s.bad, s.promised}
 }
 
-// set takes the services of the table in force.
-func (s *services) set(all []table.Service) {
+// set takes the services of the table in force and returns the names of those
+// that are gone.
+func (s *services) set(all []table.Service) []string {
 	next := make(map[string]table.Objective, len(all))
 	for i := range all {
 		next[all[i].Name] = all[i].Objective
 		s.begin(all[i].Name, all[i].Objective)
 	}
+	var gone []string
 	for name := range *s.named.Swap(&next) {
 		if _, ok := next[name]; !ok {
 			s.forget(name)
+			gone = append(gone, name)
 		}
 	}
+	return gone
 }
 
 // begin makes the series of a service unless they are there.
