feat(capacity): measure what frames cost by their size

Cause: the size to design for needs figures of this code, and a command that gives them again. Heartbeats, replies and dispatches first.

--- /dev/null
+++ b/capacity/frames.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// frames measures what links carry.
+func frames() []Measure {
+	beside := []int{1, 10, 40, 83, 166} // upstreams beside a node
+	return []Measure{
+		{
+			Role: "link", Name: "heartbeat", Unit: unitBytes, Against: "upstreams beside the node",
+			Sizes: beside, Target: UpstreamsPerNode,
+			Cost: func(n int) (float64, error) { return frameBytes(beat(n)) },
+		},
+		{
+			Role: "link", Name: "heartbeat encoded", Unit: unitMicros, Against: "upstreams beside the node",
+			Sizes: beside, Target: UpstreamsPerNode,
+			Cost: func(n int) (float64, error) {
+				b := beat(n)
+				return spent(frameRuns, func() error {
+					_, err := wire.Encode(b)
+					return err
+				})
+			},
+		},
+		{
+			Role: "link", Name: "heartbeat decoded", Unit: unitMicros, Against: "upstreams beside the node",
+			Sizes: beside, Target: UpstreamsPerNode,
+			Cost: func(n int) (float64, error) {
+				frame, err := wire.Encode(beat(n))
+				if err != nil {
+					return 0, err
+				}
+				return spent(frameRuns, func() error {
+					_, err := wire.Decode(frame, len(frame))
+					return err
+				})
+			},
+		},
+		{
+			Role: "link", Name: "reply", Unit: unitBytes, Against: "bytes of answer",
+			Sizes: []int{0, 1 << 10, 4 << 10, 16 << 10},
+			Cost:  func(n int) (float64, error) { return frameBytes(reply(n)) },
+		},
+		{
+			Role: "link", Name: "dispatch", Unit: unitBytes, Against: "bytes of body",
+			Sizes: []int{0, 1 << 10, 4 << 10, 16 << 10},
+			Cost:  func(n int) (float64, error) { return frameBytes(dispatch(n)) },
+		},
+	}
+}
+
+// frameRuns is how often a frame is encoded or decoded for one point: with
+// fewer the processor clock's steps of some milliseconds would show.
+const frameRuns = 5000
+
+func frameBytes(m wire.Message) (float64, error) {
+	frame, err := wire.Encode(m)
+	return float64(len(frame)), err
+}
+
+// hour is the instant of all messages: a node that has run for a while has
+// larger numbers to write than one that has just started.
+const hour = clock.Hour
+
+func state(i int) wire.Upstream {
+	return wire.Upstream{
+		Name: fmt.Sprintf("upstream-%d", i), Severity: 0.25, Share: 1, InFlight: 3, Waiting: 1,
+		Own: wire.Baseline{Known: true, Failed: 0.0125, Latency: 120},
+	}
+}
+
+func beat(upstreams int) *wire.Beat {
+	b := &wire.Beat{Time: hour, Heard: hour, Version: 1 << 30, Digest: table.Digest(nil)}
+	for i := range upstreams {
+		b.Upstreams = append(b.Upstreams, state(i))
+	}
+	return b
+}
+
+func reply(body int) *wire.Reply {
+	return &wire.Reply{
+		ID: wire.RequestID{Entry: 1 << 60, Seq: 1 << 30}, Attempt: 1, Outcome: wire.Answered, Status: 200,
+		Length: body, Body: make([]byte, body), Time: hour, Upstream: state(1),
+	}
+}
+
+func dispatch(body int) *wire.Dispatch {
+	return &wire.Dispatch{
+		ID: wire.RequestID{Entry: 1 << 60, Seq: 1 << 30}, Attempt: 1, Incarnation: 1 << 60,
+		Lease: hour, Budget: clock.Second, Upstream: "upstream-1", Caller: "caller-1", Method: "GET",
+		URI: "/service-1/route-1/" + strings.Repeat("x", 20), Body: make([]byte, body),
+		Baseline: wire.Baseline{Known: true, Failed: 0.0125, Latency: 120},
+	}
+}
--- /dev/null
+++ b/capacity/measure.go
@@ -0,0 +1,110 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+
+	"github.com/juju/errors"
+)
+
+// Measure is one cost and the sizes it is measured at.
+type Measure struct {
+	// Role is the part of a node that bears the cost.
+	Role string
+	Name string
+	// Unit is that of the cost, Against what the size counts.
+	Unit    string
+	Against string
+	Sizes   []int
+	// Target is the size to design for, 0 if the page works it out otherwise.
+	Target float64
+	// Cost measures one size.
+	Cost func(size int) (float64, error)
+}
+
+// Result is a measure's points and the line through them.
+type Result struct {
+	Measure
+
+	Points []Point
+	Line   Line
+}
+
+// Run measures every size. It returns the first error of a cost, or ErrPoints.
+func (m Measure) Run() (Result, error) {
+	r := Result{Measure: m, Points: make([]Point, 0, len(m.Sizes))}
+	for _, size := range m.Sizes {
+		cost, err := m.Cost(size)
+		if err != nil {
+			return r, errors.Annotatef(err, "measuring %s at %d %s", m.Name, size, m.Against)
+		}
+		r.Points = append(r.Points, Point{Size: float64(size), Cost: cost})
+	}
+	line, err := Fit(r.Points)
+	if err != nil {
+		return r, errors.Annotatef(err, "fitting %s", m.Name)
+	}
+	r.Line = line
+	return r, nil
+}
+
+// Units of costs.
+const (
+	unitBytes  = "B"
+	unitMicros = "µs"
+	unitCount  = "count"
+)
+
+// held returns the heap bytes that what make returns keeps.
+func held(build func() (any, error)) (float64, error) {
+	before := heap()
+	kept, err := build()
+	if err != nil {
+		return 0, err
+	}
+	after := heap()
+	runtime.KeepAlive(kept)
+	return float64(after - before), nil
+}
+
+func heap() int64 {
+	// Twice: what finalizers and pools let go shows after the second.
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// spent returns the processor time of work in microseconds per run, of all
+// threads and of garbage collection with it. Time on the wall would count what
+// other programs on the machine take.
+func spent(runs int, work func() error) (float64, error) {
+	runtime.GC()
+	before, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	for range runs {
+		if err := work(); err != nil {
+			return 0, err
+		}
+	}
+	after, err := processor()
+	if err != nil {
+		return 0, err
+	}
+	return (after - before) / float64(runs), nil
+}
+
+// processor returns the processor time that this process took, in
+// microseconds.
+func processor() (float64, error) {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		return 0, errors.Annotate(err, "reading the processor time")
+	}
+	const perSecond = 1e6
+	seconds := used.Utime.Sec + used.Stime.Sec
+	return float64(seconds)*perSecond + float64(used.Utime.Usec+used.Stime.Usec), nil
+}
--- /dev/null
+++ b/capacity/size.go
@@ -0,0 +1,20 @@
+package capacity
+
+// The size to design for.
+const (
+	Nodes            = 2400
+	Upstreams        = 200_000
+	Services         = 4100
+	Routes           = 190_000
+	Callers          = 1_300_000
+	Requests         = 3_400_000 // a second
+	Changes          = 110_000   // a day
+	Regions          = 11
+	Domains          = 42
+	UpstreamsPerNode = Upstreams / Nodes
+)
+
+// All returns every measure, in the order of docs/CAPACITY.md.
+func All() []Measure {
+	return frames()
+}
--- /dev/null
+++ b/capacity/slopes/main.go
@@ -0,0 +1,69 @@
+// Command slopes measures what the parts of a node cost by their size and
+// writes the lines that docs/CAPACITY.md works with, as a Markdown table.
+//
+// It takes a part of a measure's name as its argument, to run only some.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/capacity"
+)
+
+type args struct {
+	Part string `arg:"positional" help:"measure only what has this in its role or name"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	if err := run(os.Stdout, a.Part); err != nil {
+		logrus.WithError(err).Fatal("not all was measured")
+	}
+}
+
+func run(out io.Writer, part string) error {
+	fmt.Fprintln(out, "| role | cost | against | points | base | slope | residual | at the size designed for |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, m := range capacity.All() {
+		if !strings.Contains(m.Role+" "+m.Name, part) {
+			continue
+		}
+		r, err := m.Run()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		fmt.Fprintln(out, row(r))
+	}
+	return nil
+}
+
+// row is a result as a line of the table.
+func row(r capacity.Result) string {
+	points := make([]string, 0, len(r.Points))
+	for _, p := range r.Points {
+		points = append(points, fmt.Sprintf("%.0f: %s", p.Size, figure(p.Cost)))
+	}
+	at := ""
+	if r.Target > 0 {
+		at = fmt.Sprintf("%.0f: %s %s", r.Target, figure(r.Line.At(r.Target)), r.Unit)
+	}
+	return fmt.Sprintf("| %s | %s, %s | %s | %s | %s | %s | %.1f%% | %s |",
+		r.Role, r.Name, r.Unit, r.Against, strings.Join(points, "; "),
+		figure(r.Line.Base), figure(r.Line.Slope), 100*r.Line.Residual, at)
+}
+
+// figure writes three significant digits, and whole numbers in full.
+func figure(x float64) string {
+	if x >= 1000 || x <= -1000 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
+}
