feat(capacity): measure table, entry, gates, links, platform and accounts

Cause: each role's cost at the size to design for is to be worked out from lines measured on this code. Change: measures for every role. Links have both ends in the process and count the bytes they carry; peers nothing is sent to are measured apart, since a table names 2,400 of them. Weighed and left: wall time, which the load of the machine decides.

--- /dev/null
+++ b/capacity/admins.go
@@ -0,0 +1,113 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/metrics"
+)
+
+// admins measures what a node's admin address serves.
+func admins() []Measure {
+	return []Measure{
+		{
+			Role: "admin", Name: "report without records", Unit: unitBytes, Against: "callers kept apart",
+			Sizes: callersKept(),
+			Cost: func(n int) (float64, error) {
+				return snapshotBytes(book(n, n, 4*n, oneService), account.Filter{Limit: 1})
+			},
+		},
+		{
+			Role: "admin", Name: "report without records", Unit: unitBytes, Against: "services called",
+			Sizes: []int{500, 1000, 2000, 4100}, Target: Services,
+			Cost: func(n int) (float64, error) {
+				return snapshotBytes(book(1, 1, n, n), account.Filter{Limit: 1})
+			},
+		},
+		{
+			Role: "admin", Name: "report of all records", Unit: unitBytes, Against: "records kept",
+			Sizes: []int{2_500, 5_000, 10_000, 20_000},
+			Cost: func(n int) (float64, error) {
+				return snapshotBytes(book(n, 1, 2*n, oneService), account.Filter{})
+			},
+		},
+		{
+			Role: "admin", Name: "counters of requests, held", Unit: unitBytes, Against: "upstreams called",
+			Sizes: []int{250, 1000, 2500, 5000}, Target: Upstreams,
+			Cost: countersHeld,
+		},
+		{
+			Role: "admin", Name: "metrics", Unit: unitBytes, Against: "upstreams in view",
+			Sizes: []int{250, 1000, 2500, 5000}, Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				body := scrape(n)
+				return float64(len(body())), nil
+			},
+		},
+		{
+			Role: "admin", Name: "metrics", Unit: unitMicros, Against: "upstreams in view",
+			Sizes: []int{250, 1000, 2500, 5000}, Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				body := scrape(n)
+				return spent(func() error { body(); return nil })
+			},
+		},
+	}
+}
+
+func snapshotBytes(b *account.Book, f account.Filter) (float64, error) {
+	body, err := json.Marshal(b.Snapshot(2*hour, f))
+	return float64(len(body)), err
+}
+
+// view is the state that a scrape reads.
+type view int
+
+// States returns upstreams that are all in use.
+func (v view) States() []account.UpstreamState {
+	all := make([]account.UpstreamState, 0, v)
+	for i := range int(v) {
+		all = append(all, account.UpstreamState{
+			Service: fmt.Sprintf("service-%d", i/perService), Name: fmt.Sprintf("upstream-%d", i),
+			Domain: "domain-1", State: account.StateInUse,
+		})
+	}
+	return all
+}
+
+// Version returns a version.
+func (view) Version() uint64 { return 1 }
+
+// Busy returns no requests.
+func (view) Busy() int { return 0 }
+
+// scrape returns what serves the metrics of a node with so many upstreams.
+func scrape(upstreams int) func() []byte {
+	set := metrics.New(metrics.Config{Book: account.New(account.Config{Records: 1}), State: view(upstreams)})
+	handler := set.Handler()
+	return func() []byte {
+		var ctx fasthttp.RequestCtx
+		var r fasthttp.Request
+		r.SetRequestURI("/metrics")
+		ctx.Init(&r, nil, nil)
+		handler(&ctx)
+		return ctx.Response.Body()
+	}
+}
+
+// countersHeld is the memory of counters once each upstream has served.
+func countersHeld(upstreams int) (float64, error) {
+	return held(func() (any, error) {
+		set := metrics.New(metrics.Config{Book: ledger{}, State: view(0)})
+		for i := range upstreams {
+			set.Close(hour, account.Record{
+				Service: fmt.Sprintf("service-%d", i/perService), Upstream: fmt.Sprintf("upstream-%d", i),
+				Outcome: account.Served, Attempts: 1,
+			})
+		}
+		return set, nil
+	})
+}
--- a/capacity/frames.go
+++ b/capacity/frames.go
@@ -14,35 +14,50 @@
 	beside := []int{1, 10, 40, 83, 166} // upstreams beside a node
 	return []Measure{
 		{
-			Role: "link", Name: "heartbeat", Unit: unitBytes, Against: "upstreams beside the node",
+			Role: "link", Name: "heartbeat", Unit: unitBytes, Against: besideNode,
 			Sizes: beside, Target: UpstreamsPerNode,
 			Cost: func(n int) (float64, error) { return frameBytes(beat(n)) },
 		},
 		{
-			Role: "link", Name: "heartbeat encoded", Unit: unitMicros, Against: "upstreams beside the node",
+			Role: "link", Name: "heartbeat encoded", Unit: unitMicros, Against: besideNode,
 			Sizes: beside, Target: UpstreamsPerNode,
 			Cost: func(n int) (float64, error) {
 				b := beat(n)
-				return spent(frameRuns, func() error {
+				return spent(func() error {
 					_, err := wire.Encode(b)
 					return err
 				})
 			},
 		},
 		{
-			Role: "link", Name: "heartbeat decoded", Unit: unitMicros, Against: "upstreams beside the node",
+			Role: "link", Name: "heartbeat decoded", Unit: unitMicros, Against: besideNode,
 			Sizes: beside, Target: UpstreamsPerNode,
 			Cost: func(n int) (float64, error) {
 				frame, err := wire.Encode(beat(n))
 				if err != nil {
 					return 0, err
 				}
-				return spent(frameRuns, func() error {
+				return spent(func() error {
 					_, err := wire.Decode(frame, len(frame))
 					return err
 				})
 			},
 		},
+		{
+			Role: "link", Name: "heartbeat's state gathered from the gates", Unit: unitMicros, Against: besideNode,
+			Sizes: beside, Target: UpstreamsPerNode,
+			Cost: gathered,
+		},
+		{
+			Role: "link", Name: "dispatch, encoded and decoded", Unit: unitMicros, Against: "bytes of body",
+			Sizes: []int{0, 1 << 10, 4 << 10, 16 << 10},
+			Cost:  func(n int) (float64, error) { return crossing(dispatch(n)) },
+		},
+		{
+			Role: "link", Name: "reply, encoded and decoded", Unit: unitMicros, Against: "bytes of answer",
+			Sizes: []int{0, 1 << 10, 4 << 10, 16 << 10},
+			Cost:  func(n int) (float64, error) { return crossing(reply(n)) },
+		},
 		{
 			Role: "link", Name: "reply", Unit: unitBytes, Against: "bytes of answer",
 			Sizes: []int{0, 1 << 10, 4 << 10, 16 << 10},
@@ -56,10 +71,6 @@
 	}
 }
 
-// frameRuns is how often a frame is encoded or decoded for one point: with
-// fewer the processor clock's steps of some milliseconds would show.
-const frameRuns = 5000
-
 func frameBytes(m wire.Message) (float64, error) {
 	frame, err := wire.Encode(m)
 	return float64(len(frame)), err
@@ -99,3 +110,15 @@
 		Baseline: wire.Baseline{Known: true, Failed: 0.0125, Latency: 120},
 	}
 }
+
+// crossing is the processor time of both ends for one frame.
+func crossing(m wire.Message) (float64, error) {
+	return spent(func() error {
+		frame, err := wire.Encode(m)
+		if err != nil {
+			return err
+		}
+		_, err = wire.Decode(frame, len(frame))
+		return err
+	})
+}
--- /dev/null
+++ b/capacity/links.go
@@ -0,0 +1,175 @@
+package capacity
+
+import (
+	"context"
+	"runtime"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/link"
+)
+
+// links measures what open links cost. They have both ends in this
+// process, so that their costs are those of two nodes together.
+func links() []Measure {
+	open := []int{25, 50, 100, 200}
+	return []Measure{
+		{
+			Role: "link", Name: "open links, both ends, held", Unit: unitBytes, Against: "links",
+			Sizes: open,
+			Cost:  linksHeld,
+		},
+		{
+			Role: "link", Name: "goroutines of open links, both ends", Unit: unitCount, Against: "links",
+			Sizes: open,
+			Cost:  linkGoroutines,
+		},
+		{
+			Role: "link", Name: "handshakes, both ends", Unit: unitMicros, Against: "links opened",
+			Sizes: open,
+			Cost:  handshakes,
+		},
+		{
+			Role: "link", Name: "handshakes, both ways", Unit: unitBytes, Against: "links opened",
+			Sizes: open,
+			Cost:  handshakeBytes,
+		},
+		{
+			Role: "link", Name: "a beat interval, both ways, 83 upstreams in each heartbeat", Unit: unitBytes, Against: "links",
+			Sizes: open,
+			Cost: func(n int) (float64, error) {
+				_, bytes, err := beating(n, UpstreamsPerNode)
+				return bytes, err
+			},
+		},
+		{
+			Role: "link", Name: "a beat interval, both ways, no upstreams", Unit: unitBytes, Against: "links",
+			Sizes: open,
+			Cost: func(n int) (float64, error) {
+				_, bytes, err := beating(n, 0)
+				return bytes, err
+			},
+		},
+		{
+			Role: "link", Name: "a beat interval, both ends, 83 upstreams in each heartbeat", Unit: unitMicros, Against: "links",
+			Sizes: open,
+			Cost: func(n int) (float64, error) {
+				micros, _, err := beating(n, UpstreamsPerNode)
+				return micros, err
+			},
+		},
+		{
+			Role: "link", Name: "a beat interval, both ends, no upstreams", Unit: unitMicros, Against: "links",
+			Sizes: open,
+			Cost: func(n int) (float64, error) {
+				micros, _, err := beating(n, 0)
+				return micros, err
+			},
+		},
+	}
+}
+
+// withLinks measures while links are open that beat no more than once.
+func withLinks(n int, cost func(a *acceptor, open func() error) (float64, error)) (float64, error) {
+	settle()
+	a, err := accept(clock.Hour, newEnd(0))
+	if err != nil {
+		return 0, err
+	}
+	defer a.close()
+	var conns []*link.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	return cost(a, func() error {
+		for i := range n {
+			c, _, err := link.Dial(context.Background(), a.address, identity("10.0.0.1:7000", i), frameLimit)
+			if err != nil {
+				return errors.Annotate(err, "opening a link")
+			}
+			conns = append(conns, c)
+		}
+		return nil
+	})
+}
+
+func linksHeld(n int) (float64, error) {
+	return withLinks(n, func(_ *acceptor, open func() error) (float64, error) {
+		return held(func() (any, error) { return nil, open() })
+	})
+}
+
+func linkGoroutines(n int) (float64, error) {
+	return withLinks(n, func(_ *acceptor, open func() error) (float64, error) {
+		before := runtime.NumGoroutine()
+		err := open()
+		return float64(runtime.NumGoroutine() - before), err
+	})
+}
+
+func handshakes(n int) (float64, error) {
+	return withLinks(n, func(_ *acceptor, open func() error) (float64, error) {
+		return once(open)
+	})
+}
+
+func handshakeBytes(n int) (float64, error) {
+	return withLinks(n, func(a *acceptor, open func() error) (float64, error) {
+		err := open()
+		return float64(a.carried.Load()), err
+	})
+}
+
+// peer is an entry's side; the number is its incarnation.
+func peer(address string, number int, every clock.Millis, now func() clock.Millis, watcher *end) *link.Peer {
+	return link.NewPeer(link.PeerConfig{
+		Address: address, Self: identity(ip(number)+":7000", number), Limit: frameLimit, Answer: frameLimit,
+		Beat: every, Seed: uint64(number), Now: now, Status: watcher.Status, Watcher: watcher, Log: silent(),
+	})
+}
+
+// running runs peers until the cost is measured.
+func running(peers []*link.Peer, cost func() (float64, error)) (float64, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	for _, p := range peers {
+		all.Go(func() { _ = p.Run(ctx) }) // ends with the context
+	}
+	return cost()
+}
+
+// beating is the processor time and the bytes of one beat interval of so many
+// links.
+func beating(n, upstreams int) (micros, bytes float64, err error) {
+	settle()
+	handler := newEnd(upstreams)
+	a, err := accept(interval, handler)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer a.close()
+	peers := make([]*link.Peer, 0, n)
+	for i := range n {
+		peers = append(peers, peer(a.address, i+1, interval, clock.NewSystem().Now, handler))
+	}
+	micros, err = running(peers, func() (float64, error) {
+		// Two heartbeats in each interval of a link, one each way.
+		opened := handler.after(2 * n)
+		for _, p := range peers {
+			p.Wake()
+		}
+		<-opened
+		before := a.carried.Load()
+		heard := handler.after(2 * n * intervals)
+		used, err := once(func() error { <-heard; return nil })
+		bytes = float64(a.carried.Load()-before) / intervals
+		return used / intervals, err
+	})
+	return micros, bytes, err
+}
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -55,6 +55,9 @@
 	unitCount  = "count"
 )
 
+// besideNode is the size of what grows with a node's own upstreams.
+const besideNode = "upstreams beside the node"
+
 // held returns the heap bytes that what make returns keeps.
 func held(build func() (any, error)) (float64, error) {
 	before := heap()
@@ -64,6 +67,7 @@
 	}
 	after := heap()
 	runtime.KeepAlive(kept)
+	runtime.KeepAlive(build) // with what it uses, which was there before
 	return float64(after - before), nil
 }
 
@@ -76,25 +80,42 @@
 	return int64(stats.HeapAlloc)
 }
 
-// spent returns the processor time of work in microseconds per run, of all
-// threads and of garbage collection with it. Time on the wall would count what
-// other programs on the machine take.
-func spent(runs int, work func() error) (float64, error) {
+// once returns the processor time of work in microseconds.
+func once(work func() error) (float64, error) {
 	runtime.GC()
 	before, err := processor()
 	if err != nil {
 		return 0, err
 	}
-	for range runs {
-		if err := work(); err != nil {
-			return 0, err
-		}
+	if err := work(); err != nil {
+		return 0, err
 	}
 	after, err := processor()
-	if err != nil {
-		return 0, err
+	return after - before, err
+}
+
+// spent returns the processor time of work in microseconds per run, of all
+// threads and of garbage collection with it. Time on the wall would count what
+// other programs on the machine take. The run is repeated until the time is
+// long against the steps in which processor time is counted.
+func spent(work func() error) (float64, error) {
+	const enough = 100_000
+	for runs := 1; ; runs *= 2 {
+		used, err := once(func() error {
+			for range runs {
+				if err := work(); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return 0, err
+		}
+		if used >= enough {
+			return used / float64(runs), nil
+		}
 	}
-	return (after - before) / float64(runs), nil
 }
 
 // processor returns the processor time that this process took, in
--- /dev/null
+++ b/capacity/peers.go
@@ -0,0 +1,115 @@
+package capacity
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/link"
+)
+
+// peers measures what the nodes of a table cost that nothing is sent to.
+func peers() []Measure {
+	return []Measure{
+		{
+			Role: "link", Name: "peers without a link, held", Unit: unitBytes, Against: "nodes in the table",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: idleHeld,
+		},
+		{
+			Role: "link", Name: "peers without a link, a beat interval", Unit: unitMicros, Against: "nodes in the table",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: idleSpent,
+		},
+		{
+			Role: "link", Name: "dials by peers that nothing was sent to", Unit: unitCount, Against: "nodes in the table",
+			Sizes: []int{25, 50, 100, 200}, Target: Nodes,
+			Cost: needless,
+		},
+	}
+}
+
+// nodeCounts reach to the size to design for.
+func nodeCounts() []int { return []int{300, 600, 1200, 2400} }
+
+// distant returns peers that nothing answers. Their clock shows them idle.
+func distant(n int, now func() clock.Millis) []*link.Peer {
+	peers := make([]*link.Peer, 0, n)
+	for i := range n {
+		peers = append(peers, peer(ip(i)+":7000", i+1, nodeBeat, now, newEnd(0)))
+	}
+	return peers
+}
+
+// nodeBeat is a node's heartbeat interval.
+const nodeBeat = clock.Second / 2
+
+// idleClock says that an hour has passed since the peers were made, and counts
+// how often it was asked.
+type idleClock struct {
+	asked atomic.Int64
+	made  atomic.Bool
+	want  int64
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (c *idleClock) now() clock.Millis {
+	if !c.made.Load() {
+		return 0
+	}
+	if c.asked.Add(1) >= c.want {
+		c.once.Do(func() { close(c.done) })
+	}
+	return hour
+}
+
+// ticks of a peer within one beat interval.
+const ticks = 4
+
+func idleHeld(n int) (float64, error) {
+	c := &idleClock{want: int64(n), done: make(chan struct{})}
+	return held(func() (any, error) {
+		return distant(n, c.now), nil
+	})
+}
+
+func idleSpent(n int) (float64, error) {
+	// A tick asks for the time once, and a heartbeat that isn't sent does too.
+	settle()
+	c := &idleClock{want: int64(n * (ticks + 1) * intervals), done: make(chan struct{})}
+	peers := distant(n, c.now)
+	c.made.Store(true)
+	return running(peers, func() (float64, error) {
+		used, err := once(func() error { <-c.done; return nil })
+		return used / intervals, err
+	})
+}
+
+// needless counts the links that peers open within some beat intervals though
+// nothing is sent and nobody woke them. One that was woken measures the time.
+func needless(n int) (float64, error) {
+	a, err := accept(interval, newEnd(0))
+	if err != nil {
+		return 0, err
+	}
+	defer a.close()
+	peers := make([]*link.Peer, 0, n)
+	for i := range n {
+		peers = append(peers, peer(a.address, i+1, interval, clock.NewSystem().Now, newEnd(0)))
+	}
+	watch := newEnd(0)
+	woken := peer(a.address, n+1, interval, clock.NewSystem().Now, watch)
+	woken.Wake()
+	return running(append(slices.Clone(peers), woken), func() (float64, error) {
+		<-watch.after(intervals)
+		open := 0
+		for _, p := range peers {
+			if p.Ready() {
+				open++
+			}
+		}
+		return float64(open), nil
+	})
+}
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "slices"
+
 // The size to design for.
 const (
 	Nodes            = 2400
@@ -16,5 +18,5 @@
 
 // All returns every measure, in the order of docs/CAPACITY.md.
 func All() []Measure {
-	return frames()
+	return slices.Concat(tables(), entries(), gates(), frames(), links(), peers(), platforms(), accounts(), admins())
 }
--- /dev/null
+++ b/capacity/tables.go
@@ -0,0 +1,146 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// perService and routesEach are those of the size to design for: 200,000
+// upstreams and 190,000 routes in 4,100 services.
+const (
+	perService = 49
+	routesEach = 46
+)
+
+// tables measures the published configuration.
+func tables() []Measure {
+	inValue := upstreams(5, 20, 50, 100) // as many as one value of the platform holds
+	return []Measure{
+		{
+			Role: "table", Name: "text with its routes", Unit: unitBytes, Against: "upstreams",
+			Sizes: inValue, Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				return float64(len(tableText(n/perService, perService, routesEach))), nil
+			},
+		},
+		{
+			Role: "table", Name: "text of routes", Unit: unitBytes, Against: "routes",
+			Sizes: []int{500, 1000, 2000, 4000}, Target: Routes,
+			Cost: func(n int) (float64, error) { return float64(len(tableText(1, 1, n))), nil },
+		},
+		{
+			Role: "table", Name: "parsed", Unit: unitMicros, Against: "upstreams",
+			Sizes: inValue, Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				text := []byte(tableText(n/perService, perService, routesEach))
+				return spent(func() error {
+					_, err := table.Parse(text)
+					return err
+				})
+			},
+		},
+		{
+			Role: "table", Name: "held", Unit: unitBytes, Against: "upstreams",
+			Sizes: inValue, Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				text := []byte(tableText(n/perService, perService, routesEach))
+				return held(func() (any, error) { return table.Parse(text) })
+			},
+		},
+		{
+			Role: "table", Name: "held for routes", Unit: unitBytes, Against: "routes",
+			Sizes: []int{500, 1000, 2000, 4000}, Target: Routes,
+			Cost: func(n int) (float64, error) {
+				text := []byte(tableText(1, 1, n))
+				return held(func() (any, error) { return table.Parse(text) })
+			},
+		},
+		{
+			Role: "table", Name: "compared after a one-line edit", Unit: unitMicros, Against: "upstreams",
+			Sizes: inValue, Target: Upstreams,
+			Cost: compared,
+		},
+		{
+			Role: "table", Name: "instance list", Unit: unitBytes, Against: "nodes",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: func(n int) (float64, error) { return float64(len(instanceText(n))), nil },
+		},
+		{
+			Role: "table", Name: "instance list parsed", Unit: unitMicros, Against: "nodes",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: func(n int) (float64, error) {
+				text := []byte(instanceText(n))
+				return spent(func() error {
+					_, err := platform.ParseInstances(text)
+					return err
+				})
+			},
+		},
+	}
+}
+
+func upstreams(services ...int) []int {
+	sizes := make([]int, 0, len(services))
+	for _, n := range services {
+		sizes = append(sizes, n*perService)
+	}
+	return sizes
+}
+
+func compared(upstreams int) (float64, error) {
+	text := tableText(upstreams/perService, perService, routesEach)
+	older, err := table.Parse([]byte(text))
+	if err != nil {
+		return 0, err
+	}
+	newer, err := table.Parse([]byte(strings.Replace(text, "slots = 7", "slots = 6", 1)))
+	if err != nil {
+		return 0, err
+	}
+	return spent(func() error {
+		if n := len(table.Diff(older, newer)); n != 1 {
+			return errors.Errorf("%d changes found, want 1", n)
+		}
+		return nil
+	})
+}
+
+// tableText writes a table. Its nodes have as many upstreams beside them as
+// those of the size to design for.
+func tableText(services, each, routes int) string {
+	var b strings.Builder
+	b.WriteString("format = 1\nversion = 1\n")
+	for s := range services {
+		fmt.Fprintf(&b, "[[service]]\nname = \"service-%d\"\n", s)
+		for u := range each {
+			i := s*each + u
+			fmt.Fprintf(&b, "[[service.upstream]]\nname = \"upstream-%d\"\naddress = \"%s:8080\"\n"+
+				"node = \"%s:7000\"\ndomain = \"domain-%d\"\nslots = 7\n", i, ip(i), ip(i%Nodes), i%Nodes%Domains)
+		}
+	}
+	for s := range services {
+		for r := range routes {
+			fmt.Fprintf(&b, "[[route]]\nprefix = \"/service-%d/route-%d/\"\nservice = \"service-%d\"\n", s, r, s)
+		}
+	}
+	return b.String()
+}
+
+func instanceText(nodes int) string {
+	var b strings.Builder
+	b.WriteString("version = 1\n")
+	for i := range nodes {
+		fmt.Fprintf(&b, "[[instance]]\nnode = \"%s:7000\"\ndomain = \"domain-%d\"\nstate = \"live\"\n", ip(i), i%Domains)
+	}
+	return b.String()
+}
+
+func ip(i int) string {
+	const octet = 255
+	return fmt.Sprintf("10.%d.%d.%d", i>>16&octet, i>>8&octet, i&octet)
+}
