--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -18,11 +18,13 @@
 	Sizes   []int
 	// Target is the size to design for, 0 if the page works it out otherwise.
 	Target float64
+	// Curve says that the cost follows no line, so that only its points count.
+	Curve bool
 	// Cost measures one size.
 	Cost func(size int) (float64, error)
 }
 
-// Result is a measure's points and the line through them.
+// Result is a measure's points and the line through them, if it isn't a curve.
 type Result struct {
 	Measure
 
@@ -40,6 +42,9 @@
 		}
 		r.Points = append(r.Points, Point{Size: float64(size), Cost: cost})
 	}
+	if m.Curve {
+		return r, nil
+	}
 	line, err := Fit(r.Points)
 	if err != nil {
 		return r, errors.Annotatef(err, "fitting %s", m.Name)
@@ -50,34 +55,35 @@
 
 // Units of costs.
 const (
-	unitBytes  = "B"
-	unitMicros = "µs"
-	unitCount  = "count"
+	unitBytes   = "B"
+	unitMicros  = "µs"
+	unitCount   = "count"
+	unitPercent = "%"
 )
 
 // besideNode is the size of what grows with a node's own upstreams.
 const besideNode = "upstreams beside the node"
 
-// held returns the heap bytes that what make returns keeps.
+// held returns the bytes, on heap and stacks, that what build returns keeps.
 func held(build func() (any, error)) (float64, error) {
-	before := heap()
+	before := inUse()
 	kept, err := build()
 	if err != nil {
 		return 0, err
 	}
-	after := heap()
+	after := inUse()
 	runtime.KeepAlive(kept)
 	runtime.KeepAlive(build) // with what it uses, which was there before
 	return float64(after - before), nil
 }
 
-func heap() int64 {
+func inUse() int64 {
 	// Twice: what finalizers and pools let go shows after the second.
 	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
+	return int64(stats.HeapAlloc + stats.StackInuse)
 }
 
 // once returns the processor time of work in microseconds.
--- a/capacity/platforms.go
+++ b/capacity/platforms.go
@@ -23,7 +23,7 @@
 			Role: "platform", Name: "calls for a key that each node polls, a second", Unit: unitCount, Against: "nodes",
 			Sizes: nodeCounts(), Target: Nodes,
 			Cost: func(n int) (float64, error) {
-				plan := platform.Share(platform.ShareConfig{}, platform.View{Self: node(0), Fleet: n}, "table")
+				plan := platform.Share(platform.ShareConfig{}, platform.View{Self: address(0), Fleet: n}, "table")
 				return float64(n) / plan.Poll.Seconds(), nil
 			},
 		},
@@ -33,14 +33,14 @@
 // viewed is how many links a node has open where links are subset by service.
 const viewed = 32
 
-func node(i int) string { return ip(i) + ":7000" }
+func address(i int) string { return ip(i) + ":7000" }
 
 // watchers counts the nodes that watch a key when each sees so many others.
 func watchers(nodes, view int) float64 {
 	random := rand.New(rand.NewPCG(1, 0))
 	all := make([]string, 0, nodes)
 	for i := range nodes {
-		all = append(all, node(i))
+		all = append(all, address(i))
 	}
 	count := 0.0
 	for i := range nodes {
--- a/capacity/slopes/main.go
+++ b/capacity/slopes/main.go
@@ -51,6 +51,10 @@
 	for _, p := range r.Points {
 		points = append(points, fmt.Sprintf("%.0f: %s", p.Size, figure(p.Cost)))
 	}
+	if r.Curve {
+		return fmt.Sprintf("| %s | %s, %s | %s | %s | | | | |",
+			r.Role, r.Name, r.Unit, r.Against, strings.Join(points, "; "))
+	}
 	at := ""
 	if r.Target > 0 {
 		at = fmt.Sprintf("%.0f: %s %s", r.Target, figure(r.Line.At(r.Target)), r.Unit)
--- /dev/null
+++ b/capacity/whole.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// whole measures a running node that no caller calls and that reaches no other
+// node nor the platform, to hold the sum of the parts against.
+func whole() []Measure {
+	return []Measure{
+		{
+			Role: "node", Name: "without callers or other nodes, held", Unit: unitBytes, Against: "nodes in the table, two upstreams each",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: func(n int) (float64, error) {
+				return alone(n, func(before int64) (float64, error) { return float64(inUse() - before), nil })
+			},
+		},
+		{
+			Role: "node", Name: "without callers or other nodes, goroutines", Unit: unitCount, Against: "nodes in the table, two upstreams each",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: func(n int) (float64, error) {
+				return alone(n, func(int64) (float64, error) { return float64(runtime.NumGoroutine()), nil })
+			},
+		},
+		{
+			Role: "node", Name: "without callers or other nodes, a second", Unit: unitMicros, Against: "nodes in the table, two upstreams each",
+			Sizes: nodeCounts(), Target: Nodes,
+			Cost: func(n int) (float64, error) {
+				return alone(n, func(int64) (float64, error) {
+					used, err := once(func() error { wait(aloneTime); return nil })
+					return used / aloneTime.Seconds(), err
+				})
+			},
+		},
+	}
+}
+
+const (
+	// aloneStart is left out: the table is parsed and every node dialled once.
+	aloneStart = time.Second
+	aloneTime  = 3 * time.Second
+)
+
+// wait lets a running node be; nothing it does marks the end of the span.
+func wait(span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// firstPort of the backend servers, which nothing calls.
+const firstPort = 10_000
+
+const aloneSettings = `
+node = "alone"
+domain = "domain-0"
+secret = "a secret of the measures"
+[platform]
+address = "127.0.0.1:1"
+[listen]
+caller = "127.0.0.1:0"
+link = "127.0.0.1:0"
+announce = "127.0.0.1:7000"
+admin = "127.0.0.1:0"
+`
+
+// alone runs a node whose table names others that refuse connections, and
+// measures it. The cost gets the heap in use before the node was made.
+func alone(nodes int, cost func(before int64) (float64, error)) (float64, error) {
+	settle()
+	s, err := settings.Parse([]byte(aloneSettings))
+	if err != nil {
+		return 0, errors.Annotate(err, "settings of the node")
+	}
+	text := []byte(aloneTable(nodes))
+	if _, err := table.Parse(text); err != nil {
+		return 0, errors.Annotate(err, "the node's table")
+	}
+	before := inUse()
+	n, err := node.New(node.Config{Settings: s, Log: silent()})
+	if err != nil {
+		return 0, errors.Annotate(err, "making the node")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.Run(ctx) // shows as a table that isn't in force
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	wait(aloneStart) // Run makes the supervisor that the table's peers need
+	n.Edition("", &wire.Edition{Version: 1, Text: text})
+	if n.Version() == 0 {
+		return 0, errors.New("the table was not put in force")
+	}
+	wait(aloneStart)
+	return cost(before)
+}
+
+// aloneTable names the node itself and others, two upstreams beside each.
+func aloneTable(nodes int) string {
+	var b strings.Builder
+	b.WriteString("format = 1\nversion = 1\n")
+	for i := range 2 * nodes {
+		if i%perService == 0 {
+			fmt.Fprintf(&b, "[[service]]\nname = \"service-%d\"\n", i/perService)
+		}
+		beside := i % nodes
+		address, port := "127"+strings.TrimPrefix(ip(beside), "10"), "2"
+		if beside == 0 {
+			address, port = "127.0.0.1", "7000"
+		}
+		fmt.Fprintf(&b, "[[service.upstream]]\nname = \"upstream-%d\"\naddress = \"127.0.0.1:%d\"\n"+
+			"node = \"%s:%s\"\ndomain = \"domain-%d\"\nslots = 7\n", i, firstPort+i, address, port, beside%Domains)
+	}
+	b.WriteString("[[route]]\nprefix = \"/\"\nservice = \"service-0\"\n")
+	return b.String()
+}
