--- /dev/null
+++ b/capacity/accounts.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"fmt"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// accounts measures the book of a node.
+func accounts() []Measure {
+	return []Measure{
+		{
+			Role: "accounts", Name: "callers kept apart, held", Unit: unitBytes, Against: "callers kept apart",
+			Sizes: callersKept(),
+			Cost: func(n int) (float64, error) {
+				return held(func() (any, error) { return book(n, n, 4*n, oneService), nil })
+			},
+		},
+		{
+			Role: "accounts", Name: "services, held", Unit: unitBytes, Against: "services called",
+			Sizes: []int{500, 1000, 2000, 4100}, Target: Services,
+			Cost: func(n int) (float64, error) {
+				return held(func() (any, error) { return book(1, 1, n, n), nil })
+			},
+		},
+		{
+			Role: "accounts", Name: "records, held", Unit: unitBytes, Against: "records kept",
+			Sizes: []int{5_000, 10_000, 20_000, 40_000},
+			Cost: func(n int) (float64, error) {
+				return held(func() (any, error) { return book(n, 1, 2*n, oneService), nil })
+			},
+		},
+		{
+			Role: "accounts", Name: "requests accounted for", Unit: unitMicros, Against: "requests",
+			Sizes: []int{2_000, 5_000, 10_000, 20_000},
+			Cost: func(n int) (float64, error) {
+				b := account.New(account.Config{})
+				all := records(n, Callers, oneService)
+				return spent(func() error { enter(b, all); return nil })
+			},
+		},
+	}
+}
+
+const oneService = 1
+
+func callersKept() []int { return []int{250, 500, 1000, 2000} }
+
+// book returns a book with bounds on records and callers that has seen requests.
+func book(bound, callers, requests, services int) *account.Book {
+	b := account.New(account.Config{Records: bound, Events: 1, Callers: callers})
+	enter(b, records(requests, 4*callers, services))
+	return b
+}
+
+func enter(b *account.Book, all []account.Record) {
+	for i, r := range all {
+		b.Received()
+		b.Close(hour+clock.Millis(i%1000), r)
+	}
+}
+
+// records returns requests of many callers at the upstreams of the services.
+// Half are refused, so that both of a book's rings fill.
+func records(requests, callers, services int) []account.Record {
+	all := make([]account.Record, 0, requests)
+	for i := range requests {
+		service := i % services
+		r := account.Record{
+			ID: fmt.Sprintf("%032x", i), Caller: fmt.Sprintf("caller-%d", i*7919%callers), Route: "/service/route",
+			Service: fmt.Sprintf("service-%d", service), Upstream: fmt.Sprintf("upstream-%d", i%perService),
+			Domain: "domain-1", Method: "GET", Outcome: account.Served, Status: 200, Attempts: 1,
+			Started: hour, Took: 20,
+		}
+		if i/services%2 == 1 {
+			r.Outcome, r.Reason, r.Status = account.NotRun, "full", 503
+		}
+		all = append(all, r)
+	}
+	return all
+}
