feat(resend): decide about sends of one idempotency key

A request with an Idempotency-Key was treated like any other, so that a caller whose answer was lost could only guess whether a resend runs it twice.

Entry, gate and node don't drive it yet.

--- /dev/null
+++ b/resend/settle.go
@@ -0,0 +1,138 @@
+package resend
+
+import "fuchsiapick.example/fuchsiapick/clock"
+
+// Answer is what one node that was asked about a resend's key said.
+type Answer struct {
+	// Heard is false for a node that couldn't be asked or didn't answer.
+	Heard    bool
+	Standing Standing
+	// Covers is how far back the node's memory reaches.
+	Covers clock.Millis
+	// Version is that of the table in force at the node.
+	Version uint64
+}
+
+// Question is what an entry settles a resend by.
+type Question struct {
+	// Age is the key's, as its caller said and grown since.
+	Age clock.Millis
+	// Known is how long the entry has known which nodes may have had the key.
+	Known clock.Millis
+	// Retention and Margin are as the constants of this package.
+	Retention clock.Millis
+	Margin    clock.Millis
+	// Version is that of the table in force at the entry.
+	Version uint64
+}
+
+// Action is what the entry does with a resend.
+type Action uint8
+
+// The actions on a resend.
+const (
+	// Run sends it to a gate.
+	Run Action = iota + 1
+	// Replay gives the caller the answer of the send that ran.
+	Replay
+	// Refuse ends it as not run: the key was used for another request.
+	Refuse
+	// Unknown ends it: an earlier send may have run.
+	Unknown
+)
+
+// Reason says why a resend is not run. Reasons stand in headers and logs.
+type Reason string
+
+// The reasons.
+const (
+	ReasonReused      Reason = "key-reused"
+	ReasonRunning     Reason = "key-running"
+	ReasonOutranked   Reason = "key-resent"
+	ReasonLost        Reason = "answer-not-kept"
+	ReasonUnreachable Reason = "key-node-unreachable"
+	ReasonForgotten   Reason = "key-older-than-node"
+	ReasonOld         Reason = "key-too-old"
+	ReasonBehind      Reason = "table-behind"
+)
+
+// Decision is what becomes of a resend.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// From is the index of the answer to replay.
+	From int
+	// RetryAfter is when another resend may learn more; 0 means never.
+	RetryAfter clock.Millis
+}
+
+// comeBack is when a resend that met a passing obstacle may be sent again.
+const comeBack = clock.Second
+
+// Reaches reports whether an entry may ask about a key at all.
+func (q *Question) Reaches() (Decision, bool) {
+	reach := oldest(q.Age, q.Margin)
+	switch {
+	case reach >= q.Retention:
+		return Decision{Action: Unknown, Reason: ReasonOld}, false
+	case reach >= q.Known:
+		return Decision{Action: Unknown, Reason: ReasonForgotten}, false
+	default:
+		return Decision{}, true
+	}
+}
+
+// Settle decides about a resend over what all nodes said that may have had its
+// key. It runs only if each of them vouches that nothing ran.
+func Settle(q Question, answers []Answer) Decision {
+	if d, ok := definite(answers); ok {
+		return d
+	}
+	if d, ok := q.Reaches(); !ok {
+		return d
+	}
+	for i := range answers {
+		if d, ok := q.doubt(&answers[i]); ok {
+			return d
+		}
+	}
+	return Decision{Action: Run}
+}
+
+// definite is what a single answer settles, whatever the others say.
+func definite(answers []Answer) (Decision, bool) {
+	for i, a := range answers {
+		if !a.Heard {
+			continue
+		}
+		switch a.Standing {
+		case Ran:
+			return Decision{Action: Replay, From: i}, true
+		case Other:
+			return Decision{Action: Refuse, Reason: ReasonReused}, true
+		case Lost:
+			return Decision{Action: Unknown, Reason: ReasonLost}, true
+		case Running:
+			return Decision{Action: Unknown, Reason: ReasonRunning, RetryAfter: comeBack}, true
+		default:
+		}
+	}
+	return Decision{}, false
+}
+
+// doubt says why an answer doesn't vouch for the key.
+func (q *Question) doubt(a *Answer) (Decision, bool) {
+	switch {
+	case !a.Heard:
+		return Decision{Action: Unknown, Reason: ReasonUnreachable, RetryAfter: comeBack}, true
+	case a.Standing == Outranked:
+		return Decision{Action: Unknown, Reason: ReasonOutranked, RetryAfter: comeBack}, true
+	case a.Standing != Free || oldest(q.Age, q.Margin) >= a.Covers:
+		return Decision{Action: Unknown, Reason: ReasonForgotten}, true
+	case a.Version > q.Version:
+		// A newer table may name gates that this entry doesn't know.
+		return Decision{Action: Unknown, Reason: ReasonBehind, RetryAfter: comeBack}, true
+	default:
+		return Decision{}, false
+	}
+}
