feat(wire): carry idempotency keys and ask nodes about them

Dispatch names key, digest, resend number and span; Void and Voided ask a node what it knows of a key. New kinds and fields stand at the ends of their lists.

--- a/wire/messages.go
+++ b/wire/messages.go
@@ -98,6 +98,15 @@
 	// Forced asks the gate to serve in spite of its verdict, for the floor.
 	Forced   bool
 	Baseline Baseline
+	// Key is the caller's idempotency key, empty without one.
+	Key string
+	// Digest tells the keyed request from others.
+	Digest []byte
+	// Resend is the number that the caller gave a marked resend; 0 without.
+	Resend uint32
+	// Span is the time from the entry's receipt of the request to the end of
+	// the lease.
+	Span clock.Millis
 }
 
 // Outcome says what became of a dispatch at its gate.
@@ -130,6 +139,17 @@
 	ReasonTimeout  Reason = "timeout"
 	ReasonTorn     Reason = "torn-answer"
 	ReasonTooLarge Reason = "answer-too-large"
+	// ReasonKeyVoided means that a resend has voided the key of this send.
+	ReasonKeyVoided Reason = "key-voided"
+	// ReasonKeyReused means that the key was used for another request.
+	ReasonKeyReused Reason = "key-reused"
+	// ReasonKeyRunning means that an earlier send of the key runs.
+	ReasonKeyRunning Reason = "key-running"
+	// ReasonKeyLost means that an earlier send ran without a kept answer.
+	ReasonKeyLost Reason = "answer-not-kept"
+	// ReasonKeyForgotten means that the node can't tell whether the key was
+	// voided, for it started since.
+	ReasonKeyForgotten Reason = "key-older-than-node"
 )
 
 // Reply is a gate's answer to a dispatch. A body longer than ChunkSize goes on
@@ -149,6 +169,8 @@
 	Body     []byte
 	Time     clock.Millis
 	Upstream Upstream
+	// Replay marks the answer of an earlier send of the same key.
+	Replay bool
 }
 
 // Chunk carries the body bytes of a reply from Offset on.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -48,6 +48,8 @@
 	KindBeat
 	KindAsk
 	KindEdition
+	KindVoid
+	KindVoided
 )
 
 // Message is one of the message types of this package, by pointer.
@@ -143,6 +145,10 @@
 		return new(Ask)
 	case KindEdition:
 		return new(Edition)
+	case KindVoid:
+		return new(Void)
+	case KindVoided:
+		return new(Voided)
 	default:
 		return nil
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -25,6 +25,8 @@
 		&wire.Beat{Time: 1, Version: 2, Digest: "d", Upstreams: []wire.Upstream{{Name: "conferme-1", Share: 1}}},
 		&wire.Ask{Version: 1},
 		&wire.Edition{Version: 2, Text: []byte("format = 1")},
+		&wire.Void{ID: id, Caller: "palermo", Service: "conferme", Key: "turno-7", Digest: []byte("0123456789abcdef"), Number: 2},
+		&wire.Voided{ID: id, Standing: 3, Covers: 900, Version: 2, Status: 201, Body: []byte("ok")},
 	}
 }
 
