feat(entry,gate,node,link): settle resends by voiding their key at all nodes

A request with an Idempotency-Key ran like any other: an unmarked second send ran again, and a caller whose answer was lost could not ask.

A node's gates share one memory of keys. A resend is asked about at every node that may have had the key, also those that a table edit took out within its age, and runs only when each vouches that nothing ran. First sends go anywhere and cost no message.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -29,12 +29,16 @@
 	if f.reason != "" {
 		ctx.Response.Header.Set(HeaderReason, f.reason)
 	}
+	ctx.Response.Header.Del(HeaderReplay) // no upstream's to say
+	if f.replay {
+		ctx.Response.Header.Set(HeaderReplay, "true")
+	}
 }
 
 func explain(ctx *fasthttp.RequestCtx, f *final) {
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(sentence(f) + "\n")
-	if f.outcome == account.NotRun && f.status != fasthttp.StatusNotFound {
+	if (f.outcome == account.NotRun || f.retryAfter > 0) && f.status != fasthttp.StatusNotFound {
 		if seconds := wholeSeconds(f.retryAfter); seconds > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -28,6 +29,10 @@
 	Dispatch(d *wire.Dispatch, w link.Waiter) error
 	Settle(id wire.RequestID, attempt uint8)
 	Forget(id wire.RequestID, attempt uint8)
+	// Void asks the node what it knows of a resend's key. After an error the
+	// waiter isn't told.
+	Void(v *wire.Void, patience clock.Millis, w link.VoidWaiter) error
+	ForgetVoid(id wire.RequestID)
 }
 
 // Journal takes in accounts and events.
@@ -47,7 +52,10 @@
 	Journal     Journal
 	// Target returns the way to the node beside an upstream.
 	Target func(u table.Upstream) Target
-	Log    logrus.FieldLogger
+	// KeyMargin is by how much the age of an idempotency key may be
+	// understated; 0 means resend.Margin.
+	KeyMargin clock.Millis
+	Log       logrus.FieldLogger
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -56,6 +64,7 @@
 	sequence atomic.Uint64
 	busy     atomic.Int64
 	leaving  atomic.Bool
+	routed   atomic.Int64 // when the routes changed last
 
 	table    atomic.Pointer[table.Table]
 	callers  atomic.Pointer[map[string]float64] // their own rates
@@ -71,6 +80,9 @@
 
 // New returns an entry without a table: it refuses requests until Update.
 func New(c Config) *Entry {
+	if c.KeyMargin == 0 {
+		c.KeyMargin = resend.Margin
+	}
 	e := &Entry{config: c, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callers.Store(&map[string]float64{})
@@ -88,6 +100,7 @@
 			s = newService(c, e.config.Domain, seed, e.config.Journal, e.config.Log)
 		}
 		s.update(c, e.config.Target)
+		s.enrol(e.config.Now(), c, e.config.Target)
 		next[c.Name] = s
 	}
 	callers := make(map[string]float64, len(t.Callers))
@@ -95,6 +108,7 @@
 		callers[c.Name] = c.Rate
 	}
 	e.callers.Store(&callers)
+	e.noteRoutes(e.table.Load(), t)
 	e.services.Store(&next)
 	e.table.Store(t)
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -70,6 +70,7 @@
 	// refused as not run any more.
 	begun bool
 	last  table.Upstream // tried last
+	sent  sent
 }
 
 // final is the answer that the caller gets.
@@ -79,6 +80,7 @@
 	reason     string
 	retryAfter clock.Millis
 	reply      *wire.Reply
+	replay     bool // of an earlier send of the same key
 }
 
 func refused(status int, reason string, after clock.Millis) final {
@@ -119,6 +121,10 @@
 		r.finish(refusal)
 		return
 	}
+	if answer, ok := r.settled(); ok {
+		r.finish(answer)
+		return
+	}
 	r.headers = headersOf(&r.ctx.Request)
 	// A gate may still hold the body when the caller's connection already
 	// carries the next request in the same buffer.
@@ -217,7 +223,7 @@
 }
 
 func (r *request) dispatch(now clock.Millis, a attempt, untried int) *wire.Dispatch {
-	return &wire.Dispatch{
+	d := &wire.Dispatch{
 		ID:         r.id,
 		Attempt:    r.attempts,
 		Budget:     r.attemptBudget(now, untried),
@@ -231,6 +237,8 @@
 		Forced:     a.forced,
 		Baseline:   r.baseline,
 	}
+	r.stamp(now, d)
+	return d
 }
 
 // attemptBudget is the time that one try may take. A repeatable request keeps
@@ -298,7 +306,10 @@
 // go on.
 func (r *request) judge(o result, untried int) (final, bool) {
 	if o.served {
-		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply}, true
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
+	}
+	if answer, ok := r.keyed(&o); ok {
+		return answer, true
 	}
 	if o.kind != retry.NotRun {
 		r.begun = true
@@ -319,7 +330,7 @@
 	switch {
 	case o.reply != nil && o.reply.Outcome == wire.Answered:
 		// The upstream's own answer, though an error, says more than ours.
-		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, reason: o.reason}, true
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, reason: o.reason, replay: o.reply.Replay}, true
 	case r.begun:
 		return r.unknown(o.reason), true
 	default:
--- a/entry/service.go
+++ b/entry/service.go
@@ -10,6 +10,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -36,6 +37,8 @@
 	dirty    bool
 	recheck  clock.Millis // when the first hold-off ends; 0 without one
 	uses     []floor.Use
+	roster   *resend.Roster
+	nodes    map[string]Target // the ways to the roster's
 
 	candidates []choice.Candidate
 	floors     []floor.Member
@@ -62,6 +65,8 @@
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
 		budget:  retry.New(retry.Config{Share: c.Retries, Seed: seed}),
 		dirty:   true,
+		roster:  resend.NewRoster(resend.Retention),
+		nodes:   map[string]Target{},
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,8 @@
 	Relays bool
 	// Adjust may change a node's settings before it starts.
 	Adjust func(s *settings.Settings)
+	// KeyMargin is that of the nodes; 0 means the usual one.
+	KeyMargin clock.Millis
 	// Log takes the nodes' logs; nil drops them.
 	Log io.Writer
 }
@@ -186,7 +188,7 @@
 	if f.config.Adjust != nil {
 		f.config.Adjust(s)
 	}
-	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners})
+	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners, KeyMargin: f.config.KeyMargin})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -41,13 +41,16 @@
 	Backend     Backend
 	Pool        *ants.Pool
 	Journal     Journal
-	Log         logrus.FieldLogger
+	// Keys is shared by all gates of a node.
+	Keys *Keys
+	Log  logrus.FieldLogger
 }
 
 // Gate guards one upstream. It is safe for concurrent use.
 type Gate struct {
 	config Config
 	log    logrus.FieldLogger
+	made   clock.Millis
 
 	mu       sync.Mutex
 	service  table.Service
@@ -72,6 +75,7 @@
 	running  bool
 	overdue  bool
 	timer    *time.Timer
+	refusal  *wire.Reply // when its key may not run here
 }
 
 // New returns a gate that admits requests.
@@ -79,6 +83,7 @@
 	return &Gate{
 		config:   c,
 		log:      c.Log.WithFields(logrus.Fields{"service": c.Service.Name, "upstream": c.Upstream.Name}),
+		made:     c.Now(),
 		service:  c.Service,
 		upstream: c.Upstream,
 		fence:    lease.NewFence[*wire.Reply](c.Incarnation),
@@ -100,6 +105,12 @@
 		return
 	}
 	g.learn(d)
+	if reply, ok := g.known(now, d); ok && verdict == lease.Fresh {
+		g.keep(now, &job{key: key}, reply)
+		g.mu.Unlock()
+		answer(reply)
+		return
+	}
 	reason, after := g.refusal(now, verdict, d)
 	if reason != "" {
 		g.refuse(now, key, d, answer, reason, after)
--- a/gate/run.go
+++ b/gate/run.go
@@ -43,7 +43,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	if now >= j.until || !g.fence.Begin(now, j.key) {
+	if now >= j.until || !g.beginKey(now, j) {
+		return now, false
+	}
+	if !g.fence.Begin(now, j.key) {
+		g.endKey(j.dispatch, &wire.Reply{Outcome: wire.NotRun})
 		return now, false
 	}
 	j.running = true
@@ -80,6 +84,7 @@
 	next := g.release(now) // first: the reply says how busy the upstream is now
 	reply := g.reply(now, j.dispatch)
 	describe(reply, a, err)
+	g.endKey(j.dispatch, reply)
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
 	g.mu.Unlock()
 	j.answer(reply)
@@ -104,11 +109,14 @@
 		j.timer.Stop()
 	}
 	delete(g.jobs, j.ticket)
-	g.fence.Refuse(j.key)
-	reply := g.reply(now, j.dispatch)
+	reply := j.refusal
+	if reply == nil {
+		reply = g.reply(now, j.dispatch)
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
+	}
+	g.keep(now, j, reply)
 	next := g.release(now)
 	g.mu.Unlock()
-	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
 	j.answer(reply)
 	if next != nil {
 		g.start(next)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -29,6 +29,7 @@
 
 func (c *counter) Dispatch(uint64, *wire.Dispatch)     { c.dispatched.Add(1) }
 func (c *counter) Settle(uint64, *wire.Settle)         {}
+func (c *counter) Void(*wire.Void) *wire.Voided        { return &wire.Voided{} }
 func (c *counter) Beat(string, *wire.Beat)             {}
 func (c *counter) Status() wire.Beat                   { return wire.Beat{} }
 func (c *counter) Ask(*wire.Ask) (*wire.Edition, bool) { return nil, false }
--- a/link/peer.go
+++ b/link/peer.go
@@ -78,6 +78,7 @@
 	state    path.State
 	estimate lease.Estimate
 	pending  map[lease.Key]*pending
+	voids    map[wire.RequestID]*voiding
 	used     clock.Millis
 	heard    clock.Millis
 }
@@ -98,6 +99,7 @@
 		need:    make(chan struct{}, 1),
 		judge:   path.New(path.Config{Beat: c.Beat, Seed: c.Seed}),
 		pending: map[lease.Key]*pending{},
+		voids:   map[wire.RequestID]*voiding{},
 		used:    c.Now(),
 	}
 }
@@ -350,6 +352,7 @@
 	for _, one := range undecided {
 		_ = conn.Send(settleOf(one.dispatch)) // a link that fails again is replaced again
 	}
+	p.askAgain(conn)
 	p.log.WithField("undecided", len(undecided)).Debug("link opened")
 	p.sendBeat()
 }
@@ -373,7 +376,7 @@
 		p.conn = nil
 		p.judge.Failed(p.config.Now())
 	}
-	busy := len(p.pending) > 0
+	busy := len(p.pending)+len(p.voids) > 0
 	p.mu.Unlock()
 	if current && busy {
 		p.Wake()
@@ -400,6 +403,8 @@
 		p.chunk(m)
 	case *wire.Settled:
 		p.settled(m)
+	case *wire.Voided:
+		p.voided(m)
 	case *wire.Beat:
 		p.beat(m)
 		p.config.Watcher.PeerBeat(p.config.Address, m)
--- a/link/server.go
+++ b/link/server.go
@@ -20,6 +20,8 @@
 	// Dispatch takes in a request; the answer goes out by Server.Answer.
 	Dispatch(entry uint64, d *wire.Dispatch)
 	Settle(entry uint64, s *wire.Settle)
+	// Void says what is known of a resend's key and forbids earlier sends.
+	Void(v *wire.Void) *wire.Voided
 	// Beat takes a heartbeat in. The peer's link address is node.
 	Beat(node string, b *wire.Beat)
 	// Status returns what this node's own heartbeats say; Time and Heard are
@@ -211,6 +213,8 @@
 		h.Dispatch(s.remote.Incarnation, m)
 	case *wire.Settle:
 		h.Settle(s.remote.Incarnation, m)
+	case *wire.Void:
+		_ = s.conn.Send(h.Void(m)) // asked again on a new link
 	case *wire.Beat:
 		s.mu.Lock()
 		s.heard = m.Time
--- a/node/gates.go
+++ b/node/gates.go
@@ -56,6 +56,7 @@
 		}),
 		Pool:    n.gatePool,
 		Journal: n.metrics,
+		Keys:    n.keys,
 		Log:     n.log,
 	})
 	if n.leaving {
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,9 @@
 	// Listeners are open ports to serve on. Without them Run opens those that
 	// the settings name. Run closes them.
 	Listeners *Listeners
+	// KeyMargin is by how much the age of an idempotency key may be
+	// understated; 0 means resend.Margin. Tests set it, to resend at once.
+	KeyMargin clock.Millis
 }
 
 // Node is one process of the fleet. It is safe for concurrent use.
@@ -61,6 +64,7 @@
 	entry       *entry.Entry
 	links       *link.Server
 	callers     *fasthttp.Server
+	keys        *gate.Keys
 	entryPool   *ants.Pool
 	gatePool    *ants.Pool
 	root        *suture.Supervisor
@@ -105,6 +109,7 @@
 		}),
 	}
 	n.seed = n.incarnation
+	n.keys = gate.NewKeys(n.clock.Now)
 	n.metrics = metrics.New(metrics.Config{Book: n.book, State: n})
 	if err := n.buildPools(); err != nil {
 		return nil, errors.Trace(err)
@@ -117,6 +122,7 @@
 		Pool:        n.entryPool,
 		Journal:     n.metrics,
 		Target:      n.target,
+		KeyMargin:   c.KeyMargin,
 		Log:         n.log,
 	})
 	n.links = link.NewServer(link.ServerConfig{
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/path"
@@ -19,6 +20,8 @@
 	token suture.ServiceToken
 	// leaving is what the node last said of itself.
 	leaving bool
+	// unnamed is when the table ceased to name it; 0 while it does.
+	unnamed clock.Millis
 }
 
 // applyPeers makes and removes the peers that the table names.
@@ -28,12 +31,12 @@
 		for _, u := range t.Services[i].Upstreams {
 			if u.Node != n.address() {
 				named[u.Node] = true
-				n.addPeer(u.Node)
+				n.addPeer(u.Node).unnamed = 0
 			}
 		}
 	}
 	for address, p := range n.peers {
-		if !named[address] {
+		if !named[address] && n.retire(p) {
 			delete(n.peers, address)
 			_ = n.root.Remove(p.token) // removed already when the node stops
 		}
@@ -125,13 +128,13 @@
 
 // PeerPath takes in whether a node can be reached from here.
 //
-// The path to a node that said it is leaving ends as announced: that is no
-// finding for a manager.
+// The path to a node that said it is leaving, or that the table no longer
+// names, ends as announced: that is no finding for a manager.
 func (n *Node) PeerPath(node string, state path.State) {
 	n.entry.Path(node, state == path.Lost)
 	n.mu.Lock()
 	p, ok := n.peers[node]
-	announced := ok && p.leaving
+	announced := ok && (p.leaving || p.unnamed > 0)
 	n.mu.Unlock()
 	if announced {
 		return
--- a/resend/memory.go
+++ b/resend/memory.go
@@ -95,9 +95,10 @@
 	case ok, c.Ballot.Marked():
 		// Its void didn't reach this node, or was forgotten.
 		return Forgotten, none
-	case c.Received <= m.since:
+	case c.Received <= max(m.since, c.Gate):
 		// A first send that was held up at its entry while a resend voided
-		// the key here, in a memory that is gone.
+		// the key: here, in a memory that is gone, or at the gates of a table
+		// that didn't name this one yet.
 		return Forgotten, none
 	default:
 		return Free, none
--- a/resend/resend.go
+++ b/resend/resend.go
@@ -60,8 +60,10 @@
 	Digest Digest
 	Ballot Ballot
 	// Received is when the entry received the request, in the clock of the
-	// node that judges the claim. It is used for unmarked sends only.
+	// node that judges the claim, and Gate when the gate was made there. They
+	// are used for unmarked sends only.
 	Received clock.Millis
+	Gate     clock.Millis
 }
 
 // Standing is what a node knows of a key. Its numbers are part of the format
@@ -102,8 +104,8 @@
 	DriftShare = 100
 )
 
-// oldest is the longest time back at which a key of some age may have been
-// sent first.
-func oldest(age, margin clock.Millis) clock.Millis {
+// Reach is the longest time back at which a key of some age may have been sent
+// first.
+func Reach(age, margin clock.Millis) clock.Millis {
 	return age + age/DriftShare + margin
 }
--- a/resend/roster.go
+++ b/resend/roster.go
@@ -35,12 +35,18 @@
 	}
 }
 
-// Nodes returns the nodes that may have had a key of at most the retention's
-// age, sorted.
-func (r *Roster) Nodes(now clock.Millis) []string {
+// Has reports whether the roster still names a node.
+func (r *Roster) Has(node string) bool {
+	_, ok := r.left[node]
+	return ok
+}
+
+// Nodes returns the nodes that may have had a key which was first sent at most
+// reach ago, sorted. Reach must be within the retention.
+func (r *Roster) Nodes(now, reach clock.Millis) []string {
 	all := make([]string, 0, len(r.left))
 	for node, left := range r.left {
-		if left == 0 || now-left <= r.retention {
+		if left == 0 || now-left <= reach {
 			all = append(all, node)
 		}
 	}
--- a/resend/settle.go
+++ b/resend/settle.go
@@ -69,9 +69,9 @@
 // comeBack is when a resend that met a passing obstacle may be sent again.
 const comeBack = clock.Second
 
-// Reaches reports whether an entry may ask about a key at all.
-func (q *Question) Reaches() (Decision, bool) {
-	reach := oldest(q.Age, q.Margin)
+// reaches reports whether the entry knows all nodes that may have had the key.
+func (q *Question) reaches() (Decision, bool) {
+	reach := Reach(q.Age, q.Margin)
 	switch {
 	case reach >= q.Retention:
 		return Decision{Action: Unknown, Reason: ReasonOld}, false
@@ -88,7 +88,7 @@
 	if d, ok := definite(answers); ok {
 		return d
 	}
-	if d, ok := q.Reaches(); !ok {
+	if d, ok := q.reaches(); !ok {
 		return d
 	}
 	for i := range answers {
@@ -99,6 +99,13 @@
 	return Decision{Action: Run}
 }
 
+// Definite reports whether the answers so far settle a resend, whatever the
+// missing ones say.
+func Definite(answers []Answer) bool {
+	_, ok := definite(answers)
+	return ok
+}
+
 // definite is what a single answer settles, whatever the others say.
 func definite(answers []Answer) (Decision, bool) {
 	for i, a := range answers {
@@ -127,7 +134,7 @@
 		return Decision{Action: Unknown, Reason: ReasonUnreachable, RetryAfter: comeBack}, true
 	case a.Standing == Outranked:
 		return Decision{Action: Unknown, Reason: ReasonOutranked, RetryAfter: comeBack}, true
-	case a.Standing != Free || oldest(q.Age, q.Margin) >= a.Covers:
+	case a.Standing != Free || Reach(q.Age, q.Margin) >= a.Covers:
 		return Decision{Action: Unknown, Reason: ReasonForgotten}, true
 	case a.Version > q.Version:
 		// A newer table may name gates that this entry doesn't know.
