test(fleet): resend across lost answers, kills, edits, partitions and each other

Settle says first which node is out of reach, for that may pass, and counts the time that a node's answer has waited towards the reach of its memory: an entry that waited for a silent node otherwise took the others for too young (seen in the partition test: key-older-than-node in place of key-node-unreachable).

--- a/entry/resend.go
+++ b/entry/resend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -116,8 +117,12 @@
 	version := r.entry.table.Load().Version // before the nodes: at most as new as they
 	reach := resend.Reach(age, r.entry.config.KeyMargin)
 	nodes := r.service.mayHave(now, reach)
-	answers, voided := r.ask(now, nodes)
+	all := r.ask(now, nodes)
 	now = r.entry.config.Now()
+	answers := make([]resend.Answer, 0, len(all))
+	for i := range all {
+		answers = append(answers, all[i].says(now))
+	}
 	decision := resend.Settle(resend.Question{
 		Age:       r.sent.mark.Age + now - r.started,
 		Known:     now - clock.Millis(r.entry.routed.Load()),
@@ -129,7 +134,7 @@
 	case resend.Run:
 		return final{}, false
 	case resend.Replay:
-		return r.replay(voided[decision.From]), true
+		return r.replay(all[decision.From].voided), true
 	case resend.Refuse:
 		return refused(fasthttp.StatusUnprocessableEntity, string(decision.Reason), 0), true
 	default:
@@ -152,27 +157,42 @@
 	return final{outcome: account.Unknown, status: status, reason: reason, retryAfter: after}
 }
 
-// asked is one node's answer.
+// asked is one node's answer; voided is nil without one.
 type asked struct {
 	node   int
-	answer *wire.Voided
+	voided *wire.Voided
+	at     clock.Millis // when it was heard
+}
+
+// says is what the node said, with the reach of its memory as of now.
+func (a *asked) says(now clock.Millis) resend.Answer {
+	if a.voided == nil {
+		return resend.Answer{}
+	}
+	return resend.Answer{
+		Heard:    true,
+		Standing: resend.Standing(a.voided.Standing),
+		Covers:   a.voided.Covers + now - a.at,
+		Version:  a.voided.Version,
+	}
 }
 
 // asking hands one node's answer on. There is room for those of all nodes.
 type asking struct {
 	node    int
+	now     func() clock.Millis
 	answers chan<- asked
 }
 
 // Voided takes in what a node knows.
 func (a asking) Voided(v *wire.Voided) {
-	a.answers <- asked{a.node, v}
+	a.answers <- asked{node: a.node, voided: v, at: a.now()}
 }
 
 // ask puts the question to all nodes at once and waits until all have answered,
 // one answer settles it, or half of the deadline is over: the rest is for the
 // run.
-func (r *request) ask(now clock.Millis, nodes []Target) ([]resend.Answer, []*wire.Voided) {
+func (r *request) ask(now clock.Millis, nodes []Target) []asked {
 	patience := max((r.deadline-now)/2, 1)
 	question := &wire.Void{
 		ID: r.id, Caller: r.caller, Service: r.config.Name,
@@ -181,30 +201,26 @@
 	channel := make(chan asked, len(nodes))
 	open := 0
 	for i, node := range nodes {
-		if node.Void(question, patience, asking{i, channel}) == nil {
+		if node.Void(question, patience, asking{i, r.entry.config.Now, channel}) == nil {
 			defer node.ForgetVoid(r.id)
 			open++
 		}
 	}
-	answers, voided := make([]resend.Answer, len(nodes)), make([]*wire.Voided, len(nodes))
-	timer := newTimer(patience)
+	all := make([]asked, len(nodes))
+	timer := time.NewTimer(patience.Duration())
 	defer timer.Stop()
 	for ; open > 0; open-- {
 		select {
 		case a := <-channel:
-			v := a.answer
-			voided[a.node] = v
-			answers[a.node] = resend.Answer{
-				Heard: true, Standing: resend.Standing(v.Standing), Covers: v.Covers, Version: v.Version,
-			}
-			if resend.Definite(answers) {
-				return answers, voided
+			all[a.node] = a
+			if resend.Definite([]resend.Answer{a.says(a.at)}) {
+				return all
 			}
 		case <-timer.C:
-			return answers, voided
+			return all
 		}
 	}
-	return answers, voided
+	return all
 }
 
 // keyed is the final answer to a dispatch that its gate refused for its key, or
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -68,10 +68,6 @@
 	}
 }
 
-func newTimer(span clock.Millis) *time.Timer {
-	return time.NewTimer(span.Duration())
-}
-
 var timers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 
 // next waits for the next event, at most for the span.
--- /dev/null
+++ b/resend/resend_test.go
@@ -0,0 +1,184 @@
+package resend_test
+
+import (
+	"flag"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/resend"
+)
+
+// The draws are the same on every run unless -rapid.seed is given.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.steps": "120"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func TestParseMark(t *testing.T) {
+	const bad = resend.ErrMark
+	tests := []struct {
+		text string
+		want resend.Mark
+		err  error
+	}{
+		{"1; age=0", resend.Mark{Number: 1}, nil},
+		{"2; age=4.5", resend.Mark{Number: 2, Age: 4500}, nil},
+		{"12;age=70.025", resend.Mark{Number: 12, Age: 70025}, nil},
+		{"", resend.Mark{}, bad},
+		{"1", resend.Mark{}, bad},
+		{"0; age=1", resend.Mark{}, bad},
+		{"-1; age=1", resend.Mark{}, bad},
+		{"1000001; age=1", resend.Mark{}, bad},
+		{"99999999999999999999; age=1", resend.Mark{}, bad},
+		{"1; age=", resend.Mark{}, bad},
+		{"1; age=-1", resend.Mark{}, bad},
+		{"1; age=1.", resend.Mark{}, bad},
+		{"1; age=1.2345", resend.Mark{}, bad},
+		{"1; age=1e9", resend.Mark{}, bad},
+		{"1; age=99999999999", resend.Mark{}, bad},
+		{"1; age=1; age=2", resend.Mark{}, bad},
+	}
+	for _, tt := range tests {
+		got, err := resend.ParseMark(tt.text)
+		if (tt.err == nil && got != tt.want) || !errors.Is(err, tt.err) {
+			t.Errorf("%q: got %v and %v, want %v and %v", tt.text, got, err, tt.want, tt.err)
+		}
+	}
+	for _, key := range []string{"", "a\tb", "caffè", strings.Repeat("k", 256)} {
+		if err := resend.CheckKey(key); !errors.Is(err, resend.ErrMark) {
+			t.Errorf("key %q: got error %v, want ErrMark", key, err)
+		}
+	}
+}
+
+func claim(number uint32, seq uint64) resend.Claim {
+	return resend.Claim{Key: resend.Key{Text: "turno-7"}, Ballot: resend.Ballot{Number: number, Seq: seq}, Received: 5}
+}
+
+func memory(start clock.Millis) *resend.Memory[string] {
+	return resend.NewMemory[string](resend.MemoryConfig{Start: start, Retention: retention, Keys: 10, Answer: 6, Bytes: 10})
+}
+
+func want(t *testing.T, what string, got, want resend.Standing) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got standing %d, want %d", what, got, want)
+	}
+}
+
+// Two resends of a confirmation cross: the second goes first at one node, the
+// first asks there late. Were the key given back to it, each would find a node
+// where it may run, and the shift would be confirmed twice.
+func TestCrossingResendsRunOnce(t *testing.T) {
+	a, b := memory(1), memory(1)
+	low, high := claim(1, 1), claim(2, 2)
+	_, _ = a.Void(10, high)
+	got, _ := a.Void(11, low)
+	want(t, "the first at a", got, resend.Outranked)
+	_, _ = b.Void(12, low)
+	_, _ = b.Void(13, high)
+	got, _ = a.Begin(14, low)
+	want(t, "the first begins at a", got, resend.Outranked)
+	got, _ = b.Begin(15, high)
+	want(t, "the second begins at b", got, resend.Free)
+}
+
+// A node is replaced after a resend has voided the key there, and the resend is
+// sent to it. A later resend may have run elsewhere since: the new process has
+// no void of either, and must not run it.
+func TestResendNeedsItsVoid(t *testing.T) {
+	got, _ := memory(20).Begin(21, claim(1, 1))
+	want(t, "begin without a void", got, resend.Forgotten)
+}
+
+// Answers fill the memory, so that the oldest gives way. That its key ran must
+// stay known: its resend would run again. Nor may a request with another body
+// get the answer of the one that ran.
+func TestAnswersAreKeptWithinBounds(t *testing.T) {
+	m := memory(1)
+	run := func(text string, size int) resend.Claim {
+		c := claim(0, 1)
+		c.Key.Text = text
+		got, _ := m.Begin(10, c)
+		want(t, text, got, resend.Free)
+		m.Done(c.Key, "answer to "+text, size)
+		return c
+	}
+	first, second, large := run("first", 6), run("second", 6), run("large", 7)
+	got, _ := m.Look(11, first)
+	want(t, "the oldest answer gave way", got, resend.Lost)
+	got, answer := m.Look(11, second)
+	want(t, "the newest answer", got, resend.Ran)
+	if answer != "answer to second" {
+		t.Errorf("got %q", answer)
+	}
+	got, _ = m.Look(11, large)
+	want(t, "an answer over the bound", got, resend.Lost)
+	second.Digest[0] = 1
+	got, _ = m.Look(11, second)
+	want(t, "another body", got, resend.Other)
+	got, _ = m.Void(11, second)
+	want(t, "a resend with another body", got, resend.Other)
+}
+
+func TestSettle(t *testing.T) {
+	free := resend.Answer{Heard: true, Standing: resend.Free, Covers: 500, Version: 3}
+	says := func(s resend.Standing) resend.Answer { return resend.Answer{Heard: true, Standing: s} }
+	newer := free
+	newer.Version = 4
+	tests := []struct {
+		name    string
+		age     clock.Millis
+		answers []resend.Answer
+		want    resend.Decision
+	}{
+		{"all vouch", 100, []resend.Answer{free, free}, resend.Decision{Action: resend.Run}},
+		{"one ran", 100, []resend.Answer{{}, says(resend.Ran)}, resend.Decision{Action: resend.Replay, From: 1}},
+		{"one ran, key too old", 2000, []resend.Answer{says(resend.Ran)}, resend.Decision{Action: resend.Replay}},
+		{"another body", 100, []resend.Answer{free, says(resend.Other)}, resend.Decision{Action: resend.Refuse, Reason: resend.ReasonReused}},
+		{"one runs", 100, []resend.Answer{says(resend.Running)}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonRunning, RetryAfter: clock.Second}},
+		{"answer not kept", 100, []resend.Answer{free, says(resend.Lost)}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonLost}},
+		{"one silent", 100, []resend.Answer{free, {}}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonUnreachable, RetryAfter: clock.Second}},
+		{"later resend", 100, []resend.Answer{says(resend.Outranked)}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonOutranked, RetryAfter: clock.Second}},
+		{"node within the margin", 480, []resend.Answer{free}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonForgotten}},
+		{"newer table", 100, []resend.Answer{newer}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonBehind, RetryAfter: clock.Second}},
+		{"older than the entry", 780, []resend.Answer{free}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonForgotten}},
+		{"older than the retention", 1000, []resend.Answer{free}, resend.Decision{Action: resend.Unknown, Reason: resend.ReasonOld}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := resend.Question{Age: tt.age, Known: 800, Retention: retention, Margin: margin, Version: 3}
+			if got := resend.Settle(q, tt.answers); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// An entry that has not heard of an edit yet sends a key to a node that the
+// edit took out; the resend comes through one that has. Were the node asked
+// only about keys sent before it left, its run would be missed.
+func TestRosterNamesNodesThatLeftWithinTheMargin(t *testing.T) {
+	r := resend.NewRoster(retention)
+	r.Update(1, []string{"a", "b"})
+	r.Update(100, []string{"a"})
+	tests := []struct {
+		now, age clock.Millis
+		want     int
+	}{{110, 1, 2}, {121, 1, 2}, {122, 1, 1}, {400, 300, 2}, {2000, 900, 1}}
+	for _, tt := range tests {
+		if got := len(r.Nodes(tt.now, resend.Reach(tt.age, margin))); got != tt.want {
+			t.Errorf("at %d, key of age %d: got %d nodes, want %d", tt.now, tt.age, got, tt.want)
+		}
+	}
+	r.Update(1101, []string{"a"})
+	if r.Has("b") {
+		t.Error("got a node that left before the retention, want it forgotten")
+	}
+}
--- a/resend/settle.go
+++ b/resend/settle.go
@@ -1,6 +1,10 @@
 package resend
 
-import "fuchsiapick.example/fuchsiapick/clock"
+import (
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
 
 // Answer is what one node that was asked about a resend's key said.
 type Answer struct {
@@ -88,6 +92,10 @@
 	if d, ok := definite(answers); ok {
 		return d
 	}
+	if slices.ContainsFunc(answers, func(a Answer) bool { return !a.Heard }) {
+		// Said before all doubts that last: it may have the answer.
+		return Decision{Action: Unknown, Reason: ReasonUnreachable, RetryAfter: comeBack}
+	}
 	if d, ok := q.reaches(); !ok {
 		return d
 	}
@@ -130,8 +138,6 @@
 // doubt says why an answer doesn't vouch for the key.
 func (q *Question) doubt(a *Answer) (Decision, bool) {
 	switch {
-	case !a.Heard:
-		return Decision{Action: Unknown, Reason: ReasonUnreachable, RetryAfter: comeBack}, true
 	case a.Standing == Outranked:
 		return Decision{Action: Unknown, Reason: ReasonOutranked, RetryAfter: comeBack}, true
 	case a.Standing != Free || Reach(q.Age, q.Margin) >= a.Covers:
