--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Link   string
 	Relay  *standin.Relay // nil without relays
 
+	domain string
+	ports  settings.Listen
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -160,8 +162,10 @@
 		Caller: listeners.Caller.Addr().String(),
 		Admin:  listeners.Admin.Addr().String(),
 		Link:   listeners.Link.Addr().String(),
+		domain: domain,
 		done:   make(chan struct{}),
 	}
+	m.ports = settings.Listen{Caller: m.Caller, Link: m.Link, Admin: m.Admin}
 	if f.config.Relays {
 		m.Relay, err = standin.StartRelay(standin.RelayConfig{Address: loopback, Target: m.Link})
 		if err != nil {
--- a/fleet/resend_test.go
+++ b/fleet/resend_test.go
@@ -266,25 +266,31 @@
 	wantRuns(t, f, 1)
 }
 
-// A node that started after the key was first sent may stand where another one
-// was that ran it. It can't vouch for the key, nor may it run it.
-func TestResendMeetsYoungerNode(t *testing.T) {
-	f, far := keyed(t, 1)
+// A node is replaced on the same addresses after it ran a confirmation. The new
+// process knows nothing of it and could be taken for one that never had it: it
+// must not vouch for the key, and nobody runs it. Keys sent since are served.
+func TestResendAfterItsNodeWasReplaced(t *testing.T) {
+	f, far := keyed(t, 2)
 	o := newOperation("turno-10")
 	o.send(t, far.Caller)
-	old := memberOf(t, f, "conferme-1")
-	fresh, err := f.AddMember(t.Context(), "fresh", "palermo")
-	if err != nil {
+	_, ranAt := runsOf(f)
+	replaced := memberOf(t, f, ranAt)
+	if err := f.Replace(t.Context(), replaced); err != nil {
 		t.Fatal(err)
 	}
-	replaceNode(t, f, old, fresh)
-	old.Stop()
-	young := newOperation("turno-11")
-	if got := young.settle(t, far.Caller); got.replay != "" {
-		t.Errorf("a younger key: got %v, replay %q; want a run", got, got.replay)
+	until(t, "path to the new process", func() bool {
+		return o.resend(t, far.Caller).reason != "key-node-unreachable"
+	})
+	for _, m := range []*fleet.Member{far, replaced} {
+		if got := o.resend(t, m.Caller); got.outcome != "unknown" || got.reason != "key-older-than-node" {
+			t.Errorf("through %s: got %v, want unknown key-older-than-node", m.Name, got)
+		}
 	}
-	if got := o.resend(t, fresh.Caller); got.outcome != "unknown" || got.reason != "key-older-than-node" {
-		t.Errorf("got %v, want unknown", got)
+	wantRuns(t, f, 1)
+	began := time.Now()
+	until(t, "age", func() bool { return time.Since(began) > lead })
+	if got := newOperation("turno-11").settle(t, far.Caller); got.replay != "" {
+		t.Errorf("a younger key: got %v, replay %q; want a run", got, got.replay)
 	}
 	wantRuns(t, f, 2)
 }
