--- a/entry/request.go
+++ b/entry/request.go
@@ -101,7 +101,7 @@
 // callerOf names the caller. The name ends up in logs and reports, so it is
 // held to printable characters and a bounded length.
 func callerOf(ctx *fasthttp.RequestCtx) string {
-	name := ctx.Request.Header.Peek(HeaderCaller)
+	name, _ := field(&ctx.Request.Header, HeaderCaller)
 	if len(name) == 0 {
 		return ctx.RemoteIP().String()
 	}
@@ -165,7 +165,8 @@
 
 // budget is the service's deadline, or the caller's own shorter one.
 func (r *request) budget() clock.Millis {
-	if own, ok := milliseconds(r.ctx.Request.Header.Peek(HeaderDeadline)); ok {
+	text, _ := field(&r.ctx.Request.Header, HeaderDeadline)
+	if own, ok := milliseconds(text); ok {
 		return min(own, r.config.Deadline)
 	}
 	return r.config.Deadline
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -151,7 +151,8 @@
 // undecided ends a send of a key that an earlier send may have run.
 func undecided(reason string, after clock.Millis) final {
 	status := fasthttp.StatusBadGateway
-	if after > 0 && reason != string(resend.ReasonUnreachable) {
+	switch reason {
+	case string(resend.ReasonRunning), string(resend.ReasonOutranked), string(wire.ReasonKeyVoided):
 		status = fasthttp.StatusConflict
 	}
 	return final{outcome: account.Unknown, status: status, reason: reason, retryAfter: after}
@@ -184,6 +185,11 @@
 	answers chan<- asked
 }
 
+// Unasked takes in that the node is out of reach.
+func (a asking) Unasked() {
+	a.answers <- asked{node: a.node}
+}
+
 // Voided takes in what a node knows.
 func (a asking) Voided(v *wire.Voided) {
 	a.answers <- asked{node: a.node, voided: v, at: a.now()}
@@ -213,7 +219,7 @@
 		select {
 		case a := <-channel:
 			all[a.node] = a
-			if resend.Definite([]resend.Answer{a.says(a.at)}) {
+			if a.voided != nil && resend.Definite([]resend.Answer{a.says(a.at)}) {
 				return all
 			}
 		case <-timer.C:
--- a/fleet/resend_test.go
+++ b/fleet/resend_test.go
@@ -176,6 +176,21 @@
 	wantRuns(t, f, 1)
 }
 
+// A proxy before the nodes writes field names in lower case. Read with regard to
+// case, the key and the caller would be lost, and the confirmation run again.
+func TestKeyIsReadWithoutRegardToCase(t *testing.T) {
+	f, far := keyed(t, 1)
+	o := newOperation("turno-6")
+	o.send(t, far.Caller)
+	response := raw(t, far.Caller, "POST /conferme/turno HTTP/1.1\r\nhost: a\r\nfuchsiapick-caller: squadra-palermo\r\n"+
+		"idempotency-key: turno-6\r\ncontent-length: 9\r\n\r\npalermo-7")
+	defer func() { _ = response.Body.Close() }()
+	if got := response.Header.Get(entry.HeaderReplay); got != "true" {
+		t.Errorf("got replay %q, want true", got)
+	}
+	wantRuns(t, f, 1)
+}
+
 // A second confirmation is sent while the first one still runs.
 func TestSendWhileItRuns(t *testing.T) {
 	f, far := keyed(t, 1)
--- a/link/peer.go
+++ b/link/peer.go
@@ -318,6 +318,7 @@
 		if lost {
 			p.lose()
 			p.withdraw()
+			p.giveUp()
 		}
 		return
 	}
--- a/link/resend.go
+++ b/link/resend.go
@@ -9,10 +9,12 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// VoidWaiter is told what a node knows of a key. Its method must not block and
-// is called once or never.
+// VoidWaiter is told what a node knows of a key. One of its methods is called
+// once, or none; they must not block.
 type VoidWaiter interface {
 	Voided(v *wire.Voided)
+	// Unasked says that no link could be opened.
+	Unasked()
 }
 
 type voiding struct {
@@ -75,6 +77,20 @@
 	}
 }
 
+// giveUp ends the open questions: no link can be opened now.
+func (p *Peer) giveUp() {
+	p.mu.Lock()
+	waiters := make([]VoidWaiter, 0, len(p.voids))
+	for id, one := range p.voids {
+		waiters = append(waiters, one.waiter)
+		p.removeVoid(id)
+	}
+	p.mu.Unlock()
+	for _, w := range waiters {
+		w.Unasked()
+	}
+}
+
 func (p *Peer) voided(v *wire.Voided) {
 	p.mu.Lock()
 	p.judge.Heard(p.config.Now())
