--- a/capacity/ends.go
+++ b/capacity/ends.go
@@ -67,6 +67,9 @@
 // Beat counts one of a dialling side.
 func (e *end) Beat(string, *wire.Beat) { e.hear() }
 
+// Void has no keys.
+func (e *end) Void(*wire.Void) *wire.Voided { return &wire.Voided{} }
+
 // Status returns the heartbeat.
 func (e *end) Status() wire.Beat { return e.status }
 
--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -84,6 +84,12 @@
 // Forget does nothing.
 func (prompt) Forget(wire.RequestID, uint8) {}
 
+// Void reaches nobody.
+func (prompt) Void(*wire.Void, clock.Millis, link.VoidWaiter) error { return link.ErrNoLink }
+
+// ForgetVoid has nothing to drop.
+func (prompt) ForgetVoid(wire.RequestID) {}
+
 // ledger is a journal that keeps nothing.
 type ledger struct{}
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -77,6 +77,7 @@
 	// refused as not run any more.
 	begun bool
 	last  table.Upstream // tried last
+	sent  sent
 }
 
 // final is the answer that the caller gets.
@@ -86,6 +87,7 @@
 	reason     string
 	retryAfter clock.Millis
 	reply      *wire.Reply
+	replay     bool // of an earlier send of the same key
 }
 
 func refused(status int, reason string, after clock.Millis) final {
@@ -106,7 +108,7 @@
 // callerOf names the caller. The name ends up in logs and reports, so it is
 // held to printable characters and a bounded length.
 func callerOf(ctx *fasthttp.RequestCtx) string {
-	name := ctx.Request.Header.Peek(HeaderCaller)
+	name, _ := field(&ctx.Request.Header, HeaderCaller)
 	if len(name) == 0 {
 		return ctx.RemoteIP().String()
 	}
@@ -126,6 +128,10 @@
 		r.finish(refusal)
 		return
 	}
+	if answer, ok := r.settled(); ok {
+		r.finish(answer)
+		return
+	}
 	r.headers = headersOf(r.ctx)
 	// A gate may still hold the body when the caller's connection already
 	// carries the next request in the same buffer.
@@ -166,7 +172,8 @@
 
 // budget is the service's deadline, or the caller's own shorter one.
 func (r *request) budget() clock.Millis {
-	if own, ok := milliseconds(r.ctx.Request.Header.Peek(HeaderDeadline)); ok {
+	text, _ := field(&r.ctx.Request.Header, HeaderDeadline)
+	if own, ok := milliseconds(text); ok {
 		return min(own, r.config.Deadline)
 	}
 	return r.config.Deadline
@@ -225,7 +232,7 @@
 }
 
 func (r *request) dispatch(now clock.Millis, a attempt, untried int) *wire.Dispatch {
-	return &wire.Dispatch{
+	d := &wire.Dispatch{
 		ID:         r.id,
 		Attempt:    r.attempts,
 		Budget:     r.attemptBudget(now, untried),
@@ -239,6 +246,8 @@
 		Forced:     a.forced,
 		Baseline:   r.baseline,
 	}
+	r.stamp(now, d)
+	return d
 }
 
 // attemptBudget is the time that one try may take. A repeatable request keeps
@@ -312,7 +321,10 @@
 // go on.
 func (r *request) judge(o result, untried int) (final, bool) {
 	if o.served {
-		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply}, true
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
+	}
+	if answer, ok := r.keyed(&o); ok {
+		return answer, true
 	}
 	if o.kind != retry.NotRun {
 		r.begun = true
@@ -333,7 +345,7 @@
 	switch {
 	case o.reply != nil && o.reply.Outcome == wire.Answered:
 		// The upstream's own answer, though an error, says more than ours.
-		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, reason: o.reason}, true
+		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, reason: o.reason, replay: o.reply.Replay}, true
 	case r.begun:
 		return r.unknown(o.reason), true
 	default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,8 @@
 	Relays bool
 	// Adjust may change a node's settings before it starts.
 	Adjust func(s *settings.Settings)
+	// KeyMargin is that of the nodes; 0 means the usual one.
+	KeyMargin clock.Millis
 	// Log takes the nodes' logs; nil drops them.
 	Log io.Writer
 }
@@ -43,6 +45,8 @@
 	Link   string
 	Relay  *standin.Relay // nil without relays
 
+	domain string
+	ports  settings.Listen
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -158,8 +162,10 @@
 		Caller: listeners.Caller.Addr().String(),
 		Admin:  listeners.Admin.Addr().String(),
 		Link:   listeners.Link.Addr().String(),
+		domain: domain,
 		done:   make(chan struct{}),
 	}
+	m.ports = settings.Listen{Caller: m.Caller, Link: m.Link, Admin: m.Admin}
 	if f.config.Relays {
 		m.Relay, err = standin.StartRelay(ctx, standin.RelayConfig{Address: loopback, Target: m.Link})
 		if err != nil {
@@ -186,7 +192,7 @@
 	if f.config.Adjust != nil {
 		f.config.Adjust(s)
 	}
-	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners})
+	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners, KeyMargin: f.config.KeyMargin})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -50,6 +50,8 @@
 	KindBeat
 	KindAsk
 	KindEdition
+	KindVoid
+	KindVoided
 )
 
 // Message is one of the message types of this package, by pointer.
@@ -144,6 +146,10 @@
 		return new(Ask)
 	case KindEdition:
 		return new(Edition)
+	case KindVoid:
+		return new(Void)
+	case KindVoided:
+		return new(Voided)
 	default:
 		return nil
 	}
