--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// result is what one try came to.
+type result struct {
+	kind   retry.Result
+	reply  *wire.Reply // nil without one
+	reason string
+	served bool
+	after  clock.Millis
+	full   bool
+}
+
+// try sends the request to one upstream and waits for what becomes of it.
+func (r *request) try(now clock.Millis, a attempt, untried int) result {
+	r.attempts++
+	r.tried = append(r.tried, a.member)
+	r.last, r.forced = a.upstream, a.forced
+	d := r.dispatch(now, a, untried)
+	w := newWaiter()
+	err := a.member.target.Dispatch(d, w)
+	if err != nil {
+		unsent := result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		r.service.ended(now, a.member, &unsent)
+		return unsent
+	}
+	outcome := r.await(d, a.member, w)
+	a.member.target.Forget(d.ID, d.Attempt)
+	r.service.ended(r.entry.config.Now(), a.member, &outcome)
+	return outcome
+}
+
+func (r *request) dispatch(now clock.Millis, a attempt, untried int) *wire.Dispatch {
+	d := &wire.Dispatch{
+		ID:         r.id,
+		Attempt:    r.attempts,
+		Budget:     r.attemptBudget(now, untried),
+		Upstream:   a.upstream.Name,
+		Caller:     r.caller,
+		Method:     r.method,
+		URI:        string(r.ctx.RequestURI()),
+		Headers:    r.headers,
+		Body:       r.body,
+		Repeatable: r.repeatable,
+		Forced:     a.forced,
+		Baseline:   r.baseline,
+	}
+	r.stamp(now, d)
+	return d
+}
+
+// attemptBudget is the time that one try may take. A repeatable request keeps
+// half of what is left for another upstream: one that hangs would take all. A
+// service that is slow by nature must not be cut off by that, so a try lasts
+// several times what is usual, and to the end while that isn't known.
+func (r *request) attemptBudget(now clock.Millis, untried int) clock.Millis {
+	left := max(r.deadline-now, 1)
+	whole := max(left-r.settleTime(), 1)
+	if !r.repeatable || untried <= 0 || !r.baseline.Known {
+		return whole
+	}
+	return min(max(left/2, patience*r.baseline.Latency), whole)
+}
+
+func (r *request) settleTime() clock.Millis {
+	return min((r.deadline-r.started)/settleShare, settleMost)
+}
+
+// await waits for the outcome of a dispatch. Without one by the end of its
+// budget it asks the gate, which voids a dispatch that it has not begun.
+func (r *request) await(d *wire.Dispatch, m *member, w *waiter) result {
+	until := r.entry.config.Now() + d.Budget
+	asked := false
+	for {
+		now := r.entry.config.Now()
+		e := w.next(max(until-now, 0) + 1)
+		switch {
+		case e.kind == replied:
+			return resultOf(e.reply)
+		case e.kind == voided:
+			return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}
+		case e.kind == unsent:
+			return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		case e.kind == forgotten:
+			return result{kind: retry.Silent, reason: reasonReplaced}
+		case e.kind == lost && r.repeatable:
+			return result{kind: retry.Silent, reason: account.ReasonUnreachable}
+		case e.kind == expired && r.repeatable:
+			m.target.Settle(d.ID, d.Attempt) // frees its place in a queue
+			return result{kind: retry.Silent, reason: reasonSilent}
+		case e.kind == expired && asked:
+			return result{kind: retry.Silent, reason: reasonSilent}
+		case e.kind == expired:
+			asked = true
+			until = min(r.entry.config.Now()+r.settleTime(), r.deadline)
+			m.target.Settle(d.ID, d.Attempt)
+		}
+	}
+}
+
+func resultOf(reply *wire.Reply) result {
+	out := result{reply: reply, reason: string(reply.Reason), after: reply.RetryAfter}
+	switch reply.Outcome {
+	case wire.NotRun:
+		out.kind = retry.NotRun
+		out.full = reply.Reason == wire.ReasonFull || reply.Reason == wire.ReasonLate || reply.Reason == wire.ReasonShed
+	case wire.Answered:
+		out.kind = retry.Failed
+		out.served = reply.Status < fasthttp.StatusInternalServerError
+		if !out.served {
+			out.reason = account.ReasonUpstreamError
+		}
+	default:
+		out.kind = retry.Failed
+	}
+	return out
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -235,39 +235,6 @@
 	}, nil
 }
 
-// Leave ends new work for good. What was admitted is finished.
-func (g *Gate) Leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := g.left()
-	g.leaving = true
-	g.noteLeft(before, "shutdown")
-}
-
-// Listed takes in whether the instance list says that the instance is leaving.
-func (g *Gate) Listed(leaving bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := g.left()
-	g.listed = leaving
-	g.noteLeft(before, "instance list")
-}
-
-// left reports whether the upstream is leaving. Entries that have heard it send
-// no new work; from those that haven't the gate takes it for the table's drain
-// time, but none while the node shuts down.
-func (g *Gate) left() bool {
-	return g.leaving || g.listed || g.upstream.Weight == 0
-}
-
-func (g *Gate) noteLeft(before bool, reason string) {
-	if !before && g.left() {
-		g.leftAt = g.config.Now()
-		g.log.WithField("reason", reason).Info("leaving")
-		g.note(account.Event{At: g.leftAt, Kind: account.Leaving, Reason: reason})
-	}
-}
-
 // Update puts a table edit in force.
 func (g *Gate) Update(s table.Service, u table.Upstream) {
 	g.mu.Lock()
@@ -356,57 +323,6 @@
 	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
 }
 
-func (g *Gate) note(e account.Event) {
-	e.Service, e.Upstream, e.Node = g.service.Name, g.upstream.Name, g.upstream.Node
-	g.config.Journal.Note(e)
-}
-
-// noteState journals a change of the verdict.
-func (g *Gate) noteState(now clock.Millis) {
-	s := g.judge.Status(now)
-	if s.State == g.state {
-		return
-	}
-	g.state = s.State
-	e := account.Event{At: now, Kind: kindOf(s.State), Reason: s.Evidence.Reason}
-	if s.State == health.Aside {
-		e.Until = s.Until
-		e.Evidence = evidenceOf(s.Evidence)
-	}
-	g.note(e)
-	g.log.WithFields(logrus.Fields{
-		"state":    s.State.String(),
-		"evidence": e.Evidence,
-		"reason":   e.Reason,
-	}).Info("verdict changed")
-}
-
-func kindOf(s health.State) account.EventKind {
-	switch s {
-	case health.Aside:
-		return account.SetAside
-	case health.Trial:
-		return account.Trial
-	case health.Ramp:
-		return account.Ramp
-	default:
-		return account.Back
-	}
-}
-
-func evidenceOf(e health.Evidence) account.Evidence {
-	return account.Evidence{
-		Outcomes:        e.Outcomes,
-		Failed:          e.Failed,
-		Slow:            e.Slow,
-		Overdue:         e.Overdue,
-		Score:           e.Score,
-		Threshold:       e.Threshold,
-		BaselineFailed:  e.Baseline.Failed,
-		BaselineLatency: e.Baseline.Latency,
-	}
-}
-
 // Serves reports whether the gate is that of a service's upstream at an
 // address. An edit of either needs a gate of its own: what was learned is of
 // another backend server.
--- /dev/null
+++ b/link/dispatch.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/path"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+type pending struct {
+	dispatch *wire.Dispatch
+	waiter   Waiter
+	queued   clock.Millis
+	unsent   bool
+	partial  *wire.Reply
+}
+
+// Dispatch sends a request and fills in its incarnation and lease. Without an
+// open link it waits for one that is being opened. It returns ErrNoLink,
+// ErrBusy or ErrClosed when nothing was sent or will be.
+func (p *Peer) Dispatch(d *wire.Dispatch, w Waiter) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.config.Now()
+	p.used = now
+	one := &pending{dispatch: d, waiter: w, queued: now}
+	if p.conn != nil {
+		return p.send(now, one)
+	}
+	p.Wake()
+	if p.state == path.Lost || len(p.pending) >= queueLength {
+		return ErrNoLink
+	}
+	one.unsent = true
+	p.pending[keyOf(d.ID, d.Attempt)] = one
+	return nil
+}
+
+// send gives a dispatch its lease and queues it on the link. The time that it
+// waited for a link is taken from its budget.
+func (p *Peer) send(now clock.Millis, one *pending) error {
+	d := one.dispatch
+	d.Budget -= now - one.queued
+	d.Incarnation = p.estimate.Incarnation()
+	d.Lease = p.estimate.At(now) + d.Budget
+	key := keyOf(d.ID, d.Attempt)
+	if err := p.conn.Send(d); err != nil {
+		delete(p.pending, key)
+		return errors.Trace(err)
+	}
+	one.unsent = false
+	p.pending[key] = one
+	p.judge.Sent(now, judged(key), now+d.Budget)
+	return nil
+}
+
+// judged is the number by which the path's judge knows a dispatch.
+func judged(key lease.Key) uint64 {
+	return key.Seq<<8 | uint64(key.Attempt)
+}
+
+// Settle asks the gate what became of a dispatch and forbids it to begin one
+// that it has not begun. The waiter is told.
+func (p *Peer) Settle(id wire.RequestID, attempt uint8) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one, ok := p.pending[keyOf(id, attempt)]
+	switch {
+	case ok && one.unsent:
+		p.remove(keyOf(id, attempt))
+		one.waiter.Unsent()
+	case ok && p.conn != nil:
+		_ = p.conn.Send(settleOf(one.dispatch)) // without an answer the outcome stays unknown
+	}
+}
+
+// Forget drops the waiter of a dispatch that was given up on.
+func (p *Peer) Forget(id wire.RequestID, attempt uint8) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remove(keyOf(id, attempt))
+}
+
+// withdraw ends the dispatches that still wait for a link: none was sent.
+func (p *Peer) withdraw() {
+	p.mu.Lock()
+	var waiters []Waiter
+	for key, one := range p.pending {
+		if one.unsent {
+			waiters = append(waiters, one.waiter)
+			p.remove(key)
+		}
+	}
+	p.mu.Unlock()
+	for _, w := range waiters {
+		w.Unsent()
+	}
+}
+
+// sendLate sends a dispatch that waited for the link, or ends it as not sent.
+func (p *Peer) sendLate(now clock.Millis, one *pending) {
+	own := *one.dispatch // the entry still reads the one it made
+	one.dispatch = &own
+	if now-one.queued >= one.dispatch.Budget || p.send(now, one) != nil {
+		delete(p.pending, keyOf(one.dispatch.ID, one.dispatch.Attempt))
+		one.waiter.Unsent()
+	}
+}
+
+func (p *Peer) remove(key lease.Key) {
+	delete(p.pending, key)
+	p.judge.Settled(p.config.Now(), judged(key))
+}
+
+func keyOf(id wire.RequestID, attempt uint8) lease.Key {
+	return lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
+}
+
+func settleOf(d *wire.Dispatch) *wire.Settle {
+	return &wire.Settle{ID: d.ID, Attempt: d.Attempt, Incarnation: d.Incarnation, Upstream: d.Upstream, Lease: d.Lease}
+}
