--- a/standin/program/main_test.go
+++ b/standin/program/main_test.go
@@ -47,6 +47,7 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + address + path)
 	req.SetBodyString(body)
+	req.SetConnectionClose() // a port may belong to another process in the next run
 	if err := fasthttp.Do(&req, &resp); err != nil || resp.StatusCode() != want {
 		t.Fatalf("%s %s: got status %d, error %v, want %d", method, path, resp.StatusCode(), err, want)
 	}
