--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,6 +15,7 @@
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -289,11 +290,21 @@
 	return g.status(g.config.Now())
 }
 
-// State is what the report says of the upstream.
-func (g *Gate) State() (health.Status, limit.Load, bool) {
+// Describe is what metrics say of the gate.
+func (g *Gate) Describe() metrics.GateState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.judge.Status(g.config.Now()), g.slots.Load(), g.left()
+	load := g.slots.Load()
+	return metrics.GateState{
+		Service:  g.service.Name,
+		Upstream: g.upstream.Name,
+		Verdict:  g.judge.Status(g.config.Now()).State,
+		Leaving:  g.left(),
+		Running:  load.InFlight,
+		Waiting:  load.Waiting,
+		Slots:    g.upstream.Slots,
+		Queue:    g.service.Queue,
+	}
 }
 
 // Close lets go of the backend server's connections.
--- a/link/server.go
+++ b/link/server.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// Open returns how many links are open.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
 func (s *Server) upgrade(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != Path {
 		ctx.Error("not found", fasthttp.StatusNotFound)
--- a/node/edition.go
+++ b/node/edition.go
@@ -114,16 +114,6 @@
 	}
 }
 
-// platformFault logs a failed read. The table in force stays, however long the
-// platform is away.
-func (n *Node) platformFault(err error) {
-	n.log.WithError(err).Debug("platform not read")
-	if errors.Is(err, platform.ErrStale) {
-		n.log.WithError(err).Warn("platform holds an older table than the one in force; publish above it")
-		n.metrics.Note(account.Event{At: n.clock.Now(), Kind: account.TableOlder, Reason: err.Error()})
-	}
-}
-
 // instances takes in the platform's list, which lags: it can say that a node
 // is leaving, but a node that says so itself is leaving whatever the list says.
 func (n *Node) instances(body []byte) {
--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,10 @@
 	gates   map[string]*gate.Gate
 	peers   map[string]*peer
 	leaving bool
-	listed  map[string]bool // nodes that the instance list says are leaving
+	// followers read the platform, which is away when it doesn't answer.
+	followers    []following
+	platformAway bool
+	listed       map[string]bool // nodes that the instance list says are leaving
 }
 
 // New builds a node; Run starts it.
@@ -111,7 +114,15 @@
 	}
 	n.seed = n.incarnation
 	n.keys = gate.NewKeys(n.clock.Now)
-	n.metrics = metrics.New(metrics.Config{Book: n.book, State: n})
+	n.metrics = metrics.New(metrics.Config{
+		Book:      n.book,
+		State:     n,
+		Readiness: n,
+		Platform:  n,
+		Links:     n,
+		Gates:     n,
+		Requests:  n.settings.Limits.Requests,
+	})
 	if err := n.buildPools(); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/node/services.go
+++ b/node/services.go
@@ -10,16 +10,9 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/admin"
-	"fuchsiapick.example/fuchsiapick/platform"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
 
-// Keys of the platform's values.
-const (
-	keyTable     = "table"
-	keyInstances = "instances"
-)
-
 const (
 	// callerIdle closes a caller's connection that sends nothing.
 	callerIdle = 75 * time.Second
@@ -188,54 +181,3 @@
 		return err
 	}}
 }
-
-func (n *Node) addReading(tree *suture.Supervisor) {
-	if n.settings.Platform.Address == "" {
-		return
-	}
-	reader := platform.New(platform.Config{Address: n.settings.Platform.Address, Seed: n.seed})
-	tables := platform.NewFollower(platform.FollowerConfig{
-		Source:     reader,
-		Key:        keyTable,
-		After:      n.version,
-		Deliver:    func(v platform.Value) { n.offer(v.Version, v.Body, fromPlatform) },
-		Report:     n.platformFault,
-		BackoffMax: n.settings.Platform.Poll,
-		Seed:       n.seed,
-	})
-	tree.Add(service{"table reader", func(ctx context.Context) error {
-		n.consult(ctx)
-		return tables.Serve(ctx)
-	}})
-	var seen uint64
-	tree.Add(platform.NewFollower(platform.FollowerConfig{
-		Source: reader,
-		Key:    keyInstances,
-		After:  func() uint64 { return seen },
-		Deliver: func(v platform.Value) {
-			seen = v.Version
-			n.instances(v.Body)
-		},
-		BackoffMax: n.settings.Platform.Poll,
-		Seed:       n.seed + 1,
-	}))
-}
-
-// consultTime bounds the wait for the peers that the settings name.
-const consultTime = 2 * time.Second
-
-// consult waits until a peer has said which table it has in force. A node that
-// is replaced while the platform's replica is stale would otherwise put an
-// older table in force than the one its predecessor served.
-func (n *Node) consult(ctx context.Context) {
-	if len(n.settings.Peers) == 0 {
-		return
-	}
-	timer := time.NewTimer(consultTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-n.consulted:
-	}
-}
