test(cmd): leave under load, hold the floor, with processes

Cause: leaving and floor were shown in one process, whose end closes nothing by force and whose signals are calls.

--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -157,6 +157,12 @@
 	}
 }
 
+// next VARIABLE BACKEND sets a variable to one more than the requests that a
+// backend server has begun, for ! ledger BACKEND begun=$VARIABLE later.
+func next(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strconv.Itoa(len(entriesOf(ts, args[1]))+1))
+}
+
 // calls PLATFORM MOST holds the calls that the platform has counted to a bound.
 func calls(ts *testscript.TestScript, _ bool, args []string) {
 	var got uint64
@@ -179,6 +185,16 @@
 	ts.Logf("%s", linesOf(ts, args[1], args[0]))
 }
 
+// atmost N TEXT URL checks that no more lines of an answer have the text.
+func atmost(ts *testscript.TestScript, _ bool, args []string) {
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	lines := linesOf(ts, args[2], args[1])
+	if got := strings.Count(lines, "\n"); got > most {
+		ts.Fatalf("got %d lines, want at most %d:\n%s", got, most, lines)
+	}
+}
+
 func linesOf(ts *testscript.TestScript, uri, text string) string {
 	_, body, err := fasthttp.GetTimeout(nil, uri, patience)
 	ts.Check(err)
