--- a/standin/admin.go
+++ b/standin/admin.go
@@ -85,7 +85,9 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	wait, cancel := context.WithTimeout(ctx, span.Duration())
+	// Not under the request itself: its memory is used again when it is answered,
+	// while the goroutine below may still end the wait.
+	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), span.Duration())
 	defer cancel()
 	gone, release := conn.watch()
 	defer release()
