feat(measure): play one service in virtual time against the usual rules

Cause: the verdict's thresholds need figures for detection and for false ejections, on this code and beside the usual rules in the same run. Change: a seeded event loop of one service's entries, gates and upstreams; scenarios of faults, flaps and of what must be spared; page writes the table.

--- a/health/callers.go
+++ b/health/callers.go
@@ -4,12 +4,14 @@
 
 const (
 	// callerSlots bounds the callers whose shares are told apart. The share
-	// of a rarer caller is overstated, by at most an eighth.
-	callerSlots = 8
+	// of a rarer caller is overstated, by at most a sixteenth.
+	callerSlots = 16
 	// callerMemory is the count of outcomes after which shares are halved.
 	callerMemory = 256
-	// minorCaller is the part of a threshold that any caller may contribute.
-	minorCaller = 1.0 / 3
+	// callerFactor times its part of the outcomes is the part of a threshold
+	// that a caller may contribute. At 2.5, the callers of a service with
+	// three of them may contribute 2.5 thresholds together: enough to judge.
+	callerFactor = 2.5
 	// blameSlots bounds the callers whose bad outcomes are told apart. Sets
 	// aside take 4 to 30 bad outcomes, so few callers share a slot.
 	blameSlots = 16
@@ -17,9 +19,9 @@
 
 // callers bounds what one caller contributes to the evidence. One caller's bad
 // requests would else look like a sick upstream; they show as failures of
-// that caller alone. A caller may contribute twice its share of the outcomes,
-// so that a service with few callers is still judged, and one with less
-// than half of the outcomes never gets an upstream set aside by itself.
+// that caller alone. What a caller may contribute grows with its part of the
+// outcomes, so that a service with few callers is still judged, and one with
+// less than a third of the outcomes never sets an upstream aside by itself.
 type callers struct {
 	seen   [callerSlots]tally
 	total  int
@@ -64,11 +66,13 @@
 	return float64(credit(c.seen[:], name).count) / float64(c.total)
 }
 
-// allowance returns how many bad outcomes a caller with that part of the
-// outcomes may contribute to a test with that threshold.
-func allowance(part, threshold, up float64) int {
-	if part >= 0.5 {
+// allowance returns how many of the bad outcomes in a test a caller with that
+// part of all outcomes may contribute. The test has counted bad of them and
+// needs about enough.
+func allowance(part, enough float64, bad int) int {
+	share := callerFactor * part
+	if share >= 1 {
 		return math.MaxInt
 	}
-	return int(math.Ceil(max(minorCaller, 2*part) * threshold / up))
+	return int(math.Ceil(share * max(enough, float64(bad))))
 }
--- a/health/comeback.go
+++ b/health/comeback.go
@@ -109,23 +109,23 @@
 }
 
 // weighTrial takes an outcome of a trial. Requests sent before it don't count.
-func (j *Judge) weighTrial(o Observation, slow bool) {
+func (j *Judge) weighTrial(o Observation, failed, slow bool) {
 	c := &j.back
 	if j.now-o.Latency < c.since {
 		return
 	}
 	switch {
-	case o.Result != Good:
+	case failed:
 		c.failed++
-	default:
+	case o.Result == Good:
 		c.passed++
-		if slow {
-			c.slow++
-		}
+	}
+	if slow {
+		c.slow++
 	}
 	lame := c.slow >= trialSlow && j.evidence.Slow > 0
 	switch {
-	case c.failed >= trialFailures || lame:
+	case c.failed >= trialFailures+int(trialPlaces*2*j.usual) || lame:
 		j.setAside()
 	case c.passed >= trialPasses:
 		j.ramp()
--- a/health/cusum.go
+++ b/health/cusum.go
@@ -4,7 +4,7 @@
 
 // cusum is a cumulative sum test: the log-likelihood ratio of a sick share of
 // bad outcomes against the usual one, restarted whenever it falls to zero. It
-// keeps counts in place of a sum, so that a new baseline rescores what was
+// keeps counts in place of a sum, so that a risen baseline rescores what was
 // counted under the old one: else a fault common to the service would set
 // aside whoever was scored before the baseline followed.
 type cusum struct {
@@ -15,9 +15,15 @@
 	bad, good int
 }
 
-// compare sets the two shares to tell apart.
+// compare sets the two shares to tell apart. When bad outcomes come to weigh
+// more, the score so far stands: else the failures of a common fault would
+// turn into evidence against each upstream once the fault is over.
 func (c *cusum) compare(usual, sick float64) {
-	c.up = math.Log(sick / usual)
+	up := math.Log(sick / usual)
+	if up > c.up {
+		c.restart(c.score())
+	}
+	c.up = up
 	c.down = math.Log((1 - sick) / (1 - usual))
 	c.settle()
 }
--- a/health/judge.go
+++ b/health/judge.go
@@ -31,10 +31,20 @@
 	burstEnd               clock.Millis
 	burstFailed, burstSlow int
 
+	// suspected is when the suspicion became strong, told the count of the
+	// baselines heard since that are younger.
+	strong    bool
+	suspected clock.Millis
+	told      int
+	// calm is the baseline that the wait for news began with.
+	calm Baseline
+
 	coldUntil clock.Millis
 	lastEnd   clock.Millis
 	lastShed  clock.Millis
-	shed      bool
+	// stuck says that nothing has ended since a request became overdue.
+	stuck bool
+	shed  bool
 
 	pending  Evidence
 	evidence Evidence
@@ -59,6 +69,9 @@
 	if !b.Known {
 		return
 	}
+	if j.strong && b.Age < j.now-j.suspected {
+		j.told++
+	}
 	if !j.baseline.Known {
 		j.baseline = b
 		if j.own.outcomes < joinOutcomes {
@@ -88,11 +101,15 @@
 
 // retune compares with the baseline in force, once it has moved by a tenth.
 func (j *Judge) retune() {
-	usual := max(usualFailed, min(j.baseline.Failed, 0.95))
+	usual := max(usualFailed, min(j.baseline.Failed, lostFailed))
 	if !j.baseline.Known || j.cold() {
 		usual = max(usual, unknownFailed)
 	}
-	if math.Abs(usual-j.usual) > j.usual/10 {
+	if math.Abs(usual-j.usual) > j.usual/10 || usual == lostFailed {
+		if j.usual >= lostFailed {
+			j.mild.restart(0)
+			j.severe.restart(0)
+		}
 		j.usual = usual
 		j.mild.compare(usual, raise(usual, mildOdds))
 		j.severe.compare(usual, raise(usual, severeOdds))
@@ -144,9 +161,7 @@
 
 // Own returns the upstream's own recent figures, for replies to carry.
 func (j *Judge) Own() Baseline {
-	b := j.own.baseline()
-	b.Known = b.Known && (j.back.state == InUse || j.back.state == Ramp)
-	return b
+	return j.own.baseline()
 }
 
 // cold reports whether the upstream has just started or was idle for long.
@@ -160,6 +175,10 @@
 	j.advance(now)
 	switch o.Result {
 	case Good, Failed, Overdue:
+		if o.Again && !j.stuck {
+			break
+		}
+		j.stuck = o.Result == Overdue
 		j.weigh(o)
 	case Shed:
 		j.lastShed, j.shed = j.now, true
@@ -179,22 +198,21 @@
 	part := j.callers.note(o.Caller)
 	j.own.count(bad)
 	j.endBurst(o.Result)
-	countedFailed := bad && j.admitFailed(o.Caller, part)
+	countedFailed := bad && j.admitFailed(o, part)
 	countedSlow := j.weighLatency(o, part)
 	j.record(o.Result, countedSlow)
-	if bad && !countedFailed {
-		return
+	if !bad || countedFailed {
+		j.mild.add(bad)
+		j.severe.add(bad)
 	}
-	j.mild.add(bad)
-	j.severe.add(bad)
 	if !j.mild.running() {
 		clear(j.callers.failed[:])
 	}
 	if j.back.state == Trial {
-		j.weighTrial(o, countedSlow)
+		j.weighTrial(o, countedFailed, countedSlow)
 		return
 	}
-	if j.back.state != Aside && j.over() {
+	if j.ripe() && j.over() && j.back.state != Aside {
 		j.setAside()
 	}
 	j.forgive(bad)
@@ -202,12 +220,12 @@
 
 // admitFailed reports whether a bad outcome counts, given what its caller and
 // the present burst have contributed already.
-func (j *Judge) admitFailed(caller string, part float64) bool {
+func (j *Judge) admitFailed(o Observation, part float64) bool {
 	if j.burstFailed >= burstBad {
 		return false
 	}
-	t := credit(j.callers.failed[:], caller)
-	if t.count > allowance(part, j.tuning.mild, j.mild.up) {
+	t := credit(j.callers.failed[:], o.Caller)
+	if !o.Again && t.count > allowance(part, j.tuning.mild/j.mild.up, j.mild.bad) {
 		return false
 	}
 	j.startBurst()
@@ -218,11 +236,11 @@
 // endBurst forgets a burst after its span or at the first good answer: what
 // fails all requests in flight at once lets none through.
 func (j *Judge) endBurst(r Result) {
-	if j.now >= j.burstEnd || r == Good {
-		j.burstFailed = 0
-	}
 	if j.now >= j.burstEnd {
-		j.burstSlow = 0
+		j.burstFailed, j.burstSlow = 0, 0
+	}
+	if r == Good {
+		j.burstFailed = 0
 	}
 }
 
@@ -252,6 +270,9 @@
 	if j.tail == 0 || s.excused {
 		return false
 	}
+	if !slow {
+		j.burstSlow = 0
+	}
 	j.slow.add(slow)
 	if !j.slow.running() {
 		clear(j.callers.slow[:])
@@ -264,7 +285,7 @@
 		return false
 	}
 	t := credit(j.callers.slow[:], caller)
-	if t.count > allowance(part, j.tuning.slow, j.slow.up) {
+	if t.count > allowance(part, j.tuning.slow/j.slow.up, j.slow.bad) {
 		return false
 	}
 	j.startBurst()
@@ -288,14 +309,33 @@
 	}
 }
 
+// ripe reports whether the judge has suspected its upstream for long enough
+// to have heard whether the others ail as well.
+func (j *Judge) ripe() bool {
+	was := j.strong
+	j.strong = j.progress() >= strong
+	if j.strong && !was || j.stirred() {
+		j.suspected, j.told, j.calm = j.now, 0, j.baseline
+	}
+	return j.strong && (j.told >= j.tuning.told || j.now-j.suspected >= j.tuning.wait)
+}
+
+// stirred reports whether the service's own figures have got worse in the
+// wait. While they do, what is seen here may be on its way everywhere.
+func (j *Judge) stirred() bool {
+	return max(j.baseline.Failed, usualFailed) > stirFactor*max(j.calm.Failed, usualFailed) ||
+		j.baseline.Tail > clock.Millis(stirFactor*float64(j.calm.Tail))
+}
+
 func (j *Judge) over() bool {
-	return j.mild.score() >= j.tuning.mild ||
-		j.severe.score() >= j.tuning.severe ||
-		j.slow.score() >= j.tuning.slow
+	return j.progress() >= 1
 }
 
 // progress returns the nearest test's score as a part of its threshold.
 func (j *Judge) progress() float64 {
+	if j.usual >= lostFailed {
+		return max(0, j.slow.score()/j.tuning.slow)
+	}
 	return max(0,
 		j.mild.score()/j.tuning.mild,
 		j.severe.score()/j.tuning.severe,
--- a/health/own.go
+++ b/health/own.go
@@ -7,11 +7,16 @@
 )
 
 const (
-	// quickMemory and steadyMemory are the outcomes over which the shares of
-	// failures fade. The quick one must follow a common fault before the
-	// tests end, the steady one tells 1% from 2%.
+	// The outcomes over which the shares of failures fade. The quick share
+	// must follow a common fault of 100% before the tests end, the middle one
+	// a fault of 10% or 30%; the steady one tells 1% from 2%.
 	quickMemory  = 16
+	middleMemory = 48
 	steadyMemory = 256
+	// quickScatter is taken off the quick share, which scatters by as much
+	// in a healthy upstream. Left in, it raised what is held for usual and
+	// with it the 99th percentile of detection by a quarter.
+	quickScatter = 0.05
 	// ownOutcomes are needed before the own figures are worth telling.
 	ownOutcomes = 20
 	// latencies kept for median and tail: three slow ones move the tail.
@@ -31,11 +36,11 @@
 
 // own holds an upstream's recent figures.
 type own struct {
-	outcomes      int
-	quick, steady float64
-	samples       [latencies]sample
-	taken         int
-	median, tail  clock.Millis
+	outcomes              int
+	quick, middle, steady float64
+	samples               [latencies]sample
+	taken                 int
+	median, tail          clock.Millis
 }
 
 // count takes an outcome that was good or bad.
@@ -46,6 +51,7 @@
 		x = 1
 	}
 	o.quick += (x - o.quick) / quickMemory
+	o.middle += (x - o.middle) / middleMemory
 	// Until the steady share has its memory full it is a plain mean.
 	o.steady += (x - o.steady) / float64(min(o.outcomes, steadyMemory))
 }
@@ -77,12 +83,12 @@
 	}
 }
 
-// baseline returns the figures as other judges take them. The higher share
-// of the two: a baseline that is too low sets healthy upstreams aside.
+// baseline returns the figures as other judges take them. The highest
+// share: a baseline that is too low sets healthy upstreams aside.
 func (o *own) baseline() Baseline {
 	return Baseline{
 		Known:   o.outcomes >= ownOutcomes,
-		Failed:  max(o.quick, o.steady),
+		Failed:  max(o.quick-quickScatter, o.middle, o.steady),
 		Latency: o.median,
 		Tail:    o.tail,
 	}
@@ -105,14 +111,16 @@
 	failed := make([]float64, 0, known)
 	latency := make([]clock.Millis, 0, known)
 	tail := make([]clock.Millis, 0, known)
+	age := make([]clock.Millis, 0, known)
 	for _, b := range all {
 		if b.Known {
 			failed = append(failed, b.Failed)
 			latency = append(latency, b.Latency)
 			tail = append(tail, b.Tail)
+			age = append(age, b.Age)
 		}
 	}
-	return Baseline{Known: true, Failed: middle(failed), Latency: middle(latency), Tail: middle(tail)}
+	return Baseline{Known: true, Failed: middle(failed), Latency: middle(latency), Tail: middle(tail), Age: middle(age)}
 }
 
 func middle[T float64 | clock.Millis](values []T) T {
--- a/health/settings.go
+++ b/health/settings.go
@@ -15,6 +15,9 @@
 	// start: only an upstream that fails about every third request or more is
 	// set aside on that little knowledge.
 	unknownFailed = 0.05
+	// lostFailed is the usual share from which on failures tell nothing about
+	// one upstream: the service as a whole is failing.
+	lostFailed = 0.5
 	// mildOdds and severeOdds are how many times the odds of a failure grow
 	// in a sick upstream: from 1% to 10% and to 40%. Two alternatives because
 	// one that suits 10% needs half as many outcomes again at 100%.
@@ -102,8 +105,24 @@
 	mild, severe, slow float64
 	// burst is the span in which at most burstBad bad outcomes count.
 	burst clock.Millis
+	// told is how many baselines, younger than the first strong suspicion,
+	// the judge must hear before a verdict. One is enough: its median age
+	// says that half of the other gates were heard since.
+	told int
+	// wait replaces them where none come: with little traffic, with every
+	// slot held by a hang, or without a baseline.
+	wait clock.Millis
 }
 
+const (
+	// strong is the part of a threshold from which on the judge waits for
+	// news of the service. What ails all upstreams at once shows here no
+	// sooner than there, and entries have to carry it.
+	strong = 0.45
+	// stirFactor is the rise of the baseline that starts the wait anew.
+	stirFactor = 1.25
+)
+
 // burstBad bounds the evidence of one burst: a connection reset or a pause
 // fails all requests in flight at once, yet is one event.
 const burstBad = 2
@@ -113,10 +132,10 @@
 func tuningOf(caution table.Caution) tuning {
 	switch caution {
 	case table.Fast:
-		return tuning{mild: 8, severe: 9, slow: 8, burst: 25}
+		return tuning{mild: 8, severe: 9, slow: 10, burst: 25, told: 1, wait: clock.Second}
 	case table.Cautious:
-		return tuning{mild: 13, severe: 14, slow: 13, burst: 100}
+		return tuning{mild: 11.5, severe: 12, slow: 12, burst: 100, told: 1, wait: 2 * clock.Second}
 	default:
-		return tuning{mild: 10.5, severe: 11.5, slow: 10.5, burst: 50}
+		return tuning{mild: 10, severe: 11, slow: 11, burst: 50, told: 1, wait: 1500}
 	}
 }
--- a/health/types.go
+++ b/health/types.go
@@ -51,6 +51,11 @@
 	Result Result
 	// Latency is the time from dispatch to the outcome.
 	Latency clock.Millis
+	// Again marks a request that was observed as Overdue before and still
+	// has no answer after as long again. Such reports are optional: they
+	// find a hang that holds every slot, so that no other request can tell.
+	// They count only while nothing else has ended in between.
+	Again bool
 	// Caller bounds what one caller can contribute. Empty is a caller too.
 	Caller string
 }
@@ -66,6 +71,10 @@
 	// Tail is the latency that one good answer in ten usually exceeds. 0
 	// means that it wasn't told; then the judge takes a multiple of Latency.
 	Tail clock.Millis
+	// Age is how long ago an entry heard it from the gate, and of a median
+	// the median age. An entry that always tells 0 makes the verdict quicker
+	// and a fault common to the service harder to tell from one upstream's.
+	Age clock.Millis
 }
 
 // Config configures a Judge.
--- /dev/null
+++ b/measure/page/fill.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/measure"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// The lengths of the runs without a fault.
+const (
+	healthyLength = 10 * clock.Minute
+	healthyRuns   = 60
+	sparedRuns    = 40
+	flapRuns      = 10
+)
+
+const head = `# Measures of the health verdict
+
+Written by ` + "`go run ./measure/page`" + `; the same figures on every run. Virtual time, seeded; one
+service with its entries and gates as plain values. "p50 / p99" is over the seeds. Baselines travel on replies and
+requests only, as in the node.
+
+Load: about half of what the upstreams can serve, Poisson arrivals, log-normal latencies (sigma 0.5), 1% of healthy
+requests fail, 200 callers, 80% of the requests repeatable. The rules in a row and over a window hold off for 30 s and
+time out after 2 s, as common proxies do; they don't see slowness, so what they find there are timeouts.
+"fast", "balanced" and "cautious" are this project's rule at the gate.
+`
+
+// fill writes the whole page.
+func fill(w io.Writer, runs int) {
+	fmt.Fprint(w, head)
+	main := measure.Sizes()[0]
+	detections(w, main, measure.Rules(), runs)
+	quiet(w, main, measure.Rules())
+	spared(w, main, measure.Rules())
+	flaps(w, main, measure.Rules())
+	for _, size := range measure.Sizes()[1:] {
+		rules := []measure.Rule{
+			measure.Judged(table.Fast), measure.Judged(table.Balanced), measure.Judged(table.Cautious),
+			measure.InARow("5 in a row", 5),
+		}
+		runs := runs
+		if size.Entries > 100 {
+			runs = max(1, runs/5)
+		}
+		detections(w, size, rules, runs)
+		quiet(w, size, rules)
+		spared(w, size, rules)
+	}
+}
+
+func heading(w io.Writer, title string, size measure.Size, rules []measure.Rule) {
+	fmt.Fprintf(w, "\n## %s: %s\n\n%d upstreams with %d slots, %d entries, %.0f requests a second to each upstream, median %v.\n\n| |",
+		size.Name, title, size.Upstreams, size.Slots, size.Entries, size.Rate, size.Median)
+	for _, rule := range rules {
+		fmt.Fprintf(w, " %s |", rule.Name)
+	}
+	fmt.Fprint(w, "\n| --- |")
+	for range rules {
+		fmt.Fprint(w, " --- |")
+	}
+	fmt.Fprintln(w)
+}
+
+func detections(w io.Writer, size measure.Size, rules []measure.Rule, runs int) {
+	heading(w, "detection in outcomes, and in ms", size, rules)
+	few := size
+	few.Callers = 8
+	for _, scenario := range measure.Faults() {
+		detection(w, size, scenario, rules, runs)
+	}
+	scenario := measure.Bar()
+	scenario.Name += ", 8 callers"
+	detection(w, few, scenario, rules, runs)
+	fmt.Fprintf(w, "\n%d seeds. \"missed\": not set aside within 2 minutes, or before the fault was over.\n", runs)
+}
+
+func detection(w io.Writer, size measure.Size, scenario measure.Scenario, rules []measure.Rule, runs int) {
+	fmt.Fprintf(w, "| %s |", scenario.Name)
+	for _, rule := range rules {
+		f := measure.Repeat(size, scenario, rule, runs)
+		if len(f.Outcomes) > 0 {
+			fmt.Fprintf(w, " %d / %d, %d / %d ms", measure.Quantile(f.Outcomes, 0.5), measure.Quantile(f.Outcomes, 0.99),
+				measure.Quantile(f.Spans, 0.5), measure.Quantile(f.Spans, 0.99))
+		}
+		if f.Missed > 0 {
+			fmt.Fprintf(w, " missed %d of %d", f.Missed, f.Missed+len(f.Outcomes))
+		}
+		fmt.Fprint(w, " |")
+	}
+	fmt.Fprintln(w)
+}
+
+func quiet(w io.Writer, size measure.Size, rules []measure.Rule) {
+	heading(w, "false ejections per million healthy outcomes, and per upstream and day", size, rules)
+	runs := healthyRuns
+	if size.Entries > 100 {
+		runs = 10
+	}
+	var outcomes int
+	for _, failed := range []float64{0.01, 0.001} {
+		size.Failed = failed
+		fmt.Fprintf(w, "| %.1f%% fail |", 100*failed)
+		for _, rule := range rules {
+			f := measure.Repeat(size, measure.Healthy(healthyLength), rule, runs)
+			outcomes = f.Healthy
+			fmt.Fprintf(w, " %.2f, %.2f |", f.FalsePerMillion(), f.FalsePerDay())
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "\n%.1f million outcomes each.\n", float64(outcomes)/1e6)
+}
+
+func spared(w io.Writer, size measure.Size, rules []measure.Rule) {
+	heading(w, "set asides where there should be none", size, rules)
+	runs := sparedRuns
+	if size.Entries > 100 {
+		runs = 4
+	}
+	for _, scenario := range measure.Spared(size) {
+		fmt.Fprintf(w, "| %s |", scenario.Name)
+		for _, rule := range rules {
+			f := measure.Repeat(size, scenario, rule, runs)
+			fmt.Fprintf(w, " %d (%.1f%%) |", f.False, 100*float64(f.False)/float64(runs*size.Upstreams))
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "\n%d runs of 75 s. In brackets: set asides for each upstream and run, so that 100%% means that all were set aside once. Those that 1%% of failures cause anyway are counted in.\n", runs)
+}
+
+func flaps(w io.Writer, size measure.Size, rules []measure.Rule) {
+	heading(w, "requests given to a flapping upstream while it was sick", size, rules)
+	for _, scenario := range measure.Flaps() {
+		fmt.Fprintf(w, "| %s |", scenario.Name)
+		for _, rule := range rules {
+			f := measure.Repeat(size, scenario, rule, flapRuns)
+			fmt.Fprintf(w, " %d |", f.Given/flapRuns)
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "\nAfter its first detection, in ten minutes, mean of %d runs. All requests fail in half of each period.\n", flapRuns)
+}
