feat(capacity): measure an edition that is relayed twice

Cause: each peer that is ahead is asked, and each sends its whole text. Change: a running node takes the edition in force once more.

--- a/capacity/whole.go
+++ b/capacity/whole.go
@@ -23,29 +23,49 @@
 			Role: "node", Name: "without callers or other nodes, held", Unit: unitBytes, Against: "nodes in the table, two upstreams each",
 			Sizes: nodeCounts(), Target: Nodes,
 			Cost: func(n int) (float64, error) {
-				return alone(n, func(before int64) (float64, error) { return float64(inUse() - before), nil })
+				return alone(n, 2*n, func(s subject) (float64, error) { return float64(inUse() - s.before), nil })
 			},
 		},
 		{
 			Role: "node", Name: "without callers or other nodes, goroutines", Unit: unitCount, Against: "nodes in the table, two upstreams each",
 			Sizes: nodeCounts(), Target: Nodes,
 			Cost: func(n int) (float64, error) {
-				return alone(n, func(int64) (float64, error) { return float64(runtime.NumGoroutine()), nil })
+				return alone(n, 2*n, func(subject) (float64, error) { return float64(runtime.NumGoroutine()), nil })
 			},
 		},
 		{
 			Role: "node", Name: "without callers or other nodes, a second", Unit: unitMicros, Against: "nodes in the table, two upstreams each",
 			Sizes: nodeCounts(), Target: Nodes,
 			Cost: func(n int) (float64, error) {
-				return alone(n, func(int64) (float64, error) {
+				return alone(n, 2*n, func(subject) (float64, error) {
 					used, err := once(func() error { wait(aloneTime); return nil })
 					return used / aloneTime.Seconds(), err
 				})
 			},
 		},
+		{
+			Role: "node", Name: "edition in force, relayed once more", Unit: unitMicros, Against: "upstreams",
+			Sizes: upstreams(5, 20, 50, 100), Target: Upstreams,
+			Cost: func(n int) (float64, error) {
+				return alone(fewNodes, n, func(s subject) (float64, error) {
+					return spent(func() error { s.node.Edition("", s.edition); return nil })
+				})
+			},
+		},
 	}
 }
 
+// subject is what alone measures.
+type subject struct {
+	node    *node.Node
+	edition *wire.Edition
+	// before is the memory in use before the node was made.
+	before int64
+}
+
+// fewNodes keep peers out of what is measured.
+const fewNodes = 10
+
 const (
 	// aloneStart is left out: the table is parsed and every node dialled once.
 	aloneStart = time.Second
@@ -76,14 +96,14 @@
 `
 
 // alone runs a node whose table names others that refuse connections, and
-// measures it. The cost gets the heap in use before the node was made.
-func alone(nodes int, cost func(before int64) (float64, error)) (float64, error) {
+// measures it.
+func alone(nodes, upstreams int, cost func(s subject) (float64, error)) (float64, error) {
 	settle()
 	s, err := settings.Parse([]byte(aloneSettings))
 	if err != nil {
 		return 0, errors.Annotate(err, "settings of the node")
 	}
-	text := []byte(aloneTable(nodes))
+	text := []byte(aloneTable(nodes, upstreams))
 	if _, err := table.Parse(text); err != nil {
 		return 0, errors.Annotate(err, "the node's table")
 	}
@@ -103,19 +123,20 @@
 		<-ended
 	}()
 	wait(aloneStart) // Run makes the supervisor that the table's peers need
-	n.Edition("", &wire.Edition{Version: 1, Text: text})
+	edition := &wire.Edition{Version: 1, Text: text}
+	n.Edition("", edition)
 	if n.Version() == 0 {
 		return 0, errors.New("the table was not put in force")
 	}
 	wait(aloneStart)
-	return cost(before)
+	return cost(subject{node: n, edition: edition, before: before})
 }
 
-// aloneTable names the node itself and others, two upstreams beside each.
-func aloneTable(nodes int) string {
+// aloneTable names the node itself and others, the upstreams spread over them.
+func aloneTable(nodes, upstreams int) string {
 	var b strings.Builder
 	b.WriteString("format = 1\nversion = 1\n")
-	for i := range 2 * nodes {
+	for i := range upstreams {
 		if i%perService == 0 {
 			fmt.Fprintf(&b, "[[service]]\nname = \"service-%d\"\n", i/perService)
 		}
