--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -73,8 +73,8 @@
 		"Nodes that this one may dial.", nil, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
 		"Open links by who opened them.", []string{"direction"}, nil)
-	verdictDesc = prometheus.NewDesc(namespace+"_gate_state",
-		"1 for the verdict of the gate itself on its upstream.", []string{"service", "upstream", "state"}, nil)
+	verdictDesc = prometheus.NewDesc(namespace+"_gate_verdict",
+		"1 for the verdict of the gate itself on its upstream, or leaving.", []string{"service", "upstream", "verdict"}, nil)
 	slotsDesc = prometheus.NewDesc(namespace+"_gate_requests",
 		"Requests at a gate that run or wait.", []string{"service", "upstream", "place"}, nil)
 	roomDesc = prometheus.NewDesc(namespace+"_gate_bound",
@@ -145,15 +145,15 @@
 }
 
 func collectGate(out chan<- prometheus.Metric, g *GateState) {
-	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.state())
+	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.verdict())
 	out <- gauge(slotsDesc, float64(g.Running), g.Service, g.Upstream, placeSlot)
 	out <- gauge(slotsDesc, float64(g.Waiting), g.Service, g.Upstream, placeQueue)
 	out <- gauge(roomDesc, float64(g.Slots), g.Service, g.Upstream, placeSlot)
 	out <- gauge(roomDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
 }
 
-// state writes the verdict as the report does.
-func (g *GateState) state() string {
+// verdict writes what the gate says as the report does.
+func (g *GateState) verdict() string {
 	if g.Leaving {
 		return account.StateLeaving
 	}
