--- a/health/own.go
+++ b/health/own.go
@@ -100,30 +100,36 @@
 // half of the upstreams may be sick without their becoming the usual.
 func Median(all []Baseline) Baseline {
 	var known int
-	for _, b := range all {
-		if b.Known {
+	for i := range all {
+		if all[i].Known {
 			known++
 		}
 	}
 	if known < 2 || 2*known < len(all) {
 		return Baseline{}
 	}
-	failed := make([]float64, 0, known)
-	latency := make([]clock.Millis, 0, known)
-	tail := make([]clock.Millis, 0, known)
-	age := make([]clock.Millis, 0, known)
-	for _, b := range all {
-		if b.Known {
-			failed = append(failed, b.Failed)
-			latency = append(latency, b.Latency)
-			tail = append(tail, b.Tail)
-			age = append(age, b.Age)
-		}
+	var shares [medianRoom]float64
+	var spans [medianRoom]clock.Millis
+	return Baseline{
+		Known:   true,
+		Failed:  middle(all, shares[:0], func(b *Baseline) float64 { return b.Failed }),
+		Latency: middle(all, spans[:0], func(b *Baseline) clock.Millis { return b.Latency }),
+		Tail:    middle(all, spans[:0], func(b *Baseline) clock.Millis { return b.Tail }),
+		Age:     middle(all, spans[:0], func(b *Baseline) clock.Millis { return b.Age }),
 	}
-	return Baseline{Known: true, Failed: middle(failed), Latency: middle(latency), Tail: middle(tail), Age: middle(age)}
 }
 
-func middle[T float64 | clock.Millis](values []T) T {
+// medianRoom is the number of gates up to which Median needs no memory but the
+// stack's: it runs once for each request.
+const medianRoom = 64
+
+// middle returns the lower median of a figure of the known ones.
+func middle[T float64 | clock.Millis](all []Baseline, values []T, figure func(*Baseline) T) T {
+	for i := range all {
+		if all[i].Known {
+			values = append(values, figure(&all[i]))
+		}
+	}
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -54,10 +54,12 @@
 }
 
 // Rule makes verdicts. AtEntry has each entry judge for itself by the answers
-// to its own requests, in place of one verdict at the gate.
+// to its own requests, in place of one verdict at the gate. Learns says that
+// it wants the service's baseline, which entries tell to gates only.
 type Rule struct {
 	Name    string
 	AtEntry bool
+	Learns  bool
 	New     func(seed uint64) Verdict
 }
 
