--- a/fleet/resend_test.go
+++ b/fleet/resend_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -100,7 +101,12 @@
 // links to each other and are older than any key of the test.
 func keyed(t *testing.T, upstreams int) (f *fleet.Fleet, far *fleet.Member) {
 	t.Helper()
-	f = start(t, fleet.Config{Table: deployment(upstreams), Service: 5, Relays: true, KeyMargin: 1})
+	return keyedTable(t, deployment(upstreams))
+}
+
+func keyedTable(t *testing.T, c *table.Table) (f *fleet.Fleet, far *fleet.Member) {
+	t.Helper()
+	f = start(t, fleet.Config{Table: c, Service: 5, Relays: true, KeyMargin: 1})
 	far, err := f.AddMember(t.Context(), "far", "catania")
 	if err != nil {
 		t.Fatal(err)
@@ -338,6 +344,22 @@
 	}
 }
 
+// The link goes silent for good after a confirmation ran. The question of the
+// resend is lost on it; a new link works, and the question must go out there in
+// time for the caller to get its answer with this very resend.
+func TestResendOverSilentLink(t *testing.T) {
+	c := deployment(1)
+	c.Services[0].Deadline = 10 * clock.Second
+	f, far := keyedTable(t, c)
+	o := newOperation("turno-14")
+	first := o.send(t, far.Caller)
+	f.Members[0].Relay.SetMode(standin.SilentOld)
+	if got := o.resend(t, far.Caller); got.replay != "true" || got.body != first.body {
+		t.Errorf("got %v, replay %q; want the first answer", got, got.replay)
+	}
+	wantRuns(t, f, 1)
+}
+
 // A caller lost its first send before it reached any node, and resends through
 // two nodes at once. One of them runs; both get its answer in the end.
 func TestTwoResendsAtOnceRunOnce(t *testing.T) {
