--- a/fleet/resend_test.go
+++ b/fleet/resend_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -56,10 +57,13 @@
 
 // settle resends until the operation is served.
 func (o *operation) settle(t *testing.T, address string) (got outcome) {
-	until(t, "served resend", func() bool {
-		got = o.resend(t, address)
-		return got.outcome == "served"
-	})
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if got = o.resend(t, address); got.outcome == "served" {
+			return got
+		}
+	}
+	t.Errorf("resending %s: got %v for %s, want served", o.key, got, patience)
 	return got
 }
 
@@ -97,7 +101,12 @@
 // links to each other and are older than any key of the test.
 func keyed(t *testing.T, upstreams int) (f *fleet.Fleet, far *fleet.Member) {
 	t.Helper()
-	f = start(t, fleet.Config{Table: deployment(upstreams), Service: 5, Relays: true, KeyMargin: 1})
+	return keyedTable(t, deployment(upstreams))
+}
+
+func keyedTable(t *testing.T, c *table.Table) (f *fleet.Fleet, far *fleet.Member) {
+	t.Helper()
+	f = start(t, fleet.Config{Table: c, Service: 5, Relays: true, KeyMargin: 1})
 	far, err := f.AddMember(t.Context(), "far", "catania")
 	if err != nil {
 		t.Fatal(err)
@@ -334,6 +343,22 @@
 	}
 }
 
+// The link goes silent for good after a confirmation ran. The question of the
+// resend is lost on it; a new link works, and the question must go out there in
+// time for the caller to get its answer with this very resend.
+func TestResendOverSilentLink(t *testing.T) {
+	c := deployment(1)
+	c.Services[0].Deadline = 10 * clock.Second
+	f, far := keyedTable(t, c)
+	o := newOperation("turno-14")
+	first := o.send(t, far.Caller)
+	f.Members[0].Relay.SetMode(standin.SilentOld)
+	if got := o.resend(t, far.Caller); got.replay != "true" || got.body != first.body {
+		t.Errorf("got %v, replay %q; want the first answer", got, got.replay)
+	}
+	wantRuns(t, f, 1)
+}
+
 // A caller lost its first send before it reached any node, and resends through
 // two nodes at once. One of them runs; both get its answer in the end.
 func TestTwoResendsAtOnceRunOnce(t *testing.T) {
@@ -348,8 +373,8 @@
 			group.Go(func() { bodies[j] = own.settle(t, m.Caller).body })
 		}
 		group.Wait()
-		if bodies[0] != bodies[1] {
-			t.Errorf("got answers %q and %q, want one", bodies[0], bodies[1])
+		if bodies[0] != bodies[1] || t.Failed() {
+			t.Fatalf("got answers %q and %q, want one", bodies[0], bodies[1])
 		}
 	}
 	wantRuns(t, f, rounds)
