fix(capacity): let the measure before end before memory is read

Cause: TestSlopesHold failed in 11 of 50 runs, two at a time on a busy machine: 2,161 B for a peer without a link in place of 1,652. Links of the measure before were still let go of while the first size was read, which bends the line. Change: measures with links wait for their goroutines to end; live memory is read when two collections agree, not after a fixed two. The bound stays at a fifth; widening it was ruled out, since it would hide what it is for.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -79,7 +79,7 @@
 			}
 			const margin = 1.2
 			if got := r.Line.Slope; got > margin*tt.want {
-				t.Errorf("got %.4g %s for each of %s, want at most %.1f times %.4g", got, r.Unit, tt.against, margin, tt.want)
+				t.Errorf("got %.4g %s for each of %s, want at most %.1f times %.4g; points %v", got, r.Unit, tt.against, margin, tt.want, r.Points)
 			}
 		})
 	}
--- a/capacity/links.go
+++ b/capacity/links.go
@@ -74,6 +74,7 @@
 // withLinks measures while links are open that beat no more than once.
 func withLinks(n int, cost func(a *acceptor, open func() error) (float64, error)) (float64, error) {
 	settle()
+	defer settle()
 	a, err := accept(clock.Hour, newEnd(0))
 	if err != nil {
 		return 0, err
@@ -148,6 +149,7 @@
 // links.
 func beating(n, upstreams int) (micros, bytes float64, err error) {
 	settle()
+	defer settle()
 	handler := newEnd(upstreams)
 	a, err := accept(interval, handler)
 	if err != nil {
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -77,13 +77,26 @@
 	return float64(after - before), nil
 }
 
+// inUse returns the bytes of live heap and stacks. Finalizers and pools let go
+// of theirs one collection after another; what was left to them by the measure
+// before would be taken from the next one.
 func inUse() int64 {
-	// Twice: what finalizers and pools let go shows after the second.
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc + stats.StackInuse)
+	const (
+		steady = 1 << 10
+		most   = 20
+	)
+	last := int64(0)
+	for range most {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		now := int64(stats.HeapAlloc + stats.StackInuse)
+		if now > last-steady && now < last+steady {
+			return now
+		}
+		last = now
+	}
+	return last
 }
 
 // once returns the processor time of work in microseconds.
--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -78,6 +78,7 @@
 func idleSpent(n int) (float64, error) {
 	// A tick asks for the time once, and a heartbeat that isn't sent does too.
 	settle()
+	defer settle()
 	c := &idleClock{want: int64(n * (ticks + 1) * intervals), done: make(chan struct{})}
 	peers := distant(n, c.now)
 	c.made.Store(true)
@@ -90,6 +91,8 @@
 // needless counts the links that peers open within some beat intervals though
 // nothing is sent and nobody woke them. One that was woken measures the time.
 func needless(n int) (float64, error) {
+	settle()
+	defer settle()
 	a, err := accept(interval, newEnd(0))
 	if err != nil {
 		return 0, err
--- a/capacity/whole.go
+++ b/capacity/whole.go
@@ -99,6 +99,7 @@
 // measures it.
 func alone(nodes, upstreams int, cost func(s subject) (float64, error)) (float64, error) {
 	settle()
+	defer settle()
 	s, err := settings.Parse([]byte(aloneSettings))
 	if err != nil {
 		return 0, errors.Annotate(err, "settings of the node")
