fix(retry): charge only retries that cost upstream work

A backend server that is gone refuses at once, is chosen often until its verdict, and used the budget up. Ruled out: a larger burst, which every entry would add to a service that fails for load. The property of the budget holds over the retries that cost.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -128,12 +128,22 @@
 func (b *Budget) Decide(now clock.Millis, a Attempt) Decision {
 	why := b.against(now, a)
 	if why == "" {
-		b.tokens--
+		if a.costs() {
+			b.tokens--
+		}
 		return Decision{Retry: true}
 	}
 	return Decision{Why: why, RetryAfter: b.retryAfter(now, why, a.RetryAfter)}
 }
 
+// costs reports whether the attempt took work from an upstream or met a full
+// one. One that was refused otherwise (set aside, leaving, connection refused)
+// took none: sending it on doesn't multiply load, and to hold it back would lose
+// a request that other upstreams have room for.
+func (a Attempt) costs() bool {
+	return a.Result != NotRun || a.ForLoad
+}
+
 // against returns the reason not to send the request again, "" if there is
 // none.
 func (b *Budget) against(now clock.Millis, a Attempt) Reason {
@@ -148,7 +158,7 @@
 		return NoTime
 	case b.pressure.full(now):
 		return ServiceFull
-	case b.tokens < 1:
+	case a.costs() && b.tokens < 1:
 		return NoBudget
 	default:
 		return ""
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -19,9 +19,9 @@
 	}
 }
 
-// attempt is one that may be made again; cases change it.
+// attempt is one refused for load that may be made again; cases change it.
 func attempt(change func(a *retry.Attempt)) retry.Attempt {
-	a := retry.Attempt{Tried: 1, Remaining: clock.Second, Untried: 5}
+	a := retry.Attempt{ForLoad: true, Tried: 1, Remaining: clock.Second, Untried: 5}
 	if change != nil {
 		change(&a)
 	}
@@ -34,8 +34,8 @@
 		change func(a *retry.Attempt)
 		want   retry.Reason
 	}{
-		{"not run", nil, ""},
-		{"not run for load", func(a *retry.Attempt) { a.ForLoad = true }, ""},
+		{"not run", func(a *retry.Attempt) { a.ForLoad = false }, ""},
+		{"not run for load", nil, ""},
 		{"failed", func(a *retry.Attempt) { a.Result = retry.Failed }, retry.NotRepeatable},
 		{"silent", func(a *retry.Attempt) { a.Result = retry.Silent }, retry.NotRepeatable},
 		{"silent, repeatable", func(a *retry.Attempt) { a.Result, a.Repeatable = retry.Silent, true }, ""},
@@ -134,6 +134,20 @@
 	}
 }
 
+// One of three backend servers is gone and refuses connections at once, so that
+// it seems idle and is chosen often. Its verdict is some outcomes away, and the
+// budget is spent: confirmations must go to the others, which have room.
+func TestRefusalWithoutCostIsSentOn(t *testing.T) {
+	b := retry.New(retry.Config{Share: 0.1})
+	spend(b, 0)
+	if got := b.Decide(0, attempt(nil)).Why; got != retry.NoBudget {
+		t.Errorf("for load: got %q, want %q", got, retry.NoBudget)
+	}
+	if got := b.Decide(0, attempt(func(a *retry.Attempt) { a.ForLoad = false })); !got.Retry {
+		t.Errorf("connection refused: got %+v, want a retry", got)
+	}
+}
+
 func TestRetryAfterIsComputed(t *testing.T) {
 	b, now := retry.New(retry.Config{Share: 0.1}), clock.Millis(0)
 	spend(b, now)
