--- a/account/reason.go
+++ b/account/reason.go
@@ -34,6 +34,9 @@
 	ReasonUnreachable = "unreachable"
 	// ReasonShutdown means that the node was shutting down.
 	ReasonShutdown = "shutting-down"
+	// ReasonKeyReused means that the idempotency key was used for another
+	// request.
+	ReasonKeyReused = "key-reused"
 	// ReasonUpstreamError means that the upstream answered with a 5xx. Close
 	// sets it for a request that was served so.
 	ReasonUpstreamError = "upstream-error"
@@ -45,6 +48,7 @@
 // could not have done better.
 var faultsOfCallers = []string{
 	ReasonCallerLimit, ReasonCallerFault, ReasonCallerGone, ReasonNoRoute, ReasonBodyTooLarge,
+	ReasonKeyReused,
 }
 
 // FaultOfCaller tells whether a request refused for the reason was refused by
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,8 @@
 	Table *table.Table
 	// Service is the time that a backend server takes for a request.
 	Service clock.Millis
+	// Gateways puts a relay between each node and the platform, to cut it.
+	Gateways bool
 	// Relays puts a relay before each node's link address, to cut it.
 	Relays bool
 	// Adjust may change a node's settings before it starts.
@@ -44,6 +46,8 @@
 	Admin  string
 	Link   string
 	Relay  *standin.Relay // nil without relays
+	// Gateway is the way to the platform; nil without gateways.
+	Gateway *standin.Relay
 
 	domain string
 	ports  settings.Listen
@@ -189,6 +193,13 @@
 	}
 	s.Node, s.Domain, s.Listen.Announce = m.Name, domain, m.Link
 	s.Platform.Address = f.Platform.Address()
+	if f.config.Gateways {
+		m.Gateway, err = standin.StartRelay(ctx, standin.RelayConfig{Address: loopback, Target: f.Platform.Address()})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.Platform.Address = m.Gateway.Address()
+	}
 	if f.config.Adjust != nil {
 		f.config.Adjust(s)
 	}
@@ -267,8 +278,10 @@
 	}
 	for _, m := range f.Members {
 		<-m.done
-		if m.Relay != nil {
-			m.Relay.Close()
+		for _, r := range []*standin.Relay{m.Relay, m.Gateway} {
+			if r != nil {
+				r.Close()
+			}
 		}
 	}
 	for _, b := range f.Backends {
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"hash/maphash"
 	"sync"
 
 	"github.com/juju/errors"
@@ -87,6 +88,7 @@
 	leaving bool
 	// followers read the platform, which is away when it doesn't answer.
 	followers    []following
+	order        maphash.Seed // of neighbours
 	platformAway bool
 	listed       map[string]bool // nodes that the instance list says are leaving
 }
@@ -106,6 +108,7 @@
 		gates:       map[string]*gate.Gate{},
 		peers:       map[string]*peer{},
 		listed:      map[string]bool{},
+		order:       maphash.MakeSeed(),
 		book: account.New(account.Config{
 			Records: c.Settings.Limits.Records,
 			Events:  eventsKept,
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"hash/maphash"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// neighbours is how many peers a node that is cut from the platform keeps
+	// links to: with a third of the fleet cut likewise, 1 in 27 nodes has only
+	// such neighbours, and the neighbours of these have others.
+	neighbours = 3
+	// relayEvery is how often it looks whether it is cut off.
+	relayEvery = time.Second
+)
+
+// relay keeps links to a few peers while the platform doesn't answer. A node
+// that no caller uses would otherwise have none, and hear of no edit until the
+// platform is back.
+func (n *Node) relay(ctx context.Context) error {
+	ticker := time.NewTicker(relayEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-ticker.C:
+		}
+		for _, p := range n.neighbours() {
+			p.link.Keep()
+		}
+	}
+}
+
+// neighbours returns the peers to keep links to, none while the platform
+// answers. Each node has an order of its own, so that the links of all spread
+// over the fleet.
+func (n *Node) neighbours() []*peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.platformAway {
+		return nil
+	}
+	all := make([]*peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *peer) int {
+		return cmp.Compare(n.rank(a), n.rank(b))
+	})
+	return all[:min(neighbours, len(all))]
+}
+
+func (n *Node) rank(p *peer) uint64 {
+	return maphash.String(n.order, p.link.Address())
+}
