--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -26,16 +26,17 @@
 }
 
 // The bar of the two measures that users name: an upstream that fails 30% is
-// found in 20 outcomes (p50) and 50 (p99), with at most 0.2 false ejections
-// per million healthy outcomes.
+// found in 50 outcomes (p99), with at most 0.2 false ejections per million
+// healthy outcomes. The median is kept from growing here; its bar stands in
+// the test below.
 func TestBar(t *testing.T) {
 	size := measure.Sizes()[0]
 	found := measure.Repeat(size, measure.Bar(), cautious, 400)
 	if found.Missed > 0 {
 		t.Errorf("got %d missed, want 0", found.Missed)
 	}
-	if got := measure.Quantile(found.Outcomes, 0.5); got > 20 {
-		t.Errorf("got a median of %d outcomes, want at most 20", got)
+	if got := measure.Quantile(found.Outcomes, 0.5); got > 21 {
+		t.Errorf("got a median of %d outcomes, want at most 21", got)
 	}
 	if got := measure.Quantile(found.Outcomes, 0.99); got > 50 {
 		t.Errorf("got a 99th percentile of %d outcomes, want at most 50", got)
@@ -49,6 +50,15 @@
 	}
 }
 
+// The other half of the bar: half of the sick upstreams that fail 30% are
+// found in 20 outcomes.
+func TestBarMedian(t *testing.T) {
+	found := measure.Repeat(measure.Sizes()[0], measure.Bar(), cautious, 1000)
+	if got := measure.Quantile(found.Outcomes, 0.5); got > 20 {
+		t.Errorf("got a median of %d outcomes, want at most 20", got)
+	}
+}
+
 // Every fault of the list is found, at each caution and in both deployments.
 func TestFindsEveryFault(t *testing.T) {
 	for _, size := range measure.Sizes()[:3] {
