feat(health): give a reason that names what is usual

Cause: without a baseline the sentence said "answers within 0s". Change: the latency is named only where it is judged; a test holds the evidence and the sentence; a benchmark of one request's calls.

--- a/health/judge.go
+++ b/health/judge.go
@@ -263,7 +263,10 @@
 	if s := j.slow.score(); s/j.tuning.slow > e.Score/e.Threshold {
 		e.Score, e.Threshold = s, j.tuning.slow
 	}
-	e.Reason = fmt.Sprintf("%d failed, %d overdue and %d slow of %d outcomes in %v; usual are %.1f%% failed and answers within %v",
-		e.Failed, e.Overdue, e.Slow, e.Outcomes, e.At-e.Since, 100*j.usual, j.tail)
+	e.Reason = fmt.Sprintf("%d failed, %d overdue and %d slow of %d outcomes in %v; usual are %.1f%% failed",
+		e.Failed, e.Overdue, e.Slow, e.Outcomes, e.At-e.Since, 100*j.usual)
+	if j.tail > 0 {
+		e.Reason += fmt.Sprintf(" and nine answers in ten within %v", j.tail)
+	}
 	j.evidence = e
 }
--- a/health/judge_test.go
+++ b/health/judge_test.go
@@ -193,3 +193,30 @@
 		}
 	}
 }
+
+// Managers read in the report why an upstream was set aside.
+func TestEvidenceSaysWhy(t *testing.T) {
+	j := warm(table.Balanced)
+	_, now := feed(j, clock.Minute, 100, 100, usual, failing)
+	got := j.Status(now).Evidence
+	if got.Failed == 0 || got.Failed != got.Outcomes || got.Score < got.Threshold || got.At != now || got.Baseline != usual {
+		t.Errorf("got %+v, want failures only, a score over its threshold, and the baseline", got)
+	}
+	want := strconv.Itoa(got.Failed) + " failed, 0 overdue and 0 slow of " + strconv.Itoa(got.Outcomes) +
+		" outcomes in " + (got.At - got.Since).String() + "; usual are 1.0% failed and nine answers in ten within 80ms"
+	if got.Reason != want {
+		t.Errorf("got %q, want %q", got.Reason, want)
+	}
+}
+
+func BenchmarkJudge(b *testing.B) {
+	j := warm(table.Balanced)
+	now := clock.Minute
+	for b.Loop() {
+		now += 10
+		j.SetBaseline(usual)
+		j.Observe(now, health.Observation{Result: health.Good, Latency: 40, Caller: "a"})
+		j.Admit(now, true)
+		j.Own()
+	}
+}
--- a/health/settings.go
+++ b/health/settings.go
@@ -127,7 +127,7 @@
 // fails all requests in flight at once, yet is one event.
 const burstBad = 2
 
-// tunings gives each caution its thresholds. The costs of each stand in
+// tuningOf returns the caution's thresholds. The costs of each stand in
 // docs/operators/caution.md.
 func tuningOf(caution table.Caution) tuning {
 	switch caution {
