--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -60,6 +60,7 @@
 			"calls":     calls,
 			"same":      same,
 			"atmost":    atmost,
+			"zero":      zero,
 			"load":      sendLoad,
 			"begin":     begin,
 			"steady":    steady,
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -185,6 +185,15 @@
 	ts.Logf("%s", linesOf(ts, args[1], args[0]))
 }
 
+// zero TEXT URL checks that what the lines with the text count is 0.
+func zero(ts *testscript.TestScript, _ bool, args []string) {
+	for line := range strings.Lines(linesOf(ts, args[1], args[0])) {
+		if !strings.HasSuffix(line, " 0\n") {
+			ts.Fatalf("got %s, want 0", line)
+		}
+	}
+}
+
 // atmost N TEXT URL checks that no more lines of an answer have the text.
 func atmost(ts *testscript.TestScript, _ bool, args []string) {
 	most, err := strconv.Atoi(args[0])
