--- a/health/judge.go
+++ b/health/judge.go
@@ -211,6 +211,9 @@
 func (j *Judge) ripe() bool {
 	was := j.strong
 	j.strong = j.progress() >= strong
+	if !j.calm.Known {
+		j.calm = j.baseline // the first one told is no rise
+	}
 	if j.strong && !was || j.stirred() {
 		j.suspected, j.told, j.calm = j.now, 0, j.baseline
 	}
