--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -19,7 +19,8 @@
 }
 
 // run serves until a termination signal. The first one starts a graceful
-// shutdown, a second one ends it at once.
+// shutdown, a second one ends it at once. A node that cut requests in flight
+// ends with ExitFault, so that a release that does it shows.
 func (c *nodeCmd) run(_, stderr io.Writer) int {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
@@ -45,11 +46,11 @@
 		<-signals
 		n.Leave()
 		<-signals
-		log.Warn("second signal: requests in flight are cut")
+		log.WithField("node", s.Node).Warn("second signal: requests in flight are cut")
 		cancel()
 	}()
 	if err := n.Run(ctx); err != nil {
-		log.WithError(err).Error("node failed")
+		log.WithError(err).WithField("node", s.Node).Error("node failed")
 		return ExitFault
 	}
 	return ExitOK
--- a/node/edition.go
+++ b/node/edition.go
@@ -52,6 +52,9 @@
 		n.apply(t)
 	}
 	n.mu.Unlock()
+	if verdict == edition.Accept {
+		n.links.BeatNow() // a weight given back must not wait for a heartbeat
+	}
 	n.noteEdition(log, version, verdict, changes)
 	if contested && verdict != edition.Same {
 		n.noteRival(log, version, rival)
--- a/node/node.go
+++ b/node/node.go
@@ -187,7 +187,12 @@
 // carries.
 const platformLimit = 1 << 20
 
-// Run serves until the context ends or Leave has finished.
+// ErrCut means that the node stopped with requests in flight: its grace was
+// over, or it was told to stop at once.
+const ErrCut = errors.ConstError("requests in flight were cut")
+
+// Run serves until the context ends or Leave has finished. It returns ErrCut
+// when requests were still in flight.
 func (n *Node) Run(ctx context.Context) error {
 	listeners := n.listeners
 	if listeners == nil {
@@ -213,12 +218,16 @@
 	case <-n.leave:
 		n.drain(ctx)
 	}
+	cut := n.Busy()
 	cancel()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		n.log.WithError(err).Warn("supervisor ended")
 	}
 	n.stop()
 	n.log.Info("node stopped")
+	if cut > 0 {
+		return errors.Annotatef(ErrCut, "%d of them", cut)
+	}
 	return nil
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -20,6 +20,7 @@
 	token suture.ServiceToken
 	// leaving is what the node last said of itself.
 	leaving bool
+	lost    bool // noted as lost
 	// unnamed is when the table ceased to name it; 0 while it does.
 	unnamed clock.Millis
 }
@@ -131,21 +132,21 @@
 // The path to a node that said it is leaving, or that the table no longer
 // names, ends as announced: that is no finding for a manager.
 func (n *Node) PeerPath(node string, state path.State) {
-	n.entry.Path(node, state == path.Lost)
+	isLost := state == path.Lost
+	n.entry.Path(node, isLost)
 	n.mu.Lock()
 	p, ok := n.peers[node]
-	announced := ok && (p.leaving || p.unnamed > 0)
+	noted := ok && p.lost != isLost && (!isLost || !p.leaving) && state != path.Doubted
+	if noted {
+		p.lost = isLost
+	}
 	n.mu.Unlock()
-	if announced {
+	if !noted {
 		return
 	}
 	kind := account.PathBack
-	switch state {
-	case path.Lost:
+	if isLost {
 		kind = account.PathLost
-	case path.Doubted:
-		return
-	default:
 	}
 	n.metrics.Note(account.Event{At: n.clock.Now(), Kind: kind, Node: node, Reason: account.ReasonUnreachable})
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -84,6 +84,9 @@
 	// MostAttempts bounds the attempts of one request: of those that meet a
 	// sick third of the upstreams at random, 1 in 27 does so three times.
 	MostAttempts = 3
+	// MostRefused bounds them while refusals cost no work: several verdicts
+	// may be new to an entry at once, each learned by such a refusal.
+	MostRefused = 8
 	// LeastRemaining is the time below which a further attempt can't be
 	// answered: two cross-domain round trips (1 ms one way), rounded up.
 	LeastRemaining clock.Millis = 5
@@ -144,6 +147,14 @@
 	return a.Result != NotRun || a.ForLoad
 }
 
+// most is how many attempts the request may have.
+func (a Attempt) most() int {
+	if a.costs() {
+		return MostAttempts
+	}
+	return MostRefused
+}
+
 // against returns the reason not to send the request again, "" if there is
 // none.
 func (b *Budget) against(now clock.Millis, a Attempt) Reason {
@@ -152,7 +163,7 @@
 		return NotRepeatable
 	case a.Untried <= 0:
 		return NowhereLeft
-	case a.Tried >= MostAttempts:
+	case a.Tried >= a.most():
 		return TooMany
 	case a.Remaining < LeastRemaining:
 		return NoTime
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -39,6 +39,8 @@
 		{"failed", func(a *retry.Attempt) { a.Result = retry.Failed }, retry.NotRepeatable},
 		{"silent", func(a *retry.Attempt) { a.Result = retry.Silent }, retry.NotRepeatable},
 		{"silent, repeatable", func(a *retry.Attempt) { a.Result, a.Repeatable = retry.Silent, true }, ""},
+		{"third refusal without cost", func(a *retry.Attempt) { a.ForLoad, a.Tried = false, 3 }, ""},
+		{"eighth refusal without cost", func(a *retry.Attempt) { a.ForLoad, a.Tried = false, 8 }, retry.TooMany},
 		{"third attempt", func(a *retry.Attempt) { a.Tried = 3 }, retry.TooMany},
 		{"no time", func(a *retry.Attempt) { a.Remaining = 4 }, retry.NoTime},
 		{"all tried", func(a *retry.Attempt) { a.Untried = 0 }, retry.NowhereLeft},
