--- a/gate/run.go
+++ b/gate/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -91,12 +92,25 @@
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
 	g.mu.Unlock()
 	j.answer(reply)
+	g.logOutcome(reply, err)
 	answerAll(late)
 	if next != nil {
 		g.start(next)
 	}
 }
 
+// logOutcome leaves a line, under the id that entry and report know too, of a
+// request that the backend server did not answer.
+func (g *Gate) logOutcome(reply *wire.Reply, err error) {
+	if err == nil {
+		return
+	}
+	g.log.WithError(err).WithFields(logrus.Fields{
+		"request": reply.ID.String(),
+		"reason":  string(reply.Reason),
+	}).Info("request not answered by the backend server")
+}
+
 // kept is the reply that a settlement may ask for again. A repeatable request
 // is sent anew in place of asking, so its answer takes no memory here.
 func kept(d *wire.Dispatch, reply *wire.Reply) *wire.Reply {
