refactor(node,fleet): one ticker loop, one test of one-way losses

Change: every runs an action at an interval; the two tests of one-way losses are cases of one, which now also counts the runs where answers are lost. Conclusion: same checks and one more.

--- a/fleet/once_test.go
+++ b/fleet/once_test.go
@@ -132,33 +132,25 @@
 	w.check(t, f)
 }
 
-// Answers are lost on the way back: the entry hears nothing, neither the
-// answer nor a settlement. It ran once; the caller hears unknown in time.
-func TestAnswersLostOneWay(t *testing.T) {
-	f, far, beside, _ := two(t, 50)
-	w := newWitness()
-	w.post(t, far.Caller)
-	beside.Relay.SetMode(standin.DropFromTarget)
-	if got := w.post(t, far.Caller); got.outcome == "served" {
-		t.Errorf("got served over a path that loses answers")
-	}
-	w.check(t, f)
-}
-
-// Requests are lost on the way there: the entry can't know, since nothing comes
-// back but heartbeats that don't echo its own.
-func TestRequestsLostOneWay(t *testing.T) {
-	f, far, beside, backend := two(t, 50)
-	w := newWitness()
-	w.post(t, far.Caller)
-	beside.Relay.SetMode(standin.DropToTarget)
-	if got := w.post(t, far.Caller); got.outcome == "served" {
-		t.Errorf("got served over a path that loses requests")
-	}
-	if got := backend.Totals().Begun; got != 1 {
-		t.Errorf("got %d runs, want 1", got)
+// A path loses everything one way. Lost answers: it ran once, and the entry hears
+// neither the answer nor a settlement. Lost requests: nothing comes back but
+// heartbeats that don't echo its own. Neither may be told as served, nor run again.
+func TestLostOneWay(t *testing.T) {
+	for mode, runs := range map[standin.RelayMode]uint64{standin.DropFromTarget: 2, standin.DropToTarget: 1} {
+		t.Run(string(mode), func(t *testing.T) {
+			f, far, beside, backend := two(t, 50)
+			w := newWitness()
+			w.post(t, far.Caller)
+			beside.Relay.SetMode(mode)
+			if got := w.post(t, far.Caller); got.outcome == "served" {
+				t.Error("got served over a path that loses one way")
+			}
+			if got := backend.Totals().Begun; got != runs {
+				t.Errorf("got %d runs, want %d", got, runs)
+			}
+			w.check(t, f)
+		})
 	}
-	w.check(t, f)
 }
 
 // The path stalls with a price revision in it and moves on after its deadline,
--- a/node/reading.go
+++ b/node/reading.go
@@ -31,7 +31,7 @@
 		Report:  n.tableFault,
 		Seed:    n.seed,
 	})
-	tree.Add(service{"relay", n.relay})
+	tree.Add(service{"relay", every(relayEvery, n.relay)})
 	tree.Add(service{"table reader", func(ctx context.Context) error {
 		n.consult(ctx)
 		return tables.Serve(ctx)
--- a/node/relay.go
+++ b/node/relay.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"context"
 	"hash/maphash"
 	"slices"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 const (
@@ -22,18 +19,9 @@
 // relay keeps links to a few peers while the platform doesn't answer. A node
 // that no caller uses would otherwise have none, and hear of no edit until the
 // platform is back.
-func (n *Node) relay(ctx context.Context) error {
-	ticker := time.NewTicker(relayEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-ticker.C:
-		}
-		for _, p := range n.neighbours() {
-			p.link.Keep()
-		}
+func (n *Node) relay() {
+	for _, p := range n.neighbours() {
+		p.link.Keep()
 	}
 }
 
--- a/node/services.go
+++ b/node/services.go
@@ -134,7 +134,7 @@
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
 	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
-	tree.Add(service{"probes", n.probe})
+	tree.Add(service{"probes", every(probeEvery, n.probe)})
 }
 
 // probeEvery is the interval of probes: a probe may end a hold-off of 5 s or
@@ -142,17 +142,24 @@
 const probeEvery = 2 * time.Second
 
 // probe asks the health endpoints of the upstreams beside this node.
-func (n *Node) probe(ctx context.Context) error {
-	ticker := time.NewTicker(probeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-ticker.C:
-		}
-		for _, g := range n.allGates() {
-			_ = n.gatePool.Submit(g.Probe) // a busy node probes at the next tick
+func (n *Node) probe() {
+	for _, g := range n.allGates() {
+		_ = n.gatePool.Submit(g.Probe) // a busy node probes at the next tick
+	}
+}
+
+// every runs an action at an interval until the context ends.
+func every(span time.Duration, act func()) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		ticker := time.NewTicker(span)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return errors.Trace(ctx.Err())
+			case <-ticker.C:
+				act()
+			}
 		}
 	}
 }
