feat(entry): send less work where more of it fails

Cause: with most of a service's upstreams gray at once none is set aside, since that counts as the service's usual state, and the own failure domain went first: 7,741 of 9,738 requests through one node met an error with two healthy upstreams in use. Change: an upstream whose share of failures is over 0.2 above the lowest in view gets that much less of its work; no verdict, no floor involved. Ruled out: the lowest third as baseline (0.15 in place of 0.03 set aside at a common fault), a squared weight (harder on one that a bad caller makes look worse).

--- a/entry/service.go
+++ b/entry/service.go
@@ -35,6 +35,7 @@
 	chooser  *choice.Chooser
 	budget   *retry.Budget
 	baseline health.Baseline
+	best     float64 // the lowest share of failures in view
 	computed clock.Millis
 	dirty    bool
 	recheck  clock.Millis // when the first hold-off ends; 0 without one
@@ -66,6 +67,7 @@
 		config:  c,
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
+		best:    1,
 		budget:  retry.New(retry.Config{Share: c.Retries, Seed: seed}),
 		dirty:   true,
 		roster:  resend.NewRoster(resend.Retention),
@@ -115,7 +117,7 @@
 	s.candidates = s.candidates[:0]
 	for i, m := range s.members {
 		usable := s.usable(now, i, repeatable)
-		s.candidates = append(s.candidates, m.candidate(now, usable))
+		s.candidates = append(s.candidates, m.candidate(now, s.best, usable))
 		if usable && !contains(tried, m) {
 			untried++
 		}
@@ -160,17 +162,34 @@
 	return state == health.Aside || state == health.Trial
 }
 
-func (m *member) candidate(now clock.Millis, usable bool) choice.Candidate {
+func (m *member) candidate(now clock.Millis, best float64, usable bool) choice.Candidate {
 	return choice.Candidate{
 		Domain:   m.upstream.Domain,
 		Weight:   m.upstream.Weight,
 		Slots:    m.upstream.Slots,
 		InFlight: max(m.sent, choice.Fade(m.state.InFlight+m.state.Waiting, now-m.heard)),
-		Share:    m.state.Share,
+		Share:    m.state.Share * m.relative(best),
 		Usable:   usable,
 	}
 }
 
+// notably is the difference between two shares of failures at which it counts:
+// far above the scatter of healthy upstreams, whose shares are about 0.01.
+const notably = 0.2
+
+// relative is the part of its work that an upstream gets, given the service's
+// lowest share of failures. It guards against what the verdict leaves alone: when
+// most upstreams of a service are gray at once, that counts as its usual state,
+// and none is set aside. Work still goes where it succeeds, and where all fail
+// alike, as in a fault common to the service, nothing changes.
+func (m *member) relative(best float64) float64 {
+	own := m.state.Own
+	if excess := own.Failed - best; own.Known && excess > notably {
+		return 1 - min(excess, 1)
+	}
+	return 1
+}
+
 func contains(members []*member, m *member) bool {
 	for _, other := range members {
 		if other == m {
@@ -217,6 +236,12 @@
 		}
 	}
 	s.baseline = health.Median(s.own)
+	s.best = 1
+	for _, own := range s.own {
+		if own.Known {
+			s.best = min(s.best, own.Failed)
+		}
+	}
 }
 
 // keepEvery is the age of what was heard of an upstream at which its link is
