--- a/table/check.go
+++ b/table/check.go
@@ -70,6 +70,7 @@
 	if len(t.Services) == 0 {
 		doc.Add(root, "service", "is missing", "one [[service]] or more")
 	}
+	c.domains(root)
 	for i := range t.Services {
 		c.service(root.Field("service").Item(i), &t.Services[i])
 	}
@@ -84,6 +85,15 @@
 	}
 }
 
+// domains checks the list of failure domains.
+func (c *checker) domains(n *document.Node) {
+	seen := make(map[string]int)
+	for _, name := range c.table.Domains {
+		c.doc.Name(n, "domains", name)
+		c.once(seen, n, "domains", name, "each failure domain once")
+	}
+}
+
 // once notes a fault if the value was seen before.
 func (c *checker) once(seen map[string]int, n *document.Node, key, value, allowed string) {
 	if first, ok := seen[value]; ok {
@@ -151,6 +161,9 @@
 	}
 	c.doc.Address(n, "node", u.Node)
 	c.doc.Name(n, "domain", u.Domain)
+	if known := c.table.Domains; u.Domain != "" && len(known) > 0 && !slices.Contains(known, u.Domain) {
+		c.doc.Refuse(n, "domain", document.Quote(u.Domain), "one of domains: "+strings.Join(known, ", "))
+	}
 	document.Within(c.doc, n, "weight", u.Weight, 0, MaxWeight)
 	document.Within(c.doc, n, "slots", u.Slots, 1, MaxSlots)
 	if u.Slots >= 1 && u.Slots <= MaxSlots {
--- a/table/clone.go
+++ b/table/clone.go
@@ -11,6 +11,7 @@
 		Services: slices.Clone(t.Services),
 		Routes:   slices.Clone(t.Routes),
 		Callers:  slices.Clone(t.Callers),
+		Domains:  slices.Clone(t.Domains),
 	}
 	for i := range c.Services {
 		c.Services[i].Upstreams = slices.Clone(t.Services[i].Upstreams)
--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -221,3 +221,26 @@
 		}
 	})
 }
+
+// A slip in one upstream's failure domain would take it from the callers next
+// to it: they use their own domain first, and nobody would notice but by delay.
+func TestParseFindsUnknownDomain(t *testing.T) {
+	text := `format = 1
+version = 1
+domains = ["palermo", "catania", "palermo"]
+[[service]]
+name = "bacheca"
+[[service.upstream]]
+name = "bacheca-1"
+address = "10.0.0.1:80"
+node = "10.0.0.1:7000"
+domain = "palremo"
+slots = 3
+`
+	_, err := table.Parse([]byte(text))
+	for _, want := range []string{`line 3: domains: "palermo" stands twice`, `line 10: service bacheca: upstream bacheca-1: domain: "palremo" is not allowed`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q in it", err, want)
+		}
+	}
+}
--- a/table/types.go
+++ b/table/types.go
@@ -29,6 +29,10 @@
 	Version  uint64    `toml:"version"`
 	Services []Service `toml:"service"`
 	Routes   []Route   `toml:"route"`
+	// Domains lists the failure domains there are; with none listed any name
+	// will do. A slip in an upstream's domain would take it from the callers
+	// next to it, unnoticed.
+	Domains []string `toml:"domains"`
 	// Callers overrides the limits of single callers.
 	Callers []Caller `toml:"caller"`
 
