fix(link): let idle peers rest, and try a lost one again

Cause: a peer that stayed away for longer than its entries go on dialling was lost for good: no entry chooses an upstream out of reach, so nothing needed the link again (read in tick; TestLostPeerIsTriedAgain saw no return within 30 s). And idle peers ticked four times a beat. Change: an idle path starts with a new judge, so it is tried at the next choice; a peer that is idle, unlinked and good has no ticker. The capacity measures keep links by Keep, since a link without need closes at once and slopes hung. Conclusion: link, fleet, sessions pass.

--- a/capacity/links.go
+++ b/capacity/links.go
@@ -164,7 +164,7 @@
 		// Two heartbeats in each interval of a link, one each way.
 		opened := handler.after(2 * n)
 		for _, p := range peers {
-			p.Wake()
+			p.Keep()
 		}
 		<-opened
 		before := a.carried.Load()
--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -104,7 +104,7 @@
 	}
 	watch := newEnd(0)
 	woken := peer(a.address, n+1, interval, clock.NewSystem().Now, watch)
-	woken.Wake()
+	woken.Keep()
 	return running(append(slices.Clone(peers), woken), func() (float64, error) {
 		<-watch.after(intervals)
 		open := 0
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -218,6 +218,56 @@
 	}
 }
 
+// A node is away for longer than the entries that lost it go on dialling. No
+// entry chooses an upstream that is out of reach, so nothing would ever need the
+// link again: once idle, the path must count as good until it is tried.
+func TestLostPeerIsTriedAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	const beat = clock.Millis(20)
+	states := make(chan path.State, 16)
+	peer := link.NewPeer(link.PeerConfig{
+		Address: address, Self: identity("10.0.0.1:7000", secret), Limit: limit, Answer: limit,
+		Beat: beat, Idle: 4 * beat, Now: clock.NewSystem().Now,
+		Status: func() wire.Beat { return wire.Beat{} }, Watcher: watcher{states}, Log: logger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	peer.Keep()
+	for _, want := range []path.State{path.Lost, path.Good} {
+		select {
+		case got := <-states:
+			if got != want {
+				t.Fatalf("got state %v, want %v", got, want)
+			}
+		case <-time.After(30 * time.Second):
+			t.Fatalf("got no state %v within 30s", want)
+		}
+	}
+}
+
+// watcher hands on what is judged of a path.
+type watcher struct {
+	states chan path.State
+}
+
+func (watcher) PeerBeat(string, *wire.Beat)           {}
+func (watcher) PeerUpstream(string, wire.Upstream)    {}
+func (watcher) PeerEdition(string, *wire.Edition)     {}
+func (w watcher) PeerPath(_ string, state path.State) { w.states <- state }
+
 func reach(t *testing.T, reached func() bool) {
 	t.Helper()
 	deadline := time.After(30 * time.Second)
--- a/link/peer.go
+++ b/link/peer.go
@@ -95,13 +95,18 @@
 		config:  c,
 		log:     c.Log.WithField("peer", c.Address),
 		need:    make(chan struct{}, 1),
-		judge:   path.New(path.Config{Beat: c.Beat, Seed: c.Seed}),
+		judge:   c.judge(),
 		pending: map[lease.Key]*pending{},
 		voids:   map[wire.RequestID]*voiding{},
 		used:    c.Now() - c.Idle - 1, // not needed yet
 	}
 }
 
+// judge returns a judge that knows nothing of the peer.
+func (c *PeerConfig) judge() *path.Judge {
+	return path.New(path.Config{Beat: c.Beat, Seed: c.Seed})
+}
+
 // Address returns the node's link address.
 func (p *Peer) Address() string {
 	return p.config.Address
@@ -142,14 +147,19 @@
 // Run keeps the link as long as it is needed, until the context ends.
 func (p *Peer) Run(ctx context.Context) error {
 	defer p.drop()
-	ticker := time.NewTicker((p.config.Beat / ticksPerBeat).Duration())
+	span := (p.config.Beat / ticksPerBeat).Duration()
+	ticker := time.NewTicker(span)
 	defer ticker.Stop()
 	beat := 0
 	for {
+		if p.resting() {
+			ticker.Stop()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.need:
+			ticker.Reset(span)
 			p.open(ctx)
 		case <-ticker.C:
 			p.tick(ctx)
@@ -160,6 +170,19 @@
 	}
 }
 
+// resting reports whether there is nothing to watch: at the size to design for
+// a node has thousands of peers, and few of them are in use at a time.
+func (p *Peer) resting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn == nil && !p.dialling && p.state == path.Good && p.idle()
+}
+
+// idle reports whether no request has needed the peer for a while.
+func (p *Peer) idle() bool {
+	return p.config.Now()-p.used > p.config.Idle && len(p.pending) == 0
+}
+
 func (p *Peer) drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,16 +199,21 @@
 func (p *Peer) tick(ctx context.Context) {
 	now := p.config.Now()
 	p.mu.Lock()
-	idle := now-p.used > p.config.Idle && len(p.pending) == 0
+	idle := p.idle()
 	open := p.conn != nil
-	state := p.judge.State(now)
-	changed := state != p.state
-	p.state = state
 	if idle && open {
 		p.conn.Close()
 		p.conn = nil
-		p.judge.Idle(now)
 	}
+	if idle && (open || p.state != path.Good) {
+		// The quiet from here on says nothing about the peer. Nor does an old
+		// loss: no entry chooses an upstream that is out of reach, so nobody
+		// would ever need, and dial, it again.
+		p.judge = p.config.judge()
+	}
+	state := p.judge.State(now)
+	changed := state != p.state
+	p.state = state
 	p.mu.Unlock()
 	if changed {
 		p.pathChanged(state)
