fix(capacity): measure resting peers by the machine's clock

Cause: the measure counted calls of a peer's clock, which resting peers don't make, and hung. Conclusion: the slopes run again.

--- a/capacity/peers.go
+++ b/capacity/peers.go
@@ -1,9 +1,11 @@
 package capacity
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -65,9 +67,6 @@
 	return hour
 }
 
-// ticks of a peer within one beat interval.
-const ticks = 4
-
 func idleHeld(n int) (float64, error) {
 	c := &idleClock{want: int64(n), done: make(chan struct{})}
 	return held(func() (any, error) {
@@ -75,15 +74,19 @@
 	})
 }
 
+// idleSpent lets resting peers run for some beat intervals by the machine's
+// clock: they ask for no time of their own that could be counted.
 func idleSpent(n int) (float64, error) {
-	// A tick asks for the time once, and a heartbeat that isn't sent does too.
 	settle()
 	defer settle()
-	c := &idleClock{want: int64(n * (ticks + 1) * intervals), done: make(chan struct{})}
+	c := &idleClock{want: math.MaxInt64, done: make(chan struct{})}
 	peers := distant(n, c.now)
 	c.made.Store(true)
 	return running(peers, func() (float64, error) {
-		used, err := once(func() error { <-c.done; return nil })
+		used, err := once(func() error {
+			<-time.After((intervals * interval).Duration())
+			return nil
+		})
 		return used / intervals, err
 	})
 }
