--- a/entry/service.go
+++ b/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -48,17 +49,6 @@
 	own        []health.Baseline
 }
 
-// member is one upstream as this entry sees it.
-type member struct {
-	upstream table.Upstream
-	target   Target
-	state    wire.Upstream
-	heard    clock.Millis // when state was heard
-	lost     bool
-	gone     bool // the instance list says that it is leaving
-	sent     int  // dispatches of this entry without an outcome
-}
-
 func newService(c table.Service, domain string, seed uint64, journal Journal, log logrus.FieldLogger) *service {
 	return &service{
 		log:     log.WithField("service", c.Name),
@@ -118,11 +108,11 @@
 	for i, m := range s.members {
 		usable := s.usable(now, i, repeatable)
 		s.candidates = append(s.candidates, m.candidate(now, s.best, usable))
-		if usable && !contains(tried, m) {
+		if usable && !slices.Contains(tried, m) {
 			untried++
 		}
 	}
-	i, ok := s.chooser.Choose(s.candidates, func(i int) bool { return contains(tried, s.members[i]) })
+	i, ok := s.chooser.Choose(s.candidates, func(i int) bool { return slices.Contains(tried, s.members[i]) })
 	if !ok {
 		return attempt{}, untried, false
 	}
@@ -145,60 +135,6 @@
 	}
 }
 
-// verdict is the gate's as last heard. A hold-off that has run out since is a
-// trial: the link may have been closed for want of requests, and then no
-// heartbeat says so.
-func (m *member) verdict(now clock.Millis) health.State {
-	state := health.State(m.state.State)
-	if state == health.Aside && now >= m.heard+m.state.Until {
-		return health.Trial
-	}
-	return state
-}
-
-// setAside reports a verdict that the floor decides about.
-func (m *member) setAside(now clock.Millis) bool {
-	state := m.verdict(now)
-	return state == health.Aside || state == health.Trial
-}
-
-func (m *member) candidate(now clock.Millis, best float64, usable bool) choice.Candidate {
-	return choice.Candidate{
-		Domain:   m.upstream.Domain,
-		Weight:   m.upstream.Weight,
-		Slots:    m.upstream.Slots,
-		InFlight: max(m.sent, choice.Fade(m.state.InFlight+m.state.Waiting, now-m.heard)),
-		Share:    m.state.Share * m.relative(best),
-		Usable:   usable,
-	}
-}
-
-// notably is the difference between two shares of failures at which it counts:
-// far above the scatter of healthy upstreams, whose shares are about 0.01.
-const notably = 0.2
-
-// relative is the part of its work that an upstream gets, given the service's
-// lowest share of failures. It guards against what the verdict leaves alone: when
-// most upstreams of a service are gray at once, that counts as its usual state,
-// and none is set aside. Work still goes where it succeeds, and where all fail
-// alike, as in a fault common to the service, nothing changes.
-func (m *member) relative(best float64) float64 {
-	own := m.state.Own
-	if excess := own.Failed - best; own.Known && excess > notably {
-		return 1 - min(excess, 1)
-	}
-	return 1
-}
-
-func contains(members []*member, m *member) bool {
-	for _, other := range members {
-		if other == m {
-			return true
-		}
-	}
-	return false
-}
-
 // refresh works out the floor and the baseline where something changed.
 func (s *service) refresh(now clock.Millis) {
 	if s.dirty || (s.recheck > 0 && now >= s.recheck) {
@@ -370,29 +306,6 @@
 	return all
 }
 
-func (m *member) describe(now clock.Millis, use floor.Use) string {
-	switch {
-	case m.upstream.Weight == 0:
-		return account.StateOff
-	case m.state.Leaving || m.gone:
-		return account.StateLeaving
-	case m.lost:
-		return account.StateUnreachable
-	case use == floor.Forced:
-		return account.StateKept
-	}
-	switch m.verdict(now) {
-	case health.Aside:
-		return account.StateSetAside
-	case health.Trial:
-		return account.StateTrial
-	case health.Ramp:
-		return account.StateRamp
-	default:
-		return account.StateInUse
-	}
-}
-
 // comeBack is when a caller may find an upstream again: when the first
 // hold-off ends, at least a second.
 func (s *service) comeBack(now clock.Millis) clock.Millis {
