--- /dev/null
+++ b/caller/conn.go
@@ -0,0 +1,88 @@
+// Package caller wraps callers' connections, so that an entry learns of a
+// caller that leaves while its request is under way. The HTTP library reads
+// nothing of a connection while it handles a request on it.
+package caller
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// mostAhead bounds, in bytes, what is read ahead of a connection's next
+	// requests. A caller that sends more isn't watched until they are read.
+	mostAhead = 64 << 10
+	// readSize is what one read asks for.
+	readSize = 4 << 10
+)
+
+// Listener hands out watched connections.
+type Listener struct {
+	net.Listener
+}
+
+// Accept waits for the next connection.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
+
+// Conn is one connection of a caller. Reads and watches must not overlap.
+type Conn struct {
+	net.Conn
+
+	// ahead was read while a request was handled, err ended that.
+	ahead []byte
+	err   error
+	part  []byte // what a watch reads into
+}
+
+// Read returns what was read ahead, then reads the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	return c.Conn.Read(p)
+}
+
+// Watch reads ahead until the connection ends, and then calls gone. Stop ends
+// the watch; it waits until the reads are over.
+func (c *Conn) Watch(gone func()) (stop func()) {
+	var group sync.WaitGroup
+	group.Go(func() { c.readAhead(gone) })
+	return func() {
+		// A deadline in the past ends the read that is under way.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		group.Wait()
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *Conn) readAhead(gone func()) {
+	if c.part == nil {
+		c.part = make([]byte, readSize)
+	}
+	for c.err == nil && len(c.ahead) < mostAhead {
+		n, err := c.Conn.Read(c.part)
+		c.ahead = append(c.ahead, c.part[:n]...)
+		var network net.Error
+		if errors.As(err, &network) && network.Timeout() {
+			return // the watch was stopped
+		}
+		if err != nil {
+			c.err = err
+			gone()
+		}
+	}
+}
--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -81,6 +81,9 @@
 // Settle does nothing.
 func (prompt) Settle(wire.RequestID, uint8) {}
 
+// Abandon does nothing.
+func (prompt) Abandon(wire.RequestID, uint8) {}
+
 // Keep has no link.
 func (prompt) Keep() {}
 
--- a/capacity/gates.go
+++ b/capacity/gates.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"context"
 	"fmt"
 	"sync"
 
@@ -55,7 +56,7 @@
 type quick struct{ body int }
 
 // Do answers.
-func (q quick) Do(*gate.Call) (gate.Answer, error) {
+func (q quick) Do(context.Context, *gate.Call) (gate.Answer, error) {
 	return gate.Answer{Status: 200, Body: make([]byte, q.body)}, nil
 }
 
--- a/capacity/platforms.go
+++ b/capacity/platforms.go
@@ -3,7 +3,7 @@
 import (
 	"math/rand/v2"
 
-	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/reading"
 )
 
 // platforms measures how many nodes call the platform.
@@ -23,7 +23,7 @@
 			Role: "platform", Name: "calls for a key that each node polls, a second", Unit: unitCount, Against: "nodes",
 			Sizes: nodeCounts(), Curve: true,
 			Cost: func(n int) (float64, error) {
-				plan := platform.Share(platform.ShareConfig{}, platform.View{Self: address(0), Fleet: n}, "table")
+				plan := reading.Share(reading.ShareConfig{}, reading.View{Self: address(0), Fleet: n}, "table")
 				return float64(n) / plan.Poll.Seconds(), nil
 			},
 		},
@@ -51,7 +51,7 @@
 				peers = append(peers, all[random.IntN(nodes)])
 			}
 		}
-		if platform.Share(platform.ShareConfig{}, platform.View{Self: all[i], Peers: peers, Fleet: nodes}, "table").Direct {
+		if reading.Share(reading.ShareConfig{}, reading.View{Self: all[i], Peers: peers, Fleet: nodes}, "table").Direct {
 			count++
 		}
 	}
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/reading"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
@@ -76,7 +76,7 @@
 			Cost: func(n int) (float64, error) {
 				text := []byte(instanceText(n))
 				return spent(func() error {
-					_, err := platform.ParseInstances(text)
+					_, err := reading.ParseInstances(text)
 					return err
 				})
 			},
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -15,7 +15,7 @@
 )
 
 type nodeCmd struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"the node's settings, TOML"`
+	Settings string `arg:"--settings,required,env:FUCHSIAPICK_CONFIG" placeholder:"FILE" help:"the node's settings, TOML"`
 }
 
 // run serves until a termination signal. The first one starts a graceful
@@ -32,7 +32,12 @@
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
 	}
-	n, err := node.New(node.Config{Settings: s, Log: log})
+	config, err := nodeConfig(s, log)
+	if err != nil {
+		log.WithError(err).Error("node not built")
+		return ExitFault
+	}
+	n, err := node.New(config)
 	if err != nil {
 		log.WithError(err).Error("node not built")
 		return ExitFault
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -12,7 +12,8 @@
 )
 
 // write gives the caller the final answer: the upstream's whole, or our own.
-func write(ctx *fasthttp.RequestCtx, id wire.RequestID, f *final) {
+func (r *request) write(f *final) {
+	ctx := r.ctx
 	ctx.Response.Reset()
 	ctx.Response.Header.DisableNormalizing()
 	ctx.SetStatusCode(f.status)
@@ -23,9 +24,12 @@
 		ctx.Response.SetBodyRaw(f.reply.Body)
 	} else {
 		explain(ctx, f)
+		if name := r.entry.config.Headers.Request; name != "" && r.label != "" {
+			ctx.Response.Header.Set(name, r.label)
+		}
 	}
 	ctx.Response.Header.Set(HeaderOutcome, string(f.outcome))
-	ctx.Response.Header.Set(HeaderRequest, id.String())
+	ctx.Response.Header.Set(HeaderRequest, r.id.String())
 	if f.reason != "" {
 		ctx.Response.Header.Set(HeaderReason, f.reason)
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,8 @@
 	served bool
 	after  clock.Millis
 	full   bool
+	// arrived says that the upstream itself refused it.
+	arrived bool
 }
 
 // try sends the request to one upstream and waits for what becomes of it.
@@ -33,7 +35,11 @@
 		return unsent
 	}
 	outcome := r.await(d, a.member, w)
-	a.member.target.Forget(d.ID, d.Attempt)
+	if r.hasLeft() {
+		a.member.target.Abandon(d.ID, d.Attempt)
+	} else {
+		a.member.target.Forget(d.ID, d.Attempt)
+	}
 	r.service.ended(r.entry.config.Now(), a.member, &outcome)
 	return outcome
 }
@@ -42,6 +48,7 @@
 	d := &wire.Dispatch{
 		ID:         r.id,
 		Attempt:    r.attempts,
+		Label:      r.label,
 		Budget:     r.attemptBudget(now, untried),
 		Upstream:   a.upstream.Name,
 		Caller:     r.caller,
@@ -60,11 +67,13 @@
 // attemptBudget is the time that one try may take. A repeatable request keeps
 // half of what is left for another upstream: one that hangs would take all. A
 // service that is slow by nature must not be cut off by that, so a try lasts
-// several times what is usual, and to the end while that isn't known.
+// several times what is usual, and to the end while that isn't known. A route
+// with a timeout of its own says how long an answer may take: to break off what
+// may still be answered in time would cost a run, and a retry of the budget.
 func (r *request) attemptBudget(now clock.Millis, untried int) clock.Millis {
 	left := max(r.deadline-now, 1)
 	whole := max(left-r.settleTime(), 1)
-	if !r.repeatable || untried <= 0 || !r.baseline.Known {
+	if !r.repeatable || untried <= 0 || !r.baseline.Known || r.route.Timeout > 0 {
 		return whole
 	}
 	return min(max(left/2, patience*r.baseline.Latency), whole)
@@ -81,8 +90,10 @@
 	asked := false
 	for {
 		now := r.entry.config.Now()
-		e := w.next(max(until-now, 0) + 1)
+		e := w.next(max(until-now, 0)+1, r.left)
 		switch {
+		case e.kind == abandoned:
+			return result{kind: retry.Silent, reason: string(wire.ReasonLeft)}
 		case e.kind == replied:
 			return resultOf(e.reply)
 		case e.kind == voided:
@@ -111,6 +122,7 @@
 	switch reply.Outcome {
 	case wire.NotRun:
 		out.kind = retry.NotRun
+		out.arrived = reply.Reason == wire.ReasonShed
 		out.full = reply.Reason == wire.ReasonFull || reply.Reason == wire.ReasonLate || reply.Reason == wire.ReasonShed
 	case wire.Answered:
 		out.kind = retry.Failed
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,8 @@
 	Dispatch(d *wire.Dispatch, w link.Waiter) error
 	Settle(id wire.RequestID, attempt uint8)
 	Forget(id wire.RequestID, attempt uint8)
+	// Abandon says that the caller has left, and forgets the dispatch.
+	Abandon(id wire.RequestID, attempt uint8)
 	// Keep asks for an open link, to hear the state of the node's upstreams.
 	Keep()
 	// Void asks the node what it knows of a resend's key. After an error the
@@ -46,7 +48,13 @@
 
 // Config configures an Entry.
 type Config struct {
-	Domain      string
+	Domain string
+	// Service names what runs beside the node. Requests without another name
+	// of their caller are its own.
+	Service string
+	// Headers are the names that callers know; empty ones stand for
+	// DefaultHeaders.
+	Headers     Headers
 	Incarnation uint64
 	Seed        uint64
 	Now         func() clock.Millis
@@ -71,6 +79,7 @@
 	table    atomic.Pointer[table.Table]
 	callers  atomic.Pointer[map[string]float64] // their own rates
 	services atomic.Pointer[map[string]*service]
+	spread   *spread
 
 	mu    sync.Mutex // guards rates
 	rates *limit.Rates
@@ -85,7 +94,10 @@
 	if c.KeyMargin == 0 {
 		c.KeyMargin = resend.Margin
 	}
-	e := &Entry{config: c, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
+	if c.Headers == (Headers{}) {
+		c.Headers = DefaultHeaders()
+	}
+	e := &Entry{config: c, spread: newSpread(c.Seed), rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callers.Store(&map[string]float64{})
 	return e
@@ -94,6 +106,7 @@
 // Update puts a table in force.
 func (e *Entry) Update(t *table.Table) {
 	old := *e.services.Load()
+	nodes := countNodes(t)
 	next := make(map[string]*service, len(t.Services))
 	for _, c := range t.Services {
 		s, ok := old[c.Name]
@@ -101,7 +114,7 @@
 			seed := e.config.Seed + uint64(len(next))
 			s = newService(c, e.config.Domain, seed, e.config.Journal, e.config.Log)
 		}
-		s.update(c, e.config.Target)
+		s.update(c, nodes, e.config.Target)
 		s.enrol(e.config.Now(), c, e.config.Target)
 		next[c.Name] = s
 	}
@@ -115,6 +128,18 @@
 	e.table.Store(t)
 }
 
+// countNodes counts the nodes that may spend a service's extra retries: each
+// one's entry takes requests for all services.
+func countNodes(t *table.Table) int {
+	nodes := map[string]struct{}{}
+	for i := range t.Services {
+		for _, u := range t.Services[i].Upstreams {
+			nodes[u.Node] = struct{}{}
+		}
+	}
+	return len(nodes)
+}
+
 // Heard takes in what a gate says of its upstream.
 func (e *Entry) Heard(u wire.Upstream) {
 	t := e.table.Load()
@@ -177,6 +202,7 @@
 	defer e.closing(ctx)
 	e.config.Journal.Received()
 	r := e.newRequest(ctx)
+	defer r.watch()()
 	done := make(chan struct{})
 	err := e.config.Pool.Submit(func() {
 		defer close(done)
--- a/entry/request.go
+++ b/entry/request.go
@@ -32,6 +32,20 @@
 	HeaderDeadline = "Fuchsiapick-Deadline"
 )
 
+// Headers are the names of those headers that a platform may call otherwise.
+type Headers struct {
+	// Request carries the id that the caller gave the request; it goes on to
+	// the backend server and back. Empty where callers give none.
+	Request string
+	// Deadline carries how many milliseconds the caller will wait.
+	Deadline string
+}
+
+// DefaultHeaders are those of callers that know this project.
+func DefaultHeaders() Headers {
+	return Headers{Deadline: HeaderDeadline}
+}
+
 // Reasons of the entry itself, beside those that reports know.
 const (
 	// reasonSilent means that neither an answer nor a settlement came in time.
@@ -48,8 +62,9 @@
 	// patience is how many times the usual latency a try lasts at least: of
 	// answers as widely spread as those of real services few take longer.
 	patience = 8
-	// settleMost bounds it: a settlement takes one round trip.
-	settleMost = clock.Millis(250)
+	// settleMost bounds it: a settlement takes one round trip, 2 ms between
+	// failure domains, and the rest is for a busy node.
+	settleMost = clock.Millis(40)
 )
 
 // request is one request of a caller on its way.
@@ -57,11 +72,13 @@
 	entry   *Entry
 	ctx     *fasthttp.RequestCtx
 	id      wire.RequestID
+	label   string // the caller's own id of the request
 	caller  string
 	method  string
 	started clock.Millis
 
 	route      *table.Route
+	target     string // the service that the route leads to
 	service    *service
 	config     table.Service
 	baseline   wire.Baseline
@@ -72,7 +89,9 @@
 	body     []byte
 	tried    []*member
 	attempts uint8
+	ran      int // attempts that an upstream ran, or may have run
 	forced   bool
+	left     <-chan struct{} // closed when the caller has left
 	// begun means that an upstream may have run the request: it can't be
 	// refused as not run any more.
 	begun bool
@@ -95,11 +114,13 @@
 }
 
 func (e *Entry) newRequest(ctx *fasthttp.RequestCtx) *request {
+	label, _ := field(&ctx.Request.Header, e.config.Headers.Request)
 	return &request{
 		entry:   e,
 		ctx:     ctx,
 		id:      wire.RequestID{Entry: e.config.Incarnation, Seq: e.sequence.Add(1)},
-		caller:  callerOf(ctx),
+		label:   string(label),
+		caller:  e.callerOf(ctx),
 		method:  string(ctx.Method()),
 		started: e.config.Now(),
 	}
@@ -107,7 +128,10 @@
 
 // callerOf names the caller. The name ends up in logs and reports, so it is
 // held to printable characters and a bounded length.
-func callerOf(ctx *fasthttp.RequestCtx) string {
+func (e *Entry) callerOf(ctx *fasthttp.RequestCtx) string {
+	if e.config.Service != "" {
+		return e.config.Service
+	}
 	name, _ := field(&ctx.Request.Header, HeaderCaller)
 	if len(name) == 0 {
 		return ctx.RemoteIP().String()
@@ -145,21 +169,22 @@
 	if t == nil {
 		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
-	route, ok := t.Route(string(r.ctx.Path()))
+	route, ok := t.Route(hostOf(r.ctx), string(r.ctx.Path()))
 	if !ok {
 		return refused(fasthttp.StatusNotFound, account.ReasonNoRoute, 0), false
 	}
 	r.route = route
-	r.service = (*r.entry.services.Load())[route.Service]
+	r.target = r.entry.spread.service(route)
+	r.service = (*r.entry.services.Load())[r.target]
 	if r.service == nil {
 		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
 	r.config, r.baseline = r.service.admit(r.started)
+	r.deadline = r.started + r.budget()
 	r.repeatable = route.MayRepeat(r.method)
 	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
 		return refused(fasthttp.StatusTooManyRequests, limitReason(grant.By), grant.RetryAfter), false
 	}
-	r.deadline = r.started + r.budget()
 	return final{}, true
 }
 
@@ -170,13 +195,18 @@
 	return account.ReasonServiceLimit
 }
 
-// budget is the service's deadline, or the caller's own shorter one.
+// budget is the shortest of the route's timeout, or the service's deadline
+// without one, and what the caller will wait.
 func (r *request) budget() clock.Millis {
-	text, _ := field(&r.ctx.Request.Header, HeaderDeadline)
+	budget := r.config.Deadline
+	if r.route.Timeout > 0 {
+		budget = r.route.Timeout
+	}
+	text, _ := field(&r.ctx.Request.Header, r.entry.config.Headers.Deadline)
 	if own, ok := milliseconds(text); ok {
-		return min(own, r.config.Deadline)
+		return min(own, budget)
 	}
-	return r.config.Deadline
+	return budget
 }
 
 // run tries upstreams until the request has a final answer.
@@ -213,13 +243,20 @@
 	}
 	if o.kind != retry.NotRun {
 		r.begun = true
+		r.ran++
+	}
+	if r.hasLeft() {
+		return r.unknown(string(wire.ReasonLeft)), true
 	}
 	now := r.entry.config.Now()
 	decision := r.service.retry(now, retry.Attempt{
 		Result:     o.kind,
 		ForLoad:    o.full,
+		Arrived:    o.arrived,
 		Repeatable: r.repeatable,
 		Tried:      int(r.attempts),
+		Ran:        r.ran,
+		MostRan:    r.route.Attempts,
 		Remaining:  r.deadline - now,
 		RetryAfter: o.after,
 		Untried:    untried,
@@ -250,7 +287,7 @@
 
 // finish writes the answer and closes the account.
 func (r *request) finish(f final) {
-	write(r.ctx, r.id, &f)
+	r.write(&f)
 	now := r.entry.config.Now()
 	record := account.Record{
 		ID:       r.id.String(),
@@ -267,7 +304,7 @@
 		Domain:   r.last.Domain,
 	}
 	if r.route != nil {
-		record.Service, record.Route = r.route.Service, r.route.Prefix
+		record.Service, record.Route = r.target, r.route.Prefix
 	}
 	r.entry.config.Journal.Close(now, record)
 	if f.outcome != account.Served {
@@ -277,8 +314,11 @@
 
 func (r *request) log(record *account.Record) {
 	r.entry.config.Log.WithFields(logrus.Fields{
-		"request":  record.ID,
+		"request":  wire.NameOf(r.label, r.id),
 		"caller":   record.Caller,
+		"route":    record.Route,
+		"took":     record.Took.String(),
+		"status":   record.Status,
 		"service":  record.Service,
 		"upstream": record.Upstream,
 		"outcome":  record.Outcome,
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -80,6 +80,9 @@
 // field returns the last value of a header field and how many there are. Names
 // compare without regard to case, which a proxy on the way may change.
 func field(header *fasthttp.RequestHeader, name string) (value []byte, count int) {
+	if name == "" {
+		return nil, 0
+	}
 	for other, v := range header.All() {
 		if len(other) == len(name) && bytes.EqualFold(other, []byte(name)) {
 			value = v
@@ -286,7 +289,8 @@
 // to. Keys of before may have run at another service's nodes.
 func (e *Entry) noteRoutes(old, fresh *table.Table) {
 	same := func(a, b table.Route) bool {
-		return a.Prefix == b.Prefix && a.Service == b.Service && slices.Equal(a.Repeatable, b.Repeatable)
+		return a.Host == b.Host && a.Prefix == b.Prefix && a.Service == b.Service &&
+			slices.Equal(a.Shares, b.Shares) && slices.Equal(a.Repeatable, b.Repeatable)
 	}
 	if old == nil || !slices.EqualFunc(old.Routes, fresh.Routes, same) {
 		e.routed.Store(int64(e.config.Now()))
--- a/entry/service.go
+++ b/entry/service.go
@@ -27,22 +27,22 @@
 	log     logrus.FieldLogger
 	journal Journal
 
-	seed     uint64
-	offset   int // where among the members the watched ones begin
-	mu       sync.Mutex
-	config   table.Service
-	members  []*member
-	byName   map[string]*member
-	chooser  *choice.Chooser
-	budget   *retry.Budget
-	baseline health.Baseline
-	best     float64 // the lowest share of failures in view
-	computed clock.Millis
-	dirty    bool
-	recheck  clock.Millis // when the first hold-off ends; 0 without one
-	uses     []floor.Use
-	roster   *resend.Roster
-	nodes    map[string]Target // the ways to the roster's
+	seed      uint64
+	offset    int // where among the members the watched ones begin
+	mu        sync.Mutex
+	config    table.Service
+	members   []*member
+	byName    map[string]*member
+	chooser   *choice.Chooser
+	budget    *retry.Budget
+	baseline  health.Baseline
+	best      float64 // the lowest share of failures in view
+	computed  clock.Millis
+	dirty     bool
+	recheck   clock.Millis // when the first hold-off ends; 0 without one
+	uses      []floor.Use
+	roster    *resend.Roster
+	nodes     map[string]Target // the ways to the roster's
 
 	candidates []choice.Candidate
 	floors     []floor.Member
@@ -58,20 +58,40 @@
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
 		best:    1,
-		budget:  retry.New(retry.Config{Share: c.Retries, Seed: seed}),
+		budget:  retry.New(budgetOf(c, 1, seed)),
 		dirty:   true,
 		roster:  resend.NewRoster(resend.Retention),
 		nodes:   map[string]Target{},
 	}
 }
 
+// budgetShare is the part of the allowed retries that an entry spends. The rest
+// is for calls that a repeated run makes again: they count as repeats at the
+// service that is called, and no entry can tell them from first ones.
+const budgetShare = 0.9
+
+func budgetOf(c table.Service, nodes int, seed uint64) retry.Config {
+	if c.Window <= 0 {
+		return retry.Config{Share: c.Retries, Seed: seed}
+	}
+	return retry.Config{
+		Share:  budgetShare * c.Retries,
+		Extra:  budgetShare * float64(c.Extra) / float64(max(nodes, 1)),
+		Window: c.Window,
+		Seed:   seed,
+	}
+}
+
 // update puts a table edit in force. What is known of upstreams that stay is
 // kept.
-func (s *service) update(c table.Service, target func(u table.Upstream) Target) {
+func (s *service) update(c table.Service, nodeCount int, target func(u table.Upstream) Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Retries != s.config.Retries {
-		s.budget = retry.New(retry.Config{Share: c.Retries, Seed: s.seed})
+	switch {
+	case c.Window != s.config.Window, c.Window <= 0 && c.Retries != s.config.Retries:
+		s.budget = retry.New(budgetOf(c, nodeCount, s.seed))
+	case c.Window > 0:
+		s.budget.Adjust(budgetOf(c, nodeCount, s.seed))
 	}
 	s.config = c
 	old := s.byName
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -18,6 +18,7 @@
 	unsent
 	lost
 	expired
+	abandoned // the caller has left
 )
 
 type event struct {
@@ -70,8 +71,9 @@
 
 var timers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 
-// next waits for the next event, at most for the span.
-func (w *waiter) next(span clock.Millis) event {
+// next waits for the next event, at most for the span, or until the caller has
+// left.
+func (w *waiter) next(span clock.Millis, left <-chan struct{}) event {
 	timer, _ := timers.Get().(*time.Timer)
 	timer.Reset(span.Duration())
 	defer timers.Put(timer)
@@ -79,6 +81,9 @@
 	case e := <-w.events:
 		timer.Stop()
 		return e
+	case <-left:
+		timer.Stop()
+		return event{kind: abandoned}
 	case <-timer.C:
 		return event{kind: expired}
 	}
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,9 +22,14 @@
 	ErrTimeout = errors.ConstError("backend server didn't answer in time")
 	ErrTorn    = errors.ConstError("backend server's answer broke off")
 	ErrLarge   = errors.ConstError("backend server's answer is over the bound")
+	// ErrForeign means an answer that isn't the backend server's answer to
+	// this request: without its seal, under another id or recoded.
+	ErrForeign = errors.ConstError("backend server's answer isn't the request's own")
+	// ErrCancelled means that the caller has left.
+	ErrCancelled = errors.ConstError("the caller has left")
 )
 
-// Headers between a gate and its backend server.
+// Headers between a gate and a backend server that knows this project.
 const (
 	// HeaderRequest carries the request id.
 	HeaderRequest = "Fuchsiapick-Request"
@@ -38,13 +45,16 @@
 
 // Call is one request to the backend server.
 type Call struct {
-	ID       wire.RequestID
+	// ID is what the backend server knows the request by.
+	ID       string
 	Caller   string
 	Method   string
 	URI      string
 	Headers  wire.Headers
 	Body     []byte
 	Deadline clock.Millis
+	// Repeatable requests may use a connection that was used before.
+	Repeatable bool
 }
 
 // Answer is a whole answer of the backend server.
@@ -66,73 +76,91 @@
 	Connections int
 	// Limit bounds an answer's body in bytes.
 	Limit int
+	// Headers are the names that the backend server knows; empty ones stand
+	// for DefaultHeaders.
+	Headers Headers
+	// Instance is the name of the upstream that is meant.
+	Instance string
 }
 
-// HTTP calls a backend server over HTTP/1.1.
+// HTTP calls a backend server over HTTP/1.1. It is safe for concurrent use.
+//
+// It writes and reads on connections of its own: an HTTP client library sends a
+// request again when its connection broke, takes what is left of an earlier
+// answer for the next, and can't be told that the caller has left.
 type HTTP struct {
-	client *fasthttp.HostClient
-}
-
-// refusal marks an error of opening a connection, before anything was sent.
-type refusal struct{ cause error }
+	config HTTPConfig
 
-// Error describes the cause.
-func (r refusal) Error() string { return "opening a connection: " + r.cause.Error() }
+	mu     sync.Mutex
+	idle   []*backendConn
+	open   int
+	closed bool
+}
 
-// Timeout stops the HTTP library from taking it for a late answer.
-func (refusal) Timeout() bool { return false }
-
-const (
-	connectTimeout = clock.Second
-	// idleConnection is shorter than the keep-alive of common HTTP servers, so
-	// that a request seldom meets a connection that the other side is closing.
-	idleConnection = 4 * clock.Second
-)
+const connectTimeout = clock.Second
 
 // NewHTTP returns a backend that opens connections as requests need them.
 func NewHTTP(c HTTPConfig) *HTTP {
-	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
-	return &HTTP{client: &fasthttp.HostClient{
-		Addr:                          c.Address,
-		MaxConns:                      c.Connections,
-		MaxIdleConnDuration:           idleConnection.Duration(),
-		MaxResponseBodySize:           c.Limit,
-		NoDefaultUserAgentHeader:      true,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: true,
-		// The library would send a request again when its connection broke.
-		// Only the entry decides about that: it knows what may be repeated.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := dialer.Dial("tcp", address)
-			if err != nil {
-				return nil, refusal{err}
-			}
-			return conn, nil
-		},
-	}}
+	if c.Headers == (Headers{}) {
+		c.Headers = DefaultHeaders()
+	}
+	return &HTTP{config: c}
 }
 
-// Close drops the connections that are idle.
+// Close drops the connections that are idle, and each other one after its
+// answer.
 func (h *HTTP) Close() {
-	h.client.CloseIdleConnections()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	for _, c := range h.idle {
+		h.open--
+		_ = c.Close() // nothing is under way on it
+	}
+	h.idle = nil
 }
 
-// Do sends a request and returns the whole answer. It returns ErrRefused,
-// ErrTimeout, ErrTorn or ErrLarge. At the deadline it closes the connection,
+// Do sends a request and returns the whole answer. It returns one of the errors
+// above. At the deadline, or when the context ends, it closes the connection,
 // which is how a backend server learns that the request is cancelled.
-func (h *HTTP) Do(c *Call) (Answer, error) {
+func (h *HTTP) Do(ctx context.Context, c *Call) (Answer, error) {
+	deadline := time.Now().Add(c.Deadline.Duration())
+	conn, err := h.take(ctx, deadline, c.Repeatable)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	h.fill(request, c)
-	err := h.client.DoDeadline(request, response, time.Now().Add(c.Deadline.Duration()))
+	response.Header.DisableNormalizing()
+	response.SkipBody = c.Method == fasthttp.MethodHead
+	err = conn.exchange(ctx, h, request, response, c.ID)
 	if err != nil {
-		return Answer{}, errors.Annotatef(fault(err), "%v", err)
+		h.drop(conn)
+		return Answer{}, h.fault(ctx, err)
+	}
+	answer := h.answerOf(c.Method, response)
+	h.give(conn, response)
+	return answer, nil
+}
+
+// fault says why an exchange ended without a whole answer.
+func (*HTTP) fault(ctx context.Context, err error) error {
+	var network net.Error
+	switch {
+	case errors.Is(err, ErrForeign), errors.Is(err, ErrLarge):
+		return errors.Trace(err)
+	case ctx.Err() != nil:
+		return errors.Annotate(ErrCancelled, err.Error())
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &network) && network.Timeout():
+		return errors.Annotate(ErrTimeout, err.Error())
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return errors.Annotate(ErrLarge, err.Error())
+	default:
+		return errors.Annotate(ErrTorn, err.Error())
 	}
-	return answerOf(c.Method, response), nil
 }
 
 // probeTimeout is many times what a probe takes on today's upstreams, 25 ms.
@@ -140,49 +168,52 @@
 
 // Probe asks a health endpoint and reports an answer 2xx.
 func (h *HTTP) Probe(path string) bool {
+	ctx := context.Background()
+	conn, err := h.take(ctx, time.Now().Add(probeTimeout.Duration()), true)
+	if err != nil {
+		return false // a refusal shows with the next request too
+	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(path)
-	request.SetHost(h.client.Addr)
-	err := h.client.DoTimeout(request, response, probeTimeout.Duration())
-	return err == nil && response.StatusCode()/100 == fasthttp.StatusOK/100
+	request.Header.SetHost(h.config.Address)
+	if err := conn.exchange(ctx, h, request, response, ""); err != nil {
+		h.drop(conn)
+		return false
+	}
+	ok := response.StatusCode()/100 == fasthttp.StatusOK/100
+	h.give(conn, response)
+	return ok
 }
 
 func (h *HTTP) fill(request *fasthttp.Request, c *Call) {
 	request.Header.DisableNormalizing()
+	request.Header.SetNoDefaultContentType(true)
 	request.Header.SetMethod(c.Method)
 	request.SetRequestURI(c.URI)
 	for name, value := range c.Headers.All() {
 		request.Header.AddBytesKV(name, value)
 	}
 	if len(request.Header.Host()) == 0 {
-		request.SetHost(h.client.Addr)
+		request.Header.SetHost(h.config.Address)
 	}
-	request.Header.Set(HeaderRequest, c.ID.String())
-	request.Header.Set(HeaderCaller, c.Caller)
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(int64(c.Deadline), 10))
+	names := &h.config.Headers
+	setHeader(request, names.Request, c.ID)
+	setHeader(request, names.Caller, c.Caller)
+	setHeader(request, names.Deadline, strconv.FormatInt(int64(c.Deadline), 10))
+	setHeader(request, names.Instance, h.config.Instance)
 	request.SetBodyRaw(c.Body)
 }
 
-// fault sorts the library's errors. Only an error of opening a connection says
-// that the backend server got nothing.
-func fault(err error) error {
-	var refused refusal
-	switch {
-	case errors.As(err, &refused), errors.Is(err, fasthttp.ErrNoFreeConns):
-		return ErrRefused
-	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout):
-		return ErrTimeout
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return ErrLarge
-	default:
-		return ErrTorn
+func setHeader(request *fasthttp.Request, name, value string) {
+	if name != "" && value != "" {
+		request.Header.Set(name, value)
 	}
 }
 
-func answerOf(method string, response *fasthttp.Response) Answer {
+func (h *HTTP) answerOf(method string, response *fasthttp.Response) Answer {
 	a := Answer{Status: response.StatusCode()}
 	a.Body = append(a.Body, response.Body()...)
 	for name, value := range response.Header.All() {
@@ -194,12 +225,13 @@
 		// It has no body whose length could tell.
 		a.Headers = a.Headers.Add([]byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(length), 10))
 	}
-	after, told := retryAfter(response.Header.Peek(fasthttp.HeaderRetryAfter))
+	value, _ := field(response, fasthttp.HeaderRetryAfter)
+	after, told := retryAfter(value)
 	a.RetryAfter = after
 	limited := a.Status == fasthttp.StatusTooManyRequests
 	unavailable := a.Status == fasthttp.StatusServiceUnavailable
-	a.Shed = (limited || unavailable) && string(response.Header.Peek(HeaderBackend)) == shed
-	a.Overloaded = a.Shed || limited || (unavailable && told)
+	a.Shed = h.config.Headers.notRun(response)
+	a.Overloaded = (a.Shed && (limited || unavailable)) || limited || (unavailable && told)
 	return a
 }
 
@@ -209,6 +241,13 @@
 	if len(text) == 0 {
 		return 0, false
 	}
-	seconds, err := strconv.ParseUint(string(text), 10, 16)
-	return clock.Millis(seconds) * clock.Second, err == nil
+	seconds, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || seconds < 0 || seconds > float64(mostRetryAfter) {
+		return 0, false
+	}
+	return clock.FromDuration(time.Duration(seconds * float64(time.Second))), true
 }
+
+// mostRetryAfter is the longest that a backend server's word is taken for, in
+// seconds.
+const mostRetryAfter = 3600
--- /dev/null
+++ b/gate/exchange.go
@@ -0,0 +1,229 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// idleConnection is shorter than the keep-alive of common HTTP servers, so
+	// that a request seldom meets a connection that the other side is closing.
+	idleConnection = 4 * time.Second
+	// idleMargin is taken from the span that a backend server announces: its
+	// clock began earlier, and the request needs time to arrive.
+	idleMargin = 500 * time.Millisecond
+	// justUsed is how long after an answer a connection counts as one that the
+	// other side can't have forgotten: servers and what stands between keep
+	// idle connections for seconds.
+	justUsed = 250 * time.Millisecond
+	// mostForeign bounds the late answers to earlier requests that are passed
+	// over on one connection.
+	mostForeign = 4
+	bufferSize  = 4 << 10
+)
+
+// backendConn is one connection to the backend server.
+type backendConn struct {
+	net.Conn
+
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// used is when the last answer on it ended, until when an idle one is given
+	// up.
+	used, until time.Time
+}
+
+// take returns a connection: an idle one that still stands, else a new one. A
+// connection that the other side has forgotten resets what is sent next, and
+// whether that ran can't be known: a request that may run once only is put on
+// one that was in use a moment ago, or on a new one. The price is a connection's
+// setup, about 1 ms.
+func (h *HTTP) take(ctx context.Context, deadline time.Time, repeatable bool) (*backendConn, error) {
+	conn, ok := h.reserve(repeatable)
+	if conn != nil {
+		return conn, errors.Trace(conn.SetDeadline(deadline))
+	}
+	if !ok {
+		return nil, errors.Annotatef(ErrRefused, "%d connections are in use", h.config.Connections)
+	}
+	dialer := net.Dialer{Timeout: connectTimeout.Duration(), Deadline: deadline}
+	raw, err := dialer.DialContext(ctx, "tcp", h.config.Address)
+	if err == nil {
+		err = raw.SetDeadline(deadline)
+	}
+	if err != nil {
+		h.mu.Lock()
+		h.open--
+		h.mu.Unlock()
+		return nil, errors.Annotatef(ErrRefused, "opening a connection: %v", err)
+	}
+	return &backendConn{
+		Conn:   raw,
+		reader: bufio.NewReaderSize(raw, bufferSize),
+		writer: bufio.NewWriterSize(raw, bufferSize),
+	}, nil
+}
+
+// reserve returns an idle connection that is fit for the request, or nil and
+// whether a new one may be opened, which is counted then.
+func (h *HTTP) reserve(repeatable bool) (*backendConn, bool) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.idle) > 0 {
+		last := len(h.idle) - 1
+		conn := h.idle[last]
+		recent := now.Sub(conn.used) < justUsed
+		if !repeatable && !recent && h.open < h.config.Connections {
+			break // it stays for others
+		}
+		h.idle = h.idle[:last]
+		if (repeatable || recent) && now.Before(conn.until) && conn.silent() {
+			return conn, true
+		}
+		h.open--
+		_ = conn.Close() // nothing is under way on it
+	}
+	if h.open >= h.config.Connections {
+		return nil, false
+	}
+	h.open++
+	return nil, true
+}
+
+// drop closes a connection whose state isn't known.
+func (h *HTTP) drop(conn *backendConn) {
+	h.mu.Lock()
+	h.open--
+	h.mu.Unlock()
+	_ = conn.Close() // what was to be read is given up
+}
+
+// give keeps a connection for the next request if the answer leaves it fit.
+func (h *HTTP) give(conn *backendConn, response *fasthttp.Response) {
+	length := response.Header.ContentLength()
+	framed := length >= 0 || length == -1 // by length or in chunks
+	if response.Header.ConnectionClose() || !framed || conn.reader.Buffered() > 0 {
+		h.drop(conn)
+		return
+	}
+	conn.used = time.Now()
+	conn.until = conn.used.Add(keepFor(response))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		h.open--
+		_ = conn.Close() // nothing is under way on it
+		return
+	}
+	h.idle = append(h.idle, conn)
+}
+
+// keepFor is how long an idle connection is used again: less than the backend
+// server says, if it does.
+func keepFor(response *fasthttp.Response) time.Duration {
+	value, ok := field(response, "Keep-Alive")
+	if !ok {
+		return idleConnection
+	}
+	_, text, ok := bytes.Cut(value, []byte("timeout="))
+	if !ok {
+		return idleConnection
+	}
+	if end := bytes.IndexByte(text, ','); end >= 0 {
+		text = text[:end]
+	}
+	seconds, err := strconv.Atoi(string(bytes.TrimSpace(text)))
+	if err != nil {
+		return idleConnection
+	}
+	return min(idleConnection, max(time.Duration(seconds)*time.Second-idleMargin, 0))
+}
+
+// silent reports whether the other side has neither closed an idle connection
+// nor sent anything on it: such bytes belong to no request.
+func (c *backendConn) silent() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange sends a request and reads its answer, within the connection's
+// deadline. The end of the context breaks it off.
+func (c *backendConn) exchange(ctx context.Context, h *HTTP, request *fasthttp.Request, response *fasthttp.Response, id string) error {
+	stop := func() bool { return true }
+	if ctx.Done() != nil {
+		// A deadline in the past ends reads and writes that are under way.
+		stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+		defer stop()
+	}
+	if err := request.Write(c.writer); err != nil {
+		return errors.Annotate(err, "writing the request")
+	}
+	if err := c.writer.Flush(); err != nil {
+		return errors.Annotate(err, "writing the request")
+	}
+	for range mostForeign {
+		if err := response.ReadLimitBody(c.reader, h.config.Limit); err != nil {
+			return errors.Annotate(err, "reading the answer")
+		}
+		if own, err := h.own(response, id); own || err != nil {
+			if !stop() && err == nil {
+				// The caller left while the last byte came: the connection is being
+				// broken off and isn't fit for another request.
+				response.SetConnectionClose()
+			}
+			return err
+		}
+	}
+	return errors.Annotatef(ErrForeign, "%d answers to other requests", mostForeign)
+}
+
+// own reports whether an answer is the request's own, and an error if it can't
+// be passed on. An answer under another id is a late one to an earlier request
+// on the connection: the request's own still comes.
+func (h *HTTP) own(response *fasthttp.Response, id string) (bool, error) {
+	names := &h.config.Headers
+	if names.Instance == "" || id == "" {
+		return true, nil
+	}
+	echoed, ok := field(response, names.Request)
+	switch {
+	case !ok && names.notRun(response):
+		return true, nil // a refusal before the request was read
+	case !ok:
+		return false, errors.Annotate(ErrForeign, "it has no request id")
+	case string(echoed) != id:
+		return false, nil
+	}
+	if _, ok := field(response, fasthttp.HeaderContentEncoding); ok {
+		return false, errors.Annotate(ErrForeign, "its body is recoded")
+	}
+	if _, ok := field(response, names.Seal); !ok && response.StatusCode() < fasthttp.StatusBadRequest {
+		return false, errors.Annotate(ErrForeign, "a success without a seal")
+	}
+	return true, nil
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 // Backend runs one request at the backend server, errors as HTTP.Do returns
 // them.
 type Backend interface {
-	Do(c *Call) (Answer, error)
+	Do(ctx context.Context, c *Call) (Answer, error)
 	// Probe asks the backend server's health endpoint.
 	Probe(path string) bool
 	Close()
@@ -86,7 +87,9 @@
 	running  bool
 	overdue  bool
 	timer    *time.Timer
-	refusal  *wire.Reply // when its key may not run here
+	// abandon breaks off the call; it is set while it runs.
+	abandon context.CancelFunc
+	refusal *wire.Reply // when its key may not run here
 }
 
 // New returns a gate that admits requests.
@@ -240,6 +243,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state, reply := g.fence.Settle(now, key, s.Incarnation, s.Lease)
+	if s.Abandon && state == lease.Begun {
+		g.breakOff(key)
+	}
 	if state == lease.Done && reply != nil {
 		return nil, reply
 	}
@@ -252,6 +258,27 @@
 	}, nil
 }
 
+// Abandon takes in that the caller of a dispatch has left: it doesn't begin any
+// more, or is broken off.
+func (g *Gate) Abandon(id wire.RequestID, attempt uint8) {
+	key := lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fence.Refuse(key)
+	g.breakOff(key)
+}
+
+// breakOff ends the call of a dispatch whose caller has left, if it may run more
+// than once: its slot is then free for others. One that may run only once goes
+// on, for its caller meant it. The gate's lock is held.
+func (g *Gate) breakOff(key lease.Key) {
+	for _, j := range g.jobs {
+		if j.key == key && j.abandon != nil {
+			j.abandon()
+		}
+	}
+}
+
 // Update puts a table edit in force.
 func (g *Gate) Update(s table.Service, u table.Upstream) {
 	g.mu.Lock()
--- a/gate/run.go
+++ b/gate/run.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,18 +27,34 @@
 		return
 	}
 	d := j.dispatch
-	answer, err := g.config.Backend.Do(&Call{
-		ID:       d.ID,
-		Caller:   d.Caller,
-		Method:   d.Method,
-		URI:      d.URI,
-		Headers:  d.Headers,
-		Body:     d.Body,
-		Deadline: j.until - now,
+	ctx, cancel := g.breakable(j)
+	defer cancel()
+	answer, err := g.config.Backend.Do(ctx, &Call{
+		ID:         wire.NameOf(d.Label, d.ID),
+		Caller:     d.Caller,
+		Method:     d.Method,
+		URI:        d.URI,
+		Headers:    d.Headers,
+		Body:       d.Body,
+		Deadline:   j.until - now,
+		Repeatable: d.Repeatable,
 	})
 	g.finish(j, now, answer, err)
 }
 
+// breakable returns what a job's call ends with early: the caller's leaving, for
+// one that may run more than once.
+func (g *Gate) breakable(j *job) (context.Context, context.CancelFunc) {
+	if !j.dispatch.Repeatable {
+		return context.Background(), func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.mu.Lock()
+	j.abandon = cancel
+	g.mu.Unlock()
+	return ctx, cancel
+}
+
 // begin is the last step before the request goes out. A dispatch that was
 // settled as not run while it waited stops here.
 func (g *Gate) begin(j *job) (clock.Millis, bool) {
@@ -92,7 +109,7 @@
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
 	g.mu.Unlock()
 	j.answer(reply)
-	g.logOutcome(reply, err)
+	g.logOutcome(j.dispatch, reply, err)
 	answerAll(late)
 	if next != nil {
 		g.start(next)
@@ -101,12 +118,12 @@
 
 // logOutcome leaves a line, under the id that entry and report know too, of a
 // request that the backend server did not answer.
-func (g *Gate) logOutcome(reply *wire.Reply, err error) {
+func (g *Gate) logOutcome(d *wire.Dispatch, reply *wire.Reply, err error) {
 	if err == nil {
 		return
 	}
 	g.log.WithError(err).WithFields(logrus.Fields{
-		"request": reply.ID.String(),
+		"request": wire.NameOf(d.Label, d.ID),
 		"reason":  string(reply.Reason),
 	}).Info("request not answered by the backend server")
 }
@@ -161,6 +178,8 @@
 // that no healthy upstream would have met.
 func resultOf(a Answer, err error, tooShort bool) health.Result {
 	switch {
+	case errors.Is(err, ErrCancelled):
+		return health.Cancelled
 	case errors.Is(err, ErrTimeout) && tooShort:
 		return health.ShortDeadline
 	case errors.Is(err, ErrTimeout):
@@ -190,6 +209,10 @@
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTimeout
 	case errors.Is(err, ErrLarge):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTooLarge
+	case errors.Is(err, ErrForeign):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonForeign
+	case errors.Is(err, ErrCancelled):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonLeft
 	case err != nil:
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTorn
 	case a.Shed:
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// Abandon says that the caller has left and drops the waiter.
+func (p *Peer) Abandon(id wire.RequestID, attempt uint8) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one, ok := p.pending[keyOf(id, attempt)]
+	if ok && !one.unsent && p.conn != nil {
+		settle := settleOf(one.dispatch)
+		settle.Abandon = true
+		_ = p.conn.Send(settle) // a lost link ends with the request's own deadline
+	}
+	p.remove(keyOf(id, attempt))
+}
+
 // Forget drops the waiter of a dispatch that was given up on.
 func (p *Peer) Forget(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,53 @@
+// Package mirror keeps a copy of the values that the platform's store holds
+// under one prefix: one list at the start, then a watch from its revision.
+//
+// The store can only be read. It may be down, slow, silent or without its
+// history at any time; the copy stays in force until it answers again.
+package mirror
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// Faults of a store.
+const (
+	// ErrUnavailable means that the store gave no answer, or none in time.
+	ErrUnavailable = errors.ConstError("the platform's store doesn't answer")
+	// ErrHistory means that the store has dropped the changes that were asked
+	// for: all values must be listed again.
+	ErrHistory = errors.ConstError("the platform's store no longer has these changes")
+	// ErrAnswer means an answer that breaks the store's protocol.
+	ErrAnswer = errors.ConstError("the platform's store answered what can't be read")
+)
+
+// Item is one value of the store.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is the store's count of changes at the value's last one.
+	Revision uint64
+	// Created is that count when the key was written first.
+	Created uint64
+}
+
+// Event is one change. A key that is gone has no value.
+type Event struct {
+	Item
+
+	Gone bool
+}
+
+// Store reads the platform's store.
+type Store interface {
+	// List returns all values, and a revision from which a watch misses no
+	// later change. It returns ErrUnavailable or ErrAnswer.
+	List(ctx context.Context) ([]Item, uint64, error)
+	// Watch waits for changes after a revision, at most for the span, and
+	// returns them with the revision to go on from. It returns ErrUnavailable,
+	// ErrHistory or ErrAnswer.
+	Watch(ctx context.Context, after uint64, wait clock.Millis) ([]Event, uint64, error)
+}
--- a/node/edition.go
+++ b/node/edition.go
@@ -6,7 +6,7 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/edition"
-	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/reading"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -61,6 +61,18 @@
 	}
 }
 
+// Adopt puts a table of the source in force. It orders its tables itself.
+func (n *Node) Adopt(t *table.Table) {
+	n.mu.Lock()
+	changes := table.Diff(n.table, t)
+	n.table = t
+	n.apply(t)
+	n.mu.Unlock()
+	n.links.BeatNow() // what is leaving here must not wait for a heartbeat
+	log := n.log.WithFields(logrus.Fields{"version": t.Version, "source": "store"})
+	n.noteEdition(log, t.Version, edition.Accept, changes)
+}
+
 func (n *Node) noteEdition(log logrus.FieldLogger, version uint64, verdict edition.Verdict, changes []table.Change) {
 	e := account.Event{At: n.clock.Now(), Reason: "version " + formatVersion(version)}
 	switch verdict {
@@ -121,14 +133,14 @@
 // instances takes in the platform's list, which lags: it can say that a node
 // is leaving, but a node that says so itself is leaving whatever the list says.
 func (n *Node) instances(body []byte) {
-	list, err := platform.ParseInstances(body)
+	list, err := reading.ParseInstances(body)
 	if err != nil {
 		n.log.WithError(err).Error("instance list rejected")
 		return
 	}
 	listed := make(map[string]bool, len(list.List))
 	for _, i := range list.List {
-		listed[i.Node] = i.State == platform.Leaving
+		listed[i.Node] = i.State == reading.Leaving
 	}
 	n.mu.Lock()
 	for node := range n.listed {
--- a/node/gates.go
+++ b/node/gates.go
@@ -53,6 +53,8 @@
 			Address:     u.Address,
 			Connections: u.Connections,
 			Limit:       n.settings.Limits.Answer,
+			Headers:     n.upstreamHeaders,
+			Instance:    u.Name,
 		}),
 		Pool:     n.gatePool,
 		Journal:  n.metrics,
@@ -139,6 +141,13 @@
 // Settle has nothing to ask: in one process a reply can't be lost.
 func (local) Settle(wire.RequestID, uint8) {}
 
+// Abandon tells the gate that the caller has left.
+func (l local) Abandon(id wire.RequestID, attempt uint8) {
+	for _, g := range l.node.allGates() {
+		g.Abandon(id, attempt)
+	}
+}
+
 // Keep has no link to keep.
 func (local) Keep() {}
 
--- a/node/node.go
+++ b/node/node.go
@@ -29,10 +29,6 @@
 )
 
 const (
-	// beat is the heartbeat interval of links. Two missed ones within a second
-	// show a lost path well before a request's usual deadline of 2 s, and at
-	// 200 bytes both ways it leaves room for some links in 2 KB/s.
-	beat = clock.Millis(500)
 	// gateWorkers bounds the requests that all gates of a node run at once:
 	// 83 upstreams of 7 slots at the size to design for, and as many waiting.
 	gateWorkers = 2048
@@ -50,28 +46,45 @@
 	// KeyMargin is by how much the age of an idempotency key may be
 	// understated; 0 means resend.Margin. Tests set it, to resend at once.
 	KeyMargin clock.Millis
+	// Source gives the tables in place of the platform's own; nil where the
+	// platform publishes them.
+	Source Source
+	// CallerHeaders and UpstreamHeaders are the names that the platform gives
+	// to headers; empty ones stand for this project's.
+	CallerHeaders   entry.Headers
+	UpstreamHeaders gate.Headers
+}
+
+// Source makes tables from what a platform publishes.
+type Source interface {
+	// Serve hands each new table to the node until the context ends. Away is
+	// told the cause when the platform goes away, and nil when it is back.
+	Serve(ctx context.Context, adopt func(t *table.Table), away func(cause error)) error
 }
 
 // Node is one process of the fleet. It is safe for concurrent use.
 type Node struct {
-	settings    *settings.Settings
-	listeners   *Listeners
-	log         logrus.FieldLogger
-	clock       *clock.System
-	incarnation uint64
-	seed        uint64
-	book        *account.Book
-	metrics     *metrics.Set
-	entry       *entry.Entry
-	links       *link.Server
-	callers     *fasthttp.Server
-	keys        *gate.Keys
-	entryPool   *ants.Pool
-	gatePool    *ants.Pool
-	root        *suture.Supervisor
-	peerTree    *suture.Supervisor
-	leave       chan struct{}
-	leaveOnce   sync.Once
+	settings  *settings.Settings
+	source    Source
+	listeners *Listeners
+	// upstreamHeaders are the names that backend servers know.
+	upstreamHeaders gate.Headers
+	log             logrus.FieldLogger
+	clock           *clock.System
+	incarnation     uint64
+	seed            uint64
+	book            *account.Book
+	metrics         *metrics.Set
+	entry           *entry.Entry
+	links           *link.Server
+	callers         *fasthttp.Server
+	keys            *gate.Keys
+	entryPool       *ants.Pool
+	gatePool        *ants.Pool
+	root            *suture.Supervisor
+	peerTree        *suture.Supervisor
+	leave           chan struct{}
+	leaveOnce       sync.Once
 	// consulted is closed when a peer has said which table it has in force.
 	consulted     chan struct{}
 	consultedOnce sync.Once
@@ -96,19 +109,21 @@
 // New builds a node; Run starts it.
 func New(c Config) (*Node, error) {
 	n := &Node{
-		settings:    c.Settings,
-		listeners:   c.Listeners,
-		log:         c.Log.WithField("node", c.Settings.Node),
-		clock:       clock.NewSystem(),
-		incarnation: random(),
-		leave:       make(chan struct{}),
-		consulted:   make(chan struct{}),
-		inForce:     make(chan struct{}),
-		fence:       edition.New(),
-		gates:       map[string]*gate.Gate{},
-		peers:       map[string]*peer{},
-		listed:      map[string]bool{},
-		order:       maphash.MakeSeed(),
+		settings:        c.Settings,
+		source:          c.Source,
+		upstreamHeaders: c.UpstreamHeaders,
+		listeners:       c.Listeners,
+		log:             c.Log.WithField("node", c.Settings.Node),
+		clock:           clock.NewSystem(),
+		incarnation:     random(),
+		leave:           make(chan struct{}),
+		consulted:       make(chan struct{}),
+		inForce:         make(chan struct{}),
+		fence:           edition.New(),
+		gates:           map[string]*gate.Gate{},
+		peers:           map[string]*peer{},
+		listed:          map[string]bool{},
+		order:           maphash.MakeSeed(),
 		book: account.New(account.Config{
 			Records: c.Settings.Limits.Records,
 			Events:  eventsKept,
@@ -131,6 +146,8 @@
 	}
 	n.entry = entry.New(entry.Config{
 		Domain:      c.Settings.Domain,
+		Service:     c.Settings.Service,
+		Headers:     c.CallerHeaders,
 		Incarnation: n.incarnation,
 		Seed:        n.seed,
 		Now:         n.clock.Now,
@@ -143,7 +160,7 @@
 	n.links = link.NewServer(link.ServerConfig{
 		Identity: n.identity(),
 		Limit:    n.frameLimit(),
-		Beat:     beat,
+		Beat:     c.Settings.Beat,
 		Now:      n.clock.Now,
 		Handler:  n,
 		Log:      n.log,
@@ -203,7 +220,7 @@
 		}
 	}
 	defer listeners.Close()
-	n.buildTree(listeners)
+	n.buildTree(listeners) //nolint:contextcheck // a call to a backend server outlives what let it begin
 	n.bootstrap()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/node/peers.go
+++ b/node/peers.go
@@ -54,7 +54,7 @@
 		Self:    n.identity(),
 		Limit:   n.frameLimit(),
 		Answer:  n.settings.Limits.Answer,
-		Beat:    beat,
+		Beat:    n.settings.Beat,
 		Seed:    n.seed + uint64(len(n.peers)),
 		Now:     n.clock.Now,
 		Status:  n.Status,
--- a/node/reading.go
+++ b/node/reading.go
@@ -9,7 +9,7 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/metrics"
-	"fuchsiapick.example/fuchsiapick/platform"
+	"fuchsiapick.example/fuchsiapick/reading"
 )
 
 // Keys of the platform's values.
@@ -20,14 +20,20 @@
 
 // addReading adds the readers of the platform's values.
 func (n *Node) addReading(tree *suture.Supervisor) {
+	if n.source != nil {
+		tree.Add(service{"table source", func(ctx context.Context) error {
+			return n.source.Serve(ctx, n.Adopt, n.sourceAway)
+		}})
+		return
+	}
 	if n.settings.Platform.Address == "" {
 		return
 	}
-	reader := platform.New(platform.Config{Address: n.settings.Platform.Address, Seed: n.seed})
-	tables := n.follower(reader, platform.FollowerConfig{
+	reader := reading.New(reading.Config{Address: n.settings.Platform.Address, Seed: n.seed})
+	tables := n.follower(reader, reading.FollowerConfig{
 		Key:     keyTable,
 		After:   n.version,
-		Deliver: func(v platform.Value) { n.offer(v.Version, v.Body, fromPlatform) },
+		Deliver: func(v reading.Value) { n.offer(v.Version, v.Body, fromPlatform) },
 		Report:  n.tableFault,
 		Seed:    n.seed,
 	})
@@ -37,10 +43,10 @@
 		return tables.Serve(ctx)
 	}})
 	var seen uint64
-	tree.Add(n.follower(reader, platform.FollowerConfig{
+	tree.Add(n.follower(reader, reading.FollowerConfig{
 		Key:   keyInstances,
 		After: func() uint64 { return seen },
-		Deliver: func(v platform.Value) {
+		Deliver: func(v reading.Value) {
 			seen = v.Version
 			n.instances(v.Body)
 		},
@@ -49,11 +55,11 @@
 	}))
 }
 
-func (n *Node) follower(reader *platform.Reader, c platform.FollowerConfig) *platform.Follower {
+func (n *Node) follower(reader *reading.Reader, c reading.FollowerConfig) *reading.Follower {
 	c.Source = noticed{reader, n}
 	c.BackoffMax = n.settings.Platform.Poll
-	c.Plan = func() platform.Plan { return platform.Share(platform.ShareConfig{}, n.view(), c.Key) }
-	f := platform.NewFollower(c)
+	c.Plan = func() reading.Plan { return reading.Share(reading.ShareConfig{}, n.view(), c.Key) }
+	f := reading.NewFollower(c)
 	n.mu.Lock()
 	n.followers = append(n.followers, following{c.Key, f})
 	n.mu.Unlock()
@@ -63,15 +69,15 @@
 // following is the reader of one value.
 type following struct {
 	key      string
-	follower *platform.Follower
+	follower *reading.Follower
 }
 
 // view is what this node knows when it decides whether to watch the platform
 // itself or to hear of changes from peers.
-func (n *Node) view() platform.View {
+func (n *Node) view() reading.View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	v := platform.View{Self: n.address(), Fleet: len(n.peers) + 1}
+	v := reading.View{Self: n.address(), Fleet: len(n.peers) + 1}
 	for address, p := range n.peers {
 		if p.link.Ready() {
 			v.Peers = append(v.Peers, address)
@@ -82,20 +88,20 @@
 
 // noticed tells the node whether the platform answers.
 type noticed struct {
-	*platform.Reader
+	*reading.Reader
 
 	node *Node
 }
 
 // Get reads a value.
-func (s noticed) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s noticed) Get(ctx context.Context, key string) (reading.Value, error) {
 	v, err := s.Reader.Get(ctx, key)
 	s.node.platformAnswered(ctx, err)
 	return v, err
 }
 
 // Watch waits for a value above a version.
-func (s noticed) Watch(ctx context.Context, key string, after uint64) (platform.Value, bool, error) {
+func (s noticed) Watch(ctx context.Context, key string, after uint64) (reading.Value, bool, error) {
 	v, found, err := s.Reader.Watch(ctx, key, after)
 	s.node.platformAnswered(ctx, err)
 	return v, found, err
@@ -107,7 +113,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	away := errors.Is(err, platform.ErrUnavailable)
+	away := errors.Is(err, reading.ErrUnavailable)
 	n.mu.Lock()
 	changed := away != n.platformAway
 	n.platformAway = away
@@ -125,9 +131,18 @@
 	n.metrics.Note(e)
 }
 
+// sourceAway notes when the platform that the source reads goes away and when
+// it is back.
+func (n *Node) sourceAway(cause error) {
+	if cause != nil {
+		cause = errors.Annotate(reading.ErrUnavailable, cause.Error())
+	}
+	n.platformAnswered(context.Background(), cause)
+}
+
 // tableFault logs a failed read of the table.
 func (n *Node) tableFault(err error) {
-	if !errors.Is(err, platform.ErrStale) {
+	if !errors.Is(err, reading.ErrStale) {
 		n.log.WithError(err).Debug("table not read")
 		return
 	}
@@ -138,7 +153,7 @@
 // listFault logs a failed read of the instance list. One that was never
 // published is no fault: links say who is leaving.
 func (n *Node) listFault(err error) {
-	if errors.Is(err, platform.ErrStale) {
+	if errors.Is(err, reading.ErrStale) {
 		n.log.WithError(err).Warn("platform holds an older instance list than the one in force")
 		return
 	}
--- a/node/services.go
+++ b/node/services.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/admin"
+	"fuchsiapick.example/fuchsiapick/caller"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
 
@@ -19,6 +20,9 @@
 	// callerRead and callerWrite bound a caller that sends or reads slowly.
 	callerRead  = 30 * time.Second
 	callerWrite = 60 * time.Second
+	// callerHeaders bounds the headers of a request in bytes: twice what
+	// today's callers may send, 16 KB.
+	callerHeaders = 32 << 10
 )
 
 // Listeners are a node's open ports.
@@ -119,6 +123,7 @@
 		NoDefaultServerHeader:         true,
 		DisableHeaderNamesNormalizing: true,
 		MaxRequestBodySize:            n.settings.Limits.Body,
+		ReadBufferSize:                callerHeaders,
 		Concurrency:                   n.settings.Limits.Requests * 2,
 		ReadTimeout:                   callerRead,
 		WriteTimeout:                  callerWrite,
@@ -126,7 +131,7 @@
 		CloseOnShutdown:               true,
 		Logger:                        quiet{},
 	}
-	tree.Add(n.serveHTTP("callers", n.callers, l.Caller))
+	tree.Add(n.serveHTTP("callers", n.callers, caller.Listener{Listener: l.Caller}))
 	tree.Add(service{"links", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
--- a/platform/backoff.go
+++ b/reading/backoff.go
@@ -1,4 +1,4 @@
-package platform
+package reading
 
 import (
 	"math/rand/v2"
--- a/platform/instances.go
+++ b/reading/instances.go
@@ -1,4 +1,4 @@
-package platform
+package reading
 
 import (
 	"net/netip"
--- a/platform/reader.go
+++ b/reading/reader.go
@@ -1,9 +1,9 @@
-// Package platform reads the platform's configuration service: values with
+// Package reading reads the platform's configuration service: values with
 // versions, read at once or watched, and the list of instances.
 //
 // The platform can be down, stale or slow for hours. Nothing here decides
 // whether a value is put in force: the caller's version fence does.
-package platform
+package reading
 
 import (
 	"bufio"
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -27,10 +27,15 @@
 	Result Result
 	// ForLoad says that the gate refused it for load.
 	ForLoad bool
+	// Arrived says that the upstream itself refused it.
+	Arrived bool
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
 	// Tried is the number of attempts so far.
 	Tried int
+	// Ran is how many of them an upstream ran, or may have run, and MostRan
+	// the bound that the route sets on that; 0 means none.
+	Ran, MostRan int
 	// Remaining is the time left until the request's deadline.
 	Remaining clock.Millis
 	// RetryAfter is when to come back, as the gate computed it; 0 if unknown.
@@ -65,6 +70,11 @@
 type Config struct {
 	// Share is the share of requests, from 0 to 1, that may be sent again.
 	Share float64
+	// Extra is how many more may be sent again in each Window by this entry. A
+	// positive Window bounds retries exactly: in each span of that length that
+	// ends with a retry they are at most Share x the span's requests + Extra.
+	Extra  float64
+	Window clock.Millis
 	// Seed makes the jitter of RetryAfter repeatable.
 	Seed uint64
 }
@@ -100,12 +110,15 @@
 	tokens   float64
 	requests decayed
 	pressure pressure
+	window   *window // nil without a Window
 }
 
 // New makes a Budget with the burst of an idle service.
 func New(c Config) *Budget {
+	share := min(max(c.Share, 0), 1)
 	return &Budget{
-		share:    min(max(c.Share, 0), 1),
+		window:   newWindow(c.Window, share, c.Extra),
+		share:    share,
 		random:   rand.New(rand.NewPCG(c.Seed, 0)),
 		tokens:   LeastBurst,
 		requests: decayed{span: burstSpan},
@@ -113,9 +126,21 @@
 	}
 }
 
+// Adjust puts an edit of the shares in force. What the window has counted stays:
+// begun anew with each edit, it would allow more than the bound.
+func (b *Budget) Adjust(c Config) {
+	b.share = min(max(c.Share, 0), 1)
+	if b.window != nil {
+		b.window.share, b.window.extra = b.share, c.Extra
+	}
+}
+
 // Request counts a first attempt, which earns its share of a retry.
 func (b *Budget) Request(now clock.Millis) {
 	b.requests.add(now, 1)
+	if b.window != nil {
+		b.window.request(now)
+	}
 	most := min(max(b.share*b.requests.value, LeastBurst), MostBurst)
 	b.tokens = min(b.tokens+b.share, most)
 }
@@ -131,14 +156,35 @@
 func (b *Budget) Decide(now clock.Millis, a Attempt) Decision {
 	why := b.against(now, a)
 	if why == "" {
-		if a.costs() {
-			b.tokens--
-		}
+		b.spend(now, a)
 		return Decision{Retry: true}
 	}
 	return Decision{Why: why, RetryAfter: b.retryAfter(now, why, a.RetryAfter)}
 }
 
+func (b *Budget) spend(now clock.Millis, a Attempt) {
+	switch {
+	case b.window == nil && a.costs():
+		b.tokens--
+	case b.window != nil && a.reached():
+		b.window.retry(now)
+	}
+}
+
+// spent reports whether the budget has nothing left for the attempt.
+func (b *Budget) spent(now clock.Millis, a Attempt) bool {
+	if b.window != nil {
+		return a.reached() && !b.window.allows(now)
+	}
+	return a.costs() && b.tokens < 1
+}
+
+// reached reports whether the last attempt reached an upstream, be it to be
+// refused there: only such attempts count against a bound on arrivals.
+func (a Attempt) reached() bool {
+	return a.Result != NotRun || a.Arrived
+}
+
 // costs reports whether the attempt took work from an upstream or met a full
 // one. One that was refused otherwise (set aside, leaving, connection refused)
 // took none: sending it on doesn't multiply load, and to hold it back would lose
@@ -149,6 +195,9 @@
 
 // most is how many attempts the request may have.
 func (a Attempt) most() int {
+	if a.MostRan > 0 {
+		return MostRefused
+	}
 	if a.costs() {
 		return MostAttempts
 	}
@@ -163,13 +212,13 @@
 		return NotRepeatable
 	case a.Untried <= 0:
 		return NowhereLeft
-	case a.Tried >= a.most():
+	case a.Tried >= a.most(), a.MostRan > 0 && a.Ran >= a.MostRan:
 		return TooMany
 	case a.Remaining < LeastRemaining:
 		return NoTime
-	case b.pressure.full(now):
+	case b.window == nil && b.pressure.full(now):
 		return ServiceFull
-	case a.costs() && b.tokens < 1:
+	case b.spent(now, a):
 		return NoBudget
 	default:
 		return ""
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,58 @@
+package retry
+
+import "fuchsiapick.example/fuchsiapick/clock"
+
+// windowParts is how many parts a window is counted in. A span that slides is
+// then longer than what is counted by a part at most, which the bound allows
+// for: retries are summed over a part more, requests over a part less.
+const windowParts = 20
+
+// window counts requests and retries in the last span of time.
+type window struct {
+	share, extra float64
+	part         clock.Millis
+	requests     [windowParts + 1]float64
+	retries      [windowParts + 1]float64
+	// newest is the number, since the clock's origin, of the part being counted.
+	newest int64
+}
+
+func newWindow(span clock.Millis, share, extra float64) *window {
+	if span <= 0 {
+		return nil
+	}
+	return &window{share: share, extra: extra, part: max(span/windowParts, 1)}
+}
+
+// advance empties the parts that have left the span.
+func (w *window) advance(now clock.Millis) int {
+	number := int64(now / w.part)
+	for w.newest < number {
+		w.newest = max(w.newest+1, number-windowParts)
+		w.requests[w.newest%(windowParts+1)] = 0
+		w.retries[w.newest%(windowParts+1)] = 0
+	}
+	return int(w.newest % (windowParts + 1))
+}
+
+func (w *window) request(now clock.Millis) {
+	w.requests[w.advance(now)]++
+}
+
+func (w *window) retry(now clock.Millis) {
+	w.retries[w.advance(now)]++
+}
+
+// allows reports whether one more retry stays within the bound.
+func (w *window) allows(now clock.Millis) bool {
+	newest := w.advance(now)
+	oldest := (newest + 1) % (windowParts + 1)
+	requests, retries := 0.0, 0.0
+	for i := range w.requests {
+		retries += w.retries[i]
+		if i != oldest {
+			requests += w.requests[i]
+		}
+	}
+	return retries+1 <= w.share*requests+w.extra
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -9,6 +9,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/document"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // Bounds of what settings may say. They catch a slip of the hand.
@@ -30,6 +31,14 @@
 	MinPoll = clock.Second
 	// MaxPoll keeps a table in force within minutes at worst.
 	MaxPoll = 10 * clock.Minute
+	// MaxExtra is more retries than any fleet has use for in one window.
+	MaxExtra = 1_000_000
+	// MaxWindow keeps the memory of a retry budget small.
+	MaxWindow = clock.Minute
+	// MinBeat and MaxBeat keep the time to find a lost path between the noise
+	// of a busy machine and the patience of callers.
+	MinBeat = 50 * clock.Millis(1)
+	MaxBeat = 10 * clock.Second
 	// MaxPeers is many more than a starting node has time to ask.
 	MaxPeers = 64
 )
@@ -46,6 +55,8 @@
 	s.checkSecret(doc)
 	s.checkPeers(doc)
 	s.checkLimits(doc)
+	s.checkPolicy(doc)
+	doc.Span(root, "beat", s.Beat, MinBeat, MaxBeat)
 	doc.Span(root, "grace", s.Grace, 0, MaxGrace)
 	if !slices.Contains(levels, s.Log) {
 		doc.Refuse(root, "log", document.Quote(s.Log), strings.Join(levels, ", "))
@@ -87,6 +98,22 @@
 	}
 	doc.Address(n, "address", s.Platform.Address)
 	doc.Span(n, "poll", s.Platform.Poll, MinPoll, MaxPoll)
+	if forms := []string{FormTable, FormStore}; !slices.Contains(forms, s.Platform.Form) {
+		doc.Refuse(n, "form", document.Quote(s.Platform.Form), strings.Join(forms, ", "))
+	}
+}
+
+func (s *Settings) checkPolicy(doc *document.Document) {
+	n := doc.Root.Field("policy")
+	cautions := []string{string(table.Fast), string(table.Balanced), string(table.Cautious)}
+	if !slices.Contains(cautions, string(s.Policy.Caution)) {
+		doc.Refuse(n, "caution", document.Quote(string(s.Policy.Caution)), strings.Join(cautions, ", "))
+	}
+	document.Within(doc, n, "floor", s.Policy.Floor, 0, 1)
+	doc.Span(n, "drain", s.Policy.Drain, 0, table.MaxDrain)
+	document.Within(doc, n, "retries", s.Policy.Retries, 0, 1)
+	document.Within(doc, n, "extra", s.Policy.Extra, 0, MaxExtra)
+	doc.Span(n, "window", s.Policy.Window, 0, MaxWindow)
 }
 
 func (s *Settings) checkSecret(doc *document.Document) {
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -1,6 +1,9 @@
 package settings
 
-import "fuchsiapick.example/fuchsiapick/clock"
+import (
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/table"
+)
 
 // Defaults of what the settings leave out.
 const (
@@ -20,13 +23,24 @@
 	DefaultGrace = 30 * clock.Second
 	// DefaultPoll keeps a change in force within seconds when a watch is lost.
 	DefaultPoll = 5 * clock.Second
+	// DefaultBeat is the heartbeat interval of links. Two missed ones within a
+	// second show a lost path well before a request's usual deadline of 2 s,
+	// and at 200 bytes both ways it leaves room for some links in 2 KB/s.
+	DefaultBeat = 500 * clock.Millis(1)
 	// DefaultLog shows each decision and no single request.
 	DefaultLog = "info"
 )
 
 func defaults() Settings {
 	return Settings{
-		Platform: Platform{Poll: DefaultPoll},
+		Platform: Platform{Form: FormTable, Poll: DefaultPoll},
+		Policy: Policy{
+			Caution: table.DefaultCaution,
+			Floor:   table.DefaultFloor,
+			Drain:   table.DefaultDrain,
+			Retries: table.DefaultRetries,
+		},
+		Beat: DefaultBeat,
 		Limits: Limits{
 			Body:     DefaultBody,
 			Answer:   DefaultAnswer,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/document"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // ErrInvalid is matched by the error of settings that were not accepted.
@@ -20,7 +21,10 @@
 	// Node is the node's name in logs and reports.
 	Node string `toml:"node"`
 	// Domain is the failure domain that the node's instance is in.
-	Domain   string   `toml:"domain"`
+	Domain string `toml:"domain"`
+	// Service is the service of the backend server beside the node. Requests
+	// that begin here then count as that service's.
+	Service  string   `toml:"service"`
 	Listen   Listen   `toml:"listen"`
 	Platform Platform `toml:"platform"`
 	// Secret proves to peers that a link may speak; 16 characters at least.
@@ -30,6 +34,11 @@
 	// Peers are link addresses of a few nodes to ask for a table at the start.
 	Peers  []string `toml:"peers"`
 	Limits Limits   `toml:"limits"`
+	// Policy is what a platform that publishes no table of this project's
+	// leaves open.
+	Policy Policy `toml:"policy"`
+	// Beat is the interval of heartbeats on links.
+	Beat clock.Millis `toml:"beat"`
 	// Grace bounds a shutdown: requests in flight have this long to end.
 	Grace clock.Millis `toml:"grace"`
 	// Log is the least level that is logged.
@@ -55,10 +64,34 @@
 type Platform struct {
 	// Address is IP number and port.
 	Address string `toml:"address"`
+	// Form is what the platform publishes: FormTable or FormStore.
+	Form string `toml:"form"`
 	// Poll is the longest that a node waits between two reads.
 	Poll clock.Millis `toml:"poll"`
 }
 
+// The forms of a platform.
+const (
+	// FormTable means a table and an instance list as this project defines them.
+	FormTable = "table"
+	// FormStore means the users' metadata store, with their own configuration
+	// and the registrations of backend servers.
+	FormStore = "store"
+)
+
+// Policy holds for all services of a FormStore platform. The fields are those
+// of a table's service.
+type Policy struct {
+	Caution table.Caution `toml:"caution"`
+	Floor   float64       `toml:"floor"`
+	Drain   clock.Millis  `toml:"drain"`
+	// Retries is the share of requests that may be sent again, Extra what all
+	// nodes together may send beyond it in each Window.
+	Retries float64      `toml:"retries"`
+	Extra   int          `toml:"extra"`
+	Window  clock.Millis `toml:"window"`
+}
+
 // Limits bounds what one node holds in memory.
 type Limits struct {
 	// Body bounds a request's body in bytes.
--- a/table/check.go
+++ b/table/check.go
@@ -22,6 +22,10 @@
 	MaxDrain = 30 * clock.Second
 	// MaxQueue is hundreds of times what the slots of today serve at once.
 	MaxQueue = 10_000
+	// MaxExtra is more retries than any fleet has use for in one window.
+	MaxExtra = 1_000_000
+	// MaxWindow keeps the memory of a retry budget small.
+	MaxWindow = clock.Minute
 	// MaxRate is a hundred times the planned peak of the whole fleet.
 	MaxRate = 1e9
 	// MaxWeight leaves weight x slots of all upstreams far below overflow.
@@ -32,6 +36,11 @@
 	MaxConnections = 60_000
 	// MaxPrefix bounds the work of a look-up by a hostile path.
 	MaxPrefix = 256
+	// MaxHost is the longest name that the DNS has.
+	MaxHost = 253
+	// MaxAttempts and MaxPriority are more than any service has use for.
+	MaxAttempts = 100
+	MaxPriority = 100
 	// MaxCallerName bounds what a label or a column has to bear.
 	MaxCallerName = 128
 )
@@ -125,6 +134,8 @@
 	c.doc.Span(n, "drain", s.Drain, 0, MaxDrain)
 	document.Within(c.doc, n, "queue", s.Queue, 0, MaxQueue)
 	document.Within(c.doc, n, "retries", s.Retries, 0, 1)
+	document.Within(c.doc, n, "extra", s.Extra, 0, MaxExtra)
+	c.doc.Span(n, "window", s.Window, 0, MaxWindow)
 	document.Within(c.doc, n, "rate", s.Rate, 0, MaxRate)
 	document.Within(c.doc, n, "quota", s.CallerRate, 0, MaxRate)
 	c.objective(n.Field("objective"), s)
@@ -203,22 +214,65 @@
 }
 
 func (c *checker) route(n *document.Node, r *Route) {
+	if r.Host != "" && !isHost(r.Host) {
+		c.doc.Refuse(n, "host", document.Quote(r.Host),
+			fmt.Sprintf("a host name or IP number without a port, at most %d bytes", MaxHost))
+	}
 	if isPrefix(r.Prefix) {
-		c.once(c.prefixes, n, "prefix", trimSlash(r.Prefix)+"/", "a prefix that no other route has")
+		c.once(c.prefixes, n, "prefix", strings.ToLower(r.Host)+trimSlash(r.Prefix)+"/",
+			"a prefix that no other route has")
 	} else {
 		c.doc.Refuse(n, "prefix", document.Quote(r.Prefix),
 			fmt.Sprintf("a path that begins with '/', without empty or dot segments, '?', '#' or spaces, at most %d bytes", MaxPrefix))
 	}
-	if _, ok := c.services[r.Service]; !ok {
-		c.doc.Refuse(n, "service", document.Quote(r.Service), "the name of a [[service]] of this table")
-	}
+	c.shares(n, r)
+	c.doc.Span(n, "timeout", r.Timeout, 0, MaxDeadline)
+	c.doc.Span(n, "target", r.Target, 0, MaxDeadline)
+	document.Within(c.doc, n, "attempts", r.Attempts, 0, MaxAttempts)
+	document.Within(c.doc, n, "priority", r.Priority, 0, MaxPriority)
 	for _, m := range r.Repeatable {
-		if !slices.Contains(methods, m) {
+		if m != AnyMethod && !slices.Contains(methods, m) {
 			c.doc.Refuse(n, "repeatable", document.Quote(m), strings.Join(methods, ", "))
 		}
 	}
 }
 
+// shares checks which services a route leads to.
+func (c *checker) shares(n *document.Node, r *Route) {
+	if len(r.Shares) == 0 {
+		c.known(n, r.Service)
+		return
+	}
+	if r.Service != "" {
+		c.doc.Add(n, "service", "stands beside [[route.share]]", "one of service and share")
+	}
+	weight := 0
+	for i := range r.Shares {
+		at := n.Field("share").Item(i)
+		c.known(at, r.Shares[i].Service)
+		document.Within(c.doc, at, "weight", r.Shares[i].Weight, 0, MaxWeight)
+		weight += max(r.Shares[i].Weight, 0)
+	}
+	if weight == 0 {
+		c.doc.Add(n, "share", "has no weight above 0", "a weight above 0 in one share or more")
+	}
+}
+
+func (c *checker) known(n *document.Node, service string) {
+	if _, ok := c.services[service]; !ok {
+		c.doc.Refuse(n, "service", document.Quote(service), "the name of a [[service]] of this table")
+	}
+}
+
+func isHost(h string) bool {
+	for i := range len(h) {
+		if c := h[i]; c <= ' ' || c >= 0x7f || strings.IndexByte("/:?#@", c) >= 0 {
+			return false
+		}
+	}
+	return h != "" && len(h) <= MaxHost
+}
+
 func isPrefix(p string) bool {
 	if !strings.HasPrefix(p, "/") || len(p) > MaxPrefix {
 		return false
--- a/table/clone.go
+++ b/table/clone.go
@@ -17,6 +17,7 @@
 		c.Services[i].Upstreams = slices.Clone(t.Services[i].Upstreams)
 	}
 	for i := range c.Routes {
+		c.Routes[i].Shares = slices.Clone(t.Routes[i].Shares)
 		c.Routes[i].Repeatable = slices.Clone(t.Routes[i].Repeatable)
 	}
 	return c
--- a/table/diff.go
+++ b/table/diff.go
@@ -77,8 +77,8 @@
 	}
 	routeParts = partKind[Route]{
 		"route",
-		func(r *Route) string { return r.Prefix },
-		func(a, b *Route) bool { return a.Service == b.Service && slices.Equal(a.Repeatable, b.Repeatable) },
+		func(r *Route) string { return r.Host + r.Prefix },
+		sameRoute,
 	}
 	callerParts = partKind[Caller]{
 		"caller",
@@ -87,6 +87,12 @@
 	}
 )
 
+func sameRoute(a, b *Route) bool {
+	return a.Service == b.Service && a.Timeout == b.Timeout && a.Target == b.Target &&
+		a.Attempts == b.Attempts && a.Priority == b.Priority &&
+		slices.Equal(a.Shares, b.Shares) && slices.Equal(a.Repeatable, b.Repeatable)
+}
+
 func sameService(a, b *Service) bool {
 	x, y := *a, *b
 	x.Upstreams, y.Upstreams = nil, nil
@@ -191,6 +197,7 @@
 		key := f.Tag.Get("toml")
 		switch {
 		case key == "name" || key == "prefix":
+		case f.Tag.Get("diff") == "unless-zero" && v.Field(i).IsZero():
 		case isList(f.Type):
 			words = append(words, fmt.Sprintf("%d %ss", v.Field(i).Len(), key))
 		case f.Type.Kind() == reflect.Struct:
--- a/table/index.go
+++ b/table/index.go
@@ -8,7 +8,8 @@
 // index holds what look-ups need, built once when a table was accepted and
 // only read afterwards, so that requests may share it without a lock.
 type index struct {
-	routes    map[string]int
+	// routes holds the places of routes by host and prefix.
+	routes    map[address]int
 	services  map[string]int
 	upstreams map[string]place
 	// depth is the segments of the deepest prefix. A path is compared no
@@ -17,17 +18,21 @@
 	depth int
 }
 
+// address is what a route is found by: its host in lower case and its prefix
+// without a slash at the end.
+type address struct{ host, prefix string }
+
 type place struct{ service, upstream int }
 
 func (t *Table) buildIndex() {
 	x := index{
-		routes:    make(map[string]int, len(t.Routes)),
+		routes:    make(map[address]int, len(t.Routes)),
 		services:  make(map[string]int, len(t.Services)),
 		upstreams: make(map[string]place),
 	}
 	for i := range t.Routes {
 		prefix := trimSlash(t.Routes[i].Prefix)
-		x.routes[prefix] = i
+		x.routes[address{strings.ToLower(t.Routes[i].Host), prefix}] = i
 		x.depth = max(x.depth, strings.Count(prefix, "/"))
 	}
 	for i := range t.Services {
@@ -39,13 +44,21 @@
 	t.lookup = x
 }
 
-// Route finds the route with the longest prefix that the path begins with, in
-// whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab. The path is
-// taken as it is: the caller decodes and cleans it.
-func (t *Table) Route(path string) (*Route, bool) {
+// Route finds the route of a host with the longest prefix that the path begins
+// with, in whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab. The
+// path is taken as it is: the caller decodes and cleans it. Where no route of
+// the host matches, those without a host are looked through.
+func (t *Table) Route(host, path string) (*Route, bool) {
 	path = trimSlash(firstSegments(path, t.lookup.depth))
+	if r, ok := t.route(strings.ToLower(host), path); ok {
+		return r, true
+	}
+	return t.route("", path)
+}
+
+func (t *Table) route(host, path string) (*Route, bool) {
 	for {
-		if i, ok := t.lookup.routes[path]; ok {
+		if i, ok := t.lookup.routes[address{host, path}]; ok {
 			return &t.Routes[i], true
 		}
 		cut := strings.LastIndexByte(path, '/')
@@ -96,7 +109,7 @@
 	if r.Repeatable == nil {
 		return slices.Contains(defaultRepeatable, method)
 	}
-	return slices.Contains(r.Repeatable, method)
+	return slices.Contains(r.Repeatable, method) || slices.Contains(r.Repeatable, AnyMethod)
 }
 
 func trimSlash(path string) string {
--- a/table/parse.go
+++ b/table/parse.go
@@ -63,6 +63,13 @@
 	return built, err
 }
 
+// Index makes a table that a program has made and checked itself ready for
+// look-ups. A route without Repeatable has none. It takes the table over.
+func Index(t Table) *Table {
+	t.buildIndex()
+	return &t
+}
+
 func parse(text []byte, bound int) (*Table, error) {
 	doc, err := document.Parse(text, bound)
 	if err != nil {
--- a/table/types.go
+++ b/table/types.go
@@ -21,6 +21,9 @@
 	Cautious Caution = "cautious"
 )
 
+// A tag diff:"unless-zero" leaves a key out of the lines that say what an edit
+// added or removed while it has no value.
+
 // Table is one published edition of the whole configuration.
 type Table struct {
 	// Format names the rules that this table was written for.
@@ -58,6 +61,10 @@
 	Queue int `toml:"queue"`
 	// Retries is the share of requests, from 0 to 1, that may be sent again.
 	Retries float64 `toml:"retries"`
+	// Extra is how many requests all nodes together may send again beyond
+	// Retries in each Window; 0 leaves the burst of each node to itself.
+	Extra  int          `toml:"extra" diff:"unless-zero"`
+	Window clock.Millis `toml:"window" diff:"unless-zero"`
 	// Rate limits the requests a second that one entry admits for the
 	// service; 0 means no limit.
 	Rate float64 `toml:"rate"`
@@ -96,16 +103,42 @@
 	Connections int `toml:"connections"`
 }
 
-// Route sends requests by path prefix to a service.
+// Route sends requests by host and path prefix to a service, or to several in
+// the proportions of their weights.
 type Route struct {
+	// Host is matched against the request's host without regard to case; a
+	// route without one takes requests of hosts that no route names.
+	Host string `toml:"host" diff:"unless-zero"`
 	// Prefix is matched against whole path segments; the longest one wins.
-	Prefix  string `toml:"prefix"`
-	Service string `toml:"service"`
-	// Repeatable lists the methods that may run more than once. Nil means GET
-	// and HEAD, an empty list means none.
+	Prefix string `toml:"prefix"`
+	// Service is empty where Shares names the services.
+	Service string  `toml:"service"`
+	Shares  []Share `toml:"share" diff:"unless-zero"`
+	// Timeout is the longest that a request may take in all; 0 leaves that to
+	// the service's deadline.
+	Timeout clock.Millis `toml:"timeout" diff:"unless-zero"`
+	// Target is the time within which an answer is worth most; 0 if none is.
+	Target clock.Millis `toml:"target" diff:"unless-zero"`
+	// Attempts bounds the upstreams on which one request may run; 0 leaves it
+	// to the retry budget.
+	Attempts int `toml:"attempts" diff:"unless-zero"`
+	// Priority ranks routes where upstreams are short of room, 0 before 1.
+	Priority int `toml:"priority" diff:"unless-zero"`
+	// Repeatable lists the methods that may run more than once, AnyMethod for
+	// all. Nil means GET and HEAD, an empty list means none.
 	Repeatable []string `toml:"repeatable"`
 }
 
+// AnyMethod in Route.Repeatable stands for all methods.
+const AnyMethod = "*"
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string `toml:"service"`
+	// Weight is relative to those of the route's other shares.
+	Weight int `toml:"weight"`
+}
+
 // Caller overrides limits for one caller.
 type Caller struct {
 	Name string `toml:"name"`
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -6,6 +6,15 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
+// NameOf is the name by which logs and backend servers know a request: the one
+// that its caller gave it, else its id.
+func NameOf(label string, id RequestID) string {
+	if label != "" {
+		return label
+	}
+	return id.String()
+}
+
 // RequestID names one request of a caller in the whole fleet.
 type RequestID struct {
 	_ struct{} `cbor:",toarray"`
@@ -85,6 +94,8 @@
 	_       struct{} `cbor:",toarray"`
 	ID      RequestID
 	Attempt uint8
+	// Label is the id that the caller gave the request, empty without one.
+	Label string
 	// Incarnation is the gate's, as the entry knows it.
 	Incarnation uint64
 	// Lease is the latest instant of the gate's clock at which the gate may
@@ -143,6 +154,10 @@
 	ReasonTimeout  Reason = "timeout"
 	ReasonTorn     Reason = "torn-answer"
 	ReasonTooLarge Reason = "answer-too-large"
+	// ReasonForeign means an answer that isn't the request's own.
+	ReasonForeign Reason = "foreign-answer"
+	// ReasonLeft means that the caller has left.
+	ReasonLeft Reason = "caller-left"
 	// ReasonKeyVoided means that a resend has voided the key of this send.
 	ReasonKeyVoided Reason = "key-voided"
 	// ReasonKeyReused means that the key was used for another request.
@@ -196,6 +211,9 @@
 	Incarnation uint64
 	Upstream    string
 	Lease       clock.Millis
+	// Abandon says that the caller has left: a dispatch that has begun and may
+	// run more than once is broken off.
+	Abandon bool
 }
 
 // Settled answers Settle for a dispatch without a reply yet.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -14,7 +14,7 @@
 
 // Format is the version of the messages. Nodes of different formats refuse
 // each other's links.
-const Format = 1
+const Format = 2
 
 // Bounds on what a peer may send.
 const (
