feat(grade,entry): find brief episodes, send work where it succeeds

A two-state filter at each gate (caution brief), news of its level at once, choice by risk, load and domain, trials by all entries together, a slot asked for at two gates and then waited for, half of the slots held for better ranks while these met none, one set aside as the last resort of what may run again, an upstream's failure excused by a failed call.

--- a/cmd/sourcecmd.go
+++ b/cmd/sourcecmd.go
@@ -50,7 +50,6 @@
 		Retries:   p.Retries,
 		Extra:     p.Extra,
 		Window:    p.Window,
-		Queue:     table.DefaultQueuePerSlot,
 		Objective: table.Objective{Availability: table.DefaultAvailability, Within: table.DefaultWithin},
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,6 +58,9 @@
 		Body:       r.body,
 		Repeatable: r.repeatable,
 		Forced:     a.forced,
+		Priority:   r.route.Priority,
+		Bounded:    a.bounded,
+		Patience:   a.patience,
 		Baseline:   r.baseline,
 	}
 	r.stamp(now, d)
--- /dev/null
+++ b/entry/brief.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/choice"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/floor"
+	"fuchsiapick.example/fuchsiapick/grade"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+const (
+	// retriedWeight is what a failure costs a request that can be sent again, in
+	// parts of what it costs another: a place in the retry budget and a detour.
+	retriedWeight = 0.4
+	// mostAsks is how many gates a request asks for a free slot before it waits
+	// at one. Each costs a hop of 0.2 to 2 ms, and loads heard are seconds old:
+	// with 24 entries before 9 upstreams a pair meets every five seconds.
+	mostAsks = 2
+	// patienceShare is the part of a route's target that a request may wait for
+	// a slot: the rest is for its run and the calls that this makes.
+	patienceShare = 2
+	// urgent is the lowest rank that waits longer: up to its target.
+	urgent = 1
+)
+
+// walk is how far a request has come in its search for a slot.
+type walk struct {
+	asks   int
+	full   []*member // they had no free slot
+	waited bool
+	forced bool
+}
+
+// choose picks the upstream for the next try: first the soundest with a free
+// slot, then one to wait at, and last, where all of these are short of room, one
+// that was set aside. It reports how many usable ones are left beside it.
+func (r *request) choose(now clock.Millis) (a attempt, untried int, ok bool) {
+	if r.config.Caution != table.Brief {
+		return r.service.choose(now, r.repeatable, r.tried)
+	}
+	again := r.repeatable && r.ran == 0
+	if r.walk.asks < mostAsks {
+		a, untried, ok = r.service.chooseBrief(now, search{again: again, tried: r.tried})
+		a.bounded = true
+	}
+	if !ok && !r.walk.waited {
+		r.walk.waited = true
+		a, untried, ok = r.service.chooseBrief(now, search{tried: r.spent()})
+		a.bounded, a.patience = true, r.patience(now)
+	}
+	if !ok && !r.walk.forced && r.mayForce() {
+		r.walk.forced = true
+		a, untried, ok = r.service.chooseBrief(now, search{tried: r.tried, aside: true})
+		a.bounded, a.forced = true, true
+	}
+	return a, untried, ok
+}
+
+// spent are the upstreams that a request has tried, but for those that only had
+// no free slot then.
+func (r *request) spent() []*member {
+	return slices.DeleteFunc(slices.Clone(r.tried), func(m *member) bool { return slices.Contains(r.walk.full, m) })
+}
+
+// mayForce reports whether the request is better served by an upstream that was
+// set aside than refused: that may succeed, and a failure costs it nothing that
+// a refusal wouldn't. A request that runs once only is refused: its caller may
+// then send it again.
+func (r *request) mayForce() bool {
+	return r.repeatable
+}
+
+// patience is how long the request may still wait for a slot.
+func (r *request) patience(now clock.Millis) clock.Millis {
+	target := r.route.Target
+	if target == 0 {
+		target = r.deadline - r.started
+	}
+	if r.route.Priority > urgent {
+		return max(target/patienceShare-(now-r.started), 0)
+	}
+	return max(min(3*target/2, 3*(r.deadline-r.started)/5)-(now-r.started), 0)
+}
+
+// asksOn reports whether a gate's refusal leaves other gates to ask.
+// No upstream has seen the request, so that neither the retry budget nor the
+// route's bound on upstreams is touched.
+func (r *request) asksOn(o *result) bool {
+	if r.config.Caution != table.Brief || o.kind != retry.NotRun || o.arrived || r.attempts >= retry.MostRefused {
+		return false
+	}
+	if o.full {
+		r.walk.asks++
+		r.walk.full = append(r.walk.full, r.tried[len(r.tried)-1])
+	}
+	return true
+}
+
+// search says what a request looks for.
+type search struct {
+	// again says that it may be sent once more if it fails.
+	again bool
+	// aside looks among the upstreams that were set aside.
+	aside bool
+	tried []*member
+}
+
+// chooseBrief picks an upstream where these fail in brief episodes: work that
+// runs once only goes to the soundest with room, and now and then one that can
+// be sent again tries an upstream that was set aside.
+func (s *service) chooseBrief(now clock.Millis, look search) (a attempt, untried int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decideFloor(now) // severities drift without news
+	s.options = s.options[:0]
+	for i, m := range s.members {
+		usable := s.uses[i] == floor.Normal || s.uses[i] == floor.Forced
+		if look.aside {
+			usable = s.uses[i] == floor.Aside
+		}
+		usable = usable && !slices.Contains(look.tried, m)
+		if usable {
+			untried++
+		}
+		s.options = append(s.options, choice.Option{
+			Risk:   m.severity(now, true),
+			Load:   max(m.sent, choice.Fade(m.state.InFlight+m.state.Waiting, now-m.heard)),
+			Slots:  m.upstream.Slots,
+			Near:   m.upstream.Domain == s.domain,
+			Usable: usable,
+		})
+	}
+	again := look.again && untried > 0
+	if i, due := s.trialDue(now); due && again && !slices.Contains(look.tried, s.members[i]) {
+		return s.send(i), untried, true
+	}
+	weight := 1.0
+	if again {
+		weight = retriedWeight
+	}
+	i, ok := s.ranker.Choose(s.options, weight)
+	if !ok {
+		return attempt{}, untried, false
+	}
+	return s.send(i), untried - 1, true
+}
+
+func (s *service) send(i int) attempt {
+	m := s.members[i]
+	m.sent++
+	return attempt{member: m, upstream: m.upstream, forced: s.uses[i] == floor.Forced}
+}
+
+// trialDue returns an upstream that is set aside and due for a trial by this
+// entry. Each entry draws its spans so that all of them together make one trial
+// in each Gap, without a word between them.
+func (s *service) trialDue(now clock.Millis) (int, bool) {
+	for i, m := range s.members {
+		if s.uses[i] != floor.Aside {
+			m.trial = 0
+			continue
+		}
+		gap := grade.Gap(grade.LevelOf(s.options[i].Risk)) * clock.Millis(max(s.entries, 1))
+		switch {
+		case m.trial == 0:
+			m.trial = now + clock.Millis(s.random.Int64N(int64(gap)))
+		case now >= m.trial:
+			m.trial = now + gap/2 + clock.Millis(s.random.Int64N(int64(gap)))
+			return i, true
+		}
+	}
+	return 0, false
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,8 @@
 	table    atomic.Pointer[table.Table]
 	callers  atomic.Pointer[map[string]float64] // their own rates
 	services atomic.Pointer[map[string]*service]
-	spread   *spread
+	spread   *Spread
+	failures *failures
 
 	mu    sync.Mutex // guards rates
 	rates *limit.Rates
@@ -97,7 +98,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	e := &Entry{config: c, spread: newSpread(c.Seed), rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
+	e := &Entry{config: c, spread: NewSpread(c.Seed), failures: &failures{}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callers.Store(&map[string]float64{})
 	return e
--- /dev/null
+++ b/entry/failures.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"sync"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// failuresKept is how many instants of failed requests are remembered: at ten a
+// second some seconds, longer than a backend server runs one request.
+const failuresKept = 64
+
+// failures remembers when requests that came to this entry failed last.
+type failures struct {
+	mu   sync.Mutex
+	at   [failuresKept]clock.Millis
+	next int
+}
+
+func (f *failures) note(now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at[f.next] = max(now, 1)
+	f.next = (f.next + 1) % failuresKept
+}
+
+// FailedWithin reports whether a request that came to this entry failed within a
+// span. The backend server beside the node makes its calls through this entry:
+// one that failed while it ran a request may be why that failed. A call doesn't
+// say which request it is part of, so others' failures excuse it, too; the runs
+// of an upstream that is failing itself last some milliseconds, in which hardly
+// any falls.
+func (e *Entry) FailedWithin(from, to clock.Millis) bool {
+	e.failures.mu.Lock()
+	defer e.failures.mu.Unlock()
+	for _, at := range e.failures.at {
+		if at >= max(from, 1) && at <= to {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/member.go
+++ b/entry/member.go
@@ -5,6 +5,7 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -19,6 +20,8 @@
 	lost     bool
 	gone     bool // the instance list says that it is leaving
 	sent     int  // dispatches of this entry without an outcome
+	// trial is when this entry may send it a trial next.
+	trial clock.Millis
 }
 
 // verdict is the gate's as last heard. A hold-off that has run out since is a
@@ -38,6 +41,23 @@
 	return state == health.Aside || state == health.Trial
 }
 
+// isAside reports a verdict that the floor decides about.
+func (m *member) isAside(now clock.Millis, brief bool) bool {
+	if brief {
+		return m.severity(now, brief) >= grade.Aside
+	}
+	return m.setAside(now)
+}
+
+// severity is the gate's as last heard. That of a brief episode draws back to
+// what is usual while nothing is heard.
+func (m *member) severity(now clock.Millis, brief bool) float64 {
+	if brief {
+		return grade.Drift(m.state.Severity, now-m.heard)
+	}
+	return m.state.Severity
+}
+
 func (m *member) candidate(now clock.Millis, best float64, usable bool) choice.Candidate {
 	return choice.Candidate{
 		Domain:   m.upstream.Domain,
--- a/entry/request.go
+++ b/entry/request.go
@@ -90,6 +90,8 @@
 	tried    []*member
 	attempts uint8
 	ran      int // attempts that an upstream ran, or may have run
+	walk     walk
+	failed   *wire.Reply // the last upstream's own answer, an error
 	forced   bool
 	left     <-chan struct{} // closed when the caller has left
 	// begun means that an upstream may have run the request: it can't be
@@ -174,7 +176,7 @@
 		return refused(fasthttp.StatusNotFound, account.ReasonNoRoute, 0), false
 	}
 	r.route = route
-	r.target = r.entry.spread.service(route)
+	r.target = r.entry.spread.Service(route)
 	r.service = (*r.entry.services.Load())[r.target]
 	if r.service == nil {
 		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
@@ -213,7 +215,7 @@
 func (r *request) run() final {
 	for {
 		now := r.entry.config.Now()
-		choice, untried, ok := r.service.choose(now, r.repeatable, r.tried)
+		choice, untried, ok := r.choose(now)
 		if !ok {
 			return r.nowhere(now)
 		}
@@ -226,6 +228,9 @@
 
 // nowhere is the final answer when no upstream is left to try.
 func (r *request) nowhere(now clock.Millis) final {
+	if r.failed != nil {
+		return final{outcome: account.Served, status: r.failed.Status, reply: r.failed, reason: account.ReasonUpstreamError}
+	}
 	if r.begun {
 		return r.unknown(account.ReasonNoUpstream)
 	}
@@ -244,10 +249,17 @@
 	if o.kind != retry.NotRun {
 		r.begun = true
 		r.ran++
+		r.failed = nil
+		if o.reply != nil && o.reply.Outcome == wire.Answered {
+			r.failed = o.reply
+		}
 	}
 	if r.hasLeft() {
 		return r.unknown(string(wire.ReasonLeft)), true
 	}
+	if r.asksOn(&o) {
+		return final{}, false
+	}
 	now := r.entry.config.Now()
 	decision := r.service.retry(now, retry.Attempt{
 		Result:     o.kind,
@@ -306,6 +318,9 @@
 	if r.route != nil {
 		record.Service, record.Route = r.target, r.route.Prefix
 	}
+	if f.status >= fasthttp.StatusInternalServerError || f.status == fasthttp.StatusTooManyRequests {
+		r.entry.failures.note(now)
+	}
 	r.entry.config.Journal.Close(now, record)
 	if f.outcome != account.Served {
 		r.log(&record)
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -27,22 +28,27 @@
 	log     logrus.FieldLogger
 	journal Journal
 
-	seed      uint64
-	offset    int // where among the members the watched ones begin
-	mu        sync.Mutex
-	config    table.Service
-	members   []*member
-	byName    map[string]*member
-	chooser   *choice.Chooser
-	budget    *retry.Budget
-	baseline  health.Baseline
-	best      float64 // the lowest share of failures in view
-	computed  clock.Millis
-	dirty     bool
-	recheck   clock.Millis // when the first hold-off ends; 0 without one
-	uses      []floor.Use
-	roster    *resend.Roster
-	nodes     map[string]Target // the ways to the roster's
+	seed     uint64
+	offset   int // where among the members the watched ones begin
+	mu       sync.Mutex
+	config   table.Service
+	members  []*member
+	byName   map[string]*member
+	chooser  *choice.Chooser
+	ranker   *choice.Ranker
+	options  []choice.Option
+	random   *rand.Rand
+	domain   string
+	entries  int // nodes that send to the service
+	budget   *retry.Budget
+	baseline health.Baseline
+	best     float64 // the lowest share of failures in view
+	computed clock.Millis
+	dirty    bool
+	recheck  clock.Millis // when the first hold-off ends; 0 without one
+	uses     []floor.Use
+	roster   *resend.Roster
+	nodes    map[string]Target // the ways to the roster's
 
 	candidates []choice.Candidate
 	floors     []floor.Member
@@ -57,6 +63,9 @@
 		config:  c,
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
+		ranker:  choice.NewRanker(seed),
+		random:  rand.New(rand.NewPCG(seed, 3)),
+		domain:  domain,
 		best:    1,
 		budget:  retry.New(budgetOf(c, 1, seed)),
 		dirty:   true,
@@ -94,6 +103,7 @@
 		s.budget.Adjust(budgetOf(c, nodeCount, s.seed))
 	}
 	s.config = c
+	s.entries = nodeCount
 	old := s.byName
 	s.byName = make(map[string]*member, len(c.Upstreams))
 	s.members = make([]*member, 0, len(c.Upstreams))
@@ -116,6 +126,9 @@
 	// upstream is as the table had it at the choice: an edit may follow.
 	upstream table.Upstream
 	forced   bool
+	// patience is how long it may wait for a slot, if bounded.
+	patience clock.Millis
+	bounded  bool
 }
 
 // choose picks the upstream for the next try. It reports how many usable ones
@@ -157,6 +170,10 @@
 
 // refresh works out the floor and the baseline where something changed.
 func (s *service) refresh(now clock.Millis) {
+	if s.config.Caution == table.Brief {
+		s.decideFloor(now) // severities drift without news
+		return
+	}
 	if s.dirty || (s.recheck > 0 && now >= s.recheck) {
 		s.decideFloor(now)
 		s.dirty = false
@@ -207,14 +224,15 @@
 func (s *service) decideFloor(now clock.Millis) {
 	s.floors = s.floors[:0]
 	s.recheck = 0
+	brief := s.config.Caution == table.Brief
 	for _, m := range s.members {
 		if end := m.heard + m.state.Until; m.verdict(now) == health.Aside && (s.recheck == 0 || end < s.recheck) {
 			s.recheck = end
 		}
 		s.floors = append(s.floors, floor.Member{
 			Capacity: float64(m.upstream.Weight * m.upstream.Slots),
-			Aside:    m.setAside(now),
-			Severity: m.state.Severity,
+			Aside:    m.isAside(now, brief),
+			Severity: m.severity(now, brief),
 			Leaving:  m.state.Leaving || m.gone,
 			Lost:     m.lost,
 		})
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -9,11 +9,11 @@
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-// spread deals the requests of routes with several services out in proportion
+// Spread deals the requests of routes with several services out in proportion
 // to the weights. It steps through the unit interval by the golden ratio: after
 // any number of requests each share is off by a request or two, where a draw at
 // random would be off by the square root of their number.
-type spread struct {
+type Spread struct {
 	mu     sync.Mutex
 	random *rand.Rand
 	points map[string]float64 // by route; they outlive table edits
@@ -25,14 +25,15 @@
 // mostSpread bounds the routes that are remembered; what is beyond begins anew.
 const mostSpread = 10_000
 
-func newSpread(seed uint64) *spread {
-	return &spread{random: rand.New(rand.NewPCG(seed, 1)), points: map[string]float64{}}
+// NewSpread returns a spread that begins at points of its own.
+func NewSpread(seed uint64) *Spread {
+	return &Spread{random: rand.New(rand.NewPCG(seed, 1)), points: map[string]float64{}}
 }
 
-// service returns the service that the route's next request goes to. It stays
+// Service returns the service that the route's next request goes to. It stays
 // with its share also where that is short of room: the operators' proportions
 // would otherwise shift with the load.
-func (s *spread) service(r *table.Route) string {
+func (s *Spread) Service(r *table.Route) string {
 	if len(r.Shares) == 0 {
 		return r.Service
 	}
@@ -51,7 +52,7 @@
 }
 
 // next returns the route's next point, from 0 up to 1.
-func (s *spread) next(r *table.Route) float64 {
+func (s *Spread) next(r *table.Route) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := strings.ToLower(r.Host) + r.Prefix
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -13,6 +13,7 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/limit"
@@ -30,6 +31,25 @@
 	Close()
 }
 
+// Judge holds the verdict on the upstream.
+type Judge interface {
+	Admit(now clock.Millis, repeatable bool) bool
+	Observe(now clock.Millis, o health.Observation) bool
+	Probed(now clock.Millis, ok bool)
+	SetBaseline(b health.Baseline)
+	Status(now clock.Millis) health.Status
+	Own() health.Baseline
+	OverdueAfter() clock.Millis
+}
+
+// judgeOf returns the judge that a service's caution asks for.
+func judgeOf(caution table.Caution, seed uint64) Judge {
+	if caution == table.Brief {
+		return grade.NewJudge()
+	}
+	return health.New(health.Config{Caution: caution, Seed: seed})
+}
+
 // Journal takes in what the gate decides.
 type Journal interface {
 	Note(e account.Event)
@@ -50,6 +70,13 @@
 	Backend     Backend
 	Pool        *ants.Pool
 	Journal     Journal
+	// Changed is told of news that entries should hear at once; it may be nil
+	// and must not block.
+	Changed func()
+	// Excused reports whether a call that the backend server made through this
+	// node failed within a span: what failed then may not be its own fault. It
+	// may be nil.
+	Excused func(from, to clock.Millis) bool
 	// Refusals may be nil.
 	Refusals Refusals
 	// Keys is shared by all gates of a node.
@@ -67,7 +94,7 @@
 	service  table.Service
 	upstream table.Upstream
 	fence    *lease.Fence[*wire.Reply]
-	judge    *health.Judge
+	judge    Judge
 	slots    *limit.Slots
 	jobs     map[uint64]*job
 	tickets  uint64
@@ -75,6 +102,7 @@
 	listed   bool // as the instance list says
 	leftAt   clock.Millis
 	state    health.State
+	level    grade.Level
 }
 
 // job is one dispatch that waits for a slot or runs.
@@ -101,7 +129,7 @@
 		service:  c.Service,
 		upstream: c.Upstream,
 		fence:    lease.NewFence[*wire.Reply](c.Incarnation),
-		judge:    health.New(health.Config{Caution: c.Service.Caution, Seed: c.Seed}),
+		judge:    judgeOf(c.Service.Caution, c.Seed),
 		slots:    limit.NewSlots(limit.SlotsConfig{Slots: c.Upstream.Slots, Queue: c.Service.Queue, Seed: c.Seed}),
 		jobs:     map[uint64]*job{},
 	}
@@ -172,7 +200,11 @@
 func (g *Gate) offer(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply)) {
 	g.tickets++
 	j := &job{dispatch: d, answer: answer, key: key, ticket: g.tickets, until: min(now+d.Budget, d.Lease)}
-	offer := g.slots.Offer(now, j.ticket, j.until)
+	patience := j.until
+	if d.Bounded {
+		patience = min(now+d.Patience, j.until)
+	}
+	offer := g.slots.Ask(now, limit.Ask{Ticket: j.ticket, Deadline: j.until, Until: patience, Priority: d.Priority})
 	switch offer.Answer {
 	case limit.Run:
 		g.jobs[j.ticket] = j
@@ -180,8 +212,10 @@
 		g.start(j)
 	case limit.Wait:
 		g.jobs[j.ticket] = j
-		j.timer = time.AfterFunc((j.until - now + 1).Duration(), g.expire)
+		j.timer = time.AfterFunc((patience - now + 1).Duration(), g.expire)
+		late := g.late(now) // whose place it may have taken
 		g.mu.Unlock()
+		answerAll(late)
 	case limit.Late:
 		g.refuse(now, key, d, answer, wire.ReasonLate, offer.RetryAfter)
 	default:
@@ -283,7 +317,7 @@
 func (g *Gate) Update(s table.Service, u table.Upstream) {
 	g.mu.Lock()
 	if s.Caution != g.service.Caution {
-		g.judge = health.New(health.Config{Caution: s.Caution, Seed: g.config.Seed})
+		g.judge = judgeOf(s.Caution, g.config.Seed)
 	}
 	before := g.left()
 	g.service, g.upstream = s, u
--- a/gate/journal.go
+++ b/gate/journal.go
@@ -5,7 +5,9 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 func (g *Gate) note(e account.Event) {
@@ -16,6 +18,7 @@
 // noteState journals a change of the verdict.
 func (g *Gate) noteState(now clock.Millis) {
 	s := g.judge.Status(now)
+	g.noteLevel(s.Severity)
 	if s.State == g.state {
 		return
 	}
@@ -33,6 +36,23 @@
 	}).Info("verdict changed")
 }
 
+// noteLevel tells entries at once of a severity that changes where they send. The
+// next heartbeat or reply may be a second away, in which 24 entries would give
+// a failing upstream some ten more requests.
+func (g *Gate) noteLevel(severity float64) {
+	if g.service.Caution != table.Brief {
+		return
+	}
+	level := grade.LevelOf(severity)
+	if level == g.level {
+		return
+	}
+	g.level = level
+	if g.config.Changed != nil {
+		g.config.Changed()
+	}
+}
+
 func kindOf(s health.State) account.EventKind {
 	switch s {
 	case health.Aside:
--- a/gate/run.go
+++ b/gate/run.go
@@ -99,6 +99,9 @@
 	delete(g.jobs, j.ticket)
 	if !j.overdue {
 		result := resultOf(a, err, j.until-began < g.judge.OverdueAfter())
+		if result == health.Failed && err == nil && g.excused(began, now) {
+			result = health.CallerFault
+		}
 		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller})
 	}
 	next := g.release(now) // first: the reply says how busy the upstream is now
@@ -116,6 +119,13 @@
 	}
 }
 
+// excused reports whether a failure answer may be that of a call which the
+// backend server made. Held against it, sickness of one service would spread to
+// those that call it as false ejections.
+func (g *Gate) excused(from, to clock.Millis) bool {
+	return g.config.Excused != nil && g.config.Excused(from, to)
+}
+
 // logOutcome leaves a line, under the id that entry and report know too, of a
 // request that the backend server did not answer.
 func (g *Gate) logOutcome(d *wire.Dispatch, reply *wire.Reply, err error) {
--- /dev/null
+++ b/grade/filter.go
@@ -0,0 +1,112 @@
+// Package grade judges backend servers that fail in brief episodes: for seconds
+// at a time one fails most of its requests, fast and with good health answers,
+// while others of its service do as well.
+//
+// A test that compares with the service's other upstreams, or that wants ten
+// outcomes, is too slow and too lenient there. A Filter holds the probability
+// that its upstream is in an episode: each outcome weighs by how much likelier it
+// is in an episode, and time alone draws the probability back to what is usual.
+// It reads no clock and does no I/O.
+package grade
+
+import (
+	"math"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// What is usual. The figures are those of a forwarder without any verdict, run on
+// a day without faults: an episode lasts 10 to 30 s, an upstream meets one about
+// every half minute, fails 0.85 of its requests in it and 0.01 otherwise.
+const (
+	// onset and recovery are changes a millisecond.
+	onset    = 1.0 / float64(25*clock.Second)
+	recovery = 1.0 / float64(15*clock.Second)
+	// usual is the share of time in episodes that these two give.
+	usual = onset / (onset + recovery)
+	// first is the probability for an upstream that nothing is known of.
+	first = 0.1
+	// least and most keep a long run of like outcomes from outweighing the next
+	// ones of the other kind.
+	least = 0.002
+	most  = 0.998
+)
+
+// How many times likelier an outcome is in an episode than otherwise.
+const (
+	// goodWeight is 0.2 / 0.985: some upstreams fail less than others.
+	goodWeight = 0.2
+	// failedWeight is 0.8 / 0.02: of the failures of sound upstreams about half
+	// are those of calls that they made.
+	failedWeight = 40
+	// brokenWeight is for connections that end without an answer: these have
+	// causes beside the upstream's, too.
+	brokenWeight = 12
+	// overdueWeight is for a request far beyond its usual time.
+	overdueWeight = 6
+	// shedWeight is for an upstream that refuses with slots free.
+	shedWeight = 3
+)
+
+// Result is what one request came to.
+type Result uint8
+
+// The results that are evidence.
+const (
+	Good Result = iota
+	Failed
+	Broken
+	Overdue
+	Shed
+)
+
+// Filter holds the probability that an upstream is in an episode. It is not safe
+// for concurrent use. The zero Filter isn't ready: use New.
+type Filter struct {
+	probability float64
+	at          clock.Millis
+}
+
+// New returns a filter of an upstream that nothing is known of.
+func New(now clock.Millis) *Filter {
+	return &Filter{probability: first, at: now}
+}
+
+// Observe takes in one outcome.
+func (f *Filter) Observe(now clock.Millis, r Result) {
+	f.probability = weigh(f.Probability(now), weightOf(r))
+	f.at = max(now, f.at)
+}
+
+// Probability is that of an episode now.
+func (f *Filter) Probability(now clock.Millis) float64 {
+	return Drift(f.probability, now-f.at)
+}
+
+// Drift is what a probability told some time ago has become without news.
+func Drift(probability float64, age clock.Millis) float64 {
+	if age <= 0 {
+		return probability
+	}
+	return usual + (probability-usual)*math.Exp(-(onset+recovery)*float64(age))
+}
+
+func weightOf(r Result) float64 {
+	switch r {
+	case Good:
+		return goodWeight
+	case Failed:
+		return failedWeight
+	case Broken:
+		return brokenWeight
+	case Overdue:
+		return overdueWeight
+	default:
+		return shedWeight
+	}
+}
+
+func weigh(probability, weight float64) float64 {
+	odds := probability / (1 - probability) * weight
+	return min(max(odds/(1+odds), least), most)
+}
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -55,41 +55,105 @@
 	running int
 	waiting []waiter
 	// missed are waiters that were passed over, until Expire reports them.
-	missed   []uint64
+	missed []uint64
+	// pressed is, by rank, when a request of the rank last met no free slot.
+	pressed  [ranks]clock.Millis
 	drain    drain
 	comeback comeback
 }
 
-// waiter is a request in the queue.
+// waiter is a request in the queue. It gives up its place at until.
 type waiter struct {
-	ticket   uint64
-	deadline clock.Millis
+	ticket          uint64
+	deadline, until clock.Millis
+	priority        int
 }
 
+// Ask is one request for a slot.
+type Ask struct {
+	// Ticket names the request; it must differ from those of all waiting.
+	Ticket uint64
+	// Deadline is when its answer must stand, Until the latest instant at which
+	// a slot is of use to it.
+	Deadline, Until clock.Millis
+	// Priority ranks requests, 0 first.
+	Priority int
+}
+
+// heldFor is how long after a request met no free slot, or an upstream's worth of
+// better ones may come back, the last slot is kept from requests of a lower
+// rank: about the time of one request of today's slowest kind.
+const heldFor = 2 * clock.Second
+
 // NewSlots makes Slots with none in use.
 func NewSlots(c SlotsConfig) *Slots {
 	return &Slots{config: c, random: rand.New(rand.NewPCG(c.Seed, 0))}
 }
 
-// Offer asks for a slot until the deadline, an instant. The ticket names the
-// request; it must differ from those of all requests waiting.
+// Offer asks for a slot until the deadline, an instant, at the first rank.
 func (s *Slots) Offer(now clock.Millis, ticket uint64, deadline clock.Millis) Offer {
+	return s.Ask(now, Ask{Ticket: ticket, Deadline: deadline, Until: deadline})
+}
+
+// Ask asks for a slot. A request that outranks the last one in a full queue takes
+// its place; Expire names the one that lost it.
+func (s *Slots) Ask(now clock.Millis, a Ask) Offer {
 	s.drain.advance(now, s.running)
-	switch {
-	case deadline <= now:
+	a.Priority = min(max(a.Priority, 0), ranks-1)
+	if a.Deadline <= now {
 		return s.refuse(now, Late)
-	case s.running < s.config.Slots:
+	}
+	if s.running < s.config.Slots-s.held(now, a.Priority) {
 		s.running++
 		return Offer{Answer: Run}
-	case len(s.waiting) >= s.config.Queue:
+	}
+	s.pressed[a.Priority] = now
+	place := s.place(a.Priority)
+	wait := s.gap() * float64(place+1)
+	switch {
+	case a.Until <= now, place >= s.config.Queue:
 		return s.refuse(now, Full)
-	case !s.drain.reaches(s.gap()*float64(len(s.waiting)+1), deadline):
+	case !s.drain.reaches(wait, a.Deadline), s.drain.sure() && float64(now)+wait > float64(a.Until):
 		return s.refuse(now, Late)
 	}
-	s.waiting = append(s.waiting, waiter{ticket: ticket, deadline: deadline})
+	s.waiting = slices.Insert(s.waiting, place, waiter{
+		ticket: a.Ticket, deadline: a.Deadline, until: a.Until, priority: a.Priority,
+	})
+	if len(s.waiting) > s.config.Queue {
+		last := len(s.waiting) - 1
+		s.missed = append(s.missed, s.waiting[last].ticket)
+		s.waiting = s.waiting[:last]
+	}
 	return Offer{Answer: Wait}
 }
 
+// ranks is how many priorities are told apart; lower ones count as the last.
+const ranks = 4
+
+// place is where a request of the rank stands in the queue: behind those of its
+// rank and better ones.
+func (s *Slots) place(priority int) int {
+	for i := range s.waiting {
+		if s.waiting[i].priority > priority {
+			return i
+		}
+	}
+	return len(s.waiting)
+}
+
+// held is how many slots are kept from the rank: one, while better ones have
+// lately met no free slot. With none kept, long requests of a low rank hold all
+// slots when one of a better rank comes, and it is refused or waits a whole
+// service time.
+func (s *Slots) held(now clock.Millis, priority int) int {
+	for _, at := range s.pressed[:priority] {
+		if at > 0 && now-at < heldFor && s.config.Slots > 1 {
+			return (s.config.Slots + 1) / 2
+		}
+	}
+	return 0
+}
+
 // Release frees the slot of a request that ended. The next waiter whose
 // deadline can still be met takes it and is returned; those passed over are
 // returned by the next Expire.
@@ -111,7 +175,7 @@
 	s.missed = nil
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
-		if w.deadline <= now {
+		if w.deadline <= now || w.until < now {
 			expired = append(expired, w.ticket)
 			continue
 		}
--- a/node/gates.go
+++ b/node/gates.go
@@ -59,6 +59,8 @@
 		Pool:     n.gatePool,
 		Journal:  n.metrics,
 		Refusals: n.metrics,
+		Changed:  n.changed,
+		Excused:  n.entry.FailedWithin,
 		Keys:     n.keys,
 		Log:      n.log,
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -92,6 +92,9 @@
 	inForce     chan struct{}
 	inForceOnce sync.Once
 
+	// news is filled when entries of other nodes should hear at once of a gate.
+	news chan struct{}
+
 	mu      sync.Mutex
 	fence   *edition.Fence
 	table   *table.Table
@@ -117,6 +120,7 @@
 		clock:           clock.NewSystem(),
 		incarnation:     random(),
 		leave:           make(chan struct{}),
+		news:            make(chan struct{}, 1),
 		consulted:       make(chan struct{}),
 		inForce:         make(chan struct{}),
 		fence:           edition.New(),
--- a/node/peers.go
+++ b/node/peers.go
@@ -79,6 +79,29 @@
 	return wire.Beat{Version: current.Version, Digest: current.Digest, Leaving: n.leaving, Upstreams: upstreams}
 }
 
+// changed asks for heartbeats at once.
+func (n *Node) changed() {
+	select {
+	case n.news <- struct{}{}:
+	default: // they are asked for already
+	}
+}
+
+// tellNews sends heartbeats when a gate has news.
+func (n *Node) tellNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.news:
+			for _, g := range n.allGates() {
+				n.entry.Heard(g.Status())
+			}
+			n.links.BeatNow()
+		}
+	}
+}
+
 // Beat takes in a heartbeat of an entry that dialled this node.
 func (n *Node) Beat(node string, b *wire.Beat) {
 	n.compare(node, b)
--- a/node/services.go
+++ b/node/services.go
@@ -139,6 +139,7 @@
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
 	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	tree.Add(service{"news", n.tellNews})
 	tree.Add(service{"probes", every(probeEvery, n.probe)})
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -105,7 +105,7 @@
 
 func (s *Settings) checkPolicy(doc *document.Document) {
 	n := doc.Root.Field("policy")
-	cautions := []string{string(table.Fast), string(table.Balanced), string(table.Cautious)}
+	cautions := []string{string(table.Fast), string(table.Balanced), string(table.Cautious), string(table.Brief)}
 	if !slices.Contains(cautions, string(s.Policy.Caution)) {
 		doc.Refuse(n, "caution", document.Quote(string(s.Policy.Caution)), strings.Join(cautions, ", "))
 	}
--- a/table/check.go
+++ b/table/check.go
@@ -122,9 +122,9 @@
 		c.once(c.services, n, "name", s.Name, "a name that no other service has")
 	}
 	switch s.Caution {
-	case Fast, Balanced, Cautious:
+	case Fast, Balanced, Cautious, Brief:
 	default:
-		c.doc.Refuse(n, "caution", document.Quote(string(s.Caution)), "fast, balanced, cautious")
+		c.doc.Refuse(n, "caution", document.Quote(string(s.Caution)), "fast, balanced, cautious, brief")
 	}
 	document.Within(c.doc, n, "floor", s.Floor, 0, 1)
 	c.doc.Span(n, "deadline", s.Deadline, MinDeadline, MaxDeadline)
--- a/table/types.go
+++ b/table/types.go
@@ -19,6 +19,9 @@
 	Fast     Caution = "fast"
 	Balanced Caution = "balanced"
 	Cautious Caution = "cautious"
+	// Brief is for upstreams that fail in episodes of seconds, many of a service
+	// at a time: two outcomes decide, and none of them needs the others' news.
+	Brief Caution = "brief"
 )
 
 // A tag diff:"unless-zero" leaves a key out of the lines that say what an edit
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -110,6 +110,11 @@
 	Headers    Headers
 	Body       []byte
 	Repeatable bool
+	// Priority ranks it among those that wait for a slot, 0 first.
+	Priority int
+	// Patience is how long it may wait for a slot, if Bounded.
+	Patience clock.Millis
+	Bounded  bool
 	// Forced asks the gate to serve in spite of its verdict, for the floor.
 	Forced   bool
 	Baseline Baseline
