--- /dev/null
+++ b/caller/conn_test.go
@@ -0,0 +1,87 @@
+package caller_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/caller"
+)
+
+// pair returns both ends of a connection over loopback, the accepted one watched.
+func pair(t *testing.T) (*caller.Conn, net.Conn) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := caller.Listener{Listener: inner}
+	t.Cleanup(func() { _ = listener.Close() })
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	conn, ok := accepted.(*caller.Conn)
+	if !ok {
+		t.Fatalf("got %T, want a watched connection", accepted)
+	}
+	return conn, client
+}
+
+// A site manager closes the page while the roster is being made. Nobody waits
+// for it any more, and it holds one of three slots for another second.
+func TestWatchTellsOfACallerThatLeaves(t *testing.T) {
+	conn, client := pair(t)
+	gone := make(chan struct{})
+	stop := conn.Watch(func() { close(gone) })
+	_ = client.Close()
+	<-gone
+	stop()
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("got no error of a read after the caller left, want one")
+	}
+}
+
+// A caller sends its next requests before the first is answered. What the watch
+// reads of them must reach the reader whole and in order, or one caller's
+// request is taken for the rest of another.
+func TestWatchKeepsWhatComesAhead(t *testing.T) {
+	conn, client := pair(t)
+	for round := range 3 {
+		stop := conn.Watch(func() { t.Error("got a caller that left, want none") })
+		if _, err := client.Write([]byte("GET /second")); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		if _, err := client.Write([]byte(" and third")); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, len("GET /second and third"))
+		if _, err := io.ReadFull(conn, got); err != nil || string(got) != "GET /second and third" {
+			t.Fatalf("round %d: got %q and %v, want both parts", round, got, err)
+		}
+	}
+}
+
+// A watch that ends must leave the connection fit for the next request.
+func TestStoppedWatchLeavesNoDeadline(t *testing.T) {
+	conn, client := pair(t)
+	conn.Watch(func() {})()
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 4))
+		done <- err
+	}()
+	if _, err := client.Write([]byte("next")); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("got %v, want the next request read", err)
+	}
+}
--- a/grade/gate.go
+++ b/grade/gate.go
@@ -66,9 +66,8 @@
 
 // Trials admits trials at a gate. The zero value is ready.
 type Trials struct {
-	last    clock.Millis
-	running bool
-	begun   bool
+	last  clock.Millis
+	begun bool
 }
 
 // Admit reports whether an upstream with that probability may be given a request.
--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -16,7 +16,7 @@
 // second and upstream.
 func TestEpisodeIsFoundInTwoFailures(t *testing.T) {
 	for _, perSecond := range []float64{2, 5, 8} {
-		failures, spans := []int{}, []clock.Millis{}
+		failures, spans := make([]int, 0, 400), make([]clock.Millis, 0, 400)
 		for seed := range uint64(400) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			f := grade.New(0)
--- /dev/null
+++ b/mirror/copy_test.go
@@ -0,0 +1,73 @@
+package mirror_test
+
+import (
+	"slices"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/mirror"
+)
+
+func item(key string, revision uint64) mirror.Item {
+	return mirror.Item{Key: key, Revision: revision, Created: revision}
+}
+
+func keys(items []mirror.Item) []string {
+	var all []string
+	for _, i := range items {
+		all = append(all, i.Key)
+	}
+	return all
+}
+
+// The store was away, and the leases of all upstreams lapsed meanwhile though
+// they live. Taken at its word on its return, the list would leave the node
+// without an upstream until they have written again.
+func TestLapsedEntriesAreHeldForTheirReturn(t *testing.T) {
+	c := mirror.NewCopy()
+	c.Reset(0, []mirror.Item{item("servers/a", 1), item("servers/b", 2)}, 2)
+	c.Returned(10_000)
+	c.Reset(10_000, []mirror.Item{item("servers/a", 9)}, 9)
+	if got := keys(c.Items(11_000)); !slices.Equal(got, []string{"servers/a", "servers/b"}) {
+		t.Errorf("a second after the return: got %v, want both", got)
+	}
+	c.Apply(11_500, []mirror.Event{{Item: item("servers/b", 12)}}, 12)
+	if got := keys(c.Items(13_000)); !slices.Equal(got, []string{"servers/a", "servers/b"}) {
+		t.Errorf("after it was written again: got %v, want both", got)
+	}
+	c.Apply(13_000, []mirror.Event{{Item: mirror.Item{Key: "servers/b", Revision: 13}, Gone: true}}, 13)
+	if got := keys(c.Items(13_001)); !slices.Equal(got, []string{"servers/a"}) {
+		t.Errorf("gone while the store is in order: got %v, want a alone", got)
+	}
+}
+
+// One that isn't back two seconds after the return is gone for good.
+func TestLapsedEntriesGoAfterTheGrace(t *testing.T) {
+	c := mirror.NewCopy()
+	c.Reset(0, []mirror.Item{item("servers/a", 1)}, 1)
+	c.Returned(5000)
+	c.Apply(5100, []mirror.Event{{Item: mirror.Item{Key: "servers/a", Revision: 4}, Gone: true}}, 4)
+	if got := len(c.Items(6999)); got != 1 {
+		t.Errorf("before the grace is over: got %d values, want 1", got)
+	}
+	if got := len(c.Items(7000)); got != 0 {
+		t.Errorf("after it: got %d values, want none", got)
+	}
+}
+
+// The pages of a list aren't a snapshot, and a watch from the first page's
+// revision tells what the later pages held already, older values among it.
+func TestOlderValuesDoNotReplaceNewer(t *testing.T) {
+	c := mirror.NewCopy()
+	c.Reset(0, []mirror.Item{{Key: "op/config", Revision: 8, Value: []byte("new")}}, 5)
+	c.Apply(1, []mirror.Event{
+		{Item: mirror.Item{Key: "op/config", Revision: 6, Value: []byte("old")}},
+		{Item: mirror.Item{Key: "op/config", Revision: 7}, Gone: true},
+	}, 8)
+	got := c.Items(2)
+	if len(got) != 1 || string(got[0].Value) != "new" {
+		t.Errorf("got %v, want the value of revision 8", got)
+	}
+	if got := c.Revision(); got != 8 {
+		t.Errorf("got revision %d, want 8", got)
+	}
+}
