fix(node,link): leave only when all peers have heard of it

Cause of the request that TestRollingReplacementCutsNothing once found cut: a leaving node ended after 300 ms without anything in flight. A dispatch that an entry had sent before it heard of the leaving, over a link slow for longer than that on a busy machine, met a closed link; a request that may run once only then ends as unknown. Now the node waits, within its grace, until each link's peer has echoed a heartbeat of after the leaving; frames keep their order, so that nothing is on the way then. Peers answer such a heartbeat at once.

Ruled out: replies dropped in the link's queue (the quiet span follows the last answer).

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
@@ -195,3 +197,28 @@
 	<-beside.Done()
 	w.check(t, f)
 }
+
+// A node leaves while the way to it is slow: a confirmation that an entry sent it
+// just before is still on the way, and the node sees nothing in flight. Were it
+// to end then, the confirmation would meet a closed link and its caller hear that
+// its outcome is unknown, though it never ran.
+func TestLeavingWaitsForWhatIsOnTheWay(t *testing.T) {
+	_, far, beside, _ := two(t, 1)
+	if got := send(t, "POST", far.Caller, "/conferme/turno", ""); got.outcome != "served" {
+		t.Fatalf("got %s, want a request served first", got.outcome)
+	}
+	beside.Relay.SetMode(standin.Freeze)
+	done := make(chan answer, 1)
+	go func() { done <- send(t, "POST", far.Caller, "/conferme/turno", "") }()
+	until(t, "the request on its way", func() bool { return beside.Relay.Stats().Held > 0 })
+	beside.Node.Leave()
+	select {
+	case <-beside.Done():
+		t.Error("got a node that ended, want it to wait for what was sent to it")
+	case <-time.After(time.Second):
+	}
+	beside.Relay.SetMode(standin.Pass)
+	if got := <-done; got.outcome != string(account.NotRun) {
+		t.Errorf("got outcome %q (%s), want it not run", got.outcome, got.reason)
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -252,6 +252,9 @@
 		p.voided(m)
 	case *wire.Beat:
 		p.beat(m)
+		if m.Leaving {
+			p.sendBeat() // it waits to know that nothing more comes
+		}
 		p.config.Watcher.PeerBeat(p.config.Address, m)
 	case *wire.Edition:
 		p.config.Watcher.PeerEdition(p.config.Address, m)
--- a/link/server.go
+++ b/link/server.go
@@ -53,7 +53,7 @@
 	// latest holds the newest link of each entry: answers go there, so that an
 	// entry that replaced a silent link gets them on the new one.
 	latest map[uint64]*Conn
-	all    map[*Conn]struct{}
+	all    map[*Conn]*session
 }
 
 // NewServer returns a server that isn't listening yet.
@@ -61,7 +61,7 @@
 	s := &Server{
 		config: c,
 		latest: map[uint64]*Conn{},
-		all:    map[*Conn]struct{}{},
+		all:    map[*Conn]*session{},
 		upgrader: websocket.FastHTTPUpgrader{
 			ReadBufferSize:  bufferSize,
 			WriteBufferSize: bufferSize,
@@ -103,6 +103,23 @@
 	}
 }
 
+// Echoed reports whether all peers with a link have heard a heartbeat of since or
+// later. What a peer sent before it heard one has arrived then: frames keep their
+// order.
+func (s *Server) Echoed(since clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, one := range s.all {
+		one.mu.Lock()
+		echoed := one.echoed
+		one.mu.Unlock()
+		if echoed < since {
+			return false
+		}
+	}
+	return true
+}
+
 // Open returns how many links are open.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -130,7 +147,8 @@
 		log.WithError(err).Warn("link refused")
 		return
 	}
-	s.register(remote.Incarnation, c)
+	session := &session{server: s, conn: c, remote: remote}
+	s.register(session)
 	defer s.unregister(remote.Incarnation, c)
 	var writer sync.WaitGroup
 	writer.Go(c.write)
@@ -139,7 +157,6 @@
 	// crash the node: it must end first.
 	defer writer.Wait()
 	defer c.Close()
-	session := &session{server: s, conn: c, remote: remote}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go session.beat(ctx)
@@ -147,11 +164,11 @@
 	log.WithError(err).WithField("peer", remote.Node).Debug("link ended")
 }
 
-func (s *Server) register(entry uint64, c *Conn) {
+func (s *Server) register(one *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.latest[entry] = c
-	s.all[c] = struct{}{}
+	s.latest[one.remote.Incarnation] = one.conn
+	s.all[one.conn] = one
 }
 
 func (s *Server) unregister(entry uint64, c *Conn) {
@@ -217,6 +234,8 @@
 
 	mu    sync.Mutex
 	heard clock.Millis
+	// echoed is this node's time on the last heartbeat that the peer has heard.
+	echoed clock.Millis
 }
 
 func (s *session) handle(m wire.Message) {
@@ -230,7 +249,7 @@
 		_ = s.conn.Send(h.Void(m)) // asked again on a new link
 	case *wire.Beat:
 		s.mu.Lock()
-		s.heard = m.Time
+		s.heard, s.echoed = m.Time, max(s.echoed, m.Heard)
 		s.mu.Unlock()
 		h.Beat(s.remote.Node, m)
 	case *wire.Ask:
--- a/node/leave.go
+++ b/node/leave.go
@@ -44,6 +44,7 @@
 // for a while; then their port closes, and what they have begun is finished.
 func (n *Node) drain(ctx context.Context) {
 	n.entry.Leave()
+	left := n.clock.Now()
 	n.leaveGates()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Grace.Duration())
@@ -54,11 +55,30 @@
 	if err := n.callers.ShutdownWithContext(ctx); err != nil {
 		n.log.WithError(err).Warn("callers' connections are cut")
 	}
+	if err := n.awaitPeers(ctx, left); err != nil {
+		n.log.Warn("grace is over; a peer has not heard that the node leaves")
+	}
 	if err := n.quiet(ctx, n.Busy); err != nil {
 		n.log.WithFields(logrus.Fields{"requests": n.Busy()}).Warn("grace is over; requests are cut")
 	}
 }
 
+// awaitPeers waits until all peers with a link have heard that this node leaves.
+// A request that an entry sent before, over a link that is slow at that moment,
+// would else meet a closed one, and its caller hear that its outcome is unknown.
+func (n *Node) awaitPeers(ctx context.Context, left clock.Millis) error {
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	for !n.links.Echoed(left) {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // quiet waits until nothing has been in flight for settleDown.
 func (n *Node) quiet(ctx context.Context, busy func() int) error {
 	since := n.clock.Now()
