--- a/capacity/ends.go
+++ b/capacity/ends.go
@@ -68,6 +68,9 @@
 func (e *end) Beat(string, *wire.Beat) { e.hear() }
 
 // Void has no keys.
+func (e *end) Enquire(*wire.Enquiry) *wire.Hold { return &wire.Hold{} }
+
+// Void answers nothing.
 func (e *end) Void(*wire.Void) *wire.Voided { return &wire.Voided{} }
 
 // Status returns the heartbeat.
--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -91,6 +91,12 @@
 func (prompt) Forget(wire.RequestID, uint8) {}
 
 // Void reaches nobody.
+func (prompt) Enquire(*wire.Enquiry, func(*wire.Hold)) error { return link.ErrNoLink }
+
+// ForgetEnquiry does nothing.
+func (prompt) ForgetEnquiry(wire.RequestID, uint8) {}
+
+// Void asks nobody.
 func (prompt) Void(*wire.Void, clock.Millis, link.VoidWaiter) error { return link.ErrNoLink }
 
 // ForgetVoid has nothing to drop.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -26,6 +26,12 @@
 	r.attempts++
 	r.tried = append(r.tried, a.member)
 	r.last, r.forced = a.upstream, a.forced
+	if r.enquires(&a) {
+		if refusal, isHeld := r.enquire(&a); !isHeld {
+			r.service.ended(r.entry.config.Now(), a.member, &refusal)
+			return refusal
+		}
+	}
 	d := r.dispatch(now, a, untried)
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -97,12 +97,14 @@
 	judge    Judge
 	slots    *limit.Slots
 	jobs     map[uint64]*job
-	tickets  uint64
-	leaving  bool // for good, as the node is shutting down
-	listed   bool // as the instance list says
-	leftAt   clock.Millis
-	state    health.State
-	level    grade.Level
+	// holds are the slots kept for dispatches that were announced.
+	holds   map[lease.Key]*time.Timer
+	tickets uint64
+	leaving bool // for good, as the node is shutting down
+	listed  bool // as the instance list says
+	leftAt  clock.Millis
+	state   health.State
+	level   grade.Level
 }
 
 // job is one dispatch that waits for a slot or runs.
@@ -132,6 +134,7 @@
 		judge:    judgeOf(c.Service.Caution, c.Seed),
 		slots:    limit.NewSlots(limit.SlotsConfig{Slots: c.Upstream.Slots, Queue: c.Service.Queue, Seed: c.Seed}),
 		jobs:     map[uint64]*job{},
+		holds:    map[lease.Key]*time.Timer{},
 	}
 }
 
@@ -153,6 +156,10 @@
 		answer(reply)
 		return
 	}
+	if g.takeHold(key) {
+		g.runHeld(now, key, verdict, d, answer)
+		return
+	}
 	reason, after := g.refusal(now, verdict, d)
 	if reason != "" {
 		g.refuse(now, key, d, answer, reason, after)
@@ -195,6 +202,29 @@
 	answer(reply)
 }
 
+// runHeld runs a dispatch in the slot that was kept for it. It was admitted when
+// that was asked for; what can have changed since ends it. It unlocks the gate.
+func (g *Gate) runHeld(now clock.Millis, key lease.Key, verdict lease.Verdict, d *wire.Dispatch, answer func(*wire.Reply)) {
+	until := min(now+d.Budget, d.Lease)
+	if verdict == lease.Fresh && !g.leaving && now < until {
+		g.tickets++
+		j := &job{dispatch: d, answer: answer, key: key, ticket: g.tickets, until: until}
+		g.jobs[j.ticket] = j
+		g.mu.Unlock()
+		g.start(j)
+		return
+	}
+	next := g.release(now)
+	reason := wire.ReasonLeaving
+	if verdict != lease.Fresh {
+		reason = wire.ReasonStale
+	}
+	g.refuse(now, key, d, answer, reason, 0)
+	if next != nil {
+		g.start(next)
+	}
+}
+
 // offer gives a dispatch a slot, a place in the queue, or a refusal. It
 // unlocks the gate.
 func (g *Gate) offer(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply)) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -29,8 +29,11 @@
 	dispatched atomic.Int64
 }
 
-func (c *counter) Dispatch(uint64, *wire.Dispatch)     { c.dispatched.Add(1) }
-func (c *counter) Settle(uint64, *wire.Settle)         {}
+func (c *counter) Dispatch(uint64, *wire.Dispatch) { c.dispatched.Add(1) }
+func (c *counter) Settle(uint64, *wire.Settle)     {}
+func (c *counter) Enquire(e *wire.Enquiry) *wire.Hold {
+	return &wire.Hold{ID: e.ID, Attempt: e.Attempt, Held: true}
+}
 func (c *counter) Void(*wire.Void) *wire.Voided        { return &wire.Voided{} }
 func (c *counter) Beat(string, *wire.Beat)             {}
 func (c *counter) Status() wire.Beat                   { return wire.Beat{} }
--- a/link/peer.go
+++ b/link/peer.go
@@ -82,8 +82,10 @@
 	estimate lease.Estimate
 	pending  map[lease.Key]*pending
 	voids    map[wire.RequestID]*voiding
-	used     clock.Millis
-	heard    clock.Millis
+	// enquiries are told of the answers of gates that were asked for a slot.
+	enquiries map[lease.Key]func(*wire.Hold)
+	used      clock.Millis
+	heard     clock.Millis
 }
 
 // NewPeer returns a peer without a link; Run opens one on first need.
@@ -92,13 +94,14 @@
 		c.Idle = idleAfter
 	}
 	return &Peer{
-		config:  c,
-		log:     c.Log.WithField("peer", c.Address),
-		need:    make(chan struct{}, 1),
-		judge:   c.judge(),
-		pending: map[lease.Key]*pending{},
-		voids:   map[wire.RequestID]*voiding{},
-		used:    c.Now() - c.Idle - 1, // not needed yet
+		config:    c,
+		log:       c.Log.WithField("peer", c.Address),
+		need:      make(chan struct{}, 1),
+		judge:     c.judge(),
+		pending:   map[lease.Key]*pending{},
+		voids:     map[wire.RequestID]*voiding{},
+		enquiries: map[lease.Key]func(*wire.Hold){},
+		used:      c.Now() - c.Idle - 1, // not needed yet
 	}
 }
 
@@ -250,6 +253,8 @@
 		p.settled(m)
 	case *wire.Voided:
 		p.voided(m)
+	case *wire.Hold:
+		p.held(m)
 	case *wire.Beat:
 		p.beat(m)
 		if m.Leaving {
--- a/link/server.go
+++ b/link/server.go
@@ -20,6 +20,8 @@
 	// Dispatch takes in a request; the answer goes out by Server.Answer.
 	Dispatch(entry uint64, d *wire.Dispatch)
 	Settle(entry uint64, s *wire.Settle)
+	// Enquire says whether a dispatch would be admitted, and keeps a slot for it.
+	Enquire(e *wire.Enquiry) *wire.Hold
 	// Void says what is known of a resend's key and forbids earlier sends.
 	Void(v *wire.Void) *wire.Voided
 	// Beat takes a heartbeat in. The peer's link address is node.
@@ -245,6 +247,8 @@
 		h.Dispatch(s.remote.Incarnation, m)
 	case *wire.Settle:
 		h.Settle(s.remote.Incarnation, m)
+	case *wire.Enquiry:
+		_ = s.conn.Send(h.Enquire(m)) // without an answer the entry asks elsewhere
 	case *wire.Void:
 		_ = s.conn.Send(h.Void(m)) // asked again on a new link
 	case *wire.Beat:
--- a/node/gates.go
+++ b/node/gates.go
@@ -108,6 +108,18 @@
 	n.handle(d, func(r *wire.Reply) { n.links.Answer(from, r) })
 }
 
+// Enquire answers another node's entry that looks for a slot.
+func (n *Node) Enquire(e *wire.Enquiry) *wire.Hold {
+	g, ok := n.gate(e.Upstream)
+	if !ok {
+		return &wire.Hold{
+			ID: e.ID, Attempt: e.Attempt, Reason: wire.ReasonNobody, Time: n.clock.Now(),
+			Upstream: wire.Upstream{Name: e.Upstream, Leaving: true},
+		}
+	}
+	return g.Enquire(e)
+}
+
 // Settle answers another node's entry about one of its dispatches.
 func (n *Node) Settle(from uint64, s *wire.Settle) {
 	g, ok := n.gate(s.Upstream)
@@ -143,6 +155,12 @@
 // Settle has nothing to ask: in one process a reply can't be lost.
 func (local) Settle(wire.RequestID, uint8) {}
 
+// Enquire asks nothing: in one process a request costs no way.
+func (local) Enquire(*wire.Enquiry, func(*wire.Hold)) error { return link.ErrNoLink }
+
+// ForgetEnquiry has nothing to drop.
+func (local) ForgetEnquiry(wire.RequestID, uint8) {}
+
 // Abandon tells the gate that the caller has left.
 func (l local) Abandon(id wire.RequestID, attempt uint8) {
 	for _, g := range l.node.allGates() {
--- a/node/leave.go
+++ b/node/leave.go
@@ -35,10 +35,15 @@
 	n.links.BeatNow()
 }
 
-// callersMost bounds how long a leaving node still takes callers' requests: the
+// callersMost bounds how long a leaving node still takes callers' requests, its
+// linger included: the
 // instance list lags, and a caller that follows it needs some seconds.
 const callersMost = 5 * clock.Second
 
+// endMargin is taken from the grace for the process's own end: what is left of it
+// after the grace is killed, connections that were just answered included.
+const endMargin = 300 * clock.Millis(1)
+
 // drain finishes what is in flight. Gates refuse new work at once, and entries
 // send it elsewhere. Callers are served, over other nodes, until none has come
 // for a while; then their port closes, and what they have begun is finished.
@@ -47,9 +52,10 @@
 	left := n.clock.Now()
 	n.leaveGates()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Grace.Duration())
+	ctx, cancel := context.WithTimeout(ctx, (n.settings.Grace - min(n.settings.Grace/10, endMargin)).Duration())
 	defer cancel()
-	callers, stop := context.WithTimeout(ctx, callersMost.Duration())
+	n.linger(ctx)
+	callers, stop := context.WithTimeout(ctx, max(callersMost-n.settings.Linger, clock.Second).Duration())
 	defer stop()
 	_ = n.quiet(callers, n.entry.Busy) // callers that go on coming don't hold the node
 	if err := n.callers.ShutdownWithContext(ctx); err != nil {
@@ -63,6 +69,20 @@
 	}
 }
 
+// linger lets callers come until those who watch the node's readiness have sent
+// them elsewhere. They would meet a closed port.
+func (n *Node) linger(ctx context.Context) {
+	if n.settings.Linger <= 0 {
+		return
+	}
+	timer := time.NewTimer(n.settings.Linger.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // awaitPeers waits until all peers with a link have heard that this node leaves.
 // A request that an entry sent before, over a link that is slow at that moment,
 // would else meet a closed one, and its caller hear that its outcome is unknown.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,9 @@
 	Beat clock.Millis `toml:"beat"`
 	// Grace bounds a shutdown: requests in flight have this long to end.
 	Grace clock.Millis `toml:"grace"`
+	// Linger is how long a leaving node takes callers' requests at least: those
+	// who watch its readiness need a while to send callers elsewhere.
+	Linger clock.Millis `toml:"linger"`
 	// Log is the least level that is logged.
 	Log string `toml:"log"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,7 +48,7 @@
 func TestParseNamesFaults(t *testing.T) {
 	tests := map[string]struct{ old, new, want string }{
 		"grammar":      {`"palermo"`, `palermo`, "line 2: not TOML"},
-		"unknown key":  {"peers", "peer", "line 4: peer: unknown key; allowed: beat, domain, grace, limits, listen"},
+		"unknown key":  {"peers", "peer", "line 4: peer: unknown key; allowed: beat, domain, grace, limits, linger, listen"},
 		"no node":      {`node = "palermo-1"`, "", "line 1: node: is missing"},
 		"domain":       {`"palermo"`, `""`, `line 2: domain: "" is not allowed`},
 		"short secret": {"0123456789abcdef", "hush", "line 3: secret: has 4 bytes; allowed: 16 bytes or more, or secretfile"},
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -52,6 +52,8 @@
 	KindEdition
 	KindVoid
 	KindVoided
+	KindEnquiry
+	KindHold
 )
 
 // Message is one of the message types of this package, by pointer.
@@ -148,6 +150,10 @@
 		return new(Edition)
 	case KindVoid:
 		return new(Void)
+	case KindEnquiry:
+		return new(Enquiry)
+	case KindHold:
+		return new(Hold)
 	case KindVoided:
 		return new(Voided)
 	default:
