feat(grade,cmd): pace trials by what gates admit; reload settings on SIGHUP

The settings file is read again on the signal and when it changed; a bad one changes nothing. Gates count admitted trials, entries pace theirs by it (grade.Pacer, test with 5, 20 and 81 senders). Ruled out: pushing a wish for trials to all entries, 80 links a second.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -32,7 +32,7 @@
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
 	}
-	config, err := nodeConfig(s, log)
+	config, source, err := nodeConfig(s, log)
 	if err != nil {
 		log.WithError(err).Error("node not built")
 		return ExitFault
@@ -47,6 +47,8 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	r := &reloader{path: c.Settings, inForce: s, log: log, source: source}
+	go r.run(ctx)
 	go func() {
 		<-signals
 		n.Leave()
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -50,6 +50,7 @@
 			"sigcont":   signals(syscall.SIGCONT),
 			"sigkill":   signals(syscall.SIGKILL),
 			"sigterm":   signals(syscall.SIGTERM),
+			"sighup":    signals(syscall.SIGHUP),
 			"ended":     ended,
 			"logged":    logged,
 			"relay":     relay,
--- a/cmd/sourcecmd.go
+++ b/cmd/sourcecmd.go
@@ -14,21 +14,21 @@
 )
 
 // nodeConfig is what a node is made from, with the platform's adapter where the
-// settings name it.
-func nodeConfig(s *settings.Settings, log *logrus.Logger) (node.Config, error) {
+// settings name it; the source is nil otherwise.
+func nodeConfig(s *settings.Settings, log *logrus.Logger) (node.Config, *platform.Source, error) {
 	c := node.Config{Settings: s, Log: log}
 	if s.Platform.Form != settings.FormStore {
-		return c, nil
+		return c, nil, nil
 	}
 	link, err := netip.ParseAddrPort(s.Listen.Link)
 	if err != nil {
-		return c, errors.Annotate(err, "reading the link address")
+		return c, nil, errors.Annotate(err, "reading the link address")
 	}
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(s.Node)) // a hash's Write never fails
 	c.CallerHeaders = platform.CallerHeaders()
 	c.UpstreamHeaders = platform.UpstreamHeaders()
-	c.Source = platform.NewSource(platform.SourceConfig{
+	source := platform.NewSource(platform.SourceConfig{
 		Address: s.Platform.Address,
 		Seed:    seed.Sum64(),
 		Log:     log,
@@ -38,7 +38,8 @@
 			Log:      log,
 		},
 	})
-	return c, nil
+	c.Source = source
+	return c, source, nil
 }
 
 // policyOf is the service that the platform's own stand on.
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -9,6 +9,7 @@
 	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 const (
@@ -154,6 +155,19 @@
 	return attempt{member: m, upstream: m.upstream, forced: s.uses[i] == floor.Forced}
 }
 
+// countTrials takes in how many trials a gate has admitted since it was heard
+// last. The lock is held.
+func (s *service) countTrials(now clock.Millis, m *member, u *wire.Upstream) {
+	level := grade.LevelOf(u.Severity)
+	if level < grade.Failing {
+		m.counted = 0
+		return
+	}
+	if m.counted == 0 || s.pacer.Told(u.Trials-m.trials, now-m.counted, level, s.entries) {
+		m.counted, m.trials = now, u.Trials
+	}
+}
+
 // trialDue returns an upstream that is set aside and due for a trial by this
 // entry. Each entry draws its spans so that all of them together make one trial
 // in each Gap, without a word between them.
@@ -163,7 +177,7 @@
 			m.trial = 0
 			continue
 		}
-		gap := grade.Gap(grade.LevelOf(s.options[i].Risk)) * clock.Millis(max(s.entries, 1))
+		gap := s.pacer.Span(grade.LevelOf(s.options[i].Risk))
 		switch {
 		case m.trial == 0:
 			m.trial = now + clock.Millis(s.random.Int64N(int64(gap)))
--- a/entry/member.go
+++ b/entry/member.go
@@ -22,6 +22,10 @@
 	sent     int  // dispatches of this entry without an outcome
 	// trial is when this entry may send it a trial next.
 	trial clock.Millis
+	// counted is when the gate's count of trials was taken in last, and what it
+	// was; 0 while the upstream isn't set aside.
+	counted clock.Millis
+	trials  uint32
 }
 
 // verdict is the gate's as last heard. A hold-off that has run out since is a
--- a/entry/service.go
+++ b/entry/service.go
@@ -11,6 +11,7 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -40,6 +41,7 @@
 	random   *rand.Rand
 	domain   string
 	entries  int // nodes that send to the service
+	pacer    *grade.Pacer
 	budget   *retry.Budget
 	baseline health.Baseline
 	best     float64 // the lowest share of failures in view
@@ -66,6 +68,7 @@
 		ranker:  choice.NewRanker(seed),
 		random:  rand.New(rand.NewPCG(seed, 3)),
 		domain:  domain,
+		pacer:   grade.NewPacer(1),
 		best:    1,
 		budget:  retry.New(budgetOf(c, 1, seed)),
 		dirty:   true,
@@ -103,6 +106,9 @@
 		s.budget.Adjust(budgetOf(c, nodeCount, s.seed))
 	}
 	s.config = c
+	if s.entries == 0 {
+		s.pacer = grade.NewPacer(nodeCount)
+	}
 	s.entries = nodeCount
 	old := s.byName
 	s.byName = make(map[string]*member, len(c.Upstreams))
@@ -267,6 +273,7 @@
 		return
 	}
 	old := m.state
+	s.countTrials(now, m, &u)
 	m.state, m.heard = u, now
 	if old.State != u.State || old.Severity != u.Severity || old.Leaving != u.Leaving {
 		s.dirty = true
--- a/grade/gate.go
+++ b/grade/gate.go
@@ -66,6 +66,9 @@
 
 // Trials admits trials at a gate. The zero value is ready.
 type Trials struct {
+	// Count is how many were admitted.
+	Count uint32
+
 	last  clock.Millis
 	begun bool
 }
@@ -83,5 +86,6 @@
 		return false
 	}
 	t.begun, t.last = true, now
+	t.Count++
 	return true
 }
--- a/grade/judge.go
+++ b/grade/judge.go
@@ -115,6 +115,9 @@
 	j.state = next
 }
 
+// TrialCount is how many trials were admitted.
+func (j *Judge) TrialCount() uint32 { return j.trials.Count }
+
 // Status is the verdict at an instant. Its severity is the probability.
 func (j *Judge) Status(now clock.Millis) health.Status {
 	j.note(now)
