--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -12,7 +12,7 @@
 }
 
 func keys(items []mirror.Item) []string {
-	var all []string
+	all := make([]string, 0, len(items))
 	for _, i := range items {
 		all = append(all, i.Key)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -124,39 +124,28 @@
 	return m, nil
 }
 
+// blanks make an empty message of each kind.
+var blanks = [...]func() Message{
+	KindChallenge: func() Message { return new(Challenge) },
+	KindProof:     func() Message { return new(Proof) },
+	KindWelcome:   func() Message { return new(Welcome) },
+	KindDispatch:  func() Message { return new(Dispatch) },
+	KindReply:     func() Message { return new(Reply) },
+	KindChunk:     func() Message { return new(Chunk) },
+	KindSettle:    func() Message { return new(Settle) },
+	KindSettled:   func() Message { return new(Settled) },
+	KindBeat:      func() Message { return new(Beat) },
+	KindAsk:       func() Message { return new(Ask) },
+	KindEdition:   func() Message { return new(Edition) },
+	KindVoid:      func() Message { return new(Void) },
+	KindVoided:    func() Message { return new(Voided) },
+	KindEnquiry:   func() Message { return new(Enquiry) },
+	KindHold:      func() Message { return new(Hold) },
+}
+
 func blank(k Kind) Message {
-	switch k {
-	case KindChallenge:
-		return new(Challenge)
-	case KindProof:
-		return new(Proof)
-	case KindWelcome:
-		return new(Welcome)
-	case KindDispatch:
-		return new(Dispatch)
-	case KindReply:
-		return new(Reply)
-	case KindChunk:
-		return new(Chunk)
-	case KindSettle:
-		return new(Settle)
-	case KindSettled:
-		return new(Settled)
-	case KindBeat:
-		return new(Beat)
-	case KindAsk:
-		return new(Ask)
-	case KindEdition:
-		return new(Edition)
-	case KindVoid:
-		return new(Void)
-	case KindEnquiry:
-		return new(Enquiry)
-	case KindHold:
-		return new(Hold)
-	case KindVoided:
-		return new(Voided)
-	default:
+	if int(k) >= len(blanks) || blanks[k] == nil {
 		return nil
 	}
+	return blanks[k]()
 }
