fix(mirror,node): read a returned store at once, take nothing late after SIGTERM

It now closes its port at half of its grace. Tests: TestFollowerOutlivesLostHistoryAndOutages and TestLeavingTakesNothingThatItCouldNotFinish, both fail without.

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -9,8 +10,11 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/table"
 )
@@ -222,3 +226,56 @@
 		t.Errorf("got outcome %q (%s), want it not run", got.outcome, got.reason)
 	}
 }
+
+// Callers go on sending to a node that was told to end, as their list of nodes is
+// seconds old. What it takes in the second half of its grace it could not finish:
+// the process would end with confirmations in flight.
+func TestLeavingTakesNothingThatItCouldNotFinish(t *testing.T) {
+	var log lines
+	f := start(t, fleet.Config{Table: deployment(2), Service: 300, Log: &log, Adjust: func(s *settings.Settings) {
+		s.Grace, s.Linger = 4*clock.Second, 500
+	}})
+	leaving := f.Members[0]
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = once(&fasthttp.Client{}, leaving.Caller, false) // refused once the port is closed
+				}
+			}
+		})
+	}
+	until(t, "requests in flight", func() bool { return leaving.Node.Busy() > 0 })
+	leaving.Node.Leave()
+	<-leaving.Done()
+	close(stop)
+	group.Wait()
+	if got := log.String(); strings.Contains(got, node.ErrCut.Error()) {
+		t.Error("got a node that cut requests in flight, want none cut")
+	}
+}
+
+// lines collects what nodes log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write takes in one line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns all lines so far.
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -25,8 +25,12 @@
 	// firstBackoff and mostBackoff bound the span between failed calls: quick
 	// enough that a store that returns is read within its bounds, and spread,
 	// so that the nodes of a fleet don't come back as one wave.
-	firstBackoff = 150 * clock.Millis(1)
-	mostBackoff  = clock.Second
+	firstBackoff = 100 * clock.Millis(1)
+	mostBackoff  = 300 * clock.Millis(1)
+	// probeWait is what a watch waits while the store is away. One that began
+	// before its return may never be answered; a longer wait would add to the
+	// time until the next call, and an edit made at the return would be late.
+	probeWait = clock.Millis(1)
 )
 
 // FollowerConfig configures a Follower.
@@ -86,7 +90,11 @@
 		f.deliver()
 		return nil
 	}
-	events, revision, err := f.config.Store.Watch(ctx, f.copy.Revision(), watchWait)
+	wait := watchWait
+	if f.failures > 0 {
+		wait = probeWait
+	}
+	events, revision, err := f.config.Store.Watch(ctx, f.copy.Revision(), wait)
 	if errors.Is(err, ErrHistory) {
 		f.config.Log.WithField("revision", f.copy.Revision()).Info("changes are no longer to be had; all values are listed again")
 		return f.relist(ctx)
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -18,6 +18,7 @@
 	lists [][]mirror.Item
 	watch []error
 	calls []string
+	waits []clock.Millis
 	at    []clock.Millis
 	now   func() clock.Millis
 	next  func()
@@ -34,10 +35,10 @@
 	return first, uint64(len(s.calls)), nil
 }
 
-func (s *script) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *script) Watch(_ context.Context, _ uint64, wait clock.Millis) ([]mirror.Event, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls, s.at = append(s.calls, "watch"), append(s.at, s.now())
+	s.calls, s.at, s.waits = append(s.calls, "watch"), append(s.at, s.now()), append(s.waits, wait)
 	if len(s.watch) == 0 {
 		s.next()
 		return nil, uint64(len(s.calls)), nil
@@ -78,6 +79,11 @@
 	if len(away) == 0 || !away[0] {
 		t.Errorf("got %v for the store's absence, want it told", away)
 	}
+	// A watch with its full wait that began just before the store's return may
+	// never be answered, and an edit made then would be in force seconds late.
+	if last := s.waits[len(s.waits)-1]; last > 10 {
+		t.Errorf("got a wait of %v while the store is away, want a call that ends at once", last)
+	}
 	if got := s.at[1] - s.at[0]; got < 990 {
 		t.Errorf("got %v between two calls, want the pace of a second: each call is priced", got)
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -36,7 +36,8 @@
 }
 
 // callersMost bounds how long a leaving node still takes callers' requests, its
-// linger included: the
+// linger included, beside half of the grace: what comes later could not be finished
+// within it. The
 // instance list lags, and a caller that follows it needs some seconds.
 const callersMost = 5 * clock.Second
 
@@ -55,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (n.settings.Grace - min(n.settings.Grace/10, endMargin)).Duration())
 	defer cancel()
 	n.linger(ctx)
-	callers, stop := context.WithTimeout(ctx, max(callersMost-n.settings.Linger, clock.Second).Duration())
+	callers, stop := context.WithTimeout(ctx, (min(callersMost, n.settings.Grace/2) - n.settings.Linger).Duration())
 	defer stop()
 	_ = n.quiet(callers, n.entry.Busy) // callers that go on coming don't hold the node
 	if err := n.callers.ShutdownWithContext(ctx); err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -58,7 +58,7 @@
 	s.checkPolicy(doc)
 	doc.Span(root, "beat", s.Beat, MinBeat, MaxBeat)
 	doc.Span(root, "grace", s.Grace, 0, MaxGrace)
-	doc.Span(root, "linger", s.Linger, 0, s.Grace)
+	doc.Span(root, "linger", s.Linger, 0, s.Grace/2)
 	if !slices.Contains(levels, s.Log) {
 		doc.Refuse(root, "log", document.Quote(s.Log), strings.Join(levels, ", "))
 	}
