fix(gate): refuse what waits for an upstream that leaves

A request in a gate's queue was sent when its slot got free, after the upstream had reported its leaving (DRAIN allows 2 s); now it goes to another at once. Tests of the gate with a held backend server: leaving, promised slots kept and given back, abandoned requests.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -283,20 +283,28 @@
 // late takes out the waiters whose deadline passed. The gate's lock is held;
 // the answers are given without it.
 func (g *Gate) late(now clock.Millis) []refusedJob {
-	var late []refusedJob
-	for _, ticket := range g.slots.Expire(now) {
+	return g.giveUp(now, g.slots.Expire(now), wire.ReasonLate)
+}
+
+// giveUp refuses waiters. The gate's lock is held.
+func (g *Gate) giveUp(now clock.Millis, tickets []uint64, reason wire.Reason) []refusedJob {
+	var refused []refusedJob
+	for _, ticket := range tickets {
 		j, ok := g.jobs[ticket]
 		if !ok {
 			continue
 		}
 		delete(g.jobs, ticket)
+		if j.timer != nil {
+			j.timer.Stop()
+		}
 		g.fence.Refuse(j.key)
-		g.countRefusal(wire.ReasonLate)
+		g.countRefusal(reason)
 		reply := g.reply(now, j.dispatch)
-		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, wire.ReasonLate, g.slots.RetryAfter(now)
-		late = append(late, refusedJob{j, reply})
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, g.slots.RetryAfter(now)
+		refused = append(refused, refusedJob{j, reply})
 	}
-	return late
+	return refused
 }
 
 // Settle says what became of a dispatch and voids one that has not begun. It
@@ -351,8 +359,8 @@
 	}
 	before := g.left()
 	g.service, g.upstream = s, u
-	g.noteLeft(before, "zero weight")
-	late := g.late(g.config.Now()) // first: a new slot must not go to one of them
+	late := g.noteLeft(before, "zero weight")
+	late = append(late, g.late(g.config.Now())...) // first: a new slot must not go to one of them
 	var ready []*job
 	for _, ticket := range g.slots.Resize(limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue, Seed: g.config.Seed}) {
 		if j, ok := g.jobs[ticket]; ok {
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,145 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// held is a backend server whose requests end when they are let go, or when
+// their callers leave.
+type held struct {
+	begun chan string
+	end   chan struct{}
+}
+
+func (h *held) Do(ctx context.Context, c *gate.Call) (gate.Answer, error) {
+	h.begun <- c.ID
+	select {
+	case <-h.end:
+		return gate.Answer{Status: 200}, nil
+	case <-ctx.Done():
+		return gate.Answer{}, gate.ErrCancelled
+	}
+}
+
+func (*held) Probe(string) bool { return true }
+func (*held) Close()            {}
+
+type nobody struct{}
+
+func (nobody) Note(account.Event) {}
+
+const incarnation = 7
+
+// guarded returns a gate of one slot before a backend server that holds requests.
+func guarded(t *testing.T) (*gate.Gate, *held, table.Service, table.Upstream) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool, err := ants.NewPool(8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	now := clock.NewSystem().Now
+	h := &held{begun: make(chan string, 8), end: make(chan struct{})}
+	s := table.Service{Name: "conferme", Caution: table.Brief, Queue: 4}
+	u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
+	g := gate.New(gate.Config{
+		Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: h,
+		Pool: pool, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
+	})
+	return g, h, s, u
+}
+
+func dispatch(seq uint64, label string) *wire.Dispatch {
+	return &wire.Dispatch{
+		ID: wire.RequestID{Entry: 1, Seq: seq}, Attempt: 1, Label: label, Incarnation: incarnation,
+		Lease: clock.Hour, Budget: clock.Minute, Upstream: "c1", Method: "POST", URI: "/x",
+	}
+}
+
+// A confirmation waits for a slot of an upstream that then reports its leaving.
+// Sent to it when the slot gets free, it reaches an upstream that was to get no
+// new work, perhaps as that ends; refused at once, it has time for another.
+func TestWaitersAreRefusedWhenTheUpstreamLeaves(t *testing.T) {
+	g, h, s, u := guarded(t)
+	g.Handle(dispatch(1, "first"), func(*wire.Reply) {})
+	<-h.begun
+	replies := make(chan *wire.Reply, 1)
+	g.Handle(dispatch(2, "second"), func(r *wire.Reply) { replies <- r })
+	u.Weight = 0
+	g.Update(s, u)
+	if got := <-replies; got.Outcome != wire.NotRun || got.Reason != wire.ReasonLeaving {
+		t.Errorf("got %v, %s; want it not run, as the upstream leaves", got.Outcome, got.Reason)
+	}
+	close(h.end)
+	if len(h.begun) > 0 {
+		t.Errorf("got request %s begun after the leaving, want none", <-h.begun)
+	}
+}
+
+// A gate keeps the slot that it promised: another request that comes in between
+// must not take it, or the body would have crossed between domains for nothing.
+func TestPromisedSlotIsKept(t *testing.T) {
+	g, h, _, _ := guarded(t)
+	first := dispatch(1, "first")
+	if got := g.Enquire(&wire.Enquiry{ID: first.ID, Attempt: 1, Upstream: "c1"}); !got.Held {
+		t.Fatalf("got no slot (%s), want it kept", got.Reason)
+	}
+	replies := make(chan *wire.Reply, 1)
+	other := dispatch(2, "other")
+	other.Bounded = true // it asks for a free slot and doesn't wait
+	g.Handle(other, func(r *wire.Reply) { replies <- r })
+	if got := <-replies; got.Outcome != wire.NotRun || got.Reason != wire.ReasonFull {
+		t.Errorf("got %v, %s for another request, want it refused as full", got.Outcome, got.Reason)
+	}
+	g.Handle(first, func(*wire.Reply) {})
+	if got := <-h.begun; got != "first" {
+		t.Errorf("got %s begun, want first", got)
+	}
+	close(h.end)
+}
+
+// The entry that asked for a slot dies before it sends. The slot must not stay
+// taken: with three slots, three such entries would end an upstream's use.
+func TestPromisedSlotIsGivenBack(t *testing.T) {
+	g, h, _, _ := guarded(t)
+	g.Enquire(&wire.Enquiry{ID: wire.RequestID{Entry: 9, Seq: 1}, Attempt: 1, Upstream: "c1"})
+	g.Handle(dispatch(2, "next"), func(*wire.Reply) {}) // it waits until the promise is over
+	if got := <-h.begun; got != "next" {
+		t.Errorf("got %s begun, want next", got)
+	}
+	close(h.end)
+}
+
+// A caller leaves. What may run again is broken off, to free its slot; what may
+// run once only goes on, for its caller meant it.
+func TestAbandonBreaksOffWhatMayRunAgain(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		g, h, _, _ := guarded(t)
+		replies := make(chan *wire.Reply, 1)
+		d := dispatch(1, "first")
+		d.Repeatable = repeatable
+		g.Handle(d, func(r *wire.Reply) { replies <- r })
+		<-h.begun
+		g.Settle(&wire.Settle{ID: d.ID, Attempt: 1, Incarnation: incarnation, Upstream: "c1", Lease: d.Lease, Abandon: true})
+		if !repeatable {
+			close(h.end)
+		}
+		got := <-replies
+		if want := map[bool]wire.Outcome{true: wire.Broken, false: wire.Answered}[repeatable]; got.Outcome != want {
+			t.Errorf("repeatable %v: got %v (%s), want %v", repeatable, got.Outcome, got.Reason, want)
+		}
+	}
+}
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -2,24 +2,28 @@
 
 import (
 	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// Leave ends new work for good. What was admitted is finished.
+// Leave ends new work for good. What has begun is finished; what waits is refused,
+// for other upstreams have time for it still.
 func (g *Gate) Leave() {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	before := g.left()
 	g.leaving = true
-	g.noteLeft(before, "shutdown")
+	refused := g.noteLeft(before, "shutdown")
+	g.mu.Unlock()
+	answerAll(refused)
 }
 
 // Listed takes in whether the instance list says that the instance is leaving.
 func (g *Gate) Listed(leaving bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	before := g.left()
 	g.listed = leaving
-	g.noteLeft(before, "instance list")
+	refused := g.noteLeft(before, "instance list")
+	g.mu.Unlock()
+	answerAll(refused)
 }
 
 // left reports whether the upstream is leaving. Entries that have heard it send
@@ -29,10 +33,15 @@
 	return g.leaving || g.listed || g.upstream.Weight == 0
 }
 
-func (g *Gate) noteLeft(before bool, reason string) {
-	if !before && g.left() {
-		g.leftAt = g.config.Now()
-		g.log.WithField("reason", reason).Info("leaving")
-		g.note(account.Event{At: g.leftAt, Kind: account.Leaving, Reason: reason})
+// noteLeft notes that the upstream leaves and refuses what waits for it: sent to it
+// later, a request would reach an upstream that is to get no new work. The gate's
+// lock is held; the refusals are answered without it.
+func (g *Gate) noteLeft(before bool, reason string) []refusedJob {
+	if before || !g.left() {
+		return nil
 	}
+	g.leftAt = g.config.Now()
+	g.log.WithField("reason", reason).Info("leaving")
+	g.note(account.Event{At: g.leftAt, Kind: account.Leaving, Reason: reason})
+	return g.giveUp(g.leftAt, g.slots.Dismiss(), wire.ReasonLeaving)
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -185,6 +185,18 @@
 	return expired
 }
 
+// Dismiss removes and returns all waiters, and those passed over: they were not
+// run. It is for an upstream that gets no more work.
+func (s *Slots) Dismiss() []uint64 {
+	all := s.missed
+	s.missed = nil
+	for _, w := range s.waiting {
+		all = append(all, w.ticket)
+	}
+	s.waiting = s.waiting[:0]
+	return all
+}
+
 // Withdraw removes a waiter that was cancelled; its ticket isn't named again.
 // It returns false if no such ticket waits: it runs, or was refused.
 func (s *Slots) Withdraw(ticket uint64) bool {
