feat(node,platform): peers give a node that knows nothing what they know

Cause: a node that starts while the store is away had no table and refused all requests of its callers and of the backend server beside it until the store was back. Its peers have it in their tables: one that dials it and hears that it knows nothing sends its copy of the store's values; the node goes on from that revision. Ruled out: asking peers, as a blank node knows none.

--- a/link/peer.go
+++ b/link/peer.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// Offer sends the node an edition that it didn't ask for.
+func (p *Peer) Offer(e *wire.Edition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Send(e) // offered again after the next heartbeat
+	}
+}
+
 // Keep asks for an open link and keeps it, as a request would.
 func (p *Peer) Keep() {
 	p.mu.Lock()
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -49,8 +51,13 @@
 
 // Follower keeps a Copy up to date.
 type Follower struct {
-	config   FollowerConfig
-	copy     *Copy
+	config FollowerConfig
+
+	mu   sync.Mutex // guards copy, and calls of Deliver
+	copy *Copy
+	// revision is the copy's. It is read without the lock: what Deliver calls
+	// may hold locks that its readers hold, too.
+	revision atomic.Uint64
 	random   *rand.Rand
 	failures int
 }
@@ -78,33 +85,52 @@
 	return errors.Trace(ctx.Err())
 }
 
+// Revision is that of the copy; 0 while nothing is known.
+func (f *Follower) Revision() uint64 {
+	return f.revision.Load()
+}
+
+// Snapshot returns the copy.
+func (f *Follower) Snapshot() ([]Item, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Items(f.config.Now()), f.copy.Revision()
+}
+
+// Seed takes in another process's copy while nothing is known: one that starts
+// while the store is away would else serve nobody until it is back. What has
+// changed since comes with the first watch from the copy's revision.
+func (f *Follower) Seed(items []Item, revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.copy.Revision() > 0 || revision == 0 {
+		return false
+	}
+	f.copy.Reset(f.config.Now(), items, revision)
+	f.config.Deliver(f.copy.Items(f.config.Now()))
+	f.revision.Store(f.copy.Revision())
+	return true
+}
+
 // step makes one call and takes its answer in.
 func (f *Follower) step(ctx context.Context) error {
-	if f.copy.Revision() == 0 {
-		items, revision, err := f.config.Store.List(ctx)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		f.returned()
-		f.copy.Reset(f.config.Now(), items, revision)
-		f.deliver()
-		return nil
+	after := f.Revision()
+	if after == 0 {
+		return f.relist(ctx)
 	}
 	wait := watchWait
 	if f.failures > 0 {
 		wait = probeWait
 	}
-	events, revision, err := f.config.Store.Watch(ctx, f.copy.Revision(), wait)
+	events, revision, err := f.config.Store.Watch(ctx, after, wait)
 	if errors.Is(err, ErrHistory) {
-		f.config.Log.WithField("revision", f.copy.Revision()).Info("changes are no longer to be had; all values are listed again")
+		f.config.Log.WithField("revision", after).Info("changes are no longer to be had; all values are listed again")
 		return f.relist(ctx)
 	}
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.returned()
-	f.copy.Apply(f.config.Now(), events, revision)
-	f.deliver()
+	f.take(func(now clock.Millis) { f.copy.Apply(now, events, revision) })
 	return nil
 }
 
@@ -114,21 +140,22 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.returned()
-	f.copy.Reset(f.config.Now(), items, revision)
-	f.deliver()
+	f.take(func(now clock.Millis) { f.copy.Reset(now, items, revision) })
 	return nil
 }
 
-// returned begins the grace for values that lapsed while the store was away.
-func (f *Follower) returned() {
+// take changes the copy by an answer and delivers it. After an absence of the
+// store it begins the grace for values that lapsed meanwhile.
+func (f *Follower) take(change func(now clock.Millis)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
 	if f.failures > 0 {
-		f.copy.Returned(f.config.Now())
+		f.copy.Returned(now)
 	}
-}
-
-func (f *Follower) deliver() {
-	f.config.Deliver(f.copy.Items(f.config.Now()))
+	change(now)
+	f.config.Deliver(f.copy.Items(now))
+	f.revision.Store(f.copy.Revision())
 }
 
 // note tells when the store goes away and when it is back.
--- a/node/edition.go
+++ b/node/edition.go
@@ -193,6 +193,12 @@
 // Edition takes in a table that a peer relays; it passes the same check as one
 // from the platform.
 func (n *Node) Edition(node string, e *wire.Edition) {
+	if n.source != nil {
+		if err := n.source.Seed(e.Version, e.Text); err != nil {
+			n.log.WithError(err).WithField("peer", node).Error("peer's copy rejected")
+		}
+		return
+	}
 	if e.Version < n.version() || n.holds(e) {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,12 @@
 	// Serve hands each new table to the node until the context ends. Away is
 	// told the cause when the platform goes away, and nil when it is back.
 	Serve(ctx context.Context, adopt func(t *table.Table), away func(cause error)) error
+	// Revision orders what is known of the platform; 0 while nothing is.
+	Revision() uint64
+	// Snapshot is what is known, and Seed takes it in at a node that knows
+	// nothing yet.
+	Snapshot() ([]byte, error)
+	Seed(revision uint64, snapshot []byte) error
 }
 
 // Node is one process of the fleet. It is safe for concurrent use.
--- a/node/reading.go
+++ b/node/reading.go
@@ -21,6 +21,7 @@
 // addReading adds the readers of the platform's values.
 func (n *Node) addReading(tree *suture.Supervisor) {
 	if n.source != nil {
+		tree.Add(service{"relay", every(relayEvery, n.relay)})
 		tree.Add(service{"table source", func(ctx context.Context) error {
 			return n.source.Serve(ctx, n.Adopt, n.sourceAway)
 		}})
