feat(entry,measure): ask four gates; a service in episodes in virtual time

measure/episodes plays 9 upstreams of 3 slots before 24 entries with the decisions of grade, choice and limit, beside round robin and one central queue with perfect knowledge; its test holds the shares served by kind and load, and those run twice.

--- a/entry/brief.go
+++ b/entry/brief.go
@@ -19,7 +19,7 @@
 	// mostAsks is how many gates a request asks for a free slot before it waits
 	// at one. Each costs a hop of 0.2 to 2 ms, and loads heard are seconds old:
 	// with 24 entries before 9 upstreams a pair meets every five seconds.
-	mostAsks = 2
+	mostAsks = 4
 	// patienceShare is the part of a route's target that a request may wait for
 	// a slot: the rest is for its run and the calls that this makes.
 	patienceShare = 2
--- /dev/null
+++ b/measure/episodes/brief.go
@@ -0,0 +1,242 @@
+package episodes
+
+import (
+	"math/rand/v2"
+
+	"fuchsiapick.example/fuchsiapick/choice"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
+	"fuchsiapick.example/fuchsiapick/limit"
+)
+
+// heard is what an entry knows of an upstream.
+type heard struct {
+	probability float64
+	load        int
+	at          clock.Millis
+	trial       clock.Millis
+}
+
+// brief plays entries and gates at caution brief.
+type brief struct {
+	world   *world
+	filters []*grade.Filter
+	trials  []grade.Trials
+	levels  []grade.Level
+	slots   []*limit.Slots
+	waiting map[uint64]*request
+	tickets uint64
+	views   [][]heard // by entry
+	rankers []*choice.Ranker
+	pacers  []*grade.Pacer
+	random  *rand.Rand
+}
+
+func newBrief(w *world) *brief {
+	b := &brief{world: w, waiting: map[uint64]*request{}, random: rand.New(rand.NewPCG(w.config.Seed, 99))}
+	for i := range w.config.Upstreams {
+		b.filters = append(b.filters, grade.New(0))
+		b.trials = append(b.trials, grade.Trials{})
+		b.levels = append(b.levels, grade.Sound)
+		b.slots = append(b.slots, limit.NewSlots(limit.SlotsConfig{Slots: w.config.Slots, Queue: w.config.Slots, Seed: uint64(i)}))
+	}
+	for e := range w.config.Entries {
+		b.views = append(b.views, make([]heard, w.config.Upstreams))
+		b.rankers = append(b.rankers, choice.NewRanker(w.config.Seed+uint64(e)))
+		b.pacers = append(b.pacers, grade.NewPacer(w.config.Entries))
+	}
+	return b
+}
+
+// Steps of a request's search, as in package entry.
+const (
+	mostAsks = 4
+	patience = 4
+)
+
+func (b *brief) start(r *request) {
+	now := b.world.now
+	if r.asks < mostAsks {
+		if i, ok := b.trialDue(r); ok {
+			b.send(r, i, 0, false)
+			return
+		}
+		if i, ok := b.choose(r, r.tried, false); ok {
+			b.send(r, i, 0, false)
+			return
+		}
+	}
+	if !r.waited {
+		r.waited = true
+		spent := map[int]bool{}
+		for i := range r.tried {
+			spent[i] = !r.full[i]
+		}
+		if i, ok := b.choose(r, spent, false); ok {
+			b.send(r, i, b.patience(r, now), false)
+			return
+		}
+	}
+	if r.kind.Repeatable && !r.forced {
+		r.forced = true
+		if i, ok := b.choose(r, r.tried, true); ok {
+			b.send(r, i, 0, true)
+			return
+		}
+	}
+	b.world.finish(r, false, r.ran == 0)
+}
+
+func (b *brief) patience(r *request, now clock.Millis) clock.Millis {
+	span := r.kind.Target / patience
+	if r.kind.Priority <= 1 {
+		span = min(3*r.kind.Target/2, 3*r.kind.Timeout/5)
+	}
+	return max(span-(now-r.began), 0)
+}
+
+// choose ranks the upstreams in use, or those that were set aside.
+func (b *brief) choose(r *request, tried map[int]bool, aside bool) (int, bool) {
+	now := b.world.now
+	options := make([]choice.Option, len(b.slots))
+	for i := range options {
+		h := &b.views[r.entry][i]
+		p := grade.Drift(h.probability, now-h.at)
+		options[i] = choice.Option{
+			Risk: p, Load: choice.Fade(h.load, now-h.at), Slots: b.world.config.Slots, Near: true,
+			Usable: (p >= grade.Aside) == aside && !tried[i],
+		}
+	}
+	weight := 1.0
+	if r.kind.Repeatable && r.ran == 0 && !aside {
+		weight = 0.4
+	}
+	return b.rankers[r.entry].Choose(options, weight)
+}
+
+// trialDue returns an upstream that is due for a trial by the request's entry.
+func (b *brief) trialDue(r *request) (int, bool) {
+	if !r.kind.Repeatable || r.ran > 0 || r.asks > 0 {
+		return 0, false
+	}
+	now := b.world.now
+	for i := range b.views[r.entry] {
+		h := &b.views[r.entry][i]
+		p := grade.Drift(h.probability, now-h.at)
+		if p < grade.Aside {
+			h.trial = 0
+			continue
+		}
+		span := b.pacers[r.entry].Span(grade.LevelOf(p))
+		switch {
+		case h.trial == 0:
+			h.trial = now + clock.Millis(b.random.Int64N(int64(span)))
+		case now >= h.trial:
+			h.trial = now + span/2 + clock.Millis(b.random.Int64N(int64(span)))
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// send brings the request to a gate.
+func (b *brief) send(r *request, i int, wait clock.Millis, forced bool) {
+	r.tried[i] = true
+	b.world.after(hop, func() { b.arrive(r, i, wait, forced) })
+}
+
+func (b *brief) arrive(r *request, i int, wait clock.Millis, forced bool) {
+	now := b.world.now
+	if !forced && !b.trials[i].Admit(now, b.filters[i].Probability(now), r.kind.Repeatable) {
+		b.refuse(r, i, false)
+		return
+	}
+	b.tickets++
+	r.ticket = b.tickets
+	offer := b.slots[i].Ask(now, limit.Ask{Ticket: r.ticket, Deadline: r.deadline(), Until: now + wait, Priority: r.kind.Priority})
+	switch offer.Answer {
+	case limit.Run:
+		b.run(r, i)
+	case limit.Wait:
+		b.waiting[r.ticket] = r
+		b.world.after(wait+1, func() { b.expire(i) })
+		b.expire(i)
+	default:
+		b.refuse(r, i, true)
+	}
+}
+
+func (b *brief) expire(i int) {
+	for _, ticket := range b.slots[i].Expire(b.world.now) {
+		if r, ok := b.waiting[ticket]; ok {
+			delete(b.waiting, ticket)
+			b.refuse(r, i, true)
+		}
+	}
+}
+
+func (b *brief) run(r *request, i int) {
+	b.world.run(r, i, func(ok bool) {
+		result := grade.Failed
+		if ok {
+			result = grade.Good
+		}
+		b.filters[i].Observe(b.world.now, result)
+		if ticket, next := b.slots[i].Release(b.world.now); next {
+			if waiter, found := b.waiting[ticket]; found {
+				delete(b.waiting, ticket)
+				b.run(waiter, i)
+			}
+		}
+		b.expire(i)
+		b.news(i)
+		b.tell(r.entry, i)
+		b.world.after(hop, func() { b.ended(r, ok) })
+	})
+}
+
+func (b *brief) ended(r *request, ok bool) {
+	if !ok && r.kind.Repeatable && r.ran < 2 {
+		b.start(r)
+		return
+	}
+	b.world.finish(r, ok, false)
+}
+
+func (b *brief) refuse(r *request, i int, full bool) {
+	b.tell(r.entry, i)
+	b.world.after(hop, func() {
+		if full {
+			r.asks++
+			r.full[i] = true
+		}
+		if r.waited && !r.kind.Repeatable || len(r.tried) > 8 {
+			b.world.finish(r, false, r.ran == 0)
+			return
+		}
+		b.start(r)
+	})
+}
+
+// news tells all entries of a changed level.
+func (b *brief) news(i int) {
+	level := grade.LevelOf(b.filters[i].Probability(b.world.now))
+	if level == b.levels[i] {
+		return
+	}
+	b.levels[i] = level
+	for e := range b.views {
+		b.tell(e, i)
+	}
+}
+
+func (b *brief) tell(entry, i int) {
+	now := b.world.now
+	load := b.slots[i].Load()
+	told := heard{probability: b.filters[i].Probability(now), load: load.InFlight + load.Waiting, at: now}
+	b.world.after(hop, func() {
+		h := &b.views[entry][i]
+		told.trial = h.trial
+		*h = told
+	})
+}
--- /dev/null
+++ b/measure/episodes/episodes_test.go
@@ -0,0 +1,62 @@
+package episodes_test
+
+import (
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/measure/episodes"
+)
+
+// play adds up runs over several seeds.
+func play(policy episodes.Policy, load float64) episodes.Report {
+	sum := episodes.Report{Kinds: map[string]episodes.Result{}}
+	const runs = 4
+	for seed := range uint64(runs) {
+		c := episodes.Squadre()
+		c.Policy, c.Load, c.Seed = policy, load, seed+1
+		r := episodes.Run(c)
+		for name, k := range r.Kinds {
+			all := sum.Kinds[name]
+			all.Asked += k.Asked
+			all.Served += k.Served
+			all.InTarget += k.InTarget
+			all.Failed += k.Failed
+			all.Refused += k.Refused
+			sum.Kinds[name] = all
+		}
+		sum.Retries += r.Retries / runs
+	}
+	return sum
+}
+
+// Half of a service fails at any time. A confirmation that meets a failing
+// upstream is lost; a list or a call that does is sent again, within what the
+// operators allow. The bounds hold what the filter, the ranks and the trials buy
+// beside round robin, and how far one central queue with perfect knowledge is.
+func TestWorkGoesWhereItSucceeds(t *testing.T) {
+	tests := []struct {
+		load float64
+		// least is the share that must be served of each kind.
+		least map[string]float64
+		// retries is the most that may run twice.
+		retries float64
+	}{
+		{0.5, map[string]float64{"roster": 0.95, "check": 0.96, "call": 0.96, "confirm": 0.90}, 0.2},
+		{1, map[string]float64{"roster": 0.80, "check": 0.93, "call": 0.93, "confirm": 0.85}, 0.25},
+		{1.4, map[string]float64{"roster": 0.60, "check": 0.88, "call": 0.90, "confirm": 0.80}, 0.25},
+	}
+	for _, tt := range tests {
+		blind, brief, perfect := play(episodes.Blind, tt.load), play(episodes.Brief, tt.load), play(episodes.Perfect, tt.load)
+		for name, least := range tt.least {
+			got, before, best := brief.Kinds[name], blind.Kinds[name], perfect.Kinds[name]
+			t.Logf("load %.1f, %s: served %.3f (in target %.3f, refused %.3f); round robin %.3f, perfect %.3f", tt.load, name,
+				got.Share(), float64(got.InTarget)/float64(got.Asked), float64(got.Refused)/float64(got.Asked), before.Share(), best.Share())
+			if got.Share() < least {
+				t.Errorf("load %.1f, %s: got %.3f served, want %.2f at least", tt.load, name, got.Share(), least)
+			}
+		}
+		t.Logf("load %.1f: run twice %.3f, round robin %.3f", tt.load, brief.Retries, blind.Retries)
+		if brief.Retries > tt.retries {
+			t.Errorf("load %.1f: got %.3f run twice, want %.2f at most", tt.load, brief.Retries, tt.retries)
+		}
+	}
+}
--- /dev/null
+++ b/measure/episodes/world.go
@@ -0,0 +1,282 @@
+// Package episodes plays a service whose upstreams fail in brief episodes, in
+// virtual time and with the project's own decisions: grade, choice, limit.
+//
+// The pattern is that of the crew rosters of Trinacria: 9 upstreams of 3 slots
+// before 24 entries, long lists of a low rank beside short requests of a better
+// one, about half of the upstreams failing 85% of what they get, within
+// milliseconds, for 10 to 30 s at a time.
+package episodes
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
+
+// Policy says how requests find an upstream.
+type Policy uint8
+
+// The policies.
+const (
+	// Blind is round robin at each entry, a second try elsewhere after a
+	// failure, and a queue in order of arrival.
+	Blind Policy = iota
+	// Brief is what entries and gates do at caution brief.
+	Brief
+	// Perfect is one central queue by rank that knows which upstreams fail: what
+	// no fleet without a word between its nodes can reach.
+	Perfect
+)
+
+// Kind is one kind of request.
+type Kind struct {
+	Name string
+	// PerSecond counts over all entries.
+	PerSecond float64
+	// Work is the mean time of a run, Spread the sigma of its log-normal.
+	Work   clock.Millis
+	Spread float64
+	// Target is when an answer is late, Timeout when it is none.
+	Target, Timeout clock.Millis
+	Priority        int
+	Repeatable      bool
+}
+
+// Config is one run.
+type Config struct {
+	Policy    Policy
+	Kinds     []Kind
+	Entries   int
+	Upstreams int
+	Slots     int
+	// Load multiplies the rates.
+	Load float64
+	// Span is the length of the run.
+	Span clock.Millis
+	Seed uint64
+}
+
+// Squadre is the crew rosters on an ordinary day, with as many confirmations as
+// make requests that run once only measurable.
+func Squadre() Config {
+	return Config{
+		Kinds: []Kind{
+			{"roster", 13.2, 600, 0.8, 1500, 3000, 2, true},
+			{"check", 12.5, 97, 0.5, 300, 1200, 1, true},
+			{"call", 50, 61, 0.5, 200, 600, 1, true},
+			{"confirm", 5, 240, 0.5, 800, 1500, 1, false},
+		},
+		Entries: 24, Upstreams: 9, Slots: 3, Load: 1, Span: 2 * clock.Minute,
+	}
+}
+
+// Figures of an episode: those that package grade is tuned to.
+const (
+	onsetMean    = float64(25 * clock.Second)
+	recoveryMean = float64(15 * clock.Second)
+	failing      = 0.85
+	soundFailing = 0.012
+	failTime     = clock.Millis(2)
+	// hop is one way between an entry and a gate.
+	hop = clock.Millis(1)
+)
+
+// Result counts what became of a kind's requests.
+type Result struct {
+	Asked, Served, InTarget, Failed, Refused int
+}
+
+// Share is the part of the requests that were served.
+func (r Result) Share() float64 { return float64(r.Served) / float64(max(r.Asked, 1)) }
+
+// Report is the outcome of a run.
+type Report struct {
+	Kinds map[string]Result
+	// Retries is the share of requests that a second upstream ran.
+	Retries float64
+}
+
+// request is one request on its way.
+type request struct {
+	kind     *Kind
+	entry    int
+	began    clock.Millis
+	work     clock.Millis
+	ran      int
+	tried    map[int]bool
+	full     map[int]bool
+	asks     int
+	waited   bool
+	forced   bool
+	ticket   uint64
+	finished bool
+}
+
+func (r *request) deadline() clock.Millis { return r.began + r.kind.Timeout }
+
+// upstream fails in episodes.
+type upstream struct {
+	sick   bool
+	until  clock.Millis
+	random *rand.Rand
+}
+
+func (u *upstream) at(now clock.Millis) bool {
+	for now >= u.until {
+		u.sick = !u.sick
+		mean := onsetMean
+		if u.sick {
+			mean = recoveryMean
+		}
+		u.until += 1 + clock.Millis(u.random.ExpFloat64()*mean)
+	}
+	return u.sick
+}
+
+// world is one run.
+type world struct {
+	config    Config
+	now       clock.Millis
+	events    queue
+	sequence  int
+	random    *rand.Rand
+	upstreams []*upstream
+	report    Report
+	asked     int
+	retried   int
+	router    router
+}
+
+// router decides where requests go.
+type router interface {
+	// start takes in a new request.
+	start(r *request)
+}
+
+// Run plays one run.
+func Run(c Config) Report {
+	w := &world{config: c, random: rand.New(rand.NewPCG(c.Seed, 1)), report: Report{Kinds: map[string]Result{}}}
+	for i := range c.Upstreams {
+		w.upstreams = append(w.upstreams, &upstream{sick: true, random: rand.New(rand.NewPCG(c.Seed, uint64(i)+2))})
+	}
+	switch c.Policy {
+	case Blind:
+		w.router = newBlind(w)
+	case Brief:
+		w.router = newBrief(w)
+	case Perfect:
+		w.router = newPerfect(w)
+	}
+	for i := range c.Kinds {
+		w.arrive(&c.Kinds[i])
+	}
+	for len(w.events) > 0 {
+		e, _ := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.act()
+	}
+	w.report.Retries = float64(w.retried) / float64(max(w.asked, 1))
+	return w.report
+}
+
+// arrive draws the next request of a kind.
+func (w *world) arrive(k *Kind) {
+	gap := 1 + clock.Millis(w.random.ExpFloat64()*float64(clock.Second)/(k.PerSecond*w.config.Load))
+	if w.now+gap > w.config.Span {
+		return
+	}
+	w.after(gap, func() {
+		sigma := k.Spread
+		work := float64(k.Work) * math.Exp(sigma*w.random.NormFloat64()-sigma*sigma/2)
+		r := &request{
+			kind: k, entry: w.random.IntN(w.config.Entries), began: w.now,
+			work: max(clock.Millis(work), 1), tried: map[int]bool{}, full: map[int]bool{},
+		}
+		w.asked++
+		w.count(k, func(out *Result) { out.Asked++ })
+		w.router.start(r)
+		w.arrive(k)
+	})
+}
+
+// run plays a request's run at an upstream and tells how it ended.
+func (w *world) run(r *request, i int, ended func(ok bool)) {
+	r.ran++
+	if r.ran == 2 {
+		w.retried++
+	}
+	share := soundFailing
+	if w.upstreams[i].at(w.now) {
+		share = failing
+	}
+	if w.random.Float64() < share {
+		w.after(failTime, func() { ended(false) })
+		return
+	}
+	w.after(r.work, func() { ended(true) })
+}
+
+// finish counts the end of a request, once.
+func (w *world) finish(r *request, served, refused bool) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	took := w.now - r.began
+	w.count(r.kind, func(out *Result) {
+		switch {
+		case served && took <= r.kind.Timeout:
+			out.Served++
+			if took <= r.kind.Target {
+				out.InTarget++
+			}
+		case refused:
+			out.Refused++
+		default:
+			out.Failed++
+		}
+	})
+}
+
+func (w *world) count(k *Kind, change func(out *Result)) {
+	out := w.report.Kinds[k.Name]
+	change(&out)
+	w.report.Kinds[k.Name] = out
+}
+
+func (w *world) after(span clock.Millis, act func()) {
+	w.sequence++
+	heap.Push(&w.events, event{w.now + span, w.sequence, act})
+}
+
+type event struct {
+	at       clock.Millis
+	sequence int
+	act      func()
+}
+
+// queue orders events by instant, then by when they were made.
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].sequence < q[j].sequence)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push appends an event, for package heap.
+func (q *queue) Push(x any) {
+	if e, ok := x.(event); ok {
+		*q = append(*q, e)
+	}
+}
+
+// Pop removes the last event, for package heap.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -64,7 +64,9 @@
 	go func() { done <- n.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Errorf("got %v of a node that was stopped, want none", err)
+		}
 	})
 	return n
 }
