feat(entry): wait at up to three gates, one after the other

Cause: of the short requests lost at 1.4 of the ordinary load nearly all had been refused by the one gate they waited at, and then met an upstream that was set aside. measure/episodes: calls 0.933 to 0.949, checks 0.944 to 0.958, confirmations 0.931 to 0.936, rosters 0.753 to 0.731 (they yield).

--- a/entry/brief.go
+++ b/entry/brief.go
@@ -20,6 +20,11 @@
 	// at one. Each costs a hop of 0.2 to 2 ms, and loads heard are seconds old:
 	// with 24 entries before 9 upstreams a pair meets every five seconds.
 	mostAsks = 4
+	// mostWaits is how many gates it waits at, one after the other: a queue that
+	// is full, or too long for it, refuses at once. At 1.4 of the ordinary load of
+	// measure/episodes three in place of one serve 0.949 of the calls (0.933) and
+	// 0.958 of the short requests (0.944), five as many.
+	mostWaits = 3
 	// patienceShare is the part of a route's target that a request may wait for
 	// a slot: the rest is for its run and the calls that this makes.
 	patienceShare = 2
@@ -31,7 +36,7 @@
 type walk struct {
 	asks   int
 	full   []*member // they had no free slot
-	waited bool
+	waits  []*member // it waited at them
 	forced bool
 }
 
@@ -47,10 +52,12 @@
 		a, untried, ok = r.service.chooseBrief(now, search{again: again, tried: r.tried})
 		a.bounded = true
 	}
-	if !ok && !r.walk.waited {
-		r.walk.waited = true
+	if !ok && len(r.walk.waits) < mostWaits {
 		a, untried, ok = r.service.chooseBrief(now, search{tried: r.spent()})
 		a.bounded, a.patience = true, r.patience(now)
+		if ok {
+			r.walk.waits = append(r.walk.waits, a.member)
+		}
 	}
 	if !ok && !r.walk.forced && r.mayForce() {
 		r.walk.forced = true
@@ -61,9 +68,11 @@
 }
 
 // spent are the upstreams that a request has tried, but for those that only had
-// no free slot then.
+// no free slot when they were asked.
 func (r *request) spent() []*member {
-	return slices.DeleteFunc(slices.Clone(r.tried), func(m *member) bool { return slices.Contains(r.walk.full, m) })
+	return slices.DeleteFunc(slices.Clone(r.tried), func(m *member) bool {
+		return slices.Contains(r.walk.full, m) && !slices.Contains(r.walk.waits, m)
+	})
 }
 
 // mayForce reports whether the request is better served by an upstream that was
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -50,8 +50,9 @@
 
 // Steps of a request's search, as in package entry.
 const (
-	mostAsks = 4
-	patience = 4
+	mostAsks  = 4
+	mostWaits = 3
+	patience  = 4
 )
 
 func (b *brief) start(r *request) {
@@ -66,13 +67,14 @@
 			return
 		}
 	}
-	if !r.waited {
-		r.waited = true
+	if r.waits < mostWaits {
+		r.waits++
 		spent := map[int]bool{}
 		for i := range r.tried {
-			spent[i] = !r.full[i]
+			spent[i] = !r.full[i] || r.waitedAt[i]
 		}
 		if i, ok := b.choose(r, spent, false); ok {
+			r.waitedAt[i] = true
 			b.send(r, i, b.patience(r, now), false)
 			return
 		}
@@ -210,10 +212,6 @@
 			r.asks++
 			r.full[i] = true
 		}
-		if r.waited && !r.kind.Repeatable || len(r.tried) > 8 {
-			b.world.finish(r, false, r.ran == 0)
-			return
-		}
 		b.start(r)
 	})
 }
--- a/measure/episodes/world.go
+++ b/measure/episodes/world.go
@@ -108,7 +108,8 @@
 	tried    map[int]bool
 	full     map[int]bool
 	asks     int
-	waited   bool
+	waits    int
+	waitedAt map[int]bool
 	forced   bool
 	ticket   uint64
 	finished bool
@@ -192,7 +193,7 @@
 		work := float64(k.Work) * math.Exp(sigma*w.random.NormFloat64()-sigma*sigma/2)
 		r := &request{
 			kind: k, entry: w.random.IntN(w.config.Entries), began: w.now,
-			work: max(clock.Millis(work), 1), tried: map[int]bool{}, full: map[int]bool{},
+			work: max(clock.Millis(work), 1), tried: map[int]bool{}, full: map[int]bool{}, waitedAt: map[int]bool{},
 		}
 		w.asked++
 		w.count(k, func(out *Result) { out.Asked++ })
