--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -67,6 +67,7 @@
 		Priority:   r.route.Priority,
 		Bounded:    a.bounded,
 		Patience:   a.patience,
+		Overdue:    r.overdue(),
 		Baseline:   r.baseline,
 	}
 	r.stamp(now, d)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -43,6 +43,12 @@
 
 // guarded returns a gate of one slot before a backend server that holds requests.
 func guarded(t *testing.T) (*gate.Gate, *held, table.Service, table.Upstream) {
+	t.Helper()
+	return guardedWith(t, func() {})
+}
+
+// guardedWith tells news of the gate to changed.
+func guardedWith(t *testing.T, changed func()) (*gate.Gate, *held, table.Service, table.Upstream) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -57,7 +63,7 @@
 	u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
 	g := gate.New(gate.Config{
 		Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: h,
-		Pool: pool, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
+		Pool: pool, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log, Changed: changed,
 	})
 	return g, h, s, u
 }
@@ -143,3 +149,22 @@
 		}
 	}
 }
+
+// A backend server takes requests and answers none in time, with a good health
+// answer. Each ends at its route's timeout, which is shorter than what any service
+// could be given in general: without the route's own word of what is overdue,
+// nothing speaks against the server, and it goes on taking what it will not serve.
+func TestRunsBeyondTheirTargetAreEvidence(t *testing.T) {
+	changed := make(chan struct{}, 8)
+	g, h, _, _ := guardedWith(t, func() { changed <- struct{}{} })
+	before := g.Status().Severity
+	d := dispatch(1, "first")
+	d.Overdue = 1
+	g.Handle(d, func(*wire.Reply) {})
+	<-h.begun
+	<-changed
+	if got := g.Status().Severity; got <= before {
+		t.Errorf("got severity %.2f with an overdue run, want it above %.2f", got, before)
+	}
+	close(h.end)
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -72,10 +72,19 @@
 	if j.timer != nil {
 		j.timer.Stop()
 	}
-	j.timer = time.AfterFunc(g.judge.OverdueAfter().Duration(), func() { g.overdue(j) })
+	j.timer = time.AfterFunc(g.overdueAfter(j).Duration(), func() { g.overdue(j) })
 	return now, true
 }
 
+// overdueAfter is the age from which a run without an answer is evidence. Requests
+// of one service differ tenfold in their work, so their routes say it.
+func (g *Gate) overdueAfter(j *job) clock.Millis {
+	if j.dispatch.Overdue > 0 {
+		return j.dispatch.Overdue
+	}
+	return g.judge.OverdueAfter()
+}
+
 // overdue counts a request that has no outcome yet as evidence: a backend
 // server that hangs gives no outcome to count. It tells again after as long
 // again, for slots that are all held by a hang give no other evidence.
@@ -88,7 +97,7 @@
 	now := g.config.Now()
 	g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller, Again: j.overdue})
 	j.overdue = true
-	j.timer.Reset(g.judge.OverdueAfter().Duration())
+	j.timer.Reset(g.overdueAfter(j).Duration())
 	g.noteState(now)
 }
 
@@ -98,7 +107,7 @@
 	j.timer.Stop()
 	delete(g.jobs, j.ticket)
 	if !j.overdue {
-		result := resultOf(a, err, j.until-began < g.judge.OverdueAfter())
+		result := resultOf(a, err, j.until-began < g.overdueAfter(j))
 		if result == health.Failed && err == nil && g.excused(began, now) {
 			result = health.CallerFault
 		}
--- a/grade/filter.go
+++ b/grade/filter.go
@@ -42,8 +42,10 @@
 	// brokenWeight is for connections that end without an answer: these have
 	// causes beside the upstream's, too.
 	brokenWeight = 12
-	// overdueWeight is for a request far beyond its usual time.
-	overdueWeight = 6
+	// overdueWeight is for a run of half as long again as its target: about one
+	// in thirty of a sound upstream's, nearly all of one that hangs or is slow by
+	// five times, and the calls that a run makes may be why.
+	overdueWeight = 15
 	// shedWeight is for an upstream that refuses with slots free.
 	shedWeight = 3
 )
--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -140,3 +140,23 @@
 func gap(r *rand.Rand, perSecond float64) clock.Millis {
 	return 1 + clock.Millis(r.ExpFloat64()*1000/perSecond)
 }
+
+// An upstream hangs. Two runs without an answer, beside the good ones of before,
+// must be enough to set it aside; one alone may be a slow call that it made.
+func TestHangIsFoundInTwoOverdueRuns(t *testing.T) {
+	f := grade.New(0)
+	now := clock.Millis(0)
+	for range 20 {
+		now += 200
+		f.Observe(now, grade.Good)
+	}
+	overdue := 0
+	for f.Probability(now) < grade.Aside && overdue < 10 {
+		now += 300
+		f.Observe(now, grade.Overdue)
+		overdue++
+	}
+	if overdue != 2 {
+		t.Errorf("got it set aside after %d overdue runs, want 2", overdue)
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -114,6 +114,9 @@
 	Repeatable bool
 	// Priority ranks it among those that wait for a slot, 0 first.
 	Priority int
+	// Overdue is the age from which a run without an answer speaks against the
+	// upstream; 0 leaves that to the gate.
+	Overdue clock.Millis
 	// Patience is how long it may wait for a slot, if Bounded.
 	Patience clock.Millis
 	Bounded  bool
