feat(path,node): dial a lost peer again after a quarter of a second

Dials have a span of their own now. Ruled out before: shorter heartbeats, which cost bytes between domains.

--- a/link/peer.go
+++ b/link/peer.go
@@ -60,6 +60,9 @@
 	Limit  int
 	Answer int
 	Beat   clock.Millis
+	// Redial is about how long after a failed dial the next one is due; 0 stands
+	// for Beat.
+	Redial clock.Millis
 	Seed   uint64
 	Now    func() clock.Millis
 	// Status returns what this node's own heartbeats say.
@@ -107,7 +110,7 @@
 
 // judge returns a judge that knows nothing of the peer.
 func (c *PeerConfig) judge() *path.Judge {
-	return path.New(path.Config{Beat: c.Beat, Seed: c.Seed})
+	return path.New(path.Config{Beat: c.Beat, Redial: c.Redial, Seed: c.Seed})
 }
 
 // Address returns the node's link address.
--- a/node/peers.go
+++ b/node/peers.go
@@ -25,6 +25,11 @@
 	unnamed clock.Millis
 }
 
+// redial is about how long after a failed dial a peer is tried again: a process
+// that was restarted takes links after some 0.3 s, and until then its upstream is
+// lost to this entry.
+const redial = 250 * clock.Millis(1)
+
 // applyPeers makes and removes the peers that the table names.
 func (n *Node) applyPeers(t *table.Table) {
 	named := map[string]bool{}
@@ -55,6 +60,7 @@
 		Limit:   n.frameLimit(),
 		Answer:  n.settings.Limits.Answer,
 		Beat:    n.settings.Beat,
+		Redial:  min(redial, n.settings.Beat),
 		Seed:    n.seed + uint64(len(n.peers)),
 		Now:     n.clock.Now,
 		Status:  n.Status,
--- a/path/dial.go
+++ b/path/dial.go
@@ -9,6 +9,7 @@
 // dial paces the opening of links to one peer.
 type dial struct {
 	beat   clock.Millis
+	redial clock.Millis
 	random *rand.Rand
 	// running since started, until opened or failed.
 	running bool
@@ -46,7 +47,7 @@
 	d.running = false
 	d.failures++
 	d.failedAt = now
-	d.next = now + backoff(d.random, d.beat, min(d.failures-1, dialDoublings))
+	d.next = now + backoff(d.random, d.redial, min(d.failures-1, dialDoublings))
 }
 
 // settled ends the pacing of checks: answers come.
@@ -56,7 +57,7 @@
 
 // Most doublings of a backoff.
 const (
-	// dialDoublings bounds it at 16 beats: a peer that returns is found within
+	// dialDoublings bounds it at 16 beats, or spans to redial: a peer that returns is found within
 	// 24, and 2,400 entries that lost one peer dial it 150 times a beat.
 	dialDoublings = 4
 	// holdDoublings bounds it at 64 beats: nothing is sent to hold a path off,
--- a/path/path.go
+++ b/path/path.go
@@ -29,6 +29,9 @@
 type Config struct {
 	// Beat is the span between two heartbeats, the peer's and the entry's own.
 	Beat clock.Millis
+	// Redial is about how long after a failed dial the next one is due, doubled
+	// with each further failure; 0 stands for Beat.
+	Redial clock.Millis
 	// Seed makes the jitter of Redial repeatable.
 	Seed uint64
 }
@@ -88,11 +91,18 @@
 	return &Judge{
 		beat:   beat,
 		random: random,
-		dial:   dial{beat: beat, random: random},
+		dial:   dial{beat: beat, redial: redialOf(c, beat), random: random},
 		sent:   outstanding{due: make(map[uint64]clock.Millis)},
 	}
 }
 
+func redialOf(c Config, beat clock.Millis) clock.Millis {
+	if c.Redial > 0 {
+		return c.Redial
+	}
+	return beat
+}
+
 // Opened tells that a link was opened and the peer proved itself on it: both
 // directions worked.
 func (j *Judge) Opened(now clock.Millis) {
--- a/path/path_test.go
+++ b/path/path_test.go
@@ -281,3 +281,20 @@
 		t.Errorf("got %v allocations for a request beyond the bound, want 0", got)
 	}
 }
+
+// A node is restarted in half a second, and heartbeats come every two: an entry
+// that waited a heartbeat or more between two dials would keep away from a sound
+// upstream for seconds.
+func TestRedialIsIndependentOfTheBeat(t *testing.T) {
+	j := path.New(path.Config{Beat: 2 * clock.Second, Redial: 250, Seed: 1})
+	if !j.Redial(1000) {
+		t.Fatal("got no first dial, want one")
+	}
+	j.Failed(1010)
+	if j.Redial(1100) {
+		t.Error("got a dial 90 ms after a failed one, want a span of 125 ms at least")
+	}
+	if !j.Redial(1010 + 376) {
+		t.Error("got no dial 376 ms after a failed one, want one")
+	}
+}
