feat(lines,entry): explain a request by its id; wait 100 ms for a link

A request that was not served, or late for its route's target, leaves one line with its id, its tries with the severity that decided them and its age, why it wasn't sent again, and the table's version.

It now takes a dispatch back after 100 ms without a link and asks the next gate.

--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -81,6 +81,9 @@
 // Settle does nothing.
 func (prompt) Settle(wire.RequestID, uint8) {}
 
+// Withdraw takes nothing back.
+func (prompt) Withdraw(wire.RequestID, uint8) bool { return false }
+
 // Abandon does nothing.
 func (prompt) Abandon(wire.RequestID, uint8) {}
 
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -6,10 +6,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
@@ -21,17 +24,18 @@
 // run serves until a termination signal. The first one starts a graceful
 // shutdown, a second one ends it at once. A node that cut requests in flight
 // ends with ExitFault, so that a release that does it shows.
-func (c *nodeCmd) run(_, stderr io.Writer) int {
+func (c *nodeCmd) run(stdout, stderr io.Writer) int {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
 	}
-	log, err := newLog(stderr, s.Log)
+	log, closeLog, err := newLog(stdout, s.Log)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
 	}
+	defer closeLog()
 	config, source, err := nodeConfig(s, log)
 	if err != nil {
 		log.WithError(err).Error("node not built")
@@ -63,14 +67,30 @@
 	return ExitOK
 }
 
-func newLog(out io.Writer, level string) (*logrus.Logger, error) {
+// logClose bounds how long the end of the process waits for the log's output.
+const logClose = time.Second
+
+// newLog returns a log in JSON lines that never blocks, and what ends it.
+func newLog(out io.Writer, level string) (*logrus.Logger, func(), error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	writer := lines.NewWriter(out)
+	limiter := lines.NewLimiter(
+		&logrus.JSONFormatter{FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}, TimestampFormat: time.RFC3339Nano},
+		lines.DefaultRate, time.Now)
 	log := logrus.New()
-	log.SetOutput(out)
+	log.SetOutput(writer)
 	log.SetLevel(parsed)
-	log.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}})
-	return log, nil
+	log.SetFormatter(limiter)
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { lines.Report(done, log, writer, limiter) })
+	return log, func() {
+		close(done)
+		group.Wait()
+		log.SetOutput(io.Discard) // what still logs comes too late
+		writer.Close(logClose)
+	}, nil
 }
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -139,7 +139,7 @@
 	poll(ts, "log line of "+args[0]+" with "+strings.Join(args[1:], " and "), func() (string, bool) {
 		text := ""
 		for _, name := range strings.Split(args[0], ",") {
-			text += processOf(ts, name).stderr.String()
+			text += processOf(ts, name).stdout.String()
 		}
 		for line := range strings.Lines(text) {
 			if containsAll(line, args[1:]) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -40,7 +40,7 @@
 		r.service.ended(now, a.member, &unsent)
 		return unsent
 	}
-	outcome := r.await(d, a.member, w)
+	outcome := r.await(d, &a, w)
 	if r.hasLeft() {
 		a.member.target.Abandon(d.ID, d.Attempt)
 	} else {
@@ -95,12 +95,25 @@
 
 // await waits for the outcome of a dispatch. Without one by the end of its
 // budget it asks the gate, which voids a dispatch that it has not begun.
-func (r *request) await(d *wire.Dispatch, m *member, w *waiter) result {
-	until := r.entry.config.Now() + d.Budget
+func (r *request) await(d *wire.Dispatch, a *attempt, w *waiter) result {
+	m := a.member
+	began := r.entry.config.Now()
+	until := began + d.Budget
+	linking := a.bounded && linkTime < d.Budget
+	if linking {
+		until = began + linkTime
+	}
 	asked := false
 	for {
 		now := r.entry.config.Now()
 		e := w.next(max(until-now, 0)+1, r.left)
+		if e.kind == expired && linking {
+			if m.target.Withdraw(d.ID, d.Attempt) {
+				return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+			}
+			linking, until = false, began+d.Budget
+			continue
+		}
 		switch {
 		case e.kind == abandoned:
 			return result{kind: retry.Silent, reason: string(wire.ReasonLeft)}
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -20,6 +20,11 @@
 	// at one. Each costs a hop of 0.2 to 2 ms, and loads heard are seconds old:
 	// with 24 entries before 9 upstreams a pair meets every five seconds.
 	mostAsks = 4
+	// linkTime is how long a request waits for a link to a gate: some fifty round
+	// trips between failure domains. The link to a node that is cut off or gone
+	// opens no sooner than after seconds, and the request would spend all its time
+	// on it: with other gates to ask, it goes to the next.
+	linkTime = 100 * clock.Millis(1)
 	// mostWaits is how many gates it waits at, one after the other: a queue that
 	// is full, or too long for it, refuses at once. At 1.4 of the ordinary load of
 	// measure/episodes three in place of one serve 0.949 of the calls (0.933) and
@@ -155,7 +160,7 @@
 	}
 	again := look.again && untried > 0
 	if i, due := s.trialDue(now); due && again && !slices.Contains(look.tried, s.members[i]) {
-		return s.send(i), untried, true
+		return s.send(now, i), untried, true
 	}
 	weight := 1.0
 	if again {
@@ -165,13 +170,24 @@
 	if !ok {
 		return attempt{}, untried, false
 	}
-	return s.send(i), untried - 1, true
+	return s.send(now, i), untried - 1, true
 }
 
-func (s *service) send(i int) attempt {
+func (s *service) send(now clock.Millis, i int) attempt {
+	s.members[i].sent++
+	return s.attemptOf(now, i)
+}
+
+// attemptOf is a try at the upstream as it is known now. The lock is held.
+func (s *service) attemptOf(now clock.Millis, i int) attempt {
 	m := s.members[i]
-	m.sent++
-	return attempt{member: m, upstream: m.upstream, forced: s.uses[i] == floor.Forced}
+	return attempt{
+		member:   m,
+		upstream: m.upstream,
+		forced:   s.uses[i] == floor.Forced,
+		severity: m.severity(now, s.config.Caution == table.Brief),
+		heard:    m.heard,
+	}
 }
 
 // countTrials takes in how many trials a gate has admitted since it was heard
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,9 @@
 	Dispatch(d *wire.Dispatch, w link.Waiter) error
 	Settle(id wire.RequestID, attempt uint8)
 	Forget(id wire.RequestID, attempt uint8)
+	// Withdraw takes back a dispatch that still waits for a link, and reports
+	// whether it did.
+	Withdraw(id wire.RequestID, attempt uint8) bool
 	// Abandon says that the caller has left, and forgets the dispatch.
 	Abandon(id wire.RequestID, attempt uint8)
 	// Keep asks for an open link, to hear the state of the node's upstreams.
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
@@ -91,7 +90,9 @@
 	attempts uint8
 	ran      int // attempts that an upstream ran, or may have run
 	walk     walk
-	failed   *wire.Reply // the last upstream's own answer, an error
+	trail    trail
+	why      retry.Reason // of not being sent again
+	failed   *wire.Reply  // the last upstream's own answer, an error
 	forced   bool
 	left     <-chan struct{} // closed when the caller has left
 	// begun means that an upstream may have run the request: it can't be
@@ -220,6 +221,7 @@
 			return r.nowhere(now)
 		}
 		result := r.try(now, choice, untried)
+		r.note(&choice, &result, now)
 		if answer, done := r.judge(result, untried); done {
 			return answer
 		}
@@ -276,6 +278,7 @@
 	if decision.Retry {
 		return final{}, false
 	}
+	r.verdictOnRetry(decision)
 	switch {
 	case o.reply != nil && o.reply.Outcome == wire.Answered:
 		// The upstream's own answer, though an error, says more than ours.
@@ -322,22 +325,5 @@
 		r.entry.failures.note(now)
 	}
 	r.entry.config.Journal.Close(now, record)
-	if f.outcome != account.Served {
-		r.log(&record)
-	}
-}
-
-func (r *request) log(record *account.Record) {
-	r.entry.config.Log.WithFields(logrus.Fields{
-		"request":  wire.NameOf(r.label, r.id),
-		"caller":   record.Caller,
-		"route":    record.Route,
-		"took":     record.Took.String(),
-		"status":   record.Status,
-		"service":  record.Service,
-		"upstream": record.Upstream,
-		"outcome":  record.Outcome,
-		"reason":   record.Reason,
-		"attempts": record.Attempts,
-	}).Info("request not served")
+	r.log(&record, &f)
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -135,6 +135,9 @@
 	// patience is how long it may wait for a slot, if bounded.
 	patience clock.Millis
 	bounded  bool
+	// severity is what the upstream's was taken for, heard when it was told.
+	severity float64
+	heard    clock.Millis
 }
 
 // choose picks the upstream for the next try. It reports how many usable ones
@@ -157,7 +160,7 @@
 	}
 	m := s.members[i]
 	m.sent++
-	return attempt{member: m, upstream: m.upstream, forced: s.uses[i] == floor.Forced}, untried - 1, true
+	return s.attemptOf(now, i), untried - 1, true
 }
 
 // usable says whether a request may go to an upstream. One that is back for
--- /dev/null
+++ b/entry/trail.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// step is one try at a request, as a log line tells it.
+type step struct {
+	upstream string
+	// result is "served", or the reason why it was not.
+	result string
+	// after is when it ended, counted from the request's arrival.
+	after clock.Millis
+	// severity is what the choice took the upstream's to be, and age how long
+	// ago that was heard.
+	severity float64
+	age      clock.Millis
+}
+
+// mostSteps is how many tries a log line tells; a request has fewer, but for those
+// that find one upstream after the other gone.
+const mostSteps = 8
+
+// trail holds the tries of a request. It is part of the request and takes no memory
+// of its own.
+type trail struct {
+	steps [mostSteps]step
+	count int
+}
+
+func (t *trail) add(s step) {
+	if t.count < mostSteps {
+		t.steps[t.count] = s
+	}
+	t.count++
+}
+
+// tried is one step in a log line.
+type tried struct {
+	Upstream string  `json:"upstream"`
+	Result   string  `json:"result"`
+	After    string  `json:"after"`
+	Severity float64 `json:"severity"`
+	Age      string  `json:"age"`
+}
+
+func (t *trail) told() []tried {
+	told := make([]tried, 0, min(t.count, mostSteps))
+	for _, s := range t.steps[:min(t.count, mostSteps)] {
+		told = append(told, tried{s.upstream, s.result, s.after.String(), s.severity, s.age.String()})
+	}
+	return told
+}
+
+// note adds a try to the trail.
+func (r *request) note(a *attempt, o *result, chosen clock.Millis) {
+	s := step{
+		upstream: a.upstream.Name,
+		result:   o.reason,
+		after:    r.entry.config.Now() - r.started,
+		severity: a.severity,
+		age:      max(chosen-a.heard, 0),
+	}
+	if o.served {
+		s.result = string(account.Served)
+	}
+	r.trail.add(s)
+}
+
+// log leaves a line of what a caller may ask about: a request that was not served, or
+// was later than its route's target. Others leave none; counters and the report
+// have them.
+func (r *request) log(record *account.Record, f *final) {
+	message := ""
+	switch {
+	case f.outcome != account.Served || f.status >= failureStatus:
+		message = "request not served"
+	case r.route != nil && r.route.Target > 0 && record.Took > r.route.Target:
+		message = "request answered late"
+	default:
+		return
+	}
+	fields := logrus.Fields{
+		"request":  wire.NameOf(r.label, r.id),
+		"caller":   record.Caller,
+		"service":  record.Service,
+		"route":    record.Route,
+		"upstream": record.Upstream,
+		"outcome":  record.Outcome,
+		"reason":   record.Reason,
+		"status":   record.Status,
+		"attempts": record.Attempts,
+		"took":     record.Took.String(),
+		"tried":    r.trail.told(),
+	}
+	if r.route != nil {
+		fields["budget"] = (r.deadline - r.started).String()
+		fields["target"] = r.route.Target.String()
+	}
+	if t := r.entry.table.Load(); t != nil {
+		fields["version"] = t.Version
+	}
+	if r.why != "" {
+		fields["noretry"] = string(r.why)
+	}
+	r.entry.config.Log.WithFields(fields).Info(message)
+}
+
+// failureStatus is the lowest status of an answer that says the server failed.
+const failureStatus = 500
+
+// verdictOnRetry keeps why a request was not sent again, for its log line.
+func (r *request) verdictOnRetry(d retry.Decision) {
+	r.why = d.Why
+}
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// Withdraw takes back a dispatch that still waits for a link, and reports whether
+// it did: nothing was sent then, and the waiter isn't told.
+func (p *Peer) Withdraw(id wire.RequestID, attempt uint8) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := keyOf(id, attempt)
+	one, ok := p.pending[key]
+	if !ok || !one.unsent {
+		return false
+	}
+	p.remove(key)
+	return true
+}
+
 // Abandon says that the caller has left and drops the waiter.
 func (p *Peer) Abandon(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
--- a/node/gates.go
+++ b/node/gates.go
@@ -161,6 +161,9 @@
 // ForgetEnquiry has nothing to drop.
 func (local) ForgetEnquiry(wire.RequestID, uint8) {}
 
+// Withdraw has nothing that waits for a link.
+func (local) Withdraw(wire.RequestID, uint8) bool { return false }
+
 // Abandon tells the gate that the caller has left.
 func (l local) Abandon(id wire.RequestID, attempt uint8) {
 	for _, g := range l.node.allGates() {
