--- a/entry/answer.go
+++ b/entry/answer.go
@@ -23,7 +23,7 @@
 		}
 		ctx.Response.SetBodyRaw(f.reply.Body)
 	} else {
-		explain(ctx, f)
+		r.explain(f)
 		if name := r.entry.config.Headers.Request; name != "" && r.label != "" {
 			ctx.Response.Header.Set(name, r.label)
 		}
@@ -39,15 +39,24 @@
 	}
 }
 
-func explain(ctx *fasthttp.RequestCtx, f *final) {
+func (r *request) explain(f *final) {
+	ctx := r.ctx
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(sentence(f) + "\n")
 	if f.retryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(wholeSeconds(f.retryAfter), 10))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, r.retryAfter(f.retryAfter))
 		ctx.Response.Header.Set(HeaderRetryAfter, strconv.FormatInt(int64(f.retryAfter), 10))
 	}
 }
 
+// retryAfter writes when to come back as callers read it.
+func (r *request) retryAfter(span clock.Millis) string {
+	if r.entry.config.Headers.Fractions {
+		return strconv.FormatFloat(span.Seconds(), 'f', -1, 64)
+	}
+	return strconv.FormatInt(wholeSeconds(span), 10)
+}
+
 // wholeSeconds rounds up: coming back early would be refused again.
 func wholeSeconds(span clock.Millis) int64 {
 	return int64((span + clock.Second - 1) / clock.Second)
--- a/entry/request.go
+++ b/entry/request.go
@@ -38,6 +38,9 @@
 	Request string
 	// Deadline carries how many milliseconds the caller will wait.
 	Deadline string
+	// Fractions says that callers read fractions of a second in Retry-After: in
+	// whole seconds, those refused together would come back together.
+	Fractions bool
 }
 
 // DefaultHeaders are those of callers that know this project.
