--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -93,53 +93,83 @@
 	return min((r.deadline-r.started)/settleShare, settleMost)
 }
 
+// vigil is a wait for the outcome of a dispatch.
+type vigil struct {
+	dispatch *wire.Dispatch
+	target   Target
+	began    clock.Millis
+	until    clock.Millis
+	// linking is true while it may still wait for a link.
+	linking bool
+	// asked is true once the gate was asked what became of it.
+	asked bool
+}
+
 // await waits for the outcome of a dispatch. Without one by the end of its
 // budget it asks the gate, which voids a dispatch that it has not begun.
 func (r *request) await(d *wire.Dispatch, a *attempt, w *waiter) result {
-	m := a.member
 	began := r.entry.config.Now()
-	until := began + d.Budget
-	linking := a.bounded && linkTime < d.Budget
-	if linking {
-		until = began + linkTime
+	v := vigil{dispatch: d, target: a.member.target, began: began, until: began + d.Budget}
+	if a.bounded && linkTime < d.Budget {
+		v.linking, v.until = true, began+linkTime
 	}
-	asked := false
 	for {
 		now := r.entry.config.Now()
-		e := w.next(max(until-now, 0)+1, r.left)
-		if e.kind == expired && linking {
-			if m.target.Withdraw(d.ID, d.Attempt) {
-				return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		e := w.next(max(v.until-now, 0)+1, r.left)
+		if e.kind == expired {
+			if out, ok := r.overtime(&v); ok {
+				return out
 			}
-			linking, until = false, began+d.Budget
 			continue
 		}
-		switch {
-		case e.kind == abandoned:
-			return result{kind: retry.Silent, reason: string(wire.ReasonLeft)}
-		case e.kind == replied:
-			return resultOf(e.reply)
-		case e.kind == voided:
-			return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}
-		case e.kind == unsent:
-			return result{kind: retry.NotRun, reason: account.ReasonUnreachable}
-		case e.kind == forgotten:
-			return result{kind: retry.Silent, reason: reasonReplaced}
-		case e.kind == lost && r.repeatable:
-			return result{kind: retry.Silent, reason: account.ReasonUnreachable}
-		case e.kind == expired && r.repeatable:
-			m.target.Settle(d.ID, d.Attempt) // frees its place in a queue
-			return result{kind: retry.Silent, reason: reasonSilent}
-		case e.kind == expired && asked:
-			return result{kind: retry.Silent, reason: reasonSilent}
-		case e.kind == expired:
-			asked = true
-			until = min(r.entry.config.Now()+r.settleTime(), r.deadline)
-			m.target.Settle(d.ID, d.Attempt)
+		if out, ok := r.told(e); ok {
+			return out
 		}
 	}
 }
 
+// told is what an event makes of a dispatch, or false if the wait goes on.
+func (r *request) told(e event) (result, bool) {
+	switch {
+	case e.kind == abandoned:
+		return result{kind: retry.Silent, reason: string(wire.ReasonLeft)}, true
+	case e.kind == replied:
+		return resultOf(e.reply), true
+	case e.kind == voided:
+		return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}, true
+	case e.kind == unsent:
+		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}, true
+	case e.kind == forgotten:
+		return result{kind: retry.Silent, reason: reasonReplaced}, true
+	case e.kind == lost && r.repeatable:
+		return result{kind: retry.Silent, reason: account.ReasonUnreachable}, true
+	default:
+		return result{}, false
+	}
+}
+
+// overtime acts at the end of a wait, and returns false if another begins.
+func (r *request) overtime(v *vigil) (result, bool) {
+	d := v.dispatch
+	silent := result{kind: retry.Silent, reason: reasonSilent}
+	switch {
+	case v.linking && v.target.Withdraw(d.ID, d.Attempt):
+		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}, true
+	case v.linking:
+		v.linking, v.until = false, v.began+d.Budget
+	case r.repeatable:
+		v.target.Settle(d.ID, d.Attempt) // frees its place in a queue
+		return silent, true
+	case v.asked:
+		return silent, true
+	default:
+		v.asked = true
+		v.until = min(r.entry.config.Now()+r.settleTime(), r.deadline)
+		v.target.Settle(d.ID, d.Attempt)
+	}
+	return result{}, false
+}
+
 func resultOf(reply *wire.Reply) result {
 	out := result{reply: reply, reason: string(reply.Reason), after: reply.RetryAfter}
 	switch reply.Outcome {
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -76,7 +76,7 @@
 // was later than its route's target. Others leave none; counters and the report
 // have them.
 func (r *request) log(record *account.Record, f *final) {
-	message := ""
+	var message string
 	switch {
 	case f.outcome != account.Served || f.status >= failureStatus:
 		message = "request not served"
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,7 +17,6 @@
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/limit"
-	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -175,33 +174,6 @@
 	}
 }
 
-// refusal says why a dispatch isn't admitted, or nothing.
-func (g *Gate) refusal(now clock.Millis, v lease.Verdict, d *wire.Dispatch) (wire.Reason, clock.Millis) {
-	switch {
-	case v == lease.Stale:
-		return wire.ReasonStale, 0
-	case v == lease.Voided:
-		return wire.ReasonVoided, 0
-	case g.leaving, g.left() && now-g.leftAt >= g.service.Drain:
-		return wire.ReasonLeaving, 0
-	case d.Forced || g.judge.Admit(now, d.Repeatable):
-		return "", 0
-	default:
-		g.noteState(now)
-		return wire.ReasonAside, max(g.judge.Status(now).Until-now, 0)
-	}
-}
-
-// refuse answers that a dispatch was not run. It unlocks the gate.
-func (g *Gate) refuse(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply), reason wire.Reason, after clock.Millis) {
-	g.fence.Refuse(key)
-	g.countRefusal(reason)
-	reply := g.reply(now, d)
-	g.mu.Unlock()
-	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, after
-	answer(reply)
-}
-
 // runHeld runs a dispatch in the slot that was kept for it. It was admitted when
 // that was asked for; what can have changed since ends it. It unlocks the gate.
 func (g *Gate) runHeld(now clock.Millis, key lease.Key, verdict lease.Verdict, d *wire.Dispatch, answer func(*wire.Reply)) {
@@ -253,104 +225,6 @@
 	}
 }
 
-// countRefusal is called with the gate's lock held.
-func (g *Gate) countRefusal(reason wire.Reason) {
-	if g.config.Refusals != nil {
-		g.config.Refusals.Refused(g.service.Name, g.upstream.Name, reason)
-	}
-}
-
-// expire refuses the waiters whose deadline passed.
-func (g *Gate) expire() {
-	g.mu.Lock()
-	late := g.late(g.config.Now())
-	g.mu.Unlock()
-	answerAll(late)
-}
-
-// refusedJob is a waiter with its refusal.
-type refusedJob struct {
-	job   *job
-	reply *wire.Reply
-}
-
-func answerAll(late []refusedJob) {
-	for _, one := range late {
-		one.job.answer(one.reply)
-	}
-}
-
-// late takes out the waiters whose deadline passed. The gate's lock is held;
-// the answers are given without it.
-func (g *Gate) late(now clock.Millis) []refusedJob {
-	return g.giveUp(now, g.slots.Expire(now), wire.ReasonLate)
-}
-
-// giveUp refuses waiters. The gate's lock is held.
-func (g *Gate) giveUp(now clock.Millis, tickets []uint64, reason wire.Reason) []refusedJob {
-	var refused []refusedJob
-	for _, ticket := range tickets {
-		j, ok := g.jobs[ticket]
-		if !ok {
-			continue
-		}
-		delete(g.jobs, ticket)
-		if j.timer != nil {
-			j.timer.Stop()
-		}
-		g.fence.Refuse(j.key)
-		g.countRefusal(reason)
-		reply := g.reply(now, j.dispatch)
-		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, g.slots.RetryAfter(now)
-		refused = append(refused, refusedJob{j, reply})
-	}
-	return refused
-}
-
-// Settle says what became of a dispatch and voids one that has not begun. It
-// returns the reply once more if there is one.
-func (g *Gate) Settle(s *wire.Settle) (*wire.Settled, *wire.Reply) {
-	now := g.config.Now()
-	key := lease.Key{Entry: s.ID.Entry, Seq: s.ID.Seq, Attempt: s.Attempt}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	state, reply := g.fence.Settle(now, key, s.Incarnation, s.Lease)
-	if s.Abandon && state == lease.Begun {
-		g.breakOff(key)
-	}
-	if state == lease.Done && reply != nil {
-		return nil, reply
-	}
-	return &wire.Settled{
-		ID:        s.ID,
-		Attempt:   s.Attempt,
-		Voided:    state == lease.NotRun,
-		Forgotten: state == lease.Forgotten || state == lease.Done,
-		Time:      now,
-	}, nil
-}
-
-// Abandon takes in that the caller of a dispatch has left: it doesn't begin any
-// more, or is broken off.
-func (g *Gate) Abandon(id wire.RequestID, attempt uint8) {
-	key := lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.fence.Refuse(key)
-	g.breakOff(key)
-}
-
-// breakOff ends the call of a dispatch whose caller has left, if it may run more
-// than once: its slot is then free for others. One that may run only once goes
-// on, for its caller meant it. The gate's lock is held.
-func (g *Gate) breakOff(key lease.Key) {
-	for _, j := range g.jobs {
-		if j.key == key && j.abandon != nil {
-			j.abandon()
-		}
-	}
-}
-
 // Update puts a table edit in force.
 func (g *Gate) Update(s table.Service, u table.Upstream) {
 	g.mu.Lock()
@@ -398,66 +272,11 @@
 	return len(g.jobs)
 }
 
-// Status is what heartbeats and replies say of the upstream.
-func (g *Gate) Status() wire.Upstream {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.status(g.config.Now())
-}
-
-// Describe is what metrics say of the gate.
-func (g *Gate) Describe() metrics.GateState {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	load := g.slots.Load()
-	return metrics.GateState{
-		Service:  g.service.Name,
-		Upstream: g.upstream.Name,
-		Verdict:  g.judge.Status(g.config.Now()).State,
-		Leaving:  g.left(),
-		Running:  load.InFlight,
-		Waiting:  load.Waiting,
-		Slots:    g.upstream.Slots,
-		Queue:    g.service.Queue,
-	}
-}
-
 // Close lets go of the backend server's connections.
 func (g *Gate) Close() {
 	g.config.Backend.Close()
 }
 
-func (g *Gate) status(now clock.Millis) wire.Upstream {
-	g.noteState(now)
-	s := g.judge.Status(now)
-	load := g.slots.Load()
-	own := g.judge.Own()
-	return wire.Upstream{
-		Name:     g.upstream.Name,
-		State:    uint8(s.State),
-		Severity: s.Severity,
-		Share:    s.Share,
-		InFlight: load.InFlight,
-		Waiting:  load.Waiting,
-		Until:    max(s.Until-now, 0),
-		Leaving:  g.left(),
-		Own:      wire.BaselineOf(own),
-		Trials:   g.trials(),
-	}
-}
-
-// trials is how many trials a judge of brief episodes has admitted.
-func (g *Gate) trials() uint32 {
-	if brief, ok := g.judge.(*grade.Judge); ok {
-		return brief.TrialCount()
-	}
-	return 0
-}
-
-func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
-	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
-}
-
 // Serves reports whether the gate is that of a service's upstream at an
 // address. An edit of either needs a gate of its own: what was learned is of
 // another backend server.
--- /dev/null
+++ b/gate/refuse.go
@@ -0,0 +1,88 @@
+package gate
+
+import (
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// refusal says why a dispatch isn't admitted, or nothing.
+func (g *Gate) refusal(now clock.Millis, v lease.Verdict, d *wire.Dispatch) (wire.Reason, clock.Millis) {
+	switch {
+	case v == lease.Stale:
+		return wire.ReasonStale, 0
+	case v == lease.Voided:
+		return wire.ReasonVoided, 0
+	case g.leaving, g.left() && now-g.leftAt >= g.service.Drain:
+		return wire.ReasonLeaving, 0
+	case d.Forced || g.judge.Admit(now, d.Repeatable):
+		return "", 0
+	default:
+		g.noteState(now)
+		return wire.ReasonAside, max(g.judge.Status(now).Until-now, 0)
+	}
+}
+
+// refuse answers that a dispatch was not run. It unlocks the gate.
+func (g *Gate) refuse(now clock.Millis, key lease.Key, d *wire.Dispatch, answer func(*wire.Reply), reason wire.Reason, after clock.Millis) {
+	g.fence.Refuse(key)
+	g.countRefusal(reason)
+	reply := g.reply(now, d)
+	g.mu.Unlock()
+	reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, after
+	answer(reply)
+}
+
+// countRefusal is called with the gate's lock held.
+func (g *Gate) countRefusal(reason wire.Reason) {
+	if g.config.Refusals != nil {
+		g.config.Refusals.Refused(g.service.Name, g.upstream.Name, reason)
+	}
+}
+
+// expire refuses the waiters whose deadline passed.
+func (g *Gate) expire() {
+	g.mu.Lock()
+	late := g.late(g.config.Now())
+	g.mu.Unlock()
+	answerAll(late)
+}
+
+// refusedJob is a waiter with its refusal.
+type refusedJob struct {
+	job   *job
+	reply *wire.Reply
+}
+
+func answerAll(late []refusedJob) {
+	for _, one := range late {
+		one.job.answer(one.reply)
+	}
+}
+
+// late takes out the waiters whose deadline passed. The gate's lock is held;
+// the answers are given without it.
+func (g *Gate) late(now clock.Millis) []refusedJob {
+	return g.giveUp(now, g.slots.Expire(now), wire.ReasonLate)
+}
+
+// giveUp refuses waiters. The gate's lock is held.
+func (g *Gate) giveUp(now clock.Millis, tickets []uint64, reason wire.Reason) []refusedJob {
+	var refused []refusedJob
+	for _, ticket := range tickets {
+		j, ok := g.jobs[ticket]
+		if !ok {
+			continue
+		}
+		delete(g.jobs, ticket)
+		if j.timer != nil {
+			j.timer.Stop()
+		}
+		g.fence.Refuse(j.key)
+		g.countRefusal(reason)
+		reply := g.reply(now, j.dispatch)
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, g.slots.RetryAfter(now)
+		refused = append(refused, refusedJob{j, reply})
+	}
+	return refused
+}
--- /dev/null
+++ b/gate/status.go
@@ -0,0 +1,63 @@
+package gate
+
+import (
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
+	"fuchsiapick.example/fuchsiapick/metrics"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Status is what heartbeats and replies say of the upstream.
+func (g *Gate) Status() wire.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status(g.config.Now())
+}
+
+// Describe is what metrics say of the gate.
+func (g *Gate) Describe() metrics.GateState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load := g.slots.Load()
+	return metrics.GateState{
+		Service:  g.service.Name,
+		Upstream: g.upstream.Name,
+		Verdict:  g.judge.Status(g.config.Now()).State,
+		Leaving:  g.left(),
+		Running:  load.InFlight,
+		Waiting:  load.Waiting,
+		Slots:    g.upstream.Slots,
+		Queue:    g.service.Queue,
+	}
+}
+
+func (g *Gate) status(now clock.Millis) wire.Upstream {
+	g.noteState(now)
+	s := g.judge.Status(now)
+	load := g.slots.Load()
+	own := g.judge.Own()
+	return wire.Upstream{
+		Name:     g.upstream.Name,
+		State:    uint8(s.State),
+		Severity: s.Severity,
+		Share:    s.Share,
+		InFlight: load.InFlight,
+		Waiting:  load.Waiting,
+		Until:    max(s.Until-now, 0),
+		Leaving:  g.left(),
+		Own:      wire.BaselineOf(own),
+		Trials:   g.trials(),
+	}
+}
+
+// trials is how many trials a judge of brief episodes has admitted.
+func (g *Gate) trials() uint32 {
+	if brief, ok := g.judge.(*grade.Judge); ok {
+		return brief.TrialCount()
+	}
+	return 0
+}
+
+func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
+	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
+}
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -24,18 +24,18 @@
 // without an upstream until they have written again.
 func TestLapsedEntriesAreHeldForTheirReturn(t *testing.T) {
 	c := mirror.NewCopy()
-	c.Reset(0, []mirror.Item{item("servers/a", 1), item("servers/b", 2)}, 2)
+	c.Reset(0, []mirror.Item{item("a", 1), item("b", 2)}, 2)
 	c.Returned(10_000)
-	c.Reset(10_000, []mirror.Item{item("servers/a", 9)}, 9)
-	if got := keys(c.Items(11_000)); !slices.Equal(got, []string{"servers/a", "servers/b"}) {
+	c.Reset(10_000, []mirror.Item{item("a", 9)}, 9)
+	if got := keys(c.Items(11_000)); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("a second after the return: got %v, want both", got)
 	}
-	c.Apply(11_500, []mirror.Event{{Item: item("servers/b", 12)}}, 12)
-	if got := keys(c.Items(13_000)); !slices.Equal(got, []string{"servers/a", "servers/b"}) {
+	c.Apply(11_500, []mirror.Event{{Item: item("b", 12)}}, 12)
+	if got := keys(c.Items(13_000)); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("after it was written again: got %v, want both", got)
 	}
-	c.Apply(13_000, []mirror.Event{{Item: mirror.Item{Key: "servers/b", Revision: 13}, Gone: true}}, 13)
-	if got := keys(c.Items(13_001)); !slices.Equal(got, []string{"servers/a"}) {
+	c.Apply(13_000, []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 13}, Gone: true}}, 13)
+	if got := keys(c.Items(13_001)); !slices.Equal(got, []string{"a"}) {
 		t.Errorf("gone while the store is in order: got %v, want a alone", got)
 	}
 }
@@ -43,9 +43,9 @@
 // One that isn't back two seconds after the return is gone for good.
 func TestLapsedEntriesGoAfterTheGrace(t *testing.T) {
 	c := mirror.NewCopy()
-	c.Reset(0, []mirror.Item{item("servers/a", 1)}, 1)
+	c.Reset(0, []mirror.Item{item("a", 1)}, 1)
 	c.Returned(5000)
-	c.Apply(5100, []mirror.Event{{Item: mirror.Item{Key: "servers/a", Revision: 4}, Gone: true}}, 4)
+	c.Apply(5100, []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 4}, Gone: true}}, 4)
 	if got := len(c.Items(6999)); got != 1 {
 		t.Errorf("before the grace is over: got %d values, want 1", got)
 	}
@@ -58,10 +58,10 @@
 // revision tells what the later pages held already, older values among it.
 func TestOlderValuesDoNotReplaceNewer(t *testing.T) {
 	c := mirror.NewCopy()
-	c.Reset(0, []mirror.Item{{Key: "op/config", Revision: 8, Value: []byte("new")}}, 5)
+	c.Reset(0, []mirror.Item{{Key: "configuration", Revision: 8, Value: []byte("new")}}, 5)
 	c.Apply(1, []mirror.Event{
-		{Item: mirror.Item{Key: "op/config", Revision: 6, Value: []byte("old")}},
-		{Item: mirror.Item{Key: "op/config", Revision: 7}, Gone: true},
+		{Item: mirror.Item{Key: "configuration", Revision: 6, Value: []byte("old")}},
+		{Item: mirror.Item{Key: "configuration", Revision: 7}, Gone: true},
 	}, 8)
 	got := c.Items(2)
 	if len(got) != 1 || string(got[0].Value) != "new" {
