--- a/entry/brief.go
+++ b/entry/brief.go
@@ -27,13 +27,15 @@
 	linkTime = 100 * clock.Millis(1)
 	// mostWaits is how many gates it waits at, one after the other: a queue that
 	// is full, or too long for it, refuses at once. At 1.4 of the ordinary load of
-	// measure/episodes three in place of one serve 0.949 of the calls (0.933) and
-	// 0.958 of the short requests (0.944), five as many.
+	// measure/episodes three in place of one serve 0.946 of the calls (0.927) and
+	// 0.958 of the short requests (0.938).
 	mostWaits = 3
-	// patienceShare is the part of a route's target that a request may wait for
-	// a slot: the rest is for its run and the calls that this makes.
+	// patienceShare is the part of a route's target that a request of a lower rank
+	// may wait for a slot: the rest is for its run and the calls that this makes.
+	// With an eighth in place of half, rosters lose 0.033 there and calls gain 0.010.
 	patienceShare = 2
-	// urgent is the lowest rank that waits longer: up to its target.
+	// urgent is the lowest rank that waits longer: up to one and a half of its
+	// target or 0.6 of its time. Its waits are short, for it goes first.
 	urgent = 1
 )
 
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -52,7 +52,7 @@
 const (
 	mostAsks  = 4
 	mostWaits = 3
-	patience  = 4
+	patience  = 2
 )
 
 func (b *brief) start(r *request) {
