--- a/measure/episodes/episodes_test.go
+++ b/measure/episodes/episodes_test.go
@@ -40,9 +40,9 @@
 		// retries is the most that may run twice.
 		retries float64
 	}{
-		{0.5, map[string]float64{"roster": 0.95, "check": 0.96, "call": 0.96, "confirm": 0.90}, 0.2},
-		{1, map[string]float64{"roster": 0.80, "check": 0.93, "call": 0.93, "confirm": 0.85}, 0.25},
-		{1.4, map[string]float64{"roster": 0.60, "check": 0.88, "call": 0.90, "confirm": 0.80}, 0.25},
+		{0.5, map[string]float64{"roster": 0.95, "check": 0.98, "call": 0.98, "confirm": 0.95}, 0.1},
+		{1, map[string]float64{"roster": 0.87, "check": 0.965, "call": 0.96, "confirm": 0.945}, 0.1},
+		{1.4, map[string]float64{"roster": 0.71, "check": 0.94, "call": 0.93, "confirm": 0.915}, 0.1},
 	}
 	for _, tt := range tests {
 		blind, brief, perfect := play(episodes.Blind, tt.load), play(episodes.Brief, tt.load), play(episodes.Perfect, tt.load)
