fix(caller): tell of a caller that had left before its next request was read

A caller that sends requests ahead and closes the connection was told of for the first of them only; what came ahead was still sent to upstreams. Found by reading; the test fails without.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -56,9 +56,13 @@
 	return c.Conn.Read(p)
 }
 
-// Watch reads ahead until the connection ends, and then calls gone. Stop ends
-// the watch; it waits until the reads are over.
+// Watch reads ahead until the connection ends, and then calls gone; at once if it
+// has ended before. Stop ends the watch; it waits until the reads are over.
 func (c *Conn) Watch(gone func()) (stop func()) {
+	if c.err != nil {
+		gone()
+		return func() {}
+	}
 	var group sync.WaitGroup
 	group.Go(func() { c.readAhead(gone) })
 	return func() {
--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -85,3 +85,26 @@
 		t.Errorf("got %v, want the next request read", err)
 	}
 }
+
+// A caller sends two requests, and closes the connection while the first is handled.
+// The second is read from what came ahead; nobody waits for it either, and it must
+// not be sent to an upstream.
+func TestWatchTellsOfACallerThatLeftBefore(t *testing.T) {
+	conn, client := pair(t)
+	gone := make(chan struct{})
+	stop := conn.Watch(func() { close(gone) })
+	if _, err := client.Write([]byte("second")); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.Close()
+	<-gone
+	stop()
+	if _, err := io.ReadFull(conn, make([]byte, len("second"))); err != nil {
+		t.Fatal(err)
+	}
+	again := false
+	conn.Watch(func() { again = true })()
+	if !again {
+		t.Error("got no word of a caller that had left, want it at once")
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -217,6 +217,9 @@
 
 // run tries upstreams until the request has a final answer.
 func (r *request) run() final {
+	if r.hasLeft() {
+		return refused(fasthttp.StatusServiceUnavailable, string(wire.ReasonLeft), 0)
+	}
 	for {
 		now := r.entry.config.Now()
 		choice, untried, ok := r.choose(now)
