--- a/cmd/sourcecmd.go
+++ b/cmd/sourcecmd.go
@@ -30,6 +30,7 @@
 	c.UpstreamHeaders = platform.UpstreamHeaders()
 	source := platform.NewSource(platform.SourceConfig{
 		Address: s.Platform.Address,
+		Fresh:   s.Platform.Fresh,
 		Seed:    seed.Sum64(),
 		Log:     log,
 		Fleet: platform.FleetConfig{
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -14,12 +14,14 @@
 )
 
 const (
-	// pace is the least span between the starts of two calls. Each write of an
-	// upstream's registration ends a waiting watch, 16 times a second with 24
-	// upstreams, and every call is priced. An upstream that reports its leaving
-	// must get no new work 2 s later, and an edit must be in force 2 s later:
-	// a second for the pace leaves a second for the answer and the hop.
-	pace = clock.Second
+	// defaultFresh is the least of the spans within which an upstream that reports
+	// its leaving gets no new work, and an edit is in force.
+	defaultFresh = 2 * clock.Second
+	// paceShare is the part of Fresh, in tenths, between the starts of two calls.
+	// Each write of an upstream's registration ends a waiting watch, 16 times a
+	// second with 24 upstreams, and every call is priced. The rest, 0.6 s of 2 s, is
+	// for the answer, a table on a third of a core, and a hop.
+	paceShare = 7
 	// watchWait is how long a watch waits for a change. A connection that went
 	// silent shows only as an answer that doesn't come: with the margin it is
 	// given up before the bounds above are reached once more.
@@ -39,6 +41,9 @@
 type FollowerConfig struct {
 	Store Store
 	Now   func() clock.Millis
+	// Fresh is how old what is known may be at most while the store answers; 0
+	// stands for two seconds.
+	Fresh clock.Millis
 	// Deliver takes in all values that count, after each call that changed
 	// them. It must not keep the slice's values beyond the next call.
 	Deliver func(items []Item)
@@ -64,6 +69,9 @@
 
 // NewFollower returns a follower; Serve runs it.
 func NewFollower(c FollowerConfig) *Follower {
+	if c.Fresh <= 0 {
+		c.Fresh = defaultFresh
+	}
 	return &Follower{config: c, copy: NewCopy(), random: rand.New(rand.NewPCG(c.Seed, 0))}
 }
 
@@ -76,7 +84,7 @@
 			break
 		}
 		f.note(err)
-		next := began + pace
+		next := began + paceShare*f.config.Fresh/10
 		if err != nil {
 			next = f.config.Now() + f.backoff()
 		}
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -84,7 +84,7 @@
 	if last := s.waits[len(s.waits)-1]; last > 10 {
 		t.Errorf("got a wait of %v while the store is away, want a call that ends at once", last)
 	}
-	if got := s.at[1] - s.at[0]; got < 990 {
-		t.Errorf("got %v between two calls, want the pace of a second: each call is priced", got)
+	if got := s.at[1] - s.at[0]; got < 1390 {
+		t.Errorf("got %v between two calls, want the pace of 1.4 s: each call is priced", got)
 	}
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -29,6 +29,8 @@
 	// MinPoll keeps a few thousand nodes below the reads that the platform
 	// bears.
 	MinPoll = clock.Second
+	// MinFresh bounds the calls of one node to three a second.
+	MinFresh = 500 * clock.Millis(1)
 	// MaxPoll keeps a table in force within minutes at worst.
 	MaxPoll = 10 * clock.Minute
 	// MaxExtra is more retries than any fleet has use for in one window.
@@ -99,6 +101,7 @@
 	}
 	doc.Address(n, "address", s.Platform.Address)
 	doc.Span(n, "poll", s.Platform.Poll, MinPoll, MaxPoll)
+	doc.Span(n, "fresh", s.Platform.Fresh, MinFresh, MaxPoll)
 	if forms := []string{FormTable, FormStore}; !slices.Contains(forms, s.Platform.Form) {
 		doc.Refuse(n, "form", document.Quote(s.Platform.Form), strings.Join(forms, ", "))
 	}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -23,6 +23,9 @@
 	DefaultGrace = 30 * clock.Second
 	// DefaultPoll keeps a change in force within seconds when a watch is lost.
 	DefaultPoll = 5 * clock.Second
+	// DefaultFresh is the time within which today's operators want an edit in
+	// force.
+	DefaultFresh = 2 * clock.Second
 	// DefaultBeat is the heartbeat interval of links. Two missed ones within a
 	// second show a lost path well before a request's usual deadline of 2 s,
 	// and at 200 bytes both ways it leaves room for some links in 2 KB/s.
@@ -33,7 +36,7 @@
 
 func defaults() Settings {
 	return Settings{
-		Platform: Platform{Form: FormTable, Poll: DefaultPoll},
+		Platform: Platform{Form: FormTable, Fresh: DefaultFresh, Poll: DefaultPoll},
 		Policy: Policy{
 			Caution: table.DefaultCaution,
 			Floor:   table.DefaultFloor,
