--- a/entry/brief.go
+++ b/entry/brief.go
@@ -74,6 +74,15 @@
 	return a, untried, ok
 }
 
+// placesLeft is how many upstreams a request that failed may still try: those not
+// tried, or one at least while it may wait where no slot was free before.
+func (r *request) placesLeft(untried int) int {
+	if r.config.Caution == table.Brief && len(r.walk.full) > 0 && len(r.walk.waits) < mostWaits {
+		return max(untried, 1)
+	}
+	return untried
+}
+
 // spent are the upstreams that a request has tried, but for those that only had
 // no free slot when they were asked.
 func (r *request) spent() []*member {
--- a/entry/request.go
+++ b/entry/request.go
@@ -279,7 +279,7 @@
 		MostRan:    r.route.Attempts,
 		Remaining:  r.deadline - now,
 		RetryAfter: o.after,
-		Untried:    untried,
+		Untried:    r.placesLeft(untried),
 	})
 	if decision.Retry {
 		return final{}, false
