--- a/entry/service.go
+++ b/entry/service.go
@@ -24,6 +24,9 @@
 // against the requests in between.
 const baselineEvery = clock.Millis(200)
 
+// trialStream keeps the draws of trials apart from others of the same seed.
+const trialStream = 3
+
 // service is this entry's view of one service.
 type service struct {
 	log     logrus.FieldLogger
@@ -66,7 +69,7 @@
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:  choice.NewRanker(seed),
-		random:  rand.New(rand.NewPCG(seed, 3)),
+		random:  rand.New(rand.NewPCG(seed, trialStream)),
 		domain:  domain,
 		pacer:   grade.NewPacer(1),
 		best:    1,
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -78,8 +78,10 @@
 func (r *request) log(record *account.Record, f *final) {
 	var message string
 	switch {
-	case f.outcome != account.Served || f.status >= failureStatus:
+	case f.outcome != account.Served:
 		message = "request not served"
+	case f.status >= failureStatus:
+		message = "request failed by its backend server"
 	case r.route != nil && r.route.Target > 0 && record.Took > r.route.Target:
 		message = "request answered late"
 	default:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -178,7 +178,7 @@
 // that was asked for; what can have changed since ends it. It unlocks the gate.
 func (g *Gate) runHeld(now clock.Millis, key lease.Key, verdict lease.Verdict, d *wire.Dispatch, answer func(*wire.Reply)) {
 	until := min(now+d.Budget, d.Lease)
-	if verdict == lease.Fresh && !g.leaving && now < until {
+	if verdict == lease.Fresh && !g.left() && now < until {
 		g.tickets++
 		j := &job{dispatch: d, answer: answer, key: key, ticket: g.tickets, until: until}
 		g.jobs[j.ticket] = j
