--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -93,8 +93,8 @@
 	return min((r.deadline-r.started)/settleShare, settleMost)
 }
 
-// vigil is a wait for the outcome of a dispatch.
-type vigil struct {
+// waiting is a wait for the outcome of a dispatch.
+type waiting struct {
 	dispatch *wire.Dispatch
 	target   Target
 	began    clock.Millis
@@ -109,7 +109,7 @@
 // budget it asks the gate, which voids a dispatch that it has not begun.
 func (r *request) await(d *wire.Dispatch, a *attempt, w *waiter) result {
 	began := r.entry.config.Now()
-	v := vigil{dispatch: d, target: a.member.target, began: began, until: began + d.Budget}
+	v := waiting{dispatch: d, target: a.member.target, began: began, until: began + d.Budget}
 	if a.bounded && linkTime < d.Budget {
 		v.linking, v.until = true, began+linkTime
 	}
@@ -149,7 +149,7 @@
 }
 
 // overtime acts at the end of a wait, and returns false if another begins.
-func (r *request) overtime(v *vigil) (result, bool) {
+func (r *request) overtime(v *waiting) (result, bool) {
 	d := v.dispatch
 	silent := result{kind: retry.Silent, reason: reasonSilent}
 	switch {
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -39,8 +39,8 @@
 	urgent = 1
 )
 
-// walk is how far a request has come in its search for a slot.
-type walk struct {
+// progress is how far a request has come in its search for a slot.
+type progress struct {
 	asks   int
 	full   []*member // they had no free slot
 	waits  []*member // it waited at them
@@ -55,19 +55,19 @@
 		return r.service.choose(now, r.repeatable, r.tried)
 	}
 	again := r.repeatable && r.ran == 0
-	if r.walk.asks < mostAsks {
+	if r.progress.asks < mostAsks {
 		a, untried, ok = r.service.chooseBrief(now, search{again: again, tried: r.tried})
 		a.bounded = true
 	}
-	if !ok && len(r.walk.waits) < mostWaits {
+	if !ok && len(r.progress.waits) < mostWaits {
 		a, untried, ok = r.service.chooseBrief(now, search{tried: r.spent()})
 		a.bounded, a.patience = true, r.patience(now)
 		if ok {
-			r.walk.waits = append(r.walk.waits, a.member)
+			r.progress.waits = append(r.progress.waits, a.member)
 		}
 	}
-	if !ok && !r.walk.forced && r.mayForce() {
-		r.walk.forced = true
+	if !ok && !r.progress.forced && r.mayForce() {
+		r.progress.forced = true
 		a, untried, ok = r.service.chooseBrief(now, search{tried: r.tried, aside: true})
 		a.bounded, a.forced = true, true
 	}
@@ -77,7 +77,7 @@
 // placesLeft is how many upstreams a request that failed may still try: those not
 // tried, or one at least while it may wait where no slot was free before.
 func (r *request) placesLeft(untried int) int {
-	if r.config.Caution == table.Brief && len(r.walk.full) > 0 && len(r.walk.waits) < mostWaits {
+	if r.config.Caution == table.Brief && len(r.progress.full) > 0 && len(r.progress.waits) < mostWaits {
 		return max(untried, 1)
 	}
 	return untried
@@ -87,7 +87,7 @@
 // no free slot when they were asked.
 func (r *request) spent() []*member {
 	return slices.DeleteFunc(slices.Clone(r.tried), func(m *member) bool {
-		return slices.Contains(r.walk.full, m) && !slices.Contains(r.walk.waits, m)
+		return slices.Contains(r.progress.full, m) && !slices.Contains(r.progress.waits, m)
 	})
 }
 
@@ -129,8 +129,8 @@
 		return false
 	}
 	if o.full {
-		r.walk.asks++
-		r.walk.full = append(r.walk.full, r.tried[len(r.tried)-1])
+		r.progress.asks++
+		r.progress.full = append(r.progress.full, r.tried[len(r.tried)-1])
 	}
 	return true
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -92,7 +92,7 @@
 	tried    []*member
 	attempts uint8
 	ran      int // attempts that an upstream ran, or may have run
-	walk     walk
+	progress progress
 	trail    trail
 	why      retry.Reason // of not being sent again
 	failed   *wire.Reply  // the last upstream's own answer, an error
--- a/node/leave.go
+++ b/node/leave.go
@@ -36,9 +36,9 @@
 }
 
 // callersMost bounds how long a leaving node still takes callers' requests, its
-// linger included, beside half of the grace: what comes later could not be finished
-// within it. The
-// instance list lags, and a caller that follows it needs some seconds.
+// linger included, beside half of the grace: what comes later could not be
+// finished within it. The instance list lags, and a caller that follows it needs
+// some seconds.
 const callersMost = 5 * clock.Second
 
 // endMargin is taken from the grace for the process's own end: what is left of it
