fix(grade,gate): let gates invite requests, so that no sound upstream lies idle

In virtual time the same pattern (23 upstreams, 95 entries) shows it without a fault: what is known of an upstream that gets no requests fades to 0.38, too doubtful to be chosen and too low to be set aside, so that nobody ever tries it; and of those set aside, each entry draws its spans alone, so that all of them together leave gaps of seconds.

Ruled out: trials of set-aside upstreams alone.

Change: a gate knows when its last request came. It invites one entry after the other, of those that sent before, to send the next request that may be repeated: after 1 s without any, 1 s in an episode, 150 ms after a trial that succeeded. The pacer and the count of trials on the wire go.

--- a/capacity/ends.go
+++ b/capacity/ends.go
@@ -88,6 +88,9 @@
 // PeerUpstream does nothing.
 func (*end) PeerUpstream(string, wire.Upstream) {}
 
+// PeerInvitation does nothing.
+func (*end) PeerInvitation(*wire.Invitation) {}
+
 // PeerEdition does nothing.
 func (*end) PeerEdition(string, *wire.Edition) {}
 
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -6,7 +6,6 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
-	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -170,8 +169,10 @@
 		})
 	}
 	again := look.again && untried > 0
-	if i, due := s.trialDue(now); due && again && !slices.Contains(look.tried, s.members[i]) {
-		return s.send(now, i), untried, true
+	if again {
+		if i, wanted := s.invitation(now, look.tried); wanted {
+			return s.send(now, i), untried, true
+		}
 	}
 	weight := 1.0
 	if again {
@@ -201,34 +202,21 @@
 	}
 }
 
-// countTrials takes in how many trials a gate has admitted since it was heard
-// last. The lock is held.
-func (s *service) countTrials(now clock.Millis, m *member, u *wire.Upstream) {
-	level := grade.LevelOf(u.Severity)
-	if level < grade.Failing {
-		m.counted = 0
-		return
-	}
-	if m.counted == 0 || s.pacer.Told(u.Trials-m.trials, now-m.counted, level, s.entries) {
-		m.counted, m.trials = now, u.Trials
+// invited takes in a gate's wish for a request.
+func (s *service) invited(now clock.Millis, i *wire.Invitation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.byName[i.Upstream]; ok {
+		m.invited = now + i.For
 	}
 }
 
-// trialDue returns an upstream that is set aside and due for a trial by this
-// entry. Each entry draws its spans so that all of them together make one trial
-// in each Gap, without a word between them.
-func (s *service) trialDue(now clock.Millis) (int, bool) {
+// invitation returns an upstream that wants a request, and takes it up. The lock is
+// held.
+func (s *service) invitation(now clock.Millis, tried []*member) (int, bool) {
 	for i, m := range s.members {
-		if s.uses[i] != floor.Aside {
-			m.trial = 0
-			continue
-		}
-		gap := s.pacer.Span(grade.LevelOf(s.options[i].Risk))
-		switch {
-		case m.trial == 0:
-			m.trial = now + clock.Millis(s.random.Int64N(int64(gap)))
-		case now >= m.trial:
-			m.trial = now + gap/2 + clock.Millis(s.random.Int64N(int64(gap)))
+		if m.invited >= now && s.uses[i] != floor.Gone && !slices.Contains(tried, m) {
+			m.invited = 0
 			return i, true
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,6 +161,19 @@
 	}
 }
 
+// Invited takes in a gate's wish for a request.
+func (e *Entry) Invited(i *wire.Invitation) {
+	t := e.table.Load()
+	if t == nil {
+		return
+	}
+	if c, _, ok := t.Upstream(i.Upstream); ok {
+		if s, found := (*e.services.Load())[c.Name]; found {
+			s.invited(e.config.Now(), i)
+		}
+	}
+}
+
 // Path takes in whether a node can be reached from here.
 func (e *Entry) Path(node string, lost bool) {
 	for _, s := range *e.services.Load() {
--- a/entry/member.go
+++ b/entry/member.go
@@ -20,12 +20,8 @@
 	lost     bool
 	gone     bool // the instance list says that it is leaving
 	sent     int  // dispatches of this entry without an outcome
-	// trial is when this entry may send it a trial next.
-	trial clock.Millis
-	// counted is when the gate's count of trials was taken in last, and what it
-	// was; 0 while the upstream isn't set aside.
-	counted clock.Millis
-	trials  uint32
+	// invited is until when its gate's wish for a request stands.
+	invited clock.Millis
 }
 
 // verdict is the gate's as last heard. A hold-off that has run out since is a
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -11,7 +10,6 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
-	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -24,9 +22,6 @@
 // against the requests in between.
 const baselineEvery = clock.Millis(200)
 
-// trialStream keeps the draws of trials apart from others of the same seed.
-const trialStream = 3
-
 // service is this entry's view of one service.
 type service struct {
 	log     logrus.FieldLogger
@@ -41,10 +36,7 @@
 	chooser  *choice.Chooser
 	ranker   *choice.Ranker
 	options  []choice.Option
-	random   *rand.Rand
 	domain   string
-	entries  int // nodes that send to the service
-	pacer    *grade.Pacer
 	budget   *retry.Budget
 	baseline health.Baseline
 	best     float64 // the lowest share of failures in view
@@ -69,9 +61,7 @@
 		byName:  map[string]*member{},
 		chooser: choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:  choice.NewRanker(seed),
-		random:  rand.New(rand.NewPCG(seed, trialStream)),
 		domain:  domain,
-		pacer:   grade.NewPacer(1),
 		best:    1,
 		budget:  retry.New(budgetOf(c, 1, seed)),
 		dirty:   true,
@@ -109,10 +99,6 @@
 		s.budget.Adjust(budgetOf(c, nodeCount, s.seed))
 	}
 	s.config = c
-	if s.entries == 0 {
-		s.pacer = grade.NewPacer(nodeCount)
-	}
-	s.entries = nodeCount
 	old := s.byName
 	s.byName = make(map[string]*member, len(c.Upstreams))
 	s.members = make([]*member, 0, len(c.Upstreams))
@@ -279,7 +265,6 @@
 		return
 	}
 	old := m.state
-	s.countTrials(now, m, &u)
 	m.state, m.heard = u, now
 	if old.State != u.State || old.Severity != u.Severity || old.Leaving != u.Leaving {
 		s.dirty = true
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -76,6 +76,9 @@
 	// node failed within a span: what failed then may not be its own fault. It
 	// may be nil.
 	Excused func(from, to clock.Millis) bool
+	// Invite asks an entry, or any one for entry 0, for a request, and returns
+	// false where it can't be reached. It may be nil and must not block.
+	Invite func(entry uint64, i *wire.Invitation) bool
 	// Refusals may be nil.
 	Refusals Refusals
 	// Keys is shared by all gates of a node.
@@ -99,6 +102,10 @@
 	// holds are the slots kept for dispatches that were announced.
 	holds   map[lease.Key]*time.Timer
 	tickets uint64
+	// senders are the entries that lately sent what may be repeated; turn counts
+	// the invitations that they got.
+	senders []uint64
+	turn    int
 	leaving bool // for good, as the node is shutting down
 	listed  bool // as the instance list says
 	leftAt  clock.Millis
@@ -123,7 +130,7 @@
 
 // New returns a gate that admits requests.
 func New(c Config) *Gate {
-	return &Gate{
+	g := &Gate{
 		config:   c,
 		log:      c.Log.WithFields(logrus.Fields{"service": c.Service.Name, "upstream": c.Upstream.Name}),
 		made:     c.Now(),
@@ -135,6 +142,10 @@
 		jobs:     map[uint64]*job{},
 		holds:    map[lease.Key]*time.Timer{},
 	}
+	if c.Invite != nil {
+		time.AfterFunc(inviteEvery.Duration(), g.invite)
+	}
+	return g
 }
 
 // Handle takes in a dispatch. The answer function is called once, or never for
@@ -149,6 +160,7 @@
 		return
 	}
 	g.learn(d)
+	g.noteSender(d)
 	if reply, ok := g.known(now, d); ok && verdict == lease.Fresh {
 		g.keep(now, &job{key: key}, reply)
 		g.mu.Unlock()
--- /dev/null
+++ b/gate/invite.go
@@ -0,0 +1,72 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const (
+	// inviteEvery is the span between two invitations while the upstream wants a
+	// request: an entry has its next one some time later, or none. At 200 ms in
+	// place of 100 a recovered upstream is back 0.1 s later (measure/episodes).
+	inviteEvery = 100 * clock.Millis(1)
+	// inviteFor is how long an invitation stands: at half of it, entries that have
+	// a request in two seconds follow too seldom, and 33 trials a minute come in
+	// place of 60 (package grade).
+	inviteFor = clock.Second
+	// mostSenders is how many entries are remembered: with some that have left
+	// since, enough to reach one that has a request soon.
+	mostSenders = 32
+)
+
+// seeker is a judge that wants a request where an upstream has got none for long.
+type seeker interface {
+	Wants(now clock.Millis) bool
+}
+
+// noteSender remembers an entry that sends what may be repeated. The gate's lock
+// is held.
+func (g *Gate) noteSender(d *wire.Dispatch) {
+	if !d.Repeatable || slices.Contains(g.senders, d.ID.Entry) {
+		return
+	}
+	if len(g.senders) >= mostSenders {
+		g.senders = slices.Delete(g.senders, 0, 1)
+	}
+	g.senders = append(g.senders, d.ID.Entry)
+}
+
+// invite asks one entry after the other for a request while the upstream wants
+// one, until the gate leaves.
+func (g *Gate) invite() {
+	g.mu.Lock()
+	if g.leaving {
+		g.mu.Unlock()
+		return
+	}
+	wants := false
+	if judge, ok := g.judge.(seeker); ok && !g.left() {
+		wants = judge.Wants(g.config.Now())
+	}
+	entry := uint64(0)
+	if wants && len(g.senders) > 0 {
+		g.turn++
+		entry = g.senders[g.turn%len(g.senders)]
+	}
+	name := g.upstream.Name
+	g.mu.Unlock()
+	if wants && !g.config.Invite(entry, &wire.Invitation{Upstream: name, For: inviteFor}) {
+		g.forgetSender(entry)
+	}
+	time.AfterFunc(inviteEvery.Duration(), g.invite)
+}
+
+// forgetSender drops an entry that has no link any more.
+func (g *Gate) forgetSender(entry uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.senders = slices.DeleteFunc(g.senders, func(known uint64) bool { return known == entry })
+}
--- a/gate/status.go
+++ b/gate/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"fuchsiapick.example/fuchsiapick/clock"
-	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -46,18 +45,9 @@
 		Until:    max(s.Until-now, 0),
 		Leaving:  g.left(),
 		Own:      wire.BaselineOf(own),
-		Trials:   g.trials(),
 	}
 }
 
-// trials is how many trials a judge of brief episodes has admitted.
-func (g *Gate) trials() uint32 {
-	if brief, ok := g.judge.(*grade.Judge); ok {
-		return brief.TrialCount()
-	}
-	return 0
-}
-
 func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
 	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
 }
--- a/grade/judge.go
+++ b/grade/judge.go
@@ -59,6 +59,7 @@
 	}
 	j.count(now, r)
 	j.filter.Observe(now, r)
+	j.trials.Ended(r == Good)
 	before := j.state
 	j.note(now)
 	return j.state != before
@@ -115,8 +116,10 @@
 	j.state = next
 }
 
-// TrialCount is how many trials were admitted.
-func (j *Judge) TrialCount() uint32 { return j.trials.Count }
+// Wants reports whether the upstream has got no request for too long.
+func (j *Judge) Wants(now clock.Millis) bool {
+	return j.trials.Due(now, j.filter.Probability(now))
+}
 
 // Status is the verdict at an instant. Its severity is the probability.
 func (j *Judge) Status(now clock.Millis) health.Status {
--- /dev/null
+++ b/grade/level.go
@@ -0,0 +1,41 @@
+package grade
+
+// Level sorts probabilities for those who are told of changes.
+type Level uint8
+
+// The levels.
+const (
+	// Sound upstreams get all work.
+	Sound Level = iota
+	// Doubtful ones get work that may be repeated, and other work where no
+	// sound one has room.
+	Doubtful
+	// Failing ones get trials.
+	Failing
+	// Certain ones get trials, fewer.
+	Certain
+)
+
+// Bounds of the levels. One failure of a sound upstream (0.01) makes it 0.3, and
+// one of an upstream that wasn't heard of for ten seconds (0.25) makes it failing.
+const (
+	doubtful = 0.15
+	// Aside is the probability from which on work that runs once only isn't
+	// given to an upstream: more than half of it would be lost.
+	Aside   = 0.5
+	certain = 0.9
+)
+
+// LevelOf returns a probability's level.
+func LevelOf(probability float64) Level {
+	switch {
+	case probability < doubtful:
+		return Sound
+	case probability < Aside:
+		return Doubtful
+	case probability < certain:
+		return Failing
+	default:
+		return Certain
+	}
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -188,6 +188,7 @@
 func (l *lost) PeerBeat(string, *wire.Beat)        {}
 func (l *lost) PeerUpstream(string, wire.Upstream) {}
 func (l *lost) PeerEdition(string, *wire.Edition)  {}
+func (l *lost) PeerInvitation(*wire.Invitation)    {}
 func (l *lost) PeerPath(_ string, state path.State) {
 	l.seen.Store(l.seen.Load() || state == path.Lost)
 }
@@ -269,6 +270,7 @@
 func (watcher) PeerBeat(string, *wire.Beat)           {}
 func (watcher) PeerUpstream(string, wire.Upstream)    {}
 func (watcher) PeerEdition(string, *wire.Edition)     {}
+func (watcher) PeerInvitation(*wire.Invitation)       {}
 func (w watcher) PeerPath(_ string, state path.State) { w.states <- state }
 
 func reach(t *testing.T, reached func() bool) {
--- a/link/peer.go
+++ b/link/peer.go
@@ -45,6 +45,7 @@
 	PeerBeat(node string, b *wire.Beat)
 	PeerUpstream(node string, u wire.Upstream)
 	PeerEdition(node string, e *wire.Edition)
+	PeerInvitation(i *wire.Invitation)
 	PeerPath(node string, state path.State)
 }
 
@@ -275,6 +276,8 @@
 		p.config.Watcher.PeerBeat(p.config.Address, m)
 	case *wire.Edition:
 		p.config.Watcher.PeerEdition(p.config.Address, m)
+	case *wire.Invitation:
+		p.config.Watcher.PeerInvitation(m)
 	default:
 		conn.Close()
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -207,6 +207,21 @@
 	}
 }
 
+// Invite sends an invitation to an entry, or to any one for entry 0. It returns
+// false without a link to it.
+func (s *Server) Invite(entry uint64, i *wire.Invitation) bool {
+	s.mu.Lock()
+	c, ok := s.latest[entry]
+	for _, other := range s.latest {
+		if ok || entry != 0 {
+			break
+		}
+		c, ok = other, true
+	}
+	s.mu.Unlock()
+	return ok && c.Send(i) == nil
+}
+
 // sendReply splits a body over frames, so that a large answer doesn't hold up
 // the small ones behind it.
 func sendReply(c *Conn, r *wire.Reply) error {
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -1,7 +1,7 @@
 package episodes
 
 import (
-	"math/rand/v2"
+	"slices"
 
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -14,7 +14,8 @@
 	probability float64
 	load        int
 	at          clock.Millis
-	trial       clock.Millis
+	// invited is until when the gate's wish for a request stands.
+	invited clock.Millis
 }
 
 // brief plays entries and gates at caution brief.
@@ -28,12 +29,14 @@
 	tickets uint64
 	views   [][]heard // by entry
 	rankers []*choice.Ranker
-	pacers  []*grade.Pacer
-	random  *rand.Rand
+	// senders are, by upstream, the entries that sent it what may be repeated, and
+	// turns the invitations that they got.
+	senders [][]int
+	turns   []int
 }
 
 func newBrief(w *world) *brief {
-	b := &brief{world: w, waiting: map[uint64]*request{}, random: rand.New(rand.NewPCG(w.config.Seed, 99))}
+	b := &brief{world: w, waiting: map[uint64]*request{}}
 	for i := range w.config.Upstreams {
 		b.filters = append(b.filters, grade.New(0))
 		b.trials = append(b.trials, grade.Trials{})
@@ -43,11 +46,21 @@
 	for e := range w.config.Entries {
 		b.views = append(b.views, make([]heard, w.config.Upstreams))
 		b.rankers = append(b.rankers, choice.NewRanker(w.config.Seed+uint64(e)))
-		b.pacers = append(b.pacers, grade.NewPacer(w.config.Entries))
+	}
+	b.senders, b.turns = make([][]int, w.config.Upstreams), make([]int, w.config.Upstreams)
+	for i := range w.config.Upstreams {
+		w.after(inviteEvery, func() { b.invite(i) })
 	}
 	return b
 }
 
+// Figures of invitations, as in package gate.
+const (
+	inviteEvery = 100 * clock.Millis(1)
+	inviteFor   = clock.Second
+	mostSenders = 32
+)
+
 // Steps of a request's search, as in package entry.
 const (
 	mostAsks  = 4
@@ -58,7 +71,7 @@
 func (b *brief) start(r *request) {
 	now := b.world.now
 	if r.asks < mostAsks {
-		if i, ok := b.trialDue(r); ok {
+		if i, ok := b.invitation(r); ok {
 			b.send(r, i, 0, false)
 			return
 		}
@@ -116,31 +129,44 @@
 	return b.rankers[r.entry].Choose(options, weight)
 }
 
-// trialDue returns an upstream that is due for a trial by the request's entry.
-func (b *brief) trialDue(r *request) (int, bool) {
+// invitation returns an upstream whose gate asked the request's entry for one.
+func (b *brief) invitation(r *request) (int, bool) {
 	if !r.kind.Repeatable || r.ran > 0 || r.asks > 0 {
 		return 0, false
 	}
-	now := b.world.now
 	for i := range b.views[r.entry] {
-		h := &b.views[r.entry][i]
-		p := grade.Drift(h.probability, now-h.at)
-		if p < grade.Aside {
-			h.trial = 0
-			continue
-		}
-		span := b.pacers[r.entry].Span(grade.LevelOf(p))
-		switch {
-		case h.trial == 0:
-			h.trial = now + clock.Millis(b.random.Int64N(int64(span)))
-		case now >= h.trial:
-			h.trial = now + span/2 + clock.Millis(b.random.Int64N(int64(span)))
+		if h := &b.views[r.entry][i]; h.invited >= b.world.now {
+			h.invited = 0
 			return i, true
 		}
 	}
 	return 0, false
 }
 
+// invite asks one entry after the other while an upstream wants a request.
+func (b *brief) invite(i int) {
+	now := b.world.now
+	if n := len(b.senders[i]); n > 0 && b.trials[i].Due(now, b.filters[i].Probability(now)) {
+		b.turns[i]++
+		h := &b.views[b.senders[i][b.turns[i]%n]][i]
+		b.world.after(hop, func() { h.invited = now + inviteFor })
+	}
+	if now < b.world.config.Span {
+		b.world.after(inviteEvery, func() { b.invite(i) })
+	}
+}
+
+// noteSender remembers who sends what may be repeated.
+func (b *brief) noteSender(r *request, i int) {
+	if !r.kind.Repeatable || slices.Contains(b.senders[i], r.entry) {
+		return
+	}
+	b.senders[i] = append(b.senders[i], r.entry)
+	if len(b.senders[i]) > mostSenders {
+		b.senders[i] = b.senders[i][1:]
+	}
+}
+
 // send brings the request to a gate.
 func (b *brief) send(r *request, i int, wait clock.Millis, forced bool) {
 	r.tried[i] = true
@@ -149,6 +175,7 @@
 
 func (b *brief) arrive(r *request, i int, wait clock.Millis, forced bool) {
 	now := b.world.now
+	b.noteSender(r, i)
 	if !forced && !b.trials[i].Admit(now, b.filters[i].Probability(now), r.kind.Repeatable) {
 		b.refuse(r, i, false)
 		return
@@ -184,6 +211,7 @@
 			result = grade.Good
 		}
 		b.filters[i].Observe(b.world.now, result)
+		b.trials[i].Ended(ok)
 		if ticket, next := b.slots[i].Release(b.world.now); next {
 			if waiter, found := b.waiting[ticket]; found {
 				delete(b.waiting, ticket)
@@ -234,7 +262,7 @@
 	told := heard{probability: b.filters[i].Probability(now), load: load.InFlight + load.Waiting, at: now}
 	b.world.after(hop, func() {
 		h := &b.views[entry][i]
-		told.trial = h.trial
+		told.invited = h.invited
 		*h = told
 	})
 }
--- a/measure/episodes/episodes_test.go
+++ b/measure/episodes/episodes_test.go
@@ -60,3 +60,26 @@
 		}
 	}
 }
+
+// The price lists have 23 upstreams before 95 entries, and a third of their slots
+// is in use. A sound upstream that got nothing for two seconds is unused capacity;
+// with over 0.3 of them unused, callers are turned away beside idle servers. What
+// is heard of an upstream fades to doubt while it gets nothing: too doubtful to be
+// chosen, and never set aside, it stayed out for good.
+func TestSoundUpstreamsAreUsed(t *testing.T) {
+	for _, service := range []struct {
+		name   string
+		config episodes.Config
+		quiet  float64
+	}{{"listings", episodes.Listings(), 0.02}, {"conferme", episodes.Conferme(), 0.15}, {"squadre", episodes.Squadre(), 0.03}} {
+		for seed := range uint64(4) {
+			c := service.config
+			c.Policy, c.Seed = episodes.Brief, seed
+			r := episodes.Run(c)
+			t.Logf("%s, seed %d: %.3f of the sound upstreams unused, too many in %.3f of the time; run twice %.3f", service.name, seed, r.Quiet, r.Forsaken, r.Retries)
+			if r.Quiet > service.quiet || r.Forsaken > 0 {
+				t.Errorf("%s, seed %d: got %.3f unused, and too many in %.3f of the time, want %v at most and none", service.name, seed, r.Quiet, r.Forsaken, service.quiet)
+			}
+		}
+	}
+}
--- a/measure/episodes/world.go
+++ b/measure/episodes/world.go
@@ -72,6 +72,30 @@
 	}
 }
 
+// Listings is the price lists of the larger deployment: most of its requests may be
+// repeated, and each of many entries sends one in two seconds.
+func Listings() Config {
+	return Config{
+		Kinds: []Kind{
+			{"lookup", 48.7, 1500, 0.5, 4000, 6000, 2, true},
+			{"revision", 14, 1100, 0.5, 4000, 6000, 1, false},
+		},
+		Entries: 95, Upstreams: 23, Slots: 13, Load: 1, Span: 2 * clock.Minute,
+	}
+}
+
+// Conferme is the confirmations of the larger deployment: most of its requests run
+// once only.
+func Conferme() Config {
+	return Config{
+		Kinds: []Kind{
+			{"confirm", 128, 420, 0.5, 1500, 3000, 1, false},
+			{"lookup", 33, 100, 0.5, 400, 1200, 1, true},
+		},
+		Entries: 81, Upstreams: 32, Slots: 5, Load: 1, Span: 2 * clock.Minute,
+	}
+}
+
 // Figures of an episode: those that package grade is tuned to.
 const (
 	onsetMean    = float64(25 * clock.Second)
@@ -96,8 +120,24 @@
 	Kinds map[string]Result
 	// Retries is the share of requests that a second upstream ran.
 	Retries float64
+	// Quiet is the share, among upstreams that have been sound for soundFor, of
+	// those that got no request within the last quietSpan, over samples.
+	Quiet float64
+	// Forsaken is the share of samples in which that held for more than
+	// quietMost of them.
+	Forsaken float64
 }
 
+// What operators call an unused upstream: a sound one that gets nothing for two
+// seconds. At most 0.3 of a service's may be unused at a time.
+const (
+	quietSpan = 2 * clock.Second
+	soundFor  = 4 * clock.Second
+	quietMost = 0.3
+	// sampleEvery is the span between two looks.
+	sampleEvery = 250 * clock.Millis(1)
+)
+
 // request is one request on its way.
 type request struct {
 	kind     *Kind
@@ -122,6 +162,8 @@
 	sick   bool
 	until  clock.Millis
 	random *rand.Rand
+	// recovered is when the last episode ended, asked when the last request came.
+	recovered, asked clock.Millis
 }
 
 func (u *upstream) at(now clock.Millis) bool {
@@ -130,6 +172,8 @@
 		mean := onsetMean
 		if u.sick {
 			mean = recoveryMean
+		} else {
+			u.recovered = u.until
 		}
 		u.until += 1 + clock.Millis(u.random.ExpFloat64()*mean)
 	}
@@ -148,6 +192,8 @@
 	asked     int
 	retried   int
 	router    router
+	// counts of sample
+	samples, forsaken, sound, quiet int
 }
 
 // router decides where requests go.
@@ -173,15 +219,41 @@
 	for i := range c.Kinds {
 		w.arrive(&c.Kinds[i])
 	}
+	w.after(soundFor, w.sample)
 	for len(w.events) > 0 {
 		e, _ := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.act()
 	}
 	w.report.Retries = float64(w.retried) / float64(max(w.asked, 1))
+	w.report.Quiet = float64(w.quiet) / float64(max(w.sound, 1))
+	w.report.Forsaken = float64(w.forsaken) / float64(max(w.samples, 1))
 	return w.report
 }
 
+// sample looks for sound upstreams that get no requests.
+func (w *world) sample() {
+	sound, quiet := 0, 0
+	for _, u := range w.upstreams {
+		if u.at(w.now) || w.now-u.recovered < soundFor {
+			continue
+		}
+		sound++
+		if w.now-u.asked >= quietSpan {
+			quiet++
+		}
+	}
+	w.sound += sound
+	w.quiet += quiet
+	w.samples++
+	if float64(quiet) > quietMost*float64(sound) {
+		w.forsaken++
+	}
+	if w.now+sampleEvery <= w.config.Span {
+		w.after(sampleEvery, w.sample)
+	}
+}
+
 // arrive draws the next request of a kind.
 func (w *world) arrive(k *Kind) {
 	gap := 1 + clock.Millis(w.random.ExpFloat64()*float64(clock.Second)/(k.PerSecond*w.config.Load))
@@ -205,6 +277,7 @@
 // run plays a request's run at an upstream and tells how it ended.
 func (w *world) run(r *request, i int, ended func(ok bool)) {
 	r.ran++
+	w.upstreams[i].asked = w.now
 	if r.ran == 2 {
 		w.retried++
 	}
--- a/node/gates.go
+++ b/node/gates.go
@@ -61,6 +61,7 @@
 		Refusals: n.metrics,
 		Changed:  n.changed,
 		Excused:  n.entry.FailedWithin,
+		Invite:   n.invite,
 		Keys:     n.keys,
 		Log:      n.log,
 	})
@@ -103,6 +104,15 @@
 	g.Handle(d, answer)
 }
 
+// invite asks an entry for a request to an upstream beside this node.
+func (n *Node) invite(entry uint64, i *wire.Invitation) bool {
+	if entry == n.incarnation {
+		n.entry.Invited(i)
+		return true
+	}
+	return n.links.Invite(entry, i)
+}
+
 // Dispatch takes in a request from another node's entry.
 func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
 	n.handle(d, func(r *wire.Reply) { n.links.Answer(from, r) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -183,6 +183,11 @@
 	n.entry.Heard(u)
 }
 
+// PeerInvitation takes in a gate's wish for a request.
+func (n *Node) PeerInvitation(i *wire.Invitation) {
+	n.entry.Invited(i)
+}
+
 // PeerEdition takes in a table that was asked for.
 func (n *Node) PeerEdition(node string, e *wire.Edition) {
 	n.Edition(node, e)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -60,8 +60,6 @@
 	Until   clock.Millis
 	Leaving bool
 	Own     Baseline
-	// Trials counts the trials that the gate has admitted.
-	Trials uint32
 }
 
 // Challenge is the first frame on a link, from the node that accepted it.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -14,7 +14,7 @@
 
 // Format is the version of the messages. Nodes of different formats refuse
 // each other's links.
-const Format = 2
+const Format = 3
 
 // Bounds on what a peer may send.
 const (
@@ -54,6 +54,7 @@
 	KindVoided
 	KindEnquiry
 	KindHold
+	KindInvitation
 )
 
 // Message is one of the message types of this package, by pointer.
@@ -141,6 +142,8 @@
 	KindVoided:    func() Message { return new(Voided) },
 	KindEnquiry:   func() Message { return new(Enquiry) },
 	KindHold:      func() Message { return new(Hold) },
+
+	KindInvitation: func() Message { return new(Invitation) },
 }
 
 func blank(k Kind) Message {
