feat(grade,gate): take a run that lasts as evidence at once

Cause: an upstream in an episode fails within 1 to 3 ms, and a run of 0.1 to 1.7 s tells only at its end that it began well. What is known of an upstream is a run old.

Change: a run of 20 ms counts as an advance (0.35) on its outcome; both together weigh as the outcome alone, so that hangs and late failures are judged as before.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -122,6 +122,7 @@
 	until    clock.Millis
 	running  bool
 	overdue  bool
+	lasted   bool // its judge was told that the run lasts
 	timer    *time.Timer
 	// abandon breaks off the call; it is set while it runs.
 	abandon context.CancelFunc
--- a/gate/run.go
+++ b/gate/run.go
@@ -72,10 +72,42 @@
 	if j.timer != nil {
 		j.timer.Stop()
 	}
-	j.timer = time.AfterFunc(g.overdueAfter(j).Duration(), func() { g.overdue(j) })
+	first := g.overdueAfter(j)
+	if _, ok := g.judge.(early); ok {
+		first = min(first, lastingAfter)
+	}
+	j.timer = time.AfterFunc(first.Duration(), func() { g.running(now, j) })
 	return now, true
 }
 
+// lastingAfter is the age from which a run has outlasted those of an upstream in an
+// episode: these end within 1 to 3 ms, and the rest is for a busy node.
+const lastingAfter = 20 * clock.Millis(1)
+
+// early is a judge that takes a run which lasts as evidence.
+type early interface {
+	Lasting(now clock.Millis)
+}
+
+// running looks at a run that has no outcome yet.
+func (g *Gate) running(began clock.Millis, j *job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.jobs[j.ticket]; !ok {
+		return
+	}
+	now := g.config.Now()
+	judge, ok := g.judge.(early)
+	if !ok || j.lasted || now-began >= g.overdueAfter(j) {
+		g.overdue(now, j)
+		return
+	}
+	judge.Lasting(now)
+	j.lasted = true
+	j.timer.Reset(max(began+g.overdueAfter(j)-now, 1).Duration())
+	g.noteState(now)
+}
+
 // overdueAfter is the age from which a run without an answer is evidence. Requests
 // of one service differ tenfold in their work, so their routes say it.
 func (g *Gate) overdueAfter(j *job) clock.Millis {
@@ -87,15 +119,10 @@
 
 // overdue counts a request that has no outcome yet as evidence: a backend
 // server that hangs gives no outcome to count. It tells again after as long
-// again, for slots that are all held by a hang give no other evidence.
-func (g *Gate) overdue(j *job) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, ok := g.jobs[j.ticket]; !ok {
-		return
-	}
-	now := g.config.Now()
-	g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller, Again: j.overdue})
+// again, for slots that are all held by a hang give no other evidence. The
+// gate's lock is held.
+func (g *Gate) overdue(now clock.Millis, j *job) {
+	g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller, Again: j.overdue, Lasted: j.lasted})
 	j.overdue = true
 	j.timer.Reset(g.overdueAfter(j).Duration())
 	g.noteState(now)
@@ -111,7 +138,7 @@
 		if result == health.Failed && err == nil && g.excused(began, now) {
 			result = health.CallerFault
 		}
-		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller})
+		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted})
 	}
 	next := g.release(now) // first: the reply says how busy the upstream is now
 	late := g.late(now)    // those that were passed over
--- a/grade/filter.go
+++ b/grade/filter.go
@@ -46,6 +46,12 @@
 	// in thirty of a sound upstream's, nearly all of one that hangs or is slow by
 	// five times, and the calls that a run makes may be why.
 	overdueWeight = 15
+	// lastingWeight is for a run that has outlasted those of an episode, which end
+	// within milliseconds. It is taken as an advance on the outcome: that comes a
+	// second later, and tells of the run's beginning. Requests that run once only
+	// then fail in 0.025 of the runs of measure/episodes, listings, in place of
+	// 0.036; sound upstreams alone fail 0.012.
+	lastingWeight = 0.35
 	// shedWeight is for an upstream that refuses with slots free.
 	shedWeight = 3
 )
@@ -76,7 +82,22 @@
 
 // Observe takes in one outcome.
 func (f *Filter) Observe(now clock.Millis, r Result) {
-	f.probability = weigh(f.Probability(now), weightOf(r))
+	f.weigh(now, weightOf(r))
+}
+
+// Lasting takes in that a run has outlasted those of an episode.
+func (f *Filter) Lasting(now clock.Millis) {
+	f.weigh(now, lastingWeight)
+}
+
+// ObserveLasted takes in the outcome of a run that was told as lasting: both
+// together weigh as the outcome alone.
+func (f *Filter) ObserveLasted(now clock.Millis, r Result) {
+	f.weigh(now, weightOf(r)/lastingWeight)
+}
+
+func (f *Filter) weigh(now clock.Millis, weight float64) {
+	f.probability = weigh(f.Probability(now), weight)
 	f.at = max(now, f.at)
 }
 
--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -160,3 +160,20 @@
 		t.Errorf("got it set aside after %d overdue runs, want 2", overdue)
 	}
 }
+
+// A run that outlasts those of an episode is told before its end, which comes a
+// second later. The outcome must not count for more than it does alone.
+func TestLastingRunIsAnAdvanceOnItsOutcome(t *testing.T) {
+	for _, r := range []grade.Result{grade.Good, grade.Failed, grade.Overdue} {
+		early, whole := grade.New(0), grade.New(0)
+		early.Lasting(20)
+		if got := early.Probability(20); got >= whole.Probability(20) {
+			t.Errorf("got %.3f after a run lasted, want less than %.3f", got, whole.Probability(20))
+		}
+		early.ObserveLasted(20, r)
+		whole.Observe(20, r)
+		if got, want := early.Probability(20), whole.Probability(20); got-want > 1e-9 || want-got > 1e-9 {
+			t.Errorf("result %d: got %.4f, want %.4f as of the outcome alone", r, got, want)
+		}
+	}
+}
--- a/grade/judge.go
+++ b/grade/judge.go
@@ -58,13 +58,23 @@
 		return false
 	}
 	j.count(now, r)
-	j.filter.Observe(now, r)
+	if o.Lasted {
+		j.filter.ObserveLasted(now, r)
+	} else {
+		j.filter.Observe(now, r)
+	}
 	j.trials.Ended(r == Good)
 	before := j.state
 	j.note(now)
 	return j.state != before
 }
 
+// Lasting takes in that a run has outlasted those of an episode.
+func (j *Judge) Lasting(now clock.Millis) {
+	j.filter.Lasting(now)
+	j.note(now)
+}
+
 func resultOf(r health.Result) (Result, bool) {
 	switch r {
 	case health.Good:
--- a/health/types.go
+++ b/health/types.go
@@ -56,6 +56,9 @@
 	// find a hang that holds every slot, so that no other request can tell.
 	// They count only while nothing else has ended in between.
 	Again bool
+	// Lasted marks a request whose run was told as lasting before. It is for
+	// judges that take such notice.
+	Lasted bool
 	// Caller bounds what one caller can contribute. Empty is a caller too.
 	Caller string
 }
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -54,11 +54,12 @@
 	return b
 }
 
-// Figures of invitations, as in package gate.
+// Figures of package gate.
 const (
-	inviteEvery = 100 * clock.Millis(1)
-	inviteFor   = clock.Second
-	mostSenders = 32
+	lastingAfter = 20 * clock.Millis(1)
+	inviteEvery  = 100 * clock.Millis(1)
+	inviteFor    = clock.Second
+	mostSenders  = 32
 )
 
 // Steps of a request's search, as in package entry.
@@ -205,12 +206,24 @@
 }
 
 func (b *brief) run(r *request, i int) {
+	ended, lasted := false, false
+	b.world.after(lastingAfter, func() {
+		if lasted = !ended; lasted {
+			b.filters[i].Lasting(b.world.now)
+			b.news(i)
+		}
+	})
 	b.world.run(r, i, func(ok bool) {
+		ended = true
 		result := grade.Failed
 		if ok {
 			result = grade.Good
 		}
-		b.filters[i].Observe(b.world.now, result)
+		if lasted {
+			b.filters[i].ObserveLasted(b.world.now, result)
+		} else {
+			b.filters[i].Observe(b.world.now, result)
+		}
 		b.trials[i].Ended(ok)
 		if ticket, next := b.slots[i].Release(b.world.now); next {
 			if waiter, found := b.waiting[ticket]; found {
--- a/measure/episodes/episodes_test.go
+++ b/measure/episodes/episodes_test.go
@@ -83,3 +83,27 @@
 		}
 	}
 }
+
+// Price revisions and confirmations run once only: each that meets an upstream in
+// an episode is lost. A sound one fails 0.012 of them, the rest are those that
+// came before its gate knew.
+func TestWorkThatRunsOnceMeetsFewEpisodes(t *testing.T) {
+	for _, tt := range []struct {
+		name, kind string
+		config     episodes.Config
+		least      float64
+	}{{"listings", "revision", episodes.Listings(), 0.97}, {"conferme", "confirm", episodes.Conferme(), 0.976}} {
+		var sum episodes.Result
+		for seed := range uint64(4) {
+			c := tt.config
+			c.Policy, c.Seed = episodes.Brief, seed
+			k := episodes.Run(c).Kinds[tt.kind]
+			sum.Asked += k.Asked
+			sum.Served += k.Served
+		}
+		t.Logf("%s: %.4f of %d served", tt.name, sum.Share(), sum.Asked)
+		if sum.Share() < tt.least {
+			t.Errorf("%s: got %.4f served, want %.3f at least", tt.name, sum.Share(), tt.least)
+		}
+	}
+}
