perf(wire,link,grade): smaller heartbeats, and fewer at once

Figures to 16 digits took 27 bytes of each status, the dialling side repeated its upstreams to one that hears of them on a link of its own, and each change of a gate's level went to all entries.

Change: figures of three digits in 3 bytes; no upstreams in the dialling side's heartbeats; entries hear at once that an upstream is worse or back, not that a doubt is over.

Test: wire TestBeatIsSmall, grade TestNewsAreWorseOrBack.

--- a/gate/journal.go
+++ b/gate/journal.go
@@ -43,12 +43,9 @@
 	if g.service.Caution != table.Brief {
 		return
 	}
-	level := grade.LevelOf(severity)
-	if level == g.level {
-		return
-	}
-	g.level = level
-	if g.config.Changed != nil {
+	before := g.level
+	g.level = grade.LevelOf(severity)
+	if g.config.Changed != nil && grade.IsNews(before, g.level) {
 		g.config.Changed()
 	}
 }
--- a/gate/status.go
+++ b/gate/status.go
@@ -38,8 +38,8 @@
 	return wire.Upstream{
 		Name:     g.upstream.Name,
 		State:    uint8(s.State),
-		Severity: s.Severity,
-		Share:    s.Share,
+		Severity: wire.Short(s.Severity),
+		Share:    wire.Short(s.Share),
 		InFlight: load.InFlight,
 		Waiting:  load.Waiting,
 		Until:    max(s.Until-now, 0),
--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -177,3 +177,27 @@
 		}
 	}
 }
+
+// A failing upstream must be known at once, and one that is back; that a doubt is
+// over may wait for a heartbeat.
+func TestNewsAreWorseOrBack(t *testing.T) {
+	tests := []struct {
+		before, now grade.Level
+		want        bool
+	}{
+		{grade.Sound, grade.Doubtful, true},
+		{grade.Doubtful, grade.Failing, true},
+		{grade.Sound, grade.Certain, true},
+		{grade.Failing, grade.Certain, false},
+		{grade.Certain, grade.Failing, false},
+		{grade.Certain, grade.Doubtful, true},
+		{grade.Failing, grade.Sound, true},
+		{grade.Doubtful, grade.Sound, false},
+		{grade.Sound, grade.Sound, false},
+	}
+	for _, tt := range tests {
+		if got := grade.IsNews(tt.before, tt.now); got != tt.want {
+			t.Errorf("from %d to %d: got news %v, want %v", tt.before, tt.now, got, tt.want)
+		}
+	}
+}
--- a/grade/level.go
+++ b/grade/level.go
@@ -26,6 +26,16 @@
 	certain = 0.9
 )
 
+// IsNews reports whether entries should hear at once of a change: that an upstream is
+// worse, or is back. That it is sound again has time until the next heartbeat, and
+// each word to all entries of a fleet takes some 80 bytes an entry.
+func IsNews(before, now Level) bool {
+	if now < before {
+		return before >= Failing && now < Failing
+	}
+	return now > before && before < Failing
+}
+
 // LevelOf returns a probability's level.
 func LevelOf(probability float64) Level {
 	switch {
--- a/link/peer.go
+++ b/link/peer.go
@@ -247,6 +247,7 @@
 	}
 	b := p.config.Status()
 	b.Time = p.config.Now()
+	b.Upstreams = nil // who is dialled hears of them on links of its own
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -259,11 +259,11 @@
 
 // news tells all entries of a changed level.
 func (b *brief) news(i int) {
-	level := grade.LevelOf(b.filters[i].Probability(b.world.now))
-	if level == b.levels[i] {
+	before := b.levels[i]
+	b.levels[i] = grade.LevelOf(b.filters[i].Probability(b.world.now))
+	if !grade.IsNews(before, b.levels[i]) {
 		return
 	}
-	b.levels[i] = level
 	for e := range b.views {
 		b.tell(e, i)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -70,13 +71,22 @@
 )
 
 func mustEncoder() cbor.UserBufferEncMode {
-	mode, err := cbor.EncOptions{Sort: cbor.SortNone}.UserBufferEncMode()
+	mode, err := cbor.EncOptions{Sort: cbor.SortNone, ShortestFloat: cbor.ShortestFloat16}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
 	return mode
 }
 
+// Short rounds a figure to some three digits, with which it takes 3 bytes in place of
+// 9. Heartbeats are most of what crosses between failure domains at rest, and hold
+// two such figures for each upstream.
+func Short(x float64) float64 {
+	const bits = 1 << 10
+	fraction, exponent := math.Frexp(x)
+	return math.Ldexp(math.Round(fraction*bits)/bits, exponent)
+}
+
 // A peer that nests or lengthens without bound would take the node's memory or
 // stack; the decoder refuses such input before it allocates for it.
 func mustDecoder() cbor.DecMode {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -115,3 +115,21 @@
 		}
 	})
 }
+
+// Heartbeats go over each link of a fleet every two seconds: 6,480 links of 81 nodes.
+// Figures to sixteen digits took 27 bytes of each.
+func TestBeatIsSmall(t *testing.T) {
+	beat := &wire.Beat{
+		Time: 60_000, Heard: 59_000, Version: 4000,
+		Upstreams: []wire.Upstream{{Name: "i-7f3a91c2d4", Share: wire.Short(1), Severity: wire.Short(0.0123456789), InFlight: 3}},
+	}
+	frame, err := wire.Encode(beat)
+	if err != nil || len(frame) > 50 {
+		t.Errorf("got %d bytes and %v, want at most 50", len(frame), err)
+	}
+	for _, x := range []float64{0, 0.002, 0.0123456789, 0.5, 0.998, 1} {
+		if got := wire.Short(x); got < x*0.999 || got > x*1.001 {
+			t.Errorf("got %v for %v, want it within a thousandth", got, x)
+		}
+	}
+}
