fix(mirror): take it from the store alone that a value is gone

Change: a removal that a peer tells is kept back until a call of the node's own, made at once, confirms it; one call stands for 3 s of removals. Such calls aren't told on. A store that is about to drop its history may count changes that it doesn't tell: a watch goes on from where it was.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -55,6 +55,12 @@
 	revision atomic.Uint64
 	woken    chan struct{}
 	isAway   bool
+	// confirmed is the copy's revision at the last call that was answered, which
+	// began at confirmedAt. isDoubted says that a peer has told of removals since
+	// that were not taken on its word.
+	confirmed   uint64
+	confirmedAt clock.Millis
+	isDoubted   bool
 }
 
 // NewFollower returns a follower; Serve runs it.
@@ -138,7 +144,7 @@
 
 // step makes one call and takes its answer in.
 func (f *Follower) step(ctx context.Context) error {
-	after := f.Revision()
+	after := f.from()
 	if after == 0 {
 		return f.relist(ctx)
 	}
@@ -151,6 +157,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if len(events) == 0 {
+		// A store that is about to drop its history may tell of no changes though it
+		// counts them: gone on from its count, they would never be known.
+		revision = after
+	}
 	f.take(asked, func(now clock.Millis) News {
 		n := newsOf(f.copy, after, revision, events, f.config.Matters)
 		f.copy.Apply(now, events, revision)
@@ -159,6 +170,16 @@
 	return nil
 }
 
+// from is the revision from which changes are to be read.
+func (f *Follower) from() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isDoubted {
+		return f.confirmed
+	}
+	return f.copy.Revision()
+}
+
 // relist reads all values anew and goes on from there.
 func (f *Follower) relist(ctx context.Context) error {
 	asked := f.config.Now()
@@ -183,10 +204,14 @@
 		f.copy.Returned(now)
 	}
 	news := change(now)
+	isUrgent := f.pace.Urgent() // all others make such a call too, and need not be told
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now))
-	f.pace.Known(asked)
-	f.tell(news, now, asked)
+	f.pace.Answered(asked)
+	f.confirmed, f.confirmedAt, f.isDoubted = f.copy.Revision(), asked, false
+	if !isUrgent {
+		f.tell(news, now, asked)
+	}
 }
 
 // note tells when the store goes away and when it is back.
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"slices"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -19,9 +21,6 @@
 	More bool
 	// Age is how long ago Revision was the store's.
 	Age clock.Millis
-	// Grace is how much longer values that vanish still count, after an absence of
-	// the store.
-	Grace clock.Millis
 }
 
 // newsOf sums up what a call has brought. It is made before the copy takes the
@@ -49,10 +48,29 @@
 		return
 	}
 	n.Age = now - asked
-	n.Grace = max(f.copy.heldUntil-now, 0)
 	f.config.Tell(n)
 }
 
+// confirmSpan is how long after a call of its own a node takes another's word that a
+// value is gone: with removals one after the other, as in a release, each node makes
+// a call in so long.
+const confirmSpan = 3 * clock.Second
+
+// believed returns the changes that are taken on a peer's word. A registration lapses
+// also where its upstream lives and is only cut off from the store, with this node
+// beside it or near it: the store must have told this node itself that it is gone.
+// A node that is cut off as well would else lose what it alone can reach.
+func (f *Follower) believed(now clock.Millis, events []Event) []Event {
+	isGone := func(e Event) bool { return e.Gone }
+	if now-f.confirmedAt <= confirmSpan || !slices.ContainsFunc(events, isGone) {
+		return events
+	}
+	f.isDoubted = true
+	f.pace.Hurry(now)
+	f.wake()
+	return slices.DeleteFunc(slices.Clone(events), isGone)
+}
+
 // Hear takes in what another node has learned.
 func (f *Follower) Hear(n News) {
 	f.mu.Lock()
@@ -67,10 +85,10 @@
 		f.wake()
 		return
 	}
-	if n.Grace > 0 {
-		f.copy.heldUntil = max(f.copy.heldUntil, now+n.Grace)
+	if f.pace.Failures() > 0 {
+		f.copy.Returned(now)
 	}
-	f.copy.Apply(now, n.Events, n.Revision)
+	f.copy.Apply(now, f.believed(now, n.Events), n.Revision)
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now)) // a grace may be over, without any event
 	f.pace.Known(now - n.Age)
--- a/mirror/pace.go
+++ b/mirror/pace.go
@@ -32,6 +32,8 @@
 	current  clock.Millis // what is known was the store's at that instant
 	due      clock.Millis
 	failures int
+	// isUrgent says that only a call of its own will do.
+	isUrgent bool
 }
 
 // NewPace returns a pace with a call due at once. Fresh is how old what is known may
@@ -45,18 +47,34 @@
 	return p.due
 }
 
+// Urgent reports whether only a call of its own will do.
+func (p *Pace) Urgent() bool {
+	return p.isUrgent
+}
+
 // Failures is how many calls in a row have failed.
 func (p *Pace) Failures() int {
 	return p.failures
 }
 
-// Known takes in that what is known was the store's at an instant, from a call or
-// from a peer.
+// Answered takes in a call that was answered with what was the store's at an
+// instant.
+func (p *Pace) Answered(at clock.Millis) {
+	p.isUrgent, p.failures = false, 0
+	p.Known(at)
+}
+
+// Known takes in that what is known was the store's at an instant, as a call or a
+// peer said.
 func (p *Pace) Known(at clock.Millis) {
 	if at <= p.current {
 		return
 	}
-	p.current, p.failures = at, 0
+	p.current = at
+	if p.isUrgent {
+		return
+	}
+	p.failures = 0
 	// The cube root leaves few nodes near the first instant, however many there are:
 	// with even draws, 95 would make 9 calls a second, for all that are due before
 	// the first one's news arrive call as well.
@@ -71,7 +89,11 @@
 	p.due = now + span/2 + clock.Millis(p.random.Int64N(int64(span)))
 }
 
-// Hurry takes in that there is a change which wasn't told.
+// Hurry takes in that there is a change which must be read.
 func (p *Pace) Hurry(now clock.Millis) {
+	if p.isUrgent {
+		return // the call is due already, or its backoff runs
+	}
+	p.isUrgent = true
 	p.due = min(p.due, now+clock.Millis(p.random.Int64N(hurrySpread)))
 }
--- a/wire/news.go
+++ b/wire/news.go
@@ -16,8 +16,6 @@
 	// Age is how long ago Revision was the platform's, at Time of the sender's
 	// clock.
 	Age, Time clock.Millis
-	// Grace is how much longer values that vanish still count.
-	Grace clock.Millis
 }
 
 // Kind names the frame.
