refactor(mirror,node,platform): one client and one reader for the platform

Cause: the product read its own table by calls that it had guessed before the users' store was known (package reading, stand-in Platform), beside platform.Store and mirror: two clients, two readers, two back-offs, two stand-ins.

Change: package reading goes. mirror.Follower reads both forms; the node holds it, tells and takes news, and checks and fences tables of its own form; platform.Fleet only makes tables of the users' values, platform.Source goes. The stand-in Platform speaks the published calls, with the faults of both stand-ins. The instance list moves to table.

Promises that no longer exist, with their tests: a version beside a value (ErrAbsent, ErrTooLarge, wrong Version headers: TestReader*), watches shared out by rendezvous hash (TestShare*), a rejected version offered once by version (now by revision).

--- a/capacity/platforms.go
+++ b/capacity/platforms.go
@@ -1,59 +1,59 @@
 package capacity
 
 import (
-	"math/rand/v2"
-
-	"fuchsiapick.example/fuchsiapick/reading"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/mirror"
 )
 
-// platforms measures how many nodes call the platform.
+// platforms measures how often a fleet calls the platform.
 func platforms() []Measure {
 	return []Measure{
 		{
-			Role: "platform", Name: "nodes that watch a key, each with a view of all", Unit: unitCount, Against: "nodes",
-			Sizes: nodeCounts(), Target: Nodes,
-			Cost: func(n int) (float64, error) { return watchers(n, n), nil },
-		},
-		{
-			Role: "platform", Name: "nodes that watch a key, each with a view of 32", Unit: unitCount, Against: "nodes",
+			Role: "platform", Name: "calls a second, each node hears the others", Unit: unitCount, Against: "nodes",
 			Sizes: nodeCounts(), Target: Nodes,
-			Cost: func(n int) (float64, error) { return watchers(n, viewed), nil },
+			Cost: func(n int) (float64, error) { return calls(n, true), nil },
 		},
 		{
-			Role: "platform", Name: "calls for a key that each node polls, a second", Unit: unitCount, Against: "nodes",
+			Role: "platform", Name: "calls a second, no node hears another", Unit: unitCount, Against: "nodes",
 			Sizes: nodeCounts(), Curve: true,
-			Cost: func(n int) (float64, error) {
-				plan := reading.Share(reading.ShareConfig{}, reading.View{Self: address(0), Fleet: n}, "table")
-				return float64(n) / plan.Poll.Seconds(), nil
-			},
+			Cost: func(n int) (float64, error) { return calls(n, false), nil },
 		},
 	}
 }
 
-// viewed is how many links a node has open where links are subset by service.
-const viewed = 32
-
-func address(i int) string { return ip(i) + ":7000" }
+const (
+	// callsSpan is how long a fleet is played.
+	callsSpan = 20 * clock.Second
+	// callsHop is from the start of a call until the other nodes have its news.
+	callsHop = 20 * clock.Millis(1)
+	// callsFresh is what today's operators ask for.
+	callsFresh = 2 * clock.Second
+)
 
-// watchers counts the nodes that watch a key when each sees so many others.
-func watchers(nodes, view int) float64 {
-	random := rand.New(rand.NewPCG(1, 0))
-	all := make([]string, 0, nodes)
-	for i := range nodes {
-		all = append(all, address(i))
+// calls plays a fleet in virtual time and counts its calls to the platform.
+func calls(nodes int, isHeard bool) float64 {
+	all := make([]*mirror.Pace, nodes)
+	for i := range all {
+		all[i] = mirror.NewPace(mirror.PaceConfig{Fresh: callsFresh, Seed: uint64(i)})
+		all[i].Size(nodes)
 	}
-	count := 0.0
-	for i := range nodes {
-		peers := all
-		if view < nodes {
-			peers = make([]string, 0, view)
-			for range view {
-				peers = append(peers, all[random.IntN(nodes)])
+	began := make(map[clock.Millis]bool) // calls under way, by their start
+	count := 0
+	for now := clock.Millis(1); now <= callsSpan; now++ {
+		isTold := isHeard && began[now-callsHop]
+		for _, p := range all {
+			if isTold {
+				p.Known(now - callsHop)
+			}
+			if now >= p.Due() {
+				count++
+				began[now] = true
+				p.Answered(now)
 			}
-		}
-		if reading.Share(reading.ShareConfig{}, reading.View{Self: all[i], Peers: peers, Fleet: nodes}, "table").Direct {
-			count++
 		}
 	}
-	return count
+	return float64(count) / callsSpan.Seconds()
 }
+
+// address is the link address of a node in measures.
+func address(i int) string { return ip(i) + ":7000" }
--- a/capacity/tables.go
+++ b/capacity/tables.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"fuchsiapick.example/fuchsiapick/reading"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
@@ -76,7 +75,7 @@
 			Cost: func(n int) (float64, error) {
 				text := []byte(instanceText(n))
 				return spent(func() error {
-					_, err := reading.ParseInstances(text)
+					_, err := table.ParseInstances(text)
 					return err
 				})
 			},
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -36,7 +36,7 @@
 		return ExitFault
 	}
 	defer closeLog()
-	config, source, err := nodeConfig(s, log)
+	config, tables, err := nodeConfig(s, log)
 	if err != nil {
 		log.WithError(err).Error("node not built")
 		return ExitFault
@@ -51,7 +51,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	r := &reloader{path: c.Settings, inForce: s, log: log, source: source}
+	r := &reloader{path: c.Settings, inForce: s, log: log, tables: tables}
 	go r.run(ctx)
 	go func() {
 		<-signals
--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -25,7 +25,7 @@
 	path    string
 	inForce *settings.Settings
 	log     *logrus.Logger
-	source  *platform.Source // nil without one
+	tables  *platform.Fleet // nil without one
 	// seen is the file's time of change when it was read last.
 	seen time.Time
 }
@@ -88,7 +88,7 @@
 	if level, err := logrus.ParseLevel(next.Log); err == nil { // the check allows known levels only
 		r.log.SetLevel(level)
 	}
-	if r.source != nil {
-		r.source.SetPolicy(policyOf(&next.Policy))
+	if r.tables != nil {
+		r.tables.SetPolicy(policyOf(&next.Policy))
 	}
 }
--- a/cmd/sourcecmd.go
+++ b/cmd/sourcecmd.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"hash/fnv"
 	"net/netip"
 
 	"github.com/juju/errors"
@@ -13,10 +12,13 @@
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-// nodeConfig is what a node is made from, with the platform's adapter where the
-// settings name it; the source is nil otherwise.
-func nodeConfig(s *settings.Settings, log *logrus.Logger) (node.Config, *platform.Source, error) {
+// nodeConfig is what a node is made from, with the platform's adapter. The fleet is
+// nil unless the settings say that the platform publishes in its own form.
+func nodeConfig(s *settings.Settings, log *logrus.Logger) (node.Config, *platform.Fleet, error) {
 	c := node.Config{Settings: s, Log: log}
+	if s.Platform.Address != "" {
+		c.Store = &platform.Store{Address: s.Platform.Address}
+	}
 	if s.Platform.Form != settings.FormStore {
 		return c, nil, nil
 	}
@@ -24,23 +26,15 @@
 	if err != nil {
 		return c, nil, errors.Annotate(err, "reading the link address")
 	}
-	seed := fnv.New64a()
-	_, _ = seed.Write([]byte(s.Node)) // a hash's Write never fails
+	fleet := platform.NewFleet(platform.FleetConfig{
+		Policy:   policyOf(&s.Policy),
+		LinkPort: link.Port(),
+		Log:      log,
+	})
 	c.CallerHeaders = platform.CallerHeaders()
 	c.UpstreamHeaders = platform.UpstreamHeaders()
-	source := platform.NewSource(platform.SourceConfig{
-		Address: s.Platform.Address,
-		Fresh:   s.Platform.Fresh,
-		Seed:    seed.Sum64(),
-		Log:     log,
-		Fleet: platform.FleetConfig{
-			Policy:   policyOf(&s.Policy),
-			LinkPort: link.Port(),
-			Log:      log,
-		},
-	})
-	c.Source = source
-	return c, source, nil
+	c.Tables = fleet
+	return c, fleet, nil
 }
 
 // policyOf is the service that the platform's own stand on.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/platform"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -203,7 +204,10 @@
 	if f.config.Adjust != nil {
 		f.config.Adjust(s)
 	}
-	m.Node, err = node.New(node.Config{Settings: s, Log: f.log, Listeners: listeners, KeyMargin: f.config.KeyMargin})
+	m.Node, err = node.New(node.Config{
+		Settings: s, Log: f.log, Listeners: listeners, KeyMargin: f.config.KeyMargin,
+		Store: &platform.Store{Address: s.Platform.Address},
+	})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/link/enquire.go
+++ b/link/enquire.go
@@ -70,7 +70,7 @@
 	key := keyOf(w.ID, w.Attempt)
 	one, ok := p.enquiries[key]
 	delete(p.enquiries, key)
-	if p.conn != nil && !(ok && one.unsent) {
+	if p.conn != nil && (!ok || !one.unsent) {
 		_ = p.conn.Send(w) // a slot that is kept is let go after a moment anyway
 	}
 }
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 )
 
@@ -14,19 +15,20 @@
 
 // Platform tells how reading the platform's values goes.
 type Platform interface {
-	Readings() []Reading
+	Reading() Reading
 }
 
-// Reading counts the calls for one of the platform's values since the node
-// started.
+// Reading counts the calls to the platform since the node started.
 type Reading struct {
-	// Key names the value, for example "table".
-	Key string
-	// Calls counts all calls, Errors those without an answer, Stale those
-	// answered with a version below the one that the node knows.
-	Calls, Errors, Stale uint64
-	// Seen is the version that the platform last named.
-	Seen uint64
+	// Calls counts all calls, Errors those without an answer among them.
+	Calls, Errors uint64
+	// Heard counts what other nodes told in place of a call.
+	Heard uint64
+	// Revision is the platform's at the last change that is known.
+	Revision uint64
+	// Age is how long ago what is known was the platform's, once Known.
+	Known bool
+	Age   clock.Millis
 }
 
 // Links tells how many links this node has to and from other nodes.
@@ -66,9 +68,13 @@
 	boundDesc = prometheus.NewDesc(namespace+"_requests_bound",
 		"Concurrent requests of callers that the settings allow.", nil, nil)
 	readDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
-		"Calls to the platform by what came of them.", []string{"key", "result"}, nil)
-	seenDesc = prometheus.NewDesc(namespace+"_platform_version",
-		"Version that the platform last named.", []string{"key"}, nil)
+		"Calls to the platform by what came of them.", []string{"result"}, nil)
+	heardDesc = prometheus.NewDesc(namespace+"_platform_news_total",
+		"News of the platform that other nodes told in place of a call.", nil, nil)
+	revisionDesc = prometheus.NewDesc(namespace+"_platform_revision",
+		"The platform's revision at the last change that is known.", nil, nil)
+	ageDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
+		"How long ago what is known was the platform's.", nil, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
@@ -84,7 +90,6 @@
 // Results of a call to the platform.
 const (
 	resultAnswered = "answered"
-	resultStale    = "stale"
 	resultError    = "error"
 )
 
@@ -103,7 +108,7 @@
 // Describe sends the descriptions.
 func (*sources) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, boundDesc, readDesc, seenDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
+		readyDesc, boundDesc, readDesc, heardDesc, revisionDesc, ageDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
 	} {
 		out <- d
 	}
@@ -119,9 +124,7 @@
 		out <- gauge(boundDesc, float64(c.Requests))
 	}
 	if c.Platform != nil {
-		for _, r := range c.Platform.Readings() {
-			collectReading(out, &r)
-		}
+		collectReading(out, c.Platform.Reading())
 	}
 	if c.Links != nil {
 		l := c.Links.Links()
@@ -136,12 +139,14 @@
 	}
 }
 
-func collectReading(out chan<- prometheus.Metric, r *Reading) {
-	answered := r.Calls - min(r.Calls, r.Errors+r.Stale)
-	out <- counter(readDesc, answered, r.Key, resultAnswered)
-	out <- counter(readDesc, r.Stale, r.Key, resultStale)
-	out <- counter(readDesc, r.Errors, r.Key, resultError)
-	out <- gauge(seenDesc, float64(r.Seen), r.Key)
+func collectReading(out chan<- prometheus.Metric, r Reading) {
+	out <- counter(readDesc, r.Calls-min(r.Calls, r.Errors), resultAnswered)
+	out <- counter(readDesc, r.Errors, resultError)
+	out <- counter(heardDesc, r.Heard)
+	out <- gauge(revisionDesc, float64(r.Revision))
+	if r.Known {
+		out <- gauge(ageDesc, r.Age.Seconds())
+	}
 }
 
 func collectGate(out chan<- prometheus.Metric, g *GateState) {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -29,9 +29,13 @@
 	// Fresh is how old what is known may be at most while the store answers; 0
 	// stands for two seconds.
 	Fresh clock.Millis
-	// Deliver takes in all values that count, after each call that changed
-	// them. It must not keep the slice's values beyond the next call.
-	Deliver func(items []Item)
+	// Backoff is the longest span after a failed call; 0 stands for 0.3 s.
+	Backoff clock.Millis
+	// Nodes tells how many nodes read the store; it may be nil.
+	Nodes func() int
+	// Deliver takes in all values that count, after each call and, told, after
+	// news of a peer. It must not keep the slice's values beyond the next call.
+	Deliver func(items []Item, isTold bool)
 	// Matters reports whether a change is worth telling other nodes, and Tell tells
 	// them; both may be nil. They must not block.
 	Matters func(old Item, e Event) bool
@@ -61,6 +65,27 @@
 	confirmed   uint64
 	confirmedAt clock.Millis
 	isDoubted   bool
+	stats       Stats
+}
+
+// Stats counts what a follower met.
+type Stats struct {
+	// Calls are those made, Errors those without an answer among them.
+	Calls, Errors uint64
+	// Heard is how often news of another node were taken in.
+	Heard uint64
+	// Known is the instant at which what is known was the store's, if IsKnown.
+	Known   clock.Millis
+	IsKnown bool
+}
+
+// Stats returns the counts so far.
+func (f *Follower) Stats() Stats {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.stats
+	s.Known, s.IsKnown = f.pace.current, f.pace.current >= 0
+	return s
 }
 
 // NewFollower returns a follower; Serve runs it.
@@ -71,12 +96,18 @@
 	if c.Matters == nil {
 		c.Matters = func(Item, Event) bool { return true }
 	}
-	return &Follower{config: c, copy: NewCopy(), pace: NewPace(c.Fresh, c.Seed), woken: make(chan struct{}, 1)}
+	return &Follower{config: c, copy: NewCopy(), pace: NewPace(PaceConfig{Fresh: c.Fresh, Backoff: c.Backoff, Seed: c.Seed}), woken: make(chan struct{}, 1)}
 }
 
 // Serve follows the store until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	for f.await(ctx) {
+		if f.config.Nodes != nil {
+			nodes := f.config.Nodes() // it may hold locks that take this one's
+			f.mu.Lock()
+			f.pace.Size(nodes)
+			f.mu.Unlock()
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			break
@@ -137,7 +168,7 @@
 		return false
 	}
 	f.copy.Reset(f.config.Now(), items, revision)
-	f.config.Deliver(f.copy.Items(f.config.Now()))
+	f.config.Deliver(f.copy.Items(f.config.Now()), true)
 	f.revision.Store(f.copy.Revision())
 	return true
 }
@@ -206,7 +237,7 @@
 	news := change(now)
 	isUrgent := f.pace.Urgent() // all others make such a call too, and need not be told
 	f.revision.Store(f.copy.Revision())
-	f.config.Deliver(f.copy.Items(now))
+	f.config.Deliver(f.copy.Items(now), false)
 	f.pace.Answered(asked)
 	f.confirmed, f.confirmedAt, f.isDoubted = f.copy.Revision(), asked, false
 	if !isUrgent {
@@ -216,11 +247,13 @@
 
 // note tells when the store goes away and when it is back.
 func (f *Follower) note(err error) {
+	f.mu.Lock()
+	f.stats.Calls++
 	if err != nil {
-		f.mu.Lock()
+		f.stats.Errors++
 		f.pace.Failed(f.config.Now())
-		f.mu.Unlock()
 	}
+	f.mu.Unlock()
 	if away := err != nil; away != f.isAway {
 		f.isAway = away
 		f.config.Away(err)
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -90,6 +90,7 @@
 	}
 	f.copy.Apply(now, f.believed(now, n.Events), n.Revision)
 	f.revision.Store(f.copy.Revision())
-	f.config.Deliver(f.copy.Items(now)) // a grace may be over, without any event
+	f.stats.Heard++
+	f.config.Deliver(f.copy.Items(now), true) // a grace may be over, without any event
 	f.pace.Known(now - n.Age)
 }
--- a/mirror/pace.go
+++ b/mirror/pace.go
@@ -15,19 +15,30 @@
 	// Fresh is for the answer, a table on a third of a core, and a hop.
 	firstShare = 0.4
 	lastShare  = 0.65
-	// firstBackoff and mostBackoff bound the span between failed calls: quick
-	// enough that a store that returns is read within its bounds, and spread, so
-	// that the nodes of a fleet don't come back as one wave.
+	// firstBackoff bounds the span after a failed call, doubled with each further
+	// one up to Backoff: quick enough that a store that returns is read within its
+	// bounds, and spread, so that the nodes of a fleet don't come back as one wave.
 	firstBackoff = 100 * clock.Millis(1)
-	mostBackoff  = 300 * clock.Millis(1)
-	// hurrySpread is the span over which the nodes of a fleet read a change that is
-	// too large to be told.
-	hurrySpread = 100
+	// defaultBackoff is the longest where an edit made at the store's return is to
+	// be in force within two seconds.
+	defaultBackoff = 300 * clock.Millis(1)
+	// hurrySpread is the least span over which the nodes of a fleet read a change
+	// that is too large to be told, hurryEach what each node adds to it.
+	hurrySpread = 100 * clock.Millis(1)
+	hurryEach   = clock.Millis(1)
 )
 
+// budget bounds the calls a second of a fleet in which no node hears of another, well
+// below the 2,000 that the platform allows: 2,400 nodes then call every 1.6 s.
+const budget = 1_500
+
+// mostDoublings keeps the doubled span from overflowing.
+const mostDoublings = 10
+
 // Pace says when a node reads the store. It is not safe for concurrent use.
 type Pace struct {
-	fresh    clock.Millis
+	config   PaceConfig
+	nodes    int
 	random   *rand.Rand
 	current  clock.Millis // what is known was the store's at that instant
 	due      clock.Millis
@@ -36,10 +47,31 @@
 	isUrgent bool
 }
 
-// NewPace returns a pace with a call due at once. Fresh is how old what is known may
-// be at most while the store answers.
-func NewPace(fresh clock.Millis, seed uint64) *Pace {
-	return &Pace{fresh: fresh, random: rand.New(rand.NewPCG(seed, 0)), current: -1}
+// PaceConfig configures a Pace.
+type PaceConfig struct {
+	// Fresh is how old what is known may be at most while the store answers.
+	Fresh clock.Millis
+	// Backoff is the longest span after a failed call; 0 stands for 0.3 s.
+	Backoff clock.Millis
+	Seed    uint64
+}
+
+// NewPace returns a pace with a call due at once.
+func NewPace(c PaceConfig) *Pace {
+	if c.Backoff <= 0 {
+		c.Backoff = defaultBackoff
+	}
+	return &Pace{config: c, random: rand.New(rand.NewPCG(c.Seed, 0)), current: -1}
+}
+
+// Size takes in how many nodes read the store.
+func (p *Pace) Size(nodes int) {
+	p.nodes = nodes
+}
+
+// fresh is the configured span, or that which the number of nodes allows.
+func (p *Pace) fresh() float64 {
+	return max(float64(p.config.Fresh), float64(p.nodes)*float64(clock.Second)/budget/firstShare)
 }
 
 // Due is the instant of the next call.
@@ -79,13 +111,13 @@
 	// with even draws, 95 would make 9 calls a second, for all that are due before
 	// the first one's news arrive call as well.
 	share := firstShare + (lastShare-firstShare)*math.Cbrt(p.random.Float64())
-	p.due = at + clock.Millis(share*float64(p.fresh))
+	p.due = at + clock.Millis(share*p.fresh())
 }
 
 // Failed takes in that a call has failed.
 func (p *Pace) Failed(now clock.Millis) {
 	p.failures++
-	span := min(firstBackoff<<min(p.failures, 4), mostBackoff)
+	span := min(firstBackoff<<min(p.failures, mostDoublings), p.config.Backoff)
 	p.due = now + span/2 + clock.Millis(p.random.Int64N(int64(span)))
 }
 
@@ -95,5 +127,5 @@
 		return // the call is due already, or its backoff runs
 	}
 	p.isUrgent = true
-	p.due = min(p.due, now+clock.Millis(p.random.Int64N(hurrySpread)))
+	p.due = min(p.due, now+clock.Millis(p.random.Int64N(int64(max(hurrySpread, clock.Millis(p.nodes)*hurryEach)))))
 }
--- a/node/edition.go
+++ b/node/edition.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/edition"
-	"fuchsiapick.example/fuchsiapick/reading"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -31,17 +29,16 @@
 // offer checks a table's text whole and puts it in force if the fence accepts
 // it. Only a checked table reaches the fence: a version number alone, in a bad
 // frame, could otherwise freeze the configuration for good.
-func (n *Node) offer(version uint64, text []byte, source edition.Source) {
-	log := n.log.WithFields(logrus.Fields{"version": version, "source": string(source)})
+func (n *Node) offer(text []byte, source edition.Source) {
+	log := n.log.WithField("source", string(source))
 	t, err := table.Parse(text)
-	if err == nil && t.Version != version {
-		err = errors.Errorf("published as version %d but the table says %d", version, t.Version)
-	}
 	if err != nil {
 		log.WithError(err).Error("table rejected; the last accepted one stays in force")
 		n.metrics.Note(account.Event{At: n.clock.Now(), Kind: account.TableRejected, Reason: err.Error()})
 		return
 	}
+	version := t.Version
+	log = log.WithField("version", version)
 	n.mu.Lock()
 	verdict := n.fence.Offer(edition.Offer{Version: version, Digest: table.Digest(text), Source: source})
 	rival, contested := n.fence.Rival()
@@ -133,14 +130,14 @@
 // instances takes in the platform's list, which lags: it can say that a node
 // is leaving, but a node that says so itself is leaving whatever the list says.
 func (n *Node) instances(body []byte) {
-	list, err := reading.ParseInstances(body)
+	list, err := table.ParseInstances(body)
 	if err != nil {
 		n.log.WithError(err).Error("instance list rejected")
 		return
 	}
 	listed := make(map[string]bool, len(list.List))
 	for _, i := range list.List {
-		listed[i.Node] = i.State == reading.Leaving
+		listed[i.Node] = i.State == table.Leaving
 	}
 	n.mu.Lock()
 	for node := range n.listed {
@@ -193,15 +190,13 @@
 // Edition takes in a table that a peer relays; it passes the same check as one
 // from the platform.
 func (n *Node) Edition(node string, e *wire.Edition) {
-	if n.source != nil {
-		if err := n.source.Seed(e.Version, e.Text); err != nil {
-			n.log.WithError(err).WithField("peer", node).Error("peer's copy rejected")
-		}
+	if n.tables != nil {
+		n.takeOver(node, e)
 		return
 	}
 	if e.Version < n.version() || n.holds(e) {
 		return
 	}
 	n.log.WithField("peer", node).Debug("table relayed")
-	n.offer(e.Version, e.Text, fromPeer)
+	n.offer(e.Text, fromPeer)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/metrics"
+	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -46,43 +47,22 @@
 	// KeyMargin is by how much the age of an idempotency key may be
 	// understated; 0 means resend.Margin. Tests set it, to resend at once.
 	KeyMargin clock.Millis
-	// Source gives the tables in place of the platform's own; nil where the
-	// platform publishes them.
-	Source Source
+	// Store is the platform's; nil without a platform.
+	Store mirror.Store
+	// Tables makes the tables where the platform publishes in a form of its own;
+	// nil where it holds those of this project.
+	Tables Tables
 	// CallerHeaders and UpstreamHeaders are the names that the platform gives
 	// to headers; empty ones stand for this project's.
 	CallerHeaders   entry.Headers
 	UpstreamHeaders gate.Headers
 }
 
-// Source makes tables from what a platform publishes.
-type Source interface {
-	// Serve follows the platform until the context ends, and tells the node.
-	Serve(ctx context.Context, told Told) error
-	// Hear takes in what another node's source has learned.
-	Hear(n *wire.News)
-	// Revision orders what is known of the platform; 0 while nothing is.
-	Revision() uint64
-	// Snapshot is what is known, and Seed takes it in at a node that knows
-	// nothing yet.
-	Snapshot() ([]byte, error)
-	Seed(revision uint64, snapshot []byte) error
-}
-
-// Told is what a source tells its node. None of it may block.
-type Told struct {
-	// Adopt takes in each new table.
-	Adopt func(t *table.Table)
-	// Away takes in the cause when the platform goes away, and nil when it is back.
-	Away func(cause error)
-	// Tell takes in news for other nodes.
-	Tell func(n *wire.News)
-}
-
 // Node is one process of the fleet. It is safe for concurrent use.
 type Node struct {
 	settings  *settings.Settings
-	source    Source
+	tables    Tables
+	follower  *mirror.Follower // nil without a platform
 	listeners *Listeners
 	// upstreamHeaders are the names that backend servers know.
 	upstreamHeaders gate.Headers
@@ -119,8 +99,9 @@
 	gates   map[string]*gate.Gate
 	peers   map[string]*peer
 	leaving bool
-	// followers read the platform, which is away when it doesn't answer.
-	followers    []following
+	// read are the revisions of the values that were taken in, by key. The
+	// follower alone uses it.
+	read         map[string]uint64
 	order        maphash.Seed // of neighbours
 	platformAway bool
 	listed       map[string]bool // nodes that the instance list says are leaving
@@ -130,7 +111,7 @@
 func New(c Config) (*Node, error) {
 	n := &Node{
 		settings:        c.Settings,
-		source:          c.Source,
+		tables:          c.Tables,
 		upstreamHeaders: c.UpstreamHeaders,
 		listeners:       c.Listeners,
 		log:             c.Log.WithField("node", c.Settings.Node),
@@ -144,6 +125,7 @@
 		gates:           map[string]*gate.Gate{},
 		peers:           map[string]*peer{},
 		listed:          map[string]bool{},
+		read:            map[string]uint64{},
 		order:           maphash.MakeSeed(),
 		book: account.New(account.Config{
 			Records: c.Settings.Limits.Records,
@@ -178,6 +160,9 @@
 		KeyMargin:   c.KeyMargin,
 		Log:         n.log,
 	})
+	if c.Store != nil {
+		n.follower = n.newFollower(c.Store)
+	}
 	n.links = link.NewServer(link.ServerConfig{
 		Identity: n.identity(),
 		Limit:    n.frameLimit(),
@@ -241,7 +226,7 @@
 		}
 	}
 	defer listeners.Close()
-	n.buildTree(listeners) //nolint:contextcheck // a call to a backend server outlives what let it begin
+	n.buildTree(listeners)
 	n.bootstrap()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/node/peers.go
+++ b/node/peers.go
@@ -81,8 +81,8 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.source != nil {
-		return wire.Beat{Version: n.source.Revision(), Leaving: n.leaving, Upstreams: upstreams}
+	if n.tables != nil {
+		return wire.Beat{Version: n.follower.Revision(), Leaving: n.leaving, Upstreams: upstreams}
 	}
 	current := n.fence.Current()
 	return wire.Beat{Version: current.Version, Digest: current.Digest, Leaving: n.leaving, Upstreams: upstreams}
@@ -119,7 +119,7 @@
 // compare asks a peer for its table if that goes before this node's. It
 // reports whether the peer has one that doesn't.
 func (n *Node) compare(node string, b *wire.Beat) (settled bool) {
-	if n.source != nil {
+	if n.tables != nil {
 		return true
 	}
 	n.mu.Lock()
@@ -153,43 +153,11 @@
 	}
 }
 
-// helpBlank gives a peer that knows nothing of the platform what is known here. A node
-// that is replaced while the platform is away would else refuse all requests of
-// its callers until that is back. Its peers dial it, for they have it in their
-// tables; it could dial nobody.
-func (n *Node) helpBlank(node string, b *wire.Beat) {
-	if n.source == nil || b.Version > 0 || b.Leaving {
-		return
-	}
-	revision := n.source.Revision()
-	if revision == 0 {
-		return
-	}
-	body, err := n.source.Snapshot()
-	if err != nil {
-		n.log.WithError(err).Error("peer without a table not helped")
-		return
-	}
-	n.mu.Lock()
-	p, ok := n.peers[node]
-	n.mu.Unlock()
-	if ok {
-		p.link.Offer(&wire.Edition{Version: revision, Text: body})
-	}
-}
-
 // PeerUpstream takes in what a gate says of its upstream on a reply.
 func (n *Node) PeerUpstream(_ string, u wire.Upstream) {
 	n.entry.Heard(u)
 }
 
-// PeerNews takes in what another node has learned from the platform.
-func (n *Node) PeerNews(news *wire.News) {
-	if n.source != nil {
-		n.source.Hear(news)
-	}
-}
-
 // PeerInvitation takes in a gate's wish for a request.
 func (n *Node) PeerInvitation(i *wire.Invitation) {
 	n.entry.Invited(i)
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/edition"
+	"fuchsiapick.example/fuchsiapick/metrics"
+	"fuchsiapick.example/fuchsiapick/mirror"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Keys of the values that a platform holds for this project.
+const (
+	keyTable     = "table"
+	keyInstances = "instances"
+)
+
+// Tables makes tables from what a platform publishes in a form of its own.
+type Tables interface {
+	// Table returns the table that the values make, and false where it would be
+	// the same as the one before.
+	Table(items []mirror.Item) (*table.Table, bool)
+	// Matters reports whether a change may make another table.
+	Matters(old mirror.Item, e mirror.Event) bool
+}
+
+// addReading adds the reader of the platform's values.
+func (n *Node) addReading(tree *suture.Supervisor) {
+	if n.follower == nil {
+		return
+	}
+	tree.Add(service{"relay", every(relayEvery, n.relay)})
+	tree.Add(service{"platform reader", func(ctx context.Context) error {
+		n.consult(ctx)
+		return n.follower.Serve(ctx)
+	}})
+}
+
+func (n *Node) newFollower(store mirror.Store) *mirror.Follower {
+	c := mirror.FollowerConfig{
+		Store:   store,
+		Now:     n.clock.Now,
+		Fresh:   n.settings.Platform.Fresh,
+		Nodes:   n.size,
+		Deliver: n.deliver,
+		Tell:    n.tell,
+		Away:    n.platformAnswered,
+		Seed:    n.seed,
+		Log:     n.log,
+	}
+	if n.tables != nil {
+		c.Matters = n.tables.Matters
+	}
+	if n.settings.Platform.Form == settings.FormTable {
+		c.Backoff = n.settings.Platform.Poll
+	}
+	return mirror.NewFollower(c)
+}
+
+// size is how many nodes read the platform.
+func (n *Node) size() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers) + 1
+}
+
+// deliver takes in the platform's values.
+func (n *Node) deliver(items []mirror.Item, isTold bool) {
+	if n.tables != nil {
+		if t, ok := n.tables.Table(items); ok {
+			n.Adopt(t)
+		}
+		return
+	}
+	for _, item := range items {
+		switch {
+		case item.Key == keyTable && n.read[keyTable] != item.Revision:
+			n.read[keyTable] = item.Revision
+			n.offer(item.Value, sourceOf(isTold))
+		case item.Key == keyInstances && n.read[keyInstances] != item.Revision:
+			n.read[keyInstances] = item.Revision
+			n.instances(item.Value)
+		}
+	}
+}
+
+func sourceOf(isTold bool) edition.Source {
+	if isTold {
+		return fromPeer
+	}
+	return fromPlatform
+}
+
+// tell tells all nodes with a link what was learned from the platform.
+func (n *Node) tell(learned mirror.News) {
+	news := &wire.News{
+		Since: learned.Since, Revision: learned.Revision, More: learned.More, Age: learned.Age,
+	}
+	if len(learned.Events) > 0 {
+		var err error
+		news.Changes, err = json.Marshal(learned.Events)
+		if err != nil {
+			n.log.WithError(err).Error("changes of the platform's values not told to peers")
+			return
+		}
+	}
+	n.links.Tell(news)
+}
+
+// PeerNews takes in what another node has learned from the platform.
+func (n *Node) PeerNews(news *wire.News) {
+	if n.follower == nil {
+		return
+	}
+	heard := mirror.News{
+		Since: news.Since, Revision: news.Revision, More: news.More, Age: news.Age,
+	}
+	if len(news.Changes) > 0 {
+		if err := json.Unmarshal(news.Changes, &heard.Events); err != nil {
+			n.log.WithError(err).Error("changes that a peer told can't be read")
+			return
+		}
+	}
+	n.follower.Hear(heard)
+}
+
+// helpBlank gives a peer that knows nothing of the platform what is known here. A node
+// that is replaced while the platform is away would else refuse all requests of
+// its callers until that is back. Its peers dial it, for they have it in their
+// tables; it could dial nobody.
+func (n *Node) helpBlank(node string, b *wire.Beat) {
+	if n.tables == nil || b.Version > 0 || b.Leaving || n.follower.Revision() == 0 {
+		return
+	}
+	items, revision := n.follower.Snapshot()
+	body, err := json.Marshal(items)
+	if err != nil {
+		n.log.WithError(err).Error("peer without a table not helped")
+		return
+	}
+	n.mu.Lock()
+	p, ok := n.peers[node]
+	n.mu.Unlock()
+	if ok {
+		p.link.Offer(&wire.Edition{Version: revision, Text: body})
+	}
+}
+
+// takeOver takes in another node's copy of the platform's values while nothing is known
+// here.
+func (n *Node) takeOver(node string, e *wire.Edition) {
+	var items []mirror.Item
+	log := n.log.WithField("peer", node)
+	if err := json.Unmarshal(e.Text, &items); err != nil {
+		log.WithError(err).Error("peer's copy rejected")
+		return
+	}
+	if n.follower.Seed(items, e.Version) {
+		log.WithField("revision", e.Version).Info("platform's values taken over from a peer")
+	}
+}
+
+// platformAnswered notes when the platform goes away, with the cause, and when it is
+// back. The table in force stays however long it is away.
+func (n *Node) platformAnswered(cause error) {
+	n.mu.Lock()
+	n.platformAway = cause != nil
+	n.mu.Unlock()
+	e := account.Event{At: n.clock.Now(), Kind: account.PlatformBack}
+	if cause != nil {
+		e.Kind, e.Reason = account.PlatformLost, cause.Error()
+		n.log.WithError(cause).Warn("platform doesn't answer; the table in force stays")
+	} else {
+		n.log.Info("platform answers again")
+	}
+	n.metrics.Note(e)
+}
+
+// consultTime bounds the wait for the peers that the settings name.
+const consultTime = 2 * time.Second
+
+// consult waits until a peer has said which table it has in force. A node that
+// is replaced while the platform's replica is stale would otherwise put an
+// older table in force than the one its predecessor served.
+func (n *Node) consult(ctx context.Context) {
+	if len(n.settings.Peers) == 0 {
+		return
+	}
+	timer := time.NewTimer(consultTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.consulted:
+	}
+}
+
+// Reading tells how reading the platform's values goes.
+func (n *Node) Reading() metrics.Reading {
+	if n.follower == nil {
+		return metrics.Reading{}
+	}
+	s := n.follower.Stats()
+	r := metrics.Reading{Calls: s.Calls, Errors: s.Errors, Heard: s.Heard, Revision: n.follower.Revision()}
+	if s.IsKnown {
+		r.Known, r.Age = true, max(n.clock.Now()-s.Known, 0)
+	}
+	return r
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,10 +69,10 @@
 	Address string `toml:"address"`
 	// Form is what the platform publishes: FormTable or FormStore.
 	Form string `toml:"form"`
-	// Fresh is how old what was read of a FormStore platform may be at most while
-	// it answers.
+	// Fresh is how old what is known may be at most while the platform answers.
 	Fresh clock.Millis `toml:"fresh"`
-	// Poll is the longest that a node waits between two reads.
+	// Poll is about the longest that a node waits between two reads of a FormTable
+	// platform that fail.
 	Poll clock.Millis `toml:"poll"`
 }
 
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -145,7 +145,7 @@
 	}
 	mode := PlatformMode(args.Peek("mode"))
 	switch mode {
-	case Up, Down, Stale, Slow:
+	case Up, Down, Stale, Slow, Busy, Silent:
 		p.SetMode(mode)
 		return nil
 	default:
--- a/reading/instances.go
+++ b/table/instances.go
@@ -1,4 +1,4 @@
-package reading
+package table
 
 import (
 	"net/netip"
