feat(mirror,node,wire): few nodes read ahead, configurations are told, too

While a fleet has no requests it has no links, and each of 95 nodes read for itself for ten seconds; each edit and each removal was then read by every node.

Change: all nodes keep links to the first three of a rendezvous hash, and these read a little ahead; nothing depends on them. Changes are packed (deflate) and told up to 128 KB: each node's call cost more than a fifth of a configuration on the wire. A removal that its value had announced, as by draining, is taken on a peer's word.

--- a/capacity/platforms.go
+++ b/capacity/platforms.go
@@ -35,7 +35,7 @@
 	all := make([]*mirror.Pace, nodes)
 	for i := range all {
 		all[i] = mirror.NewPace(mirror.PaceConfig{Fresh: callsFresh, Seed: uint64(i)})
-		all[i].Size(nodes)
+		all[i].Size(nodes, false)
 	}
 	began := make(map[clock.Millis]bool) // calls under way, by their start
 	count := 0
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -31,8 +31,9 @@
 	Fresh clock.Millis
 	// Backoff is the longest span after a failed call; 0 stands for 0.3 s.
 	Backoff clock.Millis
-	// Nodes tells how many nodes read the store; it may be nil.
-	Nodes func() int
+	// Nodes tells how many nodes read the store, and whether this one does it ahead
+	// of the others; it may be nil.
+	Nodes func() (count int, isReader bool)
 	// Deliver takes in all values that count, after each call and, told, after
 	// news of a peer. It must not keep the slice's values beyond the next call.
 	Deliver func(items []Item, isTold bool)
@@ -40,6 +41,9 @@
 	// them; both may be nil. They must not block.
 	Matters func(old Item, e Event) bool
 	Tell    func(n News)
+	// Announced reports whether a value that is gone was expected to go; it may be
+	// nil.
+	Announced func(old Item) bool
 	// Away is told when the store goes away, with the cause, and with nil when
 	// it is back.
 	Away func(cause error)
@@ -103,9 +107,9 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	for f.await(ctx) {
 		if f.config.Nodes != nil {
-			nodes := f.config.Nodes() // it may hold locks that take this one's
+			nodes, isReader := f.config.Nodes() // it may hold locks that take this one's
 			f.mu.Lock()
-			f.pace.Size(nodes)
+			f.pace.Size(nodes, isReader)
 			f.mu.Unlock()
 		}
 		err := f.step(ctx)
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -125,9 +125,10 @@
 	t.Helper()
 	now := clock.Minute // long after any call
 	f := mirror.NewFollower(mirror.FollowerConfig{
-		Now:     func() clock.Millis { return now },
-		Deliver: func(items []mirror.Item, _ bool) { *delivered = append(*delivered, items) },
-		Away:    func(error) {},
+		Now:       func() clock.Millis { return now },
+		Deliver:   func(items []mirror.Item, _ bool) { *delivered = append(*delivered, items) },
+		Away:      func(error) {},
+		Announced: func(old mirror.Item) bool { return string(old.Value) == "draining" },
 	})
 	if !f.Seed([]mirror.Item{item("a", 4), item("b", 5)}, 5) {
 		t.Fatal("got the first copy refused, want it taken")
@@ -173,6 +174,20 @@
 	}
 }
 
+// An upstream drains and leaves, as it had said. Each node would ask the store whether it
+// is really gone: 95 calls for each upstream of a release.
+func TestAnnouncedRemovalsAreTakenOnAPeersWord(t *testing.T) {
+	var delivered [][]mirror.Item
+	f := hearing(t, &delivered)
+	f.Hear(mirror.News{Since: 5, Revision: 9, Events: []mirror.Event{
+		{Item: mirror.Item{Key: "b", Revision: 7, Value: []byte("draining")}},
+	}})
+	f.Hear(mirror.News{Since: 5, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 9}, Gone: true}}})
+	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("got %v, want a alone", got)
+	}
+}
+
 // A configuration is too large to be told to a hundred nodes. They must know that
 // there is one, and read it.
 func TestLargeChangesAreReadNotTold(t *testing.T) {
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -7,9 +7,9 @@
 )
 
 // newsLimit bounds, in bytes, the values that one node tells all others: a
-// registration has 300, a configuration 5,000 and more, which to each of 95 nodes
-// would cost more than a call of its own.
-const newsLimit = 2 << 10
+// registration has 300, a configuration of the larger deployments 25,000, a fifth of
+// it on the wire. Larger ones cost more than a call of each node.
+const newsLimit = 128 << 10
 
 // News is what one node has learned from the store, for others: all that matters
 // between two revisions.
@@ -61,7 +61,7 @@
 // beside it or near it: the store must have told this node itself that it is gone.
 // A node that is cut off as well would else lose what it alone can reach.
 func (f *Follower) believed(now clock.Millis, events []Event) []Event {
-	isGone := func(e Event) bool { return e.Gone }
+	isGone := func(e Event) bool { return e.Gone && !f.announced(e.Key) }
 	if now-f.confirmedAt <= confirmSpan || !slices.ContainsFunc(events, isGone) {
 		return events
 	}
@@ -71,6 +71,12 @@
 	return slices.DeleteFunc(slices.Clone(events), isGone)
 }
 
+// announced reports whether the removal of a value was expected.
+func (f *Follower) announced(key string) bool {
+	old, ok := f.copy.items[key]
+	return !ok || (f.config.Announced != nil && f.config.Announced(old))
+}
+
 // Hear takes in what another node has learned.
 func (f *Follower) Hear(n News) {
 	f.mu.Lock()
--- a/mirror/pace.go
+++ b/mirror/pace.go
@@ -15,6 +15,9 @@
 	// Fresh is for the answer, a table on a third of a core, and a hop.
 	firstShare = 0.4
 	lastShare  = 0.65
+	// readerShare is firstShare of the nodes that all others keep links to: while a
+	// fleet has no requests there are no other links, and each node read for itself.
+	readerShare = 0.3
 	// firstBackoff bounds the span after a failed call, doubled with each further
 	// one up to Backoff: quick enough that a store that returns is read within its
 	// bounds, and spread, so that the nodes of a fleet don't come back as one wave.
@@ -39,6 +42,7 @@
 type Pace struct {
 	config   PaceConfig
 	nodes    int
+	isReader bool
 	random   *rand.Rand
 	current  clock.Millis // what is known was the store's at that instant
 	due      clock.Millis
@@ -64,9 +68,10 @@
 	return &Pace{config: c, random: rand.New(rand.NewPCG(c.Seed, 0)), current: -1}
 }
 
-// Size takes in how many nodes read the store.
-func (p *Pace) Size(nodes int) {
-	p.nodes = nodes
+// Size takes in how many nodes read the store, and whether this one is to do it ahead
+// of the others.
+func (p *Pace) Size(nodes int, isReader bool) {
+	p.nodes, p.isReader = nodes, isReader
 }
 
 // fresh is the configured span, or that which the number of nodes allows.
@@ -110,7 +115,11 @@
 	// The cube root leaves few nodes near the first instant, however many there are:
 	// with even draws, 95 would make 9 calls a second, for all that are due before
 	// the first one's news arrive call as well.
-	share := firstShare + (lastShare-firstShare)*math.Cbrt(p.random.Float64())
+	first, last := firstShare, lastShare
+	if p.isReader {
+		first, last = readerShare, firstShare
+	}
+	share := first + (last-first)*math.Cbrt(p.random.Float64())
 	p.due = at + clock.Millis(share*p.fresh())
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -29,6 +31,8 @@
 	Table(items []mirror.Item) (*table.Table, bool)
 	// Matters reports whether a change may make another table.
 	Matters(old mirror.Item, e mirror.Event) bool
+	// Announced reports whether a value that is gone was expected to go.
+	Announced(old mirror.Item) bool
 }
 
 // addReading adds the reader of the platform's values.
@@ -37,6 +41,7 @@
 		return
 	}
 	tree.Add(service{"relay", every(relayEvery, n.relay)})
+	tree.Add(service{"readers", every(relayEvery, n.keepReaders)})
 	tree.Add(service{"platform reader", func(ctx context.Context) error {
 		n.consult(ctx)
 		return n.follower.Serve(ctx)
@@ -56,7 +61,7 @@
 		Log:     n.log,
 	}
 	if n.tables != nil {
-		c.Matters = n.tables.Matters
+		c.Matters, c.Announced = n.tables.Matters, n.tables.Announced
 	}
 	if n.settings.Platform.Form == settings.FormTable {
 		c.Backoff = n.settings.Platform.Poll
@@ -64,11 +69,34 @@
 	return mirror.NewFollower(c)
 }
 
-// size is how many nodes read the platform.
-func (n *Node) size() int {
+// size is how many nodes read the platform, and whether this one does it ahead of the
+// others.
+func (n *Node) size() (int, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.peers) + 1
+	return len(n.peers) + 1, slices.Contains(n.readers(), n.address())
+}
+
+// readers are the nodes that read the platform ahead of the others. The node's lock is
+// held.
+func (n *Node) readers() []string {
+	return mirror.Readers(append(slices.Collect(maps.Keys(n.peers)), n.address()))
+}
+
+// keepReaders keeps links to the nodes that read the platform ahead of the others, over
+// which their news come.
+func (n *Node) keepReaders() {
+	n.mu.Lock()
+	var kept []*peer
+	for _, address := range n.readers() {
+		if p, ok := n.peers[address]; ok {
+			kept = append(kept, p)
+		}
+	}
+	n.mu.Unlock()
+	for _, p := range kept {
+		p.link.Keep()
+	}
 }
 
 // deliver takes in the platform's values.
@@ -105,7 +133,7 @@
 	}
 	if len(learned.Events) > 0 {
 		var err error
-		news.Changes, err = json.Marshal(learned.Events)
+		news.Changes, err = wire.Pack(learned.Events)
 		if err != nil {
 			n.log.WithError(err).Error("changes of the platform's values not told to peers")
 			return
@@ -123,7 +151,7 @@
 		Since: news.Since, Revision: news.Revision, More: news.More, Age: news.Age,
 	}
 	if len(news.Changes) > 0 {
-		if err := json.Unmarshal(news.Changes, &heard.Events); err != nil {
+		if err := wire.Unpack(news.Changes, &heard.Events); err != nil {
 			n.log.WithError(err).Error("changes that a peer told can't be read")
 			return
 		}
--- a/wire/news.go
+++ b/wire/news.go
@@ -9,7 +9,7 @@
 	// Since is the platform's revision from which Changes are complete, up to
 	// Revision.
 	Since, Revision uint64
-	// Changes are written by the source of the table, empty without any.
+	// Changes are packed, and empty without any.
 	Changes []byte
 	// More says that there are changes too large to be told.
 	More bool
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
 	"github.com/juju/errors"
@@ -116,6 +117,31 @@
 	})
 }
 
+// What one node tells all others is read back as it was, and a peer can't take the
+// memory of a node with a small frame that grows.
+func TestPackedValues(t *testing.T) {
+	want := []string{"conferme", "conferme", "squadre"}
+	packed, err := wire.Pack(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	if err := wire.Unpack(packed, &got); err != nil || !slices.Equal(got, want) {
+		t.Errorf("got %v and %v, want %v", got, err, want)
+	}
+	if err := wire.Unpack(packed[:len(packed)/2], &got); !errors.Is(err, wire.ErrFrame) {
+		t.Errorf("torn: got %v, want %v", err, wire.ErrFrame)
+	}
+	bomb, err := wire.Pack(make([]byte, 8<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var body []byte
+	if err := wire.Unpack(bomb, &body); !errors.Is(err, wire.ErrLarge) {
+		t.Errorf("%d bytes that grow to 8 MiB: got %v, want %v", len(bomb), err, wire.ErrLarge)
+	}
+}
+
 // Heartbeats go over each link of a fleet every two seconds: 6,480 links of 81 nodes.
 // Figures to sixteen digits took 27 bytes of each.
 func TestBeatIsSmall(t *testing.T) {
