feat(metrics,lines,settings): waits, reasons against a retry, lost log lines; a metrics port

Cause: an engineer on call with metrics alone couldn't tell how long requests search for a slot, why failed ones aren't sent again, nor whether log lines are missing; and the platform fetches metrics from one port on all instances, which the drawn admin port isn't.

Change: fuchsiapick_wait_seconds, _not_retried_total by reason, _log_lines_lost_total by cause; the same two on the request's log line.

--- a/account/record.go
+++ b/account/record.go
@@ -48,6 +48,11 @@
 	Started clock.Millis `json:"started"`
 	// Took is the span from Started to the end of the answer.
 	Took clock.Millis `json:"took"`
+	// Waited is the span from Started until the last try was sent or given up: the
+	// search for an upstream with room, and earlier tries.
+	Waited clock.Millis `json:"waited,omitempty"`
+	// NoRetry says why a request that failed was not sent again.
+	NoRetry string `json:"noretry,omitempty"`
 	// Forced means that the upstream was set aside and served under the floor.
 	Forced bool `json:"forced,omitempty"`
 }
--- a/admin/admin.go
+++ b/admin/admin.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// Scraped returns the HTTP server of an address for metrics alone.
+func (s *Server) Scraped() *fasthttp.Server {
+	server := s.HTTP()
+	server.Handler = func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != "/metrics" {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		s.config.Metrics(ctx)
+	}
+	return server
+}
+
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/healthz":
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -30,7 +30,7 @@
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
 	}
-	log, closeLog, err := newLog(stdout, s.Log)
+	log, losses, closeLog, err := newLog(stdout, s.Log)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFault
@@ -41,6 +41,7 @@
 		log.WithError(err).Error("node not built")
 		return ExitFault
 	}
+	config.Lines = losses
 	n, err := node.New(config)
 	if err != nil {
 		log.WithError(err).Error("node not built")
@@ -70,11 +71,12 @@
 // logClose bounds how long the end of the process waits for the log's output.
 const logClose = time.Second
 
-// newLog returns a log in JSON lines that never blocks, and what ends it.
-func newLog(out io.Writer, level string) (*logrus.Logger, func(), error) {
+// newLog returns a log in JSON lines that never blocks, what it leaves out, and what
+// ends it.
+func newLog(out io.Writer, level string) (*logrus.Logger, lines.Losses, func(), error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
-		return nil, nil, err
+		return nil, lines.Losses{}, nil, err
 	}
 	writer := lines.NewWriter(out)
 	limiter := lines.NewLimiter(
@@ -87,7 +89,7 @@
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() { lines.Report(done, log, writer, limiter) })
-	return log, func() {
+	return log, lines.Losses{Writer: writer, Limiter: limiter}, func() {
 		close(done)
 		group.Wait()
 		log.SetOutput(io.Discard) // what still logs comes too late
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -15,8 +15,8 @@
 var fields = map[string]string{
 	"node": "sidecar-palermo-1", "zone": "palermo", "service": "wuno96b",
 	"listen.outbound": "10.1.0.8:8304", "listen.inbound": "10.1.0.8:8300", "listen.ready": "10.1.0.8:8302",
-	"platform.address": "10.200.1.7:8309",
-	"bounds.grace":     "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
+	"platform.address": "10.200.1.7:8309", "ip": "10.1.0.8",
+	"bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
 }
 
 // A slip in the template shows at the start of every node at once, on the day of the
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,6 +35,7 @@
 		}
 		a.isHeld = true
 	}
+	r.waited = r.entry.config.Now() - r.started
 	d := r.dispatch(now, a, untried)
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
--- a/entry/request.go
+++ b/entry/request.go
@@ -96,6 +96,7 @@
 	progress progress
 	trail    trail
 	why      retry.Reason // of not being sent again
+	waited   clock.Millis // until the last try
 	failed   *wire.Reply  // the last upstream's own answer, an error
 	forced   bool
 	left     <-chan struct{} // closed when the caller has left
@@ -322,6 +323,8 @@
 		Status:   f.status,
 		Started:  r.started,
 		Took:     now - r.started,
+		Waited:   r.waited,
+		NoRetry:  string(r.why),
 		Forced:   r.forced,
 		Upstream: r.last.Name,
 		Domain:   r.last.Domain,
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -98,6 +98,7 @@
 		"status":   record.Status,
 		"attempts": record.Attempts,
 		"took":     record.Took.String(),
+		"waited":   record.Waited.String(),
 		"tried":    r.trail.told(),
 	}
 	if r.route != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/platform"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -206,7 +207,7 @@
 	}
 	m.Node, err = node.New(node.Config{
 		Settings: s, Log: f.log, Listeners: listeners, KeyMargin: f.config.KeyMargin,
-		Store: &platform.Store{Address: s.Platform.Address},
+		Store: &platform.Store{Address: s.Platform.Address}, Lines: lines.Losses{},
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/lines/lines.go
+++ b/lines/lines.go
@@ -88,6 +88,7 @@
 	rate      int
 	now       func() time.Time
 
+	lost    atomic.Uint64
 	mu      sync.Mutex
 	second  int64
 	counts  map[string]int
@@ -120,9 +121,28 @@
 		return true
 	}
 	l.skipped[message]++
+	l.lost.Add(1)
 	return false
 }
 
+// Losses counts the lines that a writer and its limiter have left out. One without
+// them counts none.
+type Losses struct {
+	Writer  *Writer
+	Limiter *Limiter
+}
+
+// Lost counts those that found the output busy, and those over the rate.
+func (l Losses) Lost() (busy, rate uint64) {
+	if l.Writer != nil {
+		busy = l.Writer.Dropped()
+	}
+	if l.Limiter != nil {
+		rate = l.Limiter.lost.Load()
+	}
+	return busy, rate
+}
+
 // Skipped returns how many lines of each message were left out since the last
 // call.
 func (l *Limiter) Skipped() map[string]uint64 {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -12,6 +12,7 @@
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -41,6 +42,7 @@
 	Platform  Platform
 	Links     Links
 	Gates     Gates
+	Lines     Lines
 	// Requests bounds callers' concurrent requests, as the settings have it.
 	Requests int
 }
@@ -53,6 +55,8 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	took     *prometheus.HistogramVec
+	waited   *prometheus.HistogramVec
+	kept     *prometheus.CounterVec // not sent again
 	events   *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	services *services
@@ -80,6 +84,15 @@
 			Help:    "Time from a request's arrival to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"service", "outcome"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "wait_seconds",
+			Help:    "Time from a request's arrival until its last try was sent.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"service"}),
+		kept: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "not_retried_total",
+			Help: "Requests that failed and were not sent again, by the reason.",
+		}, []string{"service", "reason"}),
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "events_total",
 			Help: "Verdicts, path losses, tables and other events by kind.",
@@ -90,7 +103,7 @@
 		}, []string{"service", "upstream", "reason"}),
 		services: newServices(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.took, s.events, s.refusals,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.took, s.waited, s.kept, s.events, s.refusals,
 		&states{source: c.State}, &sources{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -127,6 +140,12 @@
 	s.requests.WithLabelValues(r.Service, r.Upstream, string(r.Outcome), r.Reason).Inc()
 	s.attempts.WithLabelValues(r.Service).Add(float64(r.Attempts))
 	s.took.WithLabelValues(r.Service, string(r.Outcome)).Observe(r.Took.Seconds())
+	if r.Attempts > 0 {
+		s.waited.WithLabelValues(r.Service).Observe(r.Waited.Seconds())
+	}
+	if r.NoRetry != "" {
+		s.kept.WithLabelValues(r.Service, r.NoRetry).Inc()
+	}
 	s.services.count(&r)
 	s.config.Book.Close(now, r)
 }
@@ -145,11 +164,17 @@
 // SetServices takes the table in force: the objectives that requests are judged
 // by from now on. Series of services that it no longer names vanish.
 func (s *Set) SetServices(services []table.Service) {
+	for i := range services {
+		// An alert on a spent budget needs a series that was there before.
+		s.kept.WithLabelValues(services[i].Name, string(retry.NoBudget))
+	}
 	for _, gone := range s.services.set(services) {
 		labels := prometheus.Labels{"service": gone}
 		s.requests.DeletePartialMatch(labels)
 		s.attempts.DeletePartialMatch(labels)
 		s.took.DeletePartialMatch(labels)
+		s.waited.DeletePartialMatch(labels)
+		s.kept.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
 	}
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -52,6 +52,8 @@
 	return metrics.Reading{Calls: 9, Errors: 2, Heard: 30, Revision: 7, Known: true, Age: 400}
 }
 
+func (fake) Lost() (busy, rate uint64) { return 1, 2 }
+
 func (fake) Version() uint64          { return 7 }
 func (fake) Busy() int                { return 2 }
 func (fake) Ready() bool              { return true }
@@ -64,7 +66,7 @@
 // newSet returns a set with every source.
 func newSet(book metrics.Book) *metrics.Set {
 	s := metrics.New(metrics.Config{
-		Book: book, State: fake{}, Readiness: fake{}, Platform: fake{}, Links: fake{}, Gates: fake{}, Requests: 4096,
+		Book: book, State: fake{}, Readiness: fake{}, Platform: fake{}, Links: fake{}, Gates: fake{}, Lines: fake{}, Requests: 4096,
 	})
 	s.SetServices(services)
 	return s
@@ -78,7 +80,7 @@
 	for _, outcome := range []account.Outcome{account.Served, account.NotRun, account.Unknown} {
 		for _, reason := range append(constants(t, "../account", "Reason"), constants(t, "../wire", "Reason")...) {
 			s.Received()
-			s.Close(0, account.Record{Service: "conferme", Outcome: outcome, Reason: reason, Attempts: 1})
+			s.Close(0, account.Record{Service: "conferme", Outcome: outcome, Reason: reason, Attempts: 1, NoRetry: "budget"})
 			s.Refused("conferme", "at-in-use", wire.Reason(reason))
 		}
 	}
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -31,6 +31,13 @@
 	Age   clock.Millis
 }
 
+// Lines tells how many log lines were left out.
+type Lines interface {
+	// Lost counts those that found the output busy, and those over the rate of
+	// their message.
+	Lost() (busy, rate uint64)
+}
+
 // Links tells how many links this node has to and from other nodes.
 type Links interface {
 	Links() LinkCount
@@ -75,6 +82,8 @@
 		"The platform's revision at the last change that is known.", nil, nil)
 	ageDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
 		"How long ago what is known was the platform's.", nil, nil)
+	linesDesc = prometheus.NewDesc(namespace+"_log_lines_lost_total",
+		"Log lines left out: the output was busy, or over the rate of their message.", []string{"cause"}, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
@@ -108,7 +117,7 @@
 // Describe sends the descriptions.
 func (*sources) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, boundDesc, readDesc, heardDesc, revisionDesc, ageDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
+		readyDesc, boundDesc, readDesc, heardDesc, revisionDesc, ageDesc, linesDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
 	} {
 		out <- d
 	}
@@ -126,6 +135,11 @@
 	if c.Platform != nil {
 		collectReading(out, c.Platform.Reading())
 	}
+	if c.Lines != nil {
+		busy, rate := c.Lines.Lost()
+		out <- counter(linesDesc, busy, "busy")
+		out <- counter(linesDesc, rate, "rate")
+	}
 	if c.Links != nil {
 		l := c.Links.Links()
 		out <- gauge(peersDesc, float64(l.Peers))
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	// Tables makes the tables where the platform publishes in a form of its own;
 	// nil where it holds those of this project.
 	Tables Tables
+	// Lines tells of log lines that were left out; it may be nil.
+	Lines metrics.Lines
 	// CallerHeaders and UpstreamHeaders are the names that the platform gives
 	// to headers; empty ones stand for this project's.
 	CallerHeaders   entry.Headers
@@ -142,6 +144,7 @@
 		Platform:  n,
 		Links:     n,
 		Gates:     n,
+		Lines:     c.Lines,
 		Requests:  n.settings.Limits.Requests,
 	})
 	if err := n.buildPools(); err != nil {
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -41,7 +41,7 @@
 }
 
 func (t tables) Table(items []mirror.Item) (*table.Table, bool) { return t.table, len(items) > 0 }
-func (tables) Announced(mirror.Item) bool                        { return false }
+func (tables) Announced(mirror.Item) bool                       { return false }
 func (tables) Matters(mirror.Item, mirror.Event) bool           { return true }
 
 // run starts a node that reads the store.
--- a/node/services.go
+++ b/node/services.go
@@ -30,6 +30,8 @@
 	Caller net.Listener
 	Link   net.Listener
 	Admin  net.Listener
+	// Metrics is nil without an address of its own for metrics.
+	Metrics net.Listener
 }
 
 // Listen opens the ports that the settings name.
@@ -44,7 +46,11 @@
 		{"caller", addresses.Caller, &l.Caller},
 		{"link", addresses.Link, &l.Link},
 		{"admin", addresses.Admin, &l.Admin},
+		{"metrics", addresses.Metrics, &l.Metrics},
 	} {
+		if one.address == "" {
+			continue
+		}
 		*one.into, err = (&net.ListenConfig{}).Listen(ctx, "tcp", one.address)
 		if err != nil {
 			l.Close()
@@ -56,7 +62,7 @@
 
 // Close closes the ports.
 func (l *Listeners) Close() {
-	for _, one := range []net.Listener{l.Caller, l.Link, l.Admin} {
+	for _, one := range []net.Listener{l.Caller, l.Link, l.Admin, l.Metrics} {
 		if one != nil {
 			_ = one.Close() // closed already by its service, or no longer wanted
 		}
@@ -139,6 +145,9 @@
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
 	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	if l.Metrics != nil {
+		tree.Add(n.serveHTTP("metrics", adminServer.Scraped(), l.Metrics))
+	}
 	tree.Add(service{"news", n.tellNews})
 	tree.Add(service{"probes", every(probeEvery, n.probe)})
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -77,8 +77,11 @@
 	}
 	seen := make(map[string]string, 3)
 	for _, l := range []struct{ key, address string }{
-		{"caller", s.Listen.Caller}, {"link", s.Listen.Link}, {"admin", s.Listen.Admin},
+		{"caller", s.Listen.Caller}, {"link", s.Listen.Link}, {"admin", s.Listen.Admin}, {"metrics", s.Listen.Metrics},
 	} {
+		if l.key == "metrics" && l.address == "" {
+			continue
+		}
 		if !doc.Listener(n, l.key, l.address) {
 			continue
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,6 +61,9 @@
 	Announce string `toml:"announce"`
 	// Admin serves metrics, health and what the report reads.
 	Admin string `toml:"admin"`
+	// Metrics serves the metrics alone, where a scraper needs a port that is the
+	// same on all instances; it may be empty.
+	Metrics string `toml:"metrics"`
 }
 
 // Platform says where the table and the instance list are read.
