--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -28,8 +28,14 @@
 }
 
 func TestScript(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: "testdata/script",
+	p := params()
+	p.Dir = "testdata/script"
+	testscript.Run(t, p)
+}
+
+// params are the commands of sessions.
+func params() testscript.Params {
+	return testscript.Params{
 		Setup: func(env *testscript.Env) error {
 			root, err := os.Getwd()
 			env.Setenv("EXAMPLES", root+"/../examples")
@@ -67,8 +73,13 @@
 			"steady":    steady,
 			"join":      join,
 			"judge":     judge,
+			"rest":      rest,
+			"gone":      gone,
+			"recovered": recovered,
+			"versions":  versions,
+			"calm":      calm,
 		},
-	})
+	}
 }
 
 // ports NAME... gives each variable a free address of this machine.
