perf(gate): no probes that the judge doesn't heed; entry: one way to find a service

Change: probing is a matter of judges that heed probes. The entry looks an upstream's service up in one place, and its views for reports stand in a file of their own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -152,27 +152,29 @@
 
 // Heard takes in what a gate says of its upstream.
 func (e *Entry) Heard(u wire.Upstream) {
+	if s, ok := e.serviceOf(u.Name); ok {
+		s.heard(e.config.Now(), u)
+	}
+}
+
+// serviceOf finds the service of an upstream by its name.
+func (e *Entry) serviceOf(upstream string) (*service, bool) {
 	t := e.table.Load()
 	if t == nil {
-		return
+		return nil, false
 	}
-	if c, _, ok := t.Upstream(u.Name); ok {
-		if s, found := (*e.services.Load())[c.Name]; found {
-			s.heard(e.config.Now(), u)
-		}
+	c, _, ok := t.Upstream(upstream)
+	if !ok {
+		return nil, false
 	}
+	s, found := (*e.services.Load())[c.Name]
+	return s, found
 }
 
 // Invited takes in a gate's wish for a request.
 func (e *Entry) Invited(i *wire.Invitation) {
-	t := e.table.Load()
-	if t == nil {
-		return
-	}
-	if c, _, ok := t.Upstream(i.Upstream); ok {
-		if s, found := (*e.services.Load())[c.Name]; found {
-			s.invited(e.config.Now(), i)
-		}
+	if s, ok := e.serviceOf(i.Upstream); ok {
+		s.invited(e.config.Now(), i)
 	}
 }
 
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/health"
+)
+
+// states describes the upstreams for the report.
+func (s *service) states(now clock.Millis) []account.UpstreamState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	all := make([]account.UpstreamState, 0, len(s.members))
+	for i, m := range s.members {
+		all = append(all, account.UpstreamState{
+			Service:  s.config.Name,
+			Name:     m.upstream.Name,
+			Domain:   m.upstream.Domain,
+			Node:     m.upstream.Node,
+			State:    m.describe(now, s.uses[i]),
+			Weight:   m.upstream.Weight,
+			Slots:    m.upstream.Slots,
+			InFlight: max(m.sent, m.state.InFlight),
+			Severity: m.state.Severity,
+		})
+	}
+	return all
+}
+
+// comeBack is when a caller may find an upstream again: when the first
+// hold-off ends, at least a second.
+func (s *service) comeBack(now clock.Millis) clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := clock.Millis(0)
+	for _, m := range s.members {
+		left := m.heard + m.state.Until - now
+		if m.verdict(now) == health.Aside && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return max(first, clock.Second)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -34,7 +34,6 @@
 type Judge interface {
 	Admit(now clock.Millis, repeatable bool) bool
 	Observe(now clock.Millis, o health.Observation) bool
-	Probed(now clock.Millis, ok bool)
 	SetBaseline(b health.Baseline)
 	Status(now clock.Millis) health.Status
 	Own() health.Baseline
@@ -278,18 +277,25 @@
 func (g *Gate) Probe() {
 	g.mu.Lock()
 	path := g.service.Probe
+	judge, heeds := g.judge.(prober)
 	g.mu.Unlock()
-	if path == "" {
+	if path == "" || !heeds {
 		return
 	}
 	ok := g.config.Backend.Probe(path)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	g.judge.Probed(now, ok)
+	judge.Probed(now, ok)
 	g.noteState(now)
 }
 
+// prober is a judge that heeds probes. Each takes 25 ms of a slot, and where health
+// answers say that all is well in an episode, too, they are in vain.
+type prober interface {
+	Probed(now clock.Millis, ok bool)
+}
+
 // Busy returns how many requests wait or run.
 func (g *Gate) Busy() int {
 	g.mu.Lock()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -292,3 +292,38 @@
 		},
 	}), h
 }
+
+// probed counts the probes of a backend server.
+type probed struct {
+	*held
+
+	probes int
+}
+
+func (p *probed) Probe(string) bool {
+	p.probes++
+	return true
+}
+
+// The health endpoint of an upstream says that all is well while it fails most of its
+// requests. A judge that doesn't heed it must not take 25 ms of a slot every two
+// seconds for it; the others must.
+func TestOnlyJudgesThatHeedProbesProbe(t *testing.T) {
+	for _, tt := range []struct {
+		caution table.Caution
+		want    int
+	}{{table.Brief, 0}, {table.Balanced, 1}} {
+		_, h, s, u := guarded(t)
+		b := &probed{held: h}
+		s.Caution, s.Probe = tt.caution, "/health"
+		now := clock.NewSystem().Now
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		gate.New(gate.Config{
+			Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: b, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
+		}).Probe()
+		if b.probes != tt.want {
+			t.Errorf("%s: got %d probes, want %d", tt.caution, b.probes, tt.want)
+		}
+	}
+}
--- a/grade/judge.go
+++ b/grade/judge.go
@@ -37,9 +37,6 @@
 // half of which may be in an episode.
 func (*Judge) SetBaseline(health.Baseline) {}
 
-// Probed does nothing: in an episode the health endpoint says that all is well.
-func (*Judge) Probed(clock.Millis, bool) {}
-
 // Own tells no figures of its own; Status carries the probability.
 func (*Judge) Own() health.Baseline { return health.Baseline{} }
 
