feat(mirror): probe an outage of the store together

Change: a node whose call failed tells the others, and those whose own calls fail, too, put the next one off. One that is answered puts nothing off, so that nodes that the store turns away don't keep others from reading. The first answer is told as ever.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -258,6 +258,9 @@
 		f.pace.Failed(f.config.Now())
 	}
 	f.mu.Unlock()
+	if err != nil && f.config.Tell != nil {
+		f.config.Tell(News{IsAway: true})
+	}
 	if away := err != nil; away != f.isAway {
 		f.isAway = away
 		f.config.Away(err)
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -19,6 +19,8 @@
 	Events          []Event
 	// More says that there are changes too large to be told.
 	More bool
+	// IsAway says that the store didn't answer; nothing else is told then.
+	IsAway bool
 	// Age is how long ago Revision was the store's.
 	Age clock.Millis
 }
@@ -84,6 +86,9 @@
 	now := f.config.Now()
 	known := f.copy.Revision()
 	switch {
+	case n.IsAway:
+		f.pace.Postpone(now)
+		return
 	case known == 0 || known < n.Since:
 		return // there is a gap: this node's own call fills it
 	case n.More && known < n.Revision:
--- a/mirror/pace.go
+++ b/mirror/pace.go
@@ -130,6 +130,17 @@
 	p.due = now + span/2 + clock.Millis(p.random.Int64N(int64(span)))
 }
 
+// Postpone takes in that a peer's call has failed, too: where the store answers
+// nobody, each call is in vain, and one of the fleet's in a while is enough to see it
+// return. A node whose own calls are answered puts nothing off.
+func (p *Pace) Postpone(now clock.Millis) {
+	if p.failures == 0 {
+		return
+	}
+	span := p.config.Backoff
+	p.due = max(p.due, now+span/2+clock.Millis(p.random.Int64N(int64(span))))
+}
+
 // Hurry takes in that there is a change which must be read.
 func (p *Pace) Hurry(now clock.Millis) {
 	if p.isUrgent {
--- a/mirror/pace_test.go
+++ b/mirror/pace_test.go
@@ -157,6 +157,52 @@
 	}
 }
 
+// The store is away for all for half a minute. Every call is priced, and 95 nodes made
+// 300 a second in vain. When it returns, the first that is answered tells the others.
+func TestOutageIsProbedTogether(t *testing.T) {
+	const nodes, outage = 95, 30 * clock.Second
+	random := rand.New(rand.NewPCG(3, 3))
+	all := make([]*mirror.Pace, nodes)
+	heard := make([][]clock.Millis, nodes)
+	for i := range all {
+		all[i] = mirror.NewPace(mirror.PaceConfig{Fresh: fresh, Seed: uint64(i)})
+	}
+	calls, last, longest := 0, clock.Millis(0), clock.Millis(0)
+	for now := clock.Millis(1); now <= outage; now++ {
+		for i, p := range all {
+			for len(heard[i]) > 0 && heard[i][0] <= now {
+				p.Postpone(now)
+				heard[i] = heard[i][1:]
+			}
+			if now < p.Due() {
+				continue
+			}
+			calls++
+			longest, last = max(longest, now-last), now
+			p.Failed(now)
+			for j := range all {
+				if j != i {
+					heard[j] = append(heard[j], now+1+clock.Millis(random.Int64N(10)))
+				}
+			}
+		}
+	}
+	got := float64(calls-nodes) / outage.Seconds()
+	t.Logf("%.1f calls a second after the first, one at least every %v", got, longest)
+	if got > 25 {
+		t.Errorf("got %.1f calls a second, want 25 at most", got)
+	}
+	if longest > 500 {
+		t.Errorf("got none for %v, want one every 500ms at least", longest)
+	}
+	served := mirror.NewPace(mirror.PaceConfig{Fresh: fresh, Seed: 1})
+	served.Answered(1000)
+	before := served.Due()
+	if served.Postpone(1900); served.Due() != before {
+		t.Errorf("got a node that is answered put off to %v, want %v", served.Due(), before)
+	}
+}
+
 // The store is away for all and returns. It must be read within half a second: an
 // edit made at its return is to be in force within two.
 func TestStoreThatReturnsIsReadAtOnce(t *testing.T) {
--- a/node/platform.go
+++ b/node/platform.go
@@ -129,7 +129,7 @@
 // tell tells all nodes with a link what was learned from the platform.
 func (n *Node) tell(learned mirror.News) {
 	news := &wire.News{
-		Since: learned.Since, Revision: learned.Revision, More: learned.More, Age: learned.Age,
+		Since: learned.Since, Revision: learned.Revision, More: learned.More, IsAway: learned.IsAway, Age: learned.Age,
 	}
 	if len(learned.Events) > 0 {
 		var err error
@@ -148,7 +148,7 @@
 		return
 	}
 	heard := mirror.News{
-		Since: news.Since, Revision: news.Revision, More: news.More, Age: news.Age,
+		Since: news.Since, Revision: news.Revision, More: news.More, IsAway: news.IsAway, Age: news.Age,
 	}
 	if len(news.Changes) > 0 {
 		if err := wire.Unpack(news.Changes, &heard.Events); err != nil {
--- a/wire/news.go
+++ b/wire/news.go
@@ -13,6 +13,8 @@
 	Changes []byte
 	// More says that there are changes too large to be told.
 	More bool
+	// IsAway says that the platform didn't answer; nothing else is told then.
+	IsAway bool
 	// Age is how long ago Revision was the platform's, at Time of the sender's
 	// clock.
 	Age, Time clock.Millis
