--- a/cmd/soakplan_test.go
+++ b/cmd/soakplan_test.go
@@ -149,7 +149,7 @@
 	node := fmt.Sprintf("n%d", n)
 	again := fmt.Sprintf("start %s fuchsiapick node --settings %s.toml", node, node)
 	pick := func(of ...string) string { return of[p.random.IntN(len(of))] }
-	switch p.random.IntN(6) {
+	switch p.random.IntN(7) {
 	case 0:
 		return trouble{node, []string{"sigstop " + node}, []string{"sigcont " + node}}
 	case 1:
@@ -162,6 +162,9 @@
 	case 4:
 		mode := pick("down", "slow", "stale", "busy", "silent")
 		return trouble{"platform", []string{"mode $PLATFORM " + mode}, []string{"mode $PLATFORM up"}}
+	case 5: // a backup is restored: the fleet must not go back
+		older := 1 + p.random.IntN(p.version)
+		return trouble{"table", []string{fmt.Sprintf("restore $PLATFORM table %d table%d.toml", older, older)}, nil}
 	default:
 		kind := pick("fails share=0.7", "hangs share=0.5", "slow factor=10", "sheds share=0.7")
 		return trouble{"backend" + node, []string{fmt.Sprintf("fault $B%d %s", n, kind)}, []string{fmt.Sprintf("fault $B%d healthy", n)}}
