fix(grade,gate): let a torn answer weigh less than a failure that is told

Cause: a connection that ends without an answer weighed like a failure of the upstream's own (40), though package grade has a weight for it (12): upstreams that lose some of their answers, and those behind a link that was reset, were set aside by two.

Test: grade TestTornAnswersWeighLess.

--- a/gate/run.go
+++ b/gate/run.go
@@ -140,7 +140,7 @@
 		if result == health.Failed && err == nil && g.excused(began, now) {
 			result = health.CallerFault
 		}
-		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted})
+		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted, IsTorn: errors.Is(err, ErrTorn)})
 	}
 	calls := g.release(now) // first: the reply says how busy the upstream is now
 	reply := g.reply(now, j.dispatch)
--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -7,6 +7,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/grade"
+	"fuchsiapick.example/fuchsiapick/health"
 )
 
 // A crew's confirmations go to an upstream that begins to fail 85% of its
@@ -201,3 +202,14 @@
 		}
 	}
 }
+
+// An upstream loses some of its answers. That breaks connections, as a link between or
+// a node that ends does, and must weigh less than a failure that it tells itself.
+func TestTornAnswersWeighLess(t *testing.T) {
+	told, torn := grade.NewJudge(), grade.NewJudge()
+	told.Observe(1, health.Observation{Result: health.Failed})
+	torn.Observe(1, health.Observation{Result: health.Failed, IsTorn: true})
+	if got, most := torn.Status(1).Severity, told.Status(1).Severity; got >= most {
+		t.Errorf("got severity %.3f after a torn answer, want less than %.3f", got, most)
+	}
+}
--- a/grade/judge.go
+++ b/grade/judge.go
@@ -50,7 +50,7 @@
 
 // Observe takes one outcome and reports whether the state changed.
 func (j *Judge) Observe(now clock.Millis, o health.Observation) bool {
-	r, ok := resultOf(o.Result)
+	r, ok := resultOf(o)
 	if !ok || o.Again {
 		return false
 	}
@@ -77,11 +77,14 @@
 	j.note(now)
 }
 
-func resultOf(r health.Result) (Result, bool) {
-	switch r {
+func resultOf(o health.Observation) (Result, bool) {
+	switch o.Result {
 	case health.Good:
 		return Good, true
 	case health.Failed:
+		if o.IsTorn {
+			return Broken, true
+		}
 		return Failed, true
 	case health.Overdue:
 		return Overdue, true
--- a/health/types.go
+++ b/health/types.go
@@ -56,6 +56,9 @@
 	// find a hang that holds every slot, so that no other request can tell.
 	// They count only while nothing else has ended in between.
 	Again bool
+	// IsTorn marks a failure without a whole answer: the connection broke, which has
+	// causes beside the upstream's, too.
+	IsTorn bool
 	// Lasted marks a request whose run was told as lasting before. It is for
 	// judges that take such notice.
 	Lasted bool
