--- a/mirror/pace_test.go
+++ b/mirror/pace_test.go
@@ -123,23 +123,45 @@
 	for i := range 95 {
 		nodes = append(nodes, fmt.Sprintf("10.1.0.%d:7620", i))
 	}
-	all := mirror.Readers(nodes)
+	all := mirror.Readers(nodes[0], nodes)
 	if len(all) != 3 {
 		t.Fatalf("got %v, want three", all)
 	}
 	for i, name := range nodes {
-		view := mirror.Readers(slices.Delete(slices.Clone(nodes), i, i+1))
+		view := mirror.Readers(nodes[(i+1)%95], slices.Delete(slices.Clone(nodes), i, i+1))
 		for _, reader := range all {
 			if reader != name && !slices.Contains(view, reader) {
 				t.Errorf("without %s: got %v, want %s still", name, view, reader)
 			}
 		}
 	}
-	if got := mirror.Readers(nodes[:1]); !slices.Equal(got, nodes[:1]) {
+	if got := mirror.Readers(nodes[0], nodes[:1]); !slices.Equal(got, nodes[:1]) {
 		t.Errorf("got %v of one node, want it", got)
 	}
 }
 
+// Were the readers the same three for a fleet of any size, 2,400 nodes would keep links
+// to each of them: more than a node has descriptors and memory for.
+func TestReadersOfALargeFleetShareIt(t *testing.T) {
+	var nodes []string
+	for i := range 2400 {
+		nodes = append(nodes, fmt.Sprintf("10.%d.%d.1:7620", i/250, i%250))
+	}
+	kept := map[string]int{}
+	for _, node := range nodes {
+		for _, reader := range mirror.Readers(node, nodes) {
+			kept[reader]++
+		}
+	}
+	most := 0
+	for _, links := range kept {
+		most = max(most, links)
+	}
+	if most > 150 || len(kept) > 100 {
+		t.Errorf("got %d readers with up to %d links, want 100 and 150 at most", len(kept), most)
+	}
+}
+
 // Some nodes hear nothing of the others: their links are cut, or they have just
 // started. What they know must not be older for that: they read it themselves.
 func TestNodesThatHearNothingReadThemselves(t *testing.T) {
--- a/mirror/readers.go
+++ b/mirror/readers.go
@@ -6,18 +6,29 @@
 	"slices"
 )
 
-// mostReaders is how many nodes read ahead of the others: one is enough, and the next
-// is there when it dies, or can't reach the store.
-const mostReaders = 3
+const (
+	// mostReaders is how many nodes of a group read ahead of the others: one is
+	// enough, and the next is there when it dies, or can't reach the store.
+	mostReaders = 3
+	// groupSize bounds the nodes that keep links to one reader: with all of 300 in one
+	// group a reader had 1,250 connections and 70 MB.
+	groupSize = 128
+)
 
-// Readers returns the nodes that read the store ahead of the others, who keep links to
-// them. Each node works them out for itself, by a rendezvous hash of the nodes it
-// knows; where views differ there are some more. Nothing depends on them: when they
-// are gone, or their news are lost, others read as late as without them.
-func Readers(nodes []string) []string {
-	sorted := slices.Clone(nodes)
-	slices.SortFunc(sorted, func(a, b string) int { return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b)) })
-	return sorted[:min(mostReaders, len(sorted))]
+// Readers returns the nodes that read the store ahead of the others of a node's group,
+// who keep links to them. Each node works them out for itself, by a rendezvous hash of
+// the nodes it knows; where views differ there are some more. Nothing depends on them:
+// when they are gone, or their news are lost, others read as late as without them.
+func Readers(self string, nodes []string) []string {
+	groups := uint64(1)
+	for int(groups)*groupSize < len(nodes) {
+		groups *= 2
+	}
+	group := slices.DeleteFunc(slices.Clone(nodes), func(node string) bool {
+		return score(node)%groups != score(self)%groups
+	})
+	slices.SortFunc(group, func(a, b string) int { return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a, b)) })
+	return group[:min(mostReaders, len(group))]
 }
 
 // score is a node's place in the order.
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -80,7 +80,7 @@
 // readers are the nodes that read the platform ahead of the others. The node's lock is
 // held.
 func (n *Node) readers() []string {
-	return mirror.Readers(append(slices.Collect(maps.Keys(n.peers)), n.address()))
+	return mirror.Readers(n.address(), append(slices.Collect(maps.Keys(n.peers)), n.address()))
 }
 
 // keepReaders keeps links to the nodes that read the platform ahead of the others, over
@@ -159,6 +159,10 @@
 	n.follower.Hear(heard)
 }
 
+// helpers is about how many nodes help one that knows nothing, with each round of
+// heartbeats: with all of 300, a node that was restarted got 45 MB.
+const helpers = 6
+
 // helpBlank gives a peer that knows nothing of the platform what is known here. A node
 // that is replaced while the platform is away would else refuse all requests of
 // its callers until that is back. Its peers dial it, for they have it in their
@@ -167,8 +171,11 @@
 	if n.tables == nil || b.Version > 0 || b.Leaving || n.follower.Revision() == 0 {
 		return
 	}
+	if nodes, _ := n.size(); rand.IntN(nodes) >= helpers {
+		return // others do, or this node after the next heartbeat
+	}
 	items, revision := n.follower.Snapshot()
-	body, err := json.Marshal(items)
+	body, err := wire.Pack(items)
 	if err != nil {
 		n.log.WithError(err).Error("peer without a table not helped")
 		return
@@ -186,7 +193,7 @@
 func (n *Node) takeOver(node string, e *wire.Edition) {
 	var items []mirror.Item
 	log := n.log.WithField("peer", node)
-	if err := json.Unmarshal(e.Text, &items); err != nil {
+	if err := wire.Unpack(e.Text, &items); err != nil {
 		log.WithError(err).Error("peer's copy rejected")
 		return
 	}
