fix(gate): keep the refusals of waiters when the next in line is gone

Cause: release looked for the next waiter in a loop and kept the refusals of passed-over waiters of the last turn only. Found by reading; a ticket without a waiter is not reachable today, since whoever takes a waiter out of its map withdraws its ticket first, so that no test could show it.

--- a/gate/run.go
+++ b/gate/run.go
@@ -204,9 +204,10 @@
 // that were passed over, and the turn of the one that takes it. The gate's lock is
 // held.
 func (g *Gate) release(now clock.Millis) []func() {
+	var calls []func()
 	for {
 		ticket, ok := g.slots.Release(now)
-		calls := g.late(now)
+		calls = append(calls, g.late(now)...)
 		if !ok {
 			return calls
 		}
