fix(mirror,platform): news that are complete, copies that are compared, registrations of others

Cause: a node that heard changes from a peer while its own watch was answered compared the answer with the copy that already held them, found nothing new and told all others that up to that revision nothing had changed.

Ruled out: a watch's answer taken for less than it said (events and revision agreed in all 96 calls), the list (all read at revision 1, before any registration), pages (one each).

Also mended, found by a property test in virtual time: a removal that a late answer undid, a change and its opposite between two calls told by half, a removal on which a peer isn't believed beside the write before it.

Copies carry a digest of what matters now, told with the news; a node that differs reads all values, at most every 3 s, doubled while that finds nothing; each 64th call is a list in any case, 1.6% of the calls.

--- a/document/shape.go
+++ b/document/shape.go
@@ -58,14 +58,17 @@
 	}
 }
 
+// notRead is the tag of a field that no text fills.
+const notRead = "-"
+
 func (s *shape) keysOf(t reflect.Type) keySet {
 	if known, ok := s.known[t]; ok {
 		return known
 	}
 	types := make(map[string]reflect.Type, t.NumField())
 	for f := range t.Fields() {
-		if f.IsExported() {
-			types[f.Tag.Get("toml")] = f.Type
+		if key := f.Tag.Get("toml"); f.IsExported() && key != notRead {
+			types[key] = f.Type
 		}
 	}
 	known := keySet{types: types, allowed: keyList(types)}
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -24,6 +24,8 @@
 	Calls, Errors uint64
 	// Heard counts what other nodes told in place of a call.
 	Heard uint64
+	// Wrong counts lists of all values that showed the copy here to be wrong.
+	Wrong uint64
 	// Revision is the platform's at the last change that is known.
 	Revision uint64
 	// Age is how long ago what is known was the platform's, once Known.
@@ -78,6 +80,8 @@
 		"Calls to the platform by what came of them.", []string{"result"}, nil)
 	heardDesc = prometheus.NewDesc(namespace+"_platform_news_total",
 		"News of the platform that other nodes told in place of a call.", nil, nil)
+	wrongDesc = prometheus.NewDesc(namespace+"_platform_copy_wrong_total",
+		"Times when the copy of the platform's values was found wrong, and all were listed again.", nil, nil)
 	revisionDesc = prometheus.NewDesc(namespace+"_platform_revision",
 		"The platform's revision at the last change that is known.", nil, nil)
 	ageDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
@@ -117,7 +121,7 @@
 // Describe sends the descriptions.
 func (*sources) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, boundDesc, readDesc, heardDesc, revisionDesc, ageDesc, linesDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
+		readyDesc, boundDesc, readDesc, heardDesc, wrongDesc, revisionDesc, ageDesc, linesDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
 	} {
 		out <- d
 	}
@@ -157,6 +161,7 @@
 	out <- counter(readDesc, r.Calls-min(r.Calls, r.Errors), resultAnswered)
 	out <- counter(readDesc, r.Errors, resultError)
 	out <- counter(heardDesc, r.Heard)
+	out <- counter(wrongDesc, r.Wrong)
 	out <- gauge(revisionDesc, float64(r.Revision))
 	if r.Known {
 		out <- gauge(ageDesc, r.Age.Seconds())
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -23,7 +23,7 @@
 // they live. Taken at its word on its return, the list would leave the node
 // without an upstream until they have written again.
 func TestLapsedEntriesAreHeldForTheirReturn(t *testing.T) {
-	c := mirror.NewCopy()
+	c := mirror.NewCopy(nil)
 	c.Reset(0, []mirror.Item{item("a", 1), item("b", 2)}, 2)
 	c.Returned(10_000)
 	c.Reset(10_000, []mirror.Item{item("a", 9)}, 9)
@@ -42,7 +42,7 @@
 
 // One that isn't back two seconds after the return is gone for good.
 func TestLapsedEntriesGoAfterTheGrace(t *testing.T) {
-	c := mirror.NewCopy()
+	c := mirror.NewCopy(nil)
 	c.Reset(0, []mirror.Item{item("a", 1)}, 1)
 	c.Returned(5000)
 	c.Apply(5100, []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 4}, Gone: true}}, 4)
@@ -57,7 +57,7 @@
 // The pages of a list aren't a snapshot, and a watch from the first page's
 // revision tells what the later pages held already, older values among it.
 func TestOlderValuesDoNotReplaceNewer(t *testing.T) {
-	c := mirror.NewCopy()
+	c := mirror.NewCopy(nil)
 	c.Reset(0, []mirror.Item{{Key: "configuration", Revision: 8, Value: []byte("new")}}, 5)
 	c.Apply(1, []mirror.Event{
 		{Item: mirror.Item{Key: "configuration", Revision: 6, Value: []byte("old")}},
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -37,10 +37,10 @@
 	// Deliver takes in all values that count, after each call and, told, after
 	// news of a peer. It must not keep the slice's values beyond the next call.
 	Deliver func(items []Item, isTold bool)
-	// Matters reports whether a change is worth telling other nodes, and Tell tells
-	// them; both may be nil. They must not block.
-	Matters func(old Item, e Event) bool
-	Tell    func(n News)
+	// Mark sums up what of a value matters; changes beyond it are not told to other
+	// nodes. Tell tells them. Both may be nil, and must not block.
+	Mark Mark
+	Tell func(n News)
 	// Announced reports whether a value that is gone was expected to go; it may be
 	// nil.
 	Announced func(old Item) bool
@@ -69,6 +69,7 @@
 	confirmed   uint64
 	confirmedAt clock.Millis
 	doubted     uint64
+	audit       audit
 	stats       Stats
 }
 
@@ -78,6 +79,8 @@
 	Calls, Errors uint64
 	// Heard is how often news of another node were taken in.
 	Heard uint64
+	// Wrong is how often a list showed that the copy was wrong.
+	Wrong uint64
 	// Known is the instant at which what is known was the store's, if IsKnown.
 	Known   clock.Millis
 	IsKnown bool
@@ -97,10 +100,7 @@
 	if c.Fresh <= 0 {
 		c.Fresh = defaultFresh
 	}
-	if c.Matters == nil {
-		c.Matters = func(Item, Event) bool { return true }
-	}
-	return &Follower{config: c, copy: NewCopy(), pace: NewPace(PaceConfig{Fresh: c.Fresh, Backoff: c.Backoff, Seed: c.Seed}), woken: make(chan struct{}, 1)}
+	return &Follower{config: c, copy: NewCopy(c.Mark), pace: NewPace(PaceConfig{Fresh: c.Fresh, Backoff: c.Backoff, Seed: c.Seed}), woken: make(chan struct{}, 1)}
 }
 
 // Serve follows the store until the context ends.
@@ -179,8 +179,8 @@
 
 // step makes one call and takes its answer in.
 func (f *Follower) step(ctx context.Context) error {
-	after := f.from()
-	if after == 0 {
+	after, isAudit := f.from()
+	if after == 0 || isAudit {
 		return f.relist(ctx)
 	}
 	asked := f.config.Now()
@@ -198,21 +198,23 @@
 		revision = after
 	}
 	f.take(asked, revision, func(now clock.Millis) News {
-		n := newsOf(f.copy, after, revision, events, f.config.Matters)
+		n := newsOf(f.copy, after, revision, events)
 		f.copy.Apply(now, events, revision)
 		return n
 	})
 	return nil
 }
 
-// from is the revision from which changes are to be read.
-func (f *Follower) from() uint64 {
+// from is the revision from which changes are to be read, and whether all values are
+// to be listed in their place.
+func (f *Follower) from() (after uint64, isAudit bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.audit.called(len(f.copy.items))
 	if f.doubted > 0 {
-		return f.confirmed
+		return f.confirmed, f.audit.isDue
 	}
-	return f.copy.Revision()
+	return f.copy.Revision(), f.audit.isDue
 }
 
 // relist reads all values anew and goes on from there.
@@ -223,6 +225,7 @@
 		return errors.Trace(err)
 	}
 	f.take(asked, revision, func(now clock.Millis) News {
+		f.checked(now, items, revision)
 		f.copy.Reset(now, items, revision)
 		return News{}
 	})
@@ -240,6 +243,7 @@
 		f.copy.Returned(now)
 	}
 	news := change(now)
+	f.copy.Confirmed(revision)
 	isUrgent := f.pace.Urgent() // all others make such a call too, and need not be told
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now), false)
@@ -250,6 +254,9 @@
 	} else {
 		f.pace.Hurry(now)
 	}
+	if digest, isSettled := f.copy.Digest(); isSettled && f.doubted == 0 && news.Revision == f.copy.Revision() {
+		news.Digest = digest
+	}
 	if !isUrgent {
 		f.tell(news, now, asked)
 	}
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -23,19 +23,31 @@
 	IsAway bool
 	// Age is how long ago Revision was the store's.
 	Age clock.Millis
+	// Digest sums up what the teller holds at Revision; 0 where it can't say.
+	Digest uint64
 }
 
 // newsOf sums up what a call has brought. It is made before the copy takes the
 // events in, with which they are compared.
-func newsOf(c *Copy, since, revision uint64, events []Event, matters func(old Item, e Event) bool) News {
+//
+// A value that the copy holds as of a revision after since came by another node's news
+// while the call was under way. Compared with that, a change is none, and news without
+// it would claim to be complete: a node at since that heard only these would never
+// learn of an upstream. Such changes are told, and so are all further ones of a key of
+// which one is told.
+func newsOf(c *Copy, since, revision uint64, events []Event) News {
 	n := News{Since: since, Revision: revision}
 	size := 0
+	told := map[string]struct{}{}
 	for _, e := range events {
 		old := c.items[e.Key]
-		if e.Gone || matters(old, e) {
-			n.Events = append(n.Events, e)
-			size += len(e.Value)
+		_, isTold := told[e.Key]
+		if !e.Gone && !isTold && old.Revision <= since && c.mark(e.Item) == c.marks[e.Key] {
+			continue
 		}
+		told[e.Key] = struct{}{}
+		n.Events = append(n.Events, e)
+		size += len(e.Value)
 	}
 	if size > newsLimit {
 		n.Events, n.More = nil, true
@@ -58,19 +70,23 @@
 // a call in so long.
 const confirmSpan = 3 * clock.Second
 
-// believed returns the changes that are taken on a peer's word. A registration lapses
-// also where its upstream lives and is only cut off from the store, with this node
-// beside it or near it: the store must have told this node itself that it is gone.
-// A node that is cut off as well would else lose what it alone can reach.
+// believed returns the changes that are taken on a peer's word. A value that was written
+// by the revision known here is known, or gone since. A registration lapses also where
+// its upstream lives and is only cut off from the store, with this node beside it or
+// near it: the store must have told this node itself that it is gone. A node that is
+// cut off as well would else lose what it alone can reach.
 func (f *Follower) believed(now clock.Millis, n News) []Event {
+	known := f.copy.Revision()
+	isKnown := func(e Event) bool { return !e.Gone && e.Revision <= known }
+	events := slices.DeleteFunc(slices.Clone(n.Events), isKnown)
 	isGone := func(e Event) bool { return e.Gone && !f.announced(e.Key) }
-	if now-f.confirmedAt <= confirmSpan || !slices.ContainsFunc(n.Events, isGone) {
-		return n.Events
+	if now-f.confirmedAt <= confirmSpan || !slices.ContainsFunc(events, isGone) {
+		return events
 	}
 	f.doubted = max(f.doubted, n.Revision)
 	f.pace.Hurry(now)
 	f.wake()
-	return slices.DeleteFunc(slices.Clone(n.Events), isGone)
+	return slices.DeleteFunc(events, isGone)
 }
 
 // announced reports whether the removal of a value was expected.
@@ -104,4 +120,5 @@
 	f.stats.Heard++
 	f.config.Deliver(f.copy.Items(now), true) // a grace may be over, without any event
 	f.pace.Known(now - n.Age)
+	f.compare(now, &n)
 }
--- /dev/null
+++ b/mirror/story_test.go
@@ -0,0 +1,142 @@
+package mirror_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/mirror"
+)
+
+// overtaken is a store that answers one watch only after its reader has heard the same
+// changes from another node.
+type overtaken struct {
+	script
+
+	hear func()
+}
+
+func (s *overtaken) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+	s.hear()
+	s.next()
+	return []mirror.Event{{Item: item("a", 12)}, {Item: item("b", 15)}}, 20, nil
+}
+
+// All nodes start together, and nine upstreams register. One node reads them and tells
+// those with a link to it. A second one was just asking the store for the same; by its
+// answer it learns nothing new, and tells all others that up to there nothing has changed.
+// These believe it: they never learn of the nine, which get no request all day.
+func TestNewsIsCompleteThoughHeardBefore(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &overtaken{script: script{lists: [][]mirror.Item{{}}, now: clock.NewSystem().Now, next: cancel}}
+	var told []mirror.News
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Store: s, Now: s.now, Fresh: 50,
+		Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		Tell: func(n mirror.News) { told = append(told, n) },
+	})
+	s.hear = func() {
+		f.Hear(mirror.News{Since: 1, Revision: 20, Events: []mirror.Event{{Item: item("a", 12)}, {Item: item("b", 15)}}})
+	}
+	_ = f.Serve(ctx) // it ends with the context
+	if len(told) != 1 || told[0].Since != 1 || len(told[0].Events) != 2 {
+		t.Errorf("got %+v told, want both upstreams, complete from revision 1", told)
+	}
+}
+
+// An upstream says that it drains, then is ready again, all between two calls of the
+// node that reads. Compared with what that node held before, the second change is
+// none: told of the first alone, all others would leave the upstream alone for good.
+func TestAChangeAndItsOppositeAreBothTold(t *testing.T) {
+	var told []mirror.News
+	s := &changing{script: script{lists: [][]mirror.Item{{{Key: "a", Revision: 1, Created: 1, Value: []byte("ready")}}}, now: clock.NewSystem().Now}}
+	ctx, cancel := context.WithCancel(t.Context())
+	s.next = cancel
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Store: s, Now: s.now, Fresh: 50,
+		Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		Tell: func(n mirror.News) { told = append(told, n) },
+	})
+	_ = f.Serve(ctx) // it ends with the context
+	if len(told) != 1 || len(told[0].Events) != 2 {
+		t.Errorf("got %+v told, want both changes", told)
+	}
+}
+
+type changing struct{ script }
+
+func (s *changing) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+	s.next()
+	return []mirror.Event{
+		{Item: mirror.Item{Key: "a", Revision: 3, Created: 1, Value: []byte("draining")}},
+		{Item: mirror.Item{Key: "a", Revision: 4, Created: 1, Value: []byte("ready")}},
+	}, 4, nil
+}
+
+// A node has missed an upstream, whatever the cause, and no event touches it again. The
+// next news of a node that knows it must make it read all values anew, and say so once.
+func TestACopyThatDiffersIsReadAnew(t *testing.T) {
+	whole := []mirror.Item{item("a", 2), item("b", 3)}
+	sound := mirror.NewCopy(nil)
+	sound.Reset(0, whole, 5)
+	digest, _ := sound.Digest()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		now := clock.NewSystem().Now
+		s := &script{lists: [][]mirror.Item{{item("a", 2)}, whole}, now: now, next: func() {}}
+		f := mirror.NewFollower(mirror.FollowerConfig{
+			Store: s, Now: now, Log: log, Fresh: clock.Hour, Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Serve(ctx) }() // it ends with the context
+		for range 5 {                    // a list is not read for doubt so soon after another
+			<-time.After(time.Second)
+			f.Hear(mirror.News{Since: 1, Revision: 5, Digest: digest})
+		}
+		<-time.After(time.Second)
+		cancel()
+		items, _ := f.Snapshot()
+		if got := keys(items); !slices.Equal(got, []string{"a", "b"}) {
+			t.Errorf("got %v, want both", got)
+		}
+		if got := f.Stats().Wrong; got != 1 {
+			t.Errorf("got %d copies found wrong, want 1", got)
+		}
+	})
+}
+
+// A registration ends while the answer to a watch that saw it before is on its way. The
+// removal comes first, from a peer. The older answer must not bring the upstream back:
+// nothing would tell its removal again.
+func TestAnOlderAnswerBringsNothingBack(t *testing.T) {
+	c := mirror.NewCopy(nil)
+	c.Reset(0, []mirror.Item{item("a", 1)}, 5)
+	c.Apply(1, []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 9}, Gone: true}}, 9)
+	c.Apply(2, []mirror.Event{{Item: item("a", 7)}}, 8)
+	if got := keys(c.Items(3)); len(got) != 0 {
+		t.Errorf("got %v, want nothing", got)
+	}
+	c.Apply(4, []mirror.Event{{Item: item("a", 11)}}, 11)
+	if got := keys(c.Items(5)); len(got) != 1 {
+		t.Errorf("got %v, want it back once it is written anew", got)
+	}
+}
+
+// A list was answered while news went on. What is newer than the list must stay, or an
+// upstream that just joined would be gone again for a moment, on this node alone.
+func TestAListKeepsWhatIsNewer(t *testing.T) {
+	c := mirror.NewCopy(nil)
+	c.Reset(0, []mirror.Item{item("a", 1)}, 5)
+	c.Apply(1, []mirror.Event{{Item: item("b", 8)}}, 8)
+	c.Reset(2, []mirror.Item{item("a", 1)}, 6)
+	if got := keys(c.Items(3)); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("got %v, want a and b", got)
+	}
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -29,8 +29,8 @@
 	// Table returns the table that the values make, and false where it would be
 	// the same as the one before.
 	Table(items []mirror.Item) (*table.Table, bool)
-	// Matters reports whether a change may make another table.
-	Matters(old mirror.Item, e mirror.Event) bool
+	// Mark sums up what of a value may make another table.
+	Mark(item mirror.Item) uint64
 	// Announced reports whether a value that is gone was expected to go.
 	Announced(old mirror.Item) bool
 }
@@ -61,7 +61,7 @@
 		Log:     n.log,
 	}
 	if n.tables != nil {
-		c.Matters, c.Announced = n.tables.Matters, n.tables.Announced
+		c.Mark, c.Announced = n.tables.Mark, n.tables.Announced
 	}
 	if n.settings.Platform.Form == settings.FormTable {
 		c.Backoff = n.settings.Platform.Poll
@@ -130,6 +130,7 @@
 func (n *Node) tell(learned mirror.News) {
 	news := &wire.News{
 		Since: learned.Since, Revision: learned.Revision, More: learned.More, IsAway: learned.IsAway, Age: learned.Age,
+		Digest: learned.Digest,
 	}
 	if len(learned.Events) > 0 {
 		var err error
@@ -149,6 +150,7 @@
 	}
 	heard := mirror.News{
 		Since: news.Since, Revision: news.Revision, More: news.More, IsAway: news.IsAway, Age: news.Age,
+		Digest: news.Digest,
 	}
 	if len(news.Changes) > 0 {
 		if err := wire.Unpack(news.Changes, &heard.Events); err != nil {
@@ -243,7 +245,7 @@
 		return metrics.Reading{}
 	}
 	s := n.follower.Stats()
-	r := metrics.Reading{Calls: s.Calls, Errors: s.Errors, Heard: s.Heard, Revision: n.follower.Revision()}
+	r := metrics.Reading{Calls: s.Calls, Errors: s.Errors, Heard: s.Heard, Wrong: s.Wrong, Revision: n.follower.Revision()}
 	if s.IsKnown {
 		r.Known, r.Age = true, max(n.clock.Now()-s.Known, 0)
 	}
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -42,7 +42,7 @@
 
 func (t tables) Table(items []mirror.Item) (*table.Table, bool) { return t.table, len(items) > 0 }
 func (tables) Announced(mirror.Item) bool                       { return false }
-func (tables) Matters(mirror.Item, mirror.Event) bool           { return true }
+func (tables) Mark(item mirror.Item) uint64                     { return item.Revision }
 
 // run starts a node that reads the store.
 func run(t *testing.T, name string, l *node.Listeners, s store, made tables) *node.Node {
--- a/table/diff.go
+++ b/table/diff.go
@@ -173,7 +173,7 @@
 		if !f.IsExported() || isList(f.Type) {
 			continue
 		}
-		place := join(where, f.Tag.Get("toml"))
+		place := join(where, keyOf(&f))
 		from, to := before.Field(i).Interface(), after.Field(i).Interface()
 		if f.Type.Kind() == reflect.Struct {
 			d.values(place, from, to)
@@ -194,7 +194,7 @@
 	v := reflect.ValueOf(part)
 	var words []string
 	for i, f := range reflect.VisibleFields(v.Type()) {
-		key := f.Tag.Get("toml")
+		key := keyOf(&f)
 		switch {
 		case key == "name" || key == "prefix":
 		case f.Tag.Get("diff") == "unless-zero" && v.Field(i).IsZero():
@@ -209,6 +209,14 @@
 	return strings.Join(words, ", ")
 }
 
+// keyOf is a field's key in a text, or its name where no text fills it.
+func keyOf(f *reflect.StructField) string {
+	if key := f.Tag.Get("toml"); key != "-" {
+		return key
+	}
+	return strings.ToLower(f.Name)
+}
+
 func join(where, key string) string {
 	if where == "" {
 		return key
--- a/table/types.go
+++ b/table/types.go
@@ -104,6 +104,10 @@
 	Slots int `toml:"slots"`
 	// Connections bounds the connections that its gate opens to it.
 	Connections int `toml:"connections"`
+	// Started is when its process started, in Unix milliseconds, where a platform
+	// tells it; 0 stands for not told. Another one under the same name is another
+	// process, which knows nothing of what the one before had begun.
+	Started int64 `toml:"-" diff:"unless-zero"`
 }
 
 // Route sends requests by host and path prefix to a service, or to several in
