feat(gate,entry,node): an upstream that starts again under its id is another process

Cause: an id used to be new with each start; it may stay now, and a restart shorter than a heartbeat shows in nothing but the registration's start.

What ends with the process: verdict and severity at gate and entries, counts, kept connections (those in use are given up after 100 ms), slots of its runs, known service times. What stays: waiting requests, which begin on the new one, and the fence, also over a registration that lapses and comes back: the new gate asks the one before, so that a dispatch that ran is never called not run, and a voided one never runs. Gates that were removed are asked for a minute, and count as busy at a shutdown.

A gate's node that doesn't know an upstream no longer says that it leaves, which kept entries from it for good; it is left alone for 2 s, and asked for longer than 4 s the node checks its copy.

--- a/capacity/gates.go
+++ b/capacity/gates.go
@@ -62,6 +62,7 @@
 
 // Probe finds it healthy.
 func (quick) Probe(string) bool { return true }
+func (quick) Renew()            {}
 
 // Close does nothing.
 func (quick) Close() {}
--- /dev/null
+++ b/entry/restart_test.go
@@ -0,0 +1,42 @@
+package entry_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// An upstream that was set aside is another process now, under the same name. What its
+// gate said of the one before must not keep requests from it.
+func TestAnotherProcessIsAnotherUpstream(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := entry.New(entry.Config{
+		Now: clock.NewSystem().Now, Journal: account.New(account.Config{}), Log: log,
+		Target: func(table.Upstream) entry.Target { return &desk{} },
+	})
+	listed := func(started int64) *table.Table {
+		return table.Index(table.Table{Services: []table.Service{{
+			Name: "conferme", Caution: table.Brief, Floor: 0.5,
+			Upstreams: []table.Upstream{
+				{Name: "c1", Node: "10.0.0.1:1", Weight: 100, Slots: 1, Started: started},
+				{Name: "c2", Node: "10.0.0.2:1", Weight: 100, Slots: 1},
+			},
+		}}})
+	}
+	e.Update(listed(1))
+	e.Heard(wire.Upstream{Name: "c1", State: uint8(health.Aside), Severity: 1, Until: clock.Minute})
+	before := e.States()[0].State
+	e.Update(listed(2))
+	if after := e.States()[0].State; after == before {
+		t.Errorf("got %s before and after, want what was heard forgotten", after)
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -88,7 +88,7 @@
 }
 
 // update puts a table edit in force. What is known of upstreams that stay is
-// kept.
+// kept; one that started again under its name is another.
 func (s *service) update(c table.Service, nodeCount int, target func(u table.Upstream) Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +104,7 @@
 	s.members = make([]*member, 0, len(c.Upstreams))
 	for _, u := range c.Upstreams {
 		m, ok := old[u.Name]
-		if !ok || m.upstream.Node != u.Node {
+		if !ok || m.upstream.Node != u.Node || m.upstream.Started != u.Started {
 			m = &member{target: target(u), state: wire.Upstream{Share: 1}}
 		}
 		m.upstream = u
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -93,6 +93,7 @@
 
 	mu     sync.Mutex
 	idle   []*backendConn
+	busy   map[*backendConn]struct{}
 	open   int
 	closed bool
 }
@@ -104,7 +105,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	return &HTTP{config: c}
+	return &HTTP{config: c, busy: map[*backendConn]struct{}{}}
 }
 
 // Close drops the connections that are idle, and each other one after its
@@ -139,7 +140,7 @@
 	err = conn.exchange(ctx, h, request, response, c.ID)
 	if err != nil {
 		h.drop(conn)
-		return Answer{}, h.fault(ctx, err)
+		return Answer{}, h.fault(ctx, conn, err)
 	}
 	answer := h.answerOf(c.Method, response)
 	h.give(conn, response)
@@ -147,9 +148,11 @@
 }
 
 // fault says why an exchange ended without a whole answer.
-func (*HTTP) fault(ctx context.Context, err error) error {
+func (*HTTP) fault(ctx context.Context, conn *backendConn, err error) error {
 	var network net.Error
 	switch {
+	case conn.isOver.Load():
+		return errors.Annotate(ErrTorn, "the backend server started again")
 	case errors.Is(err, ErrForeign), errors.Is(err, ErrLarge):
 		return errors.Trace(err)
 	case ctx.Err() != nil:
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,8 @@
 	// used is when the last answer on it ended, until when an idle one is given
 	// up.
 	used, until time.Time
+	// isOver says that the process at the other side is gone.
+	isOver atomic.Bool
 }
 
 // take returns a connection: an idle one that still stands, else a new one. A
@@ -49,6 +52,7 @@
 func (h *HTTP) take(ctx context.Context, deadline time.Time, repeatable bool) (*backendConn, error) {
 	conn, ok := h.reserve(repeatable)
 	if conn != nil {
+		h.use(conn)
 		return conn, errors.Trace(conn.SetDeadline(deadline))
 	}
 	if !ok {
@@ -65,11 +69,19 @@
 		h.mu.Unlock()
 		return nil, errors.Annotatef(ErrRefused, "opening a connection: %v", err)
 	}
-	return &backendConn{
+	conn = &backendConn{
 		Conn:   raw,
 		reader: bufio.NewReaderSize(raw, bufferSize),
 		writer: bufio.NewWriterSize(raw, bufferSize),
-	}, nil
+	}
+	h.use(conn)
+	return conn, nil
+}
+
+func (h *HTTP) use(conn *backendConn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.busy[conn] = struct{}{}
 }
 
 // reserve returns an idle connection that is fit for the request, or nil and
@@ -103,6 +115,7 @@
 func (h *HTTP) drop(conn *backendConn) {
 	h.mu.Lock()
 	h.open--
+	delete(h.busy, conn)
 	h.mu.Unlock()
 	_ = conn.Close() // what was to be read is given up
 }
@@ -111,7 +124,7 @@
 func (h *HTTP) give(conn *backendConn, response *fasthttp.Response) {
 	length := response.Header.ContentLength()
 	framed := length >= 0 || length == -1 // by length or in chunks
-	if response.Header.ConnectionClose() || !framed || conn.reader.Buffered() > 0 {
+	if response.Header.ConnectionClose() || !framed || conn.reader.Buffered() > 0 || conn.isOver.Load() {
 		h.drop(conn)
 		return
 	}
@@ -119,6 +132,7 @@
 	conn.until = conn.used.Add(keepFor(response))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	delete(h.busy, conn)
 	if h.closed {
 		h.open--
 		_ = conn.Close() // nothing is under way on it
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -27,6 +28,8 @@
 	Do(ctx context.Context, c *Call) (Answer, error)
 	// Probe asks the backend server's health endpoint.
 	Probe(path string) bool
+	// Renew takes in that the backend server is another process from now on.
+	Renew()
 	Close()
 }
 
@@ -82,7 +85,9 @@
 	Refusals Refusals
 	// Keys is shared by all gates of a node.
 	Keys *Keys
-	Log  logrus.FieldLogger
+	// Before is the gate that an upstream of this name had before; nil without.
+	Before *Gate
+	Log    logrus.FieldLogger
 }
 
 // Gate guards one upstream. It is safe for concurrent use.
@@ -90,6 +95,7 @@
 	config Config
 	log    logrus.FieldLogger
 	made   clock.Millis
+	before atomic.Pointer[Gate]
 
 	mu       sync.Mutex
 	service  table.Service
@@ -107,11 +113,14 @@
 	// the invitations that they got.
 	senders []uint64
 	invited int
-	leaving bool // for good, as the node is shutting down
+	leaving bool // for good since endedAt, as the node is shutting down or has another gate
+	endedAt clock.Millis
 	listed  bool // as the instance list says
 	leftAt  clock.Millis
 	state   health.State
 	level   grade.Level
+	// life counts the processes that the upstream has been.
+	life int
 }
 
 // job is one dispatch that waits for a slot or runs.
@@ -124,7 +133,10 @@
 	running  bool
 	overdue  bool
 	lasted   bool // its judge was told that the run lasts
-	timer    *time.Timer
+	// life is the upstream's when the run began. One of a process that is gone holds
+	// no slot, and speaks for or against nobody.
+	life  int
+	timer *time.Timer
 	// abandon breaks off the call; it is set while it runs.
 	abandon context.CancelFunc
 	refusal *wire.Reply // when its key may not run here
@@ -145,6 +157,7 @@
 		places:   map[uint64]*place{},
 		holds:    map[lease.Key]*time.Timer{},
 	}
+	g.before.Store(c.Before)
 	if c.Invite != nil {
 		time.AfterFunc(inviteEvery.Duration(), g.invite)
 	}
@@ -170,6 +183,10 @@
 func (g *Gate) Handle(d *wire.Dispatch, answer func(*wire.Reply)) {
 	now := g.config.Now()
 	key := lease.Key{Entry: d.ID.Entry, Seq: d.ID.Seq, Attempt: d.Attempt}
+	if before, ok := g.before.Load().remembers(key); ok {
+		before.Handle(d, answer)
+		return
+	}
 	g.mu.Lock()
 	verdict := g.fence.Take(now, key, d.Incarnation, d.Lease)
 	if verdict == lease.Duplicate {
@@ -258,15 +275,14 @@
 	if s.Caution != g.service.Caution {
 		g.judge = judgeOf(s.Caution, g.config.Seed)
 	}
-	before := g.left()
+	before, started := g.left(), g.upstream.Started
 	g.service, g.upstream = s, u
 	late := g.noteLeft(before, "zero weight")
 	late = append(late, g.late(g.config.Now())...) // first: a new slot must not go to one of them
 	now := g.config.Now()
-	for _, ticket := range g.slots.Resize(slotsOf(&s, &u, g.config.Seed)) {
-		if turn := g.turn(now, ticket); turn != nil {
-			late = append(late, turn)
-		}
+	late = append(late, g.turns(now, g.slots.Resize(slotsOf(&s, &u, g.config.Seed)))...)
+	if started != u.Started {
+		late = append(late, g.restart(now)...)
 	}
 	g.mu.Unlock()
 	callAll(late)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -34,6 +34,7 @@
 
 func (*held) Probe(string) bool { return true }
 func (*held) Close()            {}
+func (*held) Renew()            {}
 
 type nobody struct{}
 
@@ -49,6 +50,20 @@
 
 // guardedWith tells news of the gate to changed.
 func guardedWith(t *testing.T, changed func()) (*gate.Gate, *held, table.Service, table.Upstream) {
+	t.Helper()
+	s := table.Service{Name: "conferme", Caution: table.Brief, Queue: 4}
+	u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
+	g, h := gateOf(t, gate.Config{Service: s, Upstream: u, Changed: changed})
+	return g, h, s, u
+}
+
+// gateAfter returns a gate of an upstream that had another one before.
+func gateAfter(t *testing.T, before *gate.Gate, s table.Service, u table.Upstream) (*gate.Gate, *held) {
+	t.Helper()
+	return gateOf(t, gate.Config{Service: s, Upstream: u, Before: before})
+}
+
+func gateOf(t *testing.T, c gate.Config) (*gate.Gate, *held) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -57,15 +72,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(pool.Release)
-	now := clock.NewSystem().Now
 	h := &held{begun: make(chan string, 8), end: make(chan struct{})}
-	s := table.Service{Name: "conferme", Caution: table.Brief, Queue: 4}
-	u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
-	g := gate.New(gate.Config{
-		Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: h,
-		Pool: pool, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log, Changed: changed,
-	})
-	return g, h, s, u
+	c.Incarnation, c.Now, c.Backend, c.Pool, c.Journal, c.Log = incarnation, clock.NewSystem().Now, h, pool, nobody{}, log
+	c.Keys = gate.NewKeys(c.Now)
+	return gate.New(c), h
 }
 
 func dispatch(seq uint64, label string) *wire.Dispatch {
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -10,7 +10,9 @@
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	before := g.left()
-	g.leaving = true
+	if !g.leaving {
+		g.leaving, g.endedAt = true, g.config.Now()
+	}
 	refused := g.noteLeft(before, "shutdown")
 	g.mu.Unlock()
 	callAll(refused)
--- /dev/null
+++ b/gate/restart.go
@@ -0,0 +1,104 @@
+package gate
+
+import (
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
+	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// restart takes in that the upstream is another process under the same name. What was
+// of the one before ends with it: the verdict, the slots of its runs, kept connections
+// and what is known of service times. Requests that wait go on waiting, and the fence
+// stays: what it voided, or saw begin, must not run on the new process either. It
+// returns what is to be done without the lock, which is held.
+func (g *Gate) restart(now clock.Millis) []func() {
+	g.life++
+	g.judge = judgeOf(g.service.Caution, g.config.Seed)
+	g.state, g.level = health.InUse, grade.Sound
+	g.config.Backend.Renew()
+	g.log.Info("upstream started again")
+	runs := 0
+	for _, j := range g.jobs {
+		if j.running {
+			runs++
+		}
+	}
+	return g.turns(now, g.slots.Restart(runs))
+}
+
+// turns is what waiters do that have got a slot. The gate's lock is held.
+func (g *Gate) turns(now clock.Millis, tickets []uint64) []func() {
+	var calls []func()
+	for _, ticket := range tickets {
+		if turn := g.turn(now, ticket); turn != nil {
+			calls = append(calls, turn)
+		}
+	}
+	return calls
+}
+
+// remembers returns the gate, this one or one before it, that has taken in a dispatch or
+// voided it. An upstream that comes back under its name has a gate of its own: asked for
+// what the one before has begun, that would call it not run.
+func (g *Gate) remembers(key lease.Key) (*Gate, bool) {
+	for one := g; one != nil; one = one.before.Load() {
+		one.mu.Lock()
+		isKnown := one.fence.Knows(key)
+		one.mu.Unlock()
+		if isKnown {
+			return one, true
+		}
+	}
+	return nil, false
+}
+
+// Forget lets go of the gates before this one that ended before an instant, when no
+// entry asks for their dispatches any more.
+func (g *Gate) Forget(ended clock.Millis) {
+	for one := g; one != nil; one = one.before.Load() {
+		if before := one.before.Load(); before != nil && before.endedBefore(ended) {
+			one.before.Store(nil)
+		}
+	}
+}
+
+func (g *Gate) endedBefore(at clock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving && g.endedAt < at && len(g.jobs) == 0
+}
+
+// lastBytes is how long an answer of a process that is gone may still be on its way
+// from the backend server beside this node.
+const lastBytes = 100 * time.Millisecond
+
+// Renew drops the connections to a process that is gone. What runs there gets no answer
+// any more: until its deadline it would keep its caller waiting.
+func (h *HTTP) Renew() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.idle {
+		h.open--
+		_ = c.Close() // nothing is under way on it
+	}
+	h.idle = nil
+	end := time.Now().Add(lastBytes)
+	for c := range h.busy {
+		c.isOver.Store(true)
+		_ = c.SetDeadline(end) // one that is closed already needs none
+	}
+}
+
+// settledBefore answers a settlement for a gate before this one.
+func (g *Gate) settledBefore(key lease.Key, s *wire.Settle) (*wire.Settled, *wire.Reply, bool) {
+	one, ok := g.before.Load().remembers(key)
+	if !ok {
+		return nil, nil, false
+	}
+	settled, reply := one.Settle(s)
+	return settled, reply, true
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -68,7 +68,7 @@
 		g.endKey(j.dispatch, &wire.Reply{Outcome: wire.NotRun})
 		return now, false
 	}
-	j.running = true
+	j.running, j.life = true, g.life
 	if j.timer != nil {
 		j.timer.Stop()
 	}
@@ -95,7 +95,7 @@
 func (g *Gate) running(began clock.Millis, j *job) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.jobs[j.ticket]; !ok {
+	if _, ok := g.jobs[j.ticket]; !ok || j.life != g.life {
 		return
 	}
 	now := g.config.Now()
@@ -135,14 +135,18 @@
 	now := g.config.Now()
 	j.timer.Stop()
 	delete(g.jobs, j.ticket)
-	if !j.overdue {
+	isCurrent := j.life == g.life
+	if !j.overdue && isCurrent {
 		result := resultOf(a, err, j.until-began < g.overdueAfter(j))
 		if result == health.Failed && err == nil && g.excused(began, now) {
 			result = health.CallerFault
 		}
 		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted, IsTorn: errors.Is(err, ErrTorn)})
 	}
-	calls := g.release(now) // first: the reply says how busy the upstream is now
+	var calls []func()
+	if isCurrent {
+		calls = g.release(now) // first: the reply says how busy the upstream is now
+	}
 	reply := g.reply(now, j.dispatch)
 	describe(reply, a, err)
 	g.endKey(j.dispatch, reply)
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -10,6 +10,9 @@
 func (g *Gate) Settle(s *wire.Settle) (*wire.Settled, *wire.Reply) {
 	now := g.config.Now()
 	key := lease.Key{Entry: s.ID.Entry, Seq: s.ID.Seq, Attempt: s.Attempt}
+	if settled, reply, ok := g.settledBefore(key, s); ok {
+		return settled, reply
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state, reply := g.fence.Settle(now, key, s.Incarnation, s.Lease)
--- a/lease/fence.go
+++ b/lease/fence.go
@@ -157,6 +157,12 @@
 	}
 }
 
+// Knows reports whether a dispatch is remembered.
+func (f *Fence[V]) Knows(key Key) bool {
+	_, ok := f.tickets[key]
+	return ok
+}
+
 // Len returns how many dispatches are remembered.
 func (f *Fence[V]) Len() int {
 	return len(f.tickets)
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -233,6 +233,15 @@
 	return s.comeback.after(now, first, gap, s.random)
 }
 
+// Restart takes in that the upstream has started again: the runs that it had hold no
+// slot any more, and will not be released. How long its requests take is learned anew.
+// It returns the tickets of waiters that run now.
+func (s *Slots) Restart(runs int) []uint64 {
+	s.running = max(s.running-runs, 0)
+	s.drain = drain{}
+	return s.Resize(s.config)
+}
+
 // Resize puts an edited table in force and returns the tickets of waiters that
 // run now. Requests that run or wait beyond the new numbers are let finish. It
 // judges deadlines at the last instant seen: call Expire just before.
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -209,3 +210,18 @@
 		t.Errorf("got them spread over %d tenths of a second, want at least 6", got)
 	}
 }
+
+// An upstream's process is replaced while three requests run there and one waits. The
+// runs ended with it: kept as running, they would leave the new process idle.
+func TestRestartFreesTheSlotsOfRuns(t *testing.T) {
+	s := limit.NewSlots(limit.SlotsConfig{Slots: 3, Queue: 4})
+	for ticket := range uint64(4) {
+		s.Offer(10, ticket, clock.Minute)
+	}
+	if got := s.Restart(3); !slices.Equal(got, []uint64{3}) {
+		t.Errorf("got tickets %v, want the one that waited", got)
+	}
+	if got := s.Load(); got.InFlight != 1 || got.Free != 2 {
+		t.Errorf("got %+v, want one run and two free slots", got)
+	}
+}
--- a/node/gates.go
+++ b/node/gates.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"maps"
 	"strconv"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -27,12 +30,46 @@
 			}
 		}
 	}
-	for name, g := range n.gates {
+	for name := range n.gates {
 		if !beside[name] {
-			g.Leave()
-			delete(n.gates, name)
+			n.retireGate(name)
 		}
 	}
+	n.forgetRetired()
+}
+
+// retiredFor is how long a gate that was removed is asked what became of its
+// dispatches: longer than the longest deadline of today's routes, 15 s, and the
+// memory of a fence.
+const retiredFor = clock.Minute
+
+// retireGate removes a gate, which finishes what it has begun. It is asked on: its upstream
+// may come back under its name, after its registration lapsed or as another process,
+// and an entry may still want to know what became of a request.
+func (n *Node) retireGate(name string) {
+	g := n.gates[name]
+	g.Leave()
+	delete(n.gates, name)
+	n.retired[name] = retired{gate: g, at: n.clock.Now()}
+}
+
+// retired is a gate that was removed.
+type retired struct {
+	gate *gate.Gate
+	at   clock.Millis
+}
+
+func (n *Node) forgetRetired() {
+	before := n.clock.Now() - retiredFor
+	for name, r := range n.retired {
+		if r.at < before && r.gate.Busy() == 0 {
+			delete(n.retired, name)
+			r.gate.Close()
+		}
+	}
+	for _, g := range n.gates {
+		g.Forget(before)
+	}
 }
 
 func (n *Node) applyGate(s table.Service, u table.Upstream) {
@@ -40,10 +77,11 @@
 		g.Update(s, u)
 		return
 	}
-	if old, ok := n.gates[u.Name]; ok {
-		old.Leave()
+	if _, ok := n.gates[u.Name]; ok {
+		n.retireGate(u.Name)
 	}
 	n.gates[u.Name] = gate.New(gate.Config{
+		Before:      n.retired[u.Name].gate,
 		Service:     s,
 		Upstream:    u,
 		Incarnation: n.incarnation,
@@ -77,6 +115,17 @@
 	return g, ok
 }
 
+// asked is the gate that knows what became of an upstream's dispatches.
+func (n *Node) asked(upstream string) (*gate.Gate, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g, ok := n.gates[upstream]; ok {
+		return g, true
+	}
+	r, ok := n.retired[upstream]
+	return r.gate, ok
+}
+
 func (n *Node) allGates() []*gate.Gate {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -97,13 +146,41 @@
 			Outcome:  wire.NotRun,
 			Reason:   wire.ReasonNobody,
 			Time:     n.clock.Now(),
-			Upstream: wire.Upstream{Name: d.Upstream, Leaving: true},
+			Upstream: n.stranger(d.Upstream),
 		})
 		return
 	}
 	g.Handle(d, answer)
 }
 
+const (
+	// strangerSpan is how long an entry leaves an upstream alone that its node doesn't
+	// know: about as long as the news of a change take. Left alone for good, one that
+	// its node learns of a moment later would get no request while the entry lives.
+	strangerSpan = 2 * clock.Second
+	// suspectAfter is for how long an upstream is asked for before its node doubts its
+	// own table: entries ask for one that has left until they hear of it, within 2 s.
+	suspectAfter = 2 * strangerSpan
+)
+
+// stranger is what entries are told of an upstream that they ask for and this node
+// doesn't know. It has left, is not known here yet, or never will be.
+func (n *Node) stranger(upstream string) wire.Upstream {
+	now := n.clock.Now()
+	n.mu.Lock()
+	first, ok := n.strangers[upstream]
+	if !ok || now-first > retiredFor {
+		first = now
+		n.strangers[upstream] = now
+	}
+	maps.DeleteFunc(n.strangers, func(_ string, at clock.Millis) bool { return now-at > retiredFor })
+	n.mu.Unlock()
+	if now-first >= suspectAfter && n.follower != nil {
+		n.follower.Suspect()
+	}
+	return wire.Upstream{Name: upstream, State: uint8(health.Aside), Severity: 1, Until: strangerSpan}
+}
+
 // invite asks an entry for a request to an upstream beside this node.
 func (n *Node) invite(entry uint64, i *wire.Invitation) bool {
 	if entry == n.incarnation {
@@ -128,7 +205,7 @@
 	if !ok {
 		answer(&wire.Hold{
 			ID: e.ID, Attempt: e.Attempt, Reason: wire.ReasonNobody, Time: n.clock.Now(),
-			Upstream: wire.Upstream{Name: e.Upstream, Leaving: true},
+			Upstream: n.stranger(e.Upstream),
 		})
 		return
 	}
@@ -144,7 +221,7 @@
 
 // Settle answers another node's entry about one of its dispatches.
 func (n *Node) Settle(from uint64, s *wire.Settle) {
-	g, ok := n.gate(s.Upstream)
+	g, ok := n.asked(s.Upstream)
 	if !ok {
 		n.links.Settled(from, &wire.Settled{ID: s.ID, Attempt: s.Attempt, Forgotten: true, Time: n.clock.Now()})
 		return
--- a/node/leave.go
+++ b/node/leave.go
@@ -131,6 +131,11 @@
 	for _, g := range n.allGates() {
 		busy += g.Busy()
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.retired {
+		busy += r.gate.Busy()
+	}
 	return busy
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -94,13 +94,17 @@
 	// news is filled when entries of other nodes should hear at once of a gate.
 	news chan struct{}
 
-	mu      sync.Mutex
-	fence   *edition.Fence
-	table   *table.Table
-	text    []byte
-	gates   map[string]*gate.Gate
-	peers   map[string]*peer
-	leaving bool
+	mu    sync.Mutex
+	fence *edition.Fence
+	table *table.Table
+	text  []byte
+	gates map[string]*gate.Gate
+	// retired are the gates that were removed, strangers since when upstreams are
+	// asked for that this node doesn't know.
+	retired   map[string]retired
+	strangers map[string]clock.Millis
+	peers     map[string]*peer
+	leaving   bool
 	// read are the revisions of the values that were taken in, by key. The
 	// follower alone uses it.
 	read         map[string]uint64
@@ -125,6 +129,8 @@
 		inForce:         make(chan struct{}),
 		fence:           edition.New(),
 		gates:           map[string]*gate.Gate{},
+		retired:         map[string]retired{},
+		strangers:       map[string]clock.Millis{},
 		peers:           map[string]*peer{},
 		listed:          map[string]bool{},
 		read:            map[string]uint64{},
@@ -264,6 +270,9 @@
 	for _, g := range n.gates {
 		g.Close()
 	}
+	for _, r := range n.retired {
+		r.gate.Close()
+	}
 	n.entryPool.Release()
 	n.gatePool.Release()
 }
