--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -77,6 +77,8 @@
 		Repeatable: r.repeatable,
 		Forced:     a.forced,
 		Priority:   r.route.Priority,
+		Call:       r.isCall,
+		Again:      r.ran > 0,
 		Bounded:    a.bounded,
 		Overdue:    r.overdue(),
 		Baseline:   r.baseline,
--- a/entry/request.go
+++ b/entry/request.go
@@ -86,6 +86,8 @@
 	baseline   wire.Baseline
 	deadline   clock.Millis // an instant
 	repeatable bool
+	// isCall says that a backend server makes it while it runs another request.
+	isCall bool
 
 	headers  wire.Headers
 	body     []byte
@@ -131,6 +133,7 @@
 		caller:  e.callerOf(ctx),
 		method:  string(ctx.Method()),
 		started: e.config.Now(),
+		isCall:  e.isCall(ctx),
 	}
 }
 
@@ -187,7 +190,7 @@
 	if r.service == nil {
 		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
-	r.config, r.baseline = r.service.admit(r.started)
+	r.config, r.baseline = r.service.admit(r.started, r.repeating())
 	r.deadline = r.started + r.budget()
 	r.repeatable = route.MayRepeat(r.method)
 	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
@@ -196,6 +199,14 @@
 	return final{}, true
 }
 
+// repeating is the chance that the request is a call which a run made before.
+func (r *request) repeating() float64 {
+	if !r.isCall || r.entry.config.Repeating == nil {
+		return 0
+	}
+	return r.entry.config.Repeating()
+}
+
 func limitReason(by string) string {
 	if by == "caller" {
 		return account.ReasonCallerLimit
--- a/entry/service.go
+++ b/entry/service.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// budgetShare is the part of the allowed retries that an entry spends. The rest
-// is for calls that a repeated run makes again: they count as repeats at the
-// service that is called, and no entry can tell them from first ones.
+// budgetShare is the part of the allowed retries that an entry spends. The rest is for
+// what entries count by chance: calls that a repeated run makes again, which nobody
+// can tell from first ones, and processes that start with a new count.
 const budgetShare = 0.9
 
 func budgetOf(c table.Service, nodes int, seed uint64) retry.Config {
@@ -313,11 +313,13 @@
 	return s.budget.Decide(now, a)
 }
 
-// admit counts a request and returns the service as the table has it.
-func (s *service) admit(now clock.Millis) (table.Service, wire.Baseline) {
+// admit counts a request, which is a repeat by some chance, and returns the service as
+// the table has it.
+func (s *service) admit(now clock.Millis, repeating float64) (table.Service, wire.Baseline) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Request(now)
+	s.budget.Repeated(now, repeating)
 	told := s.baseline
 	told.Age += now - s.computed
 	return s.config, wire.BaselineOf(told)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -107,7 +107,7 @@
 	// places are the enquiries that wait, by ticket, and holds the slots kept for
 	// dispatches that were announced.
 	places  map[uint64]*place
-	holds   map[lease.Key]*time.Timer
+	holds   map[lease.Key]hold
 	tickets uint64
 	// senders are the entries that lately sent what may be repeated; invited counts
 	// the invitations that they got.
@@ -155,7 +155,7 @@
 		slots:    limit.NewSlots(slotsOf(&c.Service, &c.Upstream, c.Seed)),
 		jobs:     map[uint64]*job{},
 		places:   map[uint64]*place{},
-		holds:    map[lease.Key]*time.Timer{},
+		holds:    map[lease.Key]hold{},
 	}
 	g.before.Store(c.Before)
 	if c.Invite != nil {
@@ -201,7 +201,7 @@
 		answer(reply)
 		return
 	}
-	if g.takeHold(key) {
+	if _, ok := g.takeHold(key); ok {
 		g.runHeld(now, key, verdict, d, answer)
 		return
 	}
@@ -232,7 +232,7 @@
 		g.start(j)
 		return
 	}
-	calls := g.release(now)
+	calls := g.release(now, d.Call)
 	reason := wire.ReasonLeaving
 	if verdict != lease.Fresh {
 		reason = wire.ReasonStale
@@ -250,7 +250,7 @@
 	if d.Bounded {
 		patience = now
 	}
-	offer := g.slots.Ask(now, limit.Ask{Ticket: j.ticket, Deadline: j.until, Until: patience, Priority: d.Priority})
+	offer := g.slots.Ask(now, limit.Ask{Ticket: j.ticket, Deadline: j.until, Until: patience, Priority: d.Priority, Call: d.Call})
 	switch offer.Answer {
 	case limit.Run:
 		g.jobs[j.ticket] = j
--- a/gate/run.go
+++ b/gate/run.go
@@ -145,7 +145,7 @@
 	}
 	var calls []func()
 	if isCurrent {
-		calls = g.release(now) // first: the reply says how busy the upstream is now
+		calls = g.release(now, j.dispatch.Call) // first: the reply says how busy the upstream is now
 	}
 	reply := g.reply(now, j.dispatch)
 	describe(reply, a, err)
@@ -198,7 +198,7 @@
 		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
 	}
 	g.keep(now, j, reply)
-	calls := g.release(now)
+	calls := g.release(now, j.dispatch.Call)
 	g.mu.Unlock()
 	j.answer(reply)
 	callAll(calls)
@@ -207,10 +207,14 @@
 // release frees a slot. It returns what is to be done then: the refusals of waiters
 // that were passed over, and the turn of the one that takes it. The gate's lock is
 // held.
-func (g *Gate) release(now clock.Millis) []func() {
+func (g *Gate) release(now clock.Millis, isCall bool) []func() {
 	var calls []func()
 	for {
-		ticket, ok := g.slots.Release(now)
+		end := g.slots.Release
+		if isCall {
+			end = g.slots.ReleaseCall
+		}
+		ticket, ok := end(now)
 		calls = append(calls, g.late(now)...)
 		if !ok {
 			return calls
@@ -233,7 +237,7 @@
 	}
 	p.timer.Stop()
 	delete(g.places, ticket)
-	g.hold(p.key)
+	g.hold(p)
 	h := g.holdOf(now, p, "")
 	return func() { p.answer(h) }
 }
--- a/gate/status.go
+++ b/gate/status.go
@@ -51,3 +51,19 @@
 func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
 	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
 }
+
+// Repeats is how many of the runs at the upstream are repeats, and how many there are.
+func (g *Gate) Repeats() (repeats, runs int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, j := range g.jobs {
+		if !j.running || j.life != g.life {
+			continue
+		}
+		runs++
+		if j.dispatch.Again {
+			repeats++
+		}
+	}
+	return repeats, runs
+}
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -53,6 +53,8 @@
 	config  SlotsConfig
 	random  *rand.Rand
 	running int
+	// calls are those among the running that are calls.
+	calls   int
 	waiting []waiter
 	// missed are waiters that were passed over, until Expire reports them.
 	missed []uint64
@@ -67,6 +69,7 @@
 	ticket          uint64
 	deadline, until clock.Millis
 	priority        int
+	isCall          bool
 }
 
 // Ask is one request for a slot.
@@ -78,6 +81,11 @@
 	Deadline, Until clock.Millis
 	// Priority ranks requests, 0 first.
 	Priority int
+	// Call marks a request that a backend server makes while it runs another one. It
+	// goes before all others while calls hold less than half of the slots: the run
+	// that it is part of holds a slot elsewhere while it waits, several times as
+	// long as it takes itself, and is lost with it.
+	Call bool
 }
 
 // heldFor is how long after a request met no free slot, or an upstream's worth of
@@ -103,12 +111,12 @@
 	if a.Deadline <= now {
 		return s.refuse(now, Late)
 	}
-	if s.running < s.config.Slots-s.held(now, a.Priority) {
-		s.running++
+	if s.running < s.config.Slots-s.held(now, &a) {
+		s.run(a.Call)
 		return Offer{Answer: Run}
 	}
 	s.pressed[a.Priority] = now
-	place := s.place(a.Priority)
+	place := s.place(&a)
 	wait := s.gap() * float64(place+1)
 	switch {
 	case a.Until <= now, place >= s.config.Queue:
@@ -117,7 +125,7 @@
 		return s.refuse(now, Late)
 	}
 	s.waiting = slices.Insert(s.waiting, place, waiter{
-		ticket: a.Ticket, deadline: a.Deadline, until: a.Until, priority: a.Priority,
+		ticket: a.Ticket, deadline: a.Deadline, until: a.Until, priority: a.Priority, isCall: a.Call,
 	})
 	if len(s.waiting) > s.config.Queue {
 		last := len(s.waiting) - 1
@@ -130,23 +138,40 @@
 // ranks is how many priorities are told apart; lower ones count as the last.
 const ranks = 4
 
-// place is where a request of the rank stands in the queue: behind those of its
-// rank and better ones.
-func (s *Slots) place(priority int) int {
+// place is where a request stands in the queue: behind those of its rank and better
+// ones, and calls before all others.
+func (s *Slots) place(a *Ask) int {
 	for i := range s.waiting {
-		if s.waiting[i].priority > priority {
+		w := &s.waiting[i]
+		if w.isCall != a.Call {
+			if a.Call {
+				return i
+			}
+			continue
+		}
+		if w.priority > a.Priority {
 			return i
 		}
 	}
 	return len(s.waiting)
 }
 
-// held is how many slots are kept from the rank: one, while better ones have
+// favours reports whether calls go first now. Half of the slots are left to the rest:
+// with all of them, the calls of many bookings displaced label releases, each worth
+// more.
+func (s *Slots) favours() bool {
+	return s.calls < (s.config.Slots+1)/2
+}
+
+// held is how many slots are kept from a request: half of them, while better ranks have
 // lately met no free slot. With none kept, long requests of a low rank hold all
 // slots when one of a better rank comes, and it is refused or waits a whole
 // service time.
-func (s *Slots) held(now clock.Millis, priority int) int {
-	for _, at := range s.pressed[:priority] {
+func (s *Slots) held(now clock.Millis, a *Ask) int {
+	if a.Call && s.favours() {
+		return 0
+	}
+	for _, at := range s.pressed[:a.Priority] {
 		if at > 0 && now-at < heldFor && s.config.Slots > 1 {
 			return (s.config.Slots + 1) / 2
 		}
@@ -154,6 +179,19 @@
 	return 0
 }
 
+func (s *Slots) run(isCall bool) {
+	s.running++
+	if isCall {
+		s.calls++
+	}
+}
+
+// ReleaseCall frees the slot of a call that ended, as Release does.
+func (s *Slots) ReleaseCall(now clock.Millis) (ticket uint64, ok bool) {
+	s.calls = max(s.calls-1, 0)
+	return s.Release(now)
+}
+
 // Release frees the slot of a request that ended. The next waiter whose
 // deadline can still be met takes it and is returned; those passed over are
 // returned by the next Expire.
@@ -233,11 +271,11 @@
 	return s.comeback.after(now, first, gap, s.random)
 }
 
-// Restart takes in that the upstream has started again: the runs that it had hold no
-// slot any more, and will not be released. How long its requests take is learned anew.
+// Restart takes in that the upstream has started again: the runs that it had, calls among
+// them, hold no slot any more, and will not be released. How long its requests take is learned anew.
 // It returns the tickets of waiters that run now.
-func (s *Slots) Restart(runs int) []uint64 {
-	s.running = max(s.running-runs, 0)
+func (s *Slots) Restart(runs, calls int) []uint64 {
+	s.running, s.calls = max(s.running-runs, 0), max(s.calls-calls, 0)
 	s.drain = drain{}
 	return s.Resize(s.config)
 }
@@ -263,10 +301,11 @@
 // repeated would end as unknown in place of not run.
 func (s *Slots) next() (ticket uint64, ok bool) {
 	for s.running < s.config.Slots && len(s.waiting) > 0 {
-		w := s.waiting[0]
-		s.waiting = slices.Delete(s.waiting, 0, 1)
+		first := s.first()
+		w := s.waiting[first]
+		s.waiting = slices.Delete(s.waiting, first, first+1)
 		if s.drain.reaches(0, w.deadline) {
-			s.running++
+			s.run(w.isCall)
 			return w.ticket, true
 		}
 		s.missed = append(s.missed, w.ticket)
@@ -274,6 +313,15 @@
 	return 0, false
 }
 
+// first is the waiter whose turn it is: where calls hold their part of the slots, the
+// first of the others, if any waits.
+func (s *Slots) first() int {
+	if s.favours() {
+		return 0
+	}
+	return max(slices.IndexFunc(s.waiting, func(w waiter) bool { return !w.isCall }), 0)
+}
+
 // gap estimates the milliseconds between two requests that end while all slots
 // are in use.
 func (s *Slots) gap() float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -158,6 +158,7 @@
 	}
 	n.entry = entry.New(entry.Config{
 		Domain:      c.Settings.Domain,
+		Node:        n.address(),
 		Service:     c.Settings.Service,
 		Headers:     c.CallerHeaders,
 		Incarnation: n.incarnation,
@@ -166,6 +167,7 @@
 		Pool:        n.entryPool,
 		Journal:     n.metrics,
 		Target:      n.target,
+		Repeating:   n.repeating,
 		KeyMargin:   c.KeyMargin,
 		Log:         n.log,
 	})
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -145,6 +145,15 @@
 	b.tokens = min(b.tokens+b.share, most)
 }
 
+// Repeated counts a request that is a repeat by some chance, though this entry has sent it
+// for the first time: a run that was sent again makes its calls again. In the bound on
+// the service's arrivals they count as retries.
+func (b *Budget) Repeated(now clock.Millis, chance float64) {
+	if b.window != nil {
+		b.window.repeated(now, chance)
+	}
+}
+
 // Refused tells whether a gate refused an attempt for load (true) or took it
 // (false). It is to be told of each attempt that a gate answered.
 func (b *Budget) Refused(now clock.Millis, full bool) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -40,7 +40,12 @@
 }
 
 func (w *window) retry(now clock.Millis) {
-	w.retries[w.advance(now)]++
+	w.repeated(now, 1)
+}
+
+// repeated counts a retry that is one by some chance.
+func (w *window) repeated(now clock.Millis, chance float64) {
+	w.retries[w.advance(now)] += chance
 }
 
 // allows reports whether one more retry stays within the bound.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -74,6 +74,37 @@
 	}
 }
 
+// Half of the bookings at a service are sent again after a failure, and each makes its
+// call once more: 70 calls in a hundred bookings. At the service that is called these
+// calls are repeats, though their entries see each for the first time. With them left
+// out of the count, calls and retries together went over the operators' bound.
+func TestCallsOfRepeatedRunsSpendTheBudget(t *testing.T) {
+	const span, share, extra = 10 * clock.Second, 0.2, 2.0
+	random := rand.New(rand.NewPCG(1, 0))
+	b := retry.New(retry.Config{Share: share, Extra: extra, Window: span})
+	var requests, repeats []clock.Millis
+	for now := clock.Millis(0); now < clock.Minute; now += 50 {
+		b.Request(now)
+		requests = append(requests, now)
+		if random.Float64() < 0.1 { // a tenth of the runs beside the entry are repeats
+			repeats = append(repeats, now)
+		}
+		b.Repeated(now, 0.1)
+		a := retry.Attempt{Result: retry.Failed, Repeatable: true, Tried: 1, Ran: 1, MostRan: 2, Untried: 3, Remaining: clock.Second}
+		if random.Float64() < 0.5 && b.Decide(now, a).Retry {
+			repeats = append(repeats, now)
+		}
+	}
+	for end := span; end <= clock.Minute; end += clock.Second {
+		got := float64(count(repeats, end-span, end))
+		// Half of the chance calls' deviation, 4.2 in 200, twice over.
+		want := share*float64(count(requests, end-span, end)) + extra + 9
+		if got > want {
+			t.Errorf("up to %v: got %v repeats in %v, want at most %.1f", end, got, span, want)
+		}
+	}
+}
+
 func count(instants []clock.Millis, from, to clock.Millis) int {
 	n := 0
 	for _, at := range instants {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -112,6 +112,10 @@
 	Repeatable bool
 	// Priority ranks it among those that wait for a slot, 0 first.
 	Priority int
+	// Call says that a backend server makes it while it runs another request.
+	Call bool
+	// Again says that an upstream ran it before, or may have.
+	Again bool
 	// Overdue is the age from which a run without an answer speaks against the
 	// upstream; 0 leaves that to the gate.
 	Overdue clock.Millis
