--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,6 +37,9 @@
 	}
 	r.waited = r.entry.config.Now() - r.started
 	d := r.dispatch(now, a, untried)
+	if r.spent != nil {
+		r.service.resent(r.entry.config.Now(), r.spent)
+	}
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
 	if err != nil {
@@ -44,7 +47,9 @@
 		r.service.ended(now, a.member, &unsent)
 		return unsent
 	}
+	sent := r.entry.config.Now()
 	outcome := r.await(d, &a, w)
+	r.chargeCalls(r.entry.config.Now(), sent, &a, &outcome)
 	if r.hasLeft() {
 		a.member.target.Abandon(d.ID, d.Attempt)
 	} else {
@@ -78,7 +83,6 @@
 		Forced:     a.forced,
 		Priority:   r.route.Priority,
 		Call:       r.isCall,
-		Again:      r.ran > 0,
 		Bounded:    a.bounded,
 		Overdue:    r.overdue(),
 		Baseline:   r.baseline,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,9 +61,6 @@
 	Domain string
 	// Node is the link address under which tables name this node.
 	Node string
-	// Repeating is the share of the runs beside this node that are repeats; nil stands
-	// for none. A call that one of these makes is a repeat at the service called.
-	Repeating func() float64
 	// Service names what runs beside the node. Requests without another name
 	// of their caller are its own.
 	Service string
@@ -95,6 +92,7 @@
 	callers atomic.Pointer[map[string]float64] // their own rates
 	// beside are the addresses of the backend servers beside this node.
 	beside   atomic.Pointer[map[netip.Addr]bool]
+	calls    calls
 	services atomic.Pointer[map[string]*service]
 	spread   *Spread
 	failures *failures
@@ -115,7 +113,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	e := &Entry{config: c, spread: NewSpread(c.Seed), failures: &failures{}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
+	e := &Entry{config: c, spread: NewSpread(c.Seed), calls: newCalls(), failures: &failures{}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callers.Store(&map[string]float64{})
 	return e
--- a/entry/request.go
+++ b/entry/request.go
@@ -95,7 +95,9 @@
 	attempts uint8 // numbers given to attempts, asked for or sent
 	sends    int
 	ran      int // attempts that an upstream ran, or may have run
+	arrivals int // attempts that reached an upstream
 	progress progress
+	spent    *retry.Spending // of a retry that has reached no upstream yet
 	trail    trail
 	why      retry.Reason // of not being sent again
 	waited   clock.Millis // until the last try
@@ -190,7 +192,10 @@
 	if r.service == nil {
 		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
 	}
-	r.config, r.baseline = r.service.admit(r.started, r.repeating())
+	r.config, r.baseline = r.service.admit(r.started)
+	if r.isCall {
+		r.entry.noteCall(r.started, r.target)
+	}
 	r.deadline = r.started + r.budget()
 	r.repeatable = route.MayRepeat(r.method)
 	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
@@ -199,14 +204,6 @@
 	return final{}, true
 }
 
-// repeating is the chance that the request is a call which a run made before.
-func (r *request) repeating() float64 {
-	if !r.isCall || r.entry.config.Repeating == nil {
-		return 0
-	}
-	return r.entry.config.Repeating()
-}
-
 func limitReason(by string) string {
 	if by == "caller" {
 		return account.ReasonCallerLimit
@@ -267,6 +264,10 @@
 	if answer, ok := r.keyed(&o); ok {
 		return answer, true
 	}
+	if o.kind != retry.NotRun || o.arrived {
+		r.spent = nil
+		r.arrivals++
+	}
 	if o.kind != retry.NotRun {
 		r.begun = true
 		r.ran++
@@ -294,8 +295,10 @@
 		Remaining:  r.deadline - now,
 		RetryAfter: o.after,
 		Untried:    r.placesLeft(untried),
+		CallsSpent: r.callsSpent(now),
 	})
 	if decision.Retry {
+		r.spent = decision.Spent
 		return final{}, false
 	}
 	r.verdictOnRetry(decision)
@@ -324,6 +327,9 @@
 func (r *request) finish(f final) {
 	r.write(&f)
 	now := r.entry.config.Now()
+	if r.spent != nil {
+		r.service.returned(now, r.spent)
+	}
 	record := account.Record{
 		ID:       r.id.String(),
 		Caller:   r.caller,
--- a/entry/service.go
+++ b/entry/service.go
@@ -313,13 +313,46 @@
 	return s.budget.Decide(now, a)
 }
 
-// admit counts a request, which is a repeat by some chance, and returns the service as
-// the table has it.
-func (s *service) admit(now clock.Millis, repeating float64) (table.Service, wire.Baseline) {
+// returned gives back a retry that reached no upstream.
+func (s *service) returned(now clock.Millis, spent *retry.Spending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Return(now, spent)
+}
+
+// resent counts a retry when it is sent.
+func (s *service) resent(now clock.Millis, spent *retry.Spending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Sent(now, spent)
+}
+
+// callsOf are the calls that a run at an upstream makes, as its gate last said.
+func (s *service) callsOf(m *member) []wire.Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.state.Calls
+}
+
+// repeated counts calls that a repeated run has made again.
+func (s *service) repeated(now clock.Millis, calls float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Repeated(now, calls)
+}
+
+// affords reports whether the budget allows so many calls of a repeated run.
+func (s *service) affords(now clock.Millis, calls float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Affords(now, calls)
+}
+
+// admit counts a request and returns the service as the table has it.
+func (s *service) admit(now clock.Millis) (table.Service, wire.Baseline) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Request(now)
-	s.budget.Repeated(now, repeating)
 	told := s.baseline
 	told.Age += now - s.computed
 	return s.config, wire.BaselineOf(told)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,6 +78,9 @@
 	// node failed within a span: what failed then may not be its own fault. It
 	// may be nil.
 	Excused func(from, to clock.Millis) bool
+	// Ran is told of each run, and Calls says which calls one makes. Both may be nil.
+	Ran   func()
+	Calls func() []wire.Calls
 	// Invite asks an entry, or any one for entry 0, for a request, and returns
 	// false where it can't be reached. It may be nil and must not block.
 	Invite func(entry uint64, i *wire.Invitation) bool
--- a/gate/run.go
+++ b/gate/run.go
@@ -69,6 +69,9 @@
 		return now, false
 	}
 	j.running, j.life = true, g.life
+	if g.config.Ran != nil {
+		g.config.Ran()
+	}
 	if j.timer != nil {
 		j.timer.Stop()
 	}
--- a/gate/status.go
+++ b/gate/status.go
@@ -45,25 +45,18 @@
 		Until:    max(s.Until-now, 0),
 		Leaving:  g.left(),
 		Own:      wire.BaselineOf(own),
+		Calls:    g.calls(),
 	}
 }
 
-func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
-	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
+// calls are those that a run beside this node makes.
+func (g *Gate) calls() []wire.Calls {
+	if g.config.Calls == nil {
+		return nil
+	}
+	return g.config.Calls()
 }
 
-// Repeats is how many of the runs at the upstream are repeats, and how many there are.
-func (g *Gate) Repeats() (repeats, runs int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, j := range g.jobs {
-		if !j.running || j.life != g.life {
-			continue
-		}
-		runs++
-		if j.dispatch.Again {
-			repeats++
-		}
-	}
-	return repeats, runs
+func (g *Gate) reply(now clock.Millis, d *wire.Dispatch) *wire.Reply {
+	return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Time: now, Upstream: g.status(now)}
 }
--- a/node/gates.go
+++ b/node/gates.go
@@ -99,6 +99,8 @@
 		Refusals: n.metrics,
 		Changed:  n.changed,
 		Excused:  n.entry.FailedWithin,
+		Ran:      n.entry.Ran,
+		Calls:    n.entry.Calls,
 		Invite:   n.invite,
 		Keys:     n.keys,
 		Log:      n.log,
@@ -181,17 +183,6 @@
 	return wire.Upstream{Name: upstream, State: uint8(health.Aside), Severity: 1, Until: strangerSpan}
 }
 
-// repeating is the share of the runs beside this node that are repeats: the chance that a
-// call which one of them makes is one that was made before.
-func (n *Node) repeating() float64 {
-	repeats, runs := 0, 0
-	for _, g := range n.allGates() {
-		again, all := g.Repeats()
-		repeats, runs = repeats+again, runs+all
-	}
-	return float64(repeats) / float64(max(runs, 1))
-}
-
 // invite asks an entry for a request to an upstream beside this node.
 func (n *Node) invite(entry uint64, i *wire.Invitation) bool {
 	if entry == n.incarnation {
--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,6 @@
 		Pool:        n.entryPool,
 		Journal:     n.metrics,
 		Target:      n.target,
-		Repeating:   n.repeating,
 		KeyMargin:   c.KeyMargin,
 		Log:         n.log,
 	})
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -42,6 +42,9 @@
 	RetryAfter clock.Millis
 	// Untried is the number of usable upstreams not yet tried.
 	Untried int
+	// CallsSpent says that a service which the request's run calls has no retries left
+	// for calls that are made again.
+	CallsSpent bool
 }
 
 // Reason says why a request isn't sent again.
@@ -64,6 +67,13 @@
 	Why Reason
 	// RetryAfter is when the caller may come back, set when Retry is false.
 	RetryAfter clock.Millis
+	// Spent is what the retry took from the budget; nil for nothing.
+	Spent *Spending
+}
+
+// Spending is a retry that was taken from a window's budget.
+type Spending struct {
+	part int64
 }
 
 // Config is what a Budget is made from.
@@ -145,15 +155,20 @@
 	b.tokens = min(b.tokens+b.share, most)
 }
 
-// Repeated counts a request that is a repeat by some chance, though this entry has sent it
-// for the first time: a run that was sent again makes its calls again. In the bound on
-// the service's arrivals they count as retries.
-func (b *Budget) Repeated(now clock.Millis, chance float64) {
+// Repeated counts calls that a run has made again, which was itself a repeat: in the
+// bound on the service's arrivals they count as retries, though whoever sends them
+// does so for the first time.
+func (b *Budget) Repeated(now clock.Millis, calls float64) {
 	if b.window != nil {
-		b.window.repeated(now, chance)
+		b.window.repeated(now, calls)
 	}
 }
 
+// Affords reports whether so many calls may be made again.
+func (b *Budget) Affords(now clock.Millis, calls float64) bool {
+	return b.window == nil || b.window.allows(now, 1, calls)
+}
+
 // Refused tells whether a gate refused an attempt for load (true) or took it
 // (false). It is to be told of each attempt that a gate answered.
 func (b *Budget) Refused(now clock.Millis, full bool) {
@@ -165,25 +180,48 @@
 func (b *Budget) Decide(now clock.Millis, a Attempt) Decision {
 	why := b.against(now, a)
 	if why == "" {
-		b.spend(now, a)
-		return Decision{Retry: true}
+		return Decision{Retry: true, Spent: b.spend(now, a)}
 	}
 	return Decision{Why: why, RetryAfter: b.retryAfter(now, why, a.RetryAfter)}
 }
 
-func (b *Budget) spend(now clock.Millis, a Attempt) {
+func (b *Budget) spend(now clock.Millis, a Attempt) *Spending {
 	switch {
 	case b.window == nil && a.costs():
 		b.tokens--
 	case b.window != nil && a.reached():
-		b.window.retry(now)
+		return &Spending{part: b.window.retry(now)}
 	}
+	return nil
+}
+
+// Return gives back a retry that reached no upstream: with them kept, those of requests
+// that found no slot in the end were missing to others that had one.
+func (b *Budget) Return(now clock.Millis, s *Spending) {
+	b.window.giveBack(now, s.part)
+}
+
+// Sent counts a retry at the instant at which it is sent, which may be a second after it
+// was decided: the bound is one on arrivals in any span.
+func (b *Budget) Sent(now clock.Millis, s *Spending) {
+	b.window.giveBack(now, s.part)
+	s.part = b.window.retry(now)
+}
+
+// ampleShare is the part of the budget that retries may use which will more likely
+// fail than not. Where upstreams fail in episodes, such retries took the whole
+// budget, and requests that failed at a sound upstream had none.
+const ampleShare = 0.5
+
+// Ample reports whether a retry that will more likely fail than not may be made.
+func (b *Budget) Ample(now clock.Millis) bool {
+	return b.window == nil || b.window.allows(now, ampleShare, 1)
 }
 
 // spent reports whether the budget has nothing left for the attempt.
 func (b *Budget) spent(now clock.Millis, a Attempt) bool {
 	if b.window != nil {
-		return a.reached() && !b.window.allows(now)
+		return a.reached() && !b.window.allows(now, 1, 1)
 	}
 	return a.costs() && b.tokens < 1
 }
@@ -227,7 +265,7 @@
 		return NoTime
 	case b.window == nil && b.pressure.full(now):
 		return ServiceFull
-	case b.spent(now, a):
+	case b.spent(now, a), a.reached() && a.CallsSpent:
 		return NoBudget
 	default:
 		return ""
--- a/retry/window.go
+++ b/retry/window.go
@@ -39,17 +39,27 @@
 	w.requests[w.advance(now)]++
 }
 
-func (w *window) retry(now clock.Millis) {
+// retry counts a retry and returns the part that it is counted in.
+func (w *window) retry(now clock.Millis) int64 {
 	w.repeated(now, 1)
+	return w.newest
 }
 
-// repeated counts a retry that is one by some chance.
-func (w *window) repeated(now clock.Millis, chance float64) {
-	w.retries[w.advance(now)] += chance
+// giveBack takes a retry out of the part that it was counted in.
+func (w *window) giveBack(now clock.Millis, part int64) {
+	w.advance(now)
+	if part >= w.newest-windowParts {
+		w.retries[part%(windowParts+1)]--
+	}
+}
+
+// repeated counts retries, of which there may be a part of one on average.
+func (w *window) repeated(now clock.Millis, n float64) {
+	w.retries[w.advance(now)] += n
 }
 
-// allows reports whether one more retry stays within the bound.
-func (w *window) allows(now clock.Millis) bool {
+// allows reports whether n more retries stay within a part of the bound.
+func (w *window) allows(now clock.Millis, part, n float64) bool {
 	newest := w.advance(now)
 	oldest := (newest + 1) % (windowParts + 1)
 	requests, retries := 0.0, 0.0
@@ -59,5 +69,5 @@
 			requests += w.requests[i]
 		}
 	}
-	return retries+1 <= w.share*requests+w.extra
+	return retries+n <= part*(w.share*requests+w.extra)
 }
