--- a/entry/brief.go
+++ b/entry/brief.go
@@ -268,7 +268,7 @@
 // held.
 func (s *service) invitation(now clock.Millis, tried []*member) (int, bool) {
 	for i, m := range s.members {
-		if m.invited >= now && s.uses[i] != floor.Gone && !slices.Contains(tried, m) {
+		if m.invited > 0 && m.invited >= now && s.uses[i] != floor.Gone && !slices.Contains(tried, m) {
 			m.invited = 0
 			return i, true
 		}
