--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,7 +80,6 @@
 		Repeatable: r.repeatable,
 		Forced:     a.forced,
 		Priority:   r.route.Priority,
-		Target:     r.route.Target,
 		Bounded:    a.bounded,
 		Overdue:    r.overdue(),
 		Baseline:   r.baseline,
--- a/gate/enquire.go
+++ b/gate/enquire.go
@@ -52,7 +52,7 @@
 func (g *Gate) queue(now clock.Millis, p *place) (reason wire.Reason, after clock.Millis, isWaiting bool) {
 	g.tickets++
 	ask := limit.Ask{
-		Ticket: g.tickets, Deadline: now + p.enquiry.Budget, Until: now + p.enquiry.Patience, Priority: p.enquiry.Priority, Target: p.enquiry.Target,
+		Ticket: g.tickets, Deadline: now + p.enquiry.Budget, Until: now + p.enquiry.Patience, Priority: p.enquiry.Priority,
 	}
 	switch offer := g.slots.Ask(now, ask); offer.Answer {
 	case limit.Run:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -250,7 +250,7 @@
 	if d.Bounded {
 		patience = now
 	}
-	offer := g.slots.Ask(now, limit.Ask{Ticket: j.ticket, Deadline: j.until, Until: patience, Priority: d.Priority, Target: d.Target})
+	offer := g.slots.Ask(now, limit.Ask{Ticket: j.ticket, Deadline: j.until, Until: patience, Priority: d.Priority})
 	switch offer.Answer {
 	case limit.Run:
 		g.jobs[j.ticket] = j
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -65,9 +64,7 @@
 type waiter struct {
 	ticket          uint64
 	deadline, until clock.Millis
-	// worth is what a slot earns with it in the time that it takes.
-	worth float64
-	since clock.Millis
+	priority        int
 }
 
 // Ask is one request for a slot.
@@ -79,8 +76,6 @@
 	Deadline, Until clock.Millis
 	// Priority ranks requests, 0 first.
 	Priority int
-	// Target is the time within which an answer is worth most; 0 where none is told.
-	Target clock.Millis
 }
 
 // NewSlots makes Slots with none in use.
@@ -110,7 +105,7 @@
 		s.running++
 		return Offer{Answer: Run}
 	}
-	place := s.place(a.worth())
+	place := s.place(a.Priority)
 	wait := s.gap() * float64(place+1)
 	switch {
 	case a.Until <= now, place >= s.config.Queue:
@@ -119,7 +114,7 @@
 		return s.refuse(now, Late)
 	}
 	s.waiting = slices.Insert(s.waiting, place, waiter{
-		ticket: a.Ticket, deadline: a.Deadline, until: a.Until, worth: a.worth(), since: now,
+		ticket: a.Ticket, deadline: a.Deadline, until: a.Until, priority: a.Priority,
 	})
 	if len(s.waiting) > s.config.Queue {
 		last := len(s.waiting) - 1
@@ -132,40 +127,17 @@
 // ranks is how many priorities are told apart; lower ones count as the last.
 const ranks = 4
 
-// place is where a request stands in the queue: behind those that are worth as much or
-// more.
-func (s *Slots) place(worth float64) int {
+// place is where a request of the rank stands in the queue: behind those of its
+// rank and better ones.
+func (s *Slots) place(priority int) int {
 	for i := range s.waiting {
-		if s.waiting[i].worth < worth {
+		if s.waiting[i].priority > priority {
 			return i
 		}
 	}
 	return len(s.waiting)
 }
 
-// unknownTarget stands for a target that isn't told: with the same one for all, ranks
-// alone decide.
-const unknownTarget = clock.Second
-
-// rankWorth is how many times as much as the next lower one a rank is worth. With 2, and
-// with ranks worth 4, 3, 2 and 1, short requests of the second rank keep long ones of
-// the first waiting: where capacity is short these earn 0.937 and 0.817 of their worth
-// on larger deployments in place of 0.950, with 3 0.935, and 0.948 as before on small ones.
-const rankWorth = 3
-
-// worth is what a slot earns with the request in the time that it takes: its rank's worth
-// over its target. Targets are set by the work that there is, and so tell short requests
-// from long ones. Short ones of a service are mostly those that other backend servers
-// make while they run a request: it holds a slot there while they wait, and fails
-// with them.
-func (a *Ask) worth() float64 {
-	target := a.Target
-	if target <= 0 {
-		target = unknownTarget
-	}
-	return math.Pow(rankWorth, float64(ranks-1-a.Priority)) / float64(target)
-}
-
 // Release frees the slot of a request that ended. The next waiter whose
 // deadline can still be met takes it and is returned; those passed over are
 // returned by the next Expire.
@@ -275,9 +247,8 @@
 // repeated would end as unknown in place of not run.
 func (s *Slots) next() (ticket uint64, ok bool) {
 	for s.running < s.config.Slots && len(s.waiting) > 0 {
-		first := s.first()
-		w := s.waiting[first]
-		s.waiting = slices.Delete(s.waiting, first, first+1)
+		w := s.waiting[0]
+		s.waiting = slices.Delete(s.waiting, 0, 1)
 		if s.drain.reaches(0, w.deadline) {
 			s.running++
 			return w.ticket, true
@@ -287,21 +258,6 @@
 	return 0, false
 }
 
-// first is the waiter whose turn it is: the one that has waited longest for what it is
-// worth. In strict order of ranks, a service short of room refused nearly all of its
-// lower ranks: reads with calls of their own earned 0.757 of their worth in place of
-// 0.811, where the first rank's 0.949 and 0.948 are the same.
-func (s *Slots) first() int {
-	best, most := 0, -1.0
-	for i := range s.waiting {
-		w := &s.waiting[i]
-		if due := float64(s.drain.now-w.since+1) * w.worth; due > most {
-			best, most = i, due
-		}
-	}
-	return best
-}
-
 // gap estimates the milliseconds between two requests that end while all slots
 // are in use.
 func (s *Slots) gap() float64 {
--- a/wire/enquiry.go
+++ b/wire/enquiry.go
@@ -12,7 +12,6 @@
 	Repeatable bool
 	Forced     bool
 	Priority   int
-	Target     clock.Millis
 	// Budget is what is left of the request's deadline.
 	Budget clock.Millis
 	// Patience is how long it may wait for a slot; 0 asks for a free one.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -110,10 +110,8 @@
 	Headers    Headers
 	Body       []byte
 	Repeatable bool
-	// Priority ranks it among those that wait for a slot, 0 first, and Target is the
-	// time within which its answer is worth most, 0 without.
+	// Priority ranks it among those that wait for a slot, 0 first.
 	Priority int
-	Target   clock.Millis
 	// Overdue is the age from which a run without an answer speaks against the
 	// upstream; 0 leaves that to the gate.
 	Overdue clock.Millis
