--- a/entry/brief.go
+++ b/entry/brief.go
@@ -187,7 +187,8 @@
 type search struct {
 	// again says that it may be sent once more if it fails.
 	again bool
-	// repeat says that it has run before.
+	// repeat says that it has run before: while the retry budget runs low it leaves out
+	// upstreams that would more likely fail it than not.
 	repeat bool
 	// aside looks among the upstreams that were set aside.
 	aside bool
@@ -202,14 +203,14 @@
 	defer s.mu.Unlock()
 	s.decideFloor(now) // severities drift without news
 	s.options = s.options[:0]
-	likely := look.repeat && !s.budget.Ample(now)
+	isSparing := look.repeat && !s.budget.Ample(now)
 	for i, m := range s.members {
 		usable := s.uses[i] == floor.Normal || s.uses[i] == floor.Forced
 		if look.aside {
 			usable = s.uses[i] == floor.Aside
 		}
 		risk := m.severity(now, true)
-		usable = usable && !slices.Contains(look.tried, m) && !(likely && risk >= grade.Aside)
+		usable = usable && !slices.Contains(look.tried, m) && !(isSparing && risk >= grade.Aside)
 		if usable {
 			untried++
 		}
@@ -222,6 +223,7 @@
 		})
 	}
 	again := look.again && untried > 0
+	// A trial that fails takes a retry, which is then missing to others.
 	if again && s.budget.Ample(now) {
 		if i, wanted := s.invitation(now, look.tried); wanted {
 			return s.send(now, i), untried, true
