fix(entry): follow invitations from the first request

Cause: invitations were followed only while half of the retry budget was left. Of 64 or 160 retries beyond the share that all nodes have together, one entry's part is about 1.2, so that none was followed until some ten requests had earned more: at the start of traffic, and at entries with few requests, upstreams that nobody chose got nothing.

Ruled out: the newcomers' severity (an upstream not heard of and one heard of long ago are alike at the start).

Also: the page of tables need not name a field that no text fills (key "-"); check refuses it as a key as before.

--- a/entry/brief.go
+++ b/entry/brief.go
@@ -223,8 +223,7 @@
 		})
 	}
 	again := look.again && untried > 0
-	// A trial that fails takes a retry, which is then missing to others.
-	if again && s.budget.Ample(now) {
+	if again {
 		if i, wanted := s.invitation(now, look.tried); wanted {
 			return s.send(now, i), untried, true
 		}
--- a/examples/pages_test.go
+++ b/examples/pages_test.go
@@ -37,6 +37,9 @@
 		for _, part := range page.parts {
 			for f := range reflect.TypeOf(part).Fields() {
 				key := f.Tag.Get("toml")
+				if key == "-" {
+					continue // no text fills it: check refuses it as a key, too
+				}
 				if f.IsExported() && !strings.Contains(string(text), "\n| `"+key+"` | ") {
 					t.Errorf("%s: got no row for key %s, want one", name, key)
 				}
