--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,7 +124,7 @@
 			seed := e.config.Seed + uint64(len(next))
 			s = newService(c, e.config.Domain, seed, e.config.Journal, e.config.Log)
 		}
-		s.update(e.config.Now(), c, nodes, e.config.Target)
+		s.update(c, nodes, e.config.Target)
 		s.enrol(e.config.Now(), c, e.config.Target)
 		next[c.Name] = s
 	}
--- a/entry/member.go
+++ b/entry/member.go
@@ -24,14 +24,6 @@
 	invited clock.Millis
 }
 
-// newMember returns an upstream that nothing is known of from now on. Taken for one that
-// was last heard of long ago, it would count as likelier in an episode than any that is
-// known, and with room elsewhere no entry would send it anything; nor does its gate
-// reach one by invitations before a first request has opened a link.
-func newMember(now clock.Millis, target Target) *member {
-	return &member{target: target, heard: now, state: wire.Upstream{Share: 1, Severity: grade.Newcomer}}
-}
-
 // verdict is the gate's as last heard. A hold-off that has run out since is a
 // trial: the link may have been closed for want of requests, and then no
 // heartbeat says so.
--- a/entry/service.go
+++ b/entry/service.go
@@ -91,7 +91,7 @@
 
 // update puts a table edit in force. What is known of upstreams that stay is
 // kept; one that started again under its name is another.
-func (s *service) update(now clock.Millis, c table.Service, nodeCount int, target func(u table.Upstream) Target) {
+func (s *service) update(c table.Service, nodeCount int, target func(u table.Upstream) Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -107,7 +107,7 @@
 	for _, u := range c.Upstreams {
 		m, ok := old[u.Name]
 		if !ok || m.upstream.Node != u.Node || m.upstream.Started != u.Started {
-			m = newMember(now, target(u))
+			m = &member{target: target(u), state: wire.Upstream{Share: 1}}
 		}
 		m.upstream = u
 		s.members = append(s.members, m)
--- a/grade/level.go
+++ b/grade/level.go
@@ -24,11 +24,6 @@
 	// given to an upstream: more than half of it would be lost.
 	Aside   = 0.5
 	certain = 0.9
-	// Newcomer is the probability at which an entry holds an upstream that it has heard
-	// nothing of yet: up to here upstreams are chosen alike (package choice). It draws
-	// to what is usual like any other, so that one whose news never come is left alone
-	// after some seconds. Where upstreams join a calm day, half of them idled before.
-	Newcomer = 0.05
 )
 
 // IsNews reports whether entries should hear at once of a change: that an upstream is
