--- a/mirror/walk_test.go
+++ b/mirror/walk_test.go
@@ -234,14 +234,16 @@
 		Tell:    func(n mirror.News) { w.tell(i, n) },
 		Away:    func(error) {},
 	})
+	ctx, cancel := context.WithCancel(w.t.Context())
+	w.mu.Lock() // nodes that tell others read them
 	if i < len(w.nodes) {
 		w.ends[i]()
 		w.nodes[i], w.seen[i], w.gone[i] = f, seen, gone
 	} else {
 		w.nodes, w.seen, w.gone, w.ends = append(w.nodes, f), append(w.seen, seen), append(w.gone, gone), append(w.ends, nil)
 	}
-	ctx, cancel := context.WithCancel(w.t.Context())
 	w.ends[i] = cancel
+	w.mu.Unlock()
 	w.served.Go(func() { _ = f.Serve(ctx) }) // it ends with the context
 }
 
