--- a/mirror/pace.go
+++ b/mirror/pace.go
@@ -47,7 +47,7 @@
 	current  clock.Millis // what is known was the store's at that instant
 	due      clock.Millis
 	failures int
-	// failedAt is when the first of them was, heardAt when a peer last showed that the
+	// failedAt is when the last of them was, heardAt when a peer last showed that the
 	// store answers it.
 	failedAt, heardAt clock.Millis
 	// isUrgent says that only a call of its own will do.
