feat(mirror,platform,metrics): say how calls of the platform fail, and for how long values are old

Only the first failed call of a row had a line, without the bytes that came or the time they took, so that a store that is down and an answer too large for the line looked alike; nothing told that a node served by values which it knew to be old.

Lines: each failure at 1, 2, 4 and so on in a row, with bytes, time and revision; changes that a peer has read and this node has not within fresh, and their end.

--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -49,7 +49,10 @@
 }
 
 func (fake) Reading() metrics.Reading {
-	return metrics.Reading{Calls: 9, Errors: 2, Heard: 30, Revision: 7, Known: true, Age: 400}
+	return metrics.Reading{
+		Answered: metrics.Calls{Count: 7, Bytes: 900, Took: 70}, Failed: metrics.Calls{Count: 2, Bytes: 80, Took: 1400},
+		Heard: 30, Revision: 7, Known: true, Age: 400, Lag: 900, Late: 1,
+	}
 }
 
 func (fake) Lost() (busy, rate uint64) { return 1, 2 }
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -20,8 +20,8 @@
 
 // Reading counts the calls to the platform since the node started.
 type Reading struct {
-	// Calls counts all calls, Errors those without an answer among them.
-	Calls, Errors uint64
+	// Answered and Failed sum up the calls with a whole answer, and those without.
+	Answered, Failed Calls
 	// Heard counts what other nodes told in place of a call.
 	Heard uint64
 	// Wrong counts lists of all values that showed the copy here to be wrong.
@@ -31,6 +31,18 @@
 	// Age is how long ago what is known was the platform's, once Known.
 	Known bool
 	Age   clock.Millis
+	// Lag is for how long the oldest change that a peer knows has not been read; Late
+	// counts when that was longer than an edit may take.
+	Lag  clock.Millis
+	Late uint64
+}
+
+// Calls sums up calls to the platform.
+type Calls struct {
+	Count uint64
+	// Bytes are those that came from it, Took the time of all calls.
+	Bytes uint64
+	Took  clock.Millis
 }
 
 // Lines tells how many log lines were left out.
@@ -78,6 +90,14 @@
 		"Concurrent requests of callers that the settings allow.", nil, nil)
 	readDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
 		"Calls to the platform by what came of them.", []string{"result"}, nil)
+	bytesDesc = prometheus.NewDesc(namespace+"_platform_bytes_total",
+		"Bytes that came from the platform, by what became of the call.", []string{"result"}, nil)
+	tookDesc = prometheus.NewDesc(namespace+"_platform_call_seconds_total",
+		"Time that calls to the platform took, by what came of them.", []string{"result"}, nil)
+	lagDesc = prometheus.NewDesc(namespace+"_platform_lag_seconds",
+		"For how long the oldest change that another node knows has not been read; 0 without one.", nil, nil)
+	lateDesc = prometheus.NewDesc(namespace+"_platform_late_total",
+		"Times when a change that another node knows was not read within the span for an edit.", nil, nil)
 	heardDesc = prometheus.NewDesc(namespace+"_platform_news_total",
 		"News of the platform that other nodes told in place of a call.", nil, nil)
 	wrongDesc = prometheus.NewDesc(namespace+"_platform_copy_wrong_total",
@@ -121,7 +141,7 @@
 // Describe sends the descriptions.
 func (*sources) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, boundDesc, readDesc, heardDesc, wrongDesc, revisionDesc, ageDesc, linesDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
+		readyDesc, boundDesc, readDesc, bytesDesc, tookDesc, lagDesc, lateDesc, heardDesc, wrongDesc, revisionDesc, ageDesc, linesDesc, peersDesc, linksDesc, verdictDesc, slotsDesc, roomDesc,
 	} {
 		out <- d
 	}
@@ -158,8 +178,10 @@
 }
 
 func collectReading(out chan<- prometheus.Metric, r Reading) {
-	out <- counter(readDesc, r.Calls-min(r.Calls, r.Errors), resultAnswered)
-	out <- counter(readDesc, r.Errors, resultError)
+	collectCalls(out, r.Answered, resultAnswered)
+	collectCalls(out, r.Failed, resultError)
+	out <- gauge(lagDesc, r.Lag.Seconds())
+	out <- counter(lateDesc, r.Late)
 	out <- counter(heardDesc, r.Heard)
 	out <- counter(wrongDesc, r.Wrong)
 	out <- gauge(revisionDesc, float64(r.Revision))
@@ -168,6 +190,12 @@
 	}
 }
 
+func collectCalls(out chan<- prometheus.Metric, c Calls, result string) {
+	out <- counter(readDesc, c.Count, result)
+	out <- counter(bytesDesc, c.Bytes, result)
+	out <- prometheus.MustNewConstMetric(tookDesc, prometheus.CounterValue, c.Took.Seconds(), result)
+}
+
 func collectGate(out chan<- prometheus.Metric, g *GateState) {
 	out <- gauge(verdictDesc, 1, g.Service, g.Upstream, g.verdict())
 	out <- gauge(slotsDesc, float64(g.Running), g.Service, g.Upstream, placeSlot)
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,11 @@
 	// Away is told when the store goes away, with the cause, and with nil when
 	// it is back.
 	Away func(cause error)
-	Seed uint64
-	Log  logrus.FieldLogger
+	// Received counts the bytes that have come from the store; it may be nil.
+	Received func() uint64
+	Seed     uint64
+	// Log takes lines; nil stands for none.
+	Log logrus.FieldLogger
 }
 
 // Follower keeps a Copy up to date.
@@ -70,13 +74,18 @@
 	confirmedAt clock.Millis
 	doubted     uint64
 	audit       audit
+	lag         lag
 	stats       Stats
 }
 
 // Stats counts what a follower met.
 type Stats struct {
-	// Calls are those made, Errors those without an answer among them.
-	Calls, Errors uint64
+	// Answered and Failed sum up the calls with a whole answer, and those without.
+	Answered, Failed CallStats
+	// Late is how often a change that a peer knew was not read within Fresh; Lag is
+	// for how long the oldest one that is not read yet has been known of.
+	Late uint64
+	Lag  clock.Millis
 	// Heard is how often news of another node were taken in.
 	Heard uint64
 	// Wrong is how often a list showed that the copy was wrong.
@@ -86,12 +95,27 @@
 	IsKnown bool
 }
 
+// CallStats sums up calls of the store.
+type CallStats struct {
+	Count uint64
+	// Bytes are those that came, heads included, and Took the time of all calls.
+	Bytes uint64
+	Took  clock.Millis
+}
+
+func (s *CallStats) add(bytes uint64, took clock.Millis) {
+	s.Count++
+	s.Bytes += bytes
+	s.Took += took
+}
+
 // Stats returns the counts so far.
 func (f *Follower) Stats() Stats {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.stats
 	s.Known, s.IsKnown = f.pace.current, f.pace.current >= 0
+	s.Lag = f.lag.span(f.config.Now())
 	return s
 }
 
@@ -100,6 +124,11 @@
 	if c.Fresh <= 0 {
 		c.Fresh = defaultFresh
 	}
+	if c.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		c.Log = silent
+	}
 	return &Follower{config: c, copy: NewCopy(c.Mark), pace: NewPace(PaceConfig{Fresh: c.Fresh, Backoff: c.Backoff, Seed: c.Seed}), woken: make(chan struct{}, 1)}
 }
 
@@ -112,11 +141,12 @@
 			f.pace.Size(nodes, isReader)
 			f.mu.Unlock()
 		}
+		began, received := f.config.Now(), f.received()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		f.note(err)
+		f.note(f.config.Now()-began, f.received()-received, err)
 	}
 	return errors.Trace(ctx.Err())
 }
@@ -262,14 +292,18 @@
 	}
 }
 
-// note tells when the store goes away and when it is back.
-func (f *Follower) note(err error) {
+// note takes in what became of a call, and tells when the store goes away and when it is
+// back.
+func (f *Follower) note(took clock.Millis, bytes uint64, err error) {
 	f.mu.Lock()
-	f.stats.Calls++
-	if err != nil {
-		f.stats.Errors++
+	if err == nil {
+		f.stats.Answered.add(bytes, took)
+	} else {
+		f.stats.Failed.add(bytes, took)
 		f.pace.Failed(f.config.Now())
+		f.logFailure(took, bytes, err)
 	}
+	f.logLag()
 	f.mu.Unlock()
 	if err != nil && f.config.Tell != nil {
 		f.config.Tell(News{IsAway: true})
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -101,10 +101,15 @@
 	defer f.mu.Unlock()
 	now := f.config.Now()
 	known := f.copy.Revision()
+	defer f.logLag()
 	switch {
 	case n.IsAway:
 		f.pace.Postpone(now)
 		return
+	case known < n.Revision:
+		f.lag.heard(now, n.Revision)
+	}
+	switch {
 	case known == 0 || known < n.Since:
 		f.pace.Behind(now) // there is a gap: this node's own call fills it
 		f.wake()
--- a/node/platform.go
+++ b/node/platform.go
@@ -60,6 +60,9 @@
 		Seed:    n.seed,
 		Log:     n.log,
 	}
+	if counting, ok := store.(interface{ Received() uint64 }); ok {
+		c.Received = counting.Received
+	}
 	if n.tables != nil {
 		c.Mark, c.Announced = n.tables.Mark, n.tables.Announced
 	}
@@ -245,7 +248,10 @@
 		return metrics.Reading{}
 	}
 	s := n.follower.Stats()
-	r := metrics.Reading{Calls: s.Calls, Errors: s.Errors, Heard: s.Heard, Wrong: s.Wrong, Revision: n.follower.Revision()}
+	r := metrics.Reading{
+		Answered: metrics.Calls(s.Answered), Failed: metrics.Calls(s.Failed), Heard: s.Heard, Wrong: s.Wrong,
+		Revision: n.follower.Revision(), Lag: s.Lag, Late: s.Late,
+	}
 	if s.IsKnown {
 		r.Known, r.Age = true, max(n.clock.Now()-s.Known, 0)
 	}
