--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -305,7 +305,8 @@
 	}
 	f.logLag()
 	f.mu.Unlock()
-	if err != nil && f.config.Tell != nil {
+	isGone := err != nil && !errors.Is(err, ErrCut) // others may be answered whole
+	if isGone && f.config.Tell != nil {
 		f.config.Tell(News{IsAway: true})
 	}
 	if away := err != nil; away != f.isAway {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -17,6 +17,8 @@
 const (
 	// ErrUnavailable means that the store gave no answer, or none in time.
 	ErrUnavailable = errors.ConstError("the platform's store doesn't answer")
+	// ErrCut means that an answer began and did not end: the store is there.
+	ErrCut = errors.ConstError("the platform's answer did not end")
 	// ErrHistory means that the store has dropped the changes that were asked
 	// for: all values must be listed again.
 	ErrHistory = errors.ConstError("the platform's store no longer has these changes")
@@ -44,10 +46,10 @@
 // Store reads the platform's store.
 type Store interface {
 	// List returns all values, and a revision from which a watch misses no
-	// later change. It returns ErrUnavailable or ErrAnswer.
+	// later change. It returns ErrUnavailable, ErrCut or ErrAnswer.
 	List(ctx context.Context) ([]Item, uint64, error)
 	// Watch waits for changes after a revision, at most for the span, and
-	// returns them with the revision to go on from. It returns ErrUnavailable,
+	// returns them with the revision to go on from. It returns ErrUnavailable, ErrCut,
 	// ErrHistory or ErrAnswer.
 	Watch(ctx context.Context, after uint64, wait clock.Millis) ([]Event, uint64, error)
 }
