fix(mirror,platform): what a call brings doesn't grow with how far a node is behind

Second half of the cause: a watch tells every version since the node's revision. Twelve versions of 1,400 routes are 3.7 MB, 3 s on a line of 10 Mbit/s, of which eleven are of no use; from 4 MB on no answer was read at all. Now a watch may bring what all values have together, by this node's copy or by a peer's word; beyond that, by the length at its head, it is not read, and all values are listed.

With it, where a large change is told but not read yet: small changes told beside it are taken over at once (registrations waited for the configuration; requests reached upstreams that leave), and a version told during an answer is read next, not a pace later.

The walk now draws large values and refused answers, and showed that news of a list are never complete (a value that came and went since): kept as TestAListIsNotAllThatHasChanged.

Ruled out: a wider bound in bytes (the answer is read for nothing), a list each time (two calls for one where one version is new).

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -36,6 +36,8 @@
 	// newest is the last revision of any value, which is ahead of revision after a
 	// list: its pages aren't a snapshot.
 	newest uint64
+	// bytes are those of all values and keys.
+	bytes int
 	// sum is the exclusive or of the marks of all values that are not gone.
 	sum uint64
 	// heldUntil is the end of the grace after the store's last return.
@@ -73,6 +75,11 @@
 	return c.revision
 }
 
+// Bytes is the size of all values, with their keys.
+func (c *Copy) Bytes() int {
+	return c.bytes
+}
+
 // Returned takes in that the store answers again after it was away.
 func (c *Copy) Returned(now clock.Millis) {
 	c.heldUntil = now + returnGrace
@@ -166,6 +173,7 @@
 		c.marks[item.Key] = c.mark(item)
 		c.sum ^= c.marks[item.Key]
 	}
+	c.bytes += item.size() - old.size()
 	c.items[item.Key] = item
 	c.newest = max(c.newest, item.Revision)
 	delete(c.vanished, item.Key)
@@ -188,6 +196,8 @@
 }
 
 func (c *Copy) drop(key string) {
+	old := c.items[key]
+	c.bytes -= old.size()
 	delete(c.items, key)
 	delete(c.marks, key)
 }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -75,7 +75,9 @@
 	doubted     uint64
 	audit       audit
 	lag         lag
-	stats       Stats
+	// told is how many bytes all values have, as a peer has said that knows newer ones.
+	told  int
+	stats Stats
 }
 
 // Stats counts what a follower met.
@@ -211,13 +213,13 @@
 func (f *Follower) step(ctx context.Context) error {
 	after, isAudit := f.from()
 	if after == 0 || isAudit {
-		return f.relist(ctx)
+		return f.relist(ctx, false)
 	}
 	asked := f.config.Now()
-	events, revision, err := f.config.Store.Watch(ctx, after, watchWait)
-	if errors.Is(err, ErrHistory) {
-		f.config.Log.WithField("revision", after).Info("changes are no longer to be had; all values are listed again")
-		return f.relist(ctx)
+	events, revision, err := f.config.Store.Watch(ctx, after, watchWait, f.listBytes())
+	if errors.Is(err, ErrHistory) || errors.Is(err, ErrLarge) {
+		f.config.Log.WithError(err).WithField("revision", after).Info("changes are not to be had; all values are listed again")
+		return f.relist(ctx, errors.Is(err, ErrLarge))
 	}
 	if err != nil {
 		return errors.Trace(err)
@@ -235,6 +237,17 @@
 	return nil
 }
 
+// listBytes is how many bytes the values have that a list brings, as far as is known. A
+// watch tells each version of a value since a revision, a list the last one alone: for a
+// node that is several versions of a large configuration behind, the watch's answer is a
+// multiple of it, and larger with each further version. Bounded so, what a call brings
+// does not grow with how far the node is behind.
+func (f *Follower) listBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.copy.Bytes(), f.told)
+}
+
 // from is the revision from which changes are to be read, and whether all values are
 // to be listed in their place.
 func (f *Follower) from() (after uint64, isAudit bool) {
@@ -247,17 +260,22 @@
 	return f.copy.Revision(), f.audit.isDue
 }
 
-// relist reads all values anew and goes on from there.
-func (f *Follower) relist(ctx context.Context) error {
+// relist reads all values anew and goes on from there. What has changed is told to others
+// if it was to be read.
+func (f *Follower) relist(ctx context.Context, isTold bool) error {
 	asked := f.config.Now()
 	items, revision, err := f.config.Store.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	f.take(asked, revision, func(now clock.Millis) News {
+		var n News
+		if isTold {
+			n = newsOfList(f.copy, items, revision)
+		}
 		f.checked(now, items, revision)
 		f.copy.Reset(now, items, revision)
-		return News{}
+		return n
 	})
 	return nil
 }
@@ -278,6 +296,11 @@
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now), false)
 	f.pace.Answered(asked)
+	f.told = 0
+	f.logLag()
+	if f.lag.isLarge() {
+		f.pace.Hurry(now) // it was told while the answer was on its way
+	}
 	f.confirmed, f.confirmedAt = revision, asked
 	if revision >= f.doubted {
 		f.doubted = 0
@@ -287,6 +310,9 @@
 	if digest, isSettled := f.copy.Digest(); isSettled && f.doubted == 0 && news.Revision == f.copy.Revision() {
 		news.Digest = digest
 	}
+	if news.More {
+		news.Bytes = f.copy.Bytes()
+	}
 	if !isUrgent {
 		f.tell(news, now, asked)
 	}
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -37,7 +37,7 @@
 	return first, uint64(len(s.calls)), nil
 }
 
-func (s *script) Watch(_ context.Context, _ uint64, wait clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *script) Watch(_ context.Context, _ uint64, wait clock.Millis, _ int) ([]mirror.Event, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls, s.at, s.waits = append(s.calls, "watch"), append(s.at, s.now()), append(s.waits, wait)
@@ -98,7 +98,7 @@
 	after []uint64
 }
 
-func (c *counting) Watch(ctx context.Context, after uint64, _ clock.Millis) ([]mirror.Event, uint64, error) {
+func (c *counting) Watch(ctx context.Context, after uint64, _ clock.Millis, _ int) ([]mirror.Event, uint64, error) {
 	c.after = append(c.after, after)
 	if len(c.after) == 2 {
 		c.next()
@@ -197,7 +197,7 @@
 	hear  func()
 }
 
-func (s *interrupted) Watch(_ context.Context, after uint64, _ clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *interrupted) Watch(_ context.Context, after uint64, _ clock.Millis, _ int) ([]mirror.Event, uint64, error) {
 	s.after = append(s.after, after)
 	switch len(s.after) {
 	case 1:
--- a/mirror/lag.go
+++ b/mirror/lag.go
@@ -1,6 +1,10 @@
 package mirror
 
-import "fuchsiapick.example/fuchsiapick/clock"
+import (
+	"slices"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+)
 
 // mostAwaited bounds the changes that are remembered as unread; the first ones count.
 const mostAwaited = 64
@@ -19,14 +23,16 @@
 type awaited struct {
 	revision uint64
 	since    clock.Millis
+	isLarge  bool
 }
 
-// heard takes in that a peer knows the store up to a revision, and this node doesn't.
-func (l *lag) heard(now clock.Millis, revision uint64) {
+// heard takes in that a peer knows the store up to a revision, and this node doesn't, and
+// whether there are changes that are too large to be told.
+func (l *lag) heard(now clock.Millis, revision uint64, isLarge bool) {
 	if len(l.awaited) == mostAwaited || (len(l.awaited) > 0 && l.awaited[len(l.awaited)-1].revision >= revision) {
 		return
 	}
-	l.awaited = append(l.awaited, awaited{revision, now})
+	l.awaited = append(l.awaited, awaited{revision, now, isLarge})
 }
 
 // read takes in that all changes up to a revision are known. It returns how long the
@@ -63,6 +69,11 @@
 	return isFirst, true
 }
 
+// isLarge reports whether a change that is too large to be told has not been read.
+func (l *lag) isLarge() bool {
+	return slices.ContainsFunc(l.awaited, func(a awaited) bool { return a.isLarge })
+}
+
 // newest is the last revision that a peer has told of and that is not read; 0 for none.
 func (l *lag) newest() uint64 {
 	if len(l.awaited) == 0 {
--- a/mirror/lag_test.go
+++ b/mirror/lag_test.go
@@ -20,7 +20,7 @@
 	isWell atomic.Bool
 }
 
-func (s *stalling) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *stalling) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
 	if !s.isWell.Load() {
 		return nil, 0, mirror.ErrUnavailable
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,6 +19,8 @@
 	ErrUnavailable = errors.ConstError("the platform's store doesn't answer")
 	// ErrCut means that an answer began and did not end: the store is there.
 	ErrCut = errors.ConstError("the platform's answer did not end")
+	// ErrLarge means that a watch's answer is larger than was allowed; it was not read.
+	ErrLarge = errors.ConstError("the platform's answer is larger than all of its values")
 	// ErrHistory means that the store has dropped the changes that were asked
 	// for: all values must be listed again.
 	ErrHistory = errors.ConstError("the platform's store no longer has these changes")
@@ -36,6 +38,10 @@
 	Created uint64
 }
 
+func (i *Item) size() int {
+	return len(i.Key) + len(i.Value)
+}
+
 // Event is one change. A key that is gone has no value.
 type Event struct {
 	Item
@@ -49,7 +55,8 @@
 	// later change. It returns ErrUnavailable, ErrCut or ErrAnswer.
 	List(ctx context.Context) ([]Item, uint64, error)
 	// Watch waits for changes after a revision, at most for the span, and
-	// returns them with the revision to go on from. It returns ErrUnavailable, ErrCut,
-	// ErrHistory or ErrAnswer.
-	Watch(ctx context.Context, after uint64, wait clock.Millis) ([]Event, uint64, error)
+	// returns them with the revision to go on from. Changes whose values have more
+	// bytes than most, about, are not read. It returns ErrUnavailable, ErrCut,
+	// ErrHistory, ErrLarge or ErrAnswer.
+	Watch(ctx context.Context, after uint64, wait clock.Millis, most int) ([]Event, uint64, error)
 }
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"maps"
 	"slices"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -11,18 +12,26 @@
 // it on the wire. Larger ones cost more than a call of each node.
 const newsLimit = 128 << 10
 
+// largeValue is the size in bytes from which a value is left out of news that would be
+// larger than newsLimit: five times the largest registration, and less than any
+// configuration that is worth leaving out.
+const largeValue = 16 << 10
+
 // News is what one node has learned from the store, for others: all that matters
 // between two revisions.
 type News struct {
 	// Since is the revision from which Events are complete, up to Revision.
 	Since, Revision uint64
 	Events          []Event
-	// More says that there are changes too large to be told.
+	// More says that there are changes too large to be told, beside Events.
 	More bool
 	// IsAway says that the store didn't answer; nothing else is told then.
 	IsAway bool
 	// Age is how long ago Revision was the store's.
 	Age clock.Millis
+	// Bytes is the size of all values that the teller holds, told with More: a node that
+	// is behind reads no answer that is larger.
+	Bytes int
 	// Digest sums up what the teller holds at Revision; 0 where it can't say.
 	Digest uint64
 }
@@ -50,13 +59,59 @@
 		size += len(e.Value)
 	}
 	if size > newsLimit {
-		n.Events, n.More = nil, true
+		n.Events, n.More = smallOf(n.Events), true
+	}
+	return n
+}
+
+// smallOf leaves out the large values: an upstream that leaves must not wait for a
+// configuration that takes a second to read.
+func smallOf(events []Event) []Event {
+	size := 0
+	var small []Event
+	for _, e := range events {
+		if len(e.Value) < largeValue {
+			small = append(small, e)
+			size += len(e.Value)
+		}
+	}
+	if size > newsLimit {
+		return nil
+	}
+	return small
+}
+
+// newsOfList sums up what a list has brought in place of a watch's answer, made like newsOf
+// before the copy takes the list in: none of those who read so would else tell others what
+// made it so large. A list doesn't show a value that came and went since, which a node
+// that hears it may hold: it never makes up the whole of what has changed.
+func newsOfList(c *Copy, items []Item, revision uint64) News {
+	since := c.Revision()
+	if since == 0 {
+		return News{}
+	}
+	var events []Event
+	listed := make(map[string]struct{}, len(items))
+	for _, item := range items {
+		listed[item.Key] = struct{}{}
+		if item.Revision > since {
+			events = append(events, Event{Item: item})
+		}
 	}
+	for _, key := range slices.Sorted(maps.Keys(c.items)) {
+		_, isListed := listed[key]
+		_, isVanished := c.vanished[key]
+		if !isListed && !isVanished && c.items[key].Revision <= revision {
+			events = append(events, Event{Item: Item{Key: key, Revision: revision}, Gone: true})
+		}
+	}
+	n := newsOf(c, since, revision, events)
+	n.More = true
 	return n
 }
 
-// tell tells other nodes what a call has brought, unless that was a list: what has
-// changed isn't known then.
+// tell tells other nodes what a call has brought, unless that was a list in which nothing
+// was looked for.
 func (f *Follower) tell(n News, now, asked clock.Millis) {
 	if f.config.Tell == nil || n.Since == 0 {
 		return
@@ -107,16 +162,16 @@
 		f.pace.Postpone(now)
 		return
 	case known < n.Revision:
-		f.lag.heard(now, n.Revision)
+		f.lag.heard(now, n.Revision, n.More)
+		f.told = max(f.told, n.Bytes)
 	}
 	switch {
-	case known == 0 || known < n.Since:
-		f.pace.Behind(now) // there is a gap: this node's own call fills it
+	case known == 0:
+		f.pace.Behind(now)
 		f.wake()
 		return
-	case n.More && known < n.Revision:
-		f.pace.Hurry(now)
-		f.wake()
+	case known < n.Since || (n.More && known < n.Revision):
+		f.hearPart(now, n)
 		return
 	}
 	if f.pace.Failures() > 0 {
@@ -129,3 +184,15 @@
 	f.pace.Known(now - n.Age)
 	f.compare(now, &n)
 }
+
+// hearPart takes in news that leave a gap to what is known here: this node's own call fills
+// it. What they tell is taken over all the same, but nothing is known to be complete.
+func (f *Follower) hearPart(now clock.Millis, n News) {
+	f.copy.Apply(now, f.believed(now, n), f.copy.Revision())
+	f.config.Deliver(f.copy.Items(now), true)
+	f.pace.Behind(now)
+	if n.More {
+		f.pace.Hurry(now)
+	}
+	f.wake()
+}
--- a/mirror/story_test.go
+++ b/mirror/story_test.go
@@ -22,7 +22,7 @@
 	hear func()
 }
 
-func (s *overtaken) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *overtaken) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
 	s.hear()
 	s.next()
 	return []mirror.Event{{Item: item("a", 12)}, {Item: item("b", 15)}}, 20, nil
@@ -71,7 +71,7 @@
 
 type changing struct{ script }
 
-func (s *changing) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (s *changing) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
 	s.next()
 	return []mirror.Event{
 		{Item: mirror.Item{Key: "a", Revision: 3, Created: 1, Value: []byte("draining")}},
@@ -112,6 +112,65 @@
 	})
 }
 
+// A version of a large configuration is told while the answer with the one before is still
+// on its way, for a second on a slow line. That answer was taken for the call that the news
+// asked for: the next one was due only with the usual pace, a second and more later.
+func TestALargeChangeToldDuringAnAnswerIsReadNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &overtaken{script: script{lists: [][]mirror.Item{{}}, now: clock.NewSystem().Now, next: func() {}}}
+		var at []clock.Millis
+		f := mirror.NewFollower(mirror.FollowerConfig{
+			Store: s, Now: s.now, Fresh: 2 * clock.Second, Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		})
+		s.hear = func() {
+			at = append(at, s.now())
+			if len(at) == 2 {
+				cancel()
+				return
+			}
+			f.Hear(mirror.News{Since: 20, Revision: 30, More: true})
+		}
+		_ = f.Serve(ctx) // it ends with the context
+		if len(at) < 2 || at[1]-at[0] > 200 {
+			t.Errorf("got calls at %v, want the second within 200ms of the first", at)
+		}
+	})
+}
+
+// crowded is a store whose watches tell more than all values together.
+type crowded struct{ script }
+
+func (s *crowded) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
+	return nil, 0, mirror.ErrLarge
+}
+
+// An upstream comes and goes while one node is several versions behind; it lists all values
+// and tells what has changed. A second node has read the upstream's coming, but not its
+// going, which no list shows. Taken for complete, the news would leave it in use for good.
+func TestAListIsNotAllThatHasChanged(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &crowded{script{lists: [][]mirror.Item{{item("a", 1)}, {item("a", 1), item("c", 2)}}, now: clock.NewSystem().Now}}
+	var told mirror.News
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Store: s, Now: s.now, Fresh: 50, Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		Tell: func(n mirror.News) { told = n; cancel() },
+	})
+	_ = f.Serve(ctx) // it ends with the context
+	if len(told.Events) != 1 || !told.More {
+		t.Fatalf("got %+v told of a list, want the change, and that there may be more", told)
+	}
+	var delivered [][]mirror.Item
+	second := hearing(t, &delivered) // it holds a and b at 5
+	second.Hear(mirror.News{Since: 4, Revision: 9, More: true, Events: []mirror.Event{{Item: item("c", 8)}}})
+	if got := second.Revision(); got != 5 {
+		t.Errorf("got revision %d after the news of a list, want 5", got)
+	}
+	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("got %v, want c known beside a and b", got)
+	}
+}
+
 // A registration ends while the answer to a watch that saw it before is on its way. The
 // removal comes first, from a peer. The older answer must not bring the upstream back:
 // nothing would tell its removal again.
@@ -148,7 +207,7 @@
 	calls []clock.Millis
 }
 
-func (f *flaky) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (f *flaky) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
 	f.calls = append(f.calls, f.now())
 	if len(f.calls) == 1 {
 		return nil, 0, mirror.ErrUnavailable
--- a/mirror/walk_test.go
+++ b/mirror/walk_test.go
@@ -37,7 +37,7 @@
 // moves that a walk may draw. A beat rewrites a value without a change that matters.
 var moves = []string{
 	"put", "put", "put", "beat", "beat", "beat", "change", "delete", "delete", "replace",
-	"away", "back", "cut", "heal", "forget", "restart", "slow", "quick",
+	"away", "back", "cut", "heal", "forget", "restart", "slow", "quick", "large",
 }
 
 const (
@@ -141,17 +141,20 @@
 	return all, revision, nil
 }
 
-// Watch answers at once, and the answer takes its time.
-func (r walkReader) Watch(ctx context.Context, after uint64, _ clock.Millis) ([]mirror.Event, uint64, error) {
+// Watch answers at once, and the answer takes its time. One that is too large is refused
+// before it is read.
+func (r walkReader) Watch(ctx context.Context, after uint64, _ clock.Millis, most int) ([]mirror.Event, uint64, error) {
 	if !r.pause(ctx, r.node) {
 		return nil, 0, mirror.ErrUnavailable
 	}
 	r.mu.Lock()
 	isForgotten, revision := after < r.oldest, r.revision
 	var events []mirror.Event
+	size := 0
 	for _, e := range r.history {
 		if e.Revision > after {
 			events = append(events, e)
+			size += len(e.Value)
 		}
 	}
 	r.mu.Unlock()
@@ -160,6 +163,8 @@
 		return nil, 0, mirror.ErrUnavailable
 	case isForgotten:
 		return nil, 0, mirror.ErrHistory
+	case size > most:
+		return nil, 0, mirror.ErrLarge
 	default:
 		return events, revision, nil
 	}
@@ -305,6 +310,8 @@
 		}
 	case "change":
 		w.put(key, "two/"+fmt.Sprint(turn))
+	case "large": // more than nodes tell each other
+		w.put(key, strings.Repeat("x", 130<<10)+"/"+fmt.Sprint(turn))
 	case "delete":
 		w.remove(key)
 	case "replace":
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -28,7 +28,7 @@
 	return []mirror.Item{{Key: "what is known", Revision: 5}}, 5, nil
 }
 
-func (s store) Watch(context.Context, uint64, clock.Millis) ([]mirror.Event, uint64, error) {
+func (s store) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
 	if s.isAway {
 		return nil, 0, mirror.ErrUnavailable
 	}
--- a/wire/news.go
+++ b/wire/news.go
@@ -18,6 +18,8 @@
 	// Age is how long ago Revision was the platform's, at Time of the sender's
 	// clock.
 	Age, Time clock.Millis
+	// Bytes is the size of all values that the sender holds, said with More.
+	Bytes int
 	// Digest sums up what the sender holds at Revision; 0 where it can't say.
 	Digest uint64
 }
