perf(mirror): an edit of a large value is told by what has changed

Hypothesis: each node reads a configuration above 128 KB whole for each edit, a call and 0.3 to 0.9 s of its line, though an edit touches some bytes; nodes could hear of it within a hop.

News carry steps against the value before, named by hashes of both; a node that holds another value reads it as before. News that come while a node reads are taken after the answer. What a list brought in place of a large watch is told as the difference of two states, complete for nodes at exactly the teller's revision; a list of one page is such a state.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -38,6 +38,8 @@
 	newest uint64
 	// bytes are those of all values and keys.
 	bytes int
+	// isLoose says that the last list may lack values that went while its pages were read.
+	isLoose bool
 	// sum is the exclusive or of the marks of all values that are not gone.
 	sum uint64
 	// heldUntil is the end of the grace after the store's last return.
@@ -92,8 +94,31 @@
 	return c.sum, c.newest <= c.revision
 }
 
+// Watched takes in that a watch of this process has told all changes up to a revision: none
+// that a list before it has missed is left.
+func (c *Copy) Watched(revision uint64) {
+	if revision > c.revision {
+		c.isLoose = false
+	}
+}
+
+// Exact reports whether the copy is what the store held at its revision: no value is newer,
+// and none is gone by a later change.
+func (c *Copy) Exact() bool {
+	if c.isLoose || c.newest > c.revision {
+		return false
+	}
+	for _, at := range c.removed {
+		if at > c.revision {
+			return false
+		}
+	}
+	return true
+}
+
 // Reset takes in a whole list. What is known to be newer than the list stays.
-func (c *Copy) Reset(now clock.Millis, items []Item, revision uint64) {
+func (c *Copy) Reset(now clock.Millis, all Listing) {
+	items, revision := all.Items, all.Revision
 	listed := make(map[string]struct{}, len(items))
 	for _, item := range items {
 		listed[item.Key] = struct{}{}
@@ -104,7 +129,7 @@
 			c.remove(now, key, revision)
 		}
 	}
-	c.revision = revision
+	c.revision, c.isLoose = revision, !all.IsSnapshot
 	c.newest = revision
 	for _, item := range c.items {
 		c.newest = max(c.newest, item.Revision)
@@ -128,9 +153,9 @@
 		}
 	}
 	for key := range c.items {
-		_, isListed := listed[key]
+		_, isLoose := listed[key]
 		_, isVanished := c.vanished[key]
-		if !isListed && !isVanished && revision == c.revision {
+		if !isLoose && !isVanished && revision == c.revision {
 			wrong++
 		}
 	}
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -24,9 +24,9 @@
 // without an upstream until they have written again.
 func TestLapsedEntriesAreHeldForTheirReturn(t *testing.T) {
 	c := mirror.NewCopy(nil)
-	c.Reset(0, []mirror.Item{item("a", 1), item("b", 2)}, 2)
+	c.Reset(0, mirror.Listing{Items: []mirror.Item{item("a", 1), item("b", 2)}, Revision: 2})
 	c.Returned(10_000)
-	c.Reset(10_000, []mirror.Item{item("a", 9)}, 9)
+	c.Reset(10_000, mirror.Listing{Items: []mirror.Item{item("a", 9)}, Revision: 9})
 	if got := keys(c.Items(11_000)); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("a second after the return: got %v, want both", got)
 	}
@@ -43,7 +43,7 @@
 // One that isn't back two seconds after the return is gone for good.
 func TestLapsedEntriesGoAfterTheGrace(t *testing.T) {
 	c := mirror.NewCopy(nil)
-	c.Reset(0, []mirror.Item{item("a", 1)}, 1)
+	c.Reset(0, mirror.Listing{Items: []mirror.Item{item("a", 1)}, Revision: 1})
 	c.Returned(5000)
 	c.Apply(5100, []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 4}, Gone: true}}, 4)
 	if got := len(c.Items(6999)); got != 1 {
@@ -58,7 +58,7 @@
 // revision tells what the later pages held already, older values among it.
 func TestOlderValuesDoNotReplaceNewer(t *testing.T) {
 	c := mirror.NewCopy(nil)
-	c.Reset(0, []mirror.Item{{Key: "configuration", Revision: 8, Value: []byte("new")}}, 5)
+	c.Reset(0, mirror.Listing{Items: []mirror.Item{{Key: "configuration", Revision: 8, Value: []byte("new")}}, Revision: 5})
 	c.Apply(1, []mirror.Event{
 		{Item: mirror.Item{Key: "configuration", Revision: 6, Value: []byte("old")}},
 		{Item: mirror.Item{Key: "configuration", Revision: 7}, Gone: true},
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -75,6 +75,7 @@
 	doubted     uint64
 	audit       audit
 	lag         lag
+	kept        []kept
 	// told is how many bytes all values have, as a peer has said that knows newer ones.
 	told  int
 	stats Stats
@@ -203,7 +204,7 @@
 	if f.copy.Revision() > 0 || revision == 0 {
 		return false
 	}
-	f.copy.Reset(f.config.Now(), items, revision)
+	f.copy.Reset(f.config.Now(), Listing{Items: items, Revision: revision})
 	f.config.Deliver(f.copy.Items(f.config.Now()), true)
 	f.revision.Store(f.copy.Revision())
 	return true
@@ -231,6 +232,7 @@
 	}
 	f.take(asked, revision, func(now clock.Millis) News {
 		n := newsOf(f.copy, after, revision, events)
+		f.copy.Watched(revision)
 		f.copy.Apply(now, events, revision)
 		return n
 	})
@@ -264,17 +266,17 @@
 // if it was to be read.
 func (f *Follower) relist(ctx context.Context, isTold bool) error {
 	asked := f.config.Now()
-	items, revision, err := f.config.Store.List(ctx)
+	all, err := f.config.Store.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.take(asked, revision, func(now clock.Millis) News {
+	f.take(asked, all.Revision, func(now clock.Millis) News {
 		var n News
 		if isTold {
-			n = newsOfList(f.copy, items, revision)
+			n = newsOfList(f.copy, all.Items, all.Revision)
 		}
-		f.checked(now, items, revision)
-		f.copy.Reset(now, items, revision)
+		f.checked(now, all.Items, all.Revision)
+		f.copy.Reset(now, all)
 		return n
 	})
 	return nil
@@ -296,11 +298,6 @@
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now), false)
 	f.pace.Answered(asked)
-	f.told = 0
-	f.logLag()
-	if f.lag.isLarge() {
-		f.pace.Hurry(now) // it was told while the answer was on its way
-	}
 	f.confirmed, f.confirmedAt = revision, asked
 	if revision >= f.doubted {
 		f.doubted = 0
@@ -316,6 +313,12 @@
 	if !isUrgent {
 		f.tell(news, now, asked)
 	}
+	f.told = 0
+	f.hearKept(now)
+	f.logLag()
+	if f.lag.isLarge() {
+		f.pace.Hurry(now) // it was told while the answer was on its way
+	}
 }
 
 // note takes in what became of a call, and tells when the store goes away and when it is
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -26,7 +26,7 @@
 	next  func()
 }
 
-func (s *script) List(context.Context) ([]mirror.Item, uint64, error) {
+func (s *script) List(context.Context) (mirror.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls, s.at = append(s.calls, "list"), append(s.at, s.now())
@@ -34,7 +34,7 @@
 	if len(s.lists) > 1 {
 		s.lists = s.lists[1:]
 	}
-	return first, uint64(len(s.calls)), nil
+	return mirror.Listing{Items: first, Revision: uint64(len(s.calls)), IsSnapshot: true}, nil
 }
 
 func (s *script) Watch(_ context.Context, _ uint64, wait clock.Millis, _ int) ([]mirror.Event, uint64, error) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -47,13 +47,25 @@
 	Item
 
 	Gone bool
+	// Edit makes the value of the one before, in news of a large value; nil where the
+	// value is told.
+	Edit *Edit `cbor:",omitempty"`
+}
+
+// Listing is all values.
+type Listing struct {
+	Items []Item
+	// Revision is one from which a watch misses no later change.
+	Revision uint64
+	// IsSnapshot says that these are the values as of Revision; what came in several
+	// pages may lack some that went meanwhile, and hold some that came.
+	IsSnapshot bool
 }
 
 // Store reads the platform's store.
 type Store interface {
-	// List returns all values, and a revision from which a watch misses no
-	// later change. It returns ErrUnavailable, ErrCut or ErrAnswer.
-	List(ctx context.Context) ([]Item, uint64, error)
+	// List returns all values. It returns ErrUnavailable, ErrCut or ErrAnswer.
+	List(ctx context.Context) (Listing, error)
 	// Watch waits for changes after a revision, at most for the span, and
 	// returns them with the revision to go on from. Changes whose values have more
 	// bytes than most, about, are not read. It returns ErrUnavailable, ErrCut,
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -25,6 +25,9 @@
 	Events          []Event
 	// More says that there are changes too large to be told, beside Events.
 	More bool
+	// IsList says that Events are the difference between two lists: complete for a node
+	// that knows exactly what the store held at Since, and for no other.
+	IsList bool
 	// IsAway says that the store didn't answer; nothing else is told then.
 	IsAway bool
 	// Age is how long ago Revision was the store's.
@@ -46,7 +49,6 @@
 // which one is told.
 func newsOf(c *Copy, since, revision uint64, events []Event) News {
 	n := News{Since: since, Revision: revision}
-	size := 0
 	told := map[string]struct{}{}
 	for _, e := range events {
 		old := c.items[e.Key]
@@ -56,26 +58,32 @@
 		}
 		told[e.Key] = struct{}{}
 		n.Events = append(n.Events, e)
-		size += len(e.Value)
 	}
-	if size > newsLimit {
+	tellEdits(c, n.Events)
+	if sizeOf(n.Events) > newsLimit {
 		n.Events, n.More = smallOf(n.Events), true
 	}
 	return n
 }
 
-// smallOf leaves out the large values: an upstream that leaves must not wait for a
-// configuration that takes a second to read.
-func smallOf(events []Event) []Event {
+// sizeOf is how many bytes of text changes have.
+func sizeOf(events []Event) int {
 	size := 0
-	var small []Event
-	for _, e := range events {
-		if len(e.Value) < largeValue {
-			small = append(small, e)
-			size += len(e.Value)
+	for i := range events {
+		size += len(events[i].Value)
+		if events[i].Edit != nil {
+			size += events[i].Edit.size()
 		}
 	}
-	if size > newsLimit {
+	return size
+}
+
+// smallOf leaves out the large values: an upstream that leaves must not wait for a
+// configuration that takes a second to read.
+func smallOf(events []Event) []Event {
+	isLarge := func(e Event) bool { return e.Edit != nil || len(e.Value) >= largeValue }
+	small := slices.DeleteFunc(events, isLarge)
+	if sizeOf(small) > newsLimit {
 		return nil
 	}
 	return small
@@ -84,7 +92,8 @@
 // newsOfList sums up what a list has brought in place of a watch's answer, made like newsOf
 // before the copy takes the list in: none of those who read so would else tell others what
 // made it so large. A list doesn't show a value that came and went since, which a node
-// that hears it may hold: it never makes up the whole of what has changed.
+// that hears it may hold, unless that knows nothing later than Since, and the copy was exact
+// then.
 func newsOfList(c *Copy, items []Item, revision uint64) News {
 	since := c.Revision()
 	if since == 0 {
@@ -106,7 +115,8 @@
 		}
 	}
 	n := newsOf(c, since, revision, events)
-	n.More = true
+	n.IsList = true
+	n.More = n.More || !c.Exact() // a value that the copy lacks is not told as gone
 	return n
 }
 
@@ -131,9 +141,7 @@
 // near it: the store must have told this node itself that it is gone. A node that is
 // cut off as well would else lose what it alone can reach.
 func (f *Follower) believed(now clock.Millis, n News) []Event {
-	known := f.copy.Revision()
-	isKnown := func(e Event) bool { return !e.Gone && e.Revision <= known }
-	events := slices.DeleteFunc(slices.Clone(n.Events), isKnown)
+	events := unknown(n.Events, f.copy.Revision())
 	isGone := func(e Event) bool { return e.Gone && !f.announced(e.Key) }
 	if now-f.confirmedAt <= confirmSpan || !slices.ContainsFunc(events, isGone) {
 		return events
@@ -144,34 +152,52 @@
 	return slices.DeleteFunc(events, isGone)
 }
 
+// unknown leaves out the values that were written by a revision that is known.
+func unknown(events []Event, known uint64) []Event {
+	isKnown := func(e Event) bool { return !e.Gone && e.Revision <= known }
+	return slices.DeleteFunc(slices.Clone(events), isKnown)
+}
+
 // announced reports whether the removal of a value was expected.
 func (f *Follower) announced(key string) bool {
 	old, ok := f.copy.items[key]
 	return !ok || (f.config.Announced != nil && f.config.Announced(old))
 }
 
+// mostKept bounds the news that are kept until a call is answered: a call of a second, and
+// an edit each 0.4 s, each told by some peers.
+const mostKept = 16
+
+// kept is news that left a gap to what was known at an instant.
+type kept struct {
+	news News
+	at   clock.Millis
+}
+
 // Hear takes in what another node has learned.
 func (f *Follower) Hear(n News) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	known := f.copy.Revision()
-	defer f.logLag()
-	switch {
-	case n.IsAway:
+	if n.IsAway {
 		f.pace.Postpone(now)
 		return
-	case known < n.Revision:
+	}
+	f.hear(now, n)
+	f.logLag()
+}
+
+func (f *Follower) hear(now clock.Millis, told News) {
+	n, known := told, f.copy.Revision()
+	if known < n.Revision {
+		events, isWhole := resolve(f.copy, unknown(n.Events, known))
+		n.Events, n.More = events, n.More || !isWhole
 		f.lag.heard(now, n.Revision, n.More)
 		f.told = max(f.told, n.Bytes)
 	}
-	switch {
-	case known == 0:
-		f.pace.Behind(now)
-		f.wake()
-		return
-	case known < n.Since || (n.More && known < n.Revision):
+	if known < n.Since || (known < n.Revision && (n.More || !f.fits(&n))) {
 		f.hearPart(now, n)
+		f.keep(now, told)
 		return
 	}
 	if f.pace.Failures() > 0 {
@@ -185,14 +211,47 @@
 	f.compare(now, &n)
 }
 
+// fits reports whether news of a list go on from exactly what is known here.
+func (f *Follower) fits(n *News) bool {
+	_, isSettled := f.copy.Digest()
+	return !n.IsList || (n.Since == f.copy.Revision() && isSettled)
+}
+
 // hearPart takes in news that leave a gap to what is known here: this node's own call fills
 // it. What they tell is taken over all the same, but nothing is known to be complete.
 func (f *Follower) hearPart(now clock.Millis, n News) {
-	f.copy.Apply(now, f.believed(now, n), f.copy.Revision())
-	f.config.Deliver(f.copy.Items(now), true)
+	if f.copy.Revision() > 0 {
+		f.copy.Apply(now, f.believed(now, n), f.copy.Revision())
+		f.config.Deliver(f.copy.Items(now), true)
+	}
 	f.pace.Behind(now)
 	if n.More {
 		f.pace.Hurry(now)
 	}
 	f.wake()
 }
+
+// keep holds news that left a gap until this node's own call has filled it. A node whose
+// answer takes longer than the span between two edits would else miss each next one while
+// it reads the last, and read every one itself.
+func (f *Follower) keep(now clock.Millis, n News) {
+	if n.More {
+		return // nobody can fill what they leave out
+	}
+	if len(f.kept) == mostKept {
+		f.kept = slices.Delete(f.kept, 0, 1)
+	}
+	f.kept = append(f.kept, kept{n, now})
+}
+
+// hearKept takes in the news that were kept and that go on from what is known by now.
+func (f *Follower) hearKept(now clock.Millis) {
+	waiting := f.kept
+	f.kept = nil
+	for _, k := range waiting {
+		if known := f.copy.Revision(); k.news.Since <= known && known < k.news.Revision {
+			k.news.Age += now - k.at
+			f.hear(now, k.news)
+		}
+	}
+}
--- a/mirror/story_test.go
+++ b/mirror/story_test.go
@@ -84,7 +84,7 @@
 func TestACopyThatDiffersIsReadAnew(t *testing.T) {
 	whole := []mirror.Item{item("a", 2), item("b", 3)}
 	sound := mirror.NewCopy(nil)
-	sound.Reset(0, whole, 5)
+	sound.Reset(0, mirror.Listing{Items: whole, Revision: 5})
 	digest, _ := sound.Digest()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -157,18 +157,23 @@
 		Tell: func(n mirror.News) { told = n; cancel() },
 	})
 	_ = f.Serve(ctx) // it ends with the context
-	if len(told.Events) != 1 || !told.More {
-		t.Fatalf("got %+v told of a list, want the change, and that there may be more", told)
+	if len(told.Events) != 1 || !told.IsList {
+		t.Fatalf("got %+v told of a list, want the change, and that it is from a list", told)
 	}
 	var delivered [][]mirror.Item
 	second := hearing(t, &delivered) // it holds a and b at 5
-	second.Hear(mirror.News{Since: 4, Revision: 9, More: true, Events: []mirror.Event{{Item: item("c", 8)}}})
+	second.Hear(mirror.News{Since: 4, Revision: 9, IsList: true, Events: []mirror.Event{{Item: item("c", 8)}}})
 	if got := second.Revision(); got != 5 {
 		t.Errorf("got revision %d after the news of a list, want 5", got)
 	}
 	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a", "b", "c"}) {
 		t.Errorf("got %v, want c known beside a and b", got)
 	}
+	third := hearing(t, &delivered)
+	third.Hear(mirror.News{Since: 5, Revision: 9, IsList: true, Events: []mirror.Event{{Item: item("c", 8)}}})
+	if got := third.Revision(); got != 9 {
+		t.Errorf("got revision %d of a node that knew just what the teller had known, want 9", got)
+	}
 }
 
 // A registration ends while the answer to a watch that saw it before is on its way. The
@@ -176,7 +181,7 @@
 // nothing would tell its removal again.
 func TestAnOlderAnswerBringsNothingBack(t *testing.T) {
 	c := mirror.NewCopy(nil)
-	c.Reset(0, []mirror.Item{item("a", 1)}, 5)
+	c.Reset(0, mirror.Listing{Items: []mirror.Item{item("a", 1)}, Revision: 5})
 	c.Apply(1, []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 9}, Gone: true}}, 9)
 	c.Apply(2, []mirror.Event{{Item: item("a", 7)}}, 8)
 	if got := keys(c.Items(3)); len(got) != 0 {
@@ -192,9 +197,9 @@
 // upstream that just joined would be gone again for a moment, on this node alone.
 func TestAListKeepsWhatIsNewer(t *testing.T) {
 	c := mirror.NewCopy(nil)
-	c.Reset(0, []mirror.Item{item("a", 1)}, 5)
+	c.Reset(0, mirror.Listing{Items: []mirror.Item{item("a", 1)}, Revision: 5})
 	c.Apply(1, []mirror.Event{{Item: item("b", 8)}}, 8)
-	c.Reset(2, []mirror.Item{item("a", 1)}, 6)
+	c.Reset(2, mirror.Listing{Items: []mirror.Item{item("a", 1)}, Revision: 6})
 	if got := keys(c.Items(3)); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("got %v, want a and b", got)
 	}
--- a/mirror/walk_test.go
+++ b/mirror/walk_test.go
@@ -62,7 +62,9 @@
 	history  []mirror.Event
 	isAway   bool
 	isSlow   bool
-	cut      map[int]bool
+	// snapshots says that all values fit one page.
+	snapshots bool
+	cut       map[int]bool
 }
 
 func (m *modelled) put(key, value string) {
@@ -122,23 +124,39 @@
 }
 
 // List reads keys one after the other, as pages do that are no snapshot.
-func (r walkReader) List(ctx context.Context) ([]mirror.Item, uint64, error) {
-	var all []mirror.Item
-	revision := uint64(0)
+func (r walkReader) List(ctx context.Context) (mirror.Listing, error) {
+	if r.snapshots {
+		return r.snapshot(ctx)
+	}
+	var all mirror.Listing
 	for key := range walkKeys {
 		if key%2 == 0 && !r.pause(ctx, r.node) {
-			return nil, 0, mirror.ErrUnavailable
+			return mirror.Listing{}, mirror.ErrUnavailable
 		}
 		r.mu.Lock()
-		if revision == 0 {
-			revision = r.revision
+		if all.Revision == 0 {
+			all.Revision = r.revision
 		}
 		if one, ok := r.items[keyOf(key)]; ok {
-			all = append(all, one)
+			all.Items = append(all.Items, one)
 		}
 		r.mu.Unlock()
 	}
-	return all, revision, nil
+	return all, nil
+}
+
+// snapshot reads all keys at once, as one page does, and the answer takes its time.
+func (r walkReader) snapshot(ctx context.Context) (mirror.Listing, error) {
+	if !r.pause(ctx, r.node) {
+		return mirror.Listing{}, mirror.ErrUnavailable
+	}
+	r.mu.Lock()
+	all := mirror.Listing{Items: slices.Collect(maps.Values(r.items)), Revision: r.revision, IsSnapshot: true}
+	r.mu.Unlock()
+	if !r.pause(ctx, r.node) {
+		return mirror.Listing{}, mirror.ErrUnavailable
+	}
+	return all, nil
 }
 
 // Watch answers at once, and the answer takes its time. One that is too large is refused
@@ -198,10 +216,10 @@
 	isLossy bool
 }
 
-func playWalk(t *testing.T, script []move, seed uint64, noDigest, lossy bool) []string {
+func playWalk(t *testing.T, script []move, seed uint64, noDigest, lossy, snapshots bool) []string {
 	t.Helper()
 	w := &walk{
-		modelled: &modelled{revision: 1, random: rand.New(rand.NewPCG(seed, 1)), items: map[string]mirror.Item{}, cut: map[int]bool{}},
+		modelled: &modelled{revision: 1, random: rand.New(rand.NewPCG(seed, 1)), items: map[string]mirror.Item{}, cut: map[int]bool{}, snapshots: snapshots},
 		t:        t, noDigest: noDigest, lossy: lossy, isLossy: lossy,
 	}
 	span := settled
@@ -368,7 +386,8 @@
 		noDigest := rapid.Bool().Draw(rt, "no digest")
 		// Changes that get lost between nodes are found by digests alone.
 		lossy := !noDigest && rapid.Bool().Draw(rt, "lossy")
-		if faults := playWalk(t, script, seed, noDigest, lossy); len(faults) > 0 {
+		snapshots := rapid.Bool().Draw(rt, "snapshots")
+		if faults := playWalk(t, script, seed, noDigest, lossy, snapshots); len(faults) > 0 {
 			rt.Fatalf("got %s", strings.Join(faults[:min(len(faults), 5)], "; "))
 		}
 	})
--- a/node/platform.go
+++ b/node/platform.go
@@ -133,7 +133,7 @@
 func (n *Node) tell(learned mirror.News) {
 	news := &wire.News{
 		Since: learned.Since, Revision: learned.Revision, More: learned.More, IsAway: learned.IsAway, Age: learned.Age,
-		Bytes: learned.Bytes, Digest: learned.Digest,
+		IsList: learned.IsList, Bytes: learned.Bytes, Digest: learned.Digest,
 	}
 	if len(learned.Events) > 0 {
 		var err error
@@ -153,7 +153,7 @@
 	}
 	heard := mirror.News{
 		Since: news.Since, Revision: news.Revision, More: news.More, IsAway: news.IsAway, Age: news.Age,
-		Bytes: news.Bytes, Digest: news.Digest,
+		IsList: news.IsList, Bytes: news.Bytes, Digest: news.Digest,
 	}
 	if len(news.Changes) > 0 {
 		if err := wire.Unpack(news.Changes, &heard.Events); err != nil {
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -21,11 +21,11 @@
 	isAway bool
 }
 
-func (s store) List(context.Context) ([]mirror.Item, uint64, error) {
+func (s store) List(context.Context) (mirror.Listing, error) {
 	if s.isAway {
-		return nil, 0, mirror.ErrUnavailable
+		return mirror.Listing{}, mirror.ErrUnavailable
 	}
-	return []mirror.Item{{Key: "what is known", Revision: 5}}, 5, nil
+	return mirror.Listing{Items: []mirror.Item{{Key: "what is known", Revision: 5}}, Revision: 5, IsSnapshot: true}, nil
 }
 
 func (s store) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
--- a/wire/news.go
+++ b/wire/news.go
@@ -13,6 +13,8 @@
 	Changes []byte
 	// More says that there are changes too large to be told.
 	More bool
+	// IsList says that Changes are the difference between two lists.
+	IsList bool
 	// IsAway says that the platform didn't answer; nothing else is told then.
 	IsAway bool
 	// Age is how long ago Revision was the platform's, at Time of the sender's
