fix(mirror,node): tell no more changes than a peer can read

A frame's arrays have 4,096 entries at most; news or a handed over copy of more were sent and refused each time.

Failed first: 5,000 changes told, "exceeded max number of elements 4096".

--- a/mirror/news.go
+++ b/mirror/news.go
@@ -17,6 +17,10 @@
 // configuration that is worth leaving out.
 const largeValue = 16 << 10
 
+// mostEvents bounds the changes that are told at once: a frame's arrays have 4,096 entries
+// at most, and a peer that can't read one learns nothing of it.
+const mostEvents = 4000
+
 // News is what one node has learned from the store, for others: all that matters
 // between two revisions.
 type News struct {
@@ -63,6 +67,9 @@
 	if sizeOf(n.Events) > newsLimit {
 		n.Events, n.More = smallOf(n.Events), true
 	}
+	if len(n.Events) > mostEvents {
+		n.Events, n.More = nil, true
+	}
 	return n
 }
 
--- a/mirror/story_test.go
+++ b/mirror/story_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // overtaken is a store that answers one watch only after its reader has heard the same
@@ -176,6 +178,39 @@
 	}
 }
 
+// The store was away for a minute, and thousands of upstreams registered anew. The node that
+// reads it first tells more changes than a frame holds: nobody can read them, each time.
+func TestMoreChangesThanAFrameHoldsAreReadByEach(t *testing.T) {
+	var told mirror.News
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &returning{script{lists: [][]mirror.Item{{}}, now: clock.NewSystem().Now, next: cancel}}
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Store: s, Now: s.now, Fresh: 50, Deliver: func([]mirror.Item, bool) {}, Away: func(error) {},
+		Tell: func(n mirror.News) { told = n },
+	})
+	_ = f.Serve(ctx) // it ends with the context
+	packed, err := wire.Pack(told.Events)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var heard []mirror.Event
+	if err := wire.Unpack(packed, &heard); err != nil || !told.More {
+		t.Errorf("got %v for what is told, more %v, want what can be read, and that there is more", err, told.More)
+	}
+}
+
+// returning is a store in which 5,000 values have changed.
+type returning struct{ script }
+
+func (s *returning) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
+	s.next()
+	events := make([]mirror.Event, 5000)
+	for i := range events {
+		events[i] = mirror.Event{Item: item(fmt.Sprint(i), uint64(i+2))}
+	}
+	return events, 5002, nil
+}
+
 // A registration ends while the answer to a watch that saw it before is on its way. The
 // removal comes first, from a peer. The older answer must not bring the upstream back:
 // nothing would tell its removal again.
--- a/node/platform.go
+++ b/node/platform.go
@@ -180,6 +180,10 @@
 		return // others do, or this node after the next heartbeat
 	}
 	items, revision := n.follower.Snapshot()
+	if len(items) > wire.MostItems {
+		n.log.WithField("values", len(items)).Warn("peer without a table not helped: these are more values than it would read")
+		return
+	}
 	body, err := wire.Pack(items)
 	if err != nil {
 		n.log.WithError(err).Error("peer without a table not helped")
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -24,8 +24,9 @@
 	// ChunkSize is the most body bytes in one frame of an answer, so that a
 	// large answer doesn't hold up small ones on the same link.
 	ChunkSize = 64 << 10
+	// MostItems bounds the entries of one array: what has more can't be read.
+	MostItems = 4096
 	maxDepth  = 8
-	maxItems  = 4096
 )
 
 // Faults of a frame that a peer sent.
@@ -92,8 +93,8 @@
 func mustDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxNestedLevels:   maxDepth,
-		MaxArrayElements:  maxItems,
-		MaxMapPairs:       maxItems,
+		MaxArrayElements:  MostItems,
+		MaxMapPairs:       MostItems,
 		IndefLength:       cbor.IndefLengthForbidden,
 		TagsMd:            cbor.TagsForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
