fix(mirror): an edit of another value leaves that value as it is; docs of large values

Read in the diff: news of a list hold values newer than their revision. At a node that knew that revision, an edit whose base it didn't hold was taken for a value without bytes: no route left. Every edit is now resolved, or left out. Test failed first: "got a value of 0 bytes".

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -153,9 +153,9 @@
 		}
 	}
 	for key := range c.items {
-		_, isLoose := listed[key]
+		_, isListed := listed[key]
 		_, isVanished := c.vanished[key]
-		if !isLoose && !isVanished && revision == c.revision {
+		if !isListed && !isVanished && revision == c.revision {
 			wrong++
 		}
 	}
--- a/mirror/edit_test.go
+++ b/mirror/edit_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// A list is read while a table is edited: what it brings is newer than its revision, and is
+// told to a node that knows that revision, but holds another table. It must not take the
+// edit for a table without text: no route would be left.
+func TestAnEditOfAnotherValueLeavesItAsItIs(t *testing.T) {
+	told := toldOfEdits(t)
+	f := holding(t, largeText(7), 9)
+	late := told.Events[0]
+	late.Revision = 12
+	f.Hear(mirror.News{Since: 5, Revision: 8, IsList: true, Events: []mirror.Event{late}})
+	if items, _ := f.Snapshot(); !bytes.Equal(items[0].Value, largeText(7)) {
+		t.Errorf("got a value of %d bytes, want the one held", len(items[0].Value))
+	}
+}
+
 // reading is a store whose list takes a second.
 type reading struct {
 	revision uint64
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -76,9 +76,9 @@
 	audit       audit
 	lag         lag
 	kept        []kept
-	// told is how many bytes all values have, as a peer has said that knows newer ones.
-	told  int
-	stats Stats
+	// peerBytes is the size of all values that a peer holds which knows newer ones.
+	peerBytes int
+	stats     Stats
 }
 
 // Stats counts what a follower met.
@@ -247,7 +247,7 @@
 func (f *Follower) listBytes() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.copy.Bytes(), f.told)
+	return max(f.copy.Bytes(), f.peerBytes)
 }
 
 // from is the revision from which changes are to be read, and whether all values are
@@ -313,7 +313,7 @@
 	if !isUrgent {
 		f.tell(news, now, asked)
 	}
-	f.told = 0
+	f.peerBytes = 0
 	f.hearKept(now)
 	f.logLag()
 	if f.lag.isLarge() {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,7 +64,7 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// List returns all values. It returns ErrUnavailable, ErrCut or ErrAnswer.
+	// List returns all values. It returns ErrUnavailable, ErrCut, ErrLarge or ErrAnswer.
 	List(ctx context.Context) (Listing, error)
 	// Watch waits for changes after a revision, at most for the span, and
 	// returns them with the revision to go on from. Changes whose values have more
--- a/mirror/news.go
+++ b/mirror/news.go
@@ -194,13 +194,15 @@
 	f.logLag()
 }
 
+// hear takes in news that tell changes. Those that leave a gap to what is known are kept.
 func (f *Follower) hear(now clock.Millis, told News) {
 	n, known := told, f.copy.Revision()
+	events, isWhole := resolve(f.copy, unknown(n.Events, known))
+	n.Events = events
 	if known < n.Revision {
-		events, isWhole := resolve(f.copy, unknown(n.Events, known))
-		n.Events, n.More = events, n.More || !isWhole
+		n.More = n.More || !isWhole
 		f.lag.heard(now, n.Revision, n.More)
-		f.told = max(f.told, n.Bytes)
+		f.peerBytes = max(f.peerBytes, n.Bytes)
 	}
 	if known < n.Since || (known < n.Revision && (n.More || !f.fits(&n))) {
 		f.hearPart(now, n)
@@ -227,8 +229,8 @@
 // hearPart takes in news that leave a gap to what is known here: this node's own call fills
 // it. What they tell is taken over all the same, but nothing is known to be complete.
 func (f *Follower) hearPart(now clock.Millis, n News) {
-	if f.copy.Revision() > 0 {
-		f.copy.Apply(now, f.believed(now, n), f.copy.Revision())
+	if events := f.believed(now, n); f.copy.Revision() > 0 && len(events) > 0 {
+		f.copy.Apply(now, events, f.copy.Revision())
 		f.config.Deliver(f.copy.Items(now), true)
 	}
 	f.pace.Behind(now)
