refactor: one silent logger, one word for a verdict, one load of callers in sessions

Twelve places made a logger that writes nothing, two spelled out a gate's state, and steady and keep of the sessions differed in when they take a new connection.

--- /dev/null
+++ b/account/verdict.go
@@ -0,0 +1,17 @@
+package account
+
+import "fuchsiapick.example/fuchsiapick/health"
+
+// StateOf is the word for a gate's verdict.
+func StateOf(verdict health.State) string {
+	switch verdict {
+	case health.Aside:
+		return StateSetAside
+	case health.Trial:
+		return StateTrial
+	case health.Ramp:
+		return StateRamp
+	default:
+		return StateInUse
+	}
+}
--- a/capacity/ends.go
+++ b/capacity/ends.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -120,7 +121,7 @@
 	carried := &atomic.Int64{}
 	server := link.NewServer(link.ServerConfig{
 		Identity: identity(address, 1), Limit: frameLimit, Beat: every, Now: clock.NewSystem().Now,
-		Handler: handler, Log: silent(),
+		Handler: handler, Log: lines.Silent(),
 	})
 	served := make(chan struct{})
 	go func() {
--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -2,18 +2,17 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 
 	"github.com/juju/errors"
 	"github.com/panjf2000/ants/v2"
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -117,12 +116,6 @@
 // Note does nothing.
 func (ledger) Note(account.Event) {}
 
-func silent() *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(io.Discard)
-	return l
-}
-
 // build makes a table larger than one value of the platform, too.
 func build(services, each int) (*table.Table, error) {
 	t := table.Table{Format: table.Format, Version: 1}
@@ -149,7 +142,7 @@
 func newEntry(pool *ants.Pool) *entry.Entry {
 	return entry.New(entry.Config{
 		Domain: "domain-1", Incarnation: 1, Seed: 1, Now: clock.NewSystem().Now, Pool: pool, Journal: ledger{},
-		Target: func(table.Upstream) entry.Target { return prompt{} }, Log: silent(),
+		Target: func(table.Upstream) entry.Target { return prompt{} }, Log: lines.Silent(),
 	})
 }
 
--- a/capacity/gates.go
+++ b/capacity/gates.go
@@ -11,6 +11,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -77,7 +78,7 @@
 			Domain: "domain-1", Weight: 1, Slots: 7, Connections: 7,
 		},
 		Incarnation: 1, Seed: uint64(i), Now: func() clock.Millis { return hour },
-		Backend: backend, Pool: pool, Journal: ledger{}, Log: silent(),
+		Backend: backend, Pool: pool, Journal: ledger{}, Log: lines.Silent(),
 	})
 }
 
--- a/capacity/links.go
+++ b/capacity/links.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/link"
 )
 
@@ -129,7 +130,7 @@
 func peer(address string, number int, every clock.Millis, now func() clock.Millis, watcher *end) *link.Peer {
 	return link.NewPeer(link.PeerConfig{
 		Address: address, Self: identity(ip(number)+":7000", number), Limit: frameLimit, Answer: frameLimit,
-		Beat: every, Seed: uint64(number), Now: now, Status: watcher.Status, Watcher: watcher, Log: silent(),
+		Beat: every, Seed: uint64(number), Now: now, Status: watcher.Status, Watcher: watcher, Log: lines.Silent(),
 	})
 }
 
--- a/capacity/whole.go
+++ b/capacity/whole.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -109,7 +110,7 @@
 		return 0, errors.Annotate(err, "the node's table")
 	}
 	before := inUse()
-	n, err := node.New(node.Config{Settings: s, Log: silent()})
+	n, err := node.New(node.Config{Settings: s, Log: lines.Silent()})
 	if err != nil {
 		return 0, errors.Annotate(err, "making the node")
 	}
--- a/cmd/judge_test.go
+++ b/cmd/judge_test.go
@@ -91,24 +91,21 @@
 // another, each on a new connection, until the load is joined. A port that is
 // closed is passed over, as by a caller that knows the other nodes.
 func steady(ts *testscript.TestScript, _ bool, args []string) {
-	s, l := sessionOf(ts), &load{stop: make(chan struct{})}
-	s.loads[args[0]] = l
-	n, err := strconv.Atoi(args[1])
-	ts.Check(err)
-	for i := range n {
-		l.group.Go(func() {
-			for turn := i; !l.stopped(); turn++ {
-				client := &fasthttp.Client{}
-				l.add(s.ask(client, args[2], args[3+turn%(len(args)-3)]))
-				client.CloseIdleConnections()
-			}
-		})
-	}
+	sendOn(ts, args, func(client *fasthttp.Client) *fasthttp.Client {
+		client.CloseIdleConnections()
+		return &fasthttp.Client{}
+	})
 }
 
 // keep NAME CALLERS METHOD URL... is like steady, but callers use their connections as
 // long as these stand.
 func keep(ts *testscript.TestScript, _ bool, args []string) {
+	sendOn(ts, args, func(client *fasthttp.Client) *fasthttp.Client { return client })
+}
+
+// sendOn has each caller send one request after another; next gives the client for a
+// request after that of the one before.
+func sendOn(ts *testscript.TestScript, args []string, next func(*fasthttp.Client) *fasthttp.Client) {
 	s, l := sessionOf(ts), &load{stop: make(chan struct{})}
 	s.loads[args[0]] = l
 	n, err := strconv.Atoi(args[1])
@@ -116,10 +113,11 @@
 	for i := range n {
 		l.group.Go(func() {
 			client := &fasthttp.Client{}
-			defer client.CloseIdleConnections()
 			for turn := i; !l.stopped(); turn++ {
 				l.add(s.ask(client, args[2], args[3+turn%(len(args)-3)]))
+				client = next(client)
 			}
+			client.CloseIdleConnections()
 		})
 	}
 }
--- a/entry/invitation_test.go
+++ b/entry/invitation_test.go
@@ -1,14 +1,13 @@
 package entry_test
 
 import (
-	"io"
 	"testing"
 
 	"github.com/panjf2000/ants/v2"
-	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -48,8 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(pool.Release)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	c := &crews{ways: map[string]*desk{}, service: table.Service{
 		Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute,
 		Retries: 0.2, Window: 10 * clock.Second, Extra: extra,
--- a/entry/member.go
+++ b/entry/member.go
@@ -97,14 +97,5 @@
 	case use == floor.Forced:
 		return account.StateKept
 	}
-	switch m.verdict(now) {
-	case health.Aside:
-		return account.StateSetAside
-	case health.Trial:
-		return account.StateTrial
-	case health.Ramp:
-		return account.StateRamp
-	default:
-		return account.StateInUse
-	}
+	return account.StateOf(m.verdict(now))
 }
--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -1,15 +1,13 @@
 package entry_test
 
 import (
-	"io"
 	"testing"
 
-	"github.com/sirupsen/logrus"
-
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -17,8 +15,7 @@
 // An upstream that was set aside is another process now, under the same name. What its
 // gate said of the one before must not keep requests from it.
 func TestAnotherProcessIsAnotherUpstream(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	e := entry.New(entry.Config{
 		Now: clock.NewSystem().Now, Journal: account.New(account.Config{}), Log: log,
 		Target: func(table.Upstream) entry.Target { return &desk{} },
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -1,17 +1,16 @@
 package entry_test
 
 import (
-	"io"
 	"sync"
 	"testing"
 
 	"github.com/panjf2000/ants/v2"
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -74,8 +73,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(pool.Release)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	ways := map[string]*desk{}
 	s := table.Service{Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute, Retries: 0.2, Window: 10 * clock.Second, Extra: 60}
 	for _, d := range desks {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 
 	"github.com/panjf2000/ants/v2"
-	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -65,8 +64,7 @@
 
 func gateOf(t *testing.T, c gate.Config) (*gate.Gate, *held) {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	pool, err := ants.NewPool(8)
 	if err != nil {
 		t.Fatal(err)
@@ -288,8 +286,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(pool.Release)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	now := clock.NewSystem().Now
 	h := &held{begun: make(chan string, 8), end: make(chan struct{})}
 	return gate.New(gate.Config{
@@ -327,8 +324,7 @@
 		b := &probed{held: h}
 		s.Caution, s.Probe = tt.caution, "/health"
 		now := clock.NewSystem().Now
-		log := logrus.New()
-		log.SetOutput(io.Discard)
+		log := lines.Silent()
 		gate.New(gate.Config{
 			Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: b, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
 		}).Probe()
--- /dev/null
+++ b/lines/silent.go
@@ -0,0 +1,14 @@
+package lines
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Silent returns a logger that writes nothing, for parts that were given none.
+func Silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -209,16 +209,7 @@
 	if g.Leaving {
 		return account.StateLeaving
 	}
-	switch g.Verdict {
-	case health.Aside:
-		return account.StateSetAside
-	case health.Trial:
-		return account.StateTrial
-	case health.Ramp:
-		return account.StateRamp
-	default:
-		return account.StateInUse
-	}
+	return account.StateOf(g.Verdict)
 }
 
 func gauge(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 )
 
 const (
@@ -128,9 +128,7 @@
 		c.Fresh = defaultFresh
 	}
 	if c.Log == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		c.Log = silent
+		c.Log = lines.Silent()
 	}
 	return &Follower{config: c, copy: NewCopy(c.Mark), pace: NewPace(PaceConfig{Fresh: c.Fresh, Backoff: c.Backoff, Seed: c.Seed}), woken: make(chan struct{}, 1)}
 }
--- a/mirror/story_test.go
+++ b/mirror/story_test.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -88,8 +86,7 @@
 	sound := mirror.NewCopy(nil)
 	sound.Reset(0, mirror.Listing{Items: whole, Revision: 5})
 	digest, _ := sound.Digest()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	synctest.Test(t, func(t *testing.T) {
 		now := clock.NewSystem().Now
 		s := &script{lists: [][]mirror.Item{{item("a", 2)}, whole}, now: now, next: func() {}}
--- a/mirror/walk_test.go
+++ b/mirror/walk_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -14,10 +13,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/mirror"
 )
 
@@ -248,8 +247,7 @@
 
 // start starts a node, in place of the one before.
 func (w *walk) start(i int) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	seen, gone := map[string]uint64{}, map[string]uint64{}
 	f := mirror.NewFollower(mirror.FollowerConfig{
 		Store: walkReader{w.modelled, i}, Now: clock.NewSystem().Now, Mark: markOf, Seed: uint64(i), Log: log,
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lines"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -47,8 +46,7 @@
 // run starts a node that reads the store.
 func run(t *testing.T, name string, l *node.Listeners, s store, made tables) *node.Node {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := lines.Silent()
 	n, err := node.New(node.Config{
 		Settings: &settings.Settings{
 			Node: name, Domain: "palermo", Secret: "a secret of this test",
