--- a/mirror/news.go
+++ b/mirror/news.go
@@ -12,9 +12,9 @@
 // it on the wire. Larger ones cost more than a call of each node.
 const newsLimit = 128 << 10
 
-// largeValue is the size in bytes from which a value is left out of news that would be
-// larger than newsLimit: five times the largest registration, and less than any
-// configuration that is worth leaving out.
+// largeValue is the size in bytes from which a value is told by an edit, and left out of
+// news that would be larger than newsLimit: fifty registrations, and less than a
+// configuration of a hundred routes.
 const largeValue = 16 << 10
 
 // mostEvents bounds the changes that are told at once: a frame's arrays have 4,096 entries
