--- a/mirror/lag.go
+++ b/mirror/lag.go
@@ -20,6 +20,7 @@
 	told clock.Millis
 }
 
+// awaited is a revision that a peer has told of.
 type awaited struct {
 	revision uint64
 	since    clock.Millis
