test(fleet): wait for the lines of both nodes before reading what they say

Cause: the gate sends its reply and writes its line after it, while the entry writes its own line and answers; the test read as soon as one line was there. Ruled out: that the gate writes no line, or another reason: it always logs a request not answered. The reply goes first on purpose, so the caller doesn't wait for a log line. The checks are as they were; a line that never comes still fails the test, at its wait.

--- a/fleet/explain_test.go
+++ b/fleet/explain_test.go
@@ -48,9 +48,10 @@
 	tests := []struct {
 		name  string
 		fault standin.Fault
+		lines int
 		want  func(t *testing.T, all []line)
 	}{
-		{"refused", standin.Fault{Kind: standin.Sheds, Share: 1}, func(t *testing.T, all []line) {
+		{"refused", standin.Fault{Kind: standin.Sheds, Share: 1}, 1, func(t *testing.T, all []line) {
 			first := all[0]
 			if first.Message != "request not served" || first.Outcome != "not-run" || first.Reason != "upstream-shed" {
 				t.Errorf("got %+v, want it not run, as its upstream shed it", first)
@@ -59,7 +60,7 @@
 				t.Errorf("got tries %+v, want conferme-1 that shed it", first.Tried)
 			}
 		}},
-		{"unknown", standin.Fault{Kind: standin.Hangs, Share: 1}, func(t *testing.T, all []line) {
+		{"unknown", standin.Fault{Kind: standin.Hangs, Share: 1}, 2, func(t *testing.T, all []line) {
 			byMessage := map[string]line{}
 			for _, l := range all {
 				byMessage[l.Message] = l
@@ -73,7 +74,7 @@
 				t.Errorf("got %+v of the gate, want it to name the timeout", gate)
 			}
 		}},
-		{"late", standin.Fault{Kind: standin.Slow, Share: 1}, func(t *testing.T, all []line) {
+		{"late", standin.Fault{Kind: standin.Slow, Share: 1}, 1, func(t *testing.T, all []line) {
 			first := all[0]
 			if first.Message != "request answered late" || first.Target != "5ms" || len(first.Tried) != 1 || first.Tried[0].Result != "served" {
 				t.Errorf("got %+v, want it late for its target of 5ms at its only try", first)
@@ -90,7 +91,8 @@
 			f := start(t, fleet.Config{Table: d, Service: 20, Log: &log})
 			f.Backends["conferme-1"].SetFault(tt.fault)
 			got := send(t, "POST", f.Members[0].Caller, "/conferme/turno", "")
-			until(t, "the log lines of the request", func() bool { return len(linesOf(t, log.String(), got.id)) > 0 })
+			// The gate replies before it writes its line, so the entry's may stand first.
+			until(t, "the log lines of the request", func() bool { return len(linesOf(t, log.String(), got.id)) >= tt.lines })
 			tt.want(t, linesOf(t, log.String(), got.id))
 		})
 	}
