--- a/entry/invitation_test.go
+++ b/entry/invitation_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"github.com/panjf2000/ants/v2"
-
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/lines"
@@ -42,12 +40,6 @@
 
 func crew(t *testing.T, extra int) *crews {
 	t.Helper()
-	pool, err := ants.NewPool(8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(pool.Release)
-	log := lines.Silent()
 	c := &crews{ways: map[string]*desk{}, service: table.Service{
 		Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute,
 		Retries: 0.2, Window: 10 * clock.Second, Extra: extra,
@@ -55,7 +47,7 @@
 	system := clock.NewSystem().Now
 	c.entry = entry.New(entry.Config{
 		Domain: "catania", Now: func() clock.Millis { return system() + clock.Hour },
-		Pool: pool, Journal: journal{}, Log: log,
+		Pool: newPool(t), Journal: journal{}, Log: lines.Silent(),
 		Target: func(u table.Upstream) entry.Target { return c.ways[u.Name] },
 	})
 	return c
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -68,12 +68,6 @@
 // before returns an entry before one upstream a desk, in domains of their own.
 func before(t *testing.T, desks ...*desk) *entry.Entry {
 	t.Helper()
-	pool, err := ants.NewPool(8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(pool.Release)
-	log := lines.Silent()
 	ways := map[string]*desk{}
 	s := table.Service{Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute, Retries: 0.2, Window: 10 * clock.Second, Extra: 60}
 	for _, d := range desks {
@@ -81,7 +75,7 @@
 		s.Upstreams = append(s.Upstreams, table.Upstream{Name: d.name, Node: d.name, Domain: "palermo", Weight: 100, Slots: 1})
 	}
 	e := entry.New(entry.Config{
-		Domain: "catania", Now: clock.NewSystem().Now, Pool: pool, Journal: journal{}, Log: log,
+		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Journal: journal{}, Log: lines.Silent(),
 		Target: func(u table.Upstream) entry.Target { return ways[u.Name] },
 	})
 	e.Update(table.Index(table.Table{
@@ -169,3 +163,14 @@
 		t.Errorf("got %d sent, want none", a.dispatched+b.dispatched)
 	}
 }
+
+// newPool returns the pool of a few requests at once, which ends with the test.
+func newPool(t *testing.T) *ants.Pool {
+	t.Helper()
+	pool, err := ants.NewPool(8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	return pool
+}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -64,14 +64,8 @@
 
 func gateOf(t *testing.T, c gate.Config) (*gate.Gate, *held) {
 	t.Helper()
-	log := lines.Silent()
-	pool, err := ants.NewPool(8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(pool.Release)
 	h := &held{begun: make(chan string, 8), end: make(chan struct{})}
-	c.Incarnation, c.Now, c.Backend, c.Pool, c.Journal, c.Log = incarnation, clock.NewSystem().Now, h, pool, nobody{}, log
+	c.Incarnation, c.Now, c.Backend, c.Pool, c.Journal, c.Log = incarnation, clock.NewSystem().Now, h, newPool(t), nobody{}, lines.Silent()
 	c.Keys = gate.NewKeys(c.Now)
 	return gate.New(c), h
 }
@@ -281,18 +275,12 @@
 
 func inviting(t *testing.T, invite func(entry uint64)) (*gate.Gate, *held) {
 	t.Helper()
-	pool, err := ants.NewPool(8)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(pool.Release)
-	log := lines.Silent()
 	now := clock.NewSystem().Now
 	h := &held{begun: make(chan string, 8), end: make(chan struct{})}
 	return gate.New(gate.Config{
 		Service:  table.Service{Name: "conferme", Caution: table.Brief, Queue: 4},
 		Upstream: table.Upstream{Name: "c1", Weight: 100, Slots: 1}, Incarnation: incarnation, Now: now, Backend: h,
-		Pool: pool, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
+		Pool: newPool(t), Journal: nobody{}, Keys: gate.NewKeys(now), Log: lines.Silent(),
 		Invite: func(entry uint64, _ *wire.Invitation) bool {
 			invite(entry)
 			return true
@@ -324,12 +312,22 @@
 		b := &probed{held: h}
 		s.Caution, s.Probe = tt.caution, "/health"
 		now := clock.NewSystem().Now
-		log := lines.Silent()
 		gate.New(gate.Config{
-			Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: b, Journal: nobody{}, Keys: gate.NewKeys(now), Log: log,
+			Service: s, Upstream: u, Incarnation: incarnation, Now: now, Backend: b, Journal: nobody{}, Keys: gate.NewKeys(now), Log: lines.Silent(),
 		}).Probe()
 		if b.probes != tt.want {
 			t.Errorf("%s: got %d probes, want %d", tt.caution, b.probes, tt.want)
 		}
 	}
 }
+
+// newPool returns the pool of a few requests at once, which ends with the test.
+func newPool(t *testing.T) *ants.Pool {
+	t.Helper()
+	pool, err := ants.NewPool(8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	return pool
+}
