fix(node): hand a copy of more than 4,096 values to a node that starts

A peer that knew nothing was handed the platform's values as one array, of which no more than 4,096 entries are read; a larger fleet's copy was not handed over, and its nodes that were replaced in an outage of the platform refused their callers until that was back. It is handed over in arrays now, up to 3 MB: what a peer unpacks ends at 4 MB, and what it rejects would be sent again with each heartbeat. TestPeersHelpANodeThatKnowsNothing with 8,193 values failed first (no table within 20 s), and passes. Ruled out: one News for the whole, which a node takes only beside values that it holds.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,6 +42,15 @@
 	return len(i.Key) + len(i.Value)
 }
 
+// SizeOf is the bytes of values, with their keys.
+func SizeOf(items []Item) int {
+	size := 0
+	for i := range items {
+		size += items[i].size()
+	}
+	return size
+}
+
 // Event is one change. A key that is gone has no value.
 type Event struct {
 	Item
--- a/node/platform.go
+++ b/node/platform.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
 	"fuchsiapick.example/fuchsiapick/account"
@@ -180,11 +181,11 @@
 		return // others do, or this node after the next heartbeat
 	}
 	items, revision := n.follower.Snapshot()
-	if len(items) > wire.MostItems {
-		n.log.WithField("values", len(items)).Warn("peer without a table not helped: these are more values than it would read")
+	if size := mirror.SizeOf(items); size > mostHelp {
+		n.log.WithFields(logrus.Fields{"values": len(items), "bytes": size}).Warn("peer without a table not helped: the values are more than it would read")
 		return
 	}
-	body, err := wire.Pack(items)
+	body, err := wire.Pack(partsOf(items))
 	if err != nil {
 		n.log.WithError(err).Error("peer without a table not helped")
 		return
@@ -197,16 +198,26 @@
 	}
 }
 
+// mostHelp bounds, in bytes, the values that are handed to a peer. It reads 4 MB; the
+// rest is for their encoding, some 50 bytes a value. What it rejects it would be sent
+// again with each heartbeat.
+const mostHelp = 3 << 20
+
+// partsOf cuts values into arrays that a peer reads.
+func partsOf(items []mirror.Item) [][]mirror.Item {
+	return slices.Collect(slices.Chunk(items, wire.MostItems))
+}
+
 // takeOver takes in another node's copy of the platform's values while nothing is known
 // here.
 func (n *Node) takeOver(node string, e *wire.Edition) {
-	var items []mirror.Item
+	var parts [][]mirror.Item
 	log := n.log.WithField("peer", node)
-	if err := wire.Unpack(e.Text, &items); err != nil {
+	if err := wire.Unpack(e.Text, &parts); err != nil {
 		log.WithError(err).Error("peer's copy rejected")
 		return
 	}
-	if n.follower.Seed(items, e.Version) {
+	if n.follower.Seed(slices.Concat(parts...), e.Version) {
 		log.WithField("revision", e.Version).Info("platform's values taken over from a peer")
 	}
 }
--- a/node/seed_test.go
+++ b/node/seed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,18 +14,24 @@
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// store holds one value, or doesn't answer.
+// store holds some values, one at least, or doesn't answer.
 type store struct {
 	isAway bool
+	values int
 }
 
 func (s store) List(context.Context) (mirror.Listing, error) {
 	if s.isAway {
 		return mirror.Listing{}, mirror.ErrUnavailable
 	}
-	return mirror.Listing{Items: []mirror.Item{{Key: "what is known", Revision: 5}}, Revision: 5, IsSnapshot: true}, nil
+	items := []mirror.Item{{Key: "what is known", Revision: 5}}
+	for i := len(items); i < s.values; i++ {
+		items = append(items, mirror.Item{Key: fmt.Sprint("registration ", i), Revision: 5})
+	}
+	return mirror.Listing{Items: items, Revision: 5, IsSnapshot: true}, nil
 }
 
 func (s store) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
@@ -85,6 +92,14 @@
 // as long as that lasts, and the calls of the backend server beside it fail. It
 // knows no peer, but its peers know it and dial it with the next request.
 func TestPeersHelpANodeThatKnowsNothing(t *testing.T) {
+	t.Run("few values", func(t *testing.T) { testHelp(t, store{}) })
+	// More than one array of a frame holds: the copy was not handed over, and a large
+	// fleet's nodes refused their callers until the platform was back.
+	t.Run("many values", func(t *testing.T) { testHelp(t, store{values: 2*wire.MostItems + 1}) })
+}
+
+func testHelp(t *testing.T, full store) {
+	t.Helper()
 	knowing, blank := listen(t), listen(t)
 	deployment := table.Index(table.Table{
 		Format: table.Format, Version: 7,
@@ -99,7 +114,7 @@
 	})
 	made := tables{deployment}
 	address := knowing.Caller.Addr().String()
-	helper := run(t, "knowing", knowing, store{}, made)
+	helper := run(t, "knowing", knowing, full, made)
 	helped := run(t, "blank", blank, store{isAway: true}, made)
 	<-helper.InForce()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
