fix(caller): a watch of a caller outlasts the bound on reading its request

The HTTP library's deadline for reading a request (30 s) stayed on the connection while the request was handled, and ended the watch for a caller that leaves: from then on an upstream worked to the end for nobody. TestWatchOutlastsTheBoundOnReads failed first (hung for its 5 s).

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -63,6 +63,9 @@
 		gone()
 		return func() {}
 	}
+	// The HTTP library's bound on reading this request would end the watch: a caller that
+	// left later went unnoticed, and an upstream worked on for nobody.
+	_ = c.SetReadDeadline(time.Time{}) // one that is closed fails the read, too
 	var group sync.WaitGroup
 	group.Go(func() { c.readAhead(gone) })
 	return func() {
--- a/caller/conn_test.go
+++ b/caller/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/caller"
 )
@@ -48,6 +49,21 @@
 	}
 }
 
+// A roster of a whole season takes longer to make than a caller may take to send a
+// request. The library's bound on that ended the watch, and the roster was made to the
+// end though the site manager had closed the page.
+func TestWatchOutlastsTheBoundOnReads(t *testing.T) {
+	conn, client := pair(t)
+	if err := conn.SetReadDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	gone := make(chan struct{})
+	stop := conn.Watch(func() { close(gone) })
+	defer stop()
+	_ = client.Close()
+	<-gone
+}
+
 // A caller sends its next requests before the first is answered. What the watch
 // reads of them must reach the reader whole and in order, or one caller's
 // request is taken for the rest of another.
