fix(entry,health): an upstream on trial gets requests beside others with room

Trace, with logs kept: an upstream of two left was set aside for 11 slow answers of 16 (the machine was overloaded), came to its trial after 5 s, and stayed in it for 25 s beside 200 requests a second, of which it got none. Cause: the share of work told of a trial was 0, at which an entry chooses an upstream only where no other has room. A trial then lasts until it runs out after 30 s, and an ejection some 35 s in place of 5 and the trial's ten requests. Ruled out: the trial's places at the gate (none was asked for), lost paths (none in its log). Now a trial has the share at which a ramp begins, 0.1; the gate still takes no more than 12 requests of it.

--- a/entry/member.go
+++ b/entry/member.go
@@ -64,11 +64,20 @@
 		Weight:   m.upstream.Weight,
 		Slots:    m.upstream.Slots,
 		InFlight: max(m.sent, choice.Fade(m.state.InFlight+m.state.Waiting, now-m.heard)),
-		Share:    m.state.Share * m.relative(best),
+		Share:    m.share(now) * m.relative(best),
 		Usable:   usable,
 	}
 }
 
+// share is the part of its work that slow start grants it. Its gate's last word may be
+// of a hold-off, in which that is none, and which has run out since.
+func (m *member) share(now clock.Millis) float64 {
+	if m.verdict(now) == health.Trial {
+		return max(m.state.Share, health.TrialShare)
+	}
+	return m.state.Share
+}
+
 // notably is the difference between two shares of failures at which it counts:
 // far above the scatter of healthy upstreams, whose shares are about 0.01.
 const notably = 0.2
--- a/health/comeback.go
+++ b/health/comeback.go
@@ -164,6 +164,9 @@
 		grown := float64(j.now-c.since) / float64(rampSpan)
 		s.Share = rampFirst + (1-rampFirst)*grown
 		s.Severity = j.progress() / 2
+	case Trial:
+		s.Share = TrialShare
+		s.Severity = 0.5 + j.illness()/2
 	default:
 		s.Severity = 0.5 + j.illness()/2
 	}
--- a/health/settings.go
+++ b/health/settings.go
@@ -69,6 +69,10 @@
 	trialFailures = 2
 	// trialSlow slow answers end a trial after a set aside for slowness.
 	trialSlow = 4
+	// TrialShare is the part of its work that an upstream on trial is chosen for, as at
+	// the start of its ramp: with ten requests a second for it its trial ends after some
+	// 10 s, and its gate takes no more than trialPlaces whoever sends.
+	TrialShare = rampFirst
 	// trialSpan ends a trial that gets too few repeatable requests. The ramp
 	// that follows gives little work and judges it by less evidence.
 	trialSpan = 30 * clock.Second
