test(measure): gates invite over links that were opened; upstreams far from callers get nothing

The model let gates invite every entry, linked or not, and so showed nothing of this. Now an entry has a link to an upstream for half a minute from its last request there, and news and invitations go over links. Revisions are added: most of its requests run once only, and a fifth of the entries send the others.

--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -33,6 +33,8 @@
 	// turns the invitations that they got.
 	senders [][]int
 	turns   []int
+	// links are, by upstream and entry, until when the entry's link to it stands.
+	links [][]clock.Millis
 }
 
 func newBrief(w *world) *brief {
@@ -49,6 +51,7 @@
 	}
 	b.senders, b.turns = make([][]int, w.config.Upstreams), make([]int, w.config.Upstreams)
 	for i := range w.config.Upstreams {
+		b.links = append(b.links, make([]clock.Millis, w.config.Entries))
 		w.after(inviteEvery, func() { b.invite(i) })
 	}
 	return b
@@ -61,6 +64,8 @@
 	inviteFor    = clock.Second
 	mostSenders  = 32
 	leastInvited = 8
+	// idleAfter is that of package link.
+	idleAfter = 30 * clock.Second
 )
 
 // Steps of a request's search, as in package entry, and figures of package gate.
@@ -153,18 +158,39 @@
 	now := b.world.now
 	if b.trials[i].Due(now, b.filters[i].Probability(now)) {
 		b.turns[i]++
-		entry := b.turns[i] % len(b.views)
-		if turn := b.turns[i] % max(len(b.senders[i]), leastInvited); turn < len(b.senders[i]) {
-			entry = b.senders[i][turn]
+		if entry, ok := b.guest(i); ok {
+			h := &b.views[entry][i]
+			b.world.after(hop, func() { h.invited = now + inviteFor })
 		}
-		h := &b.views[entry][i]
-		b.world.after(hop, func() { h.invited = now + inviteFor })
 	}
 	if now < b.world.config.Span {
 		b.world.after(inviteEvery, func() { b.invite(i) })
 	}
 }
 
+// guest is the entry whose turn it is to be invited: one with a link.
+func (b *brief) guest(i int) (int, bool) {
+	b.senders[i] = slices.DeleteFunc(b.senders[i], func(e int) bool { return !b.isLinked(e, i) })
+	if turn := b.turns[i] % max(len(b.senders[i]), leastInvited); turn < len(b.senders[i]) {
+		return b.senders[i][turn], true
+	}
+	for n := range b.links[i] {
+		if e := (b.turns[i] + n) % len(b.links[i]); b.isLinked(e, i) {
+			return e, true
+		}
+	}
+	return 0, false
+}
+
+func (b *brief) isLinked(entry, i int) bool {
+	return b.links[i][entry] > b.world.now
+}
+
+// contact opens a link, or keeps it.
+func (b *brief) contact(entry, i int) {
+	b.links[i][entry] = b.world.now + idleAfter
+}
+
 // noteSender remembers who sends what may be repeated.
 func (b *brief) noteSender(r *request, i int) {
 	if !r.kind.Repeatable || slices.Contains(b.senders[i], r.entry) {
@@ -180,6 +206,7 @@
 func (b *brief) send(r *request, i int, forced bool) {
 	b.world.after(hop, func() {
 		now := b.world.now
+		b.contact(r.entry, i)
 		b.noteSender(r, i)
 		if !forced && !b.trials[i].Admit(now, b.filters[i].Probability(now), r.kind.Repeatable) {
 			r.tried[i] = true
@@ -267,7 +294,9 @@
 		return
 	}
 	for e := range b.views {
-		b.tell(e, i)
+		if b.isLinked(e, i) {
+			b.tell(e, i)
+		}
 	}
 }
 
--- a/measure/episodes/episodes_test.go
+++ b/measure/episodes/episodes_test.go
@@ -84,19 +84,25 @@
 	}
 }
 
-// Managers of two parishes out of four work on a holiday. The price lists' upstreams
-// beside the other two are chosen by nobody: all others are nearer, and their gates
-// know few entries that could send a request, or none. They got nothing for seconds
-// while requests failed at the near ones.
+// Managers of two parishes out of four work on a holiday. The upstreams beside the other
+// two are chosen by nobody: all others are nearer. Their gates could invite requests, but
+// know few entries that have any, and have links from none of these, for an entry opens
+// one when it first chooses an upstream. They got nothing for seconds while requests
+// failed at the near ones.
 func TestUpstreamsFarFromAllCallersAreUsed(t *testing.T) {
-	for _, calling := range []int{3, 2} {
-		for seed := range uint64(8) {
-			c := episodes.Listings()
-			c.Policy, c.Seed, c.Domains, c.Calling = episodes.Brief, seed, 4, calling
-			r := episodes.Run(c)
-			t.Logf("callers in %d of 4, seed %d: %.3f of the sound upstreams unused, too many in %.3f of the time; run twice %.3f", calling, seed, r.Quiet, r.Forsaken, r.Retries)
-			if r.Quiet > 0.03 || r.Forsaken > 0 {
-				t.Errorf("callers in %d of 4, seed %d: got %.3f unused, and too many in %.3f of the time, want 0.03 at most and none", calling, seed, r.Quiet, r.Forsaken)
+	for _, service := range []struct {
+		name   string
+		config episodes.Config
+	}{{"listings", episodes.Listings()}, {"revisions", episodes.Revisions()}} {
+		for _, calling := range []int{3, 2} {
+			for seed := range uint64(4) {
+				c := service.config
+				c.Policy, c.Seed, c.Domains, c.Calling = episodes.Brief, seed, 4, calling
+				r := episodes.Run(c)
+				t.Logf("%s, callers in %d of 4, seed %d: %.3f of the sound upstreams unused, too many in %.3f of the time; run twice %.3f", service.name, calling, seed, r.Quiet, r.Forsaken, r.Retries)
+				if r.Quiet > 0.03 || r.Forsaken > 0 {
+					t.Errorf("%s, callers in %d of 4, seed %d: got %.3f unused, and too many in %.3f of the time, want 0.03 at most and none", service.name, calling, seed, r.Quiet, r.Forsaken)
+				}
 			}
 		}
 	}
--- a/measure/episodes/places.go
+++ b/measure/episodes/places.go
@@ -48,6 +48,7 @@
 	left, held, lowest := len(asked), -1, 0.0
 	for _, i := range asked {
 		b.world.after(hop, func() {
+			b.contact(r.entry, i)
 			risk := b.filters[i].Probability(b.world.now)
 			isFree := b.trials[i].Admit(b.world.now, risk, false) && b.free(r, i)
 			b.tell(r.entry, i)
@@ -99,6 +100,7 @@
 
 func (b *brief) enqueue(l *line, i int, span clock.Millis) {
 	now := b.world.now
+	b.contact(l.r.entry, i)
 	b.noteSender(l.r, i)
 	if l.over || !b.trials[i].Admit(now, b.filters[i].Probability(now), l.r.kind.Repeatable) {
 		b.decline(l, i)
--- a/measure/episodes/world.go
+++ b/measure/episodes/world.go
@@ -42,6 +42,8 @@
 	Target, Timeout clock.Millis
 	Priority        int
 	Repeatable      bool
+	// Every says that one entry in so many sends it, 0 that all do.
+	Every int
 }
 
 // Config is one run.
@@ -66,10 +68,10 @@
 func Squadre() Config {
 	return Config{
 		Kinds: []Kind{
-			{"roster", 13.2, 600, 0.8, 1500, 3000, 2, true},
-			{"check", 12.5, 97, 0.5, 300, 1200, 1, true},
-			{"call", 50, 61, 0.5, 200, 600, 1, true},
-			{"confirm", 5, 240, 0.5, 800, 1500, 1, false},
+			{"roster", 13.2, 600, 0.8, 1500, 3000, 2, true, 0},
+			{"check", 12.5, 97, 0.5, 300, 1200, 1, true, 0},
+			{"call", 50, 61, 0.5, 200, 600, 1, true, 0},
+			{"confirm", 5, 240, 0.5, 800, 1500, 1, false, 0},
 		},
 		Entries: 24, Upstreams: 9, Slots: 3, Load: 1, Span: 2 * clock.Minute,
 	}
@@ -80,20 +82,32 @@
 func Listings() Config {
 	return Config{
 		Kinds: []Kind{
-			{"lookup", 48.7, 1500, 0.5, 4000, 6000, 2, true},
-			{"revision", 14, 1100, 0.5, 4000, 6000, 1, false},
+			{"lookup", 48.7, 1500, 0.5, 4000, 6000, 2, true, 0},
+			{"revision", 14, 1100, 0.5, 4000, 6000, 1, false, 0},
 		},
 		Entries: 95, Upstreams: 23, Slots: 13, Load: 1, Span: 2 * clock.Minute,
 	}
 }
 
+// Revisions is the price revisions of the larger deployment, which run once only, and the
+// checks that price lists make before: few entries send these.
+func Revisions() Config {
+	return Config{
+		Kinds: []Kind{
+			{"revision", 92, 1100, 0.5, 4000, 6000, 1, false, 0},
+			{"check", 48, 290, 0.5, 1000, 3000, 1, true, 5},
+		},
+		Entries: 104, Upstreams: 33, Slots: 13, Load: 1, Span: 2 * clock.Minute,
+	}
+}
+
 // Conferme is the confirmations of the larger deployment: most of its requests run
 // once only.
 func Conferme() Config {
 	return Config{
 		Kinds: []Kind{
-			{"confirm", 128, 420, 0.5, 1500, 3000, 1, false},
-			{"lookup", 33, 100, 0.5, 400, 1200, 1, true},
+			{"confirm", 128, 420, 0.5, 1500, 3000, 1, false, 0},
+			{"lookup", 33, 100, 0.5, 400, 1200, 1, true, 0},
 		},
 		Entries: 81, Upstreams: 32, Slots: 5, Load: 1, Span: 2 * clock.Minute,
 	}
@@ -266,7 +280,7 @@
 		sigma := k.Spread
 		work := float64(k.Work) * math.Exp(sigma*w.random.NormFloat64()-sigma*sigma/2)
 		r := &request{
-			kind: k, entry: w.caller(), began: w.now,
+			kind: k, entry: w.caller(k), began: w.now,
 			work: max(clock.Millis(work), 1), tried: map[int]bool{}, full: map[int]bool{},
 		}
 		w.asked++
@@ -276,11 +290,13 @@
 	})
 }
 
-// caller draws the entry to which a request comes.
-func (w *world) caller() int {
+// caller draws the entry to which a request of a kind comes.
+func (w *world) caller(k *Kind) int {
+	domains := max(w.config.Domains, 1)
 	for {
 		e := w.random.IntN(w.config.Entries)
-		if w.config.Calling == 0 || w.domain(e) < w.config.Calling {
+		isCalling := w.config.Calling == 0 || w.domain(e) < w.config.Calling
+		if isCalling && (e/domains)%max(k.Every, 1) == 0 {
 			return e
 		}
 	}
