fix(entry): entries keep links to upstreams that they don't choose, to be invited

An entry that has requests which may be repeated keeps links to some upstreams now, two for each such request a second, twelve at most, each entry others.

A gate that tells how many entries it knows would let the others close their links; not done.

--- a/entry/brief.go
+++ b/entry/brief.go
@@ -224,6 +224,7 @@
 	}
 	again := look.again && untried > 0
 	if again {
+		s.keepInView(now, s.reach.Asked(now))
 		if i, wanted := s.invitation(now, look.tried); wanted {
 			return s.send(now, i), untried, true
 		}
--- a/entry/invitation_test.go
+++ b/entry/invitation_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -30,6 +31,29 @@
 	}
 }
 
+// Nobody chooses the upstreams of a failure domain without callers, so that no entry that
+// has requests has a link to them, and their gates can invite none: they got nothing for
+// ten seconds. An entry keeps links to some, whatever it chooses.
+func TestEntriesKeepLinksToUpstreamsThatTheyDoNotChoose(t *testing.T) {
+	s := crew(t, 1)
+	for i := range 20 {
+		s.join(fmt.Sprint("u", i))
+	}
+	s.publish()
+	if status, _ := post(s.entry); status != 200 {
+		t.Fatalf("got %d, want 200", status)
+	}
+	kept := 0
+	for _, d := range s.ways {
+		if d.kept > 0 && d.dispatched == 0 {
+			kept++
+		}
+	}
+	if kept < 2 || kept > 10 {
+		t.Errorf("got links to %d of 20 upstreams kept beside the one chosen, want some", kept)
+	}
+}
+
 // crews is an entry of a node that has run for long, before one service whose requests
 // may be repeated.
 type crews struct {
--- a/entry/service.go
+++ b/entry/service.go
@@ -10,6 +10,7 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -44,6 +45,7 @@
 	dirty    bool
 	recheck  clock.Millis // when the first hold-off ends; 0 without one
 	uses     []floor.Use
+	reach    grade.Reach
 	roster   *resend.Roster
 	nodes    map[string]Target // the ways to the roster's
 
@@ -200,12 +202,9 @@
 // decideBaseline works out what is usual, from the upstreams in view.
 func (s *service) decideBaseline(now clock.Millis) {
 	s.own = s.own[:0]
+	s.keepInView(now, watched)
 	for i, m := range s.members {
-		kept := (i+s.offset)%len(s.members) < watched
-		if kept && now-m.heard >= keepEvery {
-			m.target.Keep()
-		}
-		if kept || now-m.heard < viewSpan {
+		if s.isWatched(i, watched) || now-m.heard < viewSpan {
 			own := m.state.Own.Plain()
 			own.Age += now - m.heard
 			s.own = append(s.own, own)
@@ -220,6 +219,21 @@
 	}
 }
 
+// isWatched reports whether an upstream is among the few that this entry keeps in view.
+// Entries differ in which these are.
+func (s *service) isWatched(i, few int) bool {
+	return (i+s.offset)%len(s.members) < few
+}
+
+// keepInView asks for links to the watched upstreams that weren't heard of lately.
+func (s *service) keepInView(now clock.Millis, few int) {
+	for i, m := range s.members {
+		if s.isWatched(i, few) && now-m.heard >= keepEvery {
+			m.target.Keep()
+		}
+	}
+}
+
 // keepEvery is the age of what was heard of an upstream at which its link is
 // asked for: two heartbeats.
 const keepEvery = clock.Second
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -24,6 +24,7 @@
 
 	mu         sync.Mutex
 	dispatched int
+	kept       int
 	waived     []uint8
 }
 
@@ -49,11 +50,16 @@
 	d.waived = append(d.waived, w.Attempt)
 }
 
+func (d *desk) Keep() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.kept++
+}
+
 func (*desk) Settle(wire.RequestID, uint8)        {}
 func (*desk) Forget(wire.RequestID, uint8)        {}
 func (*desk) Withdraw(wire.RequestID, uint8) bool { return false }
 func (*desk) Abandon(wire.RequestID, uint8)       {}
-func (*desk) Keep()                               {}
 func (*desk) Void(*wire.Void, clock.Millis, link.VoidWaiter) error {
 	return link.ErrNoLink
 }
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -35,6 +35,9 @@
 	turns   []int
 	// links are, by upstream and entry, until when the entry's link to it stands.
 	links [][]clock.Millis
+	// reach says, by entry, to how many upstreams it keeps links, offsets from which on.
+	reach   []grade.Reach
+	offsets []int
 }
 
 func newBrief(w *world) *brief {
@@ -48,7 +51,9 @@
 	for e := range w.config.Entries {
 		b.views = append(b.views, make([]heard, w.config.Upstreams))
 		b.rankers = append(b.rankers, choice.NewRanker(w.config.Seed+uint64(e)))
+		b.offsets = append(b.offsets, w.random.IntN(w.config.Upstreams))
 	}
+	b.reach = make([]grade.Reach, w.config.Entries)
 	b.senders, b.turns = make([][]int, w.config.Upstreams), make([]int, w.config.Upstreams)
 	for i := range w.config.Upstreams {
 		b.links = append(b.links, make([]clock.Millis, w.config.Entries))
@@ -80,6 +85,7 @@
 func (b *brief) start(r *request) {
 	now := b.world.now
 	if r.kind.Repeatable && r.asks < mostAsks {
+		b.keepInView(r.entry)
 		if i, ok := b.invitation(r); ok {
 			b.send(r, i, false)
 			return
@@ -182,6 +188,14 @@
 	return 0, false
 }
 
+// keepInView keeps links to some upstreams, others for each entry.
+func (b *brief) keepInView(entry int) {
+	few := b.reach[entry].Asked(b.world.now)
+	for n := range min(few, len(b.links)) {
+		b.contact(entry, (b.offsets[entry]+n)%len(b.links))
+	}
+}
+
 func (b *brief) isLinked(entry, i int) bool {
 	return b.links[i][entry] > b.world.now
 }
