fix(entry): a request refused by the last upstream in use is served under the floor

Seen once, in a trace of TestLeavingUpstreamGetsNoNewWork with sixteen copies beside each other: one of two upstreams was set aside, then the other; the two requests on their way to it were refused ("nowhere left"), though the floor kept one of the two in use from that moment, with free slots. Cause: how many upstreams are left to try was counted before the verdict was heard. It is counted anew after such a refusal, and the upstream that refused counts where the floor keeps it. TestRefusedByTheLastUpstreamInUseIsServedUnderTheFloor failed first (503 in both cases). Caution brief asks on after such a refusal anyway and is not touched.

--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -231,12 +232,27 @@
 		}
 		result := r.try(now, choice, untried)
 		r.note(&choice, &result, now)
+		untried = r.countAnew(&choice, &result, untried)
 		if answer, done := r.judge(result, untried); done {
 			return answer
 		}
 	}
 }
 
+// countAnew is how many upstreams are left to try after a gate has refused the request by
+// its verdict. The floor may keep that one in use, or another in its place: what was
+// counted before the verdict was known would refuse a request that can be served.
+func (r *request) countAnew(a *attempt, o *result, untried int) int {
+	if r.config.Caution == table.Brief || o.kind != retry.NotRun || o.reason != string(wire.ReasonAside) {
+		return untried
+	}
+	now := r.entry.config.Now()
+	if !a.forced && r.service.keeps(now, a.member) {
+		r.tried = slices.DeleteFunc(r.tried, func(m *member) bool { return m == a.member })
+	}
+	return r.service.untried(now, r.repeatable, r.tried)
+}
+
 // nowhere is the final answer when no upstream is left to try.
 func (r *request) nowhere(now clock.Millis) final {
 	if r.failed != nil {
--- a/entry/service.go
+++ b/entry/service.go
@@ -159,6 +159,29 @@
 	return s.attemptOf(now, i), untried - 1, true
 }
 
+// untried counts the upstreams that a request may still be sent to.
+func (s *service) untried(now clock.Millis, repeatable bool, tried []*member) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	count := 0
+	for i, m := range s.members {
+		if s.usable(now, i, repeatable) && !slices.Contains(tried, m) {
+			count++
+		}
+	}
+	return count
+}
+
+// keeps reports whether the floor keeps an upstream in use in spite of its verdict.
+func (s *service) keeps(now clock.Millis, m *member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(now)
+	i := slices.Index(s.members, m)
+	return i >= 0 && s.uses[i] == floor.Forced
+}
+
 // usable says whether a request may go to an upstream. One that is back for
 // trial gets repeatable requests only: should it still be sick, another can
 // serve them again.
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -21,6 +21,11 @@
 type desk struct {
 	name string
 	hold func(e *wire.Enquiry, told func(*wire.Hold))
+	// verdict is what the gate refuses all by that doesn't come in spite of it; nil
+	// where it takes all.
+	verdict *wire.Upstream
+	// told takes what a refusal says of the upstream.
+	told func(u wire.Upstream)
 
 	mu         sync.Mutex
 	dispatched int
@@ -32,6 +37,11 @@
 	d.mu.Lock()
 	d.dispatched++
 	d.mu.Unlock()
+	if d.verdict != nil && !m.Forced {
+		d.told(*d.verdict)
+		w.Replied(&wire.Reply{ID: m.ID, Attempt: m.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonAside, Upstream: *d.verdict})
+		return nil
+	}
 	w.Replied(&wire.Reply{
 		ID: m.ID, Attempt: m.Attempt, Outcome: wire.Answered, Status: 200,
 		Body: []byte(d.name), Length: len(d.name), Upstream: wire.Upstream{Name: d.name, Share: 1},
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -42,3 +42,32 @@
 		})
 	}
 }
+
+// One of two upstreams is set aside already, and the gate of the other sets it aside, too,
+// at the moment when a request comes. The floor keeps the less sick of them in use from
+// then on, and the request could be served there; it was refused, for when it was sent no
+// other was left.
+func TestRefusedByTheLastUpstreamInUseIsServedUnderTheFloor(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		severity float64 // of the last one
+		want     string
+	}{{"the last one is kept", 0.5, "a"}, {"the other one is kept", 0.7, "b"}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := crew(t, 1)
+			s.service.Caution, s.service.Floor = table.Fast, 0.5
+			for _, name := range []string{"a", "b"} {
+				s.join(name)
+				s.ways[name].told = s.entry.Heard
+				s.ways[name].verdict = &wire.Upstream{Name: name, State: uint8(health.Aside), Severity: 0.6, Until: clock.Minute}
+			}
+			s.ways["a"].verdict.Severity = tt.severity
+			s.publish()
+			s.entry.Heard(*s.ways["b"].verdict)
+			status, body := post(s.entry)
+			if status != 200 || body != tt.want {
+				t.Errorf("got %d %q, want it served by %s", status, body, tt.want)
+			}
+		})
+	}
+}
