--- a/entry/invitation_test.go
+++ b/entry/invitation_test.go
@@ -16,7 +16,7 @@
 // yet. Kept for that reason, the invitations of a third of the upstreams were followed
 // by nobody for 2 s, and the rest of the service got all the work.
 func TestInvitationsAreFollowedFromTheFirstRequest(t *testing.T) {
-	s := crew(t, 1)
+	s := crew(t)
 	for _, name := range []string{"a", "b", "c"} {
 		s.join(name)
 	}
@@ -35,7 +35,7 @@
 // has requests has a link to them, and their gates can invite none: they got nothing for
 // ten seconds. An entry keeps links to some, whatever it chooses.
 func TestEntriesKeepLinksToUpstreamsThatTheyDoNotChoose(t *testing.T) {
-	s := crew(t, 1)
+	s := crew(t)
 	for i := range 20 {
 		s.join(fmt.Sprint("u", i))
 	}
@@ -62,11 +62,11 @@
 	ways    map[string]*desk
 }
 
-func crew(t *testing.T, extra int) *crews {
+func crew(t *testing.T) *crews {
 	t.Helper()
 	c := &crews{ways: map[string]*desk{}, service: table.Service{
 		Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute,
-		Retries: 0.2, Window: 10 * clock.Second, Extra: extra,
+		Retries: 0.2, Window: 10 * clock.Second, Extra: 1,
 	}}
 	system := clock.NewSystem().Now
 	c.entry = entry.New(entry.Config{
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -23,7 +23,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := crew(t, 1)
+			s := crew(t)
 			s.service.Caution = table.Fast
 			s.join("a")
 			s.join("b")
@@ -54,7 +54,7 @@
 		want     string
 	}{{"the last one is kept", 0.5, "a"}, {"the other one is kept", 0.7, "b"}} {
 		t.Run(tt.name, func(t *testing.T) {
-			s := crew(t, 1)
+			s := crew(t)
 			s.service.Caution, s.service.Floor = table.Fast, 0.5
 			for _, name := range []string{"a", "b"} {
 				s.join(name)
