feat(gate,entry): tell a crash of the backend server, and the same request sent again

The lines of the incident can't tell its hypotheses apart: a torn answer may be a broken connection or a process that ended, and requests are known by their ids alone, which are new with each send.

- a torn answer after which the backend server's address refuses connections is `backend-crashed`, noted once a process (event `crashed`, counted in fuchsiapick_events_total) with the number of runs that ended with it;
- a fingerprint of caller, method, host, target and body on the lines of requests that were not served, at entry and gate, and the time that a run had taken at the gate.

No decision reads either yet. A connection more is opened for each torn answer. The event's words became a map, for the linter's bound on branches.

--- a/account/record.go
+++ b/account/record.go
@@ -78,6 +78,8 @@
 	PathLost EventKind = "path-lost"
 	// PathBack is noted by an entry that reaches the peer Node again.
 	PathBack EventKind = "path-back"
+	// Crashed is noted by the gate whose backend server's process ended under its runs.
+	Crashed EventKind = "crashed"
 	// Leaving is noted by the gate whose upstream gets no new work any more.
 	Leaving EventKind = "leaving"
 	// TableAccepted is noted when a table comes into force.
--- a/capacity/gates.go
+++ b/capacity/gates.go
@@ -65,6 +65,9 @@
 func (quick) Probe(string) bool { return true }
 func (quick) Renew()            {}
 
+// IsGone reports a server that is there.
+func (quick) IsGone() bool { return false }
+
 // Close does nothing.
 func (quick) Close() {}
 
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -108,6 +108,9 @@
 		fields["budget"] = (r.deadline - r.started).String()
 		fields["target"] = r.route.Target.String()
 	}
+	if len(r.headers) > 0 {
+		fields["fingerprint"] = r.fingerprint().String()
+	}
 	if t := r.entry.table.Load(); t != nil {
 		fields["version"] = t.Version
 	}
@@ -117,6 +120,12 @@
 	r.entry.config.Log.WithFields(fields).Info(message)
 }
 
+// fingerprint sums up what a backend server gets of the request, by which lines of other
+// nodes and of other sends of it are found.
+func (r *request) fingerprint() wire.Fingerprint {
+	return wire.FingerprintOf(r.caller, r.method, string(r.ctx.RequestURI()), r.headers, r.body)
+}
+
 // failureStatus is the lowest status of an answer that says the server failed.
 const failureStatus = 500
 
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -21,6 +21,9 @@
 	ErrRefused = errors.ConstError("backend server refused the connection")
 	ErrTimeout = errors.ConstError("backend server didn't answer in time")
 	ErrTorn    = errors.ConstError("backend server's answer broke off")
+	// ErrCrashed means that the answer broke off since the backend server's process
+	// ended. Do doesn't return it: the gate finds out.
+	ErrCrashed = errors.ConstError("backend server ended while it ran the request")
 	ErrLarge   = errors.ConstError("backend server's answer is over the bound")
 	// ErrForeign means an answer that isn't the backend server's answer to
 	// this request: without its seal, under another id or recoded.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,6 +29,8 @@
 	Do(ctx context.Context, c *Call) (Answer, error)
 	// Probe asks the backend server's health endpoint.
 	Probe(path string) bool
+	// IsGone reports whether the backend server's process has ended.
+	IsGone() bool
 	// Renew takes in that the backend server is another process from now on.
 	Renew()
 	Close()
@@ -123,6 +125,8 @@
 	level   grade.Level
 	// life counts the processes that the upstream has been.
 	life int
+	// hasCrashed says that the process of this life ended under its runs.
+	hasCrashed bool
 }
 
 // job is one dispatch that waits for a slot or runs.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -32,6 +32,7 @@
 }
 
 func (*held) Probe(string) bool { return true }
+func (*held) IsGone() bool      { return false }
 func (*held) Close()            {}
 func (*held) Renew()            {}
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -40,6 +40,9 @@
 		Deadline:   j.until - now,
 		Repeatable: d.Repeatable,
 	})
+	if errors.Is(err, ErrTorn) && g.config.Backend.IsGone() {
+		err = errors.Annotate(ErrCrashed, err.Error())
+	}
 	g.finish(j, now, answer, err)
 }
 
@@ -156,12 +159,15 @@
 	j.timer.Stop()
 	delete(g.jobs, j.ticket)
 	isCurrent := j.life == g.life
+	if errors.Is(err, ErrCrashed) {
+		g.noteCrash(now, j)
+	}
 	if !j.overdue && isCurrent {
 		result := resultOf(a, err, j.until-began < g.overdueAfter(j))
 		if result == health.Failed && err == nil && g.excused(began, now) {
 			result = health.CallerFault
 		}
-		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted, IsTorn: errors.Is(err, ErrTorn)})
+		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted, IsTorn: errors.Is(err, ErrTorn) || errors.Is(err, ErrCrashed)})
 	}
 	var calls []func()
 	if isCurrent {
@@ -173,7 +179,7 @@
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
 	g.mu.Unlock()
 	j.answer(reply)
-	g.logOutcome(j.dispatch, reply, err)
+	g.logOutcome(j.dispatch, reply, now-began, err)
 	callAll(calls)
 }
 
@@ -186,13 +192,15 @@
 
 // logOutcome leaves a line, under the id that entry and report know too, of a
 // request that the backend server did not answer.
-func (g *Gate) logOutcome(d *wire.Dispatch, reply *wire.Reply, err error) {
+func (g *Gate) logOutcome(d *wire.Dispatch, reply *wire.Reply, took clock.Millis, err error) {
 	if err == nil {
 		return
 	}
 	g.log.WithError(err).WithFields(logrus.Fields{
-		"request": wire.NameOf(d.Label, d.ID),
-		"reason":  string(reply.Reason),
+		"request":     wire.NameOf(d.Label, d.ID),
+		"fingerprint": d.Fingerprint().String(),
+		"reason":      string(reply.Reason),
+		"took":        took.String(),
 	}).Info("request not answered by the backend server")
 }
 
@@ -308,6 +316,8 @@
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonForeign
 	case errors.Is(err, ErrCancelled):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonLeft
+	case errors.Is(err, ErrCrashed):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonCrashed
 	case err != nil:
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTorn
 	case a.Shed:
--- a/report/words.go
+++ b/report/words.go
@@ -42,6 +42,7 @@
 	"retry-budget":              "the service's retry budget was used up",
 	"timeout":                   "no answer came in time",
 	"torn-answer":               "the answer broke off",
+	"backend-crashed":           "the upstream's process ended while it ran the request",
 	"answer-too-large":          "the answer was too large",
 	"no-answer":                 "the node beside the upstream did not answer",
 	"node-replaced":             "the node beside the upstream was replaced meanwhile",
@@ -88,38 +89,27 @@
 	}
 }
 
-// kindWords says an event's kind in words.
+// kinds are the kinds of events in words.
+var kinds = map[account.EventKind]string{
+	account.SetAside:       "set aside as sick",
+	account.Trial:          "tried again",
+	account.Ramp:           "coming back slowly",
+	account.Back:           "back in full use",
+	account.KeptUnderFloor: "kept in use for the floor",
+	account.PathLost:       "path lost",
+	account.PathBack:       "path back",
+	account.Crashed:        "ended under its runs",
+	account.Leaving:        "leaving",
+	account.TableAccepted:  "table accepted",
+	account.TableRejected:  "table rejected",
+	account.TableOlder:     "older table not taken",
+	account.PlatformLost:   "platform stopped answering",
+	account.PlatformBack:   "platform answers again",
+}
+
+// kindWords says an event's kind in words; one that is not known stands for itself.
 func kindWords(kind account.EventKind) string {
-	switch kind {
-	case account.SetAside:
-		return "set aside as sick"
-	case account.Trial:
-		return "tried again"
-	case account.Ramp:
-		return "coming back slowly"
-	case account.Back:
-		return "back in full use"
-	case account.KeptUnderFloor:
-		return "kept in use for the floor"
-	case account.PathLost:
-		return "path lost"
-	case account.PathBack:
-		return "path back"
-	case account.Leaving:
-		return "leaving"
-	case account.TableAccepted:
-		return "table accepted"
-	case account.TableRejected:
-		return "table rejected"
-	case account.TableOlder:
-		return "older table not taken"
-	case account.PlatformLost:
-		return "platform stopped answering"
-	case account.PlatformBack:
-		return "platform answers again"
-	default:
-		return string(kind)
-	}
+	return cmp.Or(kinds[kind], string(kind))
 }
 
 // span writes a span with two units at most: 850ms, 45s, 2m 10s, 3h 5m, 2d 4h.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -151,18 +151,20 @@
 
 // The reasons. They stand in headers, logs, metrics and reports.
 const (
-	ReasonAside    Reason = "set-aside"
-	ReasonLeaving  Reason = "leaving"
-	ReasonFull     Reason = "full"
-	ReasonLate     Reason = "deadline-too-short"
-	ReasonStale    Reason = "stale-lease"
-	ReasonVoided   Reason = "voided"
-	ReasonNobody   Reason = "no-such-upstream"
-	ReasonRefused  Reason = "connection-refused"
-	ReasonShed     Reason = "upstream-shed"
-	ReasonBudget   Reason = "retry-budget"
-	ReasonTimeout  Reason = "timeout"
-	ReasonTorn     Reason = "torn-answer"
+	ReasonAside   Reason = "set-aside"
+	ReasonLeaving Reason = "leaving"
+	ReasonFull    Reason = "full"
+	ReasonLate    Reason = "deadline-too-short"
+	ReasonStale   Reason = "stale-lease"
+	ReasonVoided  Reason = "voided"
+	ReasonNobody  Reason = "no-such-upstream"
+	ReasonRefused Reason = "connection-refused"
+	ReasonShed    Reason = "upstream-shed"
+	ReasonBudget  Reason = "retry-budget"
+	ReasonTimeout Reason = "timeout"
+	ReasonTorn    Reason = "torn-answer"
+	// ReasonCrashed means that the backend server's process ended under the run.
+	ReasonCrashed  Reason = "backend-crashed"
 	ReasonTooLarge Reason = "answer-too-large"
 	// ReasonForeign means an answer that isn't the request's own.
 	ReasonForeign Reason = "foreign-answer"
