--- a/standin/backend.go
+++ b/standin/backend.go
@@ -47,15 +47,18 @@
 
 // Backend stands in for a backend server. It is safe for concurrent use.
 type Backend struct {
-	config BackendConfig
-	ln     *listener
-	once   sync.Once
-	stop   chan struct{}
-	clock  *clock.System
-	slots  chan struct{}
-	ledger ledger
+	config  BackendConfig
+	address string
+	once    sync.Once
+	stop    chan struct{}
+	clock   *clock.System
+	slots   chan struct{}
+	ledger  ledger
 
 	mu       sync.Mutex
+	ln       *listener
+	isDown   bool
+	crashes  int
 	rand     *rand.Rand
 	fault    Fault
 	sequence int // requests since the fault was set
@@ -81,15 +84,16 @@
 		return nil, errors.Annotatef(err, "starting backend server %s", config.Name)
 	}
 	b := &Backend{
-		config: config,
-		ln:     ln,
-		stop:   make(chan struct{}),
-		clock:  clock.NewSystem(),
-		slots:  make(chan struct{}, config.Slots),
-		ledger: ledger{size: uint64(config.Ledger)},
-		rand:   rand.New(rand.NewPCG(config.Seed, 1)),
-		fault:  Fault{Kind: Healthy},
-		load:   load{Slots: config.Slots},
+		config:  config,
+		ln:      ln,
+		address: ln.Addr().String(),
+		stop:    make(chan struct{}),
+		clock:   clock.NewSystem(),
+		slots:   make(chan struct{}, config.Slots),
+		ledger:  ledger{size: uint64(config.Ledger)},
+		rand:    rand.New(rand.NewPCG(config.Seed, 1)),
+		fault:   Fault{Kind: Healthy},
+		load:    load{Slots: config.Slots},
 	}
 	go serve(ln, b.handle)
 	return b, nil
@@ -97,7 +101,7 @@
 
 // Address returns the IP number and port that the backend server listens on.
 func (b *Backend) Address() string {
-	return b.ln.Addr().String()
+	return b.address
 }
 
 // SetFault changes how requests that arrive from now on are treated.
@@ -131,8 +135,11 @@
 // nothing.
 func (b *Backend) Close() {
 	b.once.Do(func() {
+		b.mu.Lock()
 		close(b.stop)
-		b.ln.shut()
+		ln := b.ln
+		b.mu.Unlock()
+		ln.shut()
 	})
 }
 
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -5,6 +5,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 // FaultKind names how a backend server misbehaves.
@@ -26,6 +28,8 @@
 	// ColdStart multiplies the service time by Factor at first; the factor
 	// falls evenly to 1 over the first Requests requests.
 	ColdStart FaultKind = "coldstart"
+	// Crashes ends the process at each request under Path, and starts it again later.
+	Crashes FaultKind = "crashes"
 	// Drains finishes what runs, refuses what is new, and closes connections.
 	Drains FaultKind = "drains"
 )
@@ -41,6 +45,10 @@
 	// Requests is how many requests a cold start lasts; 0 means coldRequests.
 	// It is a count and no time, so that a test sees the same on every run.
 	Requests int
+	// Path begins those of the requests that Crashes meets.
+	Path string
+	// Down is how long a crashed process is gone; 0 stands for 50 ms.
+	Down clock.Millis
 }
 
 // coldRequests is the length of a cold start unless told otherwise: at three
@@ -50,9 +58,9 @@
 // faultArguments reads ?kind=&share=&factor=&requests=.
 func faultArguments(ctx *fasthttp.RequestCtx) (Fault, error) {
 	args := ctx.QueryArgs()
-	fault := Fault{Kind: FaultKind(args.Peek("kind"))}
+	fault := Fault{Kind: FaultKind(args.Peek("kind")), Path: string(args.Peek("path"))}
 	switch fault.Kind {
-	case Healthy, Fails, Slow, Hangs, Sheds, ColdStart, Drains:
+	case Healthy, Fails, Slow, Hangs, Sheds, ColdStart, Drains, Crashes:
 	default:
 		return Fault{}, errors.Annotatef(ErrMode, "reading kind %q", string(fault.Kind))
 	}
@@ -63,6 +71,11 @@
 	if fault.Factor, err = floatArgument(args, "factor"); err != nil {
 		return Fault{}, err
 	}
+	if text := args.Peek("down"); len(text) > 0 {
+		if err := fault.Down.UnmarshalText(text); err != nil {
+			return Fault{}, errors.Annotate(err, "reading down")
+		}
+	}
 	if text := args.Peek("requests"); len(text) > 0 {
 		fault.Requests, err = strconv.Atoi(string(text))
 	}
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -68,16 +68,17 @@
 	}
 }
 
-// shut closes the listener and every connection, and waits until the server
-// has let go of the last one.
+// shut closes the listener and then every connection, so that who sees its connection
+// break off finds nothing at the address, and waits until the server has let go of the
+// last one.
 func (l *listener) shut() {
+	closeQuietly(l.Listener)
 	l.mu.Lock()
 	l.closed = true
 	for conn := range l.open {
 		conn.abort()
 	}
 	l.mu.Unlock()
-	closeQuietly(l.Listener)
 	l.served.Wait()
 }
 
--- a/standin/request.go
+++ b/standin/request.go
@@ -125,6 +125,11 @@
 func (b *Backend) run(ctx *fasthttp.RequestCtx, conn *watchedConn, p plan) bool {
 	number := b.ledger.begin(b.entry(ctx))
 	b.noteLoad(number)
+	if p.fault.crashes(ctx) {
+		b.ledger.end(number, Cancelled, b.clock.Now())
+		b.crashUnder(p.fault)
+		return false
+	}
 	if !b.work(conn, p) {
 		b.ledger.end(number, Cancelled, b.clock.Now())
 		return false
