fix(gate,entry): nothing is sent to, or waits for, a backend server whose process has ended

Cause: the gate knew that nothing listened at its backend server's address and went on admitting, and the floor, which weighs verdicts, took an upstream that is gone for one that is merely sick. Now the gate says so to all entries at once, refuses what comes and what waits for other upstreams to take, counts as out of reach for the floor, and looks every 0.1 s whether the process is back.

--- a/entry/member.go
+++ b/entry/member.go
@@ -101,7 +101,7 @@
 		return account.StateOff
 	case m.state.Leaving || m.gone:
 		return account.StateLeaving
-	case m.lost:
+	case m.lost || m.state.Down:
 		return account.StateUnreachable
 	case use == floor.Forced:
 		return account.StateKept
--- a/entry/service.go
+++ b/entry/service.go
@@ -259,7 +259,7 @@
 			Aside:    m.isAside(now, brief),
 			Severity: m.severity(now, brief),
 			Leaving:  m.state.Leaving || m.gone,
-			Lost:     m.lost,
+			Lost:     m.lost || m.state.Down,
 		})
 	}
 	before := append([]floor.Use(nil), s.uses...)
@@ -293,7 +293,7 @@
 	}
 	old := m.state
 	m.state, m.heard = u, now
-	if old.State != u.State || old.Severity != u.Severity || old.Leaving != u.Leaving {
+	if old.State != u.State || old.Severity != u.Severity || old.Leaving != u.Leaving || old.Down != u.Down {
 		s.dirty = true
 	}
 }
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -67,6 +67,35 @@
 	}
 }
 
+// Guards against harmless requests being refused, or failing for more than a moment, since
+// they ran beside a deadly one: a popular one, and others that are sent once.
+func TestHarmlessRequestsOutliveADeadlyOne(t *testing.T) {
+	f := crashing(t, 6, table.Brief)
+	s := startSteady(6, callers(f))
+	for i := range 20 {
+		send(t, "GET", f.Members[i%6].Caller, deadly, "")
+		for j := range 6 {
+			got := send(t, "GET", f.Members[j].Caller, fmt.Sprintf("/conferme/turno?n=%d", i*6+j), "")
+			if got.outcome != "served" {
+				t.Errorf("send %d through %s: got %q %q, want served", i, f.Members[j].Name, got.outcome, got.reason)
+			}
+		}
+		allUp(t, f)
+	}
+	close(s.stop)
+	s.group.Wait()
+	if got := send(t, "GET", f.Members[0].Caller, deadly, ""); got.reason != "quarantined" || got.outcome != "unknown" || got.status != 502 {
+		t.Errorf("got %d %q %q for the deadly one, want 502 unknown quarantined", got.status, got.outcome, got.reason)
+	}
+	for _, m := range f.Members {
+		for _, c := range m.Node.Quarantine() {
+			if c.Verdict == account.SuspectHeld && len(c.Upstreams) < 3 {
+				t.Errorf("%s: got %+v held, want three ends under it", m.Name, c)
+			}
+		}
+	}
+}
+
 // Guards against a popular request being blamed for backend servers that end by themselves,
 // at nearly all of which it runs.
 func TestAPopularRequestOutlivesEndsByThemselves(t *testing.T) {
--- a/floor/floor.go
+++ b/floor/floor.go
@@ -17,7 +17,7 @@
 	Severity float64
 	// Leaving says that the upstream takes no new work.
 	Leaving bool
-	// Lost says that this entry can't reach the upstream's gate.
+	// Lost says that this entry can't reach the upstream's gate, or this its backend server.
 	Lost bool
 }
 
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -49,44 +49,66 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// crash is what a gate knows of its backend server's last crash.
+// crash is what a gate knows of the ends of its backend server's process.
 type crash struct {
-	// id is that of the End, 0 without a crash.
-	id uint64
-	// isBack says that the backend server was there again since, isExplained that a
-	// request was found which crashes those that run it.
-	isBack, isExplained bool
+	// isDown says that nothing listens at the backend server's address.
+	isDown bool
+	// id is that of the last End, 0 without one; isExplained that a request was found
+	// which crashes those that run it.
+	id          uint64
+	isExplained bool
 }
 
-// crashOf finds out whether the process has ended under a run whose answer broke off. All
-// runs of a process end with it: the first one tells of all.
+// crashOf finds out whether the process has ended under a run that got no answer. All runs
+// of a process end with it: the first one tells of all.
 func (g *Gate) crashOf(j *job, err error) error {
-	if !errors.Is(err, ErrTorn) {
+	isTorn := errors.Is(err, ErrTorn)
+	if !isTorn && !errors.Is(err, ErrRefused) {
 		return err
 	}
 	g.mu.Lock()
-	isPlanned, isKnown := g.left() || j.life != g.life, g.isDown()
+	isPlanned, isKnown := g.left() || j.life != g.life, g.crash.isDown
 	g.mu.Unlock()
 	if isPlanned || (!isKnown && !g.config.Backend.IsGone()) {
 		return err
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.isDown() {
-		g.noteCrash(g.config.Now())
+	now := g.config.Now()
+	if isTorn && !g.crash.isDown {
+		g.noteCrash(now)
+	}
+	refused := g.noteDown(now)
+	g.mu.Unlock()
+	callAll(refused)
+	if !isTorn {
+		return err
 	}
 	return errors.Annotate(ErrCrashed, err.Error())
 }
 
-// isDown reports whether the backend server has crashed and isn't back. The gate's lock is
-// held.
-func (g *Gate) isDown() bool {
-	return g.crash.id != 0 && !g.crash.isBack
+// noteDown takes in that nothing listens at the backend server's address. Entries are told
+// at once, and what waits is refused, for other upstreams have time for it still. The
+// gate's lock is held; the refusals are answered without it.
+func (g *Gate) noteDown(now clock.Millis) []func() {
+	if g.crash.isDown {
+		return nil
+	}
+	g.crash.isDown = true
+	g.change()
+	time.AfterFunc(returnEvery.Duration(), g.awaitReturn)
+	return g.giveUp(now, g.slots.Dismiss(), wire.ReasonRefused)
+}
+
+// change asks for news of the gate to be told at once.
+func (g *Gate) change() {
+	if g.config.Changed != nil {
+		g.config.Changed()
+	}
 }
 
 // noteCrash tells of a crash and what ran under it. The gate's lock is held.
 func (g *Gate) noteCrash(now clock.Millis) {
-	g.crash = crash{id: rand.Uint64() | 1}
+	g.crash = crash{id: rand.Uint64() | 1} // 0 is none
 	end := quarantine.End{
 		ID: g.crash.id, Service: g.service.Name, Upstream: g.upstream.Name, Version: g.upstream.Version,
 		Upstreams: len(g.service.Upstreams), At: now,
@@ -113,7 +135,6 @@
 	if g.config.Crashes != nil && len(end.Suspects) > 0 {
 		g.config.Crashes.Ended(end)
 	}
-	time.AfterFunc(returnEvery.Duration(), g.awaitReturn)
 }
 
 // awaitReturn looks whether the backend server is back.
@@ -122,13 +143,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case !g.isDown() || g.leaving:
+	case !g.crash.isDown || g.leaving:
 	case isGone:
 		time.AfterFunc(returnEvery.Duration(), g.awaitReturn)
 	default:
-		g.crash.isBack = true
+		g.crash.isDown = false
 		g.finished = nil
 		g.absolve(g.config.Now())
+		g.change()
 	}
 }
 
@@ -152,7 +174,7 @@
 // absolve forgets what the crash said against an upstream that is back: the request was to
 // blame. The gate's lock is held.
 func (g *Gate) absolve(now clock.Millis) {
-	if !g.crash.isBack || !g.crash.isExplained {
+	if g.crash.isDown || !g.crash.isExplained {
 		return
 	}
 	g.judge = judgeOf(g.service.Caution, g.config.Seed)
@@ -160,9 +182,7 @@
 		g.state = health.InUse
 		g.note(account.Event{At: now, Kind: account.Back, Reason: string(wire.ReasonQuarantined)})
 	}
-	if g.config.Changed != nil {
-		g.config.Changed()
-	}
+	g.change()
 }
 
 const (
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -12,6 +12,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/lines"
+	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -120,3 +121,124 @@
 	subject := d.Subject()
 	return subject.Fingerprint().String()
 }
+
+// said is what a node knows of all requests.
+type said struct {
+	mu       sync.Mutex
+	standing quarantine.Standing
+	// asked, if not nil, gets one for each question.
+	asked chan struct{}
+}
+
+func (s *said) Standing(*wire.Dispatch) quarantine.Standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asked != nil {
+		s.asked <- struct{}{}
+	}
+	return s.standing
+}
+
+func (*said) Ended(quarantine.End) {}
+
+func (*said) Finished(*wire.Dispatch) {}
+
+func (s *said) say(standing quarantine.Standing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.standing = standing
+}
+
+// Guards against suspected requests running beside each other: an end would then speak
+// against all of them.
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	s := &said{standing: quarantine.Standing{Verdict: quarantine.Suspected}, asked: make(chan struct{}, 16)}
+	g, h := gateOf(t, gate.Config{
+		Service: table.Service{Name: "conferme", Caution: table.Brief}, Upstream: table.Upstream{Name: "c1", Weight: 100, Slots: 4}, Crashes: s,
+	})
+	replies := make(chan *wire.Reply, 4)
+	for i, name := range []string{"first", "second", "third"} {
+		g.Handle(dispatch(uint64(i), name), func(r *wire.Reply) { replies <- r })
+	}
+	first := <-h.begun
+	for range 3 {
+		<-s.asked
+	}
+	s.say(quarantine.Standing{IsCleared: true}) // by the first one's end
+	g.Handle(dispatch(1000, "harmless"), func(r *wire.Reply) { replies <- r })
+	if got := <-h.begun; got != "harmless" {
+		t.Errorf("got %s begun beside the suspect %s, want only the harmless one", got, first)
+	}
+	h.end <- struct{}{}
+	h.end <- struct{}{}
+	<-h.begun
+	<-h.begun
+	close(h.end)
+	for range 4 {
+		if got := <-replies; got.Outcome != wire.Answered {
+			t.Errorf("got outcome %v %q, want all answered", got.Outcome, got.Reason)
+		}
+	}
+}
+
+// Guards against a request that is held back reaching the backend server through an entry
+// that hasn't heard of it.
+func TestAQuarantinedRequestIsNotRun(t *testing.T) {
+	s := &said{standing: quarantine.Standing{Verdict: quarantine.Quarantined, Versions: []string{"v1"}}}
+	for _, tt := range []struct {
+		name    string
+		entry   quarantine.Verdict
+		version string
+		wantRun bool
+	}{
+		{"unknown to the entry", quarantine.Free, "v1", false},
+		{"known to the entry", quarantine.Quarantined, "v1", false},
+		{"another version, unknown to the entry", quarantine.Free, "v2", false},
+		{"another version, on trial", quarantine.Suspected, "v2", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g, h := gateOf(t, gate.Config{
+				Service:  table.Service{Name: "conferme", Caution: table.Brief},
+				Upstream: table.Upstream{Name: "c1", Weight: 100, Slots: 1, Version: tt.version}, Crashes: s,
+			})
+			close(h.end)
+			d := dispatch(1, "deadly")
+			d.Verdict = uint8(tt.entry)
+			replies := make(chan *wire.Reply, 1)
+			g.Handle(d, func(r *wire.Reply) { replies <- r })
+			got := <-replies
+			if isRun := got.Outcome == wire.Answered; isRun != tt.wantRun || (!isRun && got.Reason != wire.ReasonQuarantined) {
+				t.Errorf("got outcome %v %q, want run %t", got.Outcome, got.Reason, tt.wantRun)
+			}
+		})
+	}
+}
+
+// Guards against requests waiting for a backend server whose process has ended, to be
+// refused by its address when their turn comes and no time is left for another.
+func TestWaitersAreRefusedWhenTheProcessEnds(t *testing.T) {
+	b := &broken{held: held{begun: make(chan string, 8), end: make(chan struct{})}, isGone: true}
+	now := clock.NewSystem().Now
+	told := make(chan struct{}, 8)
+	g := gate.New(gate.Config{
+		Service: table.Service{Name: "conferme", Caution: table.Brief, Queue: 4}, Upstream: table.Upstream{Name: "c1", Weight: 100, Slots: 1},
+		Incarnation: incarnation, Now: now, Backend: b, Pool: newPool(t), Journal: nobody{}, Keys: gate.NewKeys(now), Log: lines.Silent(),
+		Changed: func() { told <- struct{}{} },
+	})
+	g.Handle(dispatch(1, "first"), func(*wire.Reply) {})
+	<-b.begun
+	replies := make(chan *wire.Reply, 2)
+	g.Handle(dispatch(2, "waits"), func(r *wire.Reply) { replies <- r })
+	close(b.end)
+	if got := <-replies; got.Outcome != wire.NotRun || got.Reason != wire.ReasonRefused {
+		t.Errorf("got outcome %v %q for the one that waits, want it refused", got.Outcome, got.Reason)
+	}
+	<-told
+	if got := g.Status(); !got.Down {
+		t.Errorf("got %+v, want it down", got)
+	}
+	g.Handle(dispatch(3, "later"), func(r *wire.Reply) { replies <- r })
+	if got := <-replies; got.Reason != wire.ReasonRefused {
+		t.Errorf("got reason %q for a later one, want %q", got.Reason, wire.ReasonRefused)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -248,7 +248,7 @@
 // that was asked for; what can have changed since ends it. It unlocks the gate.
 func (g *Gate) runHeld(now clock.Millis, key lease.Key, verdict lease.Verdict, d *wire.Dispatch, answer func(*wire.Reply)) {
 	until := min(now+d.Budget, d.Lease)
-	if verdict == lease.Fresh && !g.left() && now < until {
+	if verdict == lease.Fresh && !g.left() && !g.crash.isDown && now < until {
 		g.tickets++
 		j := &job{dispatch: d, answer: answer, key: key, ticket: g.tickets, until: until}
 		g.jobs[j.ticket] = j
@@ -258,8 +258,11 @@
 	}
 	calls := g.release(now)
 	reason := wire.ReasonLeaving
-	if verdict != lease.Fresh {
+	switch {
+	case verdict != lease.Fresh:
 		reason = wire.ReasonStale
+	case g.crash.isDown:
+		reason = wire.ReasonRefused
 	}
 	g.refuse(now, key, d, answer, reason, 0)
 	callAll(calls)
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -25,6 +25,8 @@
 		return wire.ReasonVoided, 0
 	case g.leaving, g.left() && now-g.leftAt >= g.service.Drain:
 		return wire.ReasonLeaving, 0
+	case g.crash.isDown:
+		return wire.ReasonRefused, returnEvery
 	case a.isRetry && !g.grants(now):
 		return wire.ReasonBudget, g.quota.RetryAfter(now)
 	case a.isForced || g.judge.Admit(now, a.isRepeatable):
--- a/gate/status.go
+++ b/gate/status.go
@@ -48,6 +48,7 @@
 		Waiting:  load.Waiting,
 		Until:    max(s.Until-now, 0),
 		Leaving:  g.left(),
+		Down:     g.crash.isDown,
 		Own:      wire.BaselineOf(own),
 	}
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -59,7 +59,9 @@
 	// Until is how much longer the state holds at least.
 	Until   clock.Millis
 	Leaving bool
-	Own     Baseline
+	// Down says that nothing listens at the backend server's address.
+	Down bool
+	Own  Baseline
 }
 
 // Challenge is the first frame on a link, from the node that accepted it.
