fix(quarantine,entry): a verdict stands while other servers end; trials wait for no link

Found by tests of the register's bounds, written after the fix: 5000 ends by themselves lifted a quarantine, for the rate of ends around each of its own counted those that came later, and the chance of other causes rose with it. It counts those before alone now.

A trial, or the question to a gate about a request that is held back, waited for the link to a node that is out of reach until the request's deadline; it is bounded like other tries.

--- a/cmd/soakplan_test.go
+++ b/cmd/soakplan_test.go
@@ -12,6 +12,7 @@
 // drawn can be read, cut down by hand and kept under testdata.
 type plan struct {
 	random  *rand.Rand
+	crashes *rand.Rand // which faults are crashes in place of what random drew
 	nodes   int
 	caution string
 	// version is that of the table published last.
@@ -44,7 +45,7 @@
 	r := rand.New(rand.NewPCG(seed, 1))
 	cautions := []string{"fast", "balanced", "cautious", "brief"}
 	return &plan{
-		random: r, nodes: leastNodes + r.IntN(mostNodes-leastNodes+1),
+		random: r, crashes: rand.New(rand.NewPCG(seed, 2)), nodes: leastNodes + r.IntN(mostNodes-leastNodes+1),
 		caution: cautions[r.IntN(len(cautions))], without: without,
 	}
 }
@@ -122,6 +123,9 @@
 		switch {
 		case begins:
 			t := p.draw()
+			if p.crashes.IntN(4) == 0 {
+				t = p.drawCrashes()
+			}
 			isLeftOut := slices.Contains(p.without, number)
 			isTaken := slices.ContainsFunc(open, func(o trouble) bool { return o.subject == t.subject })
 			if !isLeftOut && !isTaken {
@@ -171,6 +175,17 @@
 	}
 }
 
+// drawCrashes returns a backend server that crashes under each request.
+func (p *plan) drawCrashes() trouble {
+	n := 1 + p.crashes.IntN(p.nodes)
+	down := 50 + p.crashes.IntN(950)
+	return trouble{
+		fmt.Sprintf("backendn%d", n),
+		[]string{fmt.Sprintf("fault $B%d crashes path=/conferme down=%dms", n, down)},
+		[]string{fmt.Sprintf("await 200 http://$B%d/healthz", n), fmt.Sprintf("fault $B%d healthy", n)},
+	}
+}
+
 // check holds what was seen against the promises.
 func (p *plan) check() {
 	p.say("\n# All faults are over: the fleet serves again, the last table is in force, and")
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -205,7 +205,7 @@
 		return attempt{}, 0, false
 	}
 	a = s.send(now, found)
-	a.verdict = look.verdict
+	a.verdict, a.bounded = look.verdict, true
 	return a, untried - 1, true
 }
 
--- /dev/null
+++ b/fleet/crash_bench_test.go
@@ -0,0 +1,112 @@
+package fleet_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// BenchmarkCrashes sends one request to one node after the other, every 0.3 s, beside 350
+// harmless ones a second, half of them the same: one that crashes its backend servers for
+// 2 s, and a harmless one beside backend servers that end by themselves twice a second. By
+// hand: -bench Crashes -benchtime 84x.
+func BenchmarkCrashes(b *testing.B) {
+	const upstreams = 12
+	for _, deadlyPath := range []string{deadly, ""} {
+		b.Run(fmt.Sprintf("deadly=%t", deadlyPath != ""), func(b *testing.B) {
+			c := deployment(upstreams)
+			s := &c.Services[0]
+			s.Caution, s.Floor, s.Extra, s.Window = table.Brief, 0.7, 62, 10*clock.Second
+			c.Routes[0].Attempts, c.Routes[0].Repeatable = 3, []string{"GET"}
+			f, err := fleet.Start(b.Context(), fleet.Config{Table: c, Service: 5})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			for _, backend := range f.Backends {
+				backend.SetFault(standin.Fault{Kind: standin.Crashes, Path: deadly, Down: 2 * clock.Second})
+			}
+			h := startHarmless(callers(f))
+			b.ResetTimer()
+			for i := range b.N {
+				if deadlyPath != "" {
+					_, _ = outcomeOf(&fasthttp.Client{}, f.Members[i%upstreams].Caller, deadlyPath)
+				}
+				for j := range 2 {
+					if deadlyPath == "" && (i*2+j)%10 < 3 { // 0.6 in 0.3 s
+						go f.Backends[fmt.Sprintf("conferme-%d", (i*2+j)%upstreams+1)].CrashFor(2 * clock.Second)
+					}
+				}
+				<-time.After(300 * time.Millisecond)
+			}
+			h.end()
+			b.ReportMetric(float64(crashes(f)), "crashes")
+			b.ReportMetric(float64(h.served.Load())/float64(max(h.sent.Load(), 1)), "served")
+			b.ReportMetric(float64(h.held.Load()), "held")
+		})
+	}
+}
+
+// harmless is a load of requests that crash nothing.
+type harmless struct {
+	stop               chan struct{}
+	group              sync.WaitGroup
+	sent, served, held atomic.Int64
+}
+
+func startHarmless(nodes []string) *harmless {
+	h := &harmless{stop: make(chan struct{})}
+	for caller := range 35 {
+		h.group.Go(func() {
+			client := &fasthttp.Client{}
+			ticker := time.NewTicker(100 * time.Millisecond)
+			defer ticker.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-h.stop:
+					return
+				case <-ticker.C:
+				}
+				path := "/conferme/popular"
+				if i%2 == 0 {
+					path = fmt.Sprintf("/conferme/%d-%d", caller, i)
+				}
+				outcome, reason := outcomeOf(client, nodes[(caller+i)%len(nodes)], path)
+				h.sent.Add(1)
+				if outcome == "served" {
+					h.served.Add(1)
+				}
+				if reason == "quarantined" {
+					h.held.Add(1)
+				}
+			}
+		})
+	}
+	return h
+}
+
+func (h *harmless) end() {
+	close(h.stop)
+	h.group.Wait()
+}
+
+func outcomeOf(client *fasthttp.Client, address, path string) (outcome, reason string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	if err := client.DoTimeout(request, response, patience); err != nil {
+		return err.Error(), ""
+	}
+	return string(response.Header.Peek(entry.HeaderOutcome)), string(response.Header.Peek(entry.HeaderReason))
+}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// mostEnds bounds the ends that are remembered.
-	mostEnds = 512
+	// mostEnds bounds the ends that are remembered. Where there are more, all but
+	// keptEnds are forgotten, so that this is seldom worked out.
+	mostEnds, keptEnds = 512, 384
 	// keepOver is how long an End is remembered of which nothing is suspected any more:
 	// a node that was away must not bring it back as one that is.
 	keepOver = 10 * clock.Minute
@@ -228,28 +229,31 @@
 	if len(r.ends) <= mostEnds {
 		return
 	}
-	seen := map[Fingerprint]int{}
-	for _, e := range r.ends {
-		for i := range e.Suspects {
-			if !e.isCleared(i) {
-				seen[e.Suspects[i].Fingerprint]++
-			}
-		}
+	all := r.inOrder()
+	weights := r.weights()
+	slices.SortStableFunc(all, func(a, b *End) int { return cmp.Compare(weights[a.ID], weights[b.ID]) })
+	for _, e := range all[:len(all)-keptEnds] {
+		delete(r.ends, e.ID)
 	}
-	weight := func(e *End) int {
-		most := 0
-		for i := range e.Suspects {
-			if !e.isCleared(i) {
-				most = max(most, min(seen[e.Suspects[i].Fingerprint], ConvictAfter))
+}
+
+// weights say of each end under how many the most telling of its suspects ran, up to what
+// convicts one.
+func (r *Register) weights() map[uint64]int {
+	seen := map[Fingerprint]int{}
+	each := func(act func(e *End, f Fingerprint)) {
+		for _, e := range r.ends {
+			for i := range e.Suspects {
+				if !e.isCleared(i) {
+					act(&e.End, e.Suspects[i].Fingerprint)
+				}
 			}
 		}
-		return most
-	}
-	all := r.inOrder()
-	slices.SortStableFunc(all, func(a, b *End) int { return cmp.Compare(weight(a), weight(b)) })
-	for _, e := range all[:len(all)-mostEnds] {
-		delete(r.ends, e.ID)
 	}
+	each(func(_ *End, f Fingerprint) { seen[f]++ })
+	weights := make(map[uint64]int, len(r.ends))
+	each(func(e *End, f Fingerprint) { weights[e.ID] = max(weights[e.ID], min(seen[f], ConvictAfter)) })
+	return weights
 }
 
 func isOld(now clock.Millis, e *End) bool {
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -18,9 +18,9 @@
 	// mostEnded is after how many ends, mostTrials of them under trials, it is convicted
 	// however likely chance is.
 	mostEnded, mostTrials = 6, 3
-	// rateSpan is the time around an end in which others of its service say how often
+	// rateSpan is the time before an end in which others of its service say how often
 	// its processes end by themselves.
-	rateSpan = 10 * clock.Second
+	rateSpan = 20 * clock.Second
 	// leastExposure is added to the time of a run: ends and runs aren't seen to the
 	// millisecond.
 	leastExposure = 10 * clock.Millis(1)
@@ -110,8 +110,10 @@
 func (r *Register) review() {
 	r.cases = map[Fingerprint]*Case{}
 	explained := map[uint64]struct{}{}
+	ends := r.inOrder()
+	each := rates(ends)
 	for {
-		open := r.openCases(explained)
+		open := r.openCases(ends, each, explained)
 		guilty := worst(open)
 		if guilty == nil {
 			maps.Copy(r.cases, open)
@@ -126,9 +128,9 @@
 }
 
 // openCases gathers the cases of all ends that nothing explains.
-func (r *Register) openCases(explained map[uint64]struct{}) map[Fingerprint]*Case {
+func (r *Register) openCases(ends []*End, each []float64, explained map[uint64]struct{}) map[Fingerprint]*Case {
 	open := map[Fingerprint]*Case{}
-	for _, e := range r.inOrder() {
+	for number, e := range ends {
 		if _, ok := explained[e.ID]; ok {
 			continue
 		}
@@ -143,7 +145,7 @@
 				c = &Case{Fingerprint: s.Fingerprint, Verdict: Suspected, Service: e.Service, Chance: 1}
 				open[s.Fingerprint] = c
 			}
-			c.add(e, s, r.rate(e))
+			c.add(e, s, each[number])
 		}
 	}
 	return open
@@ -194,13 +196,18 @@
 	)
 }
 
-// rate is how many ends an upstream of the service had in a millisecond, around an end.
-func (r *Register) rate(e *End) float64 {
-	count := 0
-	for _, other := range r.ends {
-		if other.Service == e.Service && max(other.At, e.At)-min(other.At, e.At) <= rateSpan {
-			count++
+// rates returns how many ends an upstream of the service had in a millisecond before each
+// of the ends, which are in order. Later ones say nothing of it: a verdict that stands must
+// not fall since other servers end.
+func rates(ends []*End) []float64 {
+	all := make([]float64, len(ends))
+	before := map[string][]clock.Millis{} // of each service, within the span
+	for i, e := range ends {
+		before[e.Service] = append(before[e.Service], e.At)
+		for e.At-before[e.Service][0] > rateSpan {
+			before[e.Service] = before[e.Service][1:]
 		}
+		all[i] = float64(len(before[e.Service])) / float64(max(e.Upstreams, 1)) / float64(rateSpan)
 	}
-	return float64(count) / float64(max(e.Upstreams, 1)) / float64(2*rateSpan)
+	return all
 }
