fix(gate,quarantine): a failure clears nobody, and a suspect's trials are counted

Only an answer below 500 clears now. And sends that show nothing reach a server, too: after the third end a request gets three trials in the whole fleet, counted like ends and told like them, and is convicted then however likely chance is.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -23,7 +23,7 @@
 	Watches(hint uint64) bool
 	// Standing says how a request may be sent.
 	Standing(f quarantine.Fingerprint) quarantine.Standing
-	// Cleared takes in that a request came to its end.
+	// Cleared takes in that a request succeeded.
 	Cleared(f quarantine.Fingerprint)
 }
 
@@ -128,11 +128,11 @@
 	}
 }
 
-// tryOne sends the request to an upstream and takes in that it came to its end there.
+// tryOne sends the request to an upstream and takes in that it succeeded there.
 func (r *request) tryOne(now clock.Millis, a attempt, untried int) (final, bool) {
 	result := r.try(now, a, untried)
 	r.note(&a, &result, now)
-	if result.reply != nil && result.reply.Outcome == wire.Answered {
+	if result.served {
 		r.entry.config.Crashes.Cleared(r.fingerprint)
 	}
 	return r.judge(result, untried)
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -26,8 +27,10 @@
 	Standing(d *wire.Dispatch) quarantine.Standing
 	// Ended takes in the end of a backend server's process under its runs.
 	Ended(e quarantine.End)
-	// Finished takes in that a dispatch's run came to its end.
-	Finished(d *wire.Dispatch)
+	// Succeeded takes in that a dispatch's run came to its end and didn't fail.
+	Succeeded(d *wire.Dispatch)
+	// Missed takes in that a trial neither ended the process nor succeeded.
+	Missed(e quarantine.End)
 }
 
 const (
@@ -108,11 +111,8 @@
 
 // noteCrash tells of a crash and what ran under it. The gate's lock is held.
 func (g *Gate) noteCrash(now clock.Millis) {
-	g.crash = crash{id: rand.Uint64() | 1} // 0 is none
-	end := quarantine.End{
-		ID: g.crash.id, Service: g.service.Name, Upstream: g.upstream.Name, Version: g.upstream.Version,
-		Upstreams: len(g.service.Upstreams), At: now,
-	}
+	end := g.endOf(now)
+	g.crash = crash{id: end.ID}
 	runs := 0
 	for _, j := range g.jobs {
 		if !j.running || j.life != g.life {
@@ -120,11 +120,7 @@
 		}
 		runs++
 		if !g.hasFinished(j.dispatch) {
-			subject := j.dispatch.Subject()
-			end.Suspects = append(end.Suspects, quarantine.Suspect{
-				Fingerprint: subject.Fingerprint(), Hint: subject.Hint(), Request: wire.NameOf(j.dispatch.Label, j.dispatch.ID),
-				Ran: now - j.began, IsTrial: j.isTrial,
-			})
+			end.Suspects = append(end.Suspects, suspectOf(now, j))
 		}
 	}
 	// Of too many those are told that ran shortest: a run that lasts has not crashed it.
@@ -137,6 +133,23 @@
 	}
 }
 
+// endOf is an End of this upstream without suspects.
+func (g *Gate) endOf(now clock.Millis) quarantine.End {
+	return quarantine.End{
+		ID:      rand.Uint64() | 1, // 0 stands for none
+		Service: g.service.Name, Upstream: g.upstream.Name, Version: g.upstream.Version,
+		Upstreams: len(g.service.Upstreams), At: now,
+	}
+}
+
+func suspectOf(now clock.Millis, j *job) quarantine.Suspect {
+	subject := j.dispatch.Subject()
+	return quarantine.Suspect{
+		Fingerprint: subject.Fingerprint(), Hint: subject.Hint(), Request: wire.NameOf(j.dispatch.Label, j.dispatch.ID),
+		Ran: now - j.began, IsTrial: j.isTrial,
+	}
+}
+
 // awaitReturn looks whether the backend server is back.
 func (g *Gate) awaitReturn() {
 	isGone := g.config.Backend.IsGone()
@@ -186,8 +199,8 @@
 }
 
 const (
-	// mostFinished is how many requests that came to their end here are remembered: one
-	// that did didn't crash the process a moment later.
+	// mostFinished is how many requests that succeeded here are remembered: one that did
+	// doesn't crash the process a moment later.
 	mostFinished = 256
 	// mostHashed bounds, in bytes, the bodies that are looked at for that.
 	mostHashed = 64 << 10
@@ -208,16 +221,25 @@
 	return max(hash, 1)
 }
 
-// noteFinished takes in that a run came to its end. The gate's lock is held.
-func (g *Gate) noteFinished(j *job) {
-	if hash := hashOf(j.dispatch); hash != 0 && j.life == g.life {
+// noteFinished takes in how a run ended that didn't end the process. One that was answered
+// with a failure may not have come to what crashes it, as in an episode in which a backend
+// server fails all it gets at once. The gate's lock is held.
+func (g *Gate) noteFinished(now clock.Millis, j *job, a Answer, err error) {
+	isSuccess := err == nil && !a.Shed && a.Status < fasthttp.StatusInternalServerError
+	if hash := hashOf(j.dispatch); isSuccess && hash != 0 && j.life == g.life {
 		if g.finished == nil {
 			g.finished = make([]uint64, mostFinished)
 		}
 		g.finished[hash%mostFinished] = hash
 	}
-	if g.config.Crashes != nil {
-		g.config.Crashes.Finished(j.dispatch)
+	switch {
+	case g.config.Crashes == nil:
+	case isSuccess:
+		g.config.Crashes.Succeeded(j.dispatch)
+	case j.isTrial && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrCrashed):
+		miss := g.endOf(now)
+		miss.Suspects = append(miss.Suspects, suspectOf(now, j))
+		g.config.Crashes.Missed(miss)
 	}
 }
 
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -128,6 +128,8 @@
 	standing quarantine.Standing
 	// asked, if not nil, gets one for each question.
 	asked chan struct{}
+	// succeeded and missed count what the gate told.
+	succeeded, missed int
 }
 
 func (s *said) Standing(*wire.Dispatch) quarantine.Standing {
@@ -141,7 +143,17 @@
 
 func (*said) Ended(quarantine.End) {}
 
-func (*said) Finished(*wire.Dispatch) {}
+func (s *said) Succeeded(*wire.Dispatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.succeeded++
+}
+
+func (s *said) Missed(quarantine.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.missed++
+}
 
 func (s *said) say(standing quarantine.Standing) {
 	s.mu.Lock()
@@ -242,3 +254,48 @@
 		t.Errorf("got reason %q for a later one, want %q", got.Reason, wire.ReasonRefused)
 	}
 }
+
+// answers is a backend server that gives the same answer to all.
+type answers struct {
+	held
+	answer gate.Answer
+	err    error
+}
+
+func (a *answers) Do(context.Context, *gate.Call) (gate.Answer, error) {
+	return a.answer, a.err
+}
+
+// Guards against a deadly request being cleared by a backend server in an episode, which
+// fails all it gets at once, and against trials without end that show nothing.
+func TestAFailureClearsNobody(t *testing.T) {
+	for _, tt := range []struct {
+		name                      string
+		answer                    gate.Answer
+		err                       error
+		wantSucceeded, wantMissed int
+	}{
+		{"success", gate.Answer{Status: 200}, nil, 1, 0},
+		{"the caller's fault", gate.Answer{Status: 404}, nil, 1, 0},
+		{"failure", gate.Answer{Status: 500}, nil, 0, 1},
+		{"shed", gate.Answer{Status: 503, Shed: true}, nil, 0, 1},
+		{"no answer in time", gate.Answer{}, gate.ErrTimeout, 0, 1},
+		{"nothing sent", gate.Answer{}, gate.ErrRefused, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &said{standing: quarantine.Standing{Verdict: quarantine.Suspected}}
+			now := clock.NewSystem().Now
+			g := gate.New(gate.Config{
+				Service: table.Service{Name: "conferme", Caution: table.Brief}, Upstream: table.Upstream{Name: "c1", Weight: 100, Slots: 1},
+				Incarnation: incarnation, Now: now, Backend: &answers{answer: tt.answer, err: tt.err}, Pool: newPool(t), Journal: nobody{},
+				Keys: gate.NewKeys(now), Log: lines.Silent(), Crashes: s,
+			})
+			replies := make(chan *wire.Reply, 1)
+			g.Handle(dispatch(1, "suspect"), func(r *wire.Reply) { replies <- r })
+			<-replies
+			if s.succeeded != tt.wantSucceeded || s.missed != tt.wantMissed {
+				t.Errorf("got %d successes and %d misses told, want %d and %d", s.succeeded, s.missed, tt.wantSucceeded, tt.wantMissed)
+			}
+		})
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -129,7 +129,7 @@
 	// life counts the processes that the upstream has been.
 	life  int
 	crash crash
-	// finished holds marks of requests that came to their end in this process.
+	// finished holds marks of requests that succeeded in this process.
 	finished []uint64
 	// suspect is the ticket of the suspected request that runs, parked those that wait
 	// for its end, each with a slot.
--- a/gate/run.go
+++ b/gate/run.go
@@ -169,9 +169,7 @@
 	j.timer.Stop()
 	delete(g.jobs, j.ticket)
 	isCurrent := j.life == g.life
-	if err == nil && !a.Shed {
-		g.noteFinished(j)
-	}
+	g.noteFinished(now, j, a, err)
 	if !j.overdue && isCurrent {
 		result := resultOf(a, err, j.until-began < g.overdueAfter(j))
 		if result == health.Failed && err == nil && g.excused(began, now) {
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -79,8 +79,17 @@
 	}
 }
 
-// Finished takes in that a run beside this node came to its end.
-func (c *crashes) Finished(d *wire.Dispatch) {
+// Missed takes in a trial beside this node that showed nothing.
+func (c *crashes) Missed(e quarantine.End) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.register.Miss(c.now(), e) {
+		c.share(true)
+	}
+}
+
+// Succeeded takes in that a run beside this node came to its end and didn't fail.
+func (c *crashes) Succeeded(d *wire.Dispatch) {
 	if c.IsEmpty() {
 		return
 	}
@@ -91,7 +100,7 @@
 	c.Cleared(subject.Fingerprint())
 }
 
-// Cleared takes in that a request came to its end.
+// Cleared takes in that a request succeeded.
 func (c *crashes) Cleared(f quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -19,7 +19,10 @@
 	Suspects []Suspect
 	// Cleared has the bits of the suspects that came to their end elsewhere since.
 	Cleared uint64
-	// At is when the process ended, by the clock of the node that holds the End.
+	// IsMiss says that the process didn't end: a trial of the one suspect neither ended it
+	// nor succeeded, and showed nothing.
+	IsMiss bool
+	// At is when that was, by the clock of the node that holds the End.
 	At clock.Millis
 }
 
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -110,6 +110,21 @@
 	return isNews
 }
 
+// Miss takes in that a trial neither ended the process nor succeeded, and returns whether
+// that counts: only for a request that may be convicted.
+func (r *Register) Miss(now clock.Millis, miss End) bool {
+	if len(miss.Suspects) != 1 {
+		return false
+	}
+	c, ok := r.cases[miss.Suspects[0].Fingerprint]
+	if !ok || len(c.Ends) < ConvictAfter {
+		return false
+	}
+	miss.IsMiss = true
+	isNews, _ := r.Merge(now, []End{miss})
+	return isNews
+}
+
 // Lift frees requests for as long as they are named, by an operator's word.
 func (r *Register) Lift(all []Fingerprint) {
 	r.lifted = make(map[Fingerprint]struct{}, len(all))
--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -15,9 +15,9 @@
 	ConvictAfter = 3
 	// mostChance is the most that the chance of a request being there by accident may be.
 	mostChance = 1e-5
-	// mostEnded is after how many ends, mostTrials of them under trials, it is convicted
-	// however likely chance is.
-	mostEnded, mostTrials = 6, 3
+	// mostTrials is how many trials it gets after the end from which it may be convicted,
+	// whatever they show but success: it is convicted then however likely chance is.
+	mostTrials = 3
 	// rateSpan is the time before an end in which others of its service say how often
 	// its processes end by themselves.
 	rateSpan = 20 * clock.Second
@@ -98,6 +98,10 @@
 	Versions []string
 	// Trials is how many of the ends were under a trial.
 	Trials int
+	// trials are the instants of all trials, also of those that showed nothing.
+	trials []clock.Millis
+	// proof is when the end was from which it may be convicted.
+	proof clock.Millis
 	// Chance is how likely its trials met ends of other causes. Ends under other runs
 	// say nothing of that: several may have one cause at one instant.
 	Chance float64
@@ -116,6 +120,7 @@
 		open := r.openCases(ends, each, explained)
 		guilty := worst(open)
 		if guilty == nil {
+			maps.DeleteFunc(open, func(_ Fingerprint, c *Case) bool { return len(c.Ends) == 0 }) // trials alone
 			maps.Copy(r.cases, open)
 			return
 		}
@@ -152,8 +157,11 @@
 }
 
 func (c *Case) add(e *End, s *Suspect, rate float64) {
-	if len(c.Ends) > 0 && c.Ends[len(c.Ends)-1] == e.ID {
-		return // it ran there twice at once
+	if s.IsTrial {
+		c.trials = append(c.trials, e.At)
+	}
+	if e.IsMiss || (len(c.Ends) > 0 && c.Ends[len(c.Ends)-1] == e.ID) {
+		return // it showed nothing, or ran there twice at once
 	}
 	c.Ends = append(c.Ends, e.ID)
 	c.Servers = append(c.Servers, e.Upstream)
@@ -166,6 +174,9 @@
 		c.Chance *= min(1, rate*float64(s.Ran+leastExposure))
 	}
 	c.Last = max(c.Last, e.At)
+	if len(c.Ends) == ConvictAfter {
+		c.proof = e.At
+	}
 	doublings := max(len(c.Ends)-ConvictAfter, 0)
 	c.Until = c.Last + clock.Millis(min(float64(lastHold), math.Ldexp(float64(firstHold), doublings)))
 }
@@ -173,7 +184,18 @@
 // isConvicted reports whether the evidence will do.
 func (c *Case) isConvicted() bool {
 	return len(c.Ends) >= ConvictAfter &&
-		(c.Chance <= mostChance || (len(c.Ends) >= mostEnded && c.Trials >= mostTrials))
+		(c.Chance <= mostChance || c.spent() >= mostTrials)
+}
+
+// spent is how many trials there were since it may be convicted.
+func (c *Case) spent() int {
+	spent := 0
+	for _, at := range c.trials {
+		if at > c.proof {
+			spent++
+		}
+	}
+	return spent
 }
 
 // worst is the convicted case that explains most, nil without one.
@@ -203,6 +225,9 @@
 	all := make([]float64, len(ends))
 	before := map[string][]clock.Millis{} // of each service, within the span
 	for i, e := range ends {
+		if e.IsMiss {
+			continue
+		}
 		before[e.Service] = append(before[e.Service], e.At)
 		for e.At-before[e.Service][0] > rateSpan {
 			before[e.Service] = before[e.Service][1:]
--- a/quarantine/walk_test.go
+++ b/quarantine/walk_test.go
@@ -20,6 +20,7 @@
 	repairing = "repairing" // what is lost on the way isn't told again
 	acquittal = "acquittal" // runs that come to their end aren't taken in
 	convict   = "verdicts"  // entries heed no verdict
+	success   = "success"   // a failure that is answered counts as a run's end
 )
 
 // event is something that happens at an instant.
@@ -48,6 +49,7 @@
 	name    string
 	life    int
 	isDown  bool
+	isGray  bool // it answers most of its requests with a failure at once
 	runs    map[int]*run
 	suspect *run
 	parked  []func()
@@ -70,17 +72,18 @@
 // and get lost, servers that end under a deadly request and by themselves, and harmless
 // requests, one of them popular.
 type world struct {
-	random   *rand.Rand
-	without  string
-	now      clock.Millis
-	events   agenda
-	count    int
-	nodes    []*quarantine.Register
-	told     []uint64
-	cutUntil []clock.Millis
-	lastCut  []clock.Millis // when a node was restarted or cut off last, or that ended
-	servers  []*server
-	loss     float64
+	random    *rand.Rand
+	without   string
+	now       clock.Millis
+	events    agenda
+	count     int
+	nodes     []*quarantine.Register
+	told      []uint64
+	cutUntil  []clock.Millis
+	restarted []clock.Millis // when a node was restarted last
+	servers   []*server
+	loss      float64
+	pause     clock.Millis // the longest between two sends of the deadly request
 
 	deadly       quarantine.Request
 	popular      quarantine.Request
@@ -94,14 +97,14 @@
 
 func newWorld(seed uint64, nodes, servers int, without string) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 7)), without: without, loss: 0.2,
+		random: rand.New(rand.NewPCG(seed, 7)), without: without, loss: 0.2, pause: 500 * clock.Millis(1+seed%6),
 		deadly: quarantine.Request{Caller: "a", Method: "GET", URI: "/deadly"}, popular: quarantine.Request{Caller: "a", Method: "GET", URI: "/popular"},
 	}
 	for range nodes {
 		w.nodes = append(w.nodes, quarantine.New())
 		w.told = append(w.told, 0)
 		w.cutUntil = append(w.cutUntil, 0)
-		w.lastCut = append(w.lastCut, -stable)
+		w.restarted = append(w.restarted, -stable)
 	}
 	for i := range servers {
 		w.servers = append(w.servers, &server{name: fmt.Sprintf("s%d", i), runs: map[int]*run{}, finished: map[string]bool{}})
@@ -154,23 +157,33 @@
 
 // repair has each node compare with some others, as heartbeats do.
 func (w *world) repair() {
-	if w.without == telling || w.without == repairing {
+	for node := range w.nodes {
+		w.compare(node, 3)
+	}
+}
+
+// compare has a node hear what some others know, and tell them.
+func (w *world) compare(node, others int) {
+	if w.without == telling || w.without == repairing || w.cutUntil[node] > w.now {
 		return
 	}
-	for node := range w.nodes {
-		for range 3 {
-			other := w.random.IntN(len(w.nodes))
-			if w.cutUntil[node] > w.now || w.cutUntil[other] > w.now || w.nodes[node].Digest() == w.nodes[other].Digest() {
-				continue
-			}
-			mine, _ := w.nodes[node].Since(0)
-			_, behind := w.nodes[other].Merge(w.now, mine)
-			theirs, _ := w.nodes[other].Since(0)
-			w.nodes[node].Merge(w.now, append(theirs, behind...))
+	for range others {
+		other := w.random.IntN(len(w.nodes))
+		if w.cutUntil[other] > w.now || w.nodes[node].Digest() == w.nodes[other].Digest() {
+			continue
 		}
+		mine, _ := w.nodes[node].Since(0)
+		_, behind := w.nodes[other].Merge(w.now, mine)
+		theirs, _ := w.nodes[other].Since(0)
+		w.nodes[node].Merge(w.now, append(theirs, behind...))
 	}
 }
 
+// returns has a node that knows little compare over its first links.
+func (w *world) returns(node int) {
+	w.after(clock.Second, func() { w.compare(node, 2*len(w.nodes)) })
+}
+
 // send lets a request come to a node, and go on to servers up to three times.
 func (w *world) send(node int, request quarantine.Request, attempts int) {
 	fingerprint := request.Fingerprint()
@@ -234,7 +247,7 @@
 		return
 	}
 	isDeadly := request.URI == w.deadly.URI
-	if isDeadly && w.deadlyEnds >= 3 && w.now > w.thirdEnd+stable && w.now >= w.lastCut[node]+stable && w.now >= w.lastCut[w.gateOf(s)]+stable {
+	if isDeadly && w.deadlyEnds >= 3 && w.now > w.thirdEnd+stable && w.isInTouch(node) && w.isInTouch(w.gateOf(s)) {
 		w.later++
 	}
 	w.count++
@@ -251,9 +264,53 @@
 	if isTrial {
 		s.suspect = r
 	}
+	if s.isGray && w.random.IntN(10) > 0 {
+		w.after(2, func() { w.fail(s, r) })
+		return
+	}
 	w.after(20+clock.Millis(w.random.Int64N(200)), func() { w.end(s, r) })
 }
 
+// fail ends a run at once, before it did anything.
+func (w *world) fail(s *server, r *run) {
+	switch {
+	case s.life != r.life || s.isDown:
+	case w.without == success:
+		r.deadly = false
+		w.end(s, r)
+	default:
+		delete(s.runs, r.id)
+		if r.isTrial {
+			w.miss(s, r)
+		}
+		r.over(true)
+		w.endTrial(s, r)
+	}
+}
+
+// miss tells of a trial that showed nothing.
+func (w *world) miss(s *server, r *run) {
+	gate := w.gateOf(s)
+	e := w.endOf(s)
+	e.Suspects = []quarantine.Suspect{w.suspectOf(r)}
+	if w.nodes[gate].Miss(w.now, e) {
+		w.changed(gate)
+	}
+}
+
+func (w *world) endOf(s *server) quarantine.End {
+	return quarantine.End{ID: w.random.Uint64(), Service: "service", Upstream: s.name, Version: "v1", Upstreams: len(w.servers), At: w.now}
+}
+
+func (w *world) suspectOf(r *run) quarantine.Suspect {
+	return quarantine.Suspect{Fingerprint: r.request.Fingerprint(), Hint: r.request.Hint(), Ran: w.now - r.began, IsTrial: r.isTrial}
+}
+
+// isInTouch reports whether a node wasn't restarted or cut off for a while.
+func (w *world) isInTouch(node int) bool {
+	return w.now >= max(w.restarted[node], w.cutUntil[node])+stable
+}
+
 // gateOf is the node beside a server.
 func (w *world) gateOf(s *server) int {
 	for i, other := range w.servers {
@@ -305,13 +362,11 @@
 	if s.isDown {
 		return
 	}
-	end := quarantine.End{ID: w.random.Uint64(), Service: "service", Upstream: s.name, Version: "v1", Upstreams: len(w.servers), At: w.now}
+	end := w.endOf(s)
 	runs := slices.SortedFunc(maps.Values(s.runs), func(a, b *run) int { return a.id - b.id })
 	for _, r := range runs {
 		if len(end.Suspects) < quarantine.MostSuspects && !s.finished[r.request.URI] {
-			end.Suspects = append(end.Suspects, quarantine.Suspect{
-				Fingerprint: r.request.Fingerprint(), Hint: r.request.Hint(), Ran: w.now - r.began, IsTrial: r.isTrial,
-			})
+			end.Suspects = append(end.Suspects, w.suspectOf(r))
 		}
 	}
 	s.isDown, s.runs, s.finished = true, map[int]*run{}, map[string]bool{}
@@ -330,7 +385,7 @@
 func (w *world) day() {
 	anyNode := func() int { return w.random.IntN(len(w.nodes)) }
 	unique := 0
-	w.every(50, 500, func() { w.send(anyNode(), w.deadly, 3) })
+	w.every(50, w.pause, func() { w.send(anyNode(), w.deadly, 3) })
 	w.every(5, 40, func() { w.send(anyNode(), w.popular, 3) })
 	w.every(5, 30, func() {
 		unique++
@@ -342,14 +397,20 @@
 			w.crash(w.servers[w.random.IntN(len(w.servers))])
 		}
 	})
+	w.every(300, 1500, func() { // a brief episode, or several
+		s := w.servers[w.random.IntN(len(w.servers))]
+		s.isGray = !s.isGray
+	})
 	w.every(2000, 2000, w.repair)
 	w.every(2000, 8000, func() { // a node starts again and knows nothing
 		node := anyNode()
-		w.nodes[node], w.told[node], w.lastCut[node] = quarantine.New(), 0, w.now
+		w.nodes[node], w.told[node], w.restarted[node] = quarantine.New(), 0, w.now
+		w.returns(node)
 	})
 	w.every(2000, 8000, func() { // a node is cut off
 		node, span := anyNode(), clock.Millis(w.random.Int64N(6000))
-		w.cutUntil[node], w.lastCut[node] = w.now+span, w.now+span
+		w.cutUntil[node] = max(w.cutUntil[node], w.now+span)
+		w.after(span, func() { w.returns(node) })
 	})
 	w.play(30 * clock.Second)
 }
@@ -381,7 +442,7 @@
 
 // Guards against a walk that would pass without the mechanisms that it is to prove.
 func TestTheWalkFindsWhatIsLacking(t *testing.T) {
-	for _, lacking := range []string{telling, repairing, acquittal, convict} {
+	for _, lacking := range []string{telling, repairing, acquittal, convict, success} {
 		t.Run(lacking, func(t *testing.T) {
 			for seed := range uint64(12) {
 				w := newWorld(seed, 24, 9, lacking)
--- a/wire/crash.go
+++ b/wire/crash.go
@@ -26,6 +26,8 @@
 	Suspects  []Suspect
 	// Cleared has the bits of the suspects that came to their end since.
 	Cleared uint64
+	// IsMiss says that it was a trial which showed nothing, and no end.
+	IsMiss bool
 	// Age is how long ago it was.
 	Age clock.Millis
 }
@@ -50,7 +52,7 @@
 		e := &ends[i]
 		c := Crash{
 			ID: e.ID, Service: e.Service, Upstream: e.Upstream, Version: e.Version, Upstreams: e.Upstreams,
-			Suspects: make([]Suspect, 0, len(e.Suspects)), Cleared: e.Cleared, Age: now - e.At,
+			Suspects: make([]Suspect, 0, len(e.Suspects)), Cleared: e.Cleared, IsMiss: e.IsMiss, Age: now - e.At,
 		}
 		for j := range e.Suspects {
 			s := &e.Suspects[j]
@@ -70,7 +72,7 @@
 		c := &m.Ends[i]
 		e := quarantine.End{
 			ID: c.ID, Service: c.Service, Upstream: c.Upstream, Version: c.Version, Upstreams: c.Upstreams,
-			Cleared: c.Cleared, At: now - max(c.Age, 0),
+			Cleared: c.Cleared, IsMiss: c.IsMiss, At: now - max(c.Age, 0),
 		}
 		for j := range c.Suspects {
 			s := &c.Suspects[j]
