fix(quarantine): two trials after the third end, not three

Sends of one request through two entries at one instant may both be tried where the upstream at which they meet is full; with three trials counted the bound of three would be passed by one.

--- a/quarantine/standing.go
+++ b/quarantine/standing.go
@@ -16,8 +16,9 @@
 	// mostChance is the most that the chance of a request being there by accident may be.
 	mostChance = 1e-5
 	// mostTrials is how many trials it gets after the end from which it may be convicted,
-	// whatever they show but success: it is convicted then however likely chance is.
-	mostTrials = 3
+	// whatever they show but success: it is convicted then however likely chance is. It
+	// leaves room for one more that two entries send at one instant.
+	mostTrials = 2
 	// rateSpan is the time before an end in which others of its service say how often
 	// its processes end by themselves.
 	rateSpan = 20 * clock.Second
