--- a/gate/run.go
+++ b/gate/run.go
@@ -63,20 +63,20 @@
 // settled as not run while it waited stops here, as does a retry for which the budget
 // has no room any more or one whose request is quarantined; the reason says so. A
 // suspected one may have to wait for another's end.
-func (g *Gate) begin(j *job) (now clock.Millis, reason wire.Reason, isParked bool) {
+func (g *Gate) begin(j *job) (clock.Millis, wire.Reason, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now = g.config.Now()
-	if now < j.until {
-		reason, isParked = g.trial(j)
+	now := g.config.Now()
+	if now >= j.until {
+		return now, wire.ReasonVoided, false
 	}
-	switch {
+	switch reason, isParked := g.trial(j); {
 	case isParked:
 		return now, "", true
 	case reason != "":
 		g.fence.Refuse(j.key)
 		return now, reason, false
-	case now >= j.until || !g.beginKey(now, j):
+	case !g.beginKey(now, j):
 		return now, wire.ReasonVoided, false
 	}
 	if reason := g.beginRun(now, j); reason != "" {
