--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Guards against a deadly request being cleared by backend servers that fail all they get
+// at once, and being sent on and on to these.
+func TestADeadlyRequestIsStoppedAmongFailingServers(t *testing.T) {
+	f := crashing(t, 6, table.Brief)
+	for _, name := range []string{"conferme-1", "conferme-2", "conferme-3", "conferme-5"} {
+		f.Backends[name].SetFault(standin.Fault{Kind: standin.Crashes, Path: deadly, Episode: 0.9})
+	}
+	third := -1
+	for i := range 60 {
+		send(t, "GET", f.Members[i%6].Caller, deadly, "")
+		allUp(t, f)
+		if third < 0 && crashes(f) >= 3 {
+			third = arrivals(f)
+		}
+	}
+	if got := arrivals(f) - third; third < 0 || got > 3 {
+		t.Errorf("got %d sends that reached servers after those under which the third ended (%d crashes), want 3 at most", got, crashes(f))
+	}
+}
+
 // Guards against harmless requests being refused, or failing for more than a moment, since
 // they ran beside a deadly one: a popular one, and others that are sent once.
 func TestHarmlessRequestsOutliveADeadlyOne(t *testing.T) {
