--- a/node/crashes.go
+++ b/node/crashes.go
@@ -1,33 +1,18 @@
 package node
 
 import (
-	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
-
-	"fuchsiapick.example/fuchsiapick/account"
 	"fuchsiapick.example/fuchsiapick/clock"
-	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-const (
-	// expireEvery is how often what is known of crashes is looked through.
-	expireEvery = 5 * time.Second
-	// askEvery is how often a peer that knows something else of crashes is asked.
-	askEvery = 2 * clock.Second
-)
-
 // crashes is what this node knows of requests that crash backend servers. It is safe for
-// concurrent use. Its lock is taken under those of gates and of the node, and none is taken
-// under it.
+// concurrent use. Its lock is taken under those of gates and of the node, and none of these is
+// taken under it.
 type crashes struct {
 	now func() clock.Millis
 	// tell tells entries of other nodes at once.
@@ -200,138 +185,3 @@
 	}
 	return b.crashes.Standing(subject.Fingerprint())
 }
-
-// followCrashes tells the readers of what has changed, and acts on it here.
-func (n *Node) followCrashes(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	held := map[quarantine.Fingerprint]struct{}{}
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.Trace(ctx.Err())
-		case <-ticker.C:
-			n.crashes.expire()
-		case <-n.crashes.changed:
-			if ends := n.crashes.takeUntold(); len(ends) > 0 {
-				n.tellReaders(wire.CrashesOf(n.clock.Now(), ends))
-			}
-		}
-		n.actOn(n.crashes.cases(), held)
-	}
-}
-
-// tellReaders tells the nodes that all others keep links to.
-func (n *Node) tellReaders(c *wire.Crashes) {
-	for _, p := range n.allReaders() {
-		p.link.Keep()
-		p.link.TellCrashes(c)
-	}
-}
-
-func (n *Node) allReaders() []*peer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var all []*peer
-	for _, address := range mirror.AllReaders(n.nodes()) {
-		if p, ok := n.peers[address]; ok {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
-// actOn says which requests are held back from now on, and which no longer, and tells the
-// gates of upstreams that are not to blame for their crashes.
-func (n *Node) actOn(cases []quarantine.Case, held map[quarantine.Fingerprint]struct{}) {
-	now := n.clock.Now()
-	current := map[quarantine.Fingerprint]struct{}{}
-	for i := range cases {
-		c := &cases[i]
-		if c.Verdict != quarantine.Quarantined || now >= c.Until {
-			continue
-		}
-		current[c.Fingerprint] = struct{}{}
-		if _, ok := held[c.Fingerprint]; ok {
-			continue
-		}
-		held[c.Fingerprint] = struct{}{}
-		n.log.WithFields(logrus.Fields{
-			"fingerprint": c.Fingerprint.String(), "service": c.Service, "upstreams": c.Servers, "requests": c.Requests,
-			"trials": c.Trials, "chance": wire.Short(c.Chance), "age": (now - c.Last).String(), "until": (c.Until - now).String(),
-		}).Warn("request quarantined; it crashes the backend servers that run it")
-		n.metrics.Note(account.Event{
-			At: now, Kind: account.Quarantined, Service: c.Service, Reason: c.Fingerprint.String(), Until: c.Until,
-		})
-	}
-	for _, g := range n.allGates() {
-		for i := range cases {
-			if cases[i].Verdict == quarantine.Quarantined && slices.Contains(cases[i].Servers, g.Name()) {
-				g.Explained(cases[i].Ends)
-			}
-		}
-	}
-	for f := range held {
-		if _, ok := current[f]; !ok {
-			delete(held, f)
-			n.log.WithField("fingerprint", f.String()).Info("request quarantined no longer")
-			n.metrics.Note(account.Event{At: now, Kind: account.Freed, Reason: f.String()})
-		}
-	}
-}
-
-// Crashes takes in what a node with a link to this one tells.
-func (n *Node) Crashes(c *wire.Crashes) (*wire.Crashes, bool) {
-	_, isReader := n.size()
-	behind := n.crashes.merge(c, isReader)
-	if c.Asks {
-		behind = append(n.crashes.all(), behind...)
-	}
-	return wire.CrashesOf(n.clock.Now(), behind), len(behind) > 0
-}
-
-// PeerCrashes takes in what a node that this one dialled tells.
-func (n *Node) PeerCrashes(c *wire.Crashes) {
-	_, isReader := n.size()
-	n.crashes.merge(c, isReader)
-}
-
-// compareCrashes asks a peer that knows something else of crashes.
-func (n *Node) compareCrashes(node string, b *wire.Beat) {
-	if b.Crashes == n.crashes.digest.Load() {
-		return
-	}
-	now := n.clock.Now()
-	n.mu.Lock()
-	p, ok := n.peers[node]
-	isDue := ok && (p.asked == 0 || now-p.asked >= askEvery)
-	if isDue {
-		p.asked = now
-	}
-	n.mu.Unlock()
-	if !isDue {
-		return
-	}
-	ask := wire.CrashesOf(now, n.crashes.all())
-	ask.Asks = true
-	p.link.TellCrashes(ask)
-}
-
-// Quarantine lists the requests under which backend servers crash.
-func (n *Node) Quarantine() []account.Suspect {
-	now := n.clock.Now()
-	cases := n.crashes.cases()
-	all := make([]account.Suspect, 0, len(cases))
-	for i := range cases {
-		c := &cases[i]
-		s := account.Suspect{
-			Fingerprint: c.Fingerprint.String(), Verdict: account.SuspectTried, Service: c.Service,
-			Upstreams: c.Servers, Requests: c.Requests, Trials: c.Trials, Chance: c.Chance, Age: now - c.Last,
-		}
-		if c.Verdict == quarantine.Quarantined && now < c.Until {
-			s.Verdict, s.Left = account.SuspectHeld, c.Until-now
-		}
-		all = append(all, s)
-	}
-	return all
-}
