fix(wire,gate): what is told of crashes fits into frames

Found while reading the change: all 512 ends with 64 runs each would go in one frame of more than a node reads, and end the link that carries it, again after each heartbeat; the id that a caller gave its request, up to 32 KB, was told whole. Frames hold 64 ends now, and 64 bytes of an id (TestCrashesFitIntoFrames).

--- a/capacity/ends.go
+++ b/capacity/ends.go
@@ -87,7 +87,7 @@
 func (*end) Edition(string, *wire.Edition) {}
 
 // Crashes takes in crashes.
-func (*end) Crashes(*wire.Crashes) (*wire.Crashes, bool) { return nil, false }
+func (*end) Crashes(*wire.Crashes) []*wire.Crashes { return nil }
 
 // PeerBeat counts one of an accepting side.
 func (e *end) PeerBeat(string, *wire.Beat) { e.hear() }
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -41,6 +41,8 @@
 	tornFor = 500 * clock.Millis(1)
 	// lookAgain is how long after the first of them the address is tried once more.
 	lookAgain = 50 * clock.Millis(1)
+	// mostName bounds, in bytes, what is told of the id that a caller gave its request.
+	mostName = 64
 	// mostTorn bounds the runs that are remembered for that.
 	mostTorn = quarantine.MostSuspects
 )
@@ -188,8 +190,9 @@
 
 func suspectOf(now clock.Millis, j *job) quarantine.Suspect {
 	subject := j.dispatch.Subject()
+	name := wire.NameOf(j.dispatch.Label, j.dispatch.ID)
 	return quarantine.Suspect{
-		Fingerprint: subject.Fingerprint(), Hint: subject.Hint(), Request: wire.NameOf(j.dispatch.Label, j.dispatch.ID),
+		Fingerprint: subject.Fingerprint(), Hint: subject.Hint(), Request: name[:min(len(name), mostName)],
 		Ran: now - j.began, IsTrial: j.isTrial,
 	}
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -29,16 +29,16 @@
 	dispatched atomic.Int64
 }
 
-func (c *counter) Dispatch(uint64, *wire.Dispatch)             { c.dispatched.Add(1) }
-func (c *counter) Settle(uint64, *wire.Settle)                 {}
-func (c *counter) Enquire(uint64, *wire.Enquiry)               {}
-func (c *counter) Waive(*wire.Waive)                           {}
-func (c *counter) Void(*wire.Void) *wire.Voided                { return &wire.Voided{} }
-func (c *counter) Beat(string, *wire.Beat)                     {}
-func (c *counter) Status() wire.Beat                           { return wire.Beat{} }
-func (c *counter) Ask(*wire.Ask) (*wire.Edition, bool)         { return nil, false }
-func (c *counter) Edition(string, *wire.Edition)               {}
-func (c *counter) Crashes(*wire.Crashes) (*wire.Crashes, bool) { return nil, false }
+func (c *counter) Dispatch(uint64, *wire.Dispatch)       { c.dispatched.Add(1) }
+func (c *counter) Settle(uint64, *wire.Settle)           {}
+func (c *counter) Enquire(uint64, *wire.Enquiry)         {}
+func (c *counter) Waive(*wire.Waive)                     {}
+func (c *counter) Void(*wire.Void) *wire.Voided          { return &wire.Voided{} }
+func (c *counter) Beat(string, *wire.Beat)               {}
+func (c *counter) Status() wire.Beat                     { return wire.Beat{} }
+func (c *counter) Ask(*wire.Ask) (*wire.Edition, bool)   { return nil, false }
+func (c *counter) Edition(string, *wire.Edition)         {}
+func (c *counter) Crashes(*wire.Crashes) []*wire.Crashes { return nil }
 func identity(node, secret string) link.Identity {
 	return link.Identity{Node: node, Incarnation: 1, Secret: secret}
 }
--- a/link/server.go
+++ b/link/server.go
@@ -36,7 +36,7 @@
 	Ask(a *wire.Ask) (*wire.Edition, bool)
 	Edition(node string, e *wire.Edition)
 	// Crashes takes in what a peer tells of crashes, and returns what it is to hear.
-	Crashes(c *wire.Crashes) (*wire.Crashes, bool)
+	Crashes(c *wire.Crashes) []*wire.Crashes
 }
 
 // ServerConfig configures a Server.
@@ -328,7 +328,7 @@
 	case *wire.Edition:
 		h.Edition(s.remote.Node, m)
 	case *wire.Crashes:
-		if c, ok := h.Crashes(m); ok {
+		for _, c := range h.Crashes(m) {
 			_ = s.conn.Send(c) // the peer asks again after a heartbeat
 		}
 	default:
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -115,7 +115,9 @@
 	c.told = told
 	if tells && len(ends) > 0 {
 		c.untold = append(c.untold, ends...)
-		c.tell(wire.CrashesOf(c.now(), ends))
+		for _, frame := range wire.CrashesOf(c.now(), ends) {
+			c.tell(frame)
+		}
 	}
 	select {
 	case c.changed <- struct{}{}:
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -43,10 +43,12 @@
 }
 
 // tellReaders tells the nodes that all others keep links to.
-func (n *Node) tellReaders(c *wire.Crashes) {
+func (n *Node) tellReaders(frames []*wire.Crashes) {
 	for _, p := range n.allReaders() {
 		p.link.Keep()
-		p.link.TellCrashes(c)
+		for _, c := range frames {
+			p.link.TellCrashes(c)
+		}
 	}
 }
 
@@ -102,13 +104,13 @@
 }
 
 // Crashes takes in what a node with a link to this one tells.
-func (n *Node) Crashes(c *wire.Crashes) (*wire.Crashes, bool) {
+func (n *Node) Crashes(c *wire.Crashes) []*wire.Crashes {
 	_, isReader := n.size()
 	behind := n.crashes.merge(c, isReader)
 	if c.Asks {
 		behind = append(n.crashes.all(), behind...)
 	}
-	return wire.CrashesOf(n.clock.Now(), behind), len(behind) > 0
+	return wire.CrashesOf(n.clock.Now(), behind)
 }
 
 // PeerCrashes takes in what a node that this one dialled tells.
@@ -133,9 +135,10 @@
 	if !isDue {
 		return
 	}
-	ask := wire.CrashesOf(now, n.crashes.all())
-	ask.Asks = true
-	p.link.TellCrashes(ask)
+	for _, c := range wire.CrashesOf(now, n.crashes.all()) {
+		p.link.TellCrashes(c)
+	}
+	p.link.TellCrashes(&wire.Crashes{Asks: true})
 }
 
 // Quarantine lists the requests under which backend servers crash.
--- a/wire/crash.go
+++ b/wire/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/quarantine"
@@ -45,8 +46,20 @@
 // Kind names the frame.
 func (*Crashes) Kind() Kind { return KindCrashes }
 
-// CrashesOf writes ends for peers.
-func CrashesOf(now clock.Millis, ends []quarantine.End) *Crashes {
+// mostCrashes bounds the ends in one frame: with as many runs as one may have they take
+// less than half of what every node reads.
+const mostCrashes = 64
+
+// CrashesOf writes ends for peers, in one frame or several.
+func CrashesOf(now clock.Millis, ends []quarantine.End) []*Crashes {
+	var frames []*Crashes
+	for part := range slices.Chunk(ends, mostCrashes) {
+		frames = append(frames, crashesOf(now, part))
+	}
+	return frames
+}
+
+func crashesOf(now clock.Millis, ends []quarantine.End) *Crashes {
 	m := &Crashes{Ends: make([]Crash, 0, len(ends))}
 	for i := range ends {
 		e := &ends[i]
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
 
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -23,6 +27,7 @@
 		&wire.Chunk{ID: id, Attempt: 1, Offset: 2, Data: []byte("more")},
 		&wire.Settle{ID: id, Attempt: 1, Upstream: "conferme-1", Lease: 100},
 		&wire.Settled{ID: id, Attempt: 1, Voided: true},
+		&wire.Crashes{Asks: true, Ends: []wire.Crash{{ID: 1, Service: "conferme", Suspects: []wire.Suspect{{Fingerprint: make([]byte, 16), Ran: 3}}}}},
 		&wire.Beat{Time: 1, Version: 2, Digest: "d", Upstreams: []wire.Upstream{{Name: "conferme-1", Share: 1}}},
 		&wire.Ask{Version: 1},
 		&wire.Edition{Version: 2, Text: []byte("format = 1")},
@@ -159,3 +164,37 @@
 		}
 	}
 }
+
+// Guards against a link that breaks since one frame holds more crashes than a node reads.
+func TestCrashesFitIntoFrames(t *testing.T) {
+	suspects := make([]quarantine.Suspect, quarantine.MostSuspects)
+	name := strings.Repeat("x", 64)
+	for i := range suspects {
+		suspects[i] = quarantine.Suspect{Fingerprint: quarantine.Fingerprint{byte(i)}, Hint: 1 << 63, Request: name, Ran: clock.Minute, IsTrial: true}
+	}
+	ends := make([]quarantine.End, 512)
+	for i := range ends {
+		ends[i] = quarantine.End{
+			ID: 1<<63 + uint64(i), Service: name, Upstream: name, Version: name, Upstreams: 1000, Suspects: suspects, Cleared: 1 << 63, IsMiss: true,
+		}
+	}
+	got := make([]quarantine.End, 0, len(ends))
+	for _, c := range wire.CrashesOf(clock.Hour, ends) {
+		frame, err := wire.Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := wire.Decode(frame, limit)
+		if err != nil {
+			t.Fatalf("got error %v for a frame of %d bytes, want it read", err, len(frame))
+		}
+		got = append(got, m.(*wire.Crashes).Plain(clock.Hour)...)
+	}
+	want := slices.Clone(ends)
+	for i := range want {
+		want[i].At = 0 // an hour ago
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %d ends, want the %d that were told, unchanged", len(got), len(want))
+	}
+}
