--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -134,9 +134,23 @@
 }
 
 // fault BACKEND KIND [ARGUMENTS] sets how a backend server misbehaves, such as
-// fault $B1 fails share=0.6.
+// fault $B1 fails share=0.6. One that crashes may do so under the call, which is made again.
 func fault(ts *testscript.TestScript, _ bool, args []string) {
-	drive(ts, "http://"+args[0]+"/standin/fault?kind="+strings.Join(args[1:], "&"))
+	uri := "http://" + args[0] + "/standin/fault?kind=" + strings.Join(args[1:], "&")
+	poll(ts, "fault set at "+args[0], func() (string, bool) {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(request)
+		defer fasthttp.ReleaseResponse(response)
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetRequestURI(uri)
+		if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+			return err.Error(), false
+		}
+		if got, want := response.StatusCode(), fasthttp.StatusNoContent; got != want {
+			ts.Fatalf("%s: got %d %s, want %d", uri, got, response.Body(), want)
+		}
+		return "", true
+	})
 }
 
 // ledger BACKEND begun=N... waits until the totals reach what is given;
