feat(table,entry,gate,platform): requests need the key of a client account

Cause: the code knew no client accounts. What the platform's configuration says of them was not read, so that each request's key reached the upstream, requests without a right key ran, and keys that were added or removed changed nothing.

A table holds accounts with the digests of their keys, a rate, a burst and a priority that goes before the route's. A request by a route that isn't public needs a key of one, else it is answered 401; the upstream gets the account's name and never the key. Links carry the account (format 8).

--- a/account/reason.go
+++ b/account/reason.go
@@ -23,6 +23,8 @@
 	ReasonCallerGone = "caller-gone"
 	// ReasonNoRoute means that the table has no route for the path.
 	ReasonNoRoute = "no-route"
+	// ReasonNoAccount means that the request had no key of a client account.
+	ReasonNoAccount = "no-account"
 	// ReasonBodyTooLarge means that the request's body is over the bound.
 	ReasonBodyTooLarge = "body-too-large"
 	// ReasonNoTable means that no table is in force yet.
@@ -47,7 +49,7 @@
 // faultsOfCallers are the reasons that spend none of a service's budget: it
 // could not have done better.
 var faultsOfCallers = []string{
-	ReasonCallerLimit, ReasonCallerFault, ReasonCallerGone, ReasonNoRoute, ReasonBodyTooLarge,
+	ReasonCallerLimit, ReasonCallerFault, ReasonCallerGone, ReasonNoRoute, ReasonNoAccount, ReasonBodyTooLarge,
 	ReasonKeyReused,
 }
 
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -43,6 +43,9 @@
 	ctx := r.ctx
 	ctx.SetContentType("text/plain; charset=utf-8")
 	ctx.SetBodyString(sentence(f) + "\n")
+	if f.status == fasthttp.StatusUnauthorized {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, r.entry.config.Headers.KeyScheme)
+	}
 	if f.retryAfter > 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, r.retryAfter(f.retryAfter))
 		ctx.Response.Header.Set(HeaderRetryAfter, strconv.FormatInt(int64(f.retryAfter), 10))
@@ -69,17 +72,17 @@
 	return "The request was not run (" + f.reason + ")."
 }
 
-// headersOf copies the headers that go on to the upstream, with the address
-// that the request came from. Those of the one connection and our own stay
-// behind.
-func headersOf(ctx *fasthttp.RequestCtx) wire.Headers {
+// forwardedHeaders copies the headers that go on to the upstream, with the address
+// that the request came from. Those of the one connection, our own and the key of a
+// client account stay behind.
+func (r *request) forwardedHeaders() wire.Headers {
 	headers := make(wire.Headers, 0, usualHeaders)
-	for name, value := range ctx.Request.Header.All() {
-		if forwarded(name) {
+	for name, value := range r.ctx.Request.Header.All() {
+		if forwarded(name) && !r.isKey(name, value) {
 			headers = headers.Add(name, value)
 		}
 	}
-	return headers.Add(forwardedFor, []byte(ctx.RemoteIP().String()))
+	return headers.Add(forwardedFor, []byte(r.ctx.RemoteIP().String()))
 }
 
 // usualHeaders is the room for the headers of a browser's request.
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -157,7 +157,7 @@
 	if target == 0 {
 		target = r.deadline - r.started
 	}
-	if r.route.Priority > urgent {
+	if r.priority() > urgent {
 		return max(target/patienceShare-(now-r.started), 0)
 	}
 	return max(min(3*target/2, 3*(r.deadline-r.started)/5)-(now-r.started), 0)
--- a/entry/enquire.go
+++ b/entry/enquire.go
@@ -94,7 +94,7 @@
 	s.refusals[i] = result{kind: retry.NotRun, reason: account.ReasonUnreachable}
 	err := a.member.target.Enquire(&wire.Enquiry{
 		ID: r.id, Attempt: a.number, Upstream: a.upstream.Name, Repeatable: r.repeatable, Retry: r.arrived, Forced: a.forced,
-		Priority: r.route.Priority, Budget: r.deadline - r.entry.config.Now(), Patience: patience,
+		Priority: r.priority(), Budget: r.deadline - r.entry.config.Now(), Patience: patience,
 	}, func(h *wire.Hold) { s.answers <- answered{i, h} })
 	if err != nil { // the path is lost: the gate can't be asked
 		s.done[i] = true
--- a/entry/request.go
+++ b/entry/request.go
@@ -40,6 +40,8 @@
 	Request string
 	// Deadline carries how many milliseconds the caller will wait.
 	Deadline string
+	// KeyScheme stands before the key of a client account in Authorization.
+	KeyScheme string
 	// Fractions says that callers read fractions of a second in Retry-After: in
 	// whole seconds, those refused together would come back together.
 	Fractions bool
@@ -47,7 +49,7 @@
 
 // DefaultHeaders are those of callers that know this project.
 func DefaultHeaders() Headers {
-	return Headers{Deadline: HeaderDeadline}
+	return Headers{Deadline: HeaderDeadline, KeyScheme: "Bearer"}
 }
 
 // Reasons of the entry itself, beside those that reports know.
@@ -81,8 +83,10 @@
 	method  string
 	started clock.Millis
 
+	table      *table.Table
 	route      *table.Route
-	target     string // the service that the route leads to
+	account    *table.Account // nil without a key
+	target     string         // the service that the route leads to
 	service    *service
 	config     table.Service
 	baseline   wire.Baseline
@@ -176,7 +180,7 @@
 		r.finish(answer)
 		return
 	}
-	r.headers = headersOf(r.ctx)
+	r.headers = r.forwardedHeaders()
 	// A gate may still hold the body when the caller's connection already
 	// carries the next request in the same buffer.
 	r.body = append(r.body, r.ctx.PostBody()...)
@@ -193,7 +197,10 @@
 	if !ok {
 		return refused(fasthttp.StatusNotFound, account.ReasonNoRoute, 0), false
 	}
-	r.route = route
+	r.table, r.route = t, route
+	if !r.identify() {
+		return refused(fasthttp.StatusUnauthorized, account.ReasonNoAccount, 0), false
+	}
 	r.target = r.entry.spread.Service(route)
 	r.service = (*r.entry.services.Load())[r.target]
 	if r.service == nil {
@@ -368,7 +375,7 @@
 	now := r.entry.config.Now()
 	record := account.Record{
 		ID:       r.id.String(),
-		Caller:   r.caller,
+		Caller:   r.accountable(),
 		Method:   r.method,
 		Outcome:  f.outcome,
 		Reason:   f.reason,
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -92,7 +92,7 @@
 	}
 	fields := logrus.Fields{
 		"request":  wire.NameOf(r.label, r.id),
-		"caller":   record.Caller,
+		"caller":   r.caller,
 		"service":  record.Service,
 		"route":    record.Route,
 		"upstream": record.Upstream,
@@ -108,6 +108,9 @@
 		fields["budget"] = (r.deadline - r.started).String()
 		fields["target"] = r.route.Target.String()
 	}
+	if r.account != nil {
+		fields["account"] = r.account.Name
+	}
 	if len(r.headers) > 0 {
 		fields["fingerprint"] = r.print().String()
 	}
--- /dev/null
+++ b/fleet/account_test.go
@@ -0,0 +1,131 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// Keys of the accounts in the tests, and one that no account holds.
+const (
+	hotelKey  = "hotel-key"
+	clinicKey = "clinic-key"
+	noKey     = "nobody's-key"
+)
+
+func accountOf(name, key string) table.Account {
+	return table.Account{Name: name, Keys: table.KeyDigests{table.DigestOf([]byte(key))}, Priority: table.RoutePriority}
+}
+
+// withAccounts is a deployment with two client accounts and a public route.
+func withAccounts(upstreams int) *table.Table {
+	t := deployment(upstreams)
+	t.Accounts = []table.Account{accountOf("hotel", hotelKey), accountOf("clinic", clinicKey)}
+	t.Routes = append(t.Routes, table.Route{Prefix: "/conferme/public/", Service: "conferme", Public: true})
+	return t
+}
+
+// sendWith sends a request with headers, given as names and values in turn.
+func sendWith(t *testing.T, address, path string, headers ...string) answer {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Add(headers[i], headers[i+1])
+	}
+	if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+		t.Fatalf("%s: got error %v", path, err)
+	}
+	return answer{status: response.StatusCode(), reason: string(response.Header.Peek("Fuchsiapick-Reason"))}
+}
+
+// An upstream that trusts the account's name books work on whoever sent it, and one that is
+// shown a key can send requests in its account's name.
+func TestUpstreamsSeeAccountsAndNoKeys(t *testing.T) {
+	f := start(t, fleet.Config{Table: withAccounts(2)})
+	tests := []struct {
+		name, path string
+		headers    []string
+		status     int
+		account    string
+	}{
+		{"key", "/conferme/a", []string{"Authorization", "Bearer " + hotelKey}, 200, "hotel"},
+		{"other scheme's letter case", "/conferme/a", []string{"authorization", "bearer " + clinicKey}, 200, "clinic"},
+		{"another name is claimed", "/conferme/a", []string{"Authorization", "Bearer " + hotelKey, "Fuchsiapick-Account", "clinic"}, 200, "hotel"},
+		{"no key", "/conferme/a", nil, 401, ""},
+		{"unknown key", "/conferme/a", []string{"Authorization", "Bearer " + noKey}, 401, ""},
+		{"empty key", "/conferme/a", []string{"Authorization", "Bearer "}, 401, ""},
+		{"other scheme", "/conferme/a", []string{"Authorization", "Basic " + hotelKey}, 401, ""},
+		{"two keys", "/conferme/a", []string{"Authorization", "Bearer " + hotelKey, "Authorization", "Bearer " + clinicKey}, 401, ""},
+		{"public without a key", "/conferme/public/a", []string{"Fuchsiapick-Account", "clinic"}, 200, ""},
+		{"public with a key", "/conferme/public/a", []string{"Authorization", "Bearer " + hotelKey}, 200, "hotel"},
+		{"public with an unknown key", "/conferme/public/a", []string{"Authorization", "Bearer " + noKey}, 200, ""},
+	}
+	for i, test := range tests {
+		path := fmt.Sprintf("%s%d", test.path, i)
+		got := sendWith(t, f.Members[i%2].Caller, path, test.headers...)
+		if got.status != test.status {
+			t.Errorf("%s: got status %d (%s), want %d", test.name, got.status, got.reason, test.status)
+		}
+		runs := begun(f, path)
+		if test.status != 200 {
+			if len(runs) > 0 {
+				t.Errorf("%s: got %d runs, want none", test.name, len(runs))
+			}
+			continue
+		}
+		if len(runs) != 1 || runs[0].Account != test.account || runs[0].Authorization != "" {
+			t.Errorf("%s: got runs %+v, want one of account %q without a key", test.name, runs, test.account)
+		}
+	}
+}
+
+// Where the table knows no accounts, Authorization is a matter between callers and upstreams.
+func TestAuthorizationIsForwardedWithoutAccounts(t *testing.T) {
+	f := start(t, fleet.Config{Table: deployment(1)})
+	got := sendWith(t, f.Members[0].Caller, "/conferme/a", "Authorization", "Bearer x", "Fuchsiapick-Account", "hotel")
+	runs := begun(f, "/conferme/a")
+	if got.status != 200 || len(runs) != 1 || runs[0].Authorization != "Bearer x" || runs[0].Account != "" {
+		t.Errorf("got %d and runs %+v, want 200 and the header as it was sent, without an account", got.status, runs)
+	}
+}
+
+// A key that an operator has removed, because it leaked, is refused by every node, and a new
+// one is taken.
+func TestKeysChangeWithTheTable(t *testing.T) {
+	f := start(t, fleet.Config{Table: withAccounts(3)})
+	const fresh = "hotel-key-2"
+	err := f.Publish(func(tt *table.Table) { tt.Accounts[0] = accountOf("hotel", fresh) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitVersion(t, f)
+	for _, m := range f.Members {
+		if got := sendWith(t, m.Caller, "/conferme/a", "Authorization", "Bearer "+hotelKey); got.status != 401 {
+			t.Errorf("removed key through %s: got %d, want 401", m.Name, got.status)
+		}
+		if got := sendWith(t, m.Caller, "/conferme/a", "Authorization", "Bearer "+fresh); got.status != 200 {
+			t.Errorf("new key through %s: got %d, want 200", m.Name, got.status)
+		}
+	}
+}
+
+// begun returns what the backend servers have begun of a path.
+func begun(f *fleet.Fleet, path string) []standin.Entry {
+	var all []standin.Entry
+	for _, b := range f.Backends {
+		for _, run := range b.Ledger() {
+			if run.Path == path {
+				all = append(all, run)
+			}
+		}
+	}
+	return all
+}
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -43,14 +43,18 @@
 	HeaderBackend = "Fuchsiapick-Backend"
 	// HeaderCaller carries the caller's name.
 	HeaderCaller = "Fuchsiapick-Caller"
-	shed         = "shed"
+	// HeaderAccount carries the name of the client account.
+	HeaderAccount = "Fuchsiapick-Account"
+	shed          = "shed"
 )
 
 // Call is one request to the backend server.
 type Call struct {
 	// ID is what the backend server knows the request by.
-	ID       string
-	Caller   string
+	ID     string
+	Caller string
+	// Account is the client account's name, empty without one.
+	Account  string
 	Method   string
 	URI      string
 	Headers  wire.Headers
@@ -208,6 +212,7 @@
 	names := &h.config.Headers
 	setHeader(request, names.Request, c.ID)
 	setHeader(request, names.Caller, c.Caller)
+	setHeader(request, names.Account, c.Account)
 	setHeader(request, names.Deadline, strconv.FormatInt(int64(c.Deadline), 10))
 	setHeader(request, names.Instance, h.config.Instance)
 	request.SetBodyRaw(c.Body)
--- a/gate/headers.go
+++ b/gate/headers.go
@@ -17,6 +17,8 @@
 	Deadline string
 	// Caller carries the caller's name.
 	Caller string
+	// Account carries the name of the client account whose key the request came with.
+	Account string
 	// Instance names the upstream that alone may run the request. Another one
 	// that has its address now answers 421 and doesn't begin.
 	Instance string
@@ -35,6 +37,7 @@
 		Request:     HeaderRequest,
 		Deadline:    HeaderDeadline,
 		Caller:      HeaderCaller,
+		Account:     HeaderAccount,
 		NotRun:      HeaderBackend,
 		NotRunValue: shed,
 	}
--- a/gate/run.go
+++ b/gate/run.go
@@ -36,6 +36,7 @@
 	answer, err := g.config.Backend.Do(ctx, &Call{
 		ID:         wire.NameOf(d.Label, d.ID),
 		Caller:     d.Caller,
+		Account:    d.Account,
 		Method:     d.Method,
 		URI:        d.URI,
 		Headers:    d.Headers,
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -18,6 +18,8 @@
 	RequestHeader = "Fuchsiapick-Request"
 	// CallerHeader carries who asks.
 	CallerHeader = "Fuchsiapick-Caller"
+	// AccountHeader carries the client account whose key the request came with.
+	AccountHeader = "Fuchsiapick-Account"
 	// DeadlineHeader carries the milliseconds that are left.
 	DeadlineHeader = "Fuchsiapick-Deadline"
 	// RefusalHeader is on a 503 for a request that did not run.
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -22,8 +22,12 @@
 type Entry struct {
 	ID     string `json:"id"`
 	Caller string `json:"caller"`
-	Method string `json:"method"`
-	Path   string `json:"path"`
+	// Account is the client account that the request is said to be of.
+	Account string `json:"account"`
+	// Authorization is that header of the request.
+	Authorization string `json:"authorization"`
+	Method        string `json:"method"`
+	Path          string `json:"path"`
 	// BodyHash is the SHA-256 of the request's body, in hexadecimal.
 	BodyHash string       `json:"body"`
 	Started  clock.Millis `json:"started"`
--- a/standin/request.go
+++ b/standin/request.go
@@ -163,13 +163,15 @@
 func (b *Backend) entry(ctx *fasthttp.RequestCtx) Entry {
 	hash := sha256.Sum256(ctx.PostBody())
 	return Entry{
-		ID:       string(ctx.Request.Header.Peek(RequestHeader)),
-		Caller:   string(ctx.Request.Header.Peek(CallerHeader)),
-		Method:   string(ctx.Method()),
-		Path:     string(ctx.Path()),
-		BodyHash: hex.EncodeToString(hash[:]),
-		Started:  b.clock.Now(),
-		Outcome:  Running,
+		ID:            string(ctx.Request.Header.Peek(RequestHeader)),
+		Caller:        string(ctx.Request.Header.Peek(CallerHeader)),
+		Account:       string(ctx.Request.Header.Peek(AccountHeader)),
+		Authorization: string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)),
+		Method:        string(ctx.Method()),
+		Path:          string(ctx.Path()),
+		BodyHash:      hex.EncodeToString(hash[:]),
+		Started:       b.clock.Now(),
+		Outcome:       Running,
 	}
 }
 
--- /dev/null
+++ b/table/account.go
@@ -0,0 +1,105 @@
+package table
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"fuchsiapick.example/fuchsiapick/document"
+)
+
+const (
+	// MaxKeys is more keys than an account needs while they are replaced.
+	MaxKeys = 100
+	// fingerprintLength is how many digits of a key's digest are shown.
+	fingerprintLength = 8
+)
+
+// KeyDigests are the digests of an account's keys: a table is read by many, and none
+// of them needs the keys themselves.
+type KeyDigests []string
+
+// DigestOf is the SHA-256 of a key in lower-case hexadecimal digits.
+func DigestOf(key []byte) string {
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:])
+}
+
+// String tells the digests apart without writing them out.
+func (k KeyDigests) String() string {
+	short := make([]string, 0, len(k))
+	for _, digest := range k {
+		short = append(short, digest[:min(len(digest), fingerprintLength)])
+	}
+	return fmt.Sprintf("%d (%s)", len(k), strings.Join(short, " "))
+}
+
+// HasKeys reports whether requests come with keys of client accounts.
+func (t *Table) HasKeys() bool {
+	return t.Keyed || len(t.Accounts) > 0
+}
+
+// NeedsKey reports whether a request by a route needs the key of a client account.
+func (t *Table) NeedsKey(r *Route) bool {
+	return t.HasKeys() && !r.Public
+}
+
+// Account finds the client account that holds a key.
+func (t *Table) Account(key []byte) (*Account, bool) {
+	i, ok := t.lookup.accounts[sha256.Sum256(key)]
+	if !ok {
+		return nil, false
+	}
+	return &t.Accounts[i], true
+}
+
+// AccountNamed finds a client account by its name.
+func (t *Table) AccountNamed(name string) (*Account, bool) {
+	i, ok := t.lookup.accountNames[name]
+	if !ok {
+		return nil, false
+	}
+	return &t.Accounts[i], true
+}
+
+// indexAccounts fills the look-ups of accounts. Digests that can't be read are left out;
+// the check has refused them.
+func (x *index) indexAccounts(accounts []Account) {
+	x.accounts = make(map[[sha256.Size]byte]int, len(accounts))
+	x.accountNames = make(map[string]int, len(accounts))
+	for i := range accounts {
+		x.accountNames[accounts[i].Name] = i
+		for _, text := range accounts[i].Keys {
+			if digest, err := hex.DecodeString(text); err == nil && len(digest) == sha256.Size {
+				x.accounts[[sha256.Size]byte(digest)] = i
+			}
+		}
+	}
+}
+
+func (c *checker) account(n *document.Node, a *Account) {
+	c.doc.Name(n, "name", a.Name)
+	if a.Name != "" {
+		c.once(c.accounts, n, "name", a.Name, "a name that no other account has")
+	}
+	if len(a.Keys) > MaxKeys {
+		c.doc.Refuse(n, "keys", fmt.Sprintf("%d keys", len(a.Keys)), fmt.Sprintf("at most %d", MaxKeys))
+	}
+	for _, digest := range a.Keys {
+		if !isDigest(digest) {
+			// A key that was written in place of its digest must not stand in a fault.
+			c.doc.Refuse(n, "keys", "an entry", "SHA-256 digests of 64 lower-case hexadecimal digits")
+			continue
+		}
+		c.once(c.keys, n, "keys", digest, "a key that no other account has")
+	}
+	document.Within(c.doc, n, "rate", a.Rate, 0, MaxRate)
+	document.Within(c.doc, n, "burst", a.Burst, 0, MaxRate)
+	document.Within(c.doc, n, "priority", a.Priority, RoutePriority, MaxPriority)
+}
+
+func isDigest(text string) bool {
+	digest, err := hex.DecodeString(text)
+	return err == nil && len(digest) == sha256.Size && text == strings.ToLower(text)
+}
--- a/table/check.go
+++ b/table/check.go
@@ -56,7 +56,7 @@
 	doc   *document.Document
 	table *Table
 	// lines of the names, addresses and prefixes seen so far, for duplicates.
-	services, upstreams, addresses, prefixes, callers map[string]int
+	services, upstreams, addresses, prefixes, callers, accounts, keys map[string]int
 	// nodes keeps who is beside each link address.
 	nodes map[string]*Upstream
 }
@@ -70,6 +70,8 @@
 		addresses: make(map[string]int),
 		prefixes:  make(map[string]int),
 		callers:   make(map[string]int),
+		accounts:  make(map[string]int),
+		keys:      make(map[string]int),
 		nodes:     make(map[string]*Upstream),
 	}
 	root := doc.Root
@@ -95,6 +97,9 @@
 	for i := range t.Callers {
 		c.caller(root.Field("caller").Item(i), &t.Callers[i])
 	}
+	for i := range t.Accounts {
+		c.account(root.Field("account").Item(i), &t.Accounts[i])
+	}
 }
 
 // domains checks the list of failure domains.
--- a/table/clone.go
+++ b/table/clone.go
@@ -12,6 +12,11 @@
 		Routes:   slices.Clone(t.Routes),
 		Callers:  slices.Clone(t.Callers),
 		Domains:  slices.Clone(t.Domains),
+		Accounts: slices.Clone(t.Accounts),
+		Keyed:    t.Keyed,
+	}
+	for i := range c.Accounts {
+		c.Accounts[i].Keys = slices.Clone(t.Accounts[i].Keys)
 	}
 	for i := range c.Services {
 		c.Services[i].Upstreams = slices.Clone(t.Services[i].Upstreams)
--- a/table/defaults.go
+++ b/table/defaults.go
@@ -56,6 +56,12 @@
 	for i := range t.Routes {
 		setDefault(root.Field("route").Item(i), "repeatable", &t.Routes[i].Repeatable, defaultRepeatable)
 	}
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		n := root.Field("account").Item(i)
+		setDefault(n, "burst", &a.Burst, max(a.Rate, 1))
+		setDefault(n, "priority", &a.Priority, RoutePriority)
+	}
 }
 
 func (s *Service) setDefaults(n *document.Node) {
--- a/table/diff.go
+++ b/table/diff.go
@@ -41,7 +41,7 @@
 }
 
 // Diff lists what is different in the newer of two tables, in the order of the
-// tables: services with their upstreams, then routes, then callers. The order
+// tables: services with their upstreams, then routes, callers and accounts. The order
 // in which a table names its parts makes no difference. A nil table is empty.
 func Diff(older, newer *Table) []Change {
 	if older == nil {
@@ -55,6 +55,7 @@
 	parts(&d, "", serviceParts, older.Services, newer.Services)
 	parts(&d, "", routeParts, older.Routes, newer.Routes)
 	parts(&d, "", callerParts, older.Callers, newer.Callers)
+	parts(&d, "", accountParts, older.Accounts, newer.Accounts)
 	return d.changes
 }
 
@@ -85,11 +86,16 @@
 		func(c *Caller) string { return c.Name },
 		func(a, b *Caller) bool { return *a == *b },
 	}
+	accountParts = partKind[Account]{
+		"account",
+		func(a *Account) string { return a.Name },
+		func(a, b *Account) bool { return reflect.DeepEqual(a, b) },
+	}
 )
 
 func sameRoute(a, b *Route) bool {
 	return a.Service == b.Service && a.Timeout == b.Timeout && a.Target == b.Target &&
-		a.Attempts == b.Attempts && a.Priority == b.Priority &&
+		a.Attempts == b.Attempts && a.Priority == b.Priority && a.Public == b.Public &&
 		slices.Equal(a.Shares, b.Shares) && slices.Equal(a.Repeatable, b.Repeatable)
 }
 
--- a/table/index.go
+++ b/table/index.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"crypto/sha256"
 	"slices"
 	"strings"
 )
@@ -12,6 +13,9 @@
 	routes    map[address]int
 	services  map[string]int
 	upstreams map[string]place
+	// accounts holds the places of client accounts by the digests of their keys.
+	accounts     map[[sha256.Size]byte]int
+	accountNames map[string]int
 	// depth is the segments of the deepest prefix. A path is compared no
 	// deeper, so that one with thousands of segments costs no more than the
 	// table's own prefixes do.
@@ -41,6 +45,7 @@
 			x.upstreams[t.Services[i].Upstreams[j].Name] = place{i, j}
 		}
 	}
+	x.indexAccounts(t.Accounts)
 	t.lookup = x
 }
 
--- a/table/types.go
+++ b/table/types.go
@@ -41,6 +41,12 @@
 	Domains []string `toml:"domains"`
 	// Callers overrides the limits of single callers.
 	Callers []Caller `toml:"caller"`
+	// Accounts are the client accounts. Where there are any, a request needs a key of
+	// one, unless its route is public.
+	Accounts []Account `toml:"account"`
+	// Keyed asks for keys also where there are no accounts: no request by a route that
+	// isn't public is served then.
+	Keyed bool `toml:"keyed" diff:"unless-zero"`
 
 	lookup index
 }
@@ -138,6 +144,8 @@
 	// Repeatable lists the methods that may run more than once, AnyMethod for
 	// all. Nil means GET and HEAD, an empty list means none.
 	Repeatable []string `toml:"repeatable"`
+	// Public takes requests without a key of a client account.
+	Public bool `toml:"public" diff:"unless-zero"`
 }
 
 // AnyMethod in Route.Repeatable stands for all methods.
@@ -156,3 +164,20 @@
 	// Rate limits its requests a second at one entry, over all services.
 	Rate float64 `toml:"rate"`
 }
+
+// Account is a client account. Requests with one of its keys are its own.
+type Account struct {
+	Name string `toml:"name"`
+	// Keys are the digests of its keys, as DigestOf makes them.
+	Keys KeyDigests `toml:"keys"`
+	// Rate is how many of its requests a second all nodes together admit; 0 means no
+	// limit.
+	Rate float64 `toml:"rate"`
+	// Burst is how many requests it may send at once beyond Rate.
+	Burst float64 `toml:"burst"`
+	// Priority replaces that of the route; RoutePriority leaves it.
+	Priority int `toml:"priority"`
+}
+
+// RoutePriority in Account.Priority stands for the priority of the route.
+const RoutePriority = -1
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -104,9 +104,11 @@
 	// still begin the request.
 	Lease clock.Millis
 	// Budget is what is left of the request's deadline.
-	Budget     clock.Millis
-	Upstream   string
-	Caller     string
+	Budget   clock.Millis
+	Upstream string
+	Caller   string
+	// Account is the client account whose key the request came with, empty without one.
+	Account    string
 	Method     string
 	URI        string
 	Headers    Headers
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -15,7 +15,7 @@
 
 // Format is the version of the messages. Nodes of different formats refuse
 // each other's links.
-const Format = 7
+const Format = 8
 
 // Bounds on what a peer may send.
 const (
