feat(grade,entry,gate): runs in progress are evidence, against what is usual for their route

The filter holds each run with the time when it began, and weighs it by how much likelier its age is in an episode. What a route's runs usually take is learned by the entries, from the times that gates tell of those served, and told with each dispatch; before any was seen it is guessed from the route's target. Whether upstreams fail at once or hang is learned from failures, and told the same way. No setting, no service's name.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -63,6 +63,7 @@
 }
 
 func (r *request) dispatch(now clock.Millis, a attempt, untried int) *wire.Dispatch {
+	usual := r.usual()
 	d := &wire.Dispatch{
 		ID:         r.id,
 		Attempt:    a.number,
@@ -82,7 +83,9 @@
 		Forced:     a.forced,
 		Priority:   r.priority(),
 		Bounded:    a.bounded,
-		Overdue:    r.overdue(),
+		Usual:      usual.Median,
+		Spread:     wire.Short(usual.Spread),
+		Hanging:    uint8(usual.Hanging),
 		Baseline:   r.baseline,
 	}
 	r.stamp(now, d)
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -141,16 +141,6 @@
 	return r.repeatable
 }
 
-// overdue is the age from which the request's run speaks against an upstream: half
-// as long again as its target. Sound upstreams take longer once in some thirty
-// runs, those that hang or are slow by five times nearly always.
-func (r *request) overdue() clock.Millis {
-	if r.config.Caution != table.Brief {
-		return 0
-	}
-	return 3 * r.route.Target / 2
-}
-
 // patience is how long the request may still wait for a slot.
 func (r *request) patience(now clock.Millis) clock.Millis {
 	target := r.route.Target
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,6 +95,7 @@
 	services atomic.Pointer[map[string]*service]
 	spread   *Spread
 	failures *failures
+	paces    *paces
 	trials   trials
 
 	mu    sync.Mutex // guards rates
@@ -113,7 +114,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	e := &Entry{config: c, spread: NewSpread(c.Seed), failures: &failures{}, trials: trials{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
+	e := &Entry{config: c, spread: NewSpread(c.Seed), failures: &failures{}, paces: newPaces(), trials: trials{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: mostCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callers.Store(&map[string]float64{})
 	return e
@@ -141,6 +142,7 @@
 	e.noteRoutes(e.table.Load(), t)
 	e.services.Store(&next)
 	e.table.Store(t)
+	e.paces.forget(func(service string) bool { _, ok := next[service]; return ok })
 }
 
 // Heard takes in what a gate says of its upstream.
--- a/entry/request.go
+++ b/entry/request.go
@@ -307,6 +307,7 @@
 // go on.
 func (r *request) judge(o result, untried int) (final, bool) {
 	r.count(&o)
+	r.learn(&o)
 	if o.served {
 		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,7 +146,8 @@
 	until    clock.Millis
 	running  bool
 	overdue  bool
-	lasted   bool // its judge was told that the run lasts
+	// run is the judge's own of it, nil where that keeps none.
+	run *grade.Run
 	// life is the upstream's when the run began. One of a process that is gone holds
 	// no slot, and speaks for or against nobody.
 	life  int
--- a/gate/run.go
+++ b/gate/run.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -88,12 +89,7 @@
 	if j.timer != nil {
 		j.timer.Stop()
 	}
-	first := g.overdueAfter(j)
-	if judge, ok := g.judge.(early); ok {
-		judge.Began(now)
-		first = min(first, lastingAfter)
-	}
-	j.timer = time.AfterFunc(first.Duration(), func() { g.running(now, j) })
+	g.watch(now, j)
 	return now, "", false
 }
 
@@ -115,53 +111,61 @@
 	return ""
 }
 
-// lastingAfter is the age from which a run has outlasted those of an upstream in an
-// episode: these end within 1 to 3 ms, and the rest is for a busy node.
-const lastingAfter = 20 * clock.Millis(1)
+// runJudge is a judge that is told of runs before their outcomes.
+type runJudge interface {
+	Begin(now clock.Millis, u grade.Usual) *grade.Run
+	End(now clock.Millis, r *grade.Run, o health.Observation) bool
+	Look(now clock.Millis, r *grade.Run) clock.Millis
+}
 
-// early is a judge that is told of runs before their outcomes.
-type early interface {
-	Began(now clock.Millis)
-	Lasting(now clock.Millis)
+// watch looks at a run from time to time while it comes to no end. The gate's lock is held.
+func (g *Gate) watch(now clock.Millis, j *job) {
+	next := now + g.judge.OverdueAfter()
+	if judge, ok := g.judge.(runJudge); ok {
+		j.run = judge.Begin(now, usualOf(j.dispatch))
+		next = judge.Look(now, j.run)
+	}
+	j.timer = time.AfterFunc((next - now).Duration(), func() { g.look(j) })
 }
 
-// running looks at a run that has no outcome yet.
-func (g *Gate) running(began clock.Millis, j *job) {
+// usualOf is what an entry tells of the runs of a dispatch's route.
+func usualOf(d *wire.Dispatch) grade.Usual {
+	return grade.Usual{Median: d.Usual, Spread: d.Spread, Hanging: grade.Hanging(d.Hanging)}
+}
+
+// look takes in that a run has come to no end yet: a backend server that hangs gives no
+// outcome to count, and slots that are all held by a hang no other evidence.
+func (g *Gate) look(j *job) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, ok := g.jobs[j.ticket]; !ok || j.life != g.life {
 		return
 	}
 	now := g.config.Now()
-	judge, ok := g.judge.(early)
-	if !ok || j.lasted || now-began >= g.overdueAfter(j) {
-		g.overdue(now, j)
-		return
+	next := now + g.judge.OverdueAfter()
+	if judge, ok := g.judge.(runJudge); ok && j.run != nil {
+		next = judge.Look(now, j.run)
+	} else {
+		g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller, Again: j.overdue})
+		j.overdue = true
 	}
-	judge.Lasting(now)
-	j.lasted = true
-	j.timer.Reset(max(began+g.overdueAfter(j)-now, 1).Duration())
+	j.timer.Reset((next - now).Duration())
 	g.noteState(now)
 }
 
-// overdueAfter is the age from which a run without an answer is evidence. Requests
-// of one service differ tenfold in their work, so their routes say it.
-func (g *Gate) overdueAfter(j *job) clock.Millis {
-	if j.dispatch.Overdue > 0 {
-		return j.dispatch.Overdue
+// judged tells the judge what became of a run.
+func (g *Gate) judged(now clock.Millis, j *job, a Answer, err error) {
+	result := resultOf(a, err, j.until-j.began < g.judge.OverdueAfter())
+	if result == health.Failed && err == nil && g.excused(j.began, now) {
+		result = health.CallerFault
+	}
+	o := health.Observation{Result: result, Latency: now - j.began, Caller: j.dispatch.Caller, IsTorn: errors.Is(err, ErrTorn) || errors.Is(err, ErrCrashed)}
+	switch judge, ok := g.judge.(runJudge); {
+	case ok && j.run != nil:
+		judge.End(now, j.run, o)
+	case !j.overdue:
+		g.judge.Observe(now, o)
 	}
-	return g.judge.OverdueAfter()
-}
-
-// overdue counts a request that has no outcome yet as evidence: a backend
-// server that hangs gives no outcome to count. It tells again after as long
-// again, for slots that are all held by a hang give no other evidence. The
-// gate's lock is held.
-func (g *Gate) overdue(now clock.Millis, j *job) {
-	g.judge.Observe(now, health.Observation{Result: health.Overdue, Caller: j.dispatch.Caller, Again: j.overdue, Lasted: j.lasted})
-	j.overdue = true
-	j.timer.Reset(g.overdueAfter(j).Duration())
-	g.noteState(now)
 }
 
 func (g *Gate) finish(j *job, began clock.Millis, a Answer, err error) {
@@ -171,12 +175,8 @@
 	delete(g.jobs, j.ticket)
 	isCurrent := j.life == g.life
 	g.noteFinished(now, j, a, err)
-	if !j.overdue && isCurrent {
-		result := resultOf(a, err, j.until-began < g.overdueAfter(j))
-		if result == health.Failed && err == nil && g.excused(began, now) {
-			result = health.CallerFault
-		}
-		g.judge.Observe(now, health.Observation{Result: result, Latency: now - began, Caller: j.dispatch.Caller, Lasted: j.lasted, IsTorn: errors.Is(err, ErrTorn) || errors.Is(err, ErrCrashed)})
+	if isCurrent {
+		g.judged(now, j, a, err)
 	}
 	var calls []func()
 	if isCurrent {
@@ -184,6 +184,7 @@
 	}
 	calls = append(calls, g.endTrial(j)...)
 	reply := g.reply(now, j.dispatch)
+	reply.Took = now - began
 	describe(reply, a, err)
 	g.endKey(j.dispatch, reply)
 	g.fence.Finish(j.key, kept(j.dispatch, reply))
--- a/health/types.go
+++ b/health/types.go
@@ -59,9 +59,6 @@
 	// IsTorn marks a failure without a whole answer: the connection broke, which has
 	// causes beside the upstream's, too.
 	IsTorn bool
-	// Lasted marks a request whose run was told as lasting before. It is for
-	// judges that take such notice.
-	Lasted bool
 	// Caller bounds what one caller can contribute. Empty is a caller too.
 	Caller string
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -122,9 +122,12 @@
 	Verdict uint8
 	// Priority ranks it among those that wait for a slot, 0 first.
 	Priority int
-	// Overdue is the age from which a run without an answer speaks against the
-	// upstream; 0 leaves that to the gate.
-	Overdue clock.Millis
+	// Usual and Spread are the median time of the route's runs and the standard
+	// deviation of its logarithm; 0 where the entry doesn't know.
+	Usual  clock.Millis
+	Spread float64
+	// Hanging is how the service's upstreams fail, a grade.Hanging.
+	Hanging uint8
 	// Bounded asks for a free slot: the dispatch doesn't wait for one.
 	Bounded bool
 	// Forced asks the gate to serve in spite of its verdict, for the floor.
@@ -210,6 +213,8 @@
 	Body     []byte
 	Time     clock.Millis
 	Upstream Upstream
+	// Took is how long the run lasted at the upstream.
+	Took clock.Millis
 	// Replay marks the answer of an earlier send of the same key.
 	Replay bool
 }
