feat(gate): a run that hangs is given up while there is time for another elsewhere

A gate gives up a run that may be repeated, that its entry can send to another upstream and that has time for one, once it most likely hangs: the probability follows from the upstream's own, what is usual and the run's age. The entry then sends it elsewhere within the same bounds as after any other failure.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -78,6 +78,7 @@
 		Body:       r.body,
 		Repeatable: r.repeatable,
 		Retry:      r.arrived,
+		Movable:    r.isMovable(untried),
 		AnyHost:    r.route.Host == "",
 		Verdict:    uint8(a.verdict),
 		Forced:     a.forced,
@@ -92,6 +93,11 @@
 	return d
 }
 
+// isMovable reports whether another upstream would get the request if this one failed it.
+func (r *request) isMovable(untried int) bool {
+	return r.repeatable && r.placesLeft(untried) > 0 && (r.route.Attempts == 0 || r.ran+1 < r.route.Attempts)
+}
+
 // attemptBudget is the time that one try may take. A repeatable request keeps
 // half of what is left for another upstream: one that hangs would take all. A
 // service that is slow by nature must not be cut off by that, so a try lasts
--- a/entry/paces.go
+++ b/entry/paces.go
@@ -70,11 +70,11 @@
 	switch {
 	case o.served:
 		pace.Observe(o.reply.Took)
-	case o.kind != retry.Failed:
+	case o.kind != retry.Failed, o.reason == string(wire.ReasonLeft):
+	case o.reason == string(wire.ReasonTimeout), o.reason == string(wire.ReasonStalled):
+		p.failing(r.target).Hung(1 - pace.Usual(r.route.Target).Beyond(o.reply.Took))
 	case o.reply.Took < grade.AtOnce:
 		p.failing(r.target).AtOnce()
-	case o.reply.Outcome == wire.Broken:
-		p.failing(r.target).Hung(1 - pace.Usual(r.route.Target).Beyond(o.reply.Took))
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,6 +146,8 @@
 	until    clock.Millis
 	running  bool
 	overdue  bool
+	// isStalled says that it was given up, since it would come to no end.
+	isStalled bool
 	// run is the judge's own of it, nil where that keeps none.
 	run *grade.Run
 	// life is the upstream's when the run began. One of a process that is gone holds
--- a/gate/run.go
+++ b/gate/run.go
@@ -116,6 +116,7 @@
 	Begin(now clock.Millis, u grade.Usual) *grade.Run
 	End(now clock.Millis, r *grade.Run, o health.Observation) bool
 	Look(now clock.Millis, r *grade.Run) clock.Millis
+	Hangs(now clock.Millis, r *grade.Run) float64
 }
 
 // watch looks at a run from time to time while it comes to no end. The gate's lock is held.
@@ -151,6 +152,23 @@
 	}
 	j.timer.Reset((next - now).Duration())
 	g.noteState(now)
+	if g.hasStalled(now, j) {
+		j.isStalled = true
+		j.abandon()
+	}
+}
+
+// stalledAt is the probability of a hang at which a run is given up.
+const stalledAt = 0.9
+
+// hasStalled reports whether a run most likely comes to no end while there is time for
+// another one elsewhere. The gate's lock is held.
+func (g *Gate) hasStalled(now clock.Millis, j *job) bool {
+	judge, ok := g.judge.(runJudge)
+	if !ok || j.run == nil || j.abandon == nil || !j.dispatch.Movable || j.until-now < j.dispatch.Usual {
+		return false
+	}
+	return judge.Hangs(now, j.run) >= stalledAt
 }
 
 // judged tells the judge what became of a run.
@@ -172,6 +190,9 @@
 	g.mu.Lock()
 	now := g.config.Now()
 	j.timer.Stop()
+	if j.isStalled && errors.Is(err, ErrCancelled) {
+		err = errors.Annotate(ErrStalled, err.Error())
+	}
 	delete(g.jobs, j.ticket)
 	isCurrent := j.life == g.life
 	g.noteFinished(now, j, a, err)
@@ -297,7 +318,7 @@
 // that no healthy upstream would have met.
 func resultOf(a Answer, err error, tooShort bool) health.Result {
 	switch {
-	case errors.Is(err, ErrCancelled):
+	case errors.Is(err, ErrCancelled), errors.Is(err, ErrStalled):
 		return health.Cancelled
 	case errors.Is(err, ErrTimeout) && tooShort:
 		return health.ShortDeadline
@@ -330,6 +351,8 @@
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTooLarge
 	case errors.Is(err, ErrForeign):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonForeign
+	case errors.Is(err, ErrStalled):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonStalled
 	case errors.Is(err, ErrCancelled):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonLeft
 	case errors.Is(err, ErrCrashed):
