fix(grade): a run at two hundred times its usual time hangs

Cause: the evidence of one run's age was bounded as if one in a hundred lasted for ever. Where few requests come, a single hung run showed nothing more after some 1.3 s and was held until its time limit (fleet TestListsOutliveABackendServerThatHangs: 502 after 4.96 s). One run in a hundred takes five times as long, not endlessly.

--- /dev/null
+++ b/fleet/hang_test.go
@@ -0,0 +1,32 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// A backend server lets all that it gets hang, with a good health answer. Lists that it was sent
+// first must be served by another one within their time limit, and soon it must get none.
+func TestListsOutliveABackendServerThatHangs(t *testing.T) {
+	deployed := deployment(4)
+	s := &deployed.Services[0]
+	s.Caution, s.Retries, s.Extra, s.Window = table.Brief, 0.2, 200, 10*clock.Second
+	deployed.Routes[0].Timeout, deployed.Routes[0].Target, deployed.Routes[0].Attempts = 5*clock.Second, 600, 2
+	deployed.Routes[0].Repeatable = []string{"GET"}
+	f := start(t, fleet.Config{Table: deployed, Service: 20})
+	for i := range 80 {
+		if got := send(t, "GET", f.Members[i%4].Caller, "/conferme/lista", ""); got.outcome != "served" {
+			t.Fatalf("request %d before: got %d %q, want it served", i, got.status, got.reason)
+		}
+	}
+	f.Backends["conferme-2"].SetFault(standin.Fault{Kind: standin.Hangs, Share: 1})
+	for i := range 80 {
+		if got := send(t, "GET", f.Members[i%4].Caller, "/conferme/lista", ""); got.status != 200 {
+			t.Errorf("request %d: got %d %q, want it served by another", i, got.status, got.reason)
+		}
+	}
+}
--- a/grade/filter.go
+++ b/grade/filter.go
@@ -51,9 +51,6 @@
 	shedWeight = 3
 	// failing is the share of the runs begun in an episode that fail.
 	failing = 0.8
-	// leastBeyond bounds what one run's age can show: some runs of any upstream take
-	// many times as long as usual.
-	leastBeyond = 0.01
 )
 
 const (
@@ -141,7 +138,7 @@
 }
 
 // looks are the shares of runs that one must have outlasted to be looked at again.
-var looks = []float64{0.5, 0.25, 0.1, 0.05, 0.02, leastBeyond}
+var looks = []float64{0.5, 0.25, 0.1, 0.05, 0.02, 0.01, 0.005, 0.001}
 
 // Look returns when to look next at a run that has come to no end: when it has outlasted
 // another share of such runs.
@@ -165,7 +162,7 @@
 	odds := f.Probability(now)
 	odds = odds / (1 - odds) / f.weight(now, r) // as the other runs have it
 	hangs := odds * failing * f.failures.Share(f.told)
-	return hangs / (hangs + (odds*(1-failing)+1)*max(r.usual.Beyond(now-r.began), leastBeyond))
+	return hangs / (hangs + (odds*(1-failing)+1)*r.usual.Beyond(now-r.began))
 }
 
 // last is the instant of the latest run.
@@ -217,7 +214,7 @@
 	case age < AtOnce:
 		return 1
 	case r.usual.IsKnown():
-		return 1 - failing + failing*f.failures.Share(f.told)/max(r.usual.Beyond(age), leastBeyond)
+		return 1 - failing + failing*f.failures.Share(f.told)/r.usual.Beyond(age)
 	case age >= overdueAfter:
 		return overdueWeight
 	default:
--- a/grade/usual.go
+++ b/grade/usual.go
@@ -16,8 +16,15 @@
 	Hanging Hanging
 }
 
-// leastSpread keeps a few like runs from making the next one look late.
-const leastSpread = 0.3
+const (
+	// leastSpread keeps a few like runs from making the next one look late.
+	leastSpread = 0.3
+	// tailShare of the runs of any upstream take tailFactor times as long as usual.
+	tailShare  = 0.01
+	tailFactor = 5
+	// leastBeyond bounds what one run's age can show.
+	leastBeyond = 1e-4
+)
 
 // IsKnown reports whether anything is known.
 func (u Usual) IsKnown() bool {
@@ -26,6 +33,19 @@
 
 // Beyond is the share of runs at sound upstreams that last longer than an age.
 func (u Usual) Beyond(age clock.Millis) float64 {
+	return max(u.body(age), tailShare*u.body(age/tailFactor), leastBeyond)
+}
+
+// Age is the age beyond which a share of the runs lasts.
+func (u Usual) Age(share float64) clock.Millis {
+	if share < tailShare {
+		return tailFactor * u.bodyAge(share/tailShare)
+	}
+	return u.bodyAge(share)
+}
+
+// body is Beyond of all runs but those of the tail.
+func (u Usual) body(age clock.Millis) float64 {
 	if age <= 0 {
 		return 1
 	}
@@ -33,8 +53,7 @@
 	return math.Erfc(deviation/math.Sqrt2) / 2
 }
 
-// Age is the age beyond which a share of the runs lasts.
-func (u Usual) Age(share float64) clock.Millis {
+func (u Usual) bodyAge(share float64) clock.Millis {
 	deviation := math.Sqrt2 * math.Erfcinv(2*share)
 	return clock.Millis(float64(max(u.Median, 1)) * math.Exp(deviation*max(u.Spread, leastSpread)))
 }
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -65,6 +65,7 @@
 
 // Figures of package gate.
 const (
+	stalledAt    = 0.9
 	inviteEvery  = 100 * clock.Millis(1)
 	inviteFor    = clock.Second
 	mostSenders  = 32
@@ -256,9 +257,8 @@
 	b.trials[i].Began(b.world.now)
 	run := b.filters[i].Begin(b.world.now, r.kind.usual())
 	ended := false
-	b.look(run, i, &ended)
 	began := b.world.now
-	b.world.run(r, i, func(ok bool) {
+	giveUp := b.world.run(r, i, func(ok bool) {
 		ended = true
 		result := grade.Failed
 		switch {
@@ -274,16 +274,24 @@
 		b.tell(r.entry, i)
 		b.world.after(hop, func() { b.ended(r, ok) })
 	})
+	b.look(r, run, i, &ended, giveUp)
 }
 
-// look tells of a run that has come to no end.
-func (b *brief) look(run *grade.Run, i int, ended *bool) {
+// look tells of a run that has come to no end, and gives up one that most likely never will
+// while there is time elsewhere.
+func (b *brief) look(r *request, run *grade.Run, i int, ended *bool, giveUp func()) {
 	now := b.world.now
 	b.world.after(b.filters[i].Look(now, run)-now, func() {
-		if !*ended {
-			b.news(i)
-			b.look(run, i, ended)
+		if *ended {
+			return
+		}
+		b.news(i)
+		now := b.world.now
+		if r.kind.Repeatable && r.ran < 2 && r.deadline()-now > r.kind.usual().Median && b.filters[i].Hangs(now, run) >= stalledAt {
+			giveUp()
+			return
 		}
+		b.look(r, run, i, ended, giveUp)
 	})
 }
 
--- a/measure/episodes/episodes_test.go
+++ b/measure/episodes/episodes_test.go
@@ -131,3 +131,29 @@
 		}
 	}
 }
+
+// Upstreams let what they fail hang, for ten seconds and more. Runs that were given up at their
+// time limit took their callers' whole time with them, and a verdict that came with the limit
+// was that of the episode before.
+func TestHangingUpstreamsAreLeftInTime(t *testing.T) {
+	least := map[string]float64{"roster": 0.95, "check": 0.95, "call": 0.95, "confirm": 0.9}
+	sums := map[string]episodes.Result{}
+	for seed := range uint64(3) {
+		c := episodes.Rosters()
+		c.Policy, c.Seed = episodes.Brief, seed
+		for name, k := range episodes.Run(c).Kinds {
+			sum := sums[name]
+			sum.Asked += k.Asked
+			sum.Served += k.Served
+			sum.InTarget += k.InTarget
+			sums[name] = sum
+		}
+	}
+	for name, most := range least {
+		got := sums[name]
+		t.Logf("%s: %.3f served, %.3f in target", name, got.Share(), float64(got.InTarget)/float64(got.Asked))
+		if got.Share() < most {
+			t.Errorf("%s: got %.3f served, want %.2f at least", name, got.Share(), most)
+		}
+	}
+}
--- a/measure/episodes/world.go
+++ b/measure/episodes/world.go
@@ -3,8 +3,8 @@
 //
 // The pattern is that of the crew rosters of Trinacria: 9 upstreams of 3 slots
 // before 24 entries, long lists of a low rank beside short requests of a better
-// one, about half of the upstreams failing 85% of what they get, within
-// milliseconds, for 10 to 30 s at a time.
+// one, about half of the upstreams failing 85% of what they get for 10 to 30 s at
+// a time, within milliseconds or by letting it hang.
 package episodes
 
 import (
@@ -56,6 +56,8 @@
 	// Domains is over how many failure domains entries and upstreams are spread, 0
 	// for one; Calling is how many of these have callers, 0 for all.
 	Domains, Calling int
+	// Hangs says that what fails in an episode hangs until its time is over.
+	Hangs bool
 	// Load multiplies the rates.
 	Load float64
 	// Span is the length of the run.
@@ -77,6 +79,19 @@
 	}
 }
 
+// Rosters is the crew rosters of a larger deployment whose upstreams hang in their episodes.
+func Rosters() Config {
+	return Config{
+		Kinds: []Kind{
+			{"roster", 39.8, 1500, 0.5, 4000, 8000, 2, true, 0},
+			{"check", 115, 250, 0.5, 800, 4000, 1, true, 0},
+			{"call", 155, 150, 0.5, 600, 2000, 1, true, 0},
+			{"confirm", 20, 610, 0.3, 2500, 4000, 1, false, 0},
+		},
+		Entries: 106, Upstreams: 35, Slots: 8, Load: 1, Span: clock.Minute, Hangs: true,
+	}
+}
+
 // Listings is the price lists of the larger deployment: most of its requests may be
 // repeated, and each of many entries sends one in two seconds.
 func Listings() Config {
@@ -307,8 +322,16 @@
 	return i % max(w.config.Domains, 1)
 }
 
-// run plays a request's run at an upstream and tells how it ended.
-func (w *world) run(r *request, i int, ended func(ok bool)) {
+// run plays a request's run at an upstream and tells how it ended. The run is given up by
+// what it returns.
+func (w *world) run(r *request, i int, ended func(ok bool)) (giveUp func()) {
+	isOver := false
+	end := func(ok bool) {
+		if !isOver {
+			isOver = true
+			ended(ok)
+		}
+	}
 	r.ran++
 	w.upstreams[i].asked = w.now
 	if r.ran == 2 {
@@ -318,11 +341,16 @@
 	if w.upstreams[i].at(w.now) {
 		share = failing
 	}
-	if w.random.Float64() < share {
-		w.after(failTime, func() { ended(false) })
-		return
+	isSick := share == failing
+	switch {
+	case w.random.Float64() >= share:
+		w.after(r.work, func() { end(true) })
+	case isSick && w.config.Hangs:
+		w.after(max(r.deadline()-w.now, 1), func() { end(false) })
+	default:
+		w.after(failTime, func() { end(false) })
 	}
-	w.after(r.work, func() { ended(true) })
+	return func() { end(false) }
 }
 
 // finish counts the end of a request, once.
