feat(gate,grade): hung runs are given up sooner

The share of failures that hang was learned too low: the own errors of sound upstreams counted as failures at once.

--- a/entry/paces.go
+++ b/entry/paces.go
@@ -74,7 +74,7 @@
 	case o.reason == string(wire.ReasonTimeout), o.reason == string(wire.ReasonStalled):
 		p.failing(r.target).Hung(1 - pace.Usual(r.route.Target).Beyond(o.reply.Took))
 	case o.reply.Took < grade.AtOnce:
-		p.failing(r.target).AtOnce()
+		p.failing(r.target).AtOnce(o.reply.Upstream.Severity)
 	}
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -159,7 +159,7 @@
 }
 
 // stalledAt is the probability of a hang at which a run is given up.
-const stalledAt = 0.9
+const stalledAt = 0.8
 
 // hasStalled reports whether a run most likely comes to no end while there is time for
 // another one elsewhere. The gate's lock is held.
--- a/grade/filter.go
+++ b/grade/filter.go
@@ -121,9 +121,14 @@
 
 // End takes in what became of a run.
 func (f *Filter) End(now clock.Millis, r *Run, result Result) {
-	f.learn(now, r, result)
-	r.weight = f.weightOf(now, r, result)
-	r.ended = true
+	weight := f.weightOf(now, r, result)
+	if result == Stopped || result == Overdue {
+		f.failures.Hung(f.Hangs(now, r))
+	}
+	r.weight, r.ended = weight, true
+	if (result == Failed || result == Broken) && now-r.began < AtOnce {
+		f.failures.AtOnce(f.Probability(now))
+	}
 	f.fold(now)
 }
 
@@ -138,7 +143,7 @@
 }
 
 // looks are the shares of runs that one must have outlasted to be looked at again.
-var looks = []float64{0.5, 0.25, 0.1, 0.05, 0.02, 0.01, 0.005, 0.001}
+var looks = []float64{0.5, 0.35, 0.25, 0.17, 0.1, 0.07, 0.05, 0.03, 0.02, 0.01, 0.005, 0.001}
 
 // Look returns when to look next at a run that has come to no end: when it has outlasted
 // another share of such runs.
@@ -185,19 +190,6 @@
 	f.runs = slices.Delete(f.runs, 0, count)
 }
 
-// learn takes in how the upstream fails.
-func (f *Filter) learn(now clock.Millis, r *Run, result Result) {
-	isLate := now-r.began >= AtOnce
-	switch {
-	case (result == Failed || result == Broken) && !isLate:
-		f.failures.AtOnce()
-	case result == Overdue:
-		f.failures.Hung(1)
-	case result == Stopped:
-		f.failures.Hung(f.Hangs(now, r))
-	}
-}
-
 // weight is how many times likelier it is in an episode what has become of a run.
 func (f *Filter) weight(now clock.Millis, r *Run) float64 {
 	if r.ended {
--- a/grade/hanging.go
+++ b/grade/hanging.go
@@ -27,9 +27,9 @@
 	sudden, hung float64
 }
 
-// AtOnce takes in a run that failed at once.
-func (f *Failures) AtOnce() {
-	f.sudden++
+// AtOnce takes in a run that failed at once, with the probability that it did so in an episode.
+func (f *Failures) AtOnce(probability float64) {
+	f.sudden += probability
 	f.forget()
 }
 
--- a/measure/episodes/brief.go
+++ b/measure/episodes/brief.go
@@ -65,7 +65,7 @@
 
 // Figures of package gate.
 const (
-	stalledAt    = 0.9
+	stalledAt    = 0.8
 	inviteEvery  = 100 * clock.Millis(1)
 	inviteFor    = clock.Second
 	mostSenders  = 32
