--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -44,8 +44,8 @@
 		r.service.ended(now, a.member, &unsent)
 		return unsent
 	}
-	outcome := r.await(d, &a, w)
-	if r.hasLeft() || (outcome.kind == retry.Silent && r.repeatable) {
+	outcome := r.await(d, &a, w, untried)
+	if r.hasLeft() || (outcome.kind == retry.Silent && r.repeatable) || outcome.reason == string(wire.ReasonStalled) {
 		a.member.target.Abandon(d.ID, d.Attempt) // frees its slot, or its place in a queue
 	} else {
 		a.member.target.Forget(d.ID, d.Attempt)
@@ -78,7 +78,6 @@
 		Body:       r.body,
 		Repeatable: r.repeatable,
 		Retry:      r.arrived,
-		Movable:    r.isMovable(untried),
 		AnyHost:    r.route.Host == "",
 		Verdict:    uint8(a.verdict),
 		Forced:     a.forced,
@@ -93,11 +92,6 @@
 	return d
 }
 
-// isMovable reports whether another upstream would get the request if this one failed it.
-func (r *request) isMovable(untried int) bool {
-	return r.repeatable && r.placesLeft(untried) > 0 && (r.route.Attempts == 0 || r.ran+1 < r.route.Attempts)
-}
-
 // attemptBudget is the time that one try may take. A repeatable request keeps
 // half of what is left for another upstream: one that hangs would take all. A
 // service that is slow by nature must not be cut off by that, so a try lasts
@@ -131,7 +125,7 @@
 
 // await waits for the outcome of a dispatch. Without one by the end of its
 // budget it asks the gate, which voids a dispatch that it has not begun.
-func (r *request) await(d *wire.Dispatch, a *attempt, w *waiter) result {
+func (r *request) await(d *wire.Dispatch, a *attempt, w *waiter, untried int) result {
 	began := r.entry.config.Now()
 	v := waiting{dispatch: d, target: a.member.target, began: began, until: began + d.Budget}
 	if a.bounded && linkTime < d.Budget {
@@ -146,6 +140,12 @@
 			}
 			continue
 		}
+		if e.kind == stalled {
+			if out, ok := r.moveOn(w, untried); ok {
+				return out
+			}
+			continue
+		}
 		if out, ok := r.told(e); ok {
 			return out
 		}
--- a/entry/brief.go
+++ b/entry/brief.go
@@ -52,6 +52,9 @@
 	if r.config.Caution != table.Brief {
 		return r.service.choose(now, r.repeatable, r.tried)
 	}
+	if n, ok := r.takeNext(); ok {
+		return n.attempt, n.untried, true
+	}
 	switch {
 	case !r.isLastTry() && r.progress.asks < mostAsks:
 		look := search{again: true, tried: append(slices.Clone(r.tried), r.progress.full...)}
--- /dev/null
+++ b/entry/move_test.go
@@ -0,0 +1,83 @@
+package entry_test
+
+import (
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// stalls tells that a run hangs, and answers it once the test says so.
+func stalls(answer <-chan struct{}) func(d *desk, m *wire.Dispatch, w link.Waiter) {
+	return func(d *desk, m *wire.Dispatch, w link.Waiter) {
+		w.Stalled()
+		go func() {
+			<-answer
+			w.Replied(d.serves(m))
+		}()
+	}
+}
+
+// A list runs at an upstream that hangs. It must go on at one that has a place for it, and the
+// first run be given up.
+func TestStalledRunMovesToAPlaceElsewhere(t *testing.T) {
+	never := make(chan struct{})
+	first := &desk{name: "first", take: stalls(never)}
+	second := &desk{name: "second", hold: refuses("second", wire.ReasonFull)}
+	third := &desk{name: "third", hold: holds("third", 0.1)}
+	e := beforeRepeatable(t, first, second, third)
+	e.Heard(wire.Upstream{Name: "second", Share: 1, InFlight: 5})
+	e.Heard(wire.Upstream{Name: "third", Share: 1, InFlight: 5})
+	status, by := post(e)
+	if status != 200 || by != "third" {
+		t.Errorf("got %d from %q, want 200 from the third", status, by)
+	}
+	if first.abandoned != 1 {
+		t.Errorf("got the first run given up %d times, want once", first.abandoned)
+	}
+}
+
+// No other upstream has a place, or the retry budget none. Given up, the run would be lost,
+// and it may yet come to an end.
+func TestStalledRunWithoutAPlaceElsewhereGoesOn(t *testing.T) {
+	for _, reason := range []wire.Reason{wire.ReasonFull, wire.ReasonBudget} {
+		answer := make(chan struct{})
+		close(answer)
+		first := &desk{name: "first", take: stalls(answer)}
+		second := &desk{name: "second", hold: refuses("second", reason)}
+		e := beforeRepeatable(t, first, second)
+		e.Heard(wire.Upstream{Name: "second", Share: 1, InFlight: 5})
+		status, by := post(e)
+		if status != 200 || by != "first" || first.abandoned != 0 {
+			t.Errorf("%s: got %d from %q, given up %d times; want the first one's answer", reason, status, by, first.abandoned)
+		}
+	}
+}
+
+// The answer comes while the request looks for another place: it is the caller's, and the place
+// must be let go.
+func TestAnswerThatComesMeanwhileIsDelivered(t *testing.T) {
+	answer, came := make(chan struct{}), make(chan struct{})
+	first := &desk{name: "first", take: func(d *desk, m *wire.Dispatch, w link.Waiter) {
+		w.Stalled()
+		go func() {
+			<-answer
+			w.Replied(d.serves(m))
+			close(came)
+		}()
+	}}
+	second := &desk{name: "second", hold: func(e *wire.Enquiry, told func(*wire.Hold)) {
+		close(answer)
+		<-came
+		holds("second", 0.1)(e, told)
+	}}
+	e := beforeRepeatable(t, first, second)
+	e.Heard(wire.Upstream{Name: "second", Share: 1, InFlight: 5})
+	status, by := post(e)
+	if status != 200 || by != "first" {
+		t.Errorf("got %d from %q, want 200 from the first", status, by)
+	}
+	if len(second.waived) != 1 || second.dispatched != 0 {
+		t.Errorf("got %v waived and %d sent at the second, want its place let go", second.waived, second.dispatched)
+	}
+}
--- a/entry/paces.go
+++ b/entry/paces.go
@@ -60,18 +60,23 @@
 
 // learn takes in how long an upstream took that served the request, or how it failed.
 func (r *request) learn(o *result) {
-	if r.config.Caution != table.Brief || o.reply == nil || o.reply.Replay {
+	isStalled := o.reason == string(wire.ReasonStalled)
+	if r.config.Caution != table.Brief || (o.reply == nil && !isStalled) || (o.reply != nil && o.reply.Replay) {
 		return
 	}
 	p := r.entry.paces
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if isStalled {
+		p.failing(r.target).Hung(1)
+		return
+	}
 	pace := p.pace(r.route)
 	switch {
 	case o.served:
 		pace.Observe(o.reply.Took)
 	case o.kind != retry.Failed, o.reason == string(wire.ReasonLeft):
-	case o.reason == string(wire.ReasonTimeout), o.reason == string(wire.ReasonStalled):
+	case o.reason == string(wire.ReasonTimeout):
 		p.failing(r.target).Hung(1 - pace.Usual(r.route.Target).Beyond(o.reply.Took))
 	case o.reply.Took < grade.AtOnce:
 		p.failing(r.target).AtOnce(o.reply.Upstream.Severity)
--- a/entry/request.go
+++ b/entry/request.go
@@ -103,6 +103,7 @@
 	shed     int // attempts that an upstream refused itself
 	ran      int // attempts that an upstream ran, or may have run
 	progress progress
+	next     next
 	trail    trail
 	why      retry.Reason // of not being sent again
 	waited   clock.Millis // until the last try
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -17,6 +17,7 @@
 	forgotten
 	unsent
 	lost
+	stalled // most likely the run comes to no end
 	expired
 	abandoned // the caller has left
 )
@@ -27,7 +28,7 @@
 }
 
 // waiter receives what becomes of one dispatch. A dispatch ends with one reply
-// or settlement; the second place is for one notice that the path is lost.
+// or settlement; the second place is for one notice.
 type waiter struct {
 	events chan event
 }
@@ -57,8 +58,28 @@
 
 // Lost takes in that the path is lost for now.
 func (w *waiter) Lost() {
+	w.notice(lost)
+}
+
+// Stalled takes in that the run most likely comes to no end.
+func (w *waiter) Stalled() {
+	w.notice(stalled)
+}
+
+// notice puts what leaves room for the outcome.
+func (w *waiter) notice(kind eventKind) {
 	if len(w.events) == 0 {
-		w.put(event{kind: lost})
+		w.put(event{kind: kind})
+	}
+}
+
+// poll returns an event that has come.
+func (w *waiter) poll() (event, bool) {
+	select {
+	case e := <-w.events:
+		return e, true
+	default:
+		return event{}, false
 	}
 }
 
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -28,8 +28,6 @@
 	// ErrForeign means an answer that isn't the backend server's answer to
 	// this request: without its seal, under another id or recoded.
 	ErrForeign = errors.ConstError("backend server's answer isn't the request's own")
-	// ErrStalled means that the gate gave the run up. Do doesn't return it.
-	ErrStalled = errors.ConstError("the run was given up, for it would come to no end")
 	// ErrCancelled means that the caller has left.
 	ErrCancelled = errors.ConstError("the caller has left")
 )
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -85,6 +85,9 @@
 	// Invite asks an entry, or any one for entry 0, for a request, and returns
 	// false where it can't be reached. It may be nil and must not block.
 	Invite func(entry uint64, i *wire.Invitation) bool
+	// Stalled tells an entry that a run most likely comes to no end. It may be nil and must
+	// not block.
+	Stalled func(entry uint64, s *wire.Stalled)
 	// Crashes may be nil.
 	Crashes Crashes
 	// Refusals may be nil.
@@ -146,8 +149,6 @@
 	until    clock.Millis
 	running  bool
 	overdue  bool
-	// isStalled says that it was given up, since it would come to no end.
-	isStalled bool
 	// run is the judge's own of it, nil where that keeps none.
 	run *grade.Run
 	// life is the upstream's when the run began. One of a process that is gone holds
--- a/gate/run.go
+++ b/gate/run.go
@@ -152,20 +152,19 @@
 	}
 	j.timer.Reset((next - now).Duration())
 	g.noteState(now)
-	if g.hasStalled(now, j) {
-		j.isStalled = true
-		j.abandon()
+	if g.config.Stalled != nil && g.hasStalled(now, j) {
+		g.config.Stalled(j.dispatch.ID.Entry, &wire.Stalled{ID: j.dispatch.ID, Attempt: j.dispatch.Attempt})
 	}
 }
 
-// stalledAt is the probability of a hang at which a run is given up.
+// stalledAt is the probability of a hang at which the entry is told.
 const stalledAt = 0.8
 
 // hasStalled reports whether a run most likely comes to no end while there is time for
 // another one elsewhere. The gate's lock is held.
 func (g *Gate) hasStalled(now clock.Millis, j *job) bool {
 	judge, ok := g.judge.(runJudge)
-	if !ok || j.run == nil || j.abandon == nil || !j.dispatch.Movable || j.until-now < j.dispatch.Usual {
+	if !ok || j.run == nil || !j.dispatch.Repeatable || j.until-now < j.dispatch.Usual {
 		return false
 	}
 	return judge.Hangs(now, j.run) >= stalledAt
@@ -190,9 +189,6 @@
 	g.mu.Lock()
 	now := g.config.Now()
 	j.timer.Stop()
-	if j.isStalled && errors.Is(err, ErrCancelled) {
-		err = errors.Annotate(ErrStalled, err.Error())
-	}
 	delete(g.jobs, j.ticket)
 	isCurrent := j.life == g.life
 	g.noteFinished(now, j, a, err)
@@ -318,7 +314,7 @@
 // that no healthy upstream would have met.
 func resultOf(a Answer, err error, tooShort bool) health.Result {
 	switch {
-	case errors.Is(err, ErrCancelled), errors.Is(err, ErrStalled):
+	case errors.Is(err, ErrCancelled):
 		return health.Cancelled
 	case errors.Is(err, ErrTimeout) && tooShort:
 		return health.ShortDeadline
@@ -351,8 +347,6 @@
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTooLarge
 	case errors.Is(err, ErrForeign):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonForeign
-	case errors.Is(err, ErrStalled):
-		r.Outcome, r.Reason = wire.Broken, wire.ReasonStalled
 	case errors.Is(err, ErrCancelled):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonLeft
 	case errors.Is(err, ErrCrashed):
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -63,6 +63,17 @@
 	return key.Seq<<8 | uint64(key.Attempt)
 }
 
+// stalled hands on that a dispatch's run most likely comes to no end.
+func (p *Peer) stalled(s *wire.Stalled) {
+	p.mu.Lock()
+	p.judge.Heard(p.config.Now())
+	one, ok := p.pending[keyOf(s.ID, s.Attempt)]
+	p.mu.Unlock()
+	if ok {
+		one.waiter.Stalled()
+	}
+}
+
 // Settle asks the gate what became of a dispatch and forbids it to begin one
 // that it has not begun. The waiter is told.
 func (p *Peer) Settle(id wire.RequestID, attempt uint8) {
--- a/link/peer.go
+++ b/link/peer.go
@@ -38,6 +38,8 @@
 	Unsent()
 	// Lost says that the path is lost for now: an answer may still come.
 	Lost()
+	// Stalled says that the run most likely comes to no end: an answer may still come.
+	Stalled()
 }
 
 // Watcher is told what a peer says of itself. Its methods must not block.
@@ -280,6 +282,8 @@
 		p.held(m)
 	case *wire.Drawn:
 		p.drawn(m)
+	case *wire.Stalled:
+		p.stalled(m)
 	case *wire.Beat:
 		p.beat(m)
 		if m.Leaving {
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -20,6 +20,7 @@
 func (*waiting) Settled(bool)        {}
 func (*waiting) Unsent()             {}
 func (w *waiting) Lost()             { w.lost <- struct{}{} }
+func (*waiting) Stalled()            {}
 
 // A path is cut in one direction, and requests on it waited until heartbeats were missed,
 // most of them for their whole deadline. Heartbeats are an hour apart here.
--- a/link/server.go
+++ b/link/server.go
@@ -222,6 +222,11 @@
 	s.send(entry, h)
 }
 
+// Stalled tells an entry that a run most likely comes to no end.
+func (s *Server) Stalled(entry uint64, m *wire.Stalled) {
+	s.send(entry, m)
+}
+
 // Drawn sends the answer to a draw. An entry without one asks elsewhere.
 func (s *Server) Drawn(entry uint64, d *wire.Drawn) {
 	s.send(entry, d)
--- a/node/gates.go
+++ b/node/gates.go
@@ -100,6 +100,7 @@
 		Changed:  n.changed,
 		Excused:  n.entry.FailedWithin,
 		Invite:   n.invite,
+		Stalled:  n.stalled,
 		Keys:     n.keys,
 		Crashes:  byDispatch{n.crashes},
 		Log:      n.log,
@@ -191,6 +192,16 @@
 	return n.links.Invite(entry, i)
 }
 
+// stalled tells an entry of a run that most likely comes to no end. One that doesn't hear it
+// waits on.
+func (n *Node) stalled(entry uint64, s *wire.Stalled) {
+	if entry == n.incarnation {
+		n.stalls.tell(s)
+		return
+	}
+	n.links.Stalled(entry, s)
+}
+
 // Dispatch takes in a request from another node's entry.
 func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
 	n.handle(d, func(r *wire.Reply) { n.links.Answer(from, r) })
@@ -245,7 +256,9 @@
 	now := l.node.clock.Now()
 	d.Incarnation = l.node.incarnation
 	d.Lease = now + d.Budget
+	l.node.stalls.add(d, w)
 	l.node.handle(d, func(r *wire.Reply) {
+		l.node.stalls.remove(d)
 		l.node.entry.Heard(r.Upstream)
 		w.Replied(r)
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -80,6 +80,7 @@
 	keys            *gate.Keys
 	crashes         *crashes
 	quotas          *quotas
+	stalls          *stalls
 	entryPool       *ants.Pool
 	gatePool        *ants.Pool
 	root            *suture.Supervisor
@@ -133,6 +134,7 @@
 		gates:           map[string]*gate.Gate{},
 		retired:         map[string]retired{},
 		strangers:       map[string]clock.Millis{},
+		stalls:          newStalls(),
 		peers:           map[string]*peer{},
 		listed:          map[string]bool{},
 		read:            map[string]uint64{},
--- /dev/null
+++ b/node/stalls.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"sync"
+
+	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// stalls finds who waits for the dispatches of this node's own gates. It is safe for
+// concurrent use.
+type stalls struct {
+	mu      sync.Mutex
+	waiters map[lease.Key]link.Waiter
+}
+
+func newStalls() *stalls {
+	return &stalls{waiters: map[lease.Key]link.Waiter{}}
+}
+
+func (s *stalls) add(d *wire.Dispatch, w link.Waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters[keyOf(d.ID, d.Attempt)] = w
+}
+
+func (s *stalls) remove(d *wire.Dispatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, keyOf(d.ID, d.Attempt))
+}
+
+// tell tells the waiter of a dispatch that its run most likely comes to no end.
+func (s *stalls) tell(m *wire.Stalled) {
+	s.mu.Lock()
+	w, ok := s.waiters[keyOf(m.ID, m.Attempt)]
+	s.mu.Unlock()
+	if ok {
+		w.Stalled()
+	}
+}
+
+func keyOf(id wire.RequestID, attempt uint8) lease.Key {
+	return lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -116,8 +116,6 @@
 	Repeatable bool
 	// Retry says that an upstream has got the request before, or may have.
 	Retry bool
-	// Movable says that the entry would send it to another upstream if this one failed it.
-	Movable bool
 	// AnyHost says that the request's route is one for all hosts.
 	AnyHost bool
 	// Verdict is what the entry knows of the request, a quarantine.Verdict.
@@ -176,8 +174,8 @@
 	ReasonBudget  Reason = "retry-budget"
 	ReasonTimeout Reason = "timeout"
 	ReasonTorn    Reason = "torn-answer"
-	// ReasonStalled means that the gate gave the run up: most likely it would have come to
-	// no end.
+	// ReasonStalled means that the entry gave the run up for a place at another upstream:
+	// most likely it would have come to no end.
 	ReasonStalled Reason = "stalled"
 	// ReasonCrashed means that the backend server's process ended under the run.
 	ReasonCrashed Reason = "backend-crashed"
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -62,6 +62,7 @@
 	KindCrashes
 	KindDraw
 	KindDrawn
+	KindStalled
 )
 
 // Message is one of the message types of this package, by pointer.
@@ -165,6 +166,7 @@
 	KindCrashes:    func() Message { return new(Crashes) },
 	KindDraw:       func() Message { return new(Draw) },
 	KindDrawn:      func() Message { return new(Drawn) },
+	KindStalled:    func() Message { return new(Stalled) },
 }
 
 func blank(k Kind) Message {
