--- a/account/book.go
+++ b/access/book.go
@@ -1,4 +1,4 @@
-package account
+package access
 
 import (
 	"net/http"
@@ -37,7 +37,7 @@
 	textBound = 256
 )
 
-// Book is a node's account of its requests. It is safe for concurrent use.
+// Book is a node's access log. It is safe for concurrent use.
 type Book struct {
 	mu         sync.Mutex
 	start      clock.Millis
@@ -99,7 +99,7 @@
 	b.received++
 }
 
-// Close enters the single account of a request that Received counted.
+// Close enters the single record of a request that Received counted.
 func (b *Book) Close(now clock.Millis, r Record) {
 	r.clip()
 	if r.Outcome == Served && r.Status >= http.StatusInternalServerError {
--- a/account/account_test.go
+++ b/access/book_test.go
@@ -1,4 +1,4 @@
-package account_test
+package access_test
 
 import (
 	"fmt"
@@ -9,12 +9,12 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-func sum(totals []account.Total) (n uint64) {
+func sum(totals []access.Total) (n uint64) {
 	for _, t := range totals {
 		n += t.Count
 	}
@@ -28,7 +28,7 @@
 func TestAccountsAreConserved(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const bound = 4
-		b := account.New(account.Config{Records: 6, Events: 2, Callers: bound})
+		b := access.New(access.Config{Records: 6, Events: 2, Callers: bound})
 		var received, closed uint64
 		truth := map[string]uint64{}
 		for i := range rapid.IntRange(0, 300).Draw(t, "steps") {
@@ -37,12 +37,12 @@
 				received++
 				continue
 			}
-			r := account.Record{
+			r := access.Record{
 				ID:       fmt.Sprint(i),
 				Caller:   fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "caller")),
 				Service:  rapid.SampledFrom([]string{"", "bacheca", "conferme"}).Draw(t, "service"),
 				Upstream: fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "upstream")),
-				Outcome:  rapid.SampledFrom([]account.Outcome{account.Served, account.NotRun, account.Unknown}).Draw(t, "outcome"),
+				Outcome:  rapid.SampledFrom([]access.Outcome{access.Served, access.NotRun, access.Unknown}).Draw(t, "outcome"),
 			}
 			b.Close(clock.Millis(i), r)
 			if closed < received {
@@ -50,7 +50,7 @@
 				truth[r.Caller]++
 			}
 		}
-		s := b.Snapshot(1000, account.Filter{})
+		s := b.Snapshot(1000, access.Filter{})
 		if s.Received != received || s.Closed != closed || s.Closed+s.Open != s.Received {
 			t.Fatalf("got %d received, %d closed, %d open; want %d, %d", s.Received, s.Closed, s.Open, received, closed)
 		}
@@ -76,22 +76,22 @@
 
 func TestBookUnderConcurrency(t *testing.T) {
 	const workers, each = 8, 500
-	b := account.New(account.Config{Records: 64, Callers: 4})
+	b := access.New(access.Config{Records: 64, Callers: 4})
 	var wait sync.WaitGroup
 	for w := range workers {
 		wait.Go(func() {
 			for i := range each {
 				b.Received()
-				b.Close(clock.Millis(i), account.Record{Caller: fmt.Sprint(w, i%7), Service: "bacheca", Outcome: account.Served})
-				b.Note(account.Event{Kind: account.Back})
+				b.Close(clock.Millis(i), access.Record{Caller: fmt.Sprint(w, i%7), Service: "bacheca", Outcome: access.Served})
+				b.Note(access.Event{Kind: access.Back})
 				if i%100 == 0 {
-					b.Snapshot(clock.Millis(i), account.Filter{Since: clock.Second})
+					b.Snapshot(clock.Millis(i), access.Filter{Since: clock.Second})
 				}
 			}
 		})
 	}
 	wait.Wait()
-	s := b.Snapshot(each, account.Filter{})
+	s := b.Snapshot(each, access.Filter{})
 	if got, want := sum(s.Totals), uint64(workers*each); got != want || s.Open != 0 || s.Received != want {
 		t.Errorf("got %d in totals, %d open, %d received; want %d, 0, %d", got, s.Open, s.Received, want, want)
 	}
@@ -100,45 +100,45 @@
 // A flood of served requests must not push the few refusals, which a manager
 // asks about, out of the records.
 func TestRefusalsOutliveServed(t *testing.T) {
-	b := account.New(account.Config{Records: 4})
+	b := access.New(access.Config{Records: 4})
 	b.Received()
-	b.Close(1, account.Record{ID: "refused", Outcome: account.NotRun, Reason: account.ReasonNoUpstream})
+	b.Close(1, access.Record{ID: "refused", Outcome: access.NotRun, Reason: access.ReasonNoUpstream})
 	for i := range 100 {
 		b.Received()
-		b.Close(2, account.Record{ID: fmt.Sprint(i), Outcome: account.Served, Started: 2})
+		b.Close(2, access.Record{ID: fmt.Sprint(i), Outcome: access.Served, Started: 2})
 	}
-	s := b.Snapshot(10, account.Filter{})
+	s := b.Snapshot(10, access.Filter{})
 	if got := s.Records[len(s.Records)-1].ID; got != "refused" || len(s.Records) != 3 {
 		t.Errorf("got %d records, the oldest %q; want 3, the oldest refused", len(s.Records), got)
 	}
 	if got := s.Dropped.Served; got != 98 {
 		t.Errorf("got %d served dropped, want 98", got)
 	}
-	if got := b.Snapshot(10, account.Filter{Since: 9}).Span; got != 8 {
+	if got := b.Snapshot(10, access.Filter{Since: 9}).Span; got != 8 {
 		t.Errorf("got totals of 9 ms back span %v, want 8ms: what is older was overwritten", got)
 	}
 }
 
 func TestSnapshotFilters(t *testing.T) {
-	b := account.New(account.Config{Callers: 1})
+	b := access.New(access.Config{Callers: 1})
 	for i, caller := range []string{"palermo", "palermo", "hotel"} {
 		b.Received()
-		b.Close(clock.Millis(i), account.Record{
-			ID: fmt.Sprint(i), Caller: caller, Service: "bacheca", Upstream: fmt.Sprint("bacheca-", i), Outcome: account.Served, Started: clock.Millis(i),
+		b.Close(clock.Millis(i), access.Record{
+			ID: fmt.Sprint(i), Caller: caller, Service: "bacheca", Upstream: fmt.Sprint("bacheca-", i), Outcome: access.Served, Started: clock.Millis(i),
 		})
 	}
 	tests := []struct {
 		name   string
-		filter account.Filter
+		filter access.Filter
 		totals uint64
 		ids    string
 	}{
-		{"all", account.Filter{}, 3, "2 1 0"},
-		{"service", account.Filter{Service: "conferme"}, 0, ""},
-		{"upstream", account.Filter{Upstream: "bacheca-1"}, 1, "1"},
-		{"since", account.Filter{Since: 9}, 2, "2 1"},
-		{"limit", account.Filter{Limit: 1}, 3, "2"},
-		{"a caller forgotten", account.Filter{Caller: "palermo"}, 0, "1 0"},
+		{"all", access.Filter{}, 3, "2 1 0"},
+		{"service", access.Filter{Service: "conferme"}, 0, ""},
+		{"upstream", access.Filter{Upstream: "bacheca-1"}, 1, "1"},
+		{"since", access.Filter{Since: 9}, 2, "2 1"},
+		{"limit", access.Filter{Limit: 1}, 3, "2"},
+		{"a caller forgotten", access.Filter{Caller: "palermo"}, 0, "1 0"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -152,7 +152,7 @@
 			}
 		})
 	}
-	if got := b.Snapshot(10, account.Filter{Caller: "palermo"}).Missable; got < 2 {
+	if got := b.Snapshot(10, access.Filter{Caller: "palermo"}).Missable; got < 2 {
 		t.Errorf("got %d missable, want at least the 2 that palermo made", got)
 	}
 }
@@ -161,29 +161,29 @@
 func TestWhatBurns(t *testing.T) {
 	tests := []struct {
 		name         string
-		record       account.Record
+		record       access.Record
 		total        uint64
 		failed, slow uint64
 	}{
-		{"served", account.Record{Outcome: account.Served, Status: 200, Took: 250}, 1, 0, 0},
-		{"slow", account.Record{Outcome: account.Served, Status: 200, Took: 251}, 1, 0, 1},
-		{"upstream's error", account.Record{Outcome: account.Served, Status: 500, Took: 251}, 1, 1, 0},
-		{"upstream's 4xx", account.Record{Outcome: account.Served, Status: 404}, 1, 0, 0},
-		{"no upstream", account.Record{Outcome: account.NotRun, Reason: account.ReasonNoUpstream}, 1, 1, 0},
-		{"unknown", account.Record{Outcome: account.Unknown, Reason: "timeout"}, 1, 1, 0},
-		{"service's limit", account.Record{Outcome: account.NotRun, Reason: account.ReasonServiceLimit}, 1, 1, 0},
-		{"caller's limit", account.Record{Outcome: account.NotRun, Reason: account.ReasonCallerLimit}, 0, 0, 0},
-		{"caller hung up", account.Record{Outcome: account.Unknown, Reason: account.ReasonCallerGone}, 0, 0, 0},
+		{"served", access.Record{Outcome: access.Served, Status: 200, Took: 250}, 1, 0, 0},
+		{"slow", access.Record{Outcome: access.Served, Status: 200, Took: 251}, 1, 0, 1},
+		{"upstream's error", access.Record{Outcome: access.Served, Status: 500, Took: 251}, 1, 1, 0},
+		{"upstream's 4xx", access.Record{Outcome: access.Served, Status: 404}, 1, 0, 0},
+		{"no upstream", access.Record{Outcome: access.NotRun, Reason: access.ReasonNoUpstream}, 1, 1, 0},
+		{"unknown", access.Record{Outcome: access.Unknown, Reason: "timeout"}, 1, 1, 0},
+		{"service's limit", access.Record{Outcome: access.NotRun, Reason: access.ReasonServiceLimit}, 1, 1, 0},
+		{"caller's limit", access.Record{Outcome: access.NotRun, Reason: access.ReasonCallerLimit}, 0, 0, 0},
+		{"caller hung up", access.Record{Outcome: access.Unknown, Reason: access.ReasonCallerGone}, 0, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := account.New(account.Config{})
+			b := access.New(access.Config{})
 			b.SetServices([]table.Service{{Name: "bacheca", Objective: table.Objective{Latency: 250}}})
 			b.Received()
 			tt.record.Service = "bacheca"
 			b.Close(0, tt.record)
 			var total, failed, slow uint64
-			for _, s := range b.Snapshot(0, account.Filter{}).Burn {
+			for _, s := range b.Snapshot(0, access.Filter{}).Burn {
 				total, failed, slow = s.Windows[0].Total, s.Windows[0].Failed, s.Windows[0].Slow
 			}
 			if total != tt.total || failed != tt.failed || slow != tt.slow {
@@ -194,9 +194,9 @@
 }
 
 func TestFilterQuery(t *testing.T) {
-	want := account.Filter{Service: "a&b", Caller: "c d", Upstream: "u", Since: clock.Minute, Limit: 7}
+	want := access.Filter{Service: "a&b", Caller: "c d", Upstream: "u", Since: clock.Minute, Limit: 7}
 	args := map[string]string{"service": "a&b", "caller": "c d", "upstream": "u", "since": "1m0s", "limit": "7"}
-	got, err := account.ParseFilter(func(name string) string { return args[name] })
+	got, err := access.ParseFilter(func(name string) string { return args[name] })
 	if err != nil || got != want {
 		t.Errorf("got %+v, %v; want %+v", got, err, want)
 	}
@@ -204,19 +204,19 @@
 		t.Errorf("got query %q, want %q", got, want)
 	}
 	for name, value := range map[string]string{"since": "-1s", "limit": "x"} {
-		_, err := account.ParseFilter(func(asked string) string {
+		_, err := access.ParseFilter(func(asked string) string {
 			if asked == name {
 				return value
 			}
 			return ""
 		})
-		if !errors.Is(err, account.ErrFilter) {
+		if !errors.Is(err, access.ErrFilter) {
 			t.Errorf("got error %v for %s=%s, want ErrFilter", err, name, value)
 		}
 	}
 }
 
-// BenchmarkClose gives the cost of one account at growing numbers of callers.
+// BenchmarkClose gives the cost of one record at growing numbers of callers.
 func BenchmarkClose(b *testing.B) {
 	for _, callers := range []int{1_000, 10_000, 100_000, 1_300_000} {
 		b.Run(fmt.Sprint(callers), func(b *testing.B) {
@@ -224,12 +224,12 @@
 			for i := range names {
 				names[i] = fmt.Sprint("caller-", i)
 			}
-			book := account.New(account.Config{})
+			book := access.New(access.Config{})
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				book.Received()
-				book.Close(clock.Millis(i/2), account.Record{
-					ID: "id", Caller: names[i*7919%callers], Service: "bacheca", Upstream: "bacheca-1", Outcome: account.Served,
+				book.Close(clock.Millis(i/2), access.Record{
+					ID: "id", Caller: names[i*7919%callers], Service: "bacheca", Upstream: "bacheca-1", Outcome: access.Served,
 				})
 			}
 		})
--- a/account/memory_test.go
+++ b/access/memory_test.go
@@ -1,28 +1,28 @@
-package account_test
+package access_test
 
 import (
 	"fmt"
 	"runtime"
 	"testing"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // fill closes requests of many callers, services and upstreams, one in ten of
 // them refused, over three days so that each time bucket is in use.
-func fill(b *account.Book, requests, callers, services int) {
+func fill(b *access.Book, requests, callers, services int) {
 	const spread = 3 * clock.Day
 	for i := range requests {
 		service := i * 31 % services
-		r := account.Record{
+		r := access.Record{
 			ID: fmt.Sprintf("%032x", i), Caller: fmt.Sprint("caller-", i*7919%callers), Route: "/service/route",
 			Service: fmt.Sprint("service-", service), Upstream: fmt.Sprint("upstream-", service, "-", i%49),
-			Domain: "palermo", Method: "GET", Outcome: account.Served, Status: 200,
+			Domain: "palermo", Method: "GET", Outcome: access.Served, Status: 200,
 		}
 		if i%10 == 0 {
-			r.Outcome, r.Reason = account.NotRun, fmt.Sprint("reason-", i%7)
+			r.Outcome, r.Reason = access.NotRun, fmt.Sprint("reason-", i%7)
 		}
 		b.Received()
 		b.Close(clock.Millis(i)*spread/clock.Millis(requests), r)
@@ -40,7 +40,7 @@
 // for each request: totals by caller grew without bound.
 func TestMemoryIsBounded(t *testing.T) {
 	before := heap()
-	b := account.New(account.Config{})
+	b := access.New(access.Config{})
 	fill(b, 200_000, 1_300_000, 24)
 	got := int64(heap() - before)
 	runtime.KeepAlive(b)
@@ -51,17 +51,17 @@
 	}
 }
 
-// Each request pays for its account, so an account of a known caller must not
+// Each request pays for its record, so a record of a known caller must not
 // allocate.
 func TestCloseDoesNotAllocate(t *testing.T) {
-	b := account.New(account.Config{Records: 64})
-	r := account.Record{ID: "id", Caller: "hotel", Service: "bacheca", Upstream: "bacheca-1", Outcome: account.Served}
+	b := access.New(access.Config{Records: 64})
+	r := access.Record{ID: "id", Caller: "hotel", Service: "bacheca", Upstream: "bacheca-1", Outcome: access.Served}
 	got := testing.AllocsPerRun(1000, func() {
 		b.Received()
 		b.Close(1, r)
 	})
 	if got > 0 {
-		t.Errorf("got %v allocations an account, want 0", got)
+		t.Errorf("got %v allocations a record, want 0", got)
 	}
 }
 
@@ -80,7 +80,7 @@
 		b.Run(fmt.Sprintf("callers=%d/services=%d", size.callers, size.services), func(b *testing.B) {
 			for b.Loop() {
 				before := heap()
-				book := account.New(account.Config{})
+				book := access.New(access.Config{})
 				book.SetServices(make([]table.Service, 1))
 				fill(book, 400_000, size.callers, size.services)
 				b.ReportMetric(float64(heap()-before)/(1<<20), "MB")
@@ -92,9 +92,9 @@
 
 // BenchmarkSnapshot gives the time of a node's answer to a report.
 func BenchmarkSnapshot(b *testing.B) {
-	for _, filter := range []account.Filter{{Limit: 400}, {Limit: 400, Since: clock.Hour}, {}} {
+	for _, filter := range []access.Filter{{Limit: 400}, {Limit: 400, Since: clock.Hour}, {}} {
 		b.Run(filter.Query(), func(b *testing.B) {
-			book := account.New(account.Config{})
+			book := access.New(access.Config{})
 			fill(book, 400_000, 1_300_000, 24)
 			for b.Loop() {
 				book.Snapshot(3*clock.Day, filter)
@@ -103,11 +103,11 @@
 	}
 }
 
-// BenchmarkCloseParallel gives the cost of an account with all cores at it.
+// BenchmarkCloseParallel gives the cost of a record with all cores at it.
 func BenchmarkCloseParallel(b *testing.B) {
-	book := account.New(account.Config{})
+	book := access.New(access.Config{})
 	b.RunParallel(func(pb *testing.PB) {
-		r := account.Record{ID: "id", Caller: "caller", Service: "bacheca", Upstream: "bacheca-1", Outcome: account.Served}
+		r := access.Record{ID: "id", Caller: "caller", Service: "bacheca", Upstream: "bacheca-1", Outcome: access.Served}
 		for pb.Next() {
 			book.Received()
 			book.Close(1, r)
--- a/account/record.go
+++ b/access/record.go
@@ -1,4 +1,4 @@
-// Package account keeps, in a node's bounded memory, who got what: one account
+// Package access keeps a node's access log in bounded memory: one record
 // for each request that reached the entry, totals by caller, service, upstream
 // and outcome, what became of upstreams, and the counts that burn is worked
 // out from.
@@ -7,7 +7,7 @@
 // nothing to another node: a Snapshot carries Now, so that a reader turns them
 // into ages. Nothing lasts: a node that is replaced starts with an empty Book,
 // and Snapshot says how far back it reaches and what it had to drop.
-package account
+package access
 
 import "fuchsiapick.example/fuchsiapick/clock"
 
@@ -24,7 +24,7 @@
 	Unknown Outcome = "unknown"
 )
 
-// Record is the single account of one request. Book keeps its strings, so they
+// Record is the single record of one request. Book keeps its strings, so they
 // must not share memory with a buffer that is used again.
 type Record struct {
 	// ID is the request id that logs of entry and gate carry too.
--- a/account/ring.go
+++ b/access/ring.go
@@ -1,4 +1,4 @@
-package account
+package access
 
 // ring holds the last values put into it, up to its bound.
 type ring[T any] struct {
--- a/account/snapshot.go
+++ b/access/snapshot.go
@@ -1,4 +1,4 @@
-package account
+package access
 
 import (
 	"cmp"
--- a/account/tally.go
+++ b/access/tally.go
@@ -1,4 +1,4 @@
-package account
+package access
 
 import (
 	"cmp"
@@ -65,7 +65,7 @@
 // algorithm (Metwally, Agrawal and El Abbadi, 2005). With n callers kept
 // apart, each caller that made more than 1/n of all requests is among them,
 // and none misses more than 1/n of all requests. What isn't kept apart is
-// under Others, so that the sum of all totals is the number of accounts.
+// under Others, so that the sum of all totals is the number of records.
 type tally struct {
 	bound   int
 	callers map[string]*tracked
--- a/admin/admin.go
+++ b/admin/admin.go
@@ -8,15 +8,15 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 )
 
 // Node is what the admin address tells about.
 type Node interface {
 	Ready() bool
-	Snapshot(f account.Filter) account.Snapshot
+	Snapshot(f access.Filter) access.Snapshot
 	// Quarantine lists the requests under which backend servers crash.
-	Quarantine() []account.Suspect
+	Quarantine() []access.Suspect
 }
 
 // Config configures a Server.
@@ -91,7 +91,7 @@
 }
 
 func (s *Server) report(ctx *fasthttp.RequestCtx) {
-	filter, err := account.ParseFilter(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
+	filter, err := access.ParseFilter(func(name string) string { return string(ctx.QueryArgs().Peek(name)) })
 	if err != nil {
 		ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
 		return
--- a/capacity/accounts.go
+++ b/capacity/accounts.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -35,7 +35,7 @@
 			Role: "accounts", Name: "requests accounted for", Unit: unitMicros, Against: "requests",
 			Sizes: []int{2_000, 5_000, 10_000, 20_000},
 			Cost: func(n int) (float64, error) {
-				b := account.New(account.Config{})
+				b := access.New(access.Config{})
 				all := records(n, Callers, oneService)
 				return spent(func() error { enter(b, all); return nil })
 			},
@@ -48,13 +48,13 @@
 func callersKept() []int { return []int{250, 500, 1000, 2000} }
 
 // book returns a book with bounds on records and callers that has seen requests.
-func book(bound, callers, requests, services int) *account.Book {
-	b := account.New(account.Config{Records: bound, Events: 1, Callers: callers})
+func book(bound, callers, requests, services int) *access.Book {
+	b := access.New(access.Config{Records: bound, Events: 1, Callers: callers})
 	enter(b, records(requests, 4*callers, services))
 	return b
 }
 
-func enter(b *account.Book, all []account.Record) {
+func enter(b *access.Book, all []access.Record) {
 	for i, r := range all {
 		b.Received()
 		b.Close(hour+clock.Millis(i%1000), r)
@@ -63,18 +63,18 @@
 
 // records returns requests of many callers at the upstreams of the services.
 // Half are refused, so that both of a book's rings fill.
-func records(requests, callers, services int) []account.Record {
-	all := make([]account.Record, 0, requests)
+func records(requests, callers, services int) []access.Record {
+	all := make([]access.Record, 0, requests)
 	for i := range requests {
 		service := i % services
-		r := account.Record{
+		r := access.Record{
 			ID: fmt.Sprintf("%032x", i), Caller: fmt.Sprintf("caller-%d", i*7919%callers), Route: "/service/route",
 			Service: fmt.Sprintf("service-%d", service), Upstream: fmt.Sprintf("upstream-%d", i%perService),
-			Domain: "domain-1", Method: "GET", Outcome: account.Served, Status: 200, Attempts: 1,
+			Domain: "domain-1", Method: "GET", Outcome: access.Served, Status: 200, Attempts: 1,
 			Started: hour, Took: 20,
 		}
 		if i/services%2 == 1 {
-			r.Outcome, r.Reason, r.Status = account.NotRun, "full", 503
+			r.Outcome, r.Reason, r.Status = access.NotRun, "full", 503
 		}
 		all = append(all, r)
 	}
--- a/capacity/admins.go
+++ b/capacity/admins.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/metrics"
 )
 
@@ -17,21 +17,21 @@
 			Role: "admin", Name: "report without records", Unit: unitBytes, Against: "callers kept apart",
 			Sizes: callersKept(),
 			Cost: func(n int) (float64, error) {
-				return snapshotBytes(book(n, n, 4*n, oneService), account.Filter{Limit: 1})
+				return snapshotBytes(book(n, n, 4*n, oneService), access.Filter{Limit: 1})
 			},
 		},
 		{
 			Role: "admin", Name: "report without records", Unit: unitBytes, Against: "services called",
 			Sizes: []int{500, 1000, 2000, 4100}, Target: Services,
 			Cost: func(n int) (float64, error) {
-				return snapshotBytes(book(1, 1, n, n), account.Filter{Limit: 1})
+				return snapshotBytes(book(1, 1, n, n), access.Filter{Limit: 1})
 			},
 		},
 		{
 			Role: "admin", Name: "report of all records", Unit: unitBytes, Against: "records kept",
 			Sizes: []int{2_500, 5_000, 10_000, 20_000},
 			Cost: func(n int) (float64, error) {
-				return snapshotBytes(book(n, 1, 2*n, oneService), account.Filter{})
+				return snapshotBytes(book(n, 1, 2*n, oneService), access.Filter{})
 			},
 		},
 		{
@@ -58,7 +58,7 @@
 	}
 }
 
-func snapshotBytes(b *account.Book, f account.Filter) (float64, error) {
+func snapshotBytes(b *access.Book, f access.Filter) (float64, error) {
 	body, err := json.Marshal(b.Snapshot(2*hour, f))
 	return float64(len(body)), err
 }
@@ -67,12 +67,12 @@
 type view int
 
 // States returns upstreams that are all in use.
-func (v view) States() []account.UpstreamState {
-	all := make([]account.UpstreamState, 0, v)
+func (v view) States() []access.UpstreamState {
+	all := make([]access.UpstreamState, 0, v)
 	for i := range int(v) {
-		all = append(all, account.UpstreamState{
+		all = append(all, access.UpstreamState{
 			Service: fmt.Sprintf("service-%d", i/perService), Name: fmt.Sprintf("upstream-%d", i),
-			Domain: "domain-1", State: account.StateInUse,
+			Domain: "domain-1", State: access.StateInUse,
 		})
 	}
 	return all
@@ -86,7 +86,7 @@
 
 // scrape returns what serves the metrics of a node with so many upstreams.
 func scrape(upstreams int) func() []byte {
-	set := metrics.New(metrics.Config{Book: account.New(account.Config{Records: 1}), State: view(upstreams)})
+	set := metrics.New(metrics.Config{Book: access.New(access.Config{Records: 1}), State: view(upstreams)})
 	handler := set.Handler()
 	return func() []byte {
 		var ctx fasthttp.RequestCtx
@@ -103,9 +103,9 @@
 	return held(func() (any, error) {
 		set := metrics.New(metrics.Config{Book: ledger{}, State: view(0)})
 		for i := range upstreams {
-			set.Close(hour, account.Record{
+			set.Close(hour, access.Record{
 				Service: fmt.Sprintf("service-%d", i/perService), Upstream: fmt.Sprintf("upstream-%d", i),
-				Outcome: account.Served, Attempts: 1,
+				Outcome: access.Served, Attempts: 1,
 			})
 		}
 		return set, nil
--- a/capacity/entries.go
+++ b/capacity/entries.go
@@ -8,7 +8,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/limit"
@@ -111,10 +111,10 @@
 func (ledger) Received() {}
 
 // Close does nothing.
-func (ledger) Close(clock.Millis, account.Record) {}
+func (ledger) Close(clock.Millis, access.Record) {}
 
 // Note does nothing.
-func (ledger) Note(account.Event) {}
+func (ledger) Note(access.Event) {}
 
 // build makes a table larger than one value of the platform, too.
 func build(services, each int) (*table.Table, error) {
--- a/cmd/judge_test.go
+++ b/cmd/judge_test.go
@@ -9,19 +9,19 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/entry"
 )
 
 // cut is the outcome of a request whose connection broke without an answer.
-const cut account.Outcome = "cut"
+const cut access.Outcome = "cut"
 
 // told is what a caller was told of one request.
 type told struct {
 	path    string
 	id      string
 	method  string
-	outcome account.Outcome
+	outcome access.Outcome
 	status  int
 	reason  string
 }
@@ -51,7 +51,7 @@
 func (l *load) print(ts *testscript.TestScript) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := map[account.Outcome]int{}
+	counts := map[access.Outcome]int{}
 	var reasons []string
 	for _, t := range l.told {
 		counts[t.outcome]++
@@ -60,7 +60,7 @@
 		}
 	}
 	fmt.Fprintf(ts.Stdout(), "served=%d not-run=%d unknown=%d cut=%d reasons=%s\n",
-		counts[account.Served], counts[account.NotRun], counts[account.Unknown], counts[cut], strings.Join(reasons, ","))
+		counts[access.Served], counts[access.NotRun], counts[access.Unknown], counts[cut], strings.Join(reasons, ","))
 }
 
 // sendLoad N METHOD URL... sends N requests, one after another to each URL in
@@ -145,7 +145,7 @@
 }
 
 // refusedPort is a connection that was not opened: nothing was sent.
-const refusedPort account.Outcome = "refused-port"
+const refusedPort access.Outcome = "refused-port"
 
 // callerCount is how many callers share the load: what one caller alone meets
 // doesn't set an upstream aside.
@@ -167,7 +167,7 @@
 	t := told{path: string(request.URI().Path()), method: method, outcome: cut}
 	if err == nil {
 		t.id = string(response.Header.Peek(entry.HeaderRequest))
-		t.outcome = account.Outcome(response.Header.Peek(entry.HeaderOutcome))
+		t.outcome = access.Outcome(response.Header.Peek(entry.HeaderOutcome))
 		t.status = response.StatusCode()
 		t.reason = string(response.Header.Peek(entry.HeaderReason))
 	} else if strings.Contains(err.Error(), "connection refused") {
@@ -201,34 +201,34 @@
 	w := &sessionOf(ts).witness
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	counts, ran := map[account.Outcome]int{}, 0
+	counts, ran := map[access.Outcome]int{}, 0
 	for path, t := range w.told {
 		n := runs[path]
 		counts[t.outcome]++
 		if problem := t.contradicts(n); problem != "" {
 			ts.Fatalf("request %s %s: got %d runs of what was %s, want %s", path, t.id, n, t.outcome, problem)
 		}
-		if (t.outcome == account.Unknown || t.outcome == cut) && n > 0 {
+		if (t.outcome == access.Unknown || t.outcome == cut) && n > 0 {
 			ran++
 		}
 	}
 	fmt.Fprintf(ts.Stdout(), "served=%d not-run=%d unknown=%d cut=%d of-these-ran=%d\n",
-		counts[account.Served], counts[account.NotRun], counts[account.Unknown], counts[cut], ran)
+		counts[access.Served], counts[access.NotRun], counts[access.Unknown], counts[cut], ran)
 }
 
 // contradicts says what the ledgers should have held.
 func (t *told) contradicts(runs int) string {
 	repeatable := t.method == fasthttp.MethodGet
 	switch t.outcome {
-	case account.Served:
+	case access.Served:
 		if runs == 0 || (runs > 1 && !repeatable) {
 			return "1"
 		}
-	case account.NotRun, refusedPort:
+	case access.NotRun, refusedPort:
 		if runs != 0 {
 			return "0"
 		}
-	case account.Unknown, cut:
+	case access.Unknown, cut:
 		if runs > 1 && !repeatable {
 			return "at most 1"
 		}
--- a/cmd/reportcmd.go
+++ b/cmd/reportcmd.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/report"
 )
@@ -38,7 +38,7 @@
 	}
 	results, err := report.Fetch(report.Query{
 		Nodes:   slices.Concat(c.Node, c.More),
-		Filter:  account.Filter{Service: c.Service, Caller: c.Caller, Upstream: c.Upstream, Since: c.Since},
+		Filter:  access.Filter{Service: c.Service, Caller: c.Caller, Upstream: c.Upstream, Since: c.Since},
 		Timeout: c.Timeout,
 	})
 	if err != nil {
--- a/cmd/reportcmd_test.go
+++ b/cmd/reportcmd_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/cmd"
 )
 
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	body, err := json.Marshal(account.New(account.Config{}).Snapshot(0, account.Filter{}))
+	body, err := json.Marshal(access.New(access.Config{}).Snapshot(0, access.Filter{}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -15,7 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 )
 
 var (
@@ -86,7 +86,7 @@
 	poll(ts, "ten requests served in a row by "+args[1], func() (string, bool) {
 		t := s.ask(client, args[0], args[1])
 		served++
-		if t.outcome != account.Served || t.status != fasthttp.StatusOK {
+		if t.outcome != access.Served || t.status != fasthttp.StatusOK {
 			served = 0
 		}
 		return fmt.Sprintf("%s %s (%d in a row)", t.outcome, t.reason, served), served >= inARow
@@ -125,7 +125,7 @@
 	unread := map[string]bool{}
 	for !p.ended() {
 		t := s.ask(client, fasthttp.MethodPost, args[1])
-		if t.outcome == account.Unknown {
+		if t.outcome == access.Unknown {
 			ts.Fatalf("request to %s while it left: got %s %s", args[0], t.outcome, t.reason)
 		}
 		if t.outcome == cut {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -66,7 +66,7 @@
 }
 
 func sentence(f *final) string {
-	if f.outcome == account.Unknown {
+	if f.outcome == access.Unknown {
 		return "The request may have run; its outcome is unknown (" + f.reason + "). It will not be run again."
 	}
 	return "The request was not run (" + f.reason + ")."
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -40,7 +40,7 @@
 	w := newWaiter()
 	err := a.member.target.Dispatch(d, w)
 	if err != nil {
-		unsent := result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+		unsent := result{kind: retry.NotRun, reason: access.ReasonUnreachable}
 		r.service.ended(now, a.member, &unsent)
 		return unsent
 	}
@@ -162,11 +162,11 @@
 	case e.kind == voided:
 		return result{kind: retry.NotRun, reason: string(wire.ReasonVoided)}, true
 	case e.kind == unsent:
-		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}, true
+		return result{kind: retry.NotRun, reason: access.ReasonUnreachable}, true
 	case e.kind == forgotten:
 		return result{kind: retry.Silent, reason: reasonReplaced}, true
 	case e.kind == lost && r.repeatable:
-		return result{kind: retry.Silent, reason: account.ReasonUnreachable}, true
+		return result{kind: retry.Silent, reason: access.ReasonUnreachable}, true
 	default:
 		return result{}, false
 	}
@@ -178,7 +178,7 @@
 	silent := result{kind: retry.Silent, reason: reasonSilent}
 	switch {
 	case v.linking && v.target.Withdraw(d.ID, d.Attempt):
-		return result{kind: retry.NotRun, reason: account.ReasonUnreachable}, true
+		return result{kind: retry.NotRun, reason: access.ReasonUnreachable}, true
 	case v.linking:
 		v.linking, v.until = false, v.began+d.Budget
 	case r.repeatable:
@@ -204,7 +204,7 @@
 		out.kind = retry.Failed
 		out.served = reply.Status < fasthttp.StatusInternalServerError
 		if !out.served {
-			out.reason = account.ReasonUpstreamError
+			out.reason = access.ReasonUpstreamError
 		}
 	default:
 		out.kind = retry.Failed
--- a/entry/enquire.go
+++ b/entry/enquire.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -91,7 +91,7 @@
 
 func (s *survey) send(i int, patience clock.Millis) {
 	r, a := s.request, &s.places[i]
-	s.refusals[i] = result{kind: retry.NotRun, reason: account.ReasonUnreachable}
+	s.refusals[i] = result{kind: retry.NotRun, reason: access.ReasonUnreachable}
 	err := a.member.target.Enquire(&wire.Enquiry{
 		ID: r.id, Attempt: a.number, Upstream: a.upstream.Name, Repeatable: r.repeatable, Retry: r.arrived, Forced: a.forced,
 		Priority: r.priority(), Budget: r.deadline - r.entry.config.Now(), Patience: patience,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,7 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -52,8 +52,8 @@
 // Journal takes in accounts and events.
 type Journal interface {
 	Received()
-	Close(now clock.Millis, r account.Record)
-	Note(e account.Event)
+	Close(now clock.Millis, r access.Record)
+	Note(e access.Event)
 }
 
 // Config configures an Entry.
@@ -199,8 +199,8 @@
 }
 
 // States describes all upstreams as this entry sees them.
-func (e *Entry) States() []account.UpstreamState {
-	var all []account.UpstreamState
+func (e *Entry) States() []access.UpstreamState {
+	var all []access.UpstreamState
 	t := e.table.Load()
 	if t == nil {
 		return nil
@@ -229,7 +229,7 @@
 		r.serve()
 	})
 	if err != nil {
-		r.finish(refused(fasthttp.StatusServiceUnavailable, account.ReasonBusy, clock.Second))
+		r.finish(refused(fasthttp.StatusServiceUnavailable, access.ReasonBusy, clock.Second))
 		return
 	}
 	<-done
@@ -245,9 +245,9 @@
 func (e *Entry) Malformed(ctx *fasthttp.RequestCtx, err error) {
 	e.config.Journal.Received()
 	r := e.newRequest(ctx)
-	status, reason := fasthttp.StatusBadRequest, account.ReasonCallerFault
+	status, reason := fasthttp.StatusBadRequest, access.ReasonCallerFault
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		status, reason = fasthttp.StatusRequestEntityTooLarge, account.ReasonBodyTooLarge
+		status, reason = fasthttp.StatusRequestEntityTooLarge, access.ReasonBodyTooLarge
 	}
 	e.config.Log.WithError(err).WithField("request", r.id.String()).Debug("malformed request")
 	r.finish(refused(status, reason, 0))
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -96,15 +96,15 @@
 		r.isCharged = true
 		return final{}, true
 	case admission.IsOver:
-		return refused(fasthttp.StatusTooManyRequests, account.ReasonAccountLimit, admission.RetryAfter), false
+		return refused(fasthttp.StatusTooManyRequests, access.ReasonAccountLimit, admission.RetryAfter), false
 	default:
-		return refused(fasthttp.StatusServiceUnavailable, account.ReasonQuotaUnknown, admission.RetryAfter), false
+		return refused(fasthttp.StatusServiceUnavailable, access.ReasonQuotaUnknown, admission.RetryAfter), false
 	}
 }
 
 // giveBack returns the request's admission where nothing has run.
 func (r *request) giveBack(f *final) {
-	if r.isCharged && f.outcome == account.NotRun {
+	if r.isCharged && f.outcome == access.NotRun {
 		r.entry.config.Quotas.Return(r.account)
 	}
 }
--- a/entry/member.go
+++ b/entry/member.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
@@ -98,13 +98,13 @@
 func (m *member) describe(now clock.Millis, use floor.Use) string {
 	switch {
 	case m.upstream.Weight == 0:
-		return account.StateOff
+		return access.StateOff
 	case m.state.Leaving || m.gone:
-		return account.StateLeaving
+		return access.StateLeaving
 	case m.lost || m.state.Down:
-		return account.StateUnreachable
+		return access.StateUnreachable
 	case use == floor.Forced:
-		return account.StateKept
+		return access.StateKept
 	}
-	return account.StateOf(m.verdict(now))
+	return access.StateOf(m.verdict(now))
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/quarantine"
@@ -119,7 +119,7 @@
 	}
 	answer, done := r.tryOne(now, choice, 0)
 	switch {
-	case done && answer.outcome != account.NotRun:
+	case done && answer.outcome != access.NotRun:
 		return answer, true
 	case r.standing().Verdict != quarantine.Quarantined:
 		return final{}, false
@@ -148,14 +148,14 @@
 	case <-r.left:
 		return r.unserved(string(wire.ReasonLeft), 0), true
 	case <-timer.C:
-		return r.unserved(account.ReasonNoUpstream, r.service.comeBack(now)), true
+		return r.unserved(access.ReasonNoUpstream, r.service.comeBack(now)), true
 	}
 }
 
 // quarantined is the final answer to a request that crashes the backend servers which run
 // it. Some have run it, under this id or another: it isn't called not run.
 func (*request) quarantined() final {
-	return final{outcome: account.Unknown, status: fasthttp.StatusBadGateway, reason: string(wire.ReasonQuarantined)}
+	return final{outcome: access.Unknown, status: fasthttp.StatusBadGateway, reason: string(wire.ReasonQuarantined)}
 }
 
 // trialSearch is what a suspected request looks for.
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -127,7 +127,7 @@
 
 // final is the answer that the caller gets.
 type final struct {
-	outcome    account.Outcome
+	outcome    access.Outcome
 	status     int
 	reason     string
 	retryAfter clock.Millis
@@ -136,7 +136,7 @@
 }
 
 func refused(status int, reason string, after clock.Millis) final {
-	return final{outcome: account.NotRun, status: status, reason: reason, retryAfter: after}
+	return final{outcome: access.NotRun, status: status, reason: reason, retryAfter: after}
 }
 
 func (e *Entry) newRequest(ctx *fasthttp.RequestCtx) *request {
@@ -197,20 +197,20 @@
 func (r *request) admit() (final, bool) {
 	t := r.entry.table.Load()
 	if t == nil {
-		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
+		return refused(fasthttp.StatusServiceUnavailable, access.ReasonNoTable, clock.Second), false
 	}
 	route, ok := t.Route(hostOf(r.ctx), string(r.ctx.Path()))
 	if !ok {
-		return refused(fasthttp.StatusNotFound, account.ReasonNoRoute, 0), false
+		return refused(fasthttp.StatusNotFound, access.ReasonNoRoute, 0), false
 	}
 	r.table, r.route = t, route
 	if !r.identify() {
-		return refused(fasthttp.StatusUnauthorized, account.ReasonNoAccount, 0), false
+		return refused(fasthttp.StatusUnauthorized, access.ReasonNoAccount, 0), false
 	}
 	r.target = r.entry.spread.Service(route)
 	r.service = (*r.entry.services.Load())[r.target]
 	if r.service == nil {
-		return refused(fasthttp.StatusServiceUnavailable, account.ReasonNoTable, clock.Second), false
+		return refused(fasthttp.StatusServiceUnavailable, access.ReasonNoTable, clock.Second), false
 	}
 	r.config, r.baseline = r.service.admit(r.started)
 	r.deadline = r.started + r.budget()
@@ -223,9 +223,9 @@
 
 func limitReason(by string) string {
 	if by == "caller" {
-		return account.ReasonCallerLimit
+		return access.ReasonCallerLimit
 	}
-	return account.ReasonServiceLimit
+	return access.ReasonServiceLimit
 }
 
 // budget is the shortest of the route's timeout, or the service's deadline
@@ -288,7 +288,7 @@
 		r.why = retry.NoBudget
 		return r.unserved(string(wire.ReasonBudget), r.service.spread(r.denied))
 	}
-	return r.unserved(account.ReasonNoUpstream, r.service.comeBack(now))
+	return r.unserved(access.ReasonNoUpstream, r.service.comeBack(now))
 }
 
 // unserved is the final answer of a request that no upstream has served: an upstream's
@@ -296,7 +296,7 @@
 func (r *request) unserved(reason string, after clock.Millis) final {
 	switch {
 	case r.failed != nil:
-		return final{outcome: account.Served, status: r.failed.Status, reply: r.failed, reason: account.ReasonUpstreamError, replay: r.failed.Replay}
+		return final{outcome: access.Served, status: r.failed.Status, reply: r.failed, reason: access.ReasonUpstreamError, replay: r.failed.Replay}
 	case r.begun:
 		return r.unknown(reason)
 	default:
@@ -310,7 +310,7 @@
 	r.count(&o)
 	r.learn(&o)
 	if o.served {
-		return final{outcome: account.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
+		return final{outcome: access.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
 	}
 	if answer, ok := r.keyed(&o); ok {
 		return answer, true
@@ -373,7 +373,7 @@
 	if reason == string(wire.ReasonTimeout) || reason == reasonSilent {
 		status = fasthttp.StatusGatewayTimeout
 	}
-	return final{outcome: account.Unknown, status: status, reason: reason}
+	return final{outcome: access.Unknown, status: status, reason: reason}
 }
 
 // finish writes the answer and closes the account.
@@ -381,7 +381,7 @@
 	r.write(&f)
 	r.giveBack(&f)
 	now := r.entry.config.Now()
-	record := account.Record{
+	record := access.Record{
 		ID:       r.id.String(),
 		Caller:   r.accountable(),
 		Method:   r.method,
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -45,7 +45,7 @@
 	switch {
 	case err != nil:
 		r.entry.config.Log.WithError(err).WithField("request", r.id.String()).Debug("malformed request")
-		return refused(fasthttp.StatusBadRequest, account.ReasonCallerFault, 0), true
+		return refused(fasthttp.StatusBadRequest, access.ReasonCallerFault, 0), true
 	case r.sent.mark.Number == 0:
 		return final{}, false
 	default:
@@ -148,7 +148,7 @@
 func (r *request) replay(v *wire.Voided) final {
 	r.last.Name = v.Upstream
 	reply := &wire.Reply{Outcome: wire.Answered, Status: v.Status, Headers: v.Headers, Body: v.Body}
-	return final{outcome: account.Served, status: v.Status, reply: reply, replay: true}
+	return final{outcome: access.Served, status: v.Status, reply: reply, replay: true}
 }
 
 // undecided ends a send of a key that an earlier send may have run.
@@ -158,7 +158,7 @@
 	case string(resend.ReasonRunning), string(resend.ReasonOutranked), string(wire.ReasonKeyVoided):
 		status = fasthttp.StatusConflict
 	}
-	return final{outcome: account.Unknown, status: status, reason: reason, retryAfter: after}
+	return final{outcome: access.Unknown, status: status, reason: reason, retryAfter: after}
 }
 
 // asked is one node's answer; voided is nil without one.
--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -17,7 +17,7 @@
 func TestAnotherProcessIsAnotherUpstream(t *testing.T) {
 	log := lines.Silent()
 	e := entry.New(entry.Config{
-		Now: clock.NewSystem().Now, Journal: account.New(account.Config{}), Log: log,
+		Now: clock.NewSystem().Now, Journal: access.New(access.Config{}), Log: log,
 		Target: func(table.Upstream) entry.Target { return &desk{} },
 	})
 	listed := func(started int64) *table.Table {
--- a/entry/service.go
+++ b/entry/service.go
@@ -6,7 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/floor"
@@ -273,9 +273,9 @@
 
 func (s *service) noteForced(now clock.Millis, m *member) {
 	s.log.WithField("upstream", m.upstream.Name).Warn("kept in use under the floor")
-	s.journal.Note(account.Event{
+	s.journal.Note(access.Event{
 		At:       now,
-		Kind:     account.KeptUnderFloor,
+		Kind:     access.KeptUnderFloor,
 		Service:  s.config.Name,
 		Upstream: m.upstream.Name,
 		Node:     m.upstream.Node,
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -7,7 +7,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/lines"
@@ -106,9 +106,9 @@
 
 type journal struct{}
 
-func (journal) Received()                          {}
-func (journal) Close(clock.Millis, account.Record) {}
-func (journal) Note(account.Event)                 {}
+func (journal) Received()                         {}
+func (journal) Close(clock.Millis, access.Record) {}
+func (journal) Note(access.Event)                 {}
 
 // before returns an entry before one upstream a desk, in domains of their own.
 func before(t *testing.T, desks ...*desk) *entry.Entry {
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -70,7 +70,7 @@
 		age:      max(chosen-a.heard, 0),
 	}
 	if o.served {
-		s.result = string(account.Served)
+		s.result = string(access.Served)
 	}
 	r.trail.add(s)
 }
@@ -78,10 +78,10 @@
 // log leaves a line of what a caller may ask about: a request that was not served, or
 // was later than its route's target. Others leave none; counters and the report
 // have them.
-func (r *request) log(record *account.Record, f *final) {
+func (r *request) log(record *access.Record, f *final) {
 	var message string
 	switch {
-	case f.outcome != account.Served:
+	case f.outcome != access.Served:
 		message = "request not served"
 	case f.status >= failureStatus:
 		message = "request failed by its backend server"
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,19 +1,19 @@
 package entry
 
 import (
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 )
 
 // states describes the upstreams for the report.
-func (s *service) states(now clock.Millis) []account.UpstreamState {
+func (s *service) states(now clock.Millis) []access.UpstreamState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now)
-	all := make([]account.UpstreamState, 0, len(s.members))
+	all := make([]access.UpstreamState, 0, len(s.members))
 	for i, m := range s.members {
-		all = append(all, account.UpstreamState{
+		all = append(all, access.UpstreamState{
 			Service:  s.config.Name,
 			Name:     m.upstream.Name,
 			Domain:   m.upstream.Domain,
--- a/fleet/account_test.go
+++ b/fleet/account_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/quota"
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -145,7 +145,7 @@
 		switch {
 		case got.status == 200:
 			served++
-		case got.status != 429 || got.reason != account.ReasonAccountLimit:
+		case got.status != 429 || got.reason != access.ReasonAccountLimit:
 			t.Errorf("request %d: got %d %q, want 429 for the account's limit", i, got.status, got.reason)
 		}
 	}
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -114,7 +114,7 @@
 	c := deployment(3)
 	f := start(t, fleet.Config{Table: c, Service: 700, Adjust: func(s *settings.Settings) { s.Limits.Requests = 10 }})
 	for i := range 6 {
-		if got := send(t, "GET", f.Members[i%3].Caller, "/conferme/turno", ""); got.outcome != string(account.Served) {
+		if got := send(t, "GET", f.Members[i%3].Caller, "/conferme/turno", ""); got.outcome != string(access.Served) {
 			t.Errorf("request %d: got %s %s, want served", i, got.outcome, got.reason)
 		}
 	}
@@ -125,10 +125,10 @@
 	}
 }
 
-func totals(f *fleet.Fleet) account.Snapshot {
-	var sum account.Snapshot
+func totals(f *fleet.Fleet) access.Snapshot {
+	var sum access.Snapshot
 	for _, m := range f.Members {
-		s := m.Node.Snapshot(account.Filter{Limit: 1})
+		s := m.Node.Snapshot(access.Filter{Limit: 1})
 		sum.Received += s.Received
 		sum.Closed += s.Closed
 	}
--- a/fleet/badinput_test.go
+++ b/fleet/badinput_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -49,20 +49,20 @@
 	tests := []struct {
 		name, text string
 		status     int
-		outcome    account.Outcome
+		outcome    access.Outcome
 		reason     string
 	}{
-		{"no HTTP", "hello\r\n\r\n", 400, account.NotRun, account.ReasonCallerFault},
-		{"bad length", "POST /conferme/x HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", 400, account.NotRun, account.ReasonCallerFault},
+		{"no HTTP", "hello\r\n\r\n", 400, access.NotRun, access.ReasonCallerFault},
+		{"bad length", "POST /conferme/x HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", 400, access.NotRun, access.ReasonCallerFault},
 		{
 			"body over the bound", "POST /conferme/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000),
-			413, account.NotRun, account.ReasonBodyTooLarge,
+			413, access.NotRun, access.ReasonBodyTooLarge,
 		},
-		{"unknown route", "GET /orari HTTP/1.1\r\nHost: a\r\n\r\n", 404, account.NotRun, account.ReasonNoRoute},
-		{"prefix of a segment", "GET /confermeX HTTP/1.1\r\nHost: a\r\n\r\n", 404, account.NotRun, account.ReasonNoRoute},
-		{"answer over the bound", "GET /conferme/x?size=9000 HTTP/1.1\r\nHost: a\r\n\r\n", 502, account.Unknown, "answer-too-large"},
-		{"long caller", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Caller: " + strings.Repeat("c", 3000) + "\r\n\r\n", 200, account.Served, ""},
-		{"no deadline", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Deadline: -3\r\n\r\n", 200, account.Served, ""},
+		{"unknown route", "GET /orari HTTP/1.1\r\nHost: a\r\n\r\n", 404, access.NotRun, access.ReasonNoRoute},
+		{"prefix of a segment", "GET /confermeX HTTP/1.1\r\nHost: a\r\n\r\n", 404, access.NotRun, access.ReasonNoRoute},
+		{"answer over the bound", "GET /conferme/x?size=9000 HTTP/1.1\r\nHost: a\r\n\r\n", 502, access.Unknown, "answer-too-large"},
+		{"long caller", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Caller: " + strings.Repeat("c", 3000) + "\r\n\r\n", 200, access.Served, ""},
+		{"no deadline", "GET /conferme/x HTTP/1.1\r\nHost: a\r\nFuchsiapick-Deadline: -3\r\n\r\n", 200, access.Served, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -73,7 +73,7 @@
 			}
 		})
 	}
-	s := node.Node.Snapshot(account.Filter{})
+	s := node.Node.Snapshot(access.Filter{})
 	if want := uint64(len(tests)); s.Received != want || s.Closed != want || s.Open != 0 {
 		t.Errorf("got %d received, %d closed, %d open; want %d, %d, 0", s.Received, s.Closed, s.Open, want, want)
 	}
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
@@ -51,7 +51,7 @@
 		s.mu.Unlock()
 		outcome, err := once(client, address, i%2 == 0)
 		s.mu.Lock()
-		if err == nil && outcome == string(account.Served) {
+		if err == nil && outcome == string(access.Served) {
 			s.served++
 		} else {
 			s.failed = append(s.failed, fmt.Sprintf("%s: %q %v", address, outcome, err))
@@ -145,10 +145,10 @@
 		state string
 		leave func(f *fleet.Fleet) error
 	}{
-		{"zero weight", account.StateOff, func(f *fleet.Fleet) error {
+		{"zero weight", access.StateOff, func(f *fleet.Fleet) error {
 			return f.Publish(func(tt *table.Table) { tt.Services[0].Upstreams[0].Weight = 0 })
 		}},
-		{"instance list", account.StateLeaving, func(f *fleet.Fleet) error {
+		{"instance list", access.StateLeaving, func(f *fleet.Fleet) error {
 			list := fmt.Sprintf("version = 1\n[[instance]]\nnode = %q\ndomain = \"palermo\"\nstate = \"leaving\"\n", f.Members[0].Link)
 			f.Platform.Publish("instances", 1, []byte(list))
 			return nil
@@ -231,7 +231,7 @@
 	case <-time.After(time.Second):
 	}
 	beside.Relay.SetMode(standin.Pass)
-	if got := <-done; got.outcome != string(account.NotRun) {
+	if got := <-done; got.outcome != string(access.NotRun) {
 		t.Errorf("got outcome %q (%s), want it not run", got.outcome, got.reason)
 	}
 }
--- a/fleet/once_test.go
+++ b/fleet/once_test.go
@@ -5,7 +5,7 @@
 	"sync"
 	"testing"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -15,11 +15,11 @@
 // repeated, to hold it against the backend servers' ledgers.
 type witness struct {
 	mu   sync.Mutex
-	told map[string]account.Outcome
+	told map[string]access.Outcome
 }
 
 func newWitness() *witness {
-	return &witness{told: map[string]account.Outcome{}}
+	return &witness{told: map[string]access.Outcome{}}
 }
 
 func (w *witness) post(t *testing.T, address string) answer {
@@ -27,7 +27,7 @@
 	got := send(t, "POST", address, "/conferme/turno", "palermo-7")
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.told[got.id] = account.Outcome(got.outcome)
+	w.told[got.id] = access.Outcome(got.outcome)
 	return got
 }
 
@@ -50,15 +50,15 @@
 	}
 	for id, outcome := range w.told {
 		switch outcome {
-		case account.NotRun:
+		case access.NotRun:
 			if runs[id] != 0 {
 				t.Errorf("request %s: got %d runs of what was refused as not run", id, runs[id])
 			}
-		case account.Served:
+		case access.Served:
 			if runs[id] != 1 {
 				t.Errorf("request %s: got %d runs of what was served, want 1", id, runs[id])
 			}
-		case account.Unknown:
+		case access.Unknown:
 			unknown++
 		default:
 			t.Errorf("request %s: got outcome %q", id, outcome)
--- a/fleet/return_test.go
+++ b/fleet/return_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -23,8 +23,8 @@
 	await(t, sick, ran(30))
 	sick.SetFault(standin.Fault{Kind: standin.Slow, Factor: 8})
 	state := func() string { return stateOf(f.Members[0], "conferme-2") }
-	until(t, "upstream set aside", func() bool { return state() == account.StateSetAside })
+	until(t, "upstream set aside", func() bool { return state() == access.StateSetAside })
 	sick.SetFault(standin.Fault{})
-	until(t, "upstream back", func() bool { return state() == account.StateRamp || state() == account.StateInUse })
+	until(t, "upstream back", func() bool { return state() == access.StateRamp || state() == access.StateInUse })
 	s.end(t)
 }
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -11,7 +11,7 @@
 
 	"github.com/juju/errors"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/quarantine"
@@ -172,7 +172,7 @@
 	// Of too many those are told that ran shortest: a run that lasts has not crashed it.
 	slices.SortFunc(end.Suspects, func(a, b quarantine.Suspect) int { return cmp.Compare(a.Ran, b.Ran) })
 	end.Suspects = end.Suspects[:min(len(end.Suspects), quarantine.MostSuspects)]
-	g.note(account.Event{At: now, Kind: account.Crashed, Reason: string(wire.ReasonCrashed)})
+	g.note(access.Event{At: now, Kind: access.Crashed, Reason: string(wire.ReasonCrashed)})
 	g.log.WithField("runs", runs).Warn("backend server crashed under its runs")
 	if g.config.Crashes != nil && len(end.Suspects) > 0 {
 		g.config.Crashes.Ended(end)
@@ -240,7 +240,7 @@
 	g.judge = judgeOf(g.service.Caution, g.config.Seed)
 	if g.judge.Status(now).State != g.state {
 		g.state = health.InUse
-		g.note(account.Event{At: now, Kind: account.Back, Reason: string(wire.ReasonQuarantined)})
+		g.note(access.Event{At: now, Kind: access.Back, Reason: string(wire.ReasonQuarantined)})
 	}
 	g.change()
 }
--- a/gate/crash_test.go
+++ b/gate/crash_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/lines"
@@ -43,19 +43,19 @@
 // kept holds the events that were noted.
 type kept struct {
 	mu    sync.Mutex
-	kinds []account.EventKind
+	kinds []access.EventKind
 }
 
-func (k *kept) Note(e account.Event) {
+func (k *kept) Note(e access.Event) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.kinds = append(k.kinds, e.Kind)
 }
 
-func (k *kept) count(kind account.EventKind) int {
+func (k *kept) count(kind access.EventKind) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(slices.DeleteFunc(slices.Clone(k.kinds), func(other account.EventKind) bool { return other != kind }))
+	return len(slices.DeleteFunc(slices.Clone(k.kinds), func(other access.EventKind) bool { return other != kind }))
 }
 
 // Three runs break off at once. Unless the lines tell a process that ended from a
@@ -92,7 +92,7 @@
 					t.Errorf("got reason %s, want %s", got.Reason, tt.wantReason)
 				}
 			}
-			if got := journal.count(account.Crashed); got != tt.wantEvents {
+			if got := journal.count(access.Crashed); got != tt.wantEvents {
 				t.Errorf("got %d crashes noted, want %d", got, tt.wantEvents)
 			}
 			runs, crashes := 0, 0
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,7 +12,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -57,7 +57,7 @@
 
 // Journal takes in what the gate decides.
 type Journal interface {
-	Note(e account.Event)
+	Note(e access.Event)
 }
 
 // Refusals counts dispatches that a gate refused to run.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/panjf2000/ants/v2"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/lines"
@@ -43,7 +43,7 @@
 
 type nobody struct{}
 
-func (nobody) Note(account.Event) {}
+func (nobody) Note(access.Event) {}
 
 const incarnation = 7
 
--- a/gate/journal.go
+++ b/gate/journal.go
@@ -3,14 +3,14 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/grade"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-func (g *Gate) note(e account.Event) {
+func (g *Gate) note(e access.Event) {
 	e.Service, e.Upstream, e.Node = g.service.Name, g.upstream.Name, g.upstream.Node
 	g.config.Journal.Note(e)
 }
@@ -23,7 +23,7 @@
 		return
 	}
 	g.state = s.State
-	e := account.Event{At: now, Kind: kindOf(s.State), Reason: s.Evidence.Reason}
+	e := access.Event{At: now, Kind: kindOf(s.State), Reason: s.Evidence.Reason}
 	if s.State == health.Aside {
 		e.Until = s.Until
 		e.Evidence = evidenceOf(s.Evidence)
@@ -50,21 +50,21 @@
 	}
 }
 
-func kindOf(s health.State) account.EventKind {
+func kindOf(s health.State) access.EventKind {
 	switch s {
 	case health.Aside:
-		return account.SetAside
+		return access.SetAside
 	case health.Trial:
-		return account.Trial
+		return access.Trial
 	case health.Ramp:
-		return account.Ramp
+		return access.Ramp
 	default:
-		return account.Back
+		return access.Back
 	}
 }
 
-func evidenceOf(e health.Evidence) account.Evidence {
-	return account.Evidence{
+func evidenceOf(e health.Evidence) access.Evidence {
+	return access.Evidence{
 		Outcomes:        e.Outcomes,
 		Failed:          e.Failed,
 		Slow:            e.Slow,
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -1,7 +1,7 @@
 package gate
 
 import (
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -44,6 +44,6 @@
 	}
 	g.leftAt = g.config.Now()
 	g.log.WithField("reason", reason).Info("leaving")
-	g.note(account.Event{At: g.leftAt, Kind: account.Leaving, Reason: reason})
+	g.note(access.Event{At: g.leftAt, Kind: access.Leaving, Reason: reason})
 	return g.giveUp(g.leftAt, g.slots.Dismiss(), wire.ReasonLeaving)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -22,13 +22,13 @@
 // Book is the account of requests that is counted along.
 type Book interface {
 	Received()
-	Close(now clock.Millis, r account.Record)
-	Note(e account.Event)
+	Close(now clock.Millis, r access.Record)
+	Note(e access.Event)
 }
 
 // State is what is read anew at each scrape.
 type State interface {
-	States() []account.UpstreamState
+	States() []access.UpstreamState
 	Version() uint64
 	Busy() int
 }
@@ -112,17 +112,17 @@
 		s.events.WithLabelValues(string(kind))
 	}
 	// A full node refuses before it knows the service.
-	s.requests.WithLabelValues("", "", string(account.NotRun), account.ReasonBusy)
+	s.requests.WithLabelValues("", "", string(access.NotRun), access.ReasonBusy)
 	return s
 }
 
 // kinds of events are counted from 0 on: an alert on the first table that is
 // rejected needs a series that was there before.
-var kinds = []account.EventKind{
-	account.SetAside, account.Trial, account.Ramp, account.Back, account.KeptUnderFloor,
-	account.PathLost, account.PathBack, account.Crashed, account.Quarantined, account.Freed, account.Leaving,
-	account.TableAccepted, account.TableRejected, account.TableOlder,
-	account.PlatformLost, account.PlatformBack,
+var kinds = []access.EventKind{
+	access.SetAside, access.Trial, access.Ramp, access.Back, access.KeptUnderFloor,
+	access.PathLost, access.PathBack, access.Crashed, access.Quarantined, access.Freed, access.Leaving,
+	access.TableAccepted, access.TableRejected, access.TableOlder,
+	access.PlatformLost, access.PlatformBack,
 }
 
 // Handler serves the metrics over HTTP.
@@ -137,7 +137,7 @@
 }
 
 // Close counts a request that was answered.
-func (s *Set) Close(now clock.Millis, r account.Record) {
+func (s *Set) Close(now clock.Millis, r access.Record) {
 	s.requests.WithLabelValues(r.Service, r.Upstream, string(r.Outcome), r.Reason).Inc()
 	s.attempts.WithLabelValues(r.Service).Add(float64(r.Attempts))
 	s.took.WithLabelValues(r.Service, string(r.Outcome)).Observe(r.Took.Seconds())
@@ -152,7 +152,7 @@
 }
 
 // Note counts an event.
-func (s *Set) Note(e account.Event) {
+func (s *Set) Note(e access.Event) {
 	s.events.WithLabelValues(string(e.Kind)).Inc()
 	s.config.Book.Note(e)
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"pgregory.net/rapid"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -28,14 +28,14 @@
 // fake is a node with an upstream in each state.
 type fake struct{}
 
-func (fake) States() []account.UpstreamState {
+func (fake) States() []access.UpstreamState {
 	states := []string{
-		account.StateInUse, account.StateSetAside, account.StateTrial, account.StateRamp, account.StateKept,
-		account.StateUnreachable, account.StateLeaving, account.StateOff, account.StateFull, account.StateUnknown,
+		access.StateInUse, access.StateSetAside, access.StateTrial, access.StateRamp, access.StateKept,
+		access.StateUnreachable, access.StateLeaving, access.StateOff, access.StateFull, access.StateUnknown,
 	}
-	all := make([]account.UpstreamState, 0, len(states))
+	all := make([]access.UpstreamState, 0, len(states))
 	for _, state := range states {
-		all = append(all, account.UpstreamState{Service: "conferme", Name: "at-" + state, State: state})
+		all = append(all, access.UpstreamState{Service: "conferme", Name: "at-" + state, State: state})
 	}
 	return all
 }
@@ -79,11 +79,11 @@
 // reason, and each reason of a gate.
 func wholeSet(t *testing.T) *metrics.Set {
 	t.Helper()
-	s := newSet(account.New(account.Config{}))
-	for _, outcome := range []account.Outcome{account.Served, account.NotRun, account.Unknown} {
-		for _, reason := range append(constants(t, "../account", "Reason"), constants(t, "../wire", "Reason")...) {
+	s := newSet(access.New(access.Config{}))
+	for _, outcome := range []access.Outcome{access.Served, access.NotRun, access.Unknown} {
+		for _, reason := range append(constants(t, "../access", "Reason"), constants(t, "../wire", "Reason")...) {
 			s.Received()
-			s.Close(0, account.Record{Service: "conferme", Outcome: outcome, Reason: reason, Attempts: 1, NoRetry: "budget"})
+			s.Close(0, access.Record{Service: "conferme", Outcome: outcome, Reason: reason, Attempts: 1, NoRetry: "budget"})
 			s.Refused("conferme", "at-in-use", wire.Reason(reason))
 		}
 	}
@@ -155,8 +155,8 @@
 // event, and a store sees no increase in the first value of a series. The
 // cause: an event's kind that was added without a counter that begins at 0.
 func TestSeriesBeginAtZero(t *testing.T) {
-	families := scrape(t, newSet(account.New(account.Config{})))
-	kinds := constants(t, "../account", "EventKind")
+	families := scrape(t, newSet(access.New(access.Config{})))
+	kinds := constants(t, "../access", "EventKind")
 	if len(kinds) < 13 {
 		t.Fatalf("got %d kinds of events, want 13 or more", len(kinds))
 	}
@@ -200,23 +200,23 @@
 // An alert wakes somebody, and the report says that all is well: the two judge
 // requests in two places, and one of them was changed.
 func TestAlertsAndReportCountAlike(t *testing.T) {
-	reasons := append(constants(t, "../account", "Reason"), constants(t, "../wire", "Reason")...)
+	reasons := append(constants(t, "../access", "Reason"), constants(t, "../wire", "Reason")...)
 	rapid.Check(t, func(t *rapid.T) {
-		book := account.New(account.Config{})
+		book := access.New(access.Config{})
 		s := newSet(book)
 		book.SetServices(services)
 		for range rapid.IntRange(1, 50).Draw(t, "requests") {
 			s.Received()
-			s.Close(clock.Second, account.Record{
+			s.Close(clock.Second, access.Record{
 				Service: rapid.SampledFrom([]string{"conferme", ""}).Draw(t, "service"),
-				Outcome: rapid.SampledFrom([]account.Outcome{account.Served, account.NotRun, account.Unknown}).Draw(t, "outcome"),
+				Outcome: rapid.SampledFrom([]access.Outcome{access.Served, access.NotRun, access.Unknown}).Draw(t, "outcome"),
 				Reason:  rapid.SampledFrom(reasons).Draw(t, "reason"),
 				Status:  rapid.SampledFrom([]int{200, 404, 429, 499, 500, 503, 504}).Draw(t, "status"),
 				Took:    rapid.SampledFrom([]clock.Millis{0, 499, 500, 501, 2000}).Draw(t, "took"),
 			})
 		}
 		var want burn.Window
-		for _, b := range book.Snapshot(2*clock.Second, account.Filter{}).Burn {
+		for _, b := range book.Snapshot(2*clock.Second, access.Filter{}).Burn {
 			want = b.Windows[0]
 		}
 		families := scrape(t, s)
--- a/metrics/services.go
+++ b/metrics/services.go
@@ -6,7 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/table"
 )
@@ -72,7 +72,7 @@
 
 // begin makes the series of a service unless they are there.
 func (s *services) begin(service string, o table.Objective) {
-	for _, outcome := range []account.Outcome{account.Served, account.NotRun, account.Unknown} {
+	for _, outcome := range []access.Outcome{access.Served, access.NotRun, access.Unknown} {
 		s.outcomes.WithLabelValues(service, string(outcome))
 	}
 	for promise, ratio := range map[burn.Kind]float64{burn.Availability: o.Availability, burn.Latency: o.Within} {
@@ -90,19 +90,19 @@
 	s.promised.DeletePartialMatch(labels)
 }
 
-// count counts one request. It must judge as package account does, or alerts
+// count counts one request. It must judge as package access does, or alerts
 // and report contradict each other; a test holds the two together.
-func (s *services) count(r *account.Record) {
+func (s *services) count(r *access.Record) {
 	objective, ok := (*s.named.Load())[r.Service]
 	if !ok {
 		return
 	}
 	s.outcomes.WithLabelValues(r.Service, string(r.Outcome)).Inc()
-	if r.Outcome != account.Served && account.FaultOfCaller(r.Reason) {
+	if r.Outcome != access.Served && access.FaultOfCaller(r.Reason) {
 		return
 	}
 	s.requests.WithLabelValues(r.Service, string(burn.Availability)).Inc()
-	if r.Outcome != account.Served || r.Status >= http.StatusInternalServerError {
+	if r.Outcome != access.Served || r.Status >= http.StatusInternalServerError {
 		s.bad.WithLabelValues(r.Service, string(burn.Availability)).Inc()
 		return
 	}
--- a/metrics/sources.go
+++ b/metrics/sources.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 )
@@ -242,9 +242,9 @@
 // verdict writes what the gate says as the report does.
 func (g *GateState) verdict() string {
 	if g.Leaving {
-		return account.StateLeaving
+		return access.StateLeaving
 	}
-	return account.StateOf(g.Verdict)
+	return access.StateOf(g.Verdict)
 }
 
 func gauge(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
--- a/node/edition.go
+++ b/node/edition.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -34,7 +34,7 @@
 	t, err := table.Parse(text)
 	if err != nil {
 		log.WithError(err).Error("table rejected; the last accepted one stays in force")
-		n.metrics.Note(account.Event{At: n.clock.Now(), Kind: account.TableRejected, Reason: err.Error()})
+		n.metrics.Note(access.Event{At: n.clock.Now(), Kind: access.TableRejected, Reason: err.Error()})
 		return
 	}
 	version := t.Version
@@ -71,16 +71,16 @@
 }
 
 func (n *Node) noteEdition(log logrus.FieldLogger, version uint64, verdict edition.Verdict, changes []table.Change) {
-	e := account.Event{At: n.clock.Now(), Reason: "version " + formatVersion(version)}
+	e := access.Event{At: n.clock.Now(), Reason: "version " + formatVersion(version)}
 	switch verdict {
 	case edition.Accept:
 		log.WithField("changes", len(changes)).Info("table in force")
 		n.inForceOnce.Do(func() { close(n.inForce) })
 		logChanges(log, changes)
-		e.Kind = account.TableAccepted
+		e.Kind = access.TableAccepted
 	case edition.Older:
 		log.Warn("older table not put in force; publish above the version in force")
-		e.Kind = account.TableOlder
+		e.Kind = access.TableOlder
 	default:
 		return
 	}
@@ -91,9 +91,9 @@
 // one of them is not in force, and its author may not know.
 func (n *Node) noteRival(log logrus.FieldLogger, version uint64, rival edition.Offer) {
 	log.WithField("digest", rival.Digest).Warn("two tables have this version; this one is not in force; publish one above it")
-	n.metrics.Note(account.Event{
+	n.metrics.Note(access.Event{
 		At:     n.clock.Now(),
-		Kind:   account.TableRejected,
+		Kind:   access.TableRejected,
 		Reason: "version " + formatVersion(version) + " was published twice with different text",
 	})
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -9,7 +9,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 )
 
 // drainCheck is how often a leaving node looks whether it has finished.
@@ -158,7 +158,7 @@
 }
 
 // Snapshot is what a report reads of this node.
-func (n *Node) Snapshot(f account.Filter) account.Snapshot {
+func (n *Node) Snapshot(f access.Filter) access.Snapshot {
 	s := n.book.Snapshot(n.clock.Now(), f)
 	s.Name, s.Node, s.Domain, s.Table = n.settings.Node, n.address(), n.settings.Domain, n.version()
 	for _, u := range n.entry.States() {
@@ -170,6 +170,6 @@
 }
 
 // States describes all upstreams as this node's entry sees them.
-func (n *Node) States() []account.UpstreamState {
+func (n *Node) States() []access.UpstreamState {
 	return n.entry.States()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,7 @@
 	"github.com/thejerf/suture/v4"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/entry"
@@ -72,7 +72,7 @@
 	clock           *clock.System
 	incarnation     uint64
 	seed            uint64
-	book            *account.Book
+	book            *access.Book
 	metrics         *metrics.Set
 	entry           *entry.Entry
 	links           *link.Server
@@ -139,7 +139,7 @@
 		listed:          map[string]bool{},
 		read:            map[string]uint64{},
 		order:           maphash.MakeSeed(),
-		book: account.New(account.Config{
+		book: access.New(access.Config{
 			Records: c.Settings.Limits.Records,
 			Events:  eventsKept,
 			Callers: callersKept,
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,7 +5,7 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -218,11 +218,11 @@
 	if !noted {
 		return
 	}
-	kind := account.PathBack
+	kind := access.PathBack
 	if isLost {
-		kind = account.PathLost
+		kind = access.PathLost
 	}
-	n.metrics.Note(account.Event{At: n.clock.Now(), Kind: kind, Node: node, Reason: account.ReasonUnreachable})
+	n.metrics.Note(access.Event{At: n.clock.Now(), Kind: kind, Node: node, Reason: access.ReasonUnreachable})
 }
 
 // bootstrap asks the peers that the settings name for a table, so that a node
--- a/node/platform.go
+++ b/node/platform.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/edition"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
@@ -233,9 +233,9 @@
 	n.mu.Lock()
 	n.platformAway = cause != nil
 	n.mu.Unlock()
-	e := account.Event{At: n.clock.Now(), Kind: account.PlatformBack}
+	e := access.Event{At: n.clock.Now(), Kind: access.PlatformBack}
 	if cause != nil {
-		e.Kind, e.Reason = account.PlatformLost, cause.Error()
+		e.Kind, e.Reason = access.PlatformLost, cause.Error()
 		n.log.WithError(cause).Warn("platform doesn't answer; the table in force stays")
 	} else {
 		n.log.Info("platform answers again")
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/quarantine"
@@ -83,8 +83,8 @@
 			"fingerprint": c.Fingerprint.String(), "service": c.Service, "upstreams": c.Servers, "requests": c.Requests,
 			"trials": c.Trials, "chance": wire.Short(c.Chance), "age": (now - c.Last).String(), "until": (c.Until - now).String(),
 		}).Warn("request quarantined; it crashes the backend servers that run it")
-		n.metrics.Note(account.Event{
-			At: now, Kind: account.Quarantined, Service: c.Service, Reason: c.Fingerprint.String(), Until: c.Until,
+		n.metrics.Note(access.Event{
+			At: now, Kind: access.Quarantined, Service: c.Service, Reason: c.Fingerprint.String(), Until: c.Until,
 		})
 	}
 	for _, g := range n.allGates() {
@@ -98,7 +98,7 @@
 		if _, ok := current[f]; !ok {
 			delete(held, f)
 			n.log.WithField("fingerprint", f.String()).Info("request quarantined no longer")
-			n.metrics.Note(account.Event{At: now, Kind: account.Freed, Reason: f.String()})
+			n.metrics.Note(access.Event{At: now, Kind: access.Freed, Reason: f.String()})
 		}
 	}
 }
@@ -142,18 +142,18 @@
 }
 
 // Quarantine lists the requests under which backend servers crash.
-func (n *Node) Quarantine() []account.Suspect {
+func (n *Node) Quarantine() []access.Suspect {
 	now := n.clock.Now()
 	cases := n.crashes.cases()
-	all := make([]account.Suspect, 0, len(cases))
+	all := make([]access.Suspect, 0, len(cases))
 	for i := range cases {
 		c := &cases[i]
-		s := account.Suspect{
-			Fingerprint: c.Fingerprint.String(), Verdict: account.SuspectTried, Service: c.Service,
+		s := access.Suspect{
+			Fingerprint: c.Fingerprint.String(), Verdict: access.SuspectTried, Service: c.Service,
 			Upstreams: c.Servers, Requests: c.Requests, Trials: c.Trials, Chance: c.Chance, Age: now - c.Last,
 		}
 		if c.Verdict == quarantine.Quarantined && now < c.Until {
-			s.Verdict, s.Left = account.SuspectHeld, c.Until-now
+			s.Verdict, s.Left = access.SuspectHeld, c.Until-now
 		}
 		all = append(all, s)
 	}
--- a/report/burning.go
+++ b/report/burning.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
@@ -119,7 +119,7 @@
 	return times(rate)
 }
 
-func objectiveWords(o account.Objective, kind burn.Kind) string {
+func objectiveWords(o access.Objective, kind burn.Kind) string {
 	if kind == burn.Latency {
 		return promise(o.Within) + " within " + span(o.Latency)
 	}
--- a/report/callers.go
+++ b/report/callers.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -31,7 +31,7 @@
 		if t.Upstream != "" {
 			c.upstreams[t.Upstream] = true
 		}
-		if t.Outcome == account.Served {
+		if t.Outcome == access.Served {
 			c.took += t.Took
 		}
 	}
@@ -63,7 +63,7 @@
 			listed[c.Caller] = true
 		}
 		for name, sum := range sums {
-			if !listed[name] && name != account.Others {
+			if !listed[name] && name != access.Others {
 				sum.Missed += s.Missable
 			}
 		}
--- a/report/fetch.go
+++ b/report/fetch.go
@@ -10,7 +10,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -38,7 +38,7 @@
 type Query struct {
 	// Nodes are admin addresses, IP number and port.
 	Nodes  []string
-	Filter account.Filter
+	Filter access.Filter
 	// Timeout bounds the whole query.
 	Timeout clock.Millis
 }
@@ -46,7 +46,7 @@
 // NodeResult is one node's answer, or why there is none.
 type NodeResult struct {
 	Address  string
-	Snapshot *account.Snapshot
+	Snapshot *access.Snapshot
 	Err      error
 }
 
@@ -105,7 +105,7 @@
 	return results, nil
 }
 
-func ask(client *fasthttp.Client, address string, f account.Filter, deadline time.Time) (*account.Snapshot, error) {
+func ask(client *fasthttp.Client, address string, f access.Filter, deadline time.Time) (*access.Snapshot, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -116,12 +116,12 @@
 	if code := response.StatusCode(); code != fasthttp.StatusOK {
 		return nil, errors.Annotatef(ErrAnswer, "status %d", code)
 	}
-	var s account.Snapshot
+	var s access.Snapshot
 	if err := json.Unmarshal(response.Body(), &s); err != nil {
 		return nil, errors.Annotatef(ErrAnswer, "%v", err)
 	}
-	if s.Format != account.Format {
-		return nil, errors.Annotatef(ErrAnswer, "format %d, this release reads %d", s.Format, account.Format)
+	if s.Format != access.Format {
+		return nil, errors.Annotatef(ErrAnswer, "format %d, this release reads %d", s.Format, access.Format)
 	}
 	return &s, nil
 }
--- a/report/fetch_test.go
+++ b/report/fetch_test.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/report"
 )
@@ -57,7 +57,7 @@
 			serve(t, 200, body, asked), listen(t).Addr().String(), gone.Addr().String(),
 			serve(t, 404, nil, nil), serve(t, 200, []byte(`{"format":2}`), nil), serve(t, 200, []byte("<html>"), nil),
 		},
-		Filter: account.Filter{Service: "bacheca", Since: 10 * clock.Minute},
+		Filter: access.Filter{Service: "bacheca", Since: 10 * clock.Minute},
 		// The hanging node takes all of this, the others a millisecond.
 		Timeout: 500,
 	}
--- a/report/findings.go
+++ b/report/findings.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -88,7 +88,7 @@
 	text := "Of " + plural(r.Sum(), "finished request", "finished requests") + f.scope() + ", " +
 		number(r.Served) + " were served" + errorWords(r.Errors) + ", " + number(r.NotRun) + " were refused and not run, and " +
 		number(r.Unknown) + " have an unknown outcome"
-	if f.report.Filter == (account.Filter{Limit: f.report.Filter.Limit}) {
+	if f.report.Filter == (access.Filter{Limit: f.report.Filter.Limit}) {
 		text += "; of " + number(r.Received) + " received, " + number(r.Open) + " still open"
 	}
 	f.say(Note, text, ".")
@@ -141,7 +141,7 @@
 			text += " All the same " + list(a.Kept) + " used it, since the floor of " + a.Service + " left no choice."
 		}
 		level := Watch
-		if a.State == account.StateSetAside || a.State == account.StateTrial {
+		if a.State == access.StateSetAside || a.State == access.StateTrial {
 			level = Bad
 		}
 		f.say(level, text)
@@ -152,13 +152,13 @@
 // asideNow says what became of an upstream that was set aside.
 func asideNow(a *Aside) string {
 	switch a.State {
-	case account.StateTrial:
+	case access.StateTrial:
 		return "it has been on trial with a few requests for " + span(a.Trial) + "."
-	case account.StateRamp:
+	case access.StateRamp:
 		return "it was out of use for " + span(a.Out) + " and has been coming back slowly for " + span(a.Ramp) + "."
-	case string(account.Back):
+	case string(access.Back):
 		return "it was out of use for " + span(a.Out) + " and has been back in full use for " + span(a.Back) + "."
-	case account.StateSetAside:
+	case access.StateSetAside:
 		if a.Left > 0 {
 			return "it has been out of use since, and will be tried again in " + span(a.Left) + "."
 		}
@@ -173,8 +173,8 @@
 		level            Level
 		state, one, many string
 	}{
-		{Note, account.StateLeaving, " is leaving and gets", " are leaving and get"},
-		{Note, account.StateOff, " has weight 0 in the table and gets", " have weight 0 in the table and get"},
+		{Note, access.StateLeaving, " is leaving and gets", " are leaving and get"},
+		{Note, access.StateOff, " has weight 0 in the table and gets", " have weight 0 in the table and get"},
 	} {
 		if names := f.inState(x.state); len(names) == 1 {
 			f.say(x.level, names[0], x.one, " no new work. That is planned, not sickness.")
@@ -182,11 +182,11 @@
 			f.say(x.level, list(names), x.many, " no new work. That is planned, not sickness.")
 		}
 	}
-	if names := f.inState(account.StateFull); len(names) > 0 {
+	if names := f.inState(access.StateFull); len(names) > 0 {
 		f.say(Watch, "Over the limit that the table sets, so busy and not sick: ", list(names), ".")
 	}
 	for _, u := range f.report.Upstreams {
-		sick := u.State == account.StateSetAside || u.State == account.StateKept
+		sick := u.State == access.StateSetAside || u.State == access.StateKept
 		if sick && !f.hasAside(u) {
 			f.say(Bad, f.report.label(u.Service, u.Name), " is set aside as sick. The evidence isn't here, since its gate gave no account of it.")
 		}
@@ -261,7 +261,7 @@
 	refused := make(map[string]uint64)
 	var reasons []string
 	for _, r := range f.report.Refusals {
-		if r.Outcome == account.Unknown {
+		if r.Outcome == access.Unknown {
 			continue
 		}
 		if refused[r.Meaning] == 0 {
--- a/report/fixture_test.go
+++ b/report/fixture_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/report"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -28,13 +28,13 @@
 
 // node drives a book through its life.
 type node struct {
-	*account.Book
+	*access.Book
 
 	now clock.Millis
 	seq int
 }
 
-func (n *node) close(count int, r account.Record) {
+func (n *node) close(count int, r access.Record) {
 	for range count {
 		n.now += clock.Second
 		n.seq++
@@ -45,98 +45,98 @@
 	}
 }
 
-func served(caller, service, upstream string, took clock.Millis) account.Record {
-	return account.Record{
+func served(caller, service, upstream string, took clock.Millis) access.Record {
+	return access.Record{
 		Caller: caller, Service: service, Upstream: upstream, Route: "/" + service, Domain: "palermo",
-		Method: "GET", Outcome: account.Served, Attempts: 1, Status: 200, Took: took,
+		Method: "GET", Outcome: access.Served, Attempts: 1, Status: 200, Took: took,
 	}
 }
 
-func refused(caller, service, upstream, reason string, outcome account.Outcome) account.Record {
-	return account.Record{
+func refused(caller, service, upstream, reason string, outcome access.Outcome) access.Record {
+	return access.Record{
 		Caller: caller, Service: service, Upstream: upstream, Route: "/" + service, Domain: "catania",
 		Method: "POST", Outcome: outcome, Reason: reason, Attempts: 2, Status: 503, Took: 180,
 	}
 }
 
-func upstream(service string, i int, link, domain, state string) account.UpstreamState {
-	return account.UpstreamState{
+func upstream(service string, i int, link, domain, state string) access.UpstreamState {
+	return access.UpstreamState{
 		Service: service, Name: fmt.Sprintf("%s-%d", service, i), Domain: domain, Node: link,
 		State: state, Weight: 10, Slots: 3, InFlight: i % 3,
 	}
 }
 
 // view is how both nodes see the upstreams; palermo can't reach messina.
-func view(lost bool, worse string) []account.UpstreamState {
-	there := account.StateInUse
+func view(lost bool, worse string) []access.UpstreamState {
+	there := access.StateInUse
 	if lost {
-		there = account.StateUnreachable
+		there = access.StateUnreachable
 	}
-	off := upstream("conferme", 3, palermo, "palermo", account.StateOff)
+	off := upstream("conferme", 3, palermo, "palermo", access.StateOff)
 	off.Weight = 0
-	return []account.UpstreamState{
-		upstream("bacheca", 1, palermo, "palermo", account.StateInUse),
+	return []access.UpstreamState{
+		upstream("bacheca", 1, palermo, "palermo", access.StateInUse),
 		upstream("bacheca", 2, messina, "messina", there),
-		upstream("bacheca", 3, palermo, "palermo", account.StateLeaving),
+		upstream("bacheca", 3, palermo, "palermo", access.StateLeaving),
 		upstream("bacheca", 4, catania, "catania", worse),
 		upstream("conferme", 1, messina, "messina", there),
-		upstream("conferme", 2, catania, "catania", account.StateInUse),
+		upstream("conferme", 2, catania, "catania", access.StateInUse),
 		off,
 	}
 }
 
-func palermoNode() account.Snapshot {
-	n := &node{Book: account.New(account.Config{Records: 200, Callers: 5})}
+func palermoNode() access.Snapshot {
+	n := &node{Book: access.New(access.Config{Records: 200, Callers: 5})}
 	n.SetServices(services)
-	n.Note(account.Event{At: 2 * clock.Second, Kind: account.TableAccepted, Reason: "version 7"})
+	n.Note(access.Event{At: 2 * clock.Second, Kind: access.TableAccepted, Reason: "version 7"})
 	n.close(9000, served("clinica-etna", "bacheca", "bacheca-1", 40))
 	n.close(400, served("hotel-aretusa", "conferme", "conferme-2", 90))
 	n.close(60, served("hotel-aretusa", "bacheca", "bacheca-4", 700))
 	broken := served("hotel-aretusa", "bacheca", "bacheca-4", 30)
 	broken.Status = 500
 	n.close(4, broken)
-	n.Note(account.Event{At: n.now, Kind: account.PathLost, Node: messina, Reason: "unreachable"})
-	n.close(25, refused("ufficio-noto", "bacheca", "", account.ReasonCallerLimit, account.NotRun))
-	n.close(12, refused("hotel-aretusa", "bacheca", "bacheca-4", "set-aside", account.NotRun))
-	n.close(2, refused("clinica-etna", "conferme", "conferme-1", "timeout", account.Unknown))
-	n.Note(account.Event{
-		At: n.now, Kind: account.KeptUnderFloor, Service: "bacheca", Upstream: "bacheca-4", Node: catania, Reason: "floor",
+	n.Note(access.Event{At: n.now, Kind: access.PathLost, Node: messina, Reason: "unreachable"})
+	n.close(25, refused("ufficio-noto", "bacheca", "", access.ReasonCallerLimit, access.NotRun))
+	n.close(12, refused("hotel-aretusa", "bacheca", "bacheca-4", "set-aside", access.NotRun))
+	n.close(2, refused("clinica-etna", "conferme", "conferme-1", "timeout", access.Unknown))
+	n.Note(access.Event{
+		At: n.now, Kind: access.KeptUnderFloor, Service: "bacheca", Upstream: "bacheca-4", Node: catania, Reason: "floor",
 	})
 	n.close(300, served("clinica-etna", "bacheca", "bacheca-2", 35))
-	n.Note(account.Event{At: n.now, Kind: account.TableOlder, Reason: "version 5, below 7"})
+	n.Note(access.Event{At: n.now, Kind: access.TableOlder, Reason: "version 5, below 7"})
 	n.Received()
-	s := n.Snapshot(n.now, account.Filter{})
-	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "palermo-1", palermo, "palermo", 7, view(true, account.StateKept)
+	s := n.Snapshot(n.now, access.Filter{})
+	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "palermo-1", palermo, "palermo", 7, view(true, access.StateKept)
 	return s
 }
 
-func cataniaNode() account.Snapshot {
-	n := &node{Book: account.New(account.Config{Start: clock.Hour}), now: clock.Hour}
+func cataniaNode() access.Snapshot {
+	n := &node{Book: access.New(access.Config{Start: clock.Hour}), now: clock.Hour}
 	n.SetServices(services)
 	n.close(300, served("clinica-etna", "conferme", "conferme-2", 80))
-	aside := account.Event{
-		At: n.now, Kind: account.SetAside, Service: "conferme", Upstream: "conferme-2", Node: catania,
+	aside := access.Event{
+		At: n.now, Kind: access.SetAside, Service: "conferme", Upstream: "conferme-2", Node: catania,
 		Until: n.now + 60*clock.Second, Reason: "its requests are slower than the service's",
-		Evidence: account.Evidence{Outcomes: 55, Slow: 21, Overdue: 2, Score: 9.4, Threshold: 9.2, BaselineLatency: 85},
+		Evidence: access.Evidence{Outcomes: 55, Slow: 21, Overdue: 2, Score: 9.4, Threshold: 9.2, BaselineLatency: 85},
 	}
 	n.Note(aside)
-	for _, kind := range []account.EventKind{account.Trial, account.Ramp, account.Back} {
+	for _, kind := range []access.EventKind{access.Trial, access.Ramp, access.Back} {
 		n.close(60, served("scuola-gela", "conferme", "conferme-1", 70))
-		n.Note(account.Event{At: n.now, Kind: kind, Service: "conferme", Upstream: "conferme-2", Node: catania})
+		n.Note(access.Event{At: n.now, Kind: kind, Service: "conferme", Upstream: "conferme-2", Node: catania})
 	}
 	aside.Service, aside.Upstream, aside.Reason = "bacheca", "bacheca-4", "its share of failures is above the service's"
-	aside.Evidence = account.Evidence{Outcomes: 40, Failed: 12, Score: 9.8, Threshold: 9.2, BaselineFailed: 0.004}
+	aside.Evidence = access.Evidence{Outcomes: 40, Failed: 12, Score: 9.8, Threshold: 9.2, BaselineFailed: 0.004}
 	aside.At, aside.Until = n.now, n.now+30*clock.Second
 	n.Note(aside)
 	n.close(30, served("scuola-gela", "bacheca", "bacheca-1", 50))
-	n.Note(account.Event{At: n.now, Kind: account.Trial, Service: "bacheca", Upstream: "bacheca-4", Node: catania})
+	n.Note(access.Event{At: n.now, Kind: access.Trial, Service: "bacheca", Upstream: "bacheca-4", Node: catania})
 	aside.At, aside.Until = n.now+2*clock.Second, n.now+500*clock.Second
 	n.Note(aside)
-	n.close(3, refused(evil, "bacheca", "bacheca-4", "torn-answer", account.Unknown))
+	n.close(3, refused(evil, "bacheca", "bacheca-4", "torn-answer", access.Unknown))
 	n.close(400, served("scuola-gela", "bacheca", "bacheca-1", 45))
-	n.Note(account.Event{At: n.now - 20*clock.Second, Kind: account.PlatformLost, Reason: "timeout"})
-	s := n.Snapshot(n.now, account.Filter{})
-	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "catania-1", catania, "catania", 6, view(false, account.StateSetAside)
+	n.Note(access.Event{At: n.now - 20*clock.Second, Kind: access.PlatformLost, Reason: "timeout"})
+	s := n.Snapshot(n.now, access.Filter{})
+	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "catania-1", catania, "catania", 6, view(false, access.StateSetAside)
 	return s
 }
 
--- a/report/fleet.go
+++ b/report/fleet.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 )
 
 // Answered counts the nodes whose account is in the report.
@@ -41,11 +41,11 @@
 	latest := make(map[string]bool)
 	var away []string
 	for _, e := range f.report.Events {
-		if e.Kind != account.PlatformLost && e.Kind != account.PlatformBack || latest[e.By] {
+		if e.Kind != access.PlatformLost && e.Kind != access.PlatformBack || latest[e.By] {
 			continue
 		}
 		latest[e.By] = true
-		if e.Kind == account.PlatformLost {
+		if e.Kind == access.PlatformLost {
 			away = append(away, e.By+" ("+ago(e.Age)+")")
 		}
 	}
@@ -63,14 +63,14 @@
 	told := make(map[string]bool)
 	for _, e := range f.report.Events {
 		switch e.Kind {
-		case account.TableAccepted:
+		case access.TableAccepted:
 			settled[e.By] = true
-		case account.TableRejected, account.TableOlder:
+		case access.TableRejected, access.TableOlder:
 			if settled[e.By] || told[string(e.Kind)+e.Reason] {
 				continue
 			}
 			told[string(e.Kind)+e.Reason] = true
-			if e.Kind == account.TableOlder {
+			if e.Kind == access.TableOlder {
 				f.say(Watch, "The platform offers ", e.By, " an older table than the one in force (", e.Reason,
 					"). It is not taken; publish a higher version to move on.")
 				continue
--- a/report/fuzz_test.go
+++ b/report/fuzz_test.go
@@ -5,7 +5,7 @@
 	"io"
 	"testing"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/report"
 )
 
@@ -23,7 +23,7 @@
 	f.Add([]byte(`{"now":"-1s","events":[{"at":"9h","kind":"set-aside"}],"totals":[{"count":0}]}`))
 	f.Add([]byte(`{"burn":[{"windows":[{"span":"0s","total":1,"failed":9,"series":[{"slice":-1,"total":1}]}]}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		var s account.Snapshot
+		var s access.Snapshot
 		if json.Unmarshal(body, &s) != nil {
 			return
 		}
--- a/report/history.go
+++ b/report/history.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -19,7 +19,7 @@
 	for _, e := range slices.Backward(events) {
 		key := upstreamKey{e.Service, e.Upstream}
 		at, known := open[key]
-		if e.Kind == account.SetAside {
+		if e.Kind == access.SetAside {
 			if known {
 				found[at].relapse(e)
 			}
@@ -31,7 +31,7 @@
 			continue
 		}
 		found[at].step(e)
-		if e.Kind == account.Back {
+		if e.Kind == access.Back {
 			delete(open, key)
 		}
 	}
@@ -44,7 +44,7 @@
 
 func newAside(e Event) Aside {
 	return Aside{
-		Service: e.Service, Upstream: e.Upstream, By: e.By, Age: e.Age, State: account.StateSetAside,
+		Service: e.Service, Upstream: e.Upstream, By: e.By, Age: e.Age, State: access.StateSetAside,
 		Trial: none, Ramp: none, Back: none, Left: e.Left, Reason: e.Reason, Evidence: e.Evidence,
 		Kept: []string{},
 	}
@@ -52,13 +52,13 @@
 
 func (a *Aside) step(e Event) {
 	switch e.Kind {
-	case account.Trial:
-		a.State, a.Trial, a.Left = account.StateTrial, e.Age, 0
-	case account.Ramp:
-		a.State, a.Ramp, a.Left = account.StateRamp, e.Age, 0
-	case account.Back:
-		a.State, a.Back, a.Left = string(account.Back), e.Age, 0
-	case account.KeptUnderFloor:
+	case access.Trial:
+		a.State, a.Trial, a.Left = access.StateTrial, e.Age, 0
+	case access.Ramp:
+		a.State, a.Ramp, a.Left = access.StateRamp, e.Age, 0
+	case access.Back:
+		a.State, a.Back, a.Left = string(access.Back), e.Age, 0
+	case access.KeptUnderFloor:
 		if !slices.Contains(a.Kept, e.By) {
 			a.Kept = append(a.Kept, e.By)
 		}
@@ -73,7 +73,7 @@
 
 // Lasts tells whether the upstream is not in full use yet.
 func (a *Aside) Lasts() bool {
-	return a.State != string(account.Back) && a.State != StateRelapsed
+	return a.State != string(access.Back) && a.State != StateRelapsed
 }
 
 // out returns how long the upstream had no work but trials.
@@ -97,10 +97,10 @@
 		key := ends{e.By, e.Node}
 		at, known := open[key]
 		switch {
-		case e.Kind == account.PathLost && !known:
+		case e.Kind == access.PathLost && !known:
 			open[key] = len(found)
 			found = append(found, Path{From: e.By, To: e.Node, Age: e.Age, Reason: e.Reason, Back: none})
-		case e.Kind == account.PathBack && known:
+		case e.Kind == access.PathBack && known:
 			found[at].Back = e.Age
 			delete(open, key)
 		}
--- a/report/merge.go
+++ b/report/merge.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -17,10 +17,10 @@
 // Merge makes one report of the nodes' answers. Totals are summed; a node that
 // answered at two addresses counts once.
 func Merge(results []NodeResult) Report {
-	m := &merger{names: make(map[string]string), totals: make(map[totalKey]*account.Total)}
+	m := &merger{names: make(map[string]string), totals: make(map[totalKey]*access.Total)}
 	m.report = Report{
 		Format: Format, Nodes: []Node{}, Findings: []Finding{},
-		Totals: []account.Total{}, Callers: []Caller{}, Refusals: []Refusal{},
+		Totals: []access.Total{}, Callers: []Caller{}, Refusals: []Refusal{},
 		Services: []Service{}, Upstreams: []Upstream{}, Asides: []Aside{}, Paths: []Path{},
 		Events: []Event{}, Unserved: []Record{}, Burn: []Burn{},
 	}
@@ -44,16 +44,16 @@
 // merger holds what Merge has gathered so far.
 type merger struct {
 	report    Report
-	snapshots []*account.Snapshot
+	snapshots []*access.Snapshot
 	// names holds the names of nodes by link address.
 	names  map[string]string
-	totals map[totalKey]*account.Total
+	totals map[totalKey]*access.Total
 }
 
 // totalKey is what totals of two nodes are the same by.
 type totalKey struct {
 	caller, service, upstream string
-	outcome                   account.Outcome
+	outcome                   access.Outcome
 	reason                    string
 }
 
@@ -104,7 +104,7 @@
 	return cmp.Or(m.names[link], link)
 }
 
-func (m *merger) sum(s *account.Snapshot) {
+func (m *merger) sum(s *access.Snapshot) {
 	r := &m.report.Requests
 	r.Received += s.Received
 	r.Closed += s.Closed
@@ -121,7 +121,7 @@
 	}
 }
 
-func (m *merger) history(s *account.Snapshot) {
+func (m *merger) history(s *access.Snapshot) {
 	for _, e := range s.Events {
 		noted := Event{
 			By: s.Name, Age: max(s.Now-e.At, 0), Kind: e.Kind, Service: e.Service, Upstream: e.Upstream,
@@ -133,7 +133,7 @@
 		m.report.Events = append(m.report.Events, noted)
 	}
 	for _, r := range s.Records {
-		if r.Outcome == account.Served {
+		if r.Outcome == access.Served {
 			continue
 		}
 		m.report.Unserved = append(m.report.Unserved, Record{
@@ -154,14 +154,14 @@
 			services[t.Service] = &Service{Name: t.Service}
 		}
 		services[t.Service].add(t)
-		if t.Outcome != account.Served {
+		if t.Outcome != access.Served {
 			key := Refusal{Service: t.Service, Outcome: t.Outcome, Reason: t.Reason}
 			refusals[key] += t.Count
 		}
 	}
-	account.SortTotals(m.report.Totals)
+	access.SortTotals(m.report.Totals)
 	for r, n := range refusals {
-		r.Count, r.Meaning, r.Fault = n, meaning(r.Reason), account.FaultOfCaller(r.Reason)
+		r.Count, r.Meaning, r.Fault = n, meaning(r.Reason), access.FaultOfCaller(r.Reason)
 		m.report.Refusals = append(m.report.Refusals, r)
 	}
 	slices.SortFunc(m.report.Refusals, func(a, b Refusal) int {
@@ -181,7 +181,7 @@
 func (m *merger) mergeBurn() {
 	type merged struct {
 		table     uint64
-		objective account.Objective
+		objective access.Objective
 		windows   [][]burn.Window
 	}
 	services := make(map[string]*merged)
--- a/report/report.go
+++ b/report/report.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
@@ -22,8 +22,8 @@
 type Report struct {
 	Format int `json:"format"`
 	// AsOf is the reporter's wall time.
-	AsOf   time.Time      `json:"asof"`
-	Filter account.Filter `json:"filter"`
+	AsOf   time.Time     `json:"asof"`
+	Filter access.Filter `json:"filter"`
 	// Partial means that a node did not answer, so that every total may be
 	// too small.
 	Partial bool `json:"partial"`
@@ -35,7 +35,7 @@
 	Requests  Requests   `json:"requests"`
 	Upstreams []Upstream `json:"upstreams"`
 	// Totals says who got what, the largest first.
-	Totals []account.Total `json:"totals"`
+	Totals []access.Total `json:"totals"`
 	// Callers says how exact each caller's totals are.
 	Callers  []Caller  `json:"callers"`
 	Services []Service `json:"services"`
@@ -80,10 +80,10 @@
 	Domain    string `json:"domain"`
 	Table     uint64 `json:"table"`
 	// Life is the span since the node started, Span how far its totals reach.
-	Life    clock.Millis    `json:"life"`
-	Span    clock.Millis    `json:"span"`
-	Open    uint64          `json:"open"`
-	Dropped account.Dropped `json:"dropped"`
+	Life    clock.Millis   `json:"life"`
+	Span    clock.Millis   `json:"span"`
+	Open    uint64         `json:"open"`
+	Dropped access.Dropped `json:"dropped"`
 }
 
 // Requests counts requests. Received, Closed and Open are of the nodes' whole
@@ -109,14 +109,14 @@
 	return o.Served + o.NotRun + o.Unknown
 }
 
-func (o *Outcomes) add(t *account.Total) {
+func (o *Outcomes) add(t *access.Total) {
 	switch t.Outcome {
-	case account.Served:
+	case access.Served:
 		o.Served += t.Count
-		if t.Reason == account.ReasonUpstreamError {
+		if t.Reason == access.ReasonUpstreamError {
 			o.Errors += t.Count
 		}
-	case account.NotRun:
+	case access.NotRun:
 		o.NotRun += t.Count
 	default:
 		o.Unknown += t.Count
@@ -126,7 +126,7 @@
 // Upstream is an upstream's state, as its own gate has it or, if that didn't
 // answer, as the entries that did have it.
 type Upstream struct {
-	account.UpstreamState
+	access.UpstreamState
 	Outcomes
 
 	// Mean is the mean span of the requests it served.
@@ -148,7 +148,7 @@
 	Outcomes
 
 	// Missed is how many more of its requests at most stand under
-	// account.Others.
+	// access.Others.
 	Missed uint64 `json:"missed"`
 	// Upstreams is how many upstreams had its requests.
 	Upstreams int `json:"upstreams"`
@@ -164,9 +164,9 @@
 
 // Refusal counts the requests that were not served for one reason.
 type Refusal struct {
-	Service string          `json:"service"`
-	Outcome account.Outcome `json:"outcome"`
-	Reason  string          `json:"reason"`
+	Service string         `json:"service"`
+	Outcome access.Outcome `json:"outcome"`
+	Reason  string         `json:"reason"`
 	// Meaning says the reason in words.
 	Meaning string `json:"meaning"`
 	Count   uint64 `json:"count"`
@@ -193,9 +193,9 @@
 	Ramp  clock.Millis `json:"ramp"`
 	Back  clock.Millis `json:"back"`
 	// Left is how long the hold-off still lasts; 0 if it has no set end.
-	Left     clock.Millis     `json:"left"`
-	Reason   string           `json:"reason"`
-	Evidence account.Evidence `json:"evidence"`
+	Left     clock.Millis    `json:"left"`
+	Reason   string          `json:"reason"`
+	Evidence access.Evidence `json:"evidence"`
 	// Kept names the nodes that went on using it under the service's floor.
 	Kept []string `json:"kept"`
 }
@@ -212,42 +212,42 @@
 
 // Event is an event as the node By noted it.
 type Event struct {
-	By       string            `json:"by"`
-	Age      clock.Millis      `json:"age"`
-	Kind     account.EventKind `json:"kind"`
-	Service  string            `json:"service"`
-	Upstream string            `json:"upstream"`
-	Node     string            `json:"node"`
-	Reason   string            `json:"reason"`
+	By       string           `json:"by"`
+	Age      clock.Millis     `json:"age"`
+	Kind     access.EventKind `json:"kind"`
+	Service  string           `json:"service"`
+	Upstream string           `json:"upstream"`
+	Node     string           `json:"node"`
+	Reason   string           `json:"reason"`
 	// Left is how long a hold-off still lasts; 0 if it has no set end or is
 	// over.
-	Left     clock.Millis     `json:"left"`
-	Evidence account.Evidence `json:"evidence"`
+	Left     clock.Millis    `json:"left"`
+	Evidence access.Evidence `json:"evidence"`
 }
 
-// Record is the account of one request, with its age since it ended and the
+// Record is what became of one request, with its age since it ended and the
 // name of its entry.
 type Record struct {
-	Entry    string          `json:"entry"`
-	Age      clock.Millis    `json:"age"`
-	ID       string          `json:"id"`
-	Caller   string          `json:"caller"`
-	Service  string          `json:"service"`
-	Route    string          `json:"route"`
-	Domain   string          `json:"domain"`
-	Method   string          `json:"method"`
-	Outcome  account.Outcome `json:"outcome"`
-	Reason   string          `json:"reason"`
-	Upstream string          `json:"upstream"`
-	Attempts int             `json:"attempts"`
-	Status   int             `json:"status"`
-	Took     clock.Millis    `json:"took"`
-	Forced   bool            `json:"forced"`
+	Entry    string         `json:"entry"`
+	Age      clock.Millis   `json:"age"`
+	ID       string         `json:"id"`
+	Caller   string         `json:"caller"`
+	Service  string         `json:"service"`
+	Route    string         `json:"route"`
+	Domain   string         `json:"domain"`
+	Method   string         `json:"method"`
+	Outcome  access.Outcome `json:"outcome"`
+	Reason   string         `json:"reason"`
+	Upstream string         `json:"upstream"`
+	Attempts int            `json:"attempts"`
+	Status   int            `json:"status"`
+	Took     clock.Millis   `json:"took"`
+	Forced   bool           `json:"forced"`
 }
 
 // Burn is the burn of one service's objective.
 type Burn struct {
-	Service   string            `json:"service"`
-	Objective account.Objective `json:"objective"`
+	Service   string           `json:"service"`
+	Objective access.Objective `json:"objective"`
 	burn.Verdict
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/report"
 )
 
@@ -96,16 +96,16 @@
 		want  string
 		sick  bool
 	}{
-		{"sick", account.StateSetAside, "bacheca-1 is set aside as sick", true},
-		{"leaving", account.StateLeaving, "bacheca-1 is leaving", false},
-		{"off", account.StateOff, "bacheca-1 has weight 0", false},
-		{"over its limit", account.StateFull, "busy and not sick: bacheca-1", false},
-		{"in use", account.StateInUse, "Nothing needs attention", false},
+		{"sick", access.StateSetAside, "bacheca-1 is set aside as sick", true},
+		{"leaving", access.StateLeaving, "bacheca-1 is leaving", false},
+		{"off", access.StateOff, "bacheca-1 has weight 0", false},
+		{"over its limit", access.StateFull, "busy and not sick: bacheca-1", false},
+		{"in use", access.StateInUse, "Nothing needs attention", false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := account.New(account.Config{}).Snapshot(0, account.Filter{})
-			s.Node, s.Upstreams = palermo, []account.UpstreamState{upstream("bacheca", 1, palermo, "palermo", tt.state)}
+			s := access.New(access.Config{}).Snapshot(0, access.Filter{})
+			s.Node, s.Upstreams = palermo, []access.UpstreamState{upstream("bacheca", 1, palermo, "palermo", tt.state)}
 			var got strings.Builder
 			for _, f := range report.Merge([]report.NodeResult{{Snapshot: &s}}).Findings {
 				got.WriteString(f.Text + "\n")
@@ -122,10 +122,10 @@
 func TestMissedCallersAddUp(t *testing.T) {
 	all := make([]report.NodeResult, 0, 2)
 	for _, link := range []string{palermo, catania} {
-		n := &node{Book: account.New(account.Config{Callers: 1})}
+		n := &node{Book: access.New(access.Config{Callers: 1})}
 		n.close(3, served("hotel-aretusa", "bacheca", "bacheca-1", 40))
 		n.close(1, served("clinica-etna", "bacheca", "bacheca-1", 40))
-		s := n.Snapshot(n.now, account.Filter{Caller: "hotel-aretusa"})
+		s := n.Snapshot(n.now, access.Filter{Caller: "hotel-aretusa"})
 		s.Node = link
 		all = append(all, report.NodeResult{Snapshot: &s})
 	}
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"strconv"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -96,11 +96,11 @@
 // know: from where its node can't be reached, and who keeps using it.
 func upstreamWords(u Upstream) string {
 	text := stateWords(u.State)
-	if len(u.Kept) > 0 && u.State != account.StateKept {
+	if len(u.Kept) > 0 && u.State != access.StateKept {
 		text += ", kept in use by " + number(len(u.Kept)) + " of " + number(u.Views)
 	}
 	if len(u.Lost) > 0 {
-		if u.State != account.StateUnreachable {
+		if u.State != access.StateUnreachable {
 			text += ", unreachable"
 		}
 		text += " from " + number(len(u.Lost)) + " of " + plural(u.Views, "node", "nodes")
@@ -122,7 +122,7 @@
 	}
 	for _, t := range r.Totals {
 		reason := ""
-		if t.Reason != "" || t.Outcome != account.Served {
+		if t.Reason != "" || t.Outcome != access.Served {
 			reason = meaning(t.Reason)
 		}
 		s.Rows = append(s.Rows, []string{
@@ -134,8 +134,8 @@
 	return s
 }
 
-func outcomeWords(o account.Outcome) string {
-	if o == account.NotRun {
+func outcomeWords(o access.Outcome) string {
+	if o == access.NotRun {
 		return "not run"
 	}
 	return string(o)
@@ -185,7 +185,7 @@
 	return s
 }
 
-func scoreWords(e account.Evidence) string {
+func scoreWords(e access.Evidence) string {
 	return strconv.FormatFloat(e.Score, 'f', 1, 64) + "/" + strconv.FormatFloat(e.Threshold, 'f', 1, 64)
 }
 
--- a/report/upstreams.go
+++ b/report/upstreams.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
@@ -35,7 +35,7 @@
 		key := upstreamKey{service, name}
 		if sums[key] == nil {
 			sums[key] = &upstreamSum{Upstream: Upstream{
-				UpstreamState: account.UpstreamState{Service: service, Name: name, State: StateGone},
+				UpstreamState: access.UpstreamState{Service: service, Name: name, State: StateGone},
 				Lost:          []string{}, Kept: []string{},
 			}}
 		}
@@ -52,12 +52,12 @@
 	}
 	m.report.Named = len(named)
 	for _, t := range m.report.Totals {
-		if t.Upstream == "" || t.Upstream == account.Others {
+		if t.Upstream == "" || t.Upstream == access.Others {
 			continue
 		}
 		u := at(t.Service, t.Upstream)
 		u.add(&t)
-		if t.Outcome == account.Served {
+		if t.Outcome == access.Served {
 			u.took += t.Took
 		}
 	}
@@ -74,17 +74,17 @@
 }
 
 // view takes in one node's view.
-func (u *upstreamSum) view(s *account.Snapshot, state account.UpstreamState) {
+func (u *upstreamSum) view(s *access.Snapshot, state access.UpstreamState) {
 	u.Views++
-	lost := state.State == account.StateUnreachable
+	lost := state.State == access.StateUnreachable
 	if lost {
 		u.Lost = append(u.Lost, s.Name)
 	}
-	if state.State == account.StateKept {
+	if state.State == access.StateKept {
 		u.Kept = append(u.Kept, s.Name)
 	}
 	gate := s.Node != "" && s.Node == state.Node
-	better := !u.seen || u.State == account.StateUnreachable && !lost || !lost && state.Severity > u.Severity
+	better := !u.seen || u.State == access.StateUnreachable && !lost || !lost && state.Severity > u.Severity
 	if gate || !u.Gate && better {
 		u.UpstreamState = state
 		u.Gate = gate
--- a/report/words.go
+++ b/report/words.go
@@ -9,7 +9,7 @@
 
 	"github.com/dustin/go-humanize"
 
-	"fuchsiapick.example/fuchsiapick/account"
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/burn"
 	"fuchsiapick.example/fuchsiapick/clock"
 )
@@ -17,38 +17,38 @@
 // meanings says the reasons of entries and gates in words that need no
 // knowledge of the program.
 var meanings = map[string]string{
-	account.ReasonCallerLimit:   "the caller was over its own limit",
-	account.ReasonServiceLimit:  "the service was over its limit",
-	account.ReasonBusy:          "the node held as many requests as it may",
-	account.ReasonCallerFault:   "the request was malformed",
-	account.ReasonCallerGone:    "the caller hung up",
-	account.ReasonNoRoute:       "the table has no route for the path",
-	account.ReasonBodyTooLarge:  "the request's body was too large",
-	account.ReasonNoTable:       "the node had no table yet",
-	account.ReasonNoUpstream:    "no upstream of the service could take it",
-	account.ReasonUnreachable:   "the upstream's node could not be reached",
-	account.ReasonShutdown:      "the node was shutting down",
-	account.ReasonUpstreamError: "the upstream answered with an error",
-	account.ReasonSlow:          "the answer came late",
-	"set-aside":                 "the upstream was set aside as sick",
-	"leaving":                   "the upstream was leaving",
-	"full":                      "the upstream had no slot free in time",
-	"deadline-too-short":        "too little time was left to run it",
-	"stale-lease":               "it reached the gate too late to be run safely",
-	"voided":                    "it was called back before it ran",
-	"no-such-upstream":          "the node did not know the upstream",
-	"connection-refused":        "the upstream refused the connection",
-	"upstream-shed":             "the upstream shed load",
-	"retry-budget":              "the service's retry budget was used up",
-	"timeout":                   "no answer came in time",
-	"torn-answer":               "the answer broke off",
-	"backend-crashed":           "the upstream's process ended while it ran the request",
-	"quarantined":               "it crashes the upstreams that run it",
-	"answer-too-large":          "the answer was too large",
-	"no-answer":                 "the node beside the upstream did not answer",
-	"node-replaced":             "the node beside the upstream was replaced meanwhile",
-	burn.Other:                  "other reasons",
-	"":                          "no reason was noted",
+	access.ReasonCallerLimit:   "the caller was over its own limit",
+	access.ReasonServiceLimit:  "the service was over its limit",
+	access.ReasonBusy:          "the node held as many requests as it may",
+	access.ReasonCallerFault:   "the request was malformed",
+	access.ReasonCallerGone:    "the caller hung up",
+	access.ReasonNoRoute:       "the table has no route for the path",
+	access.ReasonBodyTooLarge:  "the request's body was too large",
+	access.ReasonNoTable:       "the node had no table yet",
+	access.ReasonNoUpstream:    "no upstream of the service could take it",
+	access.ReasonUnreachable:   "the upstream's node could not be reached",
+	access.ReasonShutdown:      "the node was shutting down",
+	access.ReasonUpstreamError: "the upstream answered with an error",
+	access.ReasonSlow:          "the answer came late",
+	"set-aside":                "the upstream was set aside as sick",
+	"leaving":                  "the upstream was leaving",
+	"full":                     "the upstream had no slot free in time",
+	"deadline-too-short":       "too little time was left to run it",
+	"stale-lease":              "it reached the gate too late to be run safely",
+	"voided":                   "it was called back before it ran",
+	"no-such-upstream":         "the node did not know the upstream",
+	"connection-refused":       "the upstream refused the connection",
+	"upstream-shed":            "the upstream shed load",
+	"retry-budget":             "the service's retry budget was used up",
+	"timeout":                  "no answer came in time",
+	"torn-answer":              "the answer broke off",
+	"backend-crashed":          "the upstream's process ended while it ran the request",
+	"quarantined":              "it crashes the upstreams that run it",
+	"answer-too-large":         "the answer was too large",
+	"no-answer":                "the node beside the upstream did not answer",
+	"node-replaced":            "the node beside the upstream was replaced meanwhile",
+	burn.Other:                 "other reasons",
+	"":                         "no reason was noted",
 }
 
 // meaning says a reason in words; one that is not known stands for itself.
@@ -59,31 +59,31 @@
 // stateWords says an upstream's state in words.
 func stateWords(state string) string {
 	switch state {
-	case account.StateInUse:
+	case access.StateInUse:
 		return "in use"
-	case account.StateSetAside:
+	case access.StateSetAside:
 		return "set aside: sick"
-	case account.StateTrial:
+	case access.StateTrial:
 		return "on trial"
-	case account.StateRamp:
+	case access.StateRamp:
 		return "coming back slowly"
-	case account.StateKept:
+	case access.StateKept:
 		return "sick, kept for the floor"
-	case account.StateUnreachable:
+	case access.StateUnreachable:
 		return "unreachable"
-	case account.StateLeaving:
+	case access.StateLeaving:
 		return "leaving"
-	case account.StateOff:
+	case access.StateOff:
 		return "off: weight 0"
-	case account.StateFull:
+	case access.StateFull:
 		return "over its limit"
 	case StateGone:
 		return "not in the table"
 	case StateRelapsed:
 		return "set aside again"
-	case string(account.Back):
+	case string(access.Back):
 		return "back in use"
-	case account.StateUnknown, "":
+	case access.StateUnknown, "":
 		return "not known"
 	default:
 		return state
@@ -91,27 +91,27 @@
 }
 
 // kinds are the kinds of events in words.
-var kinds = map[account.EventKind]string{
-	account.SetAside:       "set aside as sick",
-	account.Trial:          "tried again",
-	account.Ramp:           "coming back slowly",
-	account.Back:           "back in full use",
-	account.KeptUnderFloor: "kept in use for the floor",
-	account.PathLost:       "path lost",
-	account.PathBack:       "path back",
-	account.Crashed:        "ended under its runs",
-	account.Quarantined:    "request held back: it crashes upstreams",
-	account.Freed:          "request held back no longer",
-	account.Leaving:        "leaving",
-	account.TableAccepted:  "table accepted",
-	account.TableRejected:  "table rejected",
-	account.TableOlder:     "older table not taken",
-	account.PlatformLost:   "platform stopped answering",
-	account.PlatformBack:   "platform answers again",
+var kinds = map[access.EventKind]string{
+	access.SetAside:       "set aside as sick",
+	access.Trial:          "tried again",
+	access.Ramp:           "coming back slowly",
+	access.Back:           "back in full use",
+	access.KeptUnderFloor: "kept in use for the floor",
+	access.PathLost:       "path lost",
+	access.PathBack:       "path back",
+	access.Crashed:        "ended under its runs",
+	access.Quarantined:    "request held back: it crashes upstreams",
+	access.Freed:          "request held back no longer",
+	access.Leaving:        "leaving",
+	access.TableAccepted:  "table accepted",
+	access.TableRejected:  "table rejected",
+	access.TableOlder:     "older table not taken",
+	access.PlatformLost:   "platform stopped answering",
+	access.PlatformBack:   "platform answers again",
 }
 
 // kindWords says an event's kind in words; one that is not known stands for itself.
-func kindWords(kind account.EventKind) string {
+func kindWords(kind access.EventKind) string {
 	return cmp.Or(kinds[kind], string(kind))
 }
 
@@ -209,7 +209,7 @@
 }
 
 // evidenceWords says what a gate had seen when it set its upstream aside.
-func evidenceWords(e account.Evidence, reason string) string {
+func evidenceWords(e access.Evidence, reason string) string {
 	var parts []string
 	of := " of " + plural(e.Outcomes, "request", "requests")
 	if e.Failed > 0 {
