feat(cmd),docs: keys of client accounts for operators

`fuchsiapick account key` makes a key and prints it once with its digest; `account digest` reads one from standard input.

A test searches logs, metrics, report and quarantine for keys: right, wrong, two at once, and one that stands in the table in place of its digest.

--- /dev/null
+++ b/cmd/accountcmd.go
@@ -0,0 +1,63 @@
+package cmd
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"os"
+
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+const (
+	// keyBytes is how much randomness a new key holds.
+	keyBytes = 32
+	// maxKeyBytes is longer than any key that fits into a request's header.
+	maxKeyBytes = 8 << 10
+)
+
+type accountCmd struct {
+	Key    *accountKeyCmd    `arg:"subcommand:key" help:"make a key, and print it with its digest for the table"`
+	Digest *accountDigestCmd `arg:"subcommand:digest" help:"print the digest of a key read from standard input"`
+}
+
+// run is reached where neither subcommand is named.
+func (*accountCmd) run(_, stderr io.Writer) int {
+	fmt.Fprintln(stderr, "fuchsiapick: account: name a subcommand: key, digest")
+	return ExitUsage
+}
+
+type accountKeyCmd struct{}
+
+// run prints the key once: nothing of it is kept.
+func (*accountKeyCmd) run(stdout, _ io.Writer) int {
+	random := make([]byte, keyBytes)
+	_, _ = rand.Read(random) // it never fails: the program would end
+	key := base64.RawURLEncoding.EncodeToString(random)
+	fmt.Fprintf(stdout, "key     %s\ndigest  %s\n", key, table.DigestOf([]byte(key)))
+	return ExitOK
+}
+
+type accountDigestCmd struct{}
+
+func (*accountDigestCmd) run(stdout, stderr io.Writer) int {
+	return digestOf(os.Stdin, stdout, stderr)
+}
+
+// digestOf leaves out the end of the line: an editor or echo adds it.
+func digestOf(in io.Reader, stdout, stderr io.Writer) int {
+	key, err := io.ReadAll(io.LimitReader(in, maxKeyBytes+1))
+	key = bytes.TrimRight(key, "\r\n")
+	switch {
+	case err != nil:
+		fmt.Fprintf(stderr, "fuchsiapick: account digest: %v\n", err)
+		return ExitFault
+	case len(key) == 0 || len(key) > maxKeyBytes || len(bytes.Fields(key)) != 1:
+		fmt.Fprintf(stderr, "fuchsiapick: account digest: want one key without spaces, at most %d bytes\n", maxKeyBytes)
+		return ExitFault
+	}
+	fmt.Fprintln(stdout, table.DigestOf(key))
+	return ExitOK
+}
--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -117,8 +117,12 @@
 	for i := range t.Services {
 		upstreams += len(t.Services[i].Upstreams)
 	}
-	return fmt.Sprintf("table, version %d, services %d, upstreams %d, routes %d",
-		t.Version, len(t.Services), upstreams, len(t.Routes)), nil
+	found := fmt.Sprintf("table, version %d, services %d, upstreams %d, routes %d",
+		t.Version, len(t.Services), upstreams, len(t.Routes))
+	if t.HasKeys() {
+		found += fmt.Sprintf(", accounts %d", len(t.Accounts))
+	}
+	return found, nil
 }
 
 func checkSettings(text []byte) (string, error) {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -26,6 +26,7 @@
 	Node    *nodeCmd    `arg:"subcommand:node" help:"run a node beside its backend servers"`
 	Report  *reportCmd  `arg:"subcommand:report" help:"ask nodes and say who got what"`
 	Demo    *demoCmd    `arg:"subcommand:demo" help:"run a deployment on loopback, with a gray upstream, and report"`
+	Account *accountCmd `arg:"subcommand:account" help:"make keys of client accounts"`
 	Check   *checkCmd   `arg:"subcommand:check" help:"check tables and settings"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the release and the formats it reads"`
 }
--- a/examples/pages_test.go
+++ b/examples/pages_test.go
@@ -21,7 +21,7 @@
 		examples int
 	}{
 		"table.md": {
-			[]any{table.Table{}, table.Service{}, table.Objective{}, table.Upstream{}, table.Route{}, table.Share{}, table.Caller{}},
+			[]any{table.Table{}, table.Service{}, table.Objective{}, table.Upstream{}, table.Route{}, table.Share{}, table.Caller{}, table.Account{}},
 			func(text []byte) error { _, err := table.Parse(text); return err }, 2,
 		},
 		"settings.md": {
--- /dev/null
+++ b/fleet/secret_test.go
@@ -0,0 +1,73 @@
+package fleet_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
+)
+
+// output collects what nodes log. It is safe for concurrent use.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// Whoever reads logs, metrics or reports could send requests in a client account's name.
+func TestKeysStandInNoOutput(t *testing.T) {
+	logs := &output{}
+	f := start(t, fleet.Config{Table: withAccounts(2), Log: logs})
+	for _, b := range f.Backends {
+		b.SetFault(standin.Fault{Kind: standin.Fails})
+	}
+	for _, key := range []string{hotelKey, clinicKey, noKey} {
+		for _, path := range []string{"/conferme/a", "/conferme/public/a", "/nowhere"} {
+			sendWith(t, f.Members[0].Caller, path, "Authorization", "Bearer "+key)
+		}
+	}
+	sendWith(t, f.Members[0].Caller, "/conferme/a", "Authorization", "Bearer "+hotelKey, "Authorization", "Bearer "+clinicKey)
+	sendWith(t, f.Members[0].Caller, "/conferme/a", "Authorization", "Basic "+hotelKey)
+	// A key in place of its digest: the edit is refused, and its fault is logged.
+	err := f.Publish(func(tt *table.Table) { tt.Accounts[0].Keys = table.KeyDigests{noKey} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the fault is logged", func() bool { return strings.Contains(logs.String(), "SHA-256") })
+
+	outputs := map[string]string{"log": logs.String()}
+	for _, path := range []string{"/metrics", "/report", "/quarantine", "/readyz"} {
+		status, body, err := fasthttp.Get(nil, "http://"+f.Members[0].Admin+path)
+		if err != nil || status != fasthttp.StatusOK {
+			t.Fatalf("%s: got %d, %v", path, status, err)
+		}
+		outputs[path] = string(body)
+	}
+	for name, text := range outputs {
+		for _, key := range []string{hotelKey, clinicKey, noKey} {
+			if strings.Contains(text, key) {
+				t.Errorf("%s: got the key %q in it, want none", name, key)
+			}
+		}
+	}
+	if !strings.Contains(outputs["log"], `"account":"hotel"`) {
+		t.Errorf("got no line of account hotel, want its failures logged")
+	}
+}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -55,6 +55,10 @@
 	}
 }
 
+func (fake) QuotaCounts() metrics.QuotaCounts {
+	return metrics.QuotaCounts{Granted: 9, Refused: 3, Alone: 2, Unknown: 1}
+}
+
 func (fake) Lost() (busy, rate uint64) { return 1, 2 }
 
 func (fake) Version() uint64          { return 7 }
@@ -69,7 +73,7 @@
 // newSet returns a set with every source.
 func newSet(book metrics.Book) *metrics.Set {
 	s := metrics.New(metrics.Config{
-		Book: book, State: fake{}, Readiness: fake{}, Platform: fake{}, Links: fake{}, Gates: fake{}, Lines: fake{}, Requests: 4096,
+		Book: book, State: fake{}, Readiness: fake{}, Platform: fake{}, Links: fake{}, Gates: fake{}, Quotas: fake{}, Lines: fake{}, Requests: 4096,
 	})
 	s.SetServices(services)
 	return s
