--- a/wire/enquiry.go
+++ b/wire/enquiry.go
@@ -31,7 +31,9 @@
 	Reason     Reason
 	RetryAfter clock.Millis
 	Time       clock.Millis
-	Upstream   Upstream
+	// Running is how many requests run there, whose ends will tell more of the upstream.
+	Running  int
+	Upstream Upstream
 }
 
 // Waive says that a slot which was asked for isn't wanted any more.
