revert: requests that run once wait for evidence that is due

Held back for up to a quarter of the target while calls run at the gates asked, they would go where one has ended well.

What waits meets the same unknown upstreams a moment later: calls of 150 ms tell of too few of them in the time that there is.

--- a/entry/brief.go
+++ b/entry/brief.go
@@ -62,7 +62,7 @@
 		a.bounded = true
 	case r.isLastTry() && !r.progress.surveyed:
 		r.progress.surveyed = true
-		a, untried, ok = r.gatherSound(now)
+		a, untried, ok = r.gather(now, mostSurveyed, 0)
 	}
 	if patience := r.patience(now); !ok && !r.progress.waited && patience > 0 {
 		r.progress.waited = true
--- a/entry/enquire.go
+++ b/entry/enquire.go
@@ -120,8 +120,6 @@
 	near := s.places[a.place].upstream.Domain == s.request.entry.config.Domain
 	if cost := choice.Cost(a.hold.Upstream.Severity, near); s.held < 0 || cost < s.cost {
 		s.held, s.cost = a.place, cost
-		place := &s.places[a.place]
-		place.severity, place.running = a.hold.Upstream.Severity, a.hold.Running
 	}
 	return true
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -119,8 +119,6 @@
 	// severity is what the upstream's was taken for, heard when it was told.
 	severity float64
 	heard    clock.Millis
-	// running is how many requests its gate said to run there, where it was asked.
-	running int
 }
 
 // choose picks the upstream for the next try. It reports how many usable ones
--- a/entry/survey_test.go
+++ b/entry/survey_test.go
@@ -123,11 +123,6 @@
 }
 
 func beforeRoute(t *testing.T, repeatable []string, desks ...*desk) *entry.Entry {
-	t.Helper()
-	return beforeTarget(t, repeatable, clock.Hour, desks...)
-}
-
-func beforeTarget(t *testing.T, repeatable []string, target clock.Millis, desks ...*desk) *entry.Entry {
 	t.Helper()
 	ways := map[string]*desk{}
 	s := table.Service{Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute, Retries: 0.2, Window: 10 * clock.Second, Extra: 60}
@@ -141,7 +136,7 @@
 	})
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1, Services: []table.Service{s},
-		Routes: []table.Route{{Prefix: "/", Service: "conferme", Timeout: clock.Hour, Target: target, Priority: 1, Attempts: 2, Repeatable: repeatable}},
+		Routes: []table.Route{{Prefix: "/", Service: "conferme", Timeout: clock.Hour, Target: clock.Hour, Priority: 1, Attempts: 2, Repeatable: repeatable}},
 	}))
 	return e
 }
--- a/gate/enquire.go
+++ b/gate/enquire.go
@@ -74,21 +74,10 @@
 func (g *Gate) holdOf(now clock.Millis, p *place, reason wire.Reason) *wire.Hold {
 	return &wire.Hold{
 		ID: p.enquiry.ID, Attempt: p.enquiry.Attempt,
-		Held: reason == "", Reason: reason, Time: now, Running: g.running(), Upstream: g.status(now),
+		Held: reason == "", Reason: reason, Time: now, Upstream: g.status(now),
 	}
 }
 
-// running is how many requests run at the upstream. The gate's lock is held.
-func (g *Gate) running() int {
-	count := 0
-	for _, j := range g.jobs {
-		if j.running {
-			count++
-		}
-	}
-	return count
-}
-
 // Waive lets go of a slot that was kept or asked for: the request has found one
 // elsewhere, or was given up.
 func (g *Gate) Waive(w *wire.Waive) {
--- a/wire/enquiry.go
+++ b/wire/enquiry.go
@@ -31,9 +31,7 @@
 	Reason     Reason
 	RetryAfter clock.Millis
 	Time       clock.Millis
-	// Running is how many requests run there, whose ends will tell more of the upstream.
-	Running  int
-	Upstream Upstream
+	Upstream   Upstream
 }
 
 // Waive says that a slot which was asked for isn't wanted any more.
