refactor(rendezvous),fix(quota): one rendezvous hash; a small burst stays whole at a stand-in

The same hash stood in quota, mirror and quarantine.

Cause: a node that grants in the home's place halves the burst. Of 5 requests 2.7 are left, and two that come together are refused by a stand-in that has just started. Ten nodes to ask in place of six changed nothing. A burst of up to 4 stays whole now; what it adds over the quota lies within the 20 requests that every account has.

--- a/mirror/readers.go
+++ b/mirror/readers.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+
+	"fuchsiapick.example/fuchsiapick/rendezvous"
 )
 
 const (
@@ -50,17 +51,5 @@
 
 // score is a node's place in the order.
 func score(node string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(node)) // a hash's Write never fails
-	return mix(hash.Sum64())
-}
-
-// mix spreads a hash over all its bits (the finalizer of SplitMix64); FNV leaves those
-// of addresses that differ in their last digit close together.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Score("", node)
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/rendezvous"
 )
 
 const (
@@ -192,20 +193,12 @@
 	sum := uint64(0)
 	for _, e := range r.ends {
 		if !e.isOver() {
-			sum ^= mix(e.ID ^ mix(e.Cleared))
+			sum ^= rendezvous.Mix(e.ID ^ rendezvous.Mix(e.Cleared))
 		}
 	}
 	return sum
 }
 
-// mix spreads a number over all its bits (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func (r *Register) touch(e *entry) {
 	r.sequence++
 	e.changed = r.sequence
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -31,9 +31,10 @@
 // may go on for those that reach it.
 const standInShare = 0.5
 
-// StandIn is what a node grants while the homes before it are out of its reach.
+// StandIn is what a node grants while the homes before it are out of its reach. A small burst
+// stays whole: half of it would refuse two requests of an account that come together.
 func (l Limit) StandIn() Limit {
-	return Limit{Rate: standInShare * l.Rate, Burst: standInShare * l.Burst}
+	return Limit{Rate: standInShare * l.Rate, Burst: max(standInShare*l.Burst, min(l.Burst, leastStart))}
 }
 
 const (
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+
+	"fuchsiapick.example/fuchsiapick/rendezvous"
 )
 
 // MostHomes is how many nodes are asked for an account one after the other, where those
@@ -20,7 +21,7 @@
 	}
 	all := make([]scored, 0, len(nodes))
 	for _, node := range nodes {
-		all = append(all, scored{node, score(account, node)})
+		all = append(all, scored{node, rendezvous.Score(account, node)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
@@ -31,20 +32,3 @@
 	}
 	return homes
 }
-
-func score(account, node string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(account)) // a hash's Write never fails
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(node))
-	return mix(hash.Sum64())
-}
-
-// mix spreads a hash of texts that differ in their last bytes only, as addresses do.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -191,7 +191,6 @@
 
 // admits asks as a node does: the first home that it reaches, which asks those before it that
 // it reaches. A node grants its own requests only as the first home, and while it isn't cut off.
-
 func (w *world) admits(now clock.Millis, at string, l quota.Limit) bool {
 	h := w.history[at]
 	isCutOff := w.cut[at] > now && now > w.cutAt[at]+noticed
