--- a/grade/hanging.go
+++ b/grade/hanging.go
@@ -19,11 +19,6 @@
 	failuresKept = 20
 	// toldFailures is how many of one's own the word of others counts for.
 	toldFailures = 4
-	// guessedShare is what is taken for the share of those that hang before any was seen,
-	// with the weight of one.
-	guessedShare = 0.3
-	// leastFailures are enough to tell others.
-	leastFailures = 0.5
 )
 
 // Failures counts how runs fail: at once, or by coming to no end. The zero value is ready; it
@@ -52,16 +47,17 @@
 
 // Share is that of the runs that hang, given what others tell.
 func (f *Failures) Share(told Hanging) float64 {
-	share, weight := guessedShare, 1.0
+	sudden, hung := f.sudden+1, f.hung+1
 	if told.IsKnown() {
-		share, weight = float64(told-1)/100, toldFailures
+		share := float64(told-1) / 100
+		sudden, hung = f.sudden+toldFailures*(1-share), f.hung+toldFailures*share
 	}
-	return (f.hung + weight*share) / (f.sudden + f.hung + weight)
+	return hung / (sudden + hung)
 }
 
 // Told is what to tell others.
 func (f *Failures) Told() Hanging {
-	if f.sudden+f.hung < leastFailures {
+	if f.sudden+f.hung < 1 {
 		return 0
 	}
 	return Hanging(1 + 100*f.Share(0))
