--- a/capacity/accounts.go
+++ b/capacity/access.go
@@ -7,32 +7,32 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
-// accounts measures the book of a node.
-func accounts() []Measure {
+// accessLog measures the book of a node.
+func accessLog() []Measure {
 	return []Measure{
 		{
-			Role: "accounts", Name: "callers kept apart, held", Unit: unitBytes, Against: "callers kept apart",
+			Role: "access log", Name: "callers kept apart, held", Unit: unitBytes, Against: "callers kept apart",
 			Sizes: callersKept(),
 			Cost: func(n int) (float64, error) {
 				return held(func() (any, error) { return book(n, n, 4*n, oneService), nil })
 			},
 		},
 		{
-			Role: "accounts", Name: "services, held", Unit: unitBytes, Against: "services called",
+			Role: "access log", Name: "services, held", Unit: unitBytes, Against: "services called",
 			Sizes: []int{500, 1000, 2000, 4100}, Target: Services,
 			Cost: func(n int) (float64, error) {
 				return held(func() (any, error) { return book(1, 1, n, n), nil })
 			},
 		},
 		{
-			Role: "accounts", Name: "records, held", Unit: unitBytes, Against: "records kept",
+			Role: "access log", Name: "records, held", Unit: unitBytes, Against: "records kept",
 			Sizes: []int{5_000, 10_000, 20_000, 40_000},
 			Cost: func(n int) (float64, error) {
 				return held(func() (any, error) { return book(n, 1, 2*n, oneService), nil })
 			},
 		},
 		{
-			Role: "accounts", Name: "requests accounted for", Unit: unitMicros, Against: "requests",
+			Role: "access log", Name: "requests recorded", Unit: unitMicros, Against: "requests",
 			Sizes: []int{2_000, 5_000, 10_000, 20_000},
 			Cost: func(n int) (float64, error) {
 				b := access.New(access.Config{})
