--- a/entry/paces.go
+++ b/entry/paces.go
@@ -15,8 +15,8 @@
 const mostPaces = 10_000
 
 // paces remembers how long the runs of each route usually take, and how they fail, at all
-// upstreams of a service: a gate that knew its own alone would take a slow one for the usual. It is safe for
-// concurrent use.
+// upstreams of a service: a gate that knew its own alone would take a slow one for the usual.
+// It is safe for concurrent use.
 type paces struct {
 	mu  sync.Mutex
 	all map[string]*grade.Pace
--- /dev/null
+++ b/node/local.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// local is the way from this node's entry to its own gates.
+type local struct {
+	node *Node
+}
+
+// Dispatch hands a request to the gate in this process.
+func (l local) Dispatch(d *wire.Dispatch, w link.Waiter) error {
+	now := l.node.clock.Now()
+	d.Incarnation = l.node.incarnation
+	d.Lease = now + d.Budget
+	l.node.stalls.add(d, w)
+	l.node.handle(d, func(r *wire.Reply) {
+		l.node.stalls.remove(d)
+		l.node.entry.Heard(r.Upstream)
+		w.Replied(r)
+	})
+	return nil
+}
+
+// Settle has nothing to ask: in one process a reply can't be lost.
+func (local) Settle(wire.RequestID, uint8) {}
+
+// Enquire asks the gate in this process.
+func (l local) Enquire(e *wire.Enquiry, told func(*wire.Hold)) error {
+	l.node.enquire(e, func(h *wire.Hold) {
+		l.node.entry.Heard(h.Upstream)
+		told(h)
+	})
+	return nil
+}
+
+// Waive lets go of a slot.
+func (l local) Waive(w *wire.Waive) { l.node.Waive(w) }
+
+// Withdraw has nothing that waits for a link.
+func (local) Withdraw(wire.RequestID, uint8) bool { return false }
+
+// Abandon tells the gate that the caller has left.
+func (l local) Abandon(id wire.RequestID, attempt uint8) {
+	for _, g := range l.node.allGates() {
+		g.Abandon(id, attempt)
+	}
+}
+
+// Keep has no link to keep.
+func (local) Keep() {}
+
+// Forget has nothing to drop.
+func (local) Forget(wire.RequestID, uint8) {}
