--- /dev/null
+++ b/entry/identity_test.go
@@ -0,0 +1,84 @@
+package entry_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"pgregory.net/rapid"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/lines"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const rightKey = "hotel-key"
+
+// keyed returns an entry whose table has one account, and the dispatches that it makes.
+func keyed(t *testing.T) (*entry.Entry, *[]*wire.Dispatch) {
+	t.Helper()
+	var sent []*wire.Dispatch
+	d := &desk{name: "c1"}
+	d.take = func(d *desk, m *wire.Dispatch, w link.Waiter) {
+		sent = append(sent, m)
+		w.Replied(d.serves(m))
+	}
+	s := table.Service{Name: "conferme", Caution: table.Brief, Deadline: clock.Minute, Upstreams: []table.Upstream{
+		{Name: "c1", Node: "c1", Domain: "palermo", Weight: 100, Slots: 9},
+	}}
+	e := entry.New(entry.Config{
+		Domain: "palermo", Now: clock.NewSystem().Now, Pool: newPool(t), Journal: journal{}, Log: lines.Silent(),
+		Headers: entry.DefaultHeaders(),
+		Target:  func(table.Upstream) entry.Target { return d },
+	})
+	e.Update(table.Index(table.Table{
+		Format: table.Format, Version: 1, Services: []table.Service{s},
+		Routes:   []table.Route{{Prefix: "/", Service: "conferme", Repeatable: []string{}}},
+		Accounts: []table.Account{{Name: "hotel", Keys: table.KeyDigests{table.DigestOf([]byte(rightKey))}, Priority: table.RoutePriority}},
+	}))
+	return e, &sent
+}
+
+// Callers send any bytes as their key: parts of a right one, two at once, another scheme. Only
+// the whole key under the right scheme may run a request, and no upstream may be shown it.
+func TestOnlyAWholeKeyRunsARequest(t *testing.T) {
+	e, sent := keyed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		piece := rapid.SampledFrom([]string{"Bearer", "bearer", "Token", "Basic", " ", "\t", ",", rightKey, rightKey[:4], "x", "", "\x00", "Bearer " + rightKey})
+		values := rapid.SliceOfN(rapid.Map(rapid.SliceOfN(piece, 0, 5), func(p []string) string { return strings.Join(p, "") }), 0, 3).Draw(t, "values")
+		var request fasthttp.Request
+		request.Header.SetMethod(fasthttp.MethodGet)
+		request.SetRequestURI("http://clinic.example/turno")
+		for _, value := range values {
+			request.Header.Add(fasthttp.HeaderAuthorization, value)
+		}
+		var ctx fasthttp.RequestCtx
+		ctx.Init(&request, nil, nil)
+		*sent = nil
+		e.Serve(&ctx)
+
+		isRight := len(values) == 1 && isKeyOf(values[0])
+		status := ctx.Response.StatusCode()
+		if isRight != (status == fasthttp.StatusOK) || (!isRight && status != fasthttp.StatusUnauthorized) {
+			t.Fatalf("%q: got %d, want it served only with one whole key", values, status)
+		}
+		if isRight != (len(*sent) == 1) {
+			t.Fatalf("%q: got %d dispatches, want one for a right key and none else", values, len(*sent))
+		}
+		for _, d := range *sent {
+			if d.Account != "hotel" || bytes.Contains(d.Headers, []byte(rightKey)) {
+				t.Fatalf("%q: got account %q and headers %q, want hotel's without its key", values, d.Account, d.Headers)
+			}
+		}
+	})
+}
+
+// isKeyOf says what the header's definition says: a scheme in any letter case, spaces, the key.
+func isKeyOf(value string) bool {
+	scheme, key, ok := strings.Cut(strings.TrimSpace(value), " ")
+	return ok && strings.EqualFold(scheme, "Bearer") && strings.TrimSpace(key) == rightKey
+}
