--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -1,47 +1,27 @@
 package cmd_test
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"fuchsiapick.example/fuchsiapick/standin"
 )
 
 // process is a program that a session started and signals by its own id.
 type process struct {
 	cmd    *exec.Cmd
-	stdout output
-	stderr output
+	stdout standin.Output
+	stderr standin.Output
 	done   chan struct{}
 }
 
-// output collects what a process writes while the session reads it.
-type output struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write appends.
-func (o *output) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.text.Write(p)
-}
-
-// String returns what was written so far.
-func (o *output) String() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.text.String()
-}
-
 // start NAME PROGRAM ARG... runs a program until the session ends it.
 func start(ts *testscript.TestScript, _ bool, args []string) {
 	s := sessionOf(ts)
--- a/fleet/secret_test.go
+++ b/fleet/secret_test.go
@@ -1,9 +1,7 @@
 package fleet_test
 
 import (
-	"bytes"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -13,27 +11,9 @@
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-// output collects what nodes log. It is safe for concurrent use.
-type output struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (o *output) Write(p []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.text.Write(p)
-}
-
-func (o *output) String() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.text.String()
-}
-
 // Whoever reads logs, metrics or reports could send requests in a client account's name.
 func TestKeysStandInNoOutput(t *testing.T) {
-	logs := &output{}
+	logs := &standin.Output{}
 	f := start(t, fleet.Config{Table: withAccounts(2), Log: logs})
 	for _, b := range f.Backends {
 		b.SetFault(standin.Fault{Kind: standin.Fails})
