--- a/wire/invitation.go
+++ b/wire/invitation.go
@@ -11,16 +11,5 @@
 	For clock.Millis
 }
 
-// Stalled tells an entry that the run of one of its dispatches most likely comes to no end.
-// The run goes on until it is abandoned.
-type Stalled struct {
-	_       struct{} `cbor:",toarray"`
-	ID      RequestID
-	Attempt uint8
-}
-
-// Kind names the frame.
-func (*Stalled) Kind() Kind { return KindStalled }
-
 // Kind names the frame.
 func (*Invitation) Kind() Kind { return KindInvitation }
