fix(entry): a run is given up only for a retry that is granted, and a kept place is let go

Found on reading the change: a request whose run hangs kept a place elsewhere, gave its run up, and only then asked whether it may be sent again. Denied (three tries, budget spent, service full; at routes with a bound on attempts hardly ever), it was answered 502 while its run could have ended well. And where the caller left at that moment, or the request became suspect, the place was never let go: it counted as a request at that upstream for good, at this entry.

The retry is decided before the run is given up; what is kept is let go at the end.

--- a/entry/move.go
+++ b/entry/move.go
@@ -35,8 +35,21 @@
 		}
 		return result{}, false
 	}
+	out := result{kind: retry.Failed, reason: string(wire.ReasonStalled)}
+	if !r.mayMove(&out, left) {
+		r.waive(&a)
+		return result{}, false
+	}
 	r.next = next{attempt: a, untried: left, isKept: true}
-	return result{kind: retry.Failed, reason: string(wire.ReasonStalled)}, true
+	return out, true
+}
+
+// mayMove decides about the retry that moving the request is. A run that was given up for one
+// that is denied would be lost.
+func (r *request) mayMove(o *result, untried int) bool {
+	a := r.attempted(o, untried+1) // the place itself is one that wasn't tried
+	a.Ran++
+	return r.service.retry(r.entry.config.Now(), a).Retry
 }
 
 // isMovable reports whether the request may be sent to one more upstream while its run is
@@ -56,6 +69,13 @@
 	return n, n.isKept
 }
 
+// dropNext lets go of the place that is kept, if there is one.
+func (r *request) dropNext() {
+	if n, ok := r.takeNext(); ok {
+		r.waive(&n.attempt)
+	}
+}
+
 // waive lets go of a place that was kept.
 func (r *request) waive(a *attempt) {
 	a.member.target.Waive(&wire.Waive{ID: r.id, Attempt: a.number, Upstream: a.upstream.Name})
--- a/entry/move_test.go
+++ b/entry/move_test.go
@@ -1,9 +1,16 @@
 package entry_test
 
 import (
+	"net"
+	"sync"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -81,3 +88,75 @@
 		t.Errorf("got %v waived and %d sent at the second, want its place let go", second.waived, second.dispatched)
 	}
 }
+
+// The service's retry budget has nothing left. Given up for a place elsewhere and then denied the
+// retry, the run would be lost with its answer.
+func TestStalledRunStaysWhereItsRetryIsDenied(t *testing.T) {
+	fails := func(d *desk, m *wire.Dispatch, w link.Waiter) {
+		reply := d.serves(m)
+		reply.Status = 500
+		w.Replied(reply)
+	}
+	answer := make(chan struct{})
+	close(answer)
+	first := &desk{name: "first", take: fails}
+	second := &desk{name: "second", take: fails}
+	s := table.Service{Name: "conferme", Caution: table.Brief, Floor: 0.3, Deadline: clock.Minute}
+	e := beforeService(t, s, []string{table.AnyMethod}, first, second)
+	for range retry.LeastBurst {
+		post(e)
+	}
+	first.take, second.take = stalls(answer), stalls(answer)
+	status, _ := post(e)
+	if status != 200 || first.abandoned+second.abandoned != 0 {
+		t.Errorf("got %d, %d runs given up; want the answer of the run that went on", status, first.abandoned+second.abandoned)
+	}
+}
+
+// conn is a caller's connection that the test closes.
+type conn struct {
+	net.Conn
+	mu   sync.Mutex
+	gone func()
+}
+
+func (c *conn) Watch(gone func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone = gone
+	return func() {}
+}
+
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone != nil {
+		c.gone()
+		c.gone = nil
+	}
+}
+
+func (*conn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 9)} }
+func (*conn) LocalAddr() net.Addr  { return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1)} }
+
+// The caller leaves as its request gets a place at another upstream. A place that nobody lets go
+// counts as a request there for good, and the upstream gets less and less work from this entry.
+func TestPlaceIsLetGoWhenTheCallerLeaves(t *testing.T) {
+	const callers = 40
+	for range callers {
+		c := &conn{}
+		first := &desk{name: "first", take: stalls(make(chan struct{}))}
+		second := &desk{name: "second", hold: func(e *wire.Enquiry, told func(*wire.Hold)) {
+			holds("second", 0)(e, told)
+			c.leave()
+		}}
+		e := beforeRepeatable(t, first, second)
+		e.Heard(wire.Upstream{Name: "second", Share: 1, InFlight: 5})
+		var ctx fasthttp.RequestCtx
+		ctx.Init2(c, nil, false)
+		sendOn(&ctx, e)
+		if second.dispatched != 0 || len(second.waived) != second.enquired {
+			t.Fatalf("got %d sent and %d of %d places let go, want none sent and all let go", second.dispatched, len(second.waived), second.enquired)
+		}
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -179,6 +179,7 @@
 	for {
 		now := r.entry.config.Now()
 		if standing := r.standing(); standing.Verdict != quarantine.Free {
+			r.dropNext()
 			if answer, done := r.tryAsSuspect(now, standing); done {
 				return answer
 			}
@@ -258,11 +259,20 @@
 	if r.hasLeft() {
 		return r.unknown(string(wire.ReasonLeft)), true
 	}
-	if r.asksOn(&o) {
+	if r.next.isKept || r.asksOn(&o) {
 		return final{}, false
 	}
-	now := r.entry.config.Now()
-	decision := r.service.retry(now, retry.Attempt{
+	decision := r.service.retry(r.entry.config.Now(), r.attempted(&o, untried))
+	if decision.Retry {
+		return final{}, false
+	}
+	r.verdictOnRetry(decision)
+	return r.unserved(o.reason, max(decision.RetryAfter, o.after)), true
+}
+
+// attempted describes the last try for the decision on another one.
+func (r *request) attempted(o *result, untried int) retry.Attempt {
+	return retry.Attempt{
 		Result:     o.kind,
 		ForLoad:    o.full,
 		Repeatable: r.repeatable,
@@ -271,15 +281,10 @@
 		Shed:       r.shed,
 		Ran:        r.ran,
 		MostRan:    r.route.Attempts,
-		Remaining:  r.deadline - now,
+		Remaining:  r.deadline - r.entry.config.Now(),
 		RetryAfter: o.after,
 		Untried:    r.placesLeft(untried),
-	})
-	if decision.Retry {
-		return final{}, false
 	}
-	r.verdictOnRetry(decision)
-	return r.unserved(o.reason, max(decision.RetryAfter, o.after)), true
 }
 
 // count takes in how far a try got. One that reached an upstream begins a new search.
@@ -307,6 +312,7 @@
 
 // finish writes the answer and closes the account.
 func (r *request) finish(f final) {
+	r.dropNext()
 	r.write(&f)
 	r.giveBack(&f)
 	now := r.entry.config.Now()
