--- a/gate/enquire.go
+++ b/gate/enquire.go
@@ -27,7 +27,7 @@
 // never for an enquiry that was waived.
 func (g *Gate) Enquire(e *wire.Enquiry, answer func(*wire.Hold)) {
 	now := g.config.Now()
-	p := &place{key: lease.Key{Entry: e.ID.Entry, Seq: e.ID.Seq, Attempt: e.Attempt}, enquiry: e, answer: answer}
+	p := &place{key: e.ID.Key(e.Attempt), enquiry: e, answer: answer}
 	g.mu.Lock()
 	g.noteSender(e.ID.Entry, e.Repeatable)
 	reason, after := g.refusal(now, lease.Fresh, admissionOf(e))
@@ -81,7 +81,7 @@
 // Waive lets go of a slot that was kept or asked for: the request has found one
 // elsewhere, or was given up.
 func (g *Gate) Waive(w *wire.Waive) {
-	key := lease.Key{Entry: w.ID.Entry, Seq: w.ID.Seq, Attempt: w.Attempt}
+	key := w.ID.Key(w.Attempt)
 	g.mu.Lock()
 	for ticket, p := range g.places {
 		if p.key == key {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -206,7 +206,7 @@
 // a duplicate, whose first copy is answered.
 func (g *Gate) Handle(d *wire.Dispatch, answer func(*wire.Reply)) {
 	now := g.config.Now()
-	key := lease.Key{Entry: d.ID.Entry, Seq: d.ID.Seq, Attempt: d.Attempt}
+	key := d.ID.Key(d.Attempt)
 	if before, ok := g.before.Load().remembers(key); ok {
 		before.Handle(d, answer)
 		return
--- a/gate/settle.go
+++ b/gate/settle.go
@@ -9,7 +9,7 @@
 // returns the reply once more if there is one.
 func (g *Gate) Settle(s *wire.Settle) (*wire.Settled, *wire.Reply) {
 	now := g.config.Now()
-	key := lease.Key{Entry: s.ID.Entry, Seq: s.ID.Seq, Attempt: s.Attempt}
+	key := s.ID.Key(s.Attempt)
 	if settled, reply, ok := g.settledBefore(key, s); ok {
 		return settled, reply
 	}
@@ -34,7 +34,7 @@
 // Abandon takes in that the caller of a dispatch has left: it doesn't begin any
 // more, or is broken off.
 func (g *Gate) Abandon(id wire.RequestID, attempt uint8) {
-	key := lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
+	key := id.Key(attempt)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fence.Refuse(key)
--- a/link/answer.go
+++ b/link/answer.go
@@ -9,7 +9,7 @@
 // because the attempt is part of the key.
 func (p *Peer) reply(r *wire.Reply) {
 	p.config.Watcher.PeerUpstream(p.config.Address, r.Upstream)
-	key := keyOf(r.ID, r.Attempt)
+	key := r.ID.Key(r.Attempt)
 	now := p.config.Now()
 	p.mu.Lock()
 	p.judge.Heard(now)
@@ -40,7 +40,7 @@
 // chunk takes in the next bytes of an answer. The caller gets the answer only
 // once all of it stands: a missing or misplaced chunk makes it a torn one.
 func (p *Peer) chunk(c *wire.Chunk) {
-	key := keyOf(c.ID, c.Attempt)
+	key := c.ID.Key(c.Attempt)
 	p.mu.Lock()
 	p.judge.Heard(p.config.Now())
 	one, ok := p.pending[key]
@@ -71,7 +71,7 @@
 // settled takes in what the gate says of an undecided dispatch. One that has
 // begun stays pending, for its reply follows.
 func (p *Peer) settled(s *wire.Settled) {
-	key := keyOf(s.ID, s.Attempt)
+	key := s.ID.Key(s.Attempt)
 	p.mu.Lock()
 	p.judge.Heard(p.config.Now())
 	one, ok := p.pending[key]
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -35,7 +35,7 @@
 		return ErrNoLink
 	}
 	one.unsent = true
-	p.pending[keyOf(d.ID, d.Attempt)] = one
+	p.pending[d.ID.Key(d.Attempt)] = one
 	return nil
 }
 
@@ -46,7 +46,7 @@
 	d.Budget -= now - one.queued
 	d.Incarnation = p.estimate.Incarnation()
 	d.Lease = p.estimate.At(now) + d.Budget
-	key := keyOf(d.ID, d.Attempt)
+	key := d.ID.Key(d.Attempt)
 	if err := p.conn.Send(d); err != nil {
 		delete(p.pending, key)
 		return errors.Trace(err)
@@ -67,7 +67,7 @@
 func (p *Peer) stalled(s *wire.Stalled) {
 	p.mu.Lock()
 	p.judge.Heard(p.config.Now())
-	one, ok := p.pending[keyOf(s.ID, s.Attempt)]
+	one, ok := p.pending[s.ID.Key(s.Attempt)]
 	p.mu.Unlock()
 	if ok {
 		one.waiter.Stalled()
@@ -79,10 +79,10 @@
 func (p *Peer) Settle(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one, ok := p.pending[keyOf(id, attempt)]
+	one, ok := p.pending[id.Key(attempt)]
 	switch {
 	case ok && one.unsent:
-		p.remove(keyOf(id, attempt))
+		p.remove(id.Key(attempt))
 		one.waiter.Unsent()
 	case ok && p.conn != nil:
 		_ = p.conn.Send(settleOf(one.dispatch)) // without an answer the outcome stays unknown
@@ -94,7 +94,7 @@
 func (p *Peer) Withdraw(id wire.RequestID, attempt uint8) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := keyOf(id, attempt)
+	key := id.Key(attempt)
 	one, ok := p.pending[key]
 	if !ok || !one.unsent {
 		return false
@@ -107,20 +107,20 @@
 func (p *Peer) Abandon(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one, ok := p.pending[keyOf(id, attempt)]
+	one, ok := p.pending[id.Key(attempt)]
 	if ok && !one.unsent && p.conn != nil {
 		settle := settleOf(one.dispatch)
 		settle.Abandon = true
 		_ = p.conn.Send(settle) // a lost link ends with the request's own deadline
 	}
-	p.remove(keyOf(id, attempt))
+	p.remove(id.Key(attempt))
 }
 
 // Forget drops the waiter of a dispatch that was given up on.
 func (p *Peer) Forget(id wire.RequestID, attempt uint8) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.remove(keyOf(id, attempt))
+	p.remove(id.Key(attempt))
 }
 
 // withdraw ends the dispatches that still wait for a link: none was sent.
@@ -144,7 +144,7 @@
 	own := *one.dispatch // the entry still reads the one it made
 	one.dispatch = &own
 	if now-one.queued >= one.dispatch.Budget || p.send(now, one) != nil {
-		delete(p.pending, keyOf(one.dispatch.ID, one.dispatch.Attempt))
+		delete(p.pending, one.dispatch.ID.Key(one.dispatch.Attempt))
 		one.waiter.Unsent()
 	}
 }
@@ -154,10 +154,6 @@
 	p.judge.Settled(p.config.Now(), judged(key))
 }
 
-func keyOf(id wire.RequestID, attempt uint8) lease.Key {
-	return lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
-}
-
 func settleOf(d *wire.Dispatch) *wire.Settle {
 	return &wire.Settle{ID: d.ID, Attempt: d.Attempt, Incarnation: d.Incarnation, Upstream: d.Upstream, Lease: d.Lease}
 }
--- a/link/enquire.go
+++ b/link/enquire.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -12,14 +11,14 @@
 func (p *Peer) Enquire(e *wire.Enquiry, told func(*wire.Hold)) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.enquiries.ask(p, keyOf(e.ID, e.Attempt), e, told)
+	return p.enquiries.ask(p, e.ID.Key(e.Attempt), e, told)
 }
 
 // Waive drops an enquiry that was given up on, and tells the gate.
 func (p *Peer) Waive(w *wire.Waive) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := keyOf(w.ID, w.Attempt)
+	key := w.ID.Key(w.Attempt)
 	one, ok := p.enquiries[key]
 	delete(p.enquiries, key)
 	if p.conn != nil && (!ok || !one.unsent) {
@@ -29,7 +28,7 @@
 
 func (p *Peer) held(h *wire.Hold) {
 	p.config.Watcher.PeerUpstream(p.config.Address, h.Upstream)
-	key := lease.Key{Entry: h.ID.Entry, Seq: h.ID.Seq, Attempt: h.Attempt}
+	key := h.ID.Key(h.Attempt)
 	now := p.config.Now()
 	p.mu.Lock()
 	p.judge.Heard(now)
--- a/link/resend.go
+++ b/link/resend.go
@@ -65,7 +65,7 @@
 // voidKey is the key by which the path's judge knows a question: attempts
 // count from 1.
 func voidKey(id wire.RequestID) lease.Key {
-	return lease.Key{Entry: id.Entry, Seq: id.Seq}
+	return id.Key(0)
 }
 
 // askAgain sends the open questions on a new link.
--- a/node/stalls.go
+++ b/node/stalls.go
@@ -22,25 +22,21 @@
 func (s *stalls) add(d *wire.Dispatch, w link.Waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiters[keyOf(d.ID, d.Attempt)] = w
+	s.waiters[d.ID.Key(d.Attempt)] = w
 }
 
 func (s *stalls) remove(d *wire.Dispatch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.waiters, keyOf(d.ID, d.Attempt))
+	delete(s.waiters, d.ID.Key(d.Attempt))
 }
 
 // tell tells the waiter of a dispatch that its run most likely comes to no end.
 func (s *stalls) tell(m *wire.Stalled) {
 	s.mu.Lock()
-	w, ok := s.waiters[keyOf(m.ID, m.Attempt)]
+	w, ok := s.waiters[m.ID.Key(m.Attempt)]
 	s.mu.Unlock()
 	if ok {
 		w.Stalled()
 	}
 }
-
-func keyOf(id wire.RequestID, attempt uint8) lease.Key {
-	return lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
-}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lease"
 )
 
 // NameOf is the name by which logs and backend servers know a request: the one
@@ -24,6 +25,11 @@
 	Seq uint64
 }
 
+// Key is the key by which gates and paths know one of the request's attempts.
+func (id RequestID) Key(attempt uint8) lease.Key {
+	return lease.Key{Entry: id.Entry, Seq: id.Seq, Attempt: attempt}
+}
+
 // String writes the id as logs, headers and reports show it.
 func (id RequestID) String() string {
 	buf := make([]byte, 0, 33)
