gate: log and export the rate limit that a backend server names

Callers saw nothing: a backend server that had named a limit got several times its requests. The hypotheses of the incident (nobody reads the limit; each entry keeps to it by itself; load moves to a server in need) differ in what a gate hears and refuses, and neither logs nor metrics had the limit. The gate now reads the limit and the shutdown that a response announces, logs a change of either, and exports fuchsiapick_gate_rate_limit. Nothing is decided by it yet. A limit that isn't a number of requests per second is logged and changes nothing; a 421 comes from another upstream and says nothing about this one.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -46,6 +46,10 @@
 	HeaderCaller = "Fuchsiapick-Caller"
 	// HeaderAccount carries the name of the client account.
 	HeaderAccount = "Fuchsiapick-Account"
+	// HeaderRateLimit carries the requests per second that the backend server accepts.
+	HeaderRateLimit = "Fuchsiapick-Rate-Limit"
+	// HeaderLeaving, with the value "1", states that the backend server shuts down.
+	HeaderLeaving = "Fuchsiapick-Leaving"
 	shed          = "shed"
 )
 
@@ -78,6 +82,8 @@
 	Overloaded bool
 	// RetryAfter is the delay that the backend server asks for; 0 if it names none.
 	RetryAfter clock.Millis
+	// Announcement is what the backend server states about itself in the response.
+	Announcement Announcement
 }
 
 // HTTPConfig configures an HTTP backend.
@@ -245,6 +251,7 @@
 	limited := r.Status == fasthttp.StatusTooManyRequests
 	unavailable := r.Status == fasthttp.StatusServiceUnavailable
 	r.Shed = h.config.Headers.notRun(response)
+	r.Announcement = h.config.Headers.announcement(response)
 	r.Overloaded = (r.Shed && (limited || unavailable)) || limited || (unavailable && hasRetryAfter)
 	return r
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -132,7 +132,9 @@
 	level         episode.Level
 	// generation counts the restarts of the upstream's process.
 	generation int
-	crash      crashState
+	// announced is what the backend server last stated about itself.
+	announced Announcement
+	crash     crashState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
 	// process.
 	succeeded []uint64
--- a/gate/headers.go
+++ b/gate/headers.go
@@ -30,6 +30,12 @@
 	// Seal marks every response that the backend server itself wrote. A success
 	// without this header is rejected.
 	Seal string
+	// RateLimit carries, in responses, how many requests per second the backend server
+	// accepts from all nodes together, as a decimal number. The limit applies until a
+	// response omits the header.
+	RateLimit string
+	// Leaving, with the value "1", states in a response that the backend server shuts down.
+	Leaving string
 }
 
 // DefaultHeaders returns the names that backend servers with support for this project
@@ -42,6 +48,8 @@
 		Account:     HeaderAccount,
 		NotRun:      HeaderBackend,
 		NotRunValue: shed,
+		RateLimit:   HeaderRateLimit,
+		Leaving:     HeaderLeaving,
 	}
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -122,6 +122,9 @@
 	g.recordFinished(now, j, response, err)
 	if isCurrent {
 		g.observeRun(now, j, response, err)
+		if err == nil {
+			g.recordAnnouncement(response.Announcement)
+		}
 	}
 	var calls []func()
 	if isCurrent {
--- a/gate/status.go
+++ b/gate/status.go
@@ -31,6 +31,8 @@
 		Queue:      g.service.Queue,
 		Retries:    retries,
 		RetryBound: retryBound,
+		IsLimited:  g.announced.IsLimited,
+		RateLimit:  g.announced.RateLimit,
 	}
 }
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -45,7 +45,7 @@
 	for _, v := range []health.State{health.InUse, health.Ejected, health.Trial, health.Ramp} {
 		all = append(all, metrics.GateState{Service: "conferme", Upstream: v.String(), Verdict: v, Slots: 3, Queue: 6})
 	}
-	return append(all, metrics.GateState{Service: "conferme", Upstream: "gone", Verdict: health.Ejected, Leaving: true})
+	return append(all, metrics.GateState{Service: "conferme", Upstream: "gone", Verdict: health.Ejected, Leaving: true, IsLimited: true, RateLimit: 1.3})
 }
 
 func (fakeNode) PlatformStats() metrics.PlatformStats {
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -87,6 +87,10 @@
 	// Retries counts the retries that arrived in the last window of the retry budget,
 	// RetryBound is their limit. Both are 0 for a service whose retries the gates don't bound.
 	Retries, RetryBound float64
+	// IsLimited means that the backend server names a rate limit, RateLimit is that limit in
+	// requests per second.
+	IsLimited bool
+	RateLimit float64
 }
 
 // Quotas provides the decisions on requests of client accounts with a quota.
@@ -141,6 +145,8 @@
 		"Requests that may run or wait at a gate.", []string{"service", "upstream", "place"}, nil)
 	retriesDesc = prometheus.NewDesc(namespace+"_gate_retries",
 		"Retries that arrived at an upstream in the last window of the service's retry budget.", []string{"service", "upstream"}, nil)
+	rateLimitDesc = prometheus.NewDesc(namespace+"_gate_rate_limit",
+		"Requests per second that the backend server accepts from all nodes together; absent if it names no limit.", []string{"service", "upstream"}, nil)
 	quotaDesc = prometheus.NewDesc(namespace+"_quota_requests_total",
 		"Requests of client accounts with a quota, by what was decided: granted or refused by the account's home, "+
 			"alone or unknown while none could be asked.", []string{"decision"}, nil)
@@ -169,7 +175,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaDesc,
+		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc,
 	} {
 		out <- d
 	}
@@ -242,6 +248,9 @@
 	out <- gauge(gateBoundDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
 	out <- gauge(retriesDesc, g.Retries, g.Service, g.Upstream)
 	out <- gauge(retryBoundDesc, g.RetryBound, g.Service, g.Upstream)
+	if g.IsLimited {
+		out <- gauge(rateLimitDesc, g.RateLimit, g.Service, g.Upstream)
+	}
 }
 
 // verdict returns the value of the label verdict, in the words of access.UpstreamState.
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -31,6 +31,20 @@
 	}
 }
 
+// Get returns the value of the first field with a name, and whether there is one. Names are
+// compared case-insensitively; an empty name matches no field.
+func (h Headers) Get(name string) ([]byte, bool) {
+	if name == "" {
+		return nil, false
+	}
+	for other, value := range h.All() {
+		if len(other) == len(name) && bytes.EqualFold(other, []byte(name)) {
+			return value, true
+		}
+	}
+	return nil, false
+}
+
 var hopByHopHeaders = [][]byte{
 	[]byte("Connection"), []byte("Keep-Alive"), []byte("Transfer-Encoding"), []byte("Content-Length"),
 	[]byte("Upgrade"), []byte("TE"), []byte("Trailer"), []byte("Proxy-Connection"),
