gate: failing test of the rate limit that a backend server names

A gate whose backend server names 0 to 8 requests a second in its answers, and to which 24 entries send 20 a second for 20 s of the test's clock, passes on 80 in 4 s whatever the limit (allowed 5, 8, 12, 24 and 53). With one gate, no retries, no forced sends and no change of verdict this is the first hypothesis of the incident: the limit is read by nobody.

--- /dev/null
+++ b/gate/ratelimit_test.go
@@ -0,0 +1,120 @@
+package gate_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// limitedBackend is a backend server that answers immediately and names a rate limit in its
+// responses. Its clock is the test's.
+type limitedBackend struct {
+	mu       sync.Mutex
+	now      clock.Millis
+	named    gate.Announcement
+	arrivals []clock.Millis
+}
+
+func (b *limitedBackend) Do(_ context.Context, _ *gate.Call) (gate.Response, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, b.now)
+	return gate.Response{Status: 200, Announcement: b.named}, nil
+}
+
+func (*limitedBackend) Probe(string) bool { return true }
+func (*limitedBackend) IsGone() bool      { return false }
+func (*limitedBackend) Close()            {}
+func (*limitedBackend) ResetConnections() {}
+
+func (b *limitedBackend) clock() clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now
+}
+
+func (b *limitedBackend) advance(span clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.now += span
+}
+
+func (b *limitedBackend) announce(a gate.Announcement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.named = a
+}
+
+// peak returns the most arrivals in any window that begins at since or later.
+func (b *limitedBackend) peak(since, window clock.Millis) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0
+	for i, at := range b.arrivals {
+		if at >= since {
+			end, _ := slices.BinarySearch(b.arrivals, at+window)
+			most = max(most, end-i)
+		}
+	}
+	return most
+}
+
+func limitedGateConfig(t *testing.T, b *limitedBackend) gate.Config {
+	t.Helper()
+	u := table.Upstream{Name: "c1", Weight: 100, Slots: 3}
+	return gate.Config{
+		Service: table.Service{Name: "conferme", Caution: table.ShortEpisodes, Queue: 4}, Upstream: u,
+		Incarnation: incarnation, Now: b.clock, Backend: b, Pool: newPool(t), Recorder: discardRecorder{},
+		Keys: gate.NewKeyStore(b.clock), Log: logging.Silent(),
+	}
+}
+
+// sendFor sends a request from each of several entries in turn, perSecond in all, for a span of
+// the test's clock. It returns how many were refused and for which reason the last one was.
+func sendFor(g *gate.Gate, b *limitedBackend, seq *uint64, perSecond int, span clock.Millis) (refused int, reason wire.Reason) {
+	const entries = 24
+	interval := clock.Second / clock.Millis(perSecond)
+	for range span / interval {
+		*seq++
+		d := dispatch(*seq, "")
+		d.ID.Entry, d.NoQueue, d.Repeatable, d.Method = *seq%entries, true, true, "GET"
+		if got := <-handle(g, d); got.Outcome == wire.NotRun {
+			refused++
+			reason = got.Reason
+		}
+		b.advance(interval)
+	}
+	return refused, reason
+}
+
+const (
+	// limitWindow is the span over which the users' rule counts arrivals, limitNotice the time
+	// after the first naming from which it does.
+	limitWindow = 4 * clock.Second
+	limitNotice = 3 * clock.Second
+)
+
+// allowedArrivals returns how many requests the users' rule allows in limitWindow.
+func allowedArrivals(rate float64) int {
+	return int(1.5*rate*limitWindow.Seconds()) + 5
+}
+
+// Guards against a gate that passes on more requests than its backend server has said it accepts.
+func TestGateKeepsToTheRateLimitOfItsBackendServer(t *testing.T) {
+	for _, rate := range []float64{0, 0.5, 1.3, 3.3, 8} {
+		b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: rate}}
+		g := gate.New(limitedGateConfig(t, b))
+		seq := uint64(0)
+		sendFor(g, b, &seq, 20, 20*clock.Second)
+		if got, want := b.peak(limitNotice, limitWindow), allowedArrivals(rate); got > want {
+			t.Errorf("rate %v: got %d requests in %v, want at most %d", rate, got, limitWindow, want)
+		}
+	}
+}
