gate: keep to the rate limit that a backend server names

Cause: nobody read the limit. A gate bounded its upstream by slots and queue alone, and passed the header on to the caller like any other.

The gate is the only way to its backend server, so it keeps the limit for all nodes without a word between them. The limit is a token bucket in limit.Slots, through which each path passes: direct sends, reserved slots, waiters, forced sends and retries. A slot that is given back unused gives back its token. Requests that the limit doesn't admit in time are refused at once as not run (server-limit), with the time at which it will admit them; waiters get their turn by priority. A gate without a token reports its slots as taken, so that entries choose others. At 0 a request is still admitted every 4 s, for only a response says that the limit has ended.

Weighed against it: to check the bucket when a run begins, as for the retry quota. Requests would then wait for a slot first and be refused after, and the least urgent would take the token as soon as the most urgent.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -196,13 +196,19 @@
 	return result{}, false
 }
 
+// isFull reports whether a gate refused for load: its upstream has no room for the request, but
+// nothing is wrong with it.
+func isFull(reason wire.Reason) bool {
+	return reason == wire.ReasonFull || reason == wire.ReasonDeadlineTooShort || reason == wire.ReasonRateLimit
+}
+
 func resultOf(reply *wire.Reply) result {
 	out := result{reply: reply, reason: string(reply.Reason), retryAfter: reply.RetryAfter}
 	switch reply.Outcome {
 	case wire.NotRun:
 		out.kind = retry.NotRun
 		out.shed = reply.Reason == wire.ReasonShed
-		out.full = reply.Reason == wire.ReasonFull || reply.Reason == wire.ReasonDeadlineTooShort || reply.Reason == wire.ReasonShed
+		out.full = out.shed || isFull(reply.Reason)
 	case wire.Answered:
 		out.kind = retry.Failed
 		out.served = reply.Status < fasthttp.StatusInternalServerError
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -115,7 +115,7 @@
 		p.done[a.index] = true
 		p.refusals[a.index] = result{
 			kind: retry.NotRun, reason: string(a.reply.Reason), retryAfter: a.reply.RetryAfter,
-			full: a.reply.Reason == wire.ReasonFull || a.reply.Reason == wire.ReasonDeadlineTooShort,
+			full: isFull(a.reply.Reason),
 		}
 		return false
 	}
--- /dev/null
+++ b/fleet/ratelimit_test.go
@@ -0,0 +1,63 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/standin"
+)
+
+const (
+	// namedRate is the rate limit, in requests per second, that a backend server names.
+	namedRate = 1
+	// limitWindow is the span over which the users' rule counts arrivals, limitNotice the time
+	// after the first naming from which it does.
+	limitWindow = 4 * clock.Second
+	limitNotice = 3 * clock.Second
+	// allowedArrivals is how many requests the users' rule allows in limitWindow.
+	allowedArrivals = 1.5*namedRate*4 + 5
+	// loadSpan is how long callers send after the backend server has named its limit.
+	loadSpan = 9 * time.Second
+)
+
+// nameLimit makes a backend server name its rate limit from now on, and returns a function
+// that fails the test if the server has got more requests than allowed.
+func nameLimit(b *standin.Backend) (check func(t *testing.T)) {
+	b.SetFault(standin.Fault{Kind: standin.Limits, Rate: namedRate})
+	before := len(b.Ledger())
+	return func(t *testing.T) {
+		t.Helper()
+		arrivals := b.Ledger()[before:]
+		if len(arrivals) == 0 {
+			t.Fatal("got no request at the limited backend server")
+		}
+		from := arrivals[0].Started + limitNotice
+		for i, first := range arrivals {
+			count := 0
+			for _, e := range arrivals[i:] {
+				if e.Started < first.Started+limitWindow {
+					count++
+				}
+			}
+			if first.Started >= from && count > allowedArrivals {
+				t.Fatalf("got %d requests in %v from %v on, want at most %v", count, limitWindow, first.Started-arrivals[0].Started, allowedArrivals)
+			}
+		}
+		if last := arrivals[len(arrivals)-1].Started; last < from {
+			t.Errorf("got the last request %v after the first, want some after %v", last-arrivals[0].Started, limitNotice)
+		}
+	}
+}
+
+// Guards against a backend server that is sent more requests than it has said it accepts, by all
+// nodes together, while other upstreams can serve them.
+func TestRateLimitOfABackendServerHoldsOverAllNodes(t *testing.T) {
+	f := startFleet(t, fleet.Config{Table: newTable(6), ServiceTime: 20})
+	s := startSteadyLoad(12, callerAddresses(f))
+	check := nameLimit(f.Backends["conferme-1"])
+	<-time.After(loadSpan)
+	s.stopAndCheck(t)
+	check(t)
+}
--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -3,10 +3,12 @@
 import (
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -60,12 +62,13 @@
 	return a
 }
 
-// recordAnnouncement records what the backend server states about itself. It is called with
-// the gate's lock held.
-func (g *Gate) recordAnnouncement(a Announcement) {
+// recordAnnouncement records what the backend server states about itself, and applies its rate
+// limit. It is called with the gate's lock held and returns the calls to make after the lock is
+// released.
+func (g *Gate) recordAnnouncement(now clock.Millis, a Announcement) []func() {
 	switch {
 	case a.IsForeign:
-		return
+		return nil
 	case a.Malformed != "":
 		g.log.WithField("limit", a.Malformed).Warn("rate limit of the backend server ignored; it isn't a number of requests per second")
 		a.IsLimited, a.RateLimit = g.announced.IsLimited, g.announced.RateLimit
@@ -73,7 +76,46 @@
 	previous := g.announced
 	g.announced = Announcement{IsLimited: a.IsLimited, RateLimit: a.RateLimit, IsLeaving: a.IsLeaving || previous.IsLeaving}
 	if g.announced == previous {
-		return
+		return nil
 	}
 	g.log.WithFields(logrus.Fields{"limited": g.announced.IsLimited, "limit": g.announced.RateLimit, "leaving": g.announced.IsLeaving}).Info("backend server announced a change")
+	return g.applyPace(now)
+}
+
+// applyPace applies the backend server's rate limit to the slots. It is called with the gate's
+// lock held and returns the calls to make after the lock is released.
+func (g *Gate) applyPace(now clock.Millis) []func() {
+	var admitted []uint64
+	if g.announced.IsLimited {
+		admitted = g.slots.SetPace(now, g.announced.RateLimit)
+	} else {
+		admitted = g.slots.ClearPace(now)
+	}
+	if g.pacedTimer != nil {
+		g.pacedTimer.Stop() // it was set for the previous limit
+		g.pacedTimer = nil
+	}
+	calls := g.refuseExpired(now) // waiters whose turn would come too late
+	return append(calls, g.startWaiters(now, admitted)...)
+}
+
+// schedulePaced starts a timer for the waiters that wait only for the backend server's rate
+// limit, if there are any. It is called with the gate's lock held.
+func (g *Gate) schedulePaced(now clock.Millis) {
+	wait, ok := g.slots.NextPaced(now)
+	if !ok || g.pacedTimer != nil {
+		return
+	}
+	g.pacedTimer = time.AfterFunc(wait.Duration(), g.startPaced)
+}
+
+// startPaced starts the waiters that the backend server's rate limit admits now.
+func (g *Gate) startPaced() {
+	g.mu.Lock()
+	g.pacedTimer = nil
+	now := g.config.Now()
+	calls := g.refuseExpired(now) // first, so that no slot goes to an expired waiter
+	calls = append(calls, g.startWaiters(now, g.slots.AdmitPaced(now))...)
+	g.mu.Unlock()
+	callAll(calls)
 }
--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -36,6 +36,7 @@
 		reason, retryAfter, isWaiting = g.requestSlot(now, w)
 		if isWaiting {
 			expired := g.refuseExpired(now) // the probe may have taken the queue position of an expired waiter
+			g.schedulePaced(now)
 			g.mu.Unlock()
 			callAll(expired)
 			return
@@ -62,10 +63,8 @@
 		g.waiters[request.Ticket] = w
 		w.timer = time.AfterFunc((w.probe.WaitBudget + 1).Duration(), g.expireWaiters)
 		return "", 0, true
-	case limit.Late:
-		return wire.ReasonDeadlineTooShort, decision.RetryAfter, false
 	default:
-		return wire.ReasonFull, decision.RetryAfter, false
+		return slotRefusal(decision.Result), decision.RetryAfter, false
 	}
 }
 
@@ -92,7 +91,7 @@
 	}
 	var calls []func()
 	if g.takeReservation(key) {
-		calls = g.releaseSlot(g.config.Now())
+		calls = g.returnSlot(g.config.Now())
 	}
 	g.mu.Unlock()
 	callAll(calls)
@@ -105,7 +104,7 @@
 		g.mu.Lock()
 		var calls []func()
 		if g.takeReservation(key) {
-			calls = g.releaseSlot(g.config.Now())
+			calls = g.returnSlot(g.config.Now())
 		}
 		g.mu.Unlock()
 		callAll(calls)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -132,9 +132,11 @@
 	level         episode.Level
 	// generation counts the restarts of the upstream's process.
 	generation int
-	// announced is what the backend server last stated about itself.
-	announced Announcement
-	crash     crashState
+	// announced is what the backend server last stated about itself. pacedTimer is set while
+	// a waiter waits only for the backend server's rate limit.
+	announced  Announcement
+	pacedTimer *time.Timer
+	crash      crashState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
 	// process.
 	succeeded []uint64
@@ -266,7 +268,7 @@
 		g.start(j)
 		return
 	}
-	calls := g.releaseSlot(now)
+	calls := g.returnSlot(now)
 	reason := wire.ReasonLeaving
 	switch {
 	case verdict != lease.Fresh:
@@ -287,7 +289,7 @@
 	if d.NoQueue {
 		waitUntil = now
 	}
-	decision := g.slots.Acquire(now, limit.Request{Ticket: j.ticket, Deadline: j.deadline, Until: waitUntil, Priority: d.Priority})
+	decision := g.slots.Acquire(now, limit.Request{Ticket: j.ticket, Deadline: j.deadline, Until: waitUntil, Priority: d.Priority, NoPacedWait: true})
 	switch decision.Result {
 	case limit.Run:
 		g.jobs[j.ticket] = j
@@ -297,12 +299,23 @@
 		g.jobs[j.ticket] = j
 		j.timer = time.AfterFunc((waitUntil - now + 1).Duration(), g.expireWaiters)
 		expired := g.refuseExpired(now) // the dispatch may have taken the queue position of an expired waiter
+		g.schedulePaced(now)
 		g.mu.Unlock()
 		callAll(expired)
+	default:
+		g.refuse(now, key, d, respond, slotRefusal(decision.Result), decision.RetryAfter)
+	}
+}
+
+// slotRefusal returns the reason for which a request for a slot was refused.
+func slotRefusal(r limit.Result) wire.Reason {
+	switch r {
 	case limit.Late:
-		g.refuse(now, key, d, respond, wire.ReasonDeadlineTooShort, decision.RetryAfter)
+		return wire.ReasonDeadlineTooShort
+	case limit.Paced:
+		return wire.ReasonRateLimit
 	default:
-		g.refuse(now, key, d, respond, wire.ReasonFull, decision.RetryAfter)
+		return wire.ReasonFull
 	}
 }
 
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -118,3 +118,61 @@
 		}
 	}
 }
+
+// Guards against a limit that outlives the need of the backend server: it applies as long as
+// responses name it.
+func TestRateLimitEndsWhenItIsNoLongerNamed(t *testing.T) {
+	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 0.5}}
+	g := gate.New(limitedGateConfig(t, b))
+	seq := uint64(0)
+	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused == 0 || reason != wire.ReasonRateLimit {
+		t.Fatalf("got %d requests refused, the last one as %q; want refusals for the limit", refused, reason)
+	}
+	b.announce(gate.Announcement{})
+	sendFor(g, b, &seq, 10, 4*clock.Second) // until a response omits the limit
+	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused != 0 {
+		t.Errorf("got %d requests refused, the last one as %q; want none after the limit has ended", refused, reason)
+	}
+}
+
+// Guards against a less urgent request that takes the turn of a more urgent one while the rate
+// limit of their backend server makes both wait.
+func TestRateLimitAdmitsUrgentRequestsFirst(t *testing.T) {
+	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 20}}
+	c := limitedGateConfig(t, b)
+	c.Now = clock.NewSystem().Now
+	c.Keys = gate.NewKeyStore(c.Now)
+	g := gate.New(c)
+	if got := <-handle(g, dispatch(1, "first")); got.Outcome != wire.Answered {
+		t.Fatalf("got outcome %v, reason %s; want the request served", got.Outcome, got.Reason)
+	}
+	reserved := make(chan int, 2)
+	for priority := 3; priority >= 0; priority -= 3 {
+		id := wire.RequestID{Entry: 1, Seq: uint64(2 + priority)}
+		g.ProbeCapacity(&wire.CapacityProbe{
+			ID: id, Attempt: 1, Upstream: "c1", Priority: priority, Budget: clock.Minute, WaitBudget: clock.Minute,
+		}, func(r *wire.Reservation) {
+			if r.Reserved {
+				reserved <- priority
+			}
+		})
+	}
+	if first, second := <-reserved, <-reserved; first != 0 || second != 3 {
+		t.Errorf("got priorities %d and %d admitted, want 0 and 3", first, second)
+	}
+}
+
+// Guards against a new process under the same name that inherits the limit of its predecessor.
+func TestRestartedUpstreamHasNoRateLimit(t *testing.T) {
+	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 0.5}}
+	c := limitedGateConfig(t, b)
+	g := gate.New(c)
+	seq := uint64(0)
+	sendFor(g, b, &seq, 10, clock.Second)
+	c.Upstream.Started++
+	b.announce(gate.Announcement{})
+	g.Update(c.Service, c.Upstream)
+	if refused, reason := sendFor(g, b, &seq, 10, clock.Second); refused != 0 {
+		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
+	}
+}
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -28,7 +28,8 @@
 			runs++
 		}
 	}
-	return g.startWaiters(now, g.slots.Restart(runs))
+	calls := g.startWaiters(now, g.slots.Restart(runs))
+	return append(calls, g.startWaiters(now, g.slots.ClearPace(now))...)
 }
 
 // startWaiters gives slots to the waiters with the given tickets. It is called with the gate's
@@ -41,9 +42,10 @@
 			calls = append(calls, call)
 		}
 		if !takesSlot {
-			calls = append(calls, g.releaseSlot(now)...)
+			calls = append(calls, g.returnSlot(now)...)
 		}
 	}
+	g.schedulePaced(now)
 	return calls
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -120,15 +120,15 @@
 	delete(g.jobs, j.ticket)
 	isCurrent := j.generation == g.generation
 	g.recordFinished(now, j, response, err)
+	var calls []func()
 	if isCurrent {
 		g.observeRun(now, j, response, err)
 		if err == nil {
-			g.recordAnnouncement(response.Announcement)
+			calls = g.recordAnnouncement(now, response.Announcement)
 		}
 	}
-	var calls []func()
 	if isCurrent {
-		calls = g.releaseSlot(now) // first, so that the reply carries the upstream's load without this run
+		calls = append(calls, g.releaseSlot(now)...) // first, so that the reply carries the upstream's load without this run
 	}
 	calls = append(calls, g.endTrial(j)...)
 	reply := g.reply(now, j.dispatch)
@@ -192,19 +192,30 @@
 		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, clock.Second
 	}
 	g.recordReply(now, j, reply)
-	calls := append(g.releaseSlot(now), g.endTrial(j)...)
+	calls := append(g.returnSlot(now), g.endTrial(j)...)
 	g.mu.Unlock()
 	j.respond(reply)
 	callAll(calls)
 }
 
-// releaseSlot frees a slot and gives it to the next waiter. It is called with the gate's lock
-// held and returns the calls to make after the lock is released: the refusals of expired
-// waiters and the start of the next one.
+// releaseSlot frees the slot of a completed run and gives it to the next waiter. It is called
+// with the gate's lock held and returns the calls to make after the lock is released: the
+// refusals of expired waiters and the start of the next one.
 func (g *Gate) releaseSlot(now clock.Millis) []func() {
+	return g.passSlot(now, g.slots.Release)
+}
+
+// returnSlot is releaseSlot for a request that was not sent to the backend server.
+func (g *Gate) returnSlot(now clock.Millis) []func() {
+	return g.passSlot(now, g.slots.Return)
+}
+
+func (g *Gate) passSlot(now clock.Millis, free func(clock.Millis) (uint64, bool)) []func() {
+	defer g.schedulePaced(now)
 	var calls []func()
 	for {
-		ticket, ok := g.slots.Release(now)
+		ticket, ok := free(now)
+		free = g.slots.Return // a waiter that doesn't take the slot sends nothing
 		calls = append(calls, g.refuseExpired(now)...)
 		if !ok {
 			return calls
--- a/gate/status.go
+++ b/gate/status.go
@@ -42,6 +42,9 @@
 	s := g.detector.Status(now)
 	load := g.slots.Load()
 	local := g.detector.LocalBaseline()
+	if load.IsPaced {
+		load.InFlight = max(load.InFlight, g.upstream.Slots) // entries choose upstreams with free slots
+	}
 	return wire.Upstream{
 		Name:     g.upstream.Name,
 		State:    uint8(s.State),
--- a/gate/work_request.go
+++ b/gate/work_request.go
@@ -52,7 +52,7 @@
 		return
 	}
 	needsRequest := false
-	if detector, ok := g.detector.(idleDetector); ok && !g.isLeaving() {
+	if detector, ok := g.detector.(idleDetector); ok && !g.isLeaving() && !g.slots.Load().IsPaced {
 		needsRequest = detector.NeedsRequest(g.config.Now())
 	}
 	entry := uint64(0)
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -24,8 +25,8 @@
 const (
 	// Run means that the request has a slot.
 	Run Result = iota
-	// Wait means that the request is in the queue: Release, Resize, Restart, Expire or
-	// Flush returns its ticket later.
+	// Wait means that the request is in the queue: Release, Return, Resize, Restart,
+	// SetPace, AdmitPaced, Expire or Flush returns its ticket later.
 	Wait
 	// Full means that the request is refused: the queue has no position for it, or it
 	// can't wait.
@@ -33,12 +34,15 @@
 	// Late means that the request is refused: it would get a slot after Until, or too late
 	// to meet its deadline.
 	Late
+	// Paced means that the request is refused: the pace doesn't admit it now, and the request
+	// can't wait until it does.
+	Paced
 )
 
 // Decision is the reply to one request for a slot.
 type Decision struct {
 	Result Result
-	// RetryAfter is the time after which to retry; it is set for Full and Late.
+	// RetryAfter is the time after which to retry; it is set for every refusal.
 	RetryAfter clock.Millis
 }
 
@@ -47,10 +51,13 @@
 	InFlight int
 	Waiting  int
 	Free     int
+	// IsPaced means that the pace admits no request now.
+	IsPaced bool
 }
 
 // Slots admits requests to one upstream: at most SlotsConfig.Slots run, and at most
-// SlotsConfig.Queue wait. It isn't safe for concurrent use.
+// SlotsConfig.Queue wait. If the upstream names a rate limit, SetPace also limits how many
+// begin per second. It isn't safe for concurrent use.
 type Slots struct {
 	config  SlotsConfig
 	random  *rand.Rand
@@ -60,6 +67,7 @@
 	// slot, until Expire or Flush returns them.
 	skipped     []uint64
 	serviceTime serviceTime
+	pace        pace
 	schedule    RetrySchedule
 }
 
@@ -79,6 +87,9 @@
 	Deadline, Until clock.Millis
 	// Priority ranks requests; 0 is the highest.
 	Priority int
+	// NoPacedWait means that the request doesn't wait for the pace: another upstream most
+	// likely serves it sooner.
+	NoPacedWait bool
 }
 
 // NewSlots returns Slots with none in use.
@@ -96,20 +107,27 @@
 // last waiter, displaces that waiter; Expire returns the ticket of the displaced waiter.
 //
 // A free slot goes to the next request whatever its priority: if slots were reserved for
-// higher priorities, they would be idle while requests wait.
+// higher priorities, they would be idle while requests wait. With a pace it goes to the first
+// waiter instead, since free slots then don't mean that nobody waits.
 func (s *Slots) Acquire(now clock.Millis, r Request) Decision {
-	s.serviceTime.advance(now, s.running)
+	s.advance(now)
 	r.Priority = min(max(r.Priority, 0), priorityLevels-1)
 	if r.Deadline <= now {
 		return s.refuse(now, Late)
 	}
-	if s.running < s.config.Slots {
-		s.running++
+	hasFreeSlot := s.running < s.config.Slots
+	if hasFreeSlot && s.pace.allows() && (!s.pace.isLimited || len(s.waiting) == 0) {
+		s.startRun()
 		return Decision{Result: Run}
 	}
 	position := s.queuePosition(r.Priority)
-	wait := s.releaseInterval() * float64(position+1)
+	pacedWait, wait := s.pace.wait(position), s.releaseInterval()*float64(position+1)
+	if hasFreeSlot {
+		wait = 0
+	}
 	switch {
+	case pacedWait > 0 && (r.NoPacedWait || float64(now)+pacedWait > float64(r.Until) || !s.serviceTime.meetsDeadline(pacedWait, r.Deadline)):
+		return s.refuse(now, Paced)
 	case r.Until <= now, position >= s.config.Queue:
 		return s.refuse(now, Full)
 	case !s.serviceTime.meetsDeadline(wait, r.Deadline), s.serviceTime.isReliable() && float64(now)+wait > float64(r.Until):
@@ -145,7 +163,7 @@
 // gets the slot, and Release returns its ticket; ok is false if no waiter can. The next
 // Expire returns the waiters skipped.
 func (s *Slots) Release(now clock.Millis) (ticket uint64, ok bool) {
-	s.serviceTime.advance(now, s.running)
+	s.advance(now)
 	if s.running == 0 {
 		return 0, false
 	}
@@ -154,11 +172,77 @@
 	return s.admitNext()
 }
 
+// Return is Release for a request that was not sent to the upstream: it doesn't count for the
+// pace.
+func (s *Slots) Return(now clock.Millis) (ticket uint64, ok bool) {
+	s.advance(now)
+	if s.running > 0 && s.pace.isLimited {
+		s.pace.refund()
+	}
+	return s.Release(now)
+}
+
+// SetPace limits how many requests per second get a slot, whatever slots are free; requests that
+// have a slot are not affected. It returns the tickets of waiters that now have a slot. The next
+// Expire returns the waiters whose turn would come too late.
+func (s *Slots) SetPace(now clock.Millis, rate float64) []uint64 {
+	s.advance(now)
+	s.pace.limit(rate)
+	kept := s.waiting[:0]
+	for _, w := range s.waiting {
+		if float64(now)+s.pace.wait(len(kept)) > float64(w.waitUntil) {
+			s.skipped = append(s.skipped, w.ticket)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	s.waiting = kept
+	return s.Resize(s.config)
+}
+
+// ClearPace removes the limit that SetPace has set, and returns the tickets of waiters that now
+// have a slot.
+func (s *Slots) ClearPace(now clock.Millis) []uint64 {
+	s.advance(now)
+	s.pace = pace{updatedAt: now}
+	return s.Resize(s.config)
+}
+
+// NextPaced returns the time until AdmitPaced may admit a waiter; ok is false if no waiter waits
+// for the pace alone.
+func (s *Slots) NextPaced(now clock.Millis) (wait clock.Millis, ok bool) {
+	s.advance(now)
+	if len(s.waiting) == 0 || s.running >= s.config.Slots || s.pace.allows() {
+		return 0, false
+	}
+	return clock.Millis(math.Ceil(s.pace.wait(0))), true
+}
+
+// AdmitPaced returns the tickets of waiters that have a slot since the pace admits them.
+func (s *Slots) AdmitPaced(now clock.Millis) []uint64 {
+	s.advance(now)
+	return s.Resize(s.config)
+}
+
+// advance counts the time since the last call.
+func (s *Slots) advance(now clock.Millis) {
+	s.serviceTime.advance(now, s.running)
+	s.pace.advance(now)
+}
+
+// startRun gives a slot to a request.
+func (s *Slots) startRun() {
+	s.running++
+	if s.pace.isLimited {
+		s.pace.take()
+	}
+}
+
 // Expire removes the waiters whose Deadline or Until has passed. It returns their tickets,
 // and those of waiters that were displaced, or skipped because they can't meet their
 // deadlines. None of them has run.
 func (s *Slots) Expire(now clock.Millis) []uint64 {
-	s.serviceTime.advance(now, s.running)
+	s.advance(now)
 	expired := s.skipped
 	s.skipped = nil
 	kept := s.waiting[:0]
@@ -206,6 +290,7 @@
 		InFlight: s.running,
 		Waiting:  len(s.waiting),
 		Free:     max(s.config.Slots-s.running, 0),
+		IsPaced:  !s.pace.allows(),
 	}
 }
 
@@ -214,8 +299,8 @@
 // assigns one retry time. Acquire calls it for the requests that it refuses; the caller of
 // Expire calls it for the tickets that Expire returns.
 func (s *Slots) RetryAfter(now clock.Millis) clock.Millis {
-	interval := s.releaseInterval()
-	first := interval * float64(len(s.waiting)+1)
+	interval := max(s.releaseInterval(), s.pace.interval())
+	first := max(s.releaseInterval()*float64(len(s.waiting)+1), s.pace.wait(len(s.waiting)))
 	if s.config.Slots <= 0 {
 		first = maxRetryAfter
 	}
@@ -253,11 +338,11 @@
 // can complete, and a request that may not be repeated would end as unknown instead of not
 // run.
 func (s *Slots) admitNext() (ticket uint64, ok bool) {
-	for s.running < s.config.Slots && len(s.waiting) > 0 {
+	for s.running < s.config.Slots && len(s.waiting) > 0 && s.pace.allows() {
 		w := s.waiting[0]
 		s.waiting = slices.Delete(s.waiting, 0, 1)
 		if s.serviceTime.meetsDeadline(0, w.deadline) {
-			s.running++
+			s.startRun()
 			return w.ticket, true
 		}
 		s.skipped = append(s.skipped, w.ticket)
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -56,7 +56,7 @@
 		g.running++
 	case limit.Wait:
 		g.waiting[g.lastTicket] = deadline
-	case limit.Full, limit.Late:
+	case limit.Full, limit.Late, limit.Paced:
 	}
 }
 
--- a/measure/overload/gate.go
+++ b/measure/overload/gate.go
@@ -53,7 +53,7 @@
 	case limit.Wait:
 		g.queued[a.ticket] = a
 		g.sim.scheduler.after(a.request.deadline-now, g.expire)
-	case limit.Full, limit.Late:
+	case limit.Full, limit.Late, limit.Paced:
 		g.refuse(a, offer.RetryAfter)
 	}
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -26,6 +26,11 @@
 	RefusalHeader = "Fuchsiapick-Backend"
 	// RefusalShed is the only value of RefusalHeader.
 	RefusalShed = "shed"
+	// RateLimitHeader carries, in an answer, the requests per second that the backend server
+	// accepts.
+	RateLimitHeader = "Fuchsiapick-Rate-Limit"
+	// LeavingHeader states with the value "1" in an answer that the backend server leaves.
+	LeavingHeader = "Fuchsiapick-Leaving"
 	// BackendHeader names the backend server that answered.
 	BackendHeader = "Backend"
 )
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -33,6 +33,10 @@
 	Crashes FaultKind = "crashes"
 	// Drains finishes running requests, refuses new ones and closes their connections.
 	Drains FaultKind = "drains"
+	// Limits serves all requests, and names the rate limit Rate in each answer.
+	Limits FaultKind = "limits"
+	// Leaves serves all requests, and says in each answer that the backend server leaves.
+	Leaves FaultKind = "leaves"
 )
 
 // Fault is the way in which a backend server misbehaves.
@@ -54,19 +58,21 @@
 	// FailFastShare is the share of requests, from 0 to 1, that are answered immediately with
 	// 500. It takes precedence over a crash.
 	FailFastShare float64
+	// Rate is the rate limit that Limits names, in requests per second.
+	Rate float64
 }
 
 // defaultColdStartRequests is the default length of a cold start: with three slots about
 // twenty requests on each, which is enough for a verdict over outcomes to detect it.
 const defaultColdStartRequests = 60
 
-// parseFault reads the query arguments kind, share, factor, down, path and requests. It
+// parseFault reads the query arguments kind, share, factor, rate, down, path and requests. It
 // returns an error for an unknown kind and for a value that doesn't parse.
 func parseFault(ctx *fasthttp.RequestCtx) (Fault, error) {
 	args := ctx.QueryArgs()
 	fault := Fault{Kind: FaultKind(args.Peek("kind")), Path: string(args.Peek("path"))}
 	switch fault.Kind {
-	case Healthy, Fails, Slow, Hangs, Sheds, ColdStart, Drains, Crashes:
+	case Healthy, Fails, Slow, Hangs, Sheds, ColdStart, Drains, Crashes, Limits, Leaves:
 	default:
 		return Fault{}, errors.Annotatef(ErrMode, "reading kind %q", string(fault.Kind))
 	}
@@ -77,6 +83,9 @@
 	if fault.Factor, err = floatArgument(args, "factor"); err != nil {
 		return Fault{}, err
 	}
+	if fault.Rate, err = floatArgument(args, "rate"); err != nil {
+		return Fault{}, err
+	}
 	if text := args.Peek("down"); len(text) > 0 {
 		if err := fault.Downtime.UnmarshalText(text); err != nil {
 			return Fault{}, errors.Annotate(err, "reading down")
--- a/standin/request.go
+++ b/standin/request.go
@@ -46,6 +46,21 @@
 	}
 	if !b.admit(ctx, conn, b.planFault(), left) {
 		conn.abort()
+		return
+	}
+	b.announce(ctx)
+}
+
+// announce adds what the backend server states about itself to an answer.
+func (b *Backend) announce(ctx *fasthttp.RequestCtx) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch b.fault.Kind {
+	case Limits:
+		ctx.Response.Header.Set(RateLimitHeader, strconv.FormatFloat(b.fault.Rate, 'f', -1, 64))
+	case Leaves:
+		ctx.Response.Header.Set(LeavingHeader, "1")
+	default: // nothing to state
 	}
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -182,8 +182,11 @@
 	ReasonConnectionRefused Reason = "connection-refused"
 	ReasonShed              Reason = "upstream-shed"
 	ReasonRetryBudget       Reason = "retry-budget"
-	ReasonTimeout           Reason = "timeout"
-	ReasonTruncated         Reason = "torn-answer"
+	// ReasonRateLimit means that the backend server names a rate limit, which admits no
+	// request in time.
+	ReasonRateLimit Reason = "server-limit"
+	ReasonTimeout   Reason = "timeout"
+	ReasonTruncated Reason = "torn-answer"
 	// ReasonHung means that the entry abandoned the run, which had most likely hung, and
 	// sent the request to another upstream.
 	ReasonHung Reason = "stalled"
