announcement: what a backend server states about itself is read in one place

Gates read the limit and the shutdown that a response announces; entries will have to, for they outlive a gate. The types and the reading move from package gate to a package without I/O that both can use.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -82,8 +83,9 @@
 	Overloaded bool
 	// RetryAfter is the delay that the backend server asks for; 0 if it names none.
 	RetryAfter clock.Millis
-	// Announcement is what the backend server states about itself in the response.
-	Announcement Announcement
+	// Announcement is what the upstream states about itself, if HasAnnouncement is set.
+	Announcement    announcement.Announcement
+	HasAnnouncement bool
 }
 
 // HTTPConfig configures an HTTP backend.
@@ -251,7 +253,7 @@
 	limited := r.Status == fasthttp.StatusTooManyRequests
 	unavailable := r.Status == fasthttp.StatusServiceUnavailable
 	r.Shed = h.config.Headers.notRun(response)
-	r.Announcement = h.config.Headers.announcement(response)
+	r.Announcement, r.HasAnnouncement = h.config.Headers.announcement(response)
 	r.Overloaded = (r.Shed && (limited || unavailable)) || limited || (unavailable && hasRetryAfter)
 	return r
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -134,7 +135,7 @@
 	generation int
 	// announced is what the backend server last stated about itself. pacedTimer is set while
 	// a waiter waits only for the backend server's rate limit.
-	announced  Announcement
+	announced  announcement.Announcement
 	pacedTimer *time.Timer
 	crash      crashState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
--- a/gate/headers.go
+++ b/gate/headers.go
@@ -4,6 +4,8 @@
 	"bytes"
 
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/announcement"
 )
 
 // Headers are the names of the headers between a gate and its backend server.
@@ -30,12 +32,9 @@
 	// Seal marks every response that the backend server itself wrote. A success
 	// without this header is rejected.
 	Seal string
-	// RateLimit carries, in responses, how many requests per second the backend server
-	// accepts from all nodes together, as a decimal number. The limit applies until a
-	// response omits the header.
-	RateLimit string
-	// Leaving, with the value "1", states in a response that the backend server shuts down.
-	Leaving string
+	// Announcements are the response headers in which the backend server makes statements
+	// about itself.
+	Announcements announcement.Headers
 }
 
 // DefaultHeaders returns the names that backend servers with support for this project
@@ -48,8 +47,8 @@
 		Account:     HeaderAccount,
 		NotRun:      HeaderBackend,
 		NotRunValue: shed,
-		RateLimit:   HeaderRateLimit,
-		Leaving:     HeaderLeaving,
+
+		Announcements: announcement.Headers{RateLimit: HeaderRateLimit, Leaving: HeaderLeaving},
 	}
 }
 
@@ -64,6 +63,15 @@
 	return ok && forLoad && string(value) == h.NotRunValue
 }
 
+// announcement returns what the upstream states about itself in a response, or false if the
+// response comes from another upstream, which has taken over the address.
+func (h *Headers) announcement(response *fasthttp.Response) (announcement.Announcement, bool) {
+	if h.Instance != "" && response.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		return announcement.Announcement{}, false
+	}
+	return h.Announcements.Read(func(name string) ([]byte, bool) { return headerValue(response, name) }), true
+}
+
 // headerValue returns the value of a response header, and whether the response has it.
 // Names are compared case-insensitively.
 func headerValue(response *fasthttp.Response, name string) ([]byte, bool) {
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"testing"
 
+	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/logging"
@@ -18,7 +19,7 @@
 type limitedBackend struct {
 	mu       sync.Mutex
 	now      clock.Millis
-	named    gate.Announcement
+	named    announcement.Announcement
 	arrivals []clock.Millis
 }
 
@@ -26,7 +27,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivals = append(b.arrivals, b.now)
-	return gate.Response{Status: 200, Announcement: b.named}, nil
+	return gate.Response{Status: 200, Announcement: b.named, HasAnnouncement: true}, nil
 }
 
 func (*limitedBackend) Probe(string) bool { return true }
@@ -46,7 +47,7 @@
 	b.now += span
 }
 
-func (b *limitedBackend) announce(a gate.Announcement) {
+func (b *limitedBackend) announce(a announcement.Announcement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.named = a
@@ -109,7 +110,7 @@
 // Guards against a gate that passes on more requests than its backend server has said it accepts.
 func TestGateKeepsToTheRateLimitOfItsBackendServer(t *testing.T) {
 	for _, rate := range []float64{0, 0.5, 1.3, 3.3, 8} {
-		b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: rate}}
+		b := &limitedBackend{named: announcement.Announcement{IsLimited: true, RateLimit: rate}}
 		g := gate.New(limitedGateConfig(t, b))
 		seq := uint64(0)
 		sendFor(g, b, &seq, 20, 20*clock.Second)
@@ -122,13 +123,13 @@
 // Guards against a limit that outlives the need of the backend server: it applies as long as
 // responses name it.
 func TestRateLimitEndsWhenItIsNoLongerNamed(t *testing.T) {
-	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 0.5}}
+	b := &limitedBackend{named: announcement.Announcement{IsLimited: true, RateLimit: 0.5}}
 	g := gate.New(limitedGateConfig(t, b))
 	seq := uint64(0)
 	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused == 0 || reason != wire.ReasonRateLimit {
 		t.Fatalf("got %d requests refused, the last one as %q; want refusals for the limit", refused, reason)
 	}
-	b.announce(gate.Announcement{})
+	b.announce(announcement.Announcement{})
 	sendFor(g, b, &seq, 10, 4*clock.Second) // until a response omits the limit
 	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused != 0 {
 		t.Errorf("got %d requests refused, the last one as %q; want none after the limit has ended", refused, reason)
@@ -138,7 +139,7 @@
 // Guards against a less urgent request that takes the turn of a more urgent one while the rate
 // limit of their backend server makes both wait.
 func TestRateLimitAdmitsUrgentRequestsFirst(t *testing.T) {
-	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 20}}
+	b := &limitedBackend{named: announcement.Announcement{IsLimited: true, RateLimit: 20}}
 	c := limitedGateConfig(t, b)
 	c.Now = clock.NewSystem().Now
 	c.Keys = gate.NewKeyStore(c.Now)
@@ -164,13 +165,13 @@
 
 // Guards against a new process under the same name that inherits the limit of its predecessor.
 func TestRestartedUpstreamHasNoRateLimit(t *testing.T) {
-	b := &limitedBackend{named: gate.Announcement{IsLimited: true, RateLimit: 0.5}}
+	b := &limitedBackend{named: announcement.Announcement{IsLimited: true, RateLimit: 0.5}}
 	c := limitedGateConfig(t, b)
 	g := gate.New(c)
 	seq := uint64(0)
 	sendFor(g, b, &seq, 10, clock.Second)
 	c.Upstream.Started++
-	b.announce(gate.Announcement{})
+	b.announce(announcement.Announcement{})
 	g.Update(c.Service, c.Upstream)
 	if refused, reason := sendFor(g, b, &seq, 10, clock.Second); refused != 0 {
 		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -17,7 +18,7 @@
 // returns the calls to make after the lock is released.
 func (g *Gate) restart(now clock.Millis) []func() {
 	g.generation++
-	g.crash, g.succeeded, g.announced = crashState{}, nil, Announcement{}
+	g.crash, g.succeeded, g.announced = crashState{}, nil, announcement.Announcement{}
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
 	g.config.Backend.ResetConnections()
--- a/gate/run.go
+++ b/gate/run.go
@@ -123,7 +123,7 @@
 	var calls []func()
 	if isCurrent {
 		g.observeRun(now, j, response, err)
-		if err == nil {
+		if response.HasAnnouncement {
 			calls = g.recordAnnouncement(now, response.Announcement)
 		}
 	}
