gate: admit nothing once the backend server announces that it shuts down

The gate now leaves with the first such response, tells entries at once, refuses as not run, and a gate that follows another of the same address and start time takes over what was announced.

TestGateAdmitsNothingAfterItsBackendServerAnnouncesToLeave: before, 10 of 10 requests reached the server and none of the next 600 was refused. TestReturningUpstreamKeepsItsAnnouncement: before, 10 requests in a second after the return.

--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -29,9 +29,26 @@
 	g.announced = a
 	g.log.WithFields(logrus.Fields{"limited": a.IsLimited, "limit": a.RateLimit, "leaving": a.IsLeaving}).Info("backend server announced a change")
 	calls := g.startLeaving(wasLeaving, "backend server")
+	if a.IsLeaving && !wasLeaving && g.config.OnChange != nil {
+		g.config.OnChange()
+	}
 	return append(calls, g.applyPace(now)...)
 }
 
+// inheritAnnouncement takes over what the backend server announced to the previous gate, if its
+// process is the same.
+func (g *Gate) inheritAnnouncement(previous *Gate) {
+	if previous == nil {
+		return
+	}
+	previous.mu.Lock()
+	announced, u := previous.announced, previous.upstream
+	previous.mu.Unlock()
+	if u.Address == g.upstream.Address && u.Started == g.upstream.Started {
+		callAll(g.setAnnounced(g.createdAt, announced)) // no request waits yet, so there are no calls
+	}
+}
+
 // applyPace applies the backend server's rate limit to the slots. It is called with the gate's
 // lock held and returns the calls to make after the lock is released.
 func (g *Gate) applyPace(now clock.Millis) []func() {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -188,6 +188,7 @@
 		reservations: map[lease.Key]*time.Timer{},
 	}
 	g.previous.Store(c.Previous)
+	g.inheritAnnouncement(c.Previous)
 	if c.RequestWork != nil {
 		time.AfterFunc(workRequestInterval.Duration(), g.requestWork)
 	}
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -33,7 +33,7 @@
 // requests. From other entries the gate admits requests for the table's drain time, but
 // none after Leave. It is called with the gate's lock held.
 func (g *Gate) isLeaving() bool {
-	return g.leaving || g.listedLeaving || g.upstream.Weight == 0
+	return g.leaving || g.listedLeaving || g.announced.IsLeaving || g.upstream.Weight == 0
 }
 
 // startLeaving records that the upstream leaves, unless it was leaving already, and refuses
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -177,3 +177,41 @@
 		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
 	}
 }
+
+// Guards against requests that are sent to a backend server after its responses have said that it
+// shuts down, while the platform's list doesn't say so yet.
+func TestGateAdmitsNothingAfterItsBackendServerAnnouncesToLeave(t *testing.T) {
+	b := &limitedBackend{named: announcement.Announcement{IsLeaving: true}}
+	g := gate.New(limitedGateConfig(t, b))
+	seq := uint64(0)
+	sendFor(g, b, &seq, 10, clock.Second)
+	if got := len(b.arrivals); got != 1 {
+		t.Errorf("got %d requests at the backend server, want the one whose response announced that it leaves", got)
+	}
+	if !g.Status().Leaving {
+		t.Error("got a status without Leaving, want entries notified")
+	}
+	b.announce(announcement.Announcement{})
+	if refused, reason := sendFor(g, b, &seq, 10, clock.Minute); refused != 600 || reason != wire.ReasonLeaving {
+		t.Errorf("got %d requests refused, the last one as %q; want all 600 refused as leaving", refused, reason)
+	}
+}
+
+// Guards against an upstream that returns under its name, after its registration has expired,
+// and whose new gate knows nothing of what the process has announced.
+func TestReturningUpstreamKeepsItsAnnouncement(t *testing.T) {
+	for _, announced := range []announcement.Announcement{{IsLimited: true, RateLimit: 0.5}, {IsLeaving: true}} {
+		b := &limitedBackend{named: announced}
+		c := limitedGateConfig(t, b)
+		seq := uint64(0)
+		first := gate.New(c)
+		sendFor(first, b, &seq, 10, clock.Second)
+		first.Leave()
+		c.Previous = first
+		before := len(b.arrivals)
+		sendFor(gate.New(c), b, &seq, 10, clock.Second)
+		if got := len(b.arrivals) - before; got > 0 {
+			t.Errorf("%+v: got %d requests in the first second, want none", announced, got)
+		}
+	}
+}
