gate, entry, link: announcements of a backend server outlive the node beside it

Callers of other nodes got through to a backend server past its limit, or after it had announced that it leaves, each time the node beside it restarted: what it had announced was known to that one process, and until the next response the new one passed on as much as there were slots.

Entries see the announcements in the responses that they forward, so they keep them, too: what has left stays unused whatever a restarted gate says, also when its registration expires and comes back, and each new link begins with the limits and shutdowns that the entry knows of the upstreams at its other end. So a restarted gate knows them before any request of an entry that was told. It follows the latest of them until its backend server responds.

The message is a new kind. Nodes of older releases close a link on a kind that they don't know, so each side now names in the handshake the highest kind that it accepts; the format number stays, and releases of both sides run together.

--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -95,6 +95,9 @@
 // ReceiveTable ignores the table.
 func (*heartbeatCounter) ReceiveTable(string, *wire.TableVersion) {}
 
+// ReceiveAnnouncements ignores the announcements.
+func (*heartbeatCounter) ReceiveAnnouncements(*wire.Announcements) {}
+
 // ReceiveCrashes ignores the report and returns none.
 func (*heartbeatCounter) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport { return nil }
 
--- /dev/null
+++ b/entry/announcements.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"fuchsiapick.example/fuchsiapick/announcement"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// announcementRetention is how long an announcement outlives its upstream's entry in the table.
+// The registration of a running upstream expires while the platform doesn't hear from it, and
+// comes back when it does.
+const announcementRetention = 10 * clock.Minute
+
+// process identifies an upstream's process.
+type process struct {
+	upstream string
+	started  int64
+}
+
+// announced is what an upstream has announced in a response that this entry has received.
+type announced struct {
+	announcement.Announcement
+
+	receivedAt clock.Millis
+	// listedAt is when the table last named the upstream.
+	listedAt clock.Millis
+}
+
+// recordAnnouncement records what an upstream has announced in a response.
+func (s *service) recordAnnouncement(now clock.Millis, m *member, a announcement.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.announced == nil {
+		if a == (announcement.Announcement{}) {
+			return
+		}
+		m.announced = &announced{listedAt: now}
+		s.announced[m.process()] = m.announced
+	}
+	previous := m.announced.Announcement
+	m.announced.Announcement, m.announced.receivedAt = previous.Follow(a), now
+	s.dirty = s.dirty || previous.IsLeaving != m.announced.IsLeaving
+}
+
+// pruneAnnouncements forgets announcements of upstreams that the table has not named for
+// announcementRetention. The caller holds s.mu.
+func (s *service) pruneAnnouncements(now clock.Millis) {
+	for _, m := range s.members {
+		if m.announced != nil {
+			m.announced.listedAt = now
+		}
+	}
+	for p, a := range s.announced {
+		if now-a.listedAt > announcementRetention {
+			delete(s.announced, p)
+		}
+	}
+}
+
+func (m *member) process() process {
+	return process{m.upstream.Name, m.upstream.Started}
+}
+
+// isLeaving reports whether the upstream gets no new requests, by the instance list, by its gate
+// or by its own responses. The last holds even if its gate has restarted and doesn't know it.
+func (m *member) isLeaving() bool {
+	return m.state.Leaving || m.leaving || (m.announced != nil && m.announced.IsLeaving)
+}
+
+// Announcements returns the limits and shutdowns that the upstreams beside a node have announced
+// to this entry.
+func (e *Entry) Announcements(node string) *wire.Announcements {
+	now := e.config.Now()
+	m := &wire.Announcements{}
+	for _, s := range *e.services.Load() {
+		m.Upstreams = s.appendAnnouncements(m.Upstreams, now, node)
+	}
+	return m
+}
+
+func (s *service) appendAnnouncements(all []wire.Announcement, now clock.Millis, node string) []wire.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.members {
+		if m.upstream.Node != node || m.announced == nil || (!m.announced.IsLimited && !m.announced.IsLeaving) {
+			continue
+		}
+		all = append(all, wire.Announcement{
+			Upstream: m.upstream.Name, Started: m.upstream.Started, Age: now - m.announced.receivedAt,
+			IsLimited: m.announced.IsLimited, RateLimit: m.announced.RateLimit, IsLeaving: m.announced.IsLeaving,
+		})
+	}
+	return all
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -45,6 +45,9 @@
 		return notSent
 	}
 	outcome := r.awaitOutcome(d, &a, w, untried)
+	if reply := outcome.reply; reply != nil && reply.Outcome == wire.Answered && !reply.Replay {
+		r.service.recordAnnouncement(r.entry.config.Now(), a.member, r.entry.config.Announcements.Read(reply.Headers.Get))
+	}
 	if r.isCallerGone() || (outcome.kind == retry.NoResponse && r.repeatable) || outcome.reason == string(wire.ReasonHung) {
 		a.member.gate.Abandon(d.ID, d.Attempt) // frees its slot or its queue position
 	} else {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -71,12 +72,14 @@
 	Service string
 	// Headers are the header names that callers use; the zero value stands for
 	// DefaultHeaders.
-	Headers     Headers
-	Incarnation uint64
-	Seed        uint64
-	Now         func() clock.Millis
-	Pool        *ants.Pool
-	Recorder    Recorder
+	Headers Headers
+	// Announcements are the headers in which upstreams make statements about themselves.
+	Announcements announcement.Headers
+	Incarnation   uint64
+	Seed          uint64
+	Now           func() clock.Millis
+	Pool          *ants.Pool
+	Recorder      Recorder
 	// GateClient returns the client for the node beside an upstream.
 	GateClient func(u table.Upstream) GateClient
 	// CrashTracker may be nil.
@@ -138,8 +141,9 @@
 			seed := e.config.Seed + uint64(len(next))
 			s = newService(c, e.config.Domain, seed, e.config.Recorder, e.config.Log)
 		}
-		s.update(c, e.config.GateClient)
-		s.updateMembership(e.config.Now(), c, e.config.GateClient)
+		now := e.config.Now()
+		s.update(now, c, e.config.GateClient)
+		s.updateMembership(now, c, e.config.GateClient)
 		next[c.Name] = s
 	}
 	callers := make(map[string]float64, len(t.Callers))
--- a/entry/member.go
+++ b/entry/member.go
@@ -19,7 +19,9 @@
 	updatedAt   clock.Millis // when state was received
 	unreachable bool
 	leaving     bool // the instance list marks its node as leaving
-	inFlight    int  // dispatches of this entry without an outcome
+	// announced is what the upstream has announced to this entry, nil if nothing.
+	announced *announced
+	inFlight  int // dispatches of this entry without an outcome
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
 }
@@ -102,7 +104,7 @@
 	switch {
 	case m.upstream.Weight == 0:
 		return access.StateOff
-	case m.state.Leaving || m.leaving:
+	case m.isLeaving():
 		return access.StateLeaving
 	case m.unreachable || m.state.Down:
 		return access.StateUnreachable
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -139,7 +139,8 @@
 	}
 	e := entry.New(entry.Config{
 		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
-		GateClient: func(u table.Upstream) entry.GateClient { return byName[u.Name] },
+		Announcements: announcementHeaders,
+		GateClient:    func(u table.Upstream) entry.GateClient { return byName[u.Name] },
 	})
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1, Services: []table.Service{s},
--- a/entry/service.go
+++ b/entry/service.go
@@ -35,6 +35,7 @@
 	config             table.Service
 	members            []*member
 	byName             map[string]*member
+	announced          map[process]*announced
 	chooser            *choice.Chooser
 	ranker             *choice.Ranker
 	options            []choice.Option
@@ -62,6 +63,7 @@
 		seed:               seed,
 		config:             c,
 		byName:             map[string]*member{},
+		announced:          map[process]*announced{},
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
 		domain:             domain,
@@ -79,7 +81,7 @@
 
 // update applies a table. The state of upstreams that stay in the table is kept; an
 // upstream that was restarted under its name counts as a new one.
-func (s *service) update(c table.Service, gateClient func(u table.Upstream) GateClient) {
+func (s *service) update(now clock.Millis, c table.Service, gateClient func(u table.Upstream) GateClient) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.RetryWindow != s.config.RetryWindow || c.RetryRatio != s.config.RetryRatio {
@@ -95,9 +97,11 @@
 			m = &member{gate: gateClient(u), state: wire.Upstream{Share: 1}}
 		}
 		m.upstream = u
+		m.announced = s.announced[m.process()]
 		s.members = append(s.members, m)
 		s.byName[u.Name] = m
 	}
+	s.pruneAnnouncements(now)
 	s.watchOffset = int(s.seed % uint64(max(len(s.members), 1)))
 	s.dirty = true
 }
@@ -261,7 +265,7 @@
 			Capacity:    float64(m.upstream.Weight * m.upstream.Slots),
 			Ejected:     m.isEjected(now, shortEpisodes),
 			Severity:    m.severity(now, shortEpisodes),
-			Leaving:     m.state.Leaving || m.leaving,
+			Leaving:     m.isLeaving(),
 			Unreachable: m.unreachable || m.state.Down,
 		})
 	}
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -61,3 +61,28 @@
 	s.stopAndCheck(t)
 	check(t)
 }
+
+// Guards against a node that restarts and forgets what the backend server beside it has named,
+// while the other nodes go on sending to it.
+func TestRateLimitHoldsThroughRestartsOfTheNodeBesideIt(t *testing.T) {
+	table := newTable(6)
+	table.Services[0].Queue = 0
+	for i := range table.Services[0].Upstreams {
+		table.Services[0].Upstreams[i].Slots = 1 // so that all others are full
+	}
+	table.Services[0].Upstreams[0].Slots = 24
+	f := startFleet(t, fleet.Config{Table: table, ServiceTime: 400})
+	s := startSteadyLoad(24, callerAddresses(f)[1:])
+	check := nameLimit(f.Backends["conferme-1"])
+	<-time.After(loadSpan / 2)
+	for range 2 {
+		if err := f.Replace(t.Context(), f.Members[0]); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(time.Second)
+	}
+	<-time.After(loadSpan / 3)
+	close(s.stop)
+	s.group.Wait()
+	check(t)
+}
--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -7,6 +7,7 @@
 
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // recordAnnouncement records what the backend server states about itself in a response, and
@@ -16,6 +17,7 @@
 	if a.Malformed != "" {
 		g.log.WithField("limit", a.Malformed).Warn("rate limit of the backend server ignored; it isn't a number of requests per second")
 	}
+	g.hasResponse = true
 	return g.setAnnounced(now, g.announced.Follow(a))
 }
 
@@ -35,6 +37,25 @@
 	return append(calls, g.applyPace(now)...)
 }
 
+// LearnAnnouncement takes over what the backend server has announced to an entry, unless it has
+// announced something to this gate itself. The latest of several limits applies.
+func (g *Gate) LearnAnnouncement(a wire.Announcement) {
+	g.mu.Lock()
+	now := g.config.Now()
+	if g.hasResponse || a.Started != g.upstream.Started {
+		g.mu.Unlock()
+		return
+	}
+	next := announcement.Announcement{IsLimited: g.announced.IsLimited, RateLimit: g.announced.RateLimit, IsLeaving: a.IsLeaving || g.announced.IsLeaving}
+	if respondedAt := now - a.Age; !g.isTaught || respondedAt > g.taughtAt {
+		g.isTaught, g.taughtAt = true, respondedAt
+		next.IsLimited, next.RateLimit = a.IsLimited, a.RateLimit
+	}
+	calls := g.setAnnounced(now, next)
+	g.mu.Unlock()
+	callAll(calls)
+}
+
 // inheritAnnouncement takes over what the backend server announced to the previous gate, if its
 // process is the same.
 func (g *Gate) inheritAnnouncement(previous *Gate) {
@@ -42,9 +63,10 @@
 		return
 	}
 	previous.mu.Lock()
-	announced, u := previous.announced, previous.upstream
+	announced, hasResponse, u := previous.announced, previous.hasResponse, previous.upstream
 	previous.mu.Unlock()
 	if u.Address == g.upstream.Address && u.Started == g.upstream.Started {
+		g.hasResponse = hasResponse
 		callAll(g.setAnnounced(g.createdAt, announced)) // no request waits yet, so there are no calls
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -135,9 +135,14 @@
 	generation int
 	// announced is what the backend server last stated about itself. pacedTimer is set while
 	// a waiter waits only for the backend server's rate limit.
-	announced  announcement.Announcement
-	pacedTimer *time.Timer
-	crash      crashState
+	announced announcement.Announcement
+	// hasResponse means that announced comes from a response that this gate has received.
+	// Otherwise isTaught means that entries have told this gate of a response, of which the
+	// latest arrived at taughtAt.
+	hasResponse, isTaught bool
+	taughtAt              clock.Millis
+	pacedTimer            *time.Timer
+	crash                 crashState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
 	// process.
 	succeeded []uint64
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -215,3 +215,39 @@
 		}
 	}
 }
+
+// Guards against a restarted gate that passes on requests without a limit until the backend
+// server's next response.
+func TestRestartedGateLearnsTheRateLimitFromEntries(t *testing.T) {
+	told := func(rate float64, age clock.Millis) wire.Announcement {
+		return wire.Announcement{Upstream: "c1", IsLimited: true, RateLimit: rate, Age: age}
+	}
+	tests := []struct {
+		name string
+		told []wire.Announcement
+		want float64
+	}{
+		{"one entry", []wire.Announcement{told(0.5, 100)}, 0.5},
+		{"the latest first", []wire.Announcement{told(0.5, 100), told(8, 9000)}, 0.5},
+		{"the latest last", []wire.Announcement{told(8, 9000), told(0.5, 100)}, 0.5},
+		{"of another process", []wire.Announcement{{Upstream: "c1", Started: 99, IsLimited: true, RateLimit: 0.5}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &limitedBackend{}
+			g := gate.New(limitedGateConfig(t, b))
+			for _, a := range tt.told {
+				g.LearnAnnouncement(a)
+			}
+			if got := g.MetricsState().RateLimit; got != tt.want {
+				t.Errorf("got a limit of %v, want %v", got, tt.want)
+			}
+			seq := uint64(0)
+			sendFor(g, b, &seq, 10, 3*clock.Second) // a response without a limit ends it
+			g.LearnAnnouncement(told(0.5, 0))
+			if got := g.MetricsState(); got.IsLimited {
+				t.Errorf("got a limit of %v from an entry, want what the backend server itself announces", got.RateLimit)
+			}
+		})
+	}
+}
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -18,7 +18,8 @@
 // returns the calls to make after the lock is released.
 func (g *Gate) restart(now clock.Millis) []func() {
 	g.generation++
-	g.crash, g.succeeded, g.announced = crashState{}, nil, announcement.Announcement{}
+	g.crash, g.succeeded = crashState{}, nil
+	g.announced, g.hasResponse, g.isTaught = announcement.Announcement{}, false, false
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
 	g.config.Backend.ResetConnections()
--- a/link/conn.go
+++ b/link/conn.go
@@ -23,6 +23,8 @@
 	ErrProof     = errors.ConstError("peer failed to prove the shared secret")
 	ErrFormat    = errors.ConstError("peer uses another message format")
 	ErrWrongPeer = errors.ConstError("peer is not the node that was dialled")
+	// ErrKind means that the peer's release is older than the kind of the message.
+	ErrKind = errors.ConstError("peer doesn't accept this kind of message")
 )
 
 const (
@@ -46,21 +48,33 @@
 	closed chan struct{}
 	once   sync.Once
 	limit  int
+	// lastKind is the highest kind of message that the peer accepts.
+	lastKind wire.Kind
 }
 
-func newConn(socket *websocket.Conn, limit int) *Conn {
+func newConn(socket *websocket.Conn, limit int, lastKind wire.Kind) *Conn {
 	socket.SetReadLimit(int64(limit))
 	return &Conn{
-		socket: socket,
-		frames: make(chan *bytes.Buffer, queueLength),
-		closed: make(chan struct{}),
-		limit:  limit,
+		lastKind: lastKind,
+		socket:   socket,
+		frames:   make(chan *bytes.Buffer, queueLength),
+		closed:   make(chan struct{}),
+		limit:    limit,
 	}
 }
 
-// Send queues a message. It never blocks: it returns ErrBusy if the queue is full and
-// ErrClosed on a closed link. A nil error doesn't guarantee that the message arrives.
+// Accepts reports whether the peer accepts a kind of message.
+func (c *Conn) Accepts(k wire.Kind) bool {
+	return k <= c.lastKind
+}
+
+// Send queues a message. It never blocks: it returns ErrBusy if the queue is full, ErrClosed on
+// a closed link and ErrKind if the peer doesn't accept the message. A nil error doesn't
+// guarantee that the message arrives.
 func (c *Conn) Send(m wire.Message) error {
+	if !c.Accepts(m.Kind()) {
+		return ErrKind
+	}
 	select {
 	case <-c.closed:
 		return ErrClosed
--- a/link/dial.go
+++ b/link/dial.go
@@ -65,9 +65,11 @@
 	p.serve(conn)
 }
 
-// replaceConn makes conn the peer's link. Over the new link it sends what has waited for
-// a link and asks for the outcome of every dispatch that is still pending.
+// replaceConn makes conn the peer's link. Over the new link it sends what the peer's upstreams
+// have announced, then what has waited for a link, and asks for the outcome of every dispatch
+// that is still pending.
 func (p *Peer) replaceConn(now clock.Millis, conn *Conn, remote Remote) {
+	p.sendAnnouncements(conn)
 	p.mu.Lock()
 	old := p.conn
 	p.conn = conn
@@ -102,6 +104,19 @@
 	p.sendHeartbeat()
 }
 
+// sendAnnouncements sends what the peer's upstreams have announced, before any request: the peer
+// may have restarted. A peer of an older release doesn't accept it.
+func (p *Peer) sendAnnouncements(conn *Conn) {
+	if p.config.Announcements == nil || !conn.Accepts(wire.KindAnnouncements) {
+		return
+	}
+	if m := p.config.Announcements(); len(m.Upstreams) > 0 {
+		if err := conn.Send(m); err != nil {
+			p.log.WithError(err).Warn("announcements of upstreams not sent; the peer learns them from their next responses")
+		}
+	}
+}
+
 // serve handles messages until the link is closed. If the peer is still needed, it then
 // requests another link.
 func (p *Peer) serve(conn *Conn) {
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -49,12 +50,12 @@
 		ReadBufferSize:  bufferSize,
 		WriteBufferSize: bufferSize,
 	}
-	socket, response, err := dialer.DialContext(ctx, "ws://"+address+Path, http.Header{})
+	socket, response, err := dialer.DialContext(ctx, "ws://"+address+Path, http.Header{headerLastKind: {ownLastKind}})
 	if err != nil {
 		return nil, Remote{}, errors.Annotatef(err, "dialling %s", address)
 	}
 	_ = response.Body.Close()
-	c := newConn(socket, maxFrame)
+	c := newConn(socket, maxFrame, parseLastKind(response.Header.Get(headerLastKind)))
 	remote, err := c.dialHandshake(address, self)
 	if err != nil {
 		c.Close()
@@ -64,6 +65,21 @@
 	return c, remote, nil
 }
 
+// headerLastKind carries, in the request and the response that open a link, the highest kind of
+// message that the sender accepts. Releases without it accept wire.BaseKind.
+const headerLastKind = "Fuchsiapick-Last-Kind"
+
+var ownLastKind = strconv.Itoa(int(wire.LastKind))
+
+// parseLastKind returns the highest kind that a peer accepts, by the value of headerLastKind.
+func parseLastKind(value string) wire.Kind {
+	kind, err := strconv.ParseUint(value, 10, 8)
+	if err != nil {
+		return wire.BaseKind // an older release sends no value
+	}
+	return max(wire.Kind(kind), wire.BaseKind)
+}
+
 // dialHandshake proves this side to the accepting side and checks the proof of that side.
 func (c *Conn) dialHandshake(address string, self Identity) (Remote, error) {
 	if err := c.socket.SetReadDeadline(deadline(handshakeTimeout)); err != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -27,6 +27,7 @@
 // countingHandler counts the dispatches that it receives.
 type countingHandler struct {
 	dispatched atomic.Int64
+	announced  chan *wire.Announcements
 }
 
 func (c *countingHandler) Dispatch(uint64, *wire.Dispatch)             { c.dispatched.Add(1) }
@@ -44,6 +45,10 @@
 }
 func (c *countingHandler) ReceiveTable(string, *wire.TableVersion)              {}
 func (c *countingHandler) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport { return nil }
+func (c *countingHandler) ReceiveAnnouncements(m *wire.Announcements) {
+	c.announced <- m
+}
+
 func identity(node, secret string) link.Identity {
 	return link.Identity{Node: node, Incarnation: 1, Secret: secret}
 }
@@ -79,7 +84,7 @@
 
 func serveOn(t *testing.T, listener net.Listener, claimed string) (*countingHandler, *link.Server) {
 	t.Helper()
-	handler := &countingHandler{}
+	handler := &countingHandler{announced: make(chan *wire.Announcements, 8)}
 	s := link.NewServer(link.ServerConfig{
 		Identity: identity(claimed, secret), MaxFrame: limit, HeartbeatInterval: clock.Second, Now: clock.NewSystem().Now,
 		Handler: handler, Log: logger(),
--- a/link/peer.go
+++ b/link/peer.go
@@ -75,9 +75,12 @@
 	Seed        uint64
 	Now         func() clock.Millis
 	// Status returns the content of this node's heartbeats, without Time and Echo.
-	Status   func() wire.Heartbeat
-	Observer PeerObserver
-	Log      logrus.FieldLogger
+	Status func() wire.Heartbeat
+	// Announcements returns what the upstreams beside the peer have announced to this node. It
+	// may be nil.
+	Announcements func() *wire.Announcements
+	Observer      PeerObserver
+	Log           logrus.FieldLogger
 }
 
 // Peer is the dialling side of the links to one node. Run must be called to operate it. It
@@ -139,6 +142,13 @@
 	return p.conn != nil
 }
 
+// Accepts reports whether a link is open over which the peer accepts a kind of message.
+func (p *Peer) Accepts(k wire.Kind) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn != nil && p.conn.Accepts(k)
+}
+
 // Connect requests that Run open a link. It doesn't wait for it.
 func (p *Peer) Connect() {
 	select {
--- a/link/server.go
+++ b/link/server.go
@@ -42,6 +42,9 @@
 	// the request.
 	RequestTable(r *wire.TableRequest) (*wire.TableVersion, bool)
 	ReceiveTable(node string, table *wire.TableVersion)
+	// ReceiveAnnouncements handles what the upstreams beside this node have announced to the
+	// peer.
+	ReceiveAnnouncements(m *wire.Announcements)
 	// ReceiveCrashes handles a peer's crash report and returns the reports to send back.
 	ReceiveCrashes(report *wire.CrashReport) []*wire.CrashReport
 }
@@ -150,14 +153,16 @@
 		ctx.Error("not found", fasthttp.StatusNotFound)
 		return
 	}
-	err := s.upgrader.Upgrade(ctx, s.serve)
+	lastKind := parseLastKind(string(ctx.Request.Header.Peek(headerLastKind)))
+	ctx.Response.Header.Set(headerLastKind, ownLastKind)
+	err := s.upgrader.Upgrade(ctx, func(socket *websocket.Conn) { s.serve(socket, lastKind) })
 	if err != nil {
 		s.config.Log.WithError(err).WithField("remote", ctx.RemoteAddr().String()).Debug("link refused")
 	}
 }
 
-func (s *Server) serve(socket *websocket.Conn) {
-	c := newConn(socket, s.config.MaxFrame)
+func (s *Server) serve(socket *websocket.Conn, lastKind wire.Kind) {
+	c := newConn(socket, s.config.MaxFrame, lastKind)
 	defer c.Close()
 	log := s.config.Log.WithField("remote", c.Remote().String())
 	remote, err := c.acceptHandshake(s.config.Identity, s.config.Now)
@@ -331,6 +336,8 @@
 		}
 	case *wire.TableVersion:
 		h.ReceiveTable(s.remote.Node, m)
+	case *wire.Announcements:
+		h.ReceiveAnnouncements(m)
 	case *wire.CrashReport:
 		for _, report := range h.ReceiveCrashes(m) {
 			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
--- a/node/gates.go
+++ b/node/gates.go
@@ -109,6 +109,7 @@
 		Crashes:          gateCrashes{n.crashes},
 		Log:              n.log,
 	})
+	n.applyEarlyAnnouncement(u.Name, n.gates[u.Name])
 	if n.leaving {
 		n.gates[u.Name].Leave()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -109,8 +109,10 @@
 	// when an upstream that this node doesn't know was asked for first.
 	retired          map[string]retiredGate
 	unknownUpstreams map[string]clock.Millis
-	peers            map[string]*peer
-	leaving          bool
+	// earlyAnnouncements holds announcements of upstreams that have no gate yet, by name.
+	earlyAnnouncements map[string]earlyAnnouncement
+	peers              map[string]*peer
+	leaving            bool
 	// readRevisions holds the revisions of the values that were applied, by key. Only the
 	// follower's goroutine uses it.
 	readRevisions       map[string]uint64
@@ -121,6 +123,9 @@
 
 // New returns a node that Run starts. It returns an error if a worker pool can't be created.
 func New(c Config) (*Node, error) {
+	if c.UpstreamHeaders == (gate.Headers{}) {
+		c.UpstreamHeaders = gate.DefaultHeaders()
+	}
 	n := &Node{
 		settings:           c.Settings,
 		tableBuilder:       c.TableBuilder,
@@ -137,6 +142,7 @@
 		gates:              map[string]*gate.Gate{},
 		retired:            map[string]retiredGate{},
 		unknownUpstreams:   map[string]clock.Millis{},
+		earlyAnnouncements: map[string]earlyAnnouncement{},
 		localWaiters:       newLocalWaiters(),
 		peers:              map[string]*peer{},
 		listedLeaving:      map[string]bool{},
@@ -157,19 +163,20 @@
 		return nil, errors.Trace(err)
 	}
 	n.entry = entry.New(entry.Config{
-		Domain:       c.Settings.Domain,
-		Service:      c.Settings.Service,
-		Headers:      c.CallerHeaders,
-		Incarnation:  n.incarnation,
-		Seed:         n.seed,
-		Now:          n.clock.Now,
-		Pool:         n.entryPool,
-		Recorder:     n.metrics,
-		GateClient:   n.gateClient,
-		CrashTracker: n.crashes,
-		Quotas:       n.quotas,
-		KeyMargin:    c.KeyMargin,
-		Log:          n.log,
+		Domain:        c.Settings.Domain,
+		Service:       c.Settings.Service,
+		Headers:       c.CallerHeaders,
+		Announcements: n.upstreamHeaders.Announcements,
+		Incarnation:   n.incarnation,
+		Seed:          n.seed,
+		Now:           n.clock.Now,
+		Pool:          n.entryPool,
+		Recorder:      n.metrics,
+		GateClient:    n.gateClient,
+		CrashTracker:  n.crashes,
+		Quotas:        n.quotas,
+		KeyMargin:     c.KeyMargin,
+		Log:           n.log,
 	})
 	if c.Store != nil {
 		n.follower = n.newFollower(c.Store)
--- a/node/peers.go
+++ b/node/peers.go
@@ -100,6 +100,7 @@
 		Seed:              n.seed + uint64(len(n.peers)),
 		Now:               n.clock.Now,
 		Status:            n.Status,
+		Announcements:     func() *wire.Announcements { return n.entry.Announcements(address) },
 		Observer:          n,
 		Log:               n.log,
 	})}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -64,6 +64,16 @@
 	KindQuotaRequest
 	KindQuotaGrant
 	KindHungRun
+	KindAnnouncements
+)
+
+const (
+	// BaseKind is the highest kind that all nodes of this Format accept.
+	BaseKind = KindHungRun
+	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
+	// only to peers that state in the handshake that they accept them, so that a new kind
+	// needs no new Format.
+	LastKind = KindAnnouncements
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -170,6 +180,7 @@
 	KindQuotaRequest:       func() Message { return new(QuotaRequest) },
 	KindQuotaGrant:         func() Message { return new(QuotaGrant) },
 	KindHungRun:            func() Message { return new(HungRun) },
+	KindAnnouncements:      func() Message { return new(Announcements) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
