entry: keep to a share of a rate limit that an older gate doesn't keep

An entry knows from the handshake whether the gate keeps limits. Where it doesn't, or while no link says so, the entry sends at most an equal share of the limit among the table's nodes, and starts with a random part of the first token, since 24 entries that all began with one would send 24 at once.

--- a/capacity/entry.go
+++ b/capacity/entry.go
@@ -86,6 +86,9 @@
 // Abandon sends nothing.
 func (instantGateClient) Abandon(wire.RequestID, uint8) {}
 
+// KeepsRateLimits returns true.
+func (instantGateClient) KeepsRateLimits() bool { return true }
+
 // EnsureLink does nothing, because the client has no link.
 func (instantGateClient) EnsureLink() {}
 
--- a/entry/announcements.go
+++ b/entry/announcements.go
@@ -3,6 +3,7 @@
 import (
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -22,6 +23,8 @@
 	announcement.Announcement
 
 	receivedAt clock.Millis
+	// share is this entry's share of the rate limit, for a gate that doesn't keep the limit.
+	share limit.Pace
 	// listedAt is when the table last named the upstream.
 	listedAt clock.Millis
 }
@@ -40,6 +43,42 @@
 	previous := m.announced.Announcement
 	m.announced.Announcement, m.announced.receivedAt = previous.Follow(a), now
 	s.dirty = s.dirty || previous.IsLeaving != m.announced.IsLeaving
+	m.announced.setShare(now, s.senders, s.random.Float64())
+}
+
+// setShare sets this entry's share of the rate limit among the senders of the fleet. The first
+// request of all entries must not be sent at the same time, so the share starts with a random
+// part of the token that admits it.
+func (a *announced) setShare(now clock.Millis, senders int, start float64) {
+	if !a.IsLimited {
+		a.share.Clear()
+		return
+	}
+	a.share.Limit(now, max(a.RateLimit, limit.MinPace)/float64(max(senders, 1)), start)
+}
+
+// isWithinShare reports whether this entry may send a request to the upstream. A gate that keeps
+// the rate limit decides that itself, for all entries. The caller holds s.mu.
+func (s *service) isWithinShare(now clock.Millis, m *member) bool {
+	if m.announced == nil || !m.announced.IsLimited || m.gate.KeepsRateLimits() {
+		return true
+	}
+	m.gate.EnsureLink() // an open link tells whether the gate keeps the limit
+	return m.announced.share.Allows(now)
+}
+
+// takeShare counts a request against this entry's share of the upstream's rate limit, or returns
+// false if the share doesn't admit it.
+func (s *service) takeShare(now clock.Millis, m *member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isWithinShare(now, m) {
+		return false
+	}
+	if m.announced != nil {
+		m.announced.share.Take()
+	}
+	return true
 }
 
 // pruneAnnouncements forgets announcements of upstreams that the table has not named for
--- a/entry/announcements_test.go
+++ b/entry/announcements_test.go
@@ -1,9 +1,13 @@
 package entry_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/announcement"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -64,3 +68,59 @@
 		t.Errorf("got %+v, want nothing after a response without a limit", got)
 	}
 }
+
+// Guards against entries that together send more than an upstream accepts to a gate of an older
+// release, which doesn't keep the limit.
+func TestEntriesShareTheRateLimitOfAGateThatDoesNotKeepIt(t *testing.T) {
+	const (
+		entries = 24
+		rate    = 1.3
+		span    = 40 * clock.Second
+		step    = 50 * clock.Millis(1)
+		window  = 4 * clock.Second
+		// allowed is how many requests the users' rule allows in window.
+		allowed = 12
+	)
+	for _, caution := range []table.Caution{table.Fast, table.ShortEpisodes} {
+		now := clock.Millis(1000)
+		limited := &fakeGate{name: "limited", ignoresLimits: true}
+		gates := make([]*fakeGate, entries)
+		gates[0] = limited
+		for i := range entries - 1 {
+			gates[i+1] = &fakeGate{name: fmt.Sprintf("other-%d", i)}
+		}
+		announce(limited, announcementHeaders.RateLimit, "1.3")
+		s := table.Service{Name: "conferme", Caution: caution, Floor: 0.3, Deadline: clock.Minute}
+		all := make([]*entry.Entry, entries)
+		for i := range all {
+			all[i] = newClockedEntry(t, entry.Config{Now: func() clock.Millis { return now }, Seed: uint64(i)}, s, nil, gates...)
+			for before := limited.dispatched; limited.dispatched == before; {
+				post(all[i]) // until the limit is announced to the entry
+			}
+		}
+		var arrivals []clock.Millis
+		for ; now < span; now += step {
+			for _, e := range all {
+				before := limited.dispatched
+				if status, _ := post(e); status != 200 {
+					t.Fatalf("%v: got status %d, want 200 from another upstream", caution, status)
+				}
+				for range limited.dispatched - before {
+					arrivals = append(arrivals, now)
+				}
+			}
+		}
+		for i, from := range arrivals {
+			end, _ := slices.BinarySearch(arrivals, from+window)
+			if end-i > allowed {
+				t.Fatalf("%v: got %d requests in %v from %v on, want at most %d", caution, end-i, window, from, allowed)
+			}
+		}
+		if want := int(rate * span.Seconds() / 2); len(arrivals) < want {
+			t.Errorf("%v: got %d requests in %v, want %d or more", caution, len(arrivals), span, want)
+		}
+		if limited.linkRequests == 0 {
+			t.Errorf("%v: got no link requested, want one that tells whether the gate keeps the limit", caution)
+		}
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,6 +35,14 @@
 		}
 		a.isReserved = true
 	}
+	if !r.service.takeShare(now, a.member) {
+		if a.isReserved {
+			a.member.gate.ReleaseReservation(&wire.ReleaseReservation{ID: r.id, Attempt: a.number, Upstream: a.upstream.Name})
+		}
+		limited := result{kind: retry.NotRun, reason: string(wire.ReasonRateLimit), full: true}
+		r.service.endAttempt(now, a.member, &limited)
+		return limited
+	}
 	r.waited = r.entry.config.Now() - r.started
 	d := r.newDispatch(now, a, untried)
 	w := newWaiter()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,9 @@
 	// that the gate couldn't be asked. If ProbeCapacity returns an error, nothing was
 	// asked.
 	ProbeCapacity(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) error
+	// KeepsRateLimits reports whether the gate is known to keep its upstream's rate limit.
+	// Gates of older releases don't.
+	KeepsRateLimits() bool
 	// ReleaseReservation releases a slot that was asked for.
 	ReleaseReservation(r *wire.ReleaseReservation)
 	// RevokeKey asks the node for the status of a resend's idempotency key and revokes
@@ -135,6 +138,7 @@
 func (e *Entry) Update(t *table.Table) {
 	old := *e.services.Load()
 	next := make(map[string]*service, len(t.Services))
+	senders := countNodes(t)
 	for _, c := range t.Services {
 		s, ok := old[c.Name]
 		if !ok {
@@ -142,7 +146,7 @@
 			s = newService(c, e.config.Domain, seed, e.config.Recorder, e.config.Log)
 		}
 		now := e.config.Now()
-		s.update(now, c, e.config.GateClient)
+		s.update(now, c, senders, e.config.GateClient)
 		s.updateMembership(now, c, e.config.GateClient)
 		next[c.Name] = s
 	}
@@ -157,6 +161,17 @@
 	e.profiles.prune(func(service string) bool { _, ok := next[service]; return ok })
 }
 
+// countNodes returns the number of nodes that the table names.
+func countNodes(t *table.Table) int {
+	nodes := map[string]struct{}{}
+	for i := range t.Services {
+		for j := range t.Services[i].Upstreams {
+			nodes[t.Services[i].Upstreams[j].Node] = struct{}{}
+		}
+	}
+	return len(nodes)
+}
+
 // UpdateUpstream records the state that a gate reports of its upstream.
 func (e *Entry) UpdateUpstream(u wire.Upstream) {
 	if s, ok := e.serviceOf(u.Name); ok {
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -38,7 +38,9 @@
 	probes       int
 	pathLost     bool // every dispatch loses its path
 	linkRequests int
-	released     []uint8
+	// ignoresLimits means that the gate is of a release that doesn't keep rate limits.
+	ignoresLimits bool
+	released      []uint8
 }
 
 func (d *fakeGate) Dispatch(m *wire.Dispatch, w link.DispatchObserver) error {
@@ -96,6 +98,8 @@
 	d.linkRequests++
 }
 
+func (d *fakeGate) KeepsRateLimits() bool { return !d.ignoresLimits }
+
 func (*fakeGate) Resolve(wire.RequestID, uint8)       {}
 func (*fakeGate) Forget(wire.RequestID, uint8)        {}
 func (*fakeGate) Withdraw(wire.RequestID, uint8) bool { return false }
@@ -131,17 +135,22 @@
 }
 
 func newServiceEntry(t *testing.T, s table.Service, repeatable []string, gates ...*fakeGate) *entry.Entry {
+	t.Helper()
+	return newClockedEntry(t, entry.Config{Now: clock.NewSystem().Now}, s, repeatable, gates...)
+}
+
+// newClockedEntry is like newServiceEntry with the clock and the seed of a configuration.
+func newClockedEntry(t *testing.T, c entry.Config, s table.Service, repeatable []string, gates ...*fakeGate) *entry.Entry {
 	t.Helper()
 	byName := map[string]*fakeGate{}
 	for _, d := range gates {
 		byName[d.name] = d
 		s.Upstreams = append(s.Upstreams, table.Upstream{Name: d.name, Node: d.name, Domain: "palermo", Weight: 100, Slots: 1})
 	}
-	e := entry.New(entry.Config{
-		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
-		Announcements: announcementHeaders,
-		GateClient:    func(u table.Upstream) entry.GateClient { return byName[u.Name] },
-	})
+	c.Domain, c.Pool, c.Recorder, c.Log = "catania", newPool(t), nopRecorder{}, logging.Silent()
+	c.Announcements = announcementHeaders
+	c.GateClient = func(u table.Upstream) entry.GateClient { return byName[u.Name] }
+	e := entry.New(c)
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1, Services: []table.Service{s},
 		Routes: []table.Route{{Prefix: "/", Service: "conferme", Timeout: clock.Hour, LatencyTarget: clock.Hour, Priority: 1, MaxAttempts: 2, Repeatable: repeatable}},
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -203,7 +203,7 @@
 			usable = s.uses[i] == floor.Ejected
 		}
 		risk := m.severity(now, true)
-		usable = usable && !slices.Contains(filter.tried, m)
+		usable = usable && !slices.Contains(filter.tried, m) && s.isWithinShare(now, m)
 		if usable {
 			untried++
 		}
@@ -264,7 +264,7 @@
 // and clears that work request. The caller holds s.mu.
 func (s *service) takeWorkRequest(now clock.Millis, tried []*member) (int, bool) {
 	for i, m := range s.members {
-		if m.workRequestUntil > 0 && m.workRequestUntil >= now && s.uses[i] != floor.Unavailable && !slices.Contains(tried, m) {
+		if m.workRequestUntil > 0 && m.workRequestUntil >= now && s.uses[i] != floor.Unavailable && !slices.Contains(tried, m) && s.isWithinShare(now, m) {
 			m.workRequestUntil = 0
 			return i, true
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -36,6 +37,8 @@
 	members            []*member
 	byName             map[string]*member
 	announced          map[process]*announced
+	senders            int // nodes that may send to the service's upstreams
+	random             *rand.Rand
 	chooser            *choice.Chooser
 	ranker             *choice.Ranker
 	options            []choice.Option
@@ -64,6 +67,7 @@
 		config:             c,
 		byName:             map[string]*member{},
 		announced:          map[process]*announced{},
+		random:             rand.New(rand.NewPCG(seed, 1)),
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
 		domain:             domain,
@@ -81,13 +85,13 @@
 
 // update applies a table. The state of upstreams that stay in the table is kept; an
 // upstream that was restarted under its name counts as a new one.
-func (s *service) update(now clock.Millis, c table.Service, gateClient func(u table.Upstream) GateClient) {
+func (s *service) update(now clock.Millis, c table.Service, senders int, gateClient func(u table.Upstream) GateClient) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.RetryWindow != s.config.RetryWindow || c.RetryRatio != s.config.RetryRatio {
 		s.retryBudget = retry.New(retryConfig(c, s.seed))
 	}
-	s.config = c
+	s.config, s.senders = c, senders
 	old := s.byName
 	s.byName = make(map[string]*member, len(c.Upstreams))
 	s.members = make([]*member, 0, len(c.Upstreams))
@@ -174,6 +178,9 @@
 // usable reports whether a request may go to an upstream. An upstream on trial gets
 // repeatable requests only: if it still fails, another upstream can serve them.
 func (s *service) usable(now clock.Millis, i int, repeatable bool) bool {
+	if !s.isWithinShare(now, s.members[i]) {
+		return false
+	}
 	switch s.uses[i] {
 	case floor.Normal, floor.Forced:
 		return true
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -67,7 +67,7 @@
 	// slot, until Expire or Flush returns them.
 	skipped     []uint64
 	serviceTime serviceTime
-	pace        pace
+	pace        Pace
 	schedule    RetrySchedule
 }
 
@@ -116,12 +116,12 @@
 		return s.refuse(now, Late)
 	}
 	hasFreeSlot := s.running < s.config.Slots
-	if hasFreeSlot && s.pace.allows() && (!s.pace.isLimited || len(s.waiting) == 0) {
+	if hasFreeSlot && s.pace.Allows(now) && (!s.pace.isLimited || len(s.waiting) == 0) {
 		s.startRun()
 		return Decision{Result: Run}
 	}
 	position := s.queuePosition(r.Priority)
-	pacedWait, wait := s.pace.wait(position), s.releaseInterval()*float64(position+1)
+	pacedWait, wait := s.pace.wait(now, position), s.releaseInterval()*float64(position+1)
 	if hasFreeSlot {
 		wait = 0
 	}
@@ -176,21 +176,21 @@
 // pace.
 func (s *Slots) Return(now clock.Millis) (ticket uint64, ok bool) {
 	s.advance(now)
-	if s.running > 0 && s.pace.isLimited {
-		s.pace.refund()
+	if s.running > 0 {
+		s.pace.Refund()
 	}
 	return s.Release(now)
 }
 
-// SetPace limits how many requests per second get a slot, whatever slots are free; requests that
-// have a slot are not affected. It returns the tickets of waiters that now have a slot. The next
+// SetPace limits how many requests per second get a slot, but to no less than MinPace. What was
+// sent before the first limit earns no burst. Requests that have a slot are not affected. It returns the tickets of waiters that now have a slot. The next
 // Expire returns the waiters whose turn would come too late.
 func (s *Slots) SetPace(now clock.Millis, rate float64) []uint64 {
 	s.advance(now)
-	s.pace.limit(rate)
+	s.pace.Limit(now, max(rate, MinPace), 0)
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
-		if float64(now)+s.pace.wait(len(kept)) > float64(w.waitUntil) {
+		if float64(now)+s.pace.wait(now, len(kept)) > float64(w.waitUntil) {
 			s.skipped = append(s.skipped, w.ticket)
 			continue
 		}
@@ -204,7 +204,7 @@
 // have a slot.
 func (s *Slots) ClearPace(now clock.Millis) []uint64 {
 	s.advance(now)
-	s.pace = pace{updatedAt: now}
+	s.pace.Clear()
 	return s.Resize(s.config)
 }
 
@@ -212,10 +212,10 @@
 // for the pace alone.
 func (s *Slots) NextPaced(now clock.Millis) (wait clock.Millis, ok bool) {
 	s.advance(now)
-	if len(s.waiting) == 0 || s.running >= s.config.Slots || s.pace.allows() {
+	if len(s.waiting) == 0 || s.running >= s.config.Slots || s.pace.Allows(now) {
 		return 0, false
 	}
-	return clock.Millis(math.Ceil(s.pace.wait(0))), true
+	return clock.Millis(math.Ceil(s.pace.wait(now, 0))), true
 }
 
 // AdmitPaced returns the tickets of waiters that have a slot since the pace admits them.
@@ -233,9 +233,7 @@
 // startRun gives a slot to a request.
 func (s *Slots) startRun() {
 	s.running++
-	if s.pace.isLimited {
-		s.pace.take()
-	}
+	s.pace.Take()
 }
 
 // Expire removes the waiters whose Deadline or Until has passed. It returns their tickets,
@@ -290,7 +288,7 @@
 		InFlight: s.running,
 		Waiting:  len(s.waiting),
 		Free:     max(s.config.Slots-s.running, 0),
-		IsPaced:  !s.pace.allows(),
+		IsPaced:  !s.pace.hasToken(),
 	}
 }
 
@@ -300,7 +298,7 @@
 // Expire calls it for the tickets that Expire returns.
 func (s *Slots) RetryAfter(now clock.Millis) clock.Millis {
 	interval := max(s.releaseInterval(), s.pace.interval())
-	first := max(s.releaseInterval()*float64(len(s.waiting)+1), s.pace.wait(len(s.waiting)))
+	first := max(s.releaseInterval()*float64(len(s.waiting)+1), s.pace.wait(now, len(s.waiting)))
 	if s.config.Slots <= 0 {
 		first = maxRetryAfter
 	}
@@ -338,7 +336,7 @@
 // can complete, and a request that may not be repeated would end as unknown instead of not
 // run.
 func (s *Slots) admitNext() (ticket uint64, ok bool) {
-	for s.running < s.config.Slots && len(s.waiting) > 0 && s.pace.allows() {
+	for s.running < s.config.Slots && len(s.waiting) > 0 && s.pace.hasToken() {
 		w := s.waiting[0]
 		s.waiting = slices.Delete(s.waiting, 0, 1)
 		if s.serviceTime.meetsDeadline(0, w.deadline) {
--- a/link/peer.go
+++ b/link/peer.go
@@ -149,6 +149,12 @@
 	return p.conn != nil && p.conn.Accepts(k)
 }
 
+// KeepsRateLimits reports whether a link is open to a node whose gates keep the rate limits of
+// their upstreams.
+func (p *Peer) KeepsRateLimits() bool {
+	return p.Accepts(wire.KindAnnouncements)
+}
+
 // Connect requests that Run open a link. It doesn't wait for it.
 func (p *Peer) Connect() {
 	select {
--- a/node/local_gates.go
+++ b/node/local_gates.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// KeepsRateLimits returns true: both sides are of the same release.
+func (localGates) KeepsRateLimits() bool { return true }
+
 // EnsureLink does nothing: there is no link to keep open.
 func (localGates) EnsureLink() {}
 
