mirror, platform: log and export the store's era and the values ignored as older

The hypotheses on the restored store (values taken for older, changes skipped, a fence on versions) differ in the revision and the era of a list and in the values that a copy ignores, and neither logs nor metrics had them. Nothing is decided by them yet.

--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -51,7 +51,7 @@
 func (fakeNode) PlatformStats() metrics.PlatformStats {
 	return metrics.PlatformStats{
 		Answered: metrics.CallStats{Count: 7, Bytes: 900, Took: 70}, Failed: metrics.CallStats{Count: 2, Bytes: 80, Took: 1400},
-		UpdatesReceived: 30, Revision: 7, IsKnown: true, Age: 400, Lag: 900, LateChanges: 1,
+		UpdatesReceived: 30, Revision: 7, Era: 1, ValuesIgnored: 2, IsKnown: true, Age: 400, Lag: 900, LateChanges: 1,
 	}
 }
 
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -27,6 +27,10 @@
 	UpdatesReceived uint64
 	// CopyErrors counts the complete lists of values that differed from this node's copy.
 	CopyErrors uint64
+	// ValuesIgnored counts the values that were offered and are older than those of the copy.
+	ValuesIgnored uint64
+	// Era counts how often the platform's store was restored from a backup, as far as it says.
+	Era uint64
 	// Revision is the platform's revision at the last change that the node knows.
 	Revision uint64
 	// IsKnown means that the node has a copy of the platform's values, Age is the time since
@@ -127,6 +131,10 @@
 		"News of the platform that other nodes told in place of a call.", nil, nil)
 	copyErrorsDesc = prometheus.NewDesc(namespace+"_platform_copy_wrong_total",
 		"Times when the copy of the platform's values was found wrong, and all were listed again.", nil, nil)
+	platformIgnoredDesc = prometheus.NewDesc(namespace+"_platform_ignored_total",
+		"Values of the platform that were offered and are older than those held.", nil, nil)
+	platformEraDesc = prometheus.NewDesc(namespace+"_platform_era",
+		"How often the platform's store was restored from a backup, as far as it says.", nil, nil)
 	platformRevisionDesc = prometheus.NewDesc(namespace+"_platform_revision",
 		"The platform's revision at the last change that is known.", nil, nil)
 	platformAgeDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
@@ -175,7 +183,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc,
+		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc,
 	} {
 		out <- d
 	}
@@ -221,6 +229,8 @@
 	out <- counter(platformLateDesc, stats.LateChanges)
 	out <- counter(platformUpdatesDesc, stats.UpdatesReceived)
 	out <- counter(copyErrorsDesc, stats.CopyErrors)
+	out <- counter(platformIgnoredDesc, stats.ValuesIgnored)
+	out <- gauge(platformEraDesc, float64(stats.Era))
 	out <- gauge(platformRevisionDesc, float64(stats.Revision))
 	if stats.IsKnown {
 		out <- gauge(platformAgeDesc, stats.Age.Seconds())
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -43,6 +43,8 @@
 	mayLackRemovals bool
 	// digest is the exclusive or of the hashes of all values that are not removed.
 	digest uint64
+	// ignored counts the values that were offered and are older than those held.
+	ignored uint64
 	// graceEnd is the end of the grace period after the store's last return.
 	graceEnd clock.Millis
 }
@@ -190,6 +192,7 @@
 func (c *Copy) put(item Item) {
 	old, ok := c.items[item.Key]
 	if (ok && old.Revision > item.Revision) || c.tombstones[item.Key] > item.Revision {
+		c.ignored++
 		return
 	}
 	_, isExpiring := c.expiring[item.Key]
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -95,6 +95,11 @@
 	UpdatesReceived uint64
 	// CopyErrors counts the lists that showed the copy to be wrong.
 	CopyErrors uint64
+	// Era counts how often the store was restored from a backup; 0 if it doesn't say.
+	// ValuesIgnored counts the values that calls and updates offered and that are older than
+	// those of the copy.
+	Era           uint64
+	ValuesIgnored uint64
 	// KnownAt is the time at which the copy equalled the store, if IsKnown.
 	KnownAt clock.Millis
 	IsKnown bool
@@ -122,6 +127,7 @@
 	s := f.stats
 	s.KnownAt, s.IsKnown = f.schedule.currentAt, f.schedule.currentAt >= 0
 	s.Lag = f.lag.age(f.config.Now())
+	s.ValuesIgnored = f.copy.ignored
 	return s
 }
 
@@ -280,7 +286,13 @@
 			u = newListUpdate(f.copy, list.Items, list.Revision)
 		}
 		f.auditList(now, list.Items, list.Revision)
+		previous, ignored := f.copy.Revision(), f.copy.ignored
 		f.copy.Reset(now, list)
+		f.stats.Era = max(f.stats.Era, list.Era)
+		if list.Revision < previous {
+			f.config.Log.WithFields(logrus.Fields{"era": list.Era, "revision": list.Revision, "previous": previous, "ignored": f.copy.ignored - ignored}).
+				Warn("platform's store has gone back to a lower revision")
+		}
 		return u
 	})
 	return nil
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -71,6 +71,8 @@
 	// several pages may lack values that were added meanwhile, and contain values that
 	// were removed.
 	IsSnapshot bool
+	// Era counts how often the store was restored from a backup; 0 if the store doesn't say.
+	Era uint64
 }
 
 // Store reads the platform's store.
--- a/node/platform.go
+++ b/node/platform.go
@@ -279,6 +279,7 @@
 	s := n.follower.Stats()
 	stats := metrics.PlatformStats{
 		Answered: metrics.CallStats(s.Answered), Failed: metrics.CallStats(s.Failed), UpdatesReceived: s.UpdatesReceived, CopyErrors: s.CopyErrors,
+		ValuesIgnored: s.ValuesIgnored, Era: s.Era,
 		Revision: n.follower.Revision(), Lag: s.Lag, LateChanges: s.LateChanges,
 	}
 	if s.IsKnown {
