mirror, platform: follow a store that was restored from a backup

Cause: of two values of a key a copy keeps the one with the higher revision, and the store, restored from a copy some seconds old, gives revisions out again. All 24 nodes got 410, listed all values, and ignored each that had a lower revision than the one they held; versions 22 and 24 stayed out until version 28 had a higher revision than version 20 of before the restore. The class: an order that holds within one life of its counter only, compared across two.

A revision now combines the store's era (header Store-Era) with its own revision, so that whatever is read after a restore is later than all before, in copies, tombstones, updates between nodes and what waits for confirmation. Answers and updates of an earlier era are dropped. Since nobody has an order of writes across a restore, content decides what counts until the writers have written again: a configuration of a lower version doesn't replace a higher one, a registration doesn't lose its draining state, and one that had been removed stays out until it is written once more. What the store has lost keeps counting for the grace period of an outage.

Nodes of older releases would take such a revision for the store's own and ignore the store for good. They get updates and seeds with the store's own revisions, as from each other; this release sends its own in a new message, which only peers that know it get.

--- a/link/peer.go
+++ b/link/peer.go
@@ -325,6 +325,16 @@
 		p.config.Observer.PeerWorkRequest(m)
 	case *wire.StoreUpdate:
 		p.handleStoreUpdate(m)
+	case *wire.EraUpdate:
+		p.handleStoreUpdate(&m.Update)
+	default:
+		p.handleOther(conn, m)
+	}
+}
+
+// handleOther handles the remaining messages of handle.
+func (p *Peer) handleOther(conn *Conn, m wire.Message) {
+	switch m := m.(type) {
 	case *wire.CrashReport:
 		p.config.Observer.PeerCrashReport(m)
 	default:
--- a/link/server.go
+++ b/link/server.go
@@ -275,14 +275,30 @@
 	return s.entries[s.nextIndex%len(s.entries)]
 }
 
-// BroadcastUpdate sends an update of the store to all entries with a link. It sets the
-// update's Time.
-func (s *Server) BroadcastUpdate(update *wire.StoreUpdate) {
+// BroadcastUpdate sends an update of the store to all entries with a link. Entries that know no
+// eras get the update that withoutEra returns, or nothing if that is nil; withoutEra is nil for
+// an update that names no era. BroadcastUpdate sets the updates' Time.
+func (s *Server) BroadcastUpdate(update *wire.StoreUpdate, withoutEra func() *wire.StoreUpdate) {
 	update.Time = s.config.Now()
+	var message wire.Message = update
+	if withoutEra != nil {
+		message = &wire.EraUpdate{Update: *update}
+	}
+	var plain *wire.StoreUpdate
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.latestConns {
-		_ = c.Send(update) // an entry that misses the update asks the platform itself
+		if c.Accepts(message.Kind()) {
+			_ = c.Send(message) // an entry that misses the update asks the platform itself
+			continue
+		}
+		if plain == nil {
+			if plain = withoutEra(); plain == nil {
+				return
+			}
+			plain.Time = update.Time
+		}
+		_ = c.Send(plain)
 	}
 }
 
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -32,7 +32,15 @@
 	// in transit while the update with a removal arrives would restore the value, and the
 	// removal would not be announced again.
 	tombstones map[string]uint64
-	revision   uint64
+	// isOlder compares the content of values; nil if it can't be compared.
+	isOlder OlderFunc
+	// carried holds, by key, what counts in place of what a restored store has. removed
+	// holds the values that were removed lately.
+	carried map[string]carried
+	removed map[string]removedValue
+	// eraStart is the revision at which this copy learned of the last restore of the store.
+	eraStart uint64
+	revision uint64
 	// maxRevision is the highest revision of any value. It exceeds revision after a list
 	// whose pages are not a snapshot.
 	maxRevision uint64
@@ -53,8 +61,9 @@
 // means that a node publishes none.
 const emptyDigest = 1
 
-// NewCopy returns an empty copy. If hash is nil, the whole value matters.
-func NewCopy(hash HashFunc) *Copy {
+// NewCopy returns an empty copy. If hash is nil, the whole value matters. If isOlder is nil, the
+// values of a restored store always count, even if later ones were known.
+func NewCopy(hash HashFunc, isOlder OlderFunc) *Copy {
 	if hash == nil {
 		hash = hashWhole
 	}
@@ -64,6 +73,9 @@
 		hashes:     map[string]uint64{},
 		expiring:   map[string]clock.Millis{},
 		tombstones: map[string]uint64{},
+		isOlder:    isOlder,
+		carried:    map[string]carried{},
+		removed:    map[string]removedValue{},
 		digest:     emptyDigest,
 	}
 }
@@ -123,6 +135,7 @@
 // stay.
 func (c *Copy) Reset(now clock.Millis, list Listing) {
 	items, revision := list.Items, list.Revision
+	c.startEra(revision)
 	listed := make(map[string]struct{}, len(items))
 	for _, item := range items {
 		listed[item.Key] = struct{}{}
@@ -141,7 +154,7 @@
 }
 
 // CountWrong returns the number of values for which a list shows that the copy is wrong.
-// It is called before the list is applied. It counts the values that the copy lacks or
+// It is called before the list is applied, and the list must be of the copy's era. It counts the values that the copy lacks or
 // holds in an older state although the copy's revision covers them. If the store hasn't
 // changed since that revision, it also counts the values that are no longer in the store.
 func (c *Copy) CountWrong(items []Item, revision uint64) int {
@@ -151,7 +164,7 @@
 		listed[item.Key] = struct{}{}
 		current, isKnown := c.items[item.Key]
 		_, isRemoved := c.tombstones[item.Key]
-		isMissing := item.Created <= c.revision && !isKnown && !isRemoved
+		isMissing := item.Created <= StoreRevision(c.revision) && !isKnown && !isRemoved
 		isOutdated := isKnown && item.Revision <= c.revision && current.Revision < item.Revision && c.hashes[item.Key] != c.hash(item)
 		if isMissing || isOutdated {
 			wrong++
@@ -175,6 +188,7 @@
 
 // Apply applies changes in order.
 func (c *Copy) Apply(now clock.Millis, events []Event, revision uint64) {
+	c.startEra(revision)
 	for _, e := range events {
 		switch {
 		case !e.Gone:
@@ -195,6 +209,8 @@
 		c.ignored++
 		return
 	}
+	c.updateCarried(item)
+	delete(c.removed, item.Key)
 	_, isExpiring := c.expiring[item.Key]
 	switch {
 	case !ok, isExpiring:
@@ -220,6 +236,8 @@
 		return
 	}
 	c.digest ^= c.hashes[key]
+	c.rememberRemoved(now, key)
+	delete(c.carried, key)
 	if _, ok := c.items[key]; ok && now < c.graceEnd {
 		c.expiring[key] = c.graceEnd
 		return
@@ -242,7 +260,14 @@
 			c.drop(key)
 		}
 	}
-	return slices.SortedFunc(maps.Values(c.items), func(a, b Item) int {
+	c.forgetRemoved(now)
+	counting := make([]Item, 0, len(c.items))
+	for key := range c.items {
+		if item, ok := c.effective(key); ok {
+			counting = append(counting, item)
+		}
+	}
+	slices.SortFunc(counting, func(a, b Item) int {
 		switch {
 		case a.Key < b.Key:
 			return -1
@@ -252,4 +277,5 @@
 			return 0
 		}
 	})
+	return counting
 }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -45,6 +45,9 @@
 	Publish func(u Update)
 	// ExpectedRemoval reports whether the removal of a value was expected. It may be nil.
 	ExpectedRemoval func(old Item) bool
+	// IsOlder compares the content of values, to keep what a restored store has lost. It may
+	// be nil.
+	IsOlder OlderFunc
 	// OnAvailability is called with the cause when the store becomes unavailable, and
 	// with nil when it answers again.
 	OnAvailability func(cause error)
@@ -77,6 +80,9 @@
 	audit               audit
 	lag                 lag
 	pendingUpdates      []pendingUpdate
+	// awaitsRestored means that the store was restored, and that this node waits for the
+	// update of one that has listed the values before it lists them itself.
+	awaitsRestored bool
 	// peerBytes is the size of all values in the copy of a peer with newer values.
 	peerBytes int
 	stats     Stats
@@ -127,7 +133,7 @@
 	s := f.stats
 	s.KnownAt, s.IsKnown = f.schedule.currentAt, f.schedule.currentAt >= 0
 	s.Lag = f.lag.age(f.config.Now())
-	s.ValuesIgnored = f.copy.ignored
+	s.ValuesIgnored, s.Era = f.copy.ignored, EraOf(f.copy.Revision())
 	return s
 }
 
@@ -139,7 +145,7 @@
 	if c.Log == nil {
 		c.Log = logging.Silent()
 	}
-	return &Follower{config: c, copy: NewCopy(c.Hash), schedule: NewPollSchedule(PollConfig{MaxStaleness: c.MaxStaleness, MaxBackoff: c.MaxBackoff, Seed: c.Seed}), wakeup: make(chan struct{}, 1)}
+	return &Follower{config: c, copy: NewCopy(c.Hash, c.IsOlder), schedule: NewPollSchedule(PollConfig{MaxStaleness: c.MaxStaleness, MaxBackoff: c.MaxBackoff, Seed: c.Seed}), wakeup: make(chan struct{}, 1)}
 }
 
 // Serve follows the store until the context ends, and returns the context's error.
@@ -226,9 +232,12 @@
 	}
 	startedAt := f.config.Now()
 	events, revision, err := f.config.Store.Watch(ctx, after, watchTimeout, f.maxWatchBytes())
-	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) {
-		f.config.Log.WithError(err).WithField("revision", after).Info("can't read the changes since this revision; listing all values")
-		return f.relist(ctx, errors.Is(err, ErrTooLarge))
+	if errors.Is(err, ErrRestored) && f.awaitRestored() {
+		return nil
+	}
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) || errors.Is(err, ErrTooLarge) {
+		f.config.Log.WithError(err).WithField("revision", StoreRevision(after)).Info("can't read the changes since this revision; listing all values")
+		return f.relist(ctx, !errors.Is(err, ErrCompacted))
 	}
 	if err != nil {
 		return errors.Trace(err)
@@ -248,6 +257,20 @@
 	return nil
 }
 
+// awaitRestored reports whether this node waits for another one to list the values of a restored
+// store. The nodes that read ahead of the others don't wait, and the others only once: if all
+// nodes of a large fleet listed all values at the same time, the store would refuse most calls.
+func (f *Follower) awaitRestored() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.awaitsRestored || f.schedule.isReader || f.config.Nodes == nil {
+		return false
+	}
+	f.awaitsRestored = true
+	f.schedule.PollSoon(f.config.Now())
+	return true
+}
+
 // maxWatchBytes returns the size of a watch's answer above which a list is read instead:
 // the size of all values, as far as it is known. A watch returns every version of a value
 // since a revision, a list only the last. For a node that is several versions of a large
@@ -273,13 +296,17 @@
 }
 
 // relist lists all values and replaces the copy. It publishes the difference if
-// shouldPublish, that is, if the list replaces a watch whose answer was too large.
+// shouldPublish, that is, if the list replaces a watch whose answer was too large or that a
+// restored store can't answer.
 func (f *Follower) relist(ctx context.Context, shouldPublish bool) error {
 	startedAt := f.config.Now()
 	list, err := f.config.Store.List(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if known := f.Revision(); EraOf(list.Revision) < EraOf(known) {
+		return errors.Annotatef(ErrUnavailable, "listed values of era %d, but era %d is known", EraOf(list.Revision), EraOf(known))
+	}
 	f.applyAnswer(startedAt, list.Revision, func(now clock.Millis) Update {
 		var u Update
 		if shouldPublish {
@@ -288,10 +315,11 @@
 		f.auditList(now, list.Items, list.Revision)
 		previous, ignored := f.copy.Revision(), f.copy.ignored
 		f.copy.Reset(now, list)
-		f.stats.Era = max(f.stats.Era, list.Era)
-		if list.Revision < previous {
-			f.config.Log.WithFields(logrus.Fields{"era": list.Era, "revision": list.Revision, "previous": previous, "ignored": f.copy.ignored - ignored}).
-				Warn("platform's store has gone back to a lower revision")
+		if StoreRevision(list.Revision) < StoreRevision(previous) {
+			f.config.Log.WithFields(logrus.Fields{
+				"era": EraOf(list.Revision), "revision": StoreRevision(list.Revision), "previous": StoreRevision(previous),
+				"ignored": f.copy.ignored - ignored, "carried": len(f.copy.carried),
+			}).Warn("platform's store has gone back to a lower revision")
 		}
 		return u
 	})
@@ -306,9 +334,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	if f.schedule.Failures() > 0 {
-		f.copy.StoreReturned(now)
-	}
+	f.noteReturn(now, revision)
 	update := change(now)
 	f.copy.PruneTombstones(revision)
 	isUrgent := f.schedule.IsUrgent() // the other nodes make such a call too and need no update
@@ -338,6 +364,19 @@
 	}
 }
 
+// noteReturn starts the grace period for values whose writers register again if the store has
+// returned from an outage or was restored, as an answer or an update of the given revision
+// shows. f.mu is held.
+func (f *Follower) noteReturn(now clock.Millis, revision uint64) {
+	isRestored := EraOf(revision) > EraOf(f.copy.Revision())
+	if isRestored {
+		f.awaitsRestored = false
+	}
+	if isRestored || f.schedule.Failures() > 0 {
+		f.copy.StoreReturned(now)
+	}
+}
+
 // recordCall records the result of a call, and reports when the store becomes unavailable
 // and when it answers again.
 func (f *Follower) recordCall(took clock.Millis, bytes uint64, err error) {
--- a/mirror/log.go
+++ b/mirror/log.go
@@ -26,7 +26,7 @@
 		return
 	}
 	f.config.Log.WithError(err).WithFields(logrus.Fields{
-		"failures": failures, "bytes": bytes, "took": took.String(), "revision": f.copy.Revision(),
+		"failures": failures, "bytes": bytes, "took": took.String(), "revision": StoreRevision(f.copy.Revision()),
 	}).Warn("call of the platform failed")
 }
 
@@ -36,7 +36,7 @@
 func (f *Follower) logLag() {
 	now, bound := f.config.Now(), f.config.MaxStaleness
 	if late := f.lag.recordRead(now, bound, f.copy.Revision()); late > 0 {
-		f.config.Log.WithFields(logrus.Fields{"revision": f.copy.Revision(), "late": late.String()}).
+		f.config.Log.WithFields(logrus.Fields{"revision": StoreRevision(f.copy.Revision()), "late": late.String()}).
 			Info("late changes of the platform's values were read")
 	}
 	isFirst, isDue := f.lag.checkLate(now, bound)
@@ -45,7 +45,7 @@
 	}
 	if isDue {
 		f.config.Log.WithFields(logrus.Fields{
-			"revision": f.copy.Revision(), "newest": f.lag.newestRevision(), "late": f.lag.age(now).String(), "failures": f.schedule.Failures(),
+			"revision": StoreRevision(f.copy.Revision()), "newest": StoreRevision(f.lag.newestRevision()), "late": f.lag.age(now).String(), "failures": f.schedule.Failures(),
 		}).Warn("platform's values are old: changes that a peer has read are not known here")
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -25,6 +25,9 @@
 	// ErrCompacted means that the store has dropped the requested changes: all values
 	// must be listed again.
 	ErrCompacted = errors.ConstError("the platform's store has dropped the requested changes")
+	// ErrRestored means that the store was restored from a backup since the requested
+	// revision: all values must be listed again.
+	ErrRestored = errors.ConstError("the platform's store was restored from a backup")
 	// ErrMalformed means that an answer violates the store's protocol.
 	ErrMalformed = errors.ConstError("the platform's store returned a malformed answer")
 )
@@ -33,9 +36,10 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision at the last change of the value.
+	// Revision is the store's revision at the last change of the value, as NewRevision
+	// combines it with the era.
 	Revision uint64
-	// Created is the store's revision at which the key was created.
+	// Created is the store's own revision at which the key was created.
 	Created uint64
 }
 
@@ -71,11 +75,9 @@
 	// several pages may lack values that were added meanwhile, and contain values that
 	// were removed.
 	IsSnapshot bool
-	// Era counts how often the store was restored from a backup; 0 if the store doesn't say.
-	Era uint64
 }
 
-// Store reads the platform's store.
+// Store reads the platform's store. All its revisions are those of NewRevision.
 type Store interface {
 	// List returns all values. It returns ErrUnavailable, ErrTruncated, ErrTooLarge or
 	// ErrMalformed.
@@ -83,6 +85,6 @@
 	// Watch waits for changes after a revision, at most for wait, and returns them with
 	// the revision from which to continue. An answer whose values have more than about
 	// maxBytes bytes is not read. Watch returns ErrUnavailable, ErrTruncated,
-	// ErrCompacted, ErrTooLarge or ErrMalformed.
+	// ErrCompacted, ErrRestored, ErrTooLarge or ErrMalformed.
 	Watch(ctx context.Context, after uint64, wait clock.Millis, maxBytes int) ([]Event, uint64, error)
 }
--- a/mirror/update.go
+++ b/mirror/update.go
@@ -60,7 +60,7 @@
 	for _, e := range events {
 		old := c.items[e.Key]
 		_, isIncluded := included[e.Key]
-		if !e.Gone && !isIncluded && old.Revision <= since && c.hash(e.Item) == c.hashes[e.Key] {
+		if !e.Gone && !isIncluded && !c.endsException(e.Key) && old.Revision <= since && c.hash(e.Item) == c.hashes[e.Key] {
 			continue
 		}
 		included[e.Key] = struct{}{}
@@ -76,6 +76,14 @@
 	return u
 }
 
+// endsException reports whether a write of a key matters although it changes nothing: the value
+// counts only until the grace period ends, or something else counts in its place.
+func (c *Copy) endsException(key string) bool {
+	_, isExpiring := c.expiring[key]
+	_, isCarried := c.carried[key]
+	return isExpiring || isCarried
+}
+
 // sizeOf returns the number of bytes of text in the events.
 func sizeOf(events []Event) int {
 	size := 0
@@ -177,7 +185,7 @@
 // isExpectedRemoval reports whether the removal of a value was expected. It is true for a
 // value that this node doesn't hold.
 func (f *Follower) isExpectedRemoval(key string) bool {
-	old, ok := f.copy.items[key]
+	old, ok := f.copy.effective(key)
 	return !ok || (f.config.ExpectedRemoval != nil && f.config.ExpectedRemoval(old))
 }
 
@@ -209,6 +217,9 @@
 // revision are retained until the gap is filled.
 func (f *Follower) receive(now clock.Millis, received Update) {
 	u, known := received, f.copy.Revision()
+	if EraOf(u.Revision) < EraOf(known) {
+		return // the sender hasn't read the store since it was restored, or knows no eras
+	}
 	events, isComplete := decodeEdits(f.copy, newerThan(u.Events, known))
 	u.Events = events
 	if known < u.Revision {
@@ -221,14 +232,14 @@
 		f.addPending(now, received)
 		return
 	}
-	if f.schedule.Failures() > 0 {
-		f.copy.StoreReturned(now)
-	}
+	f.noteReturn(now, u.Revision)
 	f.copy.Apply(now, f.trustedEvents(now, u), u.Revision)
 	f.revision.Store(f.copy.Revision())
 	f.stats.UpdatesReceived++
 	f.config.Deliver(f.copy.Items(now), true) // a grace period may have ended, even without events
-	f.schedule.Refreshed(now - u.Age)
+	if len(f.copy.carried) == 0 {             // peers don't send the writes that end what is carried here alone
+		f.schedule.Refreshed(now - u.Age)
+	}
 	f.compareDigest(now, &u)
 }
 
@@ -243,6 +254,7 @@
 // this node fills the gap. The changes are applied, but the copy's revision stays, as it
 // is not known to be complete.
 func (f *Follower) receivePartial(now clock.Millis, u Update) {
+	f.copy.startEra(u.Revision)
 	if events := f.trustedEvents(now, u); f.copy.Revision() > 0 && len(events) > 0 {
 		f.copy.Apply(now, events, f.copy.Revision())
 		f.config.Deliver(f.copy.Items(now), true)
--- a/node/platform.go
+++ b/node/platform.go
@@ -32,6 +32,9 @@
 	Table(items []mirror.Item) (*table.Table, bool)
 	// Hash returns a hash of those parts of a value that can change the table.
 	Hash(item mirror.Item) uint64
+	// IsOlder reports whether the content of an offered value is older than that of a held value
+	// of the same key.
+	IsOlder(offered, held mirror.Item) bool
 	// ExpectedRemoval reports whether the removal of a value was expected.
 	ExpectedRemoval(old mirror.Item) bool
 }
@@ -67,7 +70,7 @@
 		config.BytesReceived = counter.Received
 	}
 	if n.tableBuilder != nil {
-		config.Hash, config.ExpectedRemoval = n.tableBuilder.Hash, n.tableBuilder.ExpectedRemoval
+		config.Hash, config.ExpectedRemoval, config.IsOlder = n.tableBuilder.Hash, n.tableBuilder.ExpectedRemoval, n.tableBuilder.IsOlder
 	}
 	if n.settings.Platform.Form == settings.FormTable {
 		config.MaxBackoff = n.settings.Platform.PollInterval
@@ -143,6 +146,22 @@
 
 // announceUpdate sends an update of the platform's values to all nodes with a link.
 func (n *Node) announceUpdate(update mirror.Update) {
+	message, ok := n.packUpdate(update)
+	if !ok {
+		return
+	}
+	if mirror.EraOf(update.Revision) == 0 {
+		n.links.BroadcastUpdate(message, nil)
+		return
+	}
+	n.links.BroadcastUpdate(message, func() *wire.StoreUpdate {
+		plain, _ := n.packUpdate(update.WithoutEra()) // nil if it can't be packed
+		return plain
+	})
+}
+
+// packUpdate returns the message with an update, or false if the update can't be packed.
+func (n *Node) packUpdate(update mirror.Update) (*wire.StoreUpdate, bool) {
 	message := &wire.StoreUpdate{
 		Since: update.Since, Revision: update.Revision, IsTruncated: update.IsTruncated, IsUnavailable: update.IsUnavailable, Age: update.Age,
 		IsListDiff: update.IsListDiff, Bytes: update.Bytes, Digest: update.Digest,
@@ -152,10 +171,10 @@
 		message.Changes, err = wire.Pack(update.Events)
 		if err != nil {
 			n.log.WithError(err).Error("update of the platform's values not sent to peers; packing it failed")
-			return
+			return nil, false
 		}
 	}
-	n.links.BroadcastUpdate(message)
+	return message, true
 }
 
 // PeerStoreUpdate handles another node's update of the platform's values.
@@ -197,17 +216,21 @@
 		n.log.WithFields(logrus.Fields{"values": len(items), "bytes": size}).Warn("peer has no table; the platform's values are too large to send to it")
 		return
 	}
+	n.mu.Lock()
+	p, ok := n.peers[node]
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	if !p.link.Accepts(wire.KindEraUpdate) {
+		items, revision = mirror.WithoutEras(items), mirror.StoreRevision(revision) // the peer's release knows no eras
+	}
 	body, err := wire.Pack(chunkItems(items))
 	if err != nil {
 		n.log.WithError(err).Error("peer has no table; the platform's values can't be packed for it")
 		return
 	}
-	n.mu.Lock()
-	p, ok := n.peers[node]
-	n.mu.Unlock()
-	if ok {
-		p.link.SendTable(&wire.TableVersion{Version: revision, Text: body})
-	}
+	p.link.SendTable(&wire.TableVersion{Version: revision, Text: body})
 }
 
 // maxSeedBytes bounds, in bytes, the values that are sent to a peer. A peer unpacks up to 4
@@ -229,7 +252,7 @@
 		return
 	}
 	if n.follower.Seed(slices.Concat(chunks...), received.Version) {
-		log.WithField("revision", received.Version).Info("platform's values taken over from a peer")
+		log.WithField("revision", mirror.StoreRevision(received.Version)).Info("platform's values taken over from a peer")
 	}
 }
 
@@ -280,7 +303,7 @@
 	stats := metrics.PlatformStats{
 		Answered: metrics.CallStats(s.Answered), Failed: metrics.CallStats(s.Failed), UpdatesReceived: s.UpdatesReceived, CopyErrors: s.CopyErrors,
 		ValuesIgnored: s.ValuesIgnored, Era: s.Era,
-		Revision: n.follower.Revision(), Lag: s.Lag, LateChanges: s.LateChanges,
+		Revision: mirror.StoreRevision(n.follower.Revision()), Lag: s.Lag, LateChanges: s.LateChanges,
 	}
 	if s.IsKnown {
 		stats.IsKnown, stats.Age = true, max(n.clock.Now()-s.KnownAt, 0)
--- a/node/seeding_test.go
+++ b/node/seeding_test.go
@@ -52,6 +52,8 @@
 
 // startNode starts a node that reads the store and builds its table with builder. The test's
 // cleanup stops the node.
+func (fixedTable) IsOlder(mirror.Item, mirror.Item) bool { return false }
+
 func startNode(t *testing.T, name string, l *node.Listeners, s fakeStore, builder fixedTable) *node.Node {
 	t.Helper()
 	log := logging.Silent()
--- a/wire/storeupdate.go
+++ b/wire/storeupdate.go
@@ -26,5 +26,15 @@
 	Digest uint64
 }
 
+// EraUpdate is a StoreUpdate whose revisions include the era of a store that was restored from a
+// backup. Releases that know no eras would take these revisions for the store's own.
+type EraUpdate struct {
+	_      struct{} `cbor:",toarray"`
+	Update StoreUpdate
+}
+
 // Kind implements Message.
 func (*StoreUpdate) Kind() Kind { return KindStoreUpdate }
+
+// Kind implements Message.
+func (*EraUpdate) Kind() Kind { return KindEraUpdate }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -65,6 +65,7 @@
 	KindQuotaGrant
 	KindHungRun
 	KindAnnouncements
+	KindEraUpdate
 )
 
 const (
@@ -73,7 +74,7 @@
 	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
 	// only to peers that state in the handshake that they accept them, so that a new kind
 	// needs no new Format.
-	LastKind = KindAnnouncements
+	LastKind = KindEraUpdate
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -181,6 +182,7 @@
 	KindQuotaGrant:         func() Message { return new(QuotaGrant) },
 	KindHungRun:            func() Message { return new(HungRun) },
 	KindAnnouncements:      func() Message { return new(Announcements) },
+	KindEraUpdate:          func() Message { return new(EraUpdate) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
