gate, entry: a replaced backend server is used again after its predecessor announced to leave

Callers would have lost an upstream for good: a backend server that announces to leave and is then replaced under the same name and address, as tables of this project allow, stayed unused, for gates took the announcement as final and entries kept it for as long as the table named the upstream. Where the table doesn't tell processes apart, the gate now checks twice a second whether the leaving process has ended and another one listens, to which the announcement doesn't apply; entries hold one for two minutes.

TestReplacedBackendServerIsUsedAgain: without the check the gate never leaves that state (timed out after 20 s).

--- a/entry/announcements.go
+++ b/entry/announcements.go
@@ -12,6 +12,10 @@
 // comes back when it does.
 const announcementRetention = 10 * clock.Minute
 
+// leavingRetention is how long an announcement that an upstream leaves holds without another one:
+// longer than processes are given to shut down. Another process may then have its name.
+const leavingRetention = 2 * clock.Minute
+
 // process identifies an upstream's process.
 type process struct {
 	upstream string
@@ -102,8 +106,16 @@
 
 // isLeaving reports whether the upstream gets no new requests, by the instance list, by its gate
 // or by its own responses. The last holds even if its gate has restarted and doesn't know it.
-func (m *member) isLeaving() bool {
-	return m.state.Leaving || m.leaving || (m.announced != nil && m.announced.IsLeaving)
+func (m *member) isLeaving(now clock.Millis) bool {
+	return m.state.Leaving || m.leaving || (m.announced != nil && m.announced.isLeaving(now))
+}
+
+func (a *announced) isLeaving(now clock.Millis) bool {
+	return a.IsLeaving && now < a.leavingUntil()
+}
+
+func (a *announced) leavingUntil() clock.Millis {
+	return a.receivedAt + leavingRetention
 }
 
 // Announcements returns the limits and shutdowns that the upstreams beside a node have announced
@@ -121,12 +133,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.members {
-		if m.upstream.Node != node || m.announced == nil || (!m.announced.IsLimited && !m.announced.IsLeaving) {
+		if m.upstream.Node != node || m.announced == nil || (!m.announced.IsLimited && !m.announced.isLeaving(now)) {
 			continue
 		}
 		all = append(all, wire.Announcement{
 			Upstream: m.upstream.Name, Started: m.upstream.Started, Age: now - m.announced.receivedAt,
-			IsLimited: m.announced.IsLimited, RateLimit: m.announced.RateLimit, IsLeaving: m.announced.IsLeaving,
+			IsLimited: m.announced.IsLimited, RateLimit: m.announced.RateLimit, IsLeaving: m.announced.isLeaving(now),
 		})
 	}
 	return all
--- a/entry/member.go
+++ b/entry/member.go
@@ -104,7 +104,7 @@
 	switch {
 	case m.upstream.Weight == 0:
 		return access.StateOff
-	case m.isLeaving():
+	case m.isLeaving(now):
 		return access.StateLeaving
 	case m.unreachable || m.state.Down:
 		return access.StateUnreachable
--- a/entry/service.go
+++ b/entry/service.go
@@ -48,7 +48,7 @@
 	lowestFailureShare float64 // lowest failure rate among the upstreams in the baseline
 	baselineAt         clock.Millis
 	dirty              bool
-	recheckAt          clock.Millis // when the first ejection ends; 0 if none does
+	recheckAt          clock.Millis // when the first ejection or announcement ends; 0 if none does
 	uses               []floor.Use
 	linkCount          episode.LinkCount
 	membership         *resend.Membership
@@ -268,11 +268,14 @@
 		if end := m.updatedAt + m.state.Until; m.verdict(now) == health.Ejected && (s.recheckAt == 0 || end < s.recheckAt) {
 			s.recheckAt = end
 		}
+		if m.announced != nil && m.announced.isLeaving(now) && (s.recheckAt == 0 || m.announced.leavingUntil() < s.recheckAt) {
+			s.recheckAt = m.announced.leavingUntil()
+		}
 		s.floorMembers = append(s.floorMembers, floor.Member{
 			Capacity:    float64(m.upstream.Weight * m.upstream.Slots),
 			Ejected:     m.isEjected(now, shortEpisodes),
 			Severity:    m.severity(now, shortEpisodes),
-			Leaving:     m.isLeaving(),
+			Leaving:     m.isLeaving(now),
 			Unreachable: m.unreachable || m.state.Down,
 		})
 	}
--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -31,12 +31,36 @@
 	g.announced = a
 	g.log.WithFields(logrus.Fields{"limited": a.IsLimited, "limit": a.RateLimit, "leaving": a.IsLeaving}).Info("backend server announced a change")
 	calls := g.startLeaving(wasLeaving, "backend server")
-	if a.IsLeaving && !wasLeaving && g.config.OnChange != nil {
-		g.config.OnChange()
+	if a.IsLeaving && !wasLeaving {
+		g.notifyChange()
+	}
+	if a.IsLeaving && !g.config.HasProcessNames && g.upstream.Started == 0 {
+		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(false) })
 	}
 	return append(calls, g.applyPace(now)...)
 }
 
+// replacementInterval is how often a gate checks whether a leaving process was replaced. A process
+// takes longer to start, and a check costs the leaving one a connection.
+const replacementInterval = 500 * clock.Millis(1)
+
+// checkReplaced checks whether the process that has announced to leave has ended and another one
+// listens at its address, to which the announcement doesn't apply.
+func (g *Gate) checkReplaced(hasEnded bool) {
+	isGone := g.config.Backend.IsGone()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.leaving || !g.announced.IsLeaving: // the gate is retired, or the table has named another process
+	case hasEnded && !isGone:
+		g.announced, g.hasResponse, g.isTaught = announcement.Announcement{}, false, false
+		g.log.Info("backend server replaced; its predecessor's announcements are void")
+		g.notifyChange()
+	default:
+		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(hasEnded || isGone) })
+	}
+}
+
 // LearnAnnouncement takes over what the backend server has announced to an entry, unless it has
 // announced something to this gate itself. The latest of several limits applies.
 func (g *Gate) LearnAnnouncement(a wire.Announcement) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,6 +94,8 @@
 	Crashes CrashTracker
 	// Refusals may be nil.
 	Refusals RefusalRecorder
+	// HasProcessNames means that a process which replaces the upstream's has another name.
+	HasProcessNames bool
 	// Keys is shared by all gates of a node.
 	Keys *KeyStore
 	// Previous is the gate that an upstream of this name had before, or nil.
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -21,6 +22,7 @@
 	now      clock.Millis
 	named    announcement.Announcement
 	arrivals []clock.Millis
+	isGone   bool
 }
 
 func (b *limitedBackend) Do(_ context.Context, _ *gate.Call) (gate.Response, error) {
@@ -31,7 +33,11 @@
 }
 
 func (*limitedBackend) Probe(string) bool { return true }
-func (*limitedBackend) IsGone() bool      { return false }
+func (b *limitedBackend) IsGone() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isGone
+}
 func (*limitedBackend) Close()            {}
 func (*limitedBackend) ResetConnections() {}
 
@@ -47,10 +53,10 @@
 	b.now += span
 }
 
-func (b *limitedBackend) announce(a announcement.Announcement) {
+func (b *limitedBackend) announceNothing() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.named = a
+	b.named = announcement.Announcement{}
 }
 
 // peak returns the most arrivals in any window that begins at since or later.
@@ -129,7 +135,7 @@
 	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused == 0 || reason != wire.ReasonRateLimit {
 		t.Fatalf("got %d requests refused, the last one as %q; want refusals for the limit", refused, reason)
 	}
-	b.announce(announcement.Announcement{})
+	b.announceNothing()
 	sendFor(g, b, &seq, 10, 4*clock.Second) // until a response omits the limit
 	if refused, reason := sendFor(g, b, &seq, 10, 10*clock.Second); refused != 0 {
 		t.Errorf("got %d requests refused, the last one as %q; want none after the limit has ended", refused, reason)
@@ -171,7 +177,7 @@
 	seq := uint64(0)
 	sendFor(g, b, &seq, 10, clock.Second)
 	c.Upstream.Started++
-	b.announce(announcement.Announcement{})
+	b.announceNothing()
 	g.Update(c.Service, c.Upstream)
 	if refused, reason := sendFor(g, b, &seq, 10, clock.Second); refused != 0 {
 		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
@@ -191,7 +197,7 @@
 	if !g.Status().Leaving {
 		t.Error("got a status without Leaving, want entries notified")
 	}
-	b.announce(announcement.Announcement{})
+	b.announceNothing()
 	if refused, reason := sendFor(g, b, &seq, 10, clock.Minute); refused != 600 || reason != wire.ReasonLeaving {
 		t.Errorf("got %d requests refused, the last one as %q; want all 600 refused as leaving", refused, reason)
 	}
@@ -251,3 +257,33 @@
 		})
 	}
 }
+
+// Guards against a backend server that announces to leave, ends and is started again, and that
+// gets no requests any more because its name and address are the same.
+func TestReplacedBackendServerIsUsedAgain(t *testing.T) {
+	b := &limitedBackend{named: announcement.Announcement{IsLeaving: true}}
+	changed := make(chan struct{}, 8)
+	c := limitedGateConfig(t, b)
+	c.OnChange = func() { changed <- struct{}{} }
+	g := gate.New(c)
+	seq := uint64(0)
+	sendFor(g, b, &seq, 10, clock.Second)
+	b.announceNothing()
+	for _, isGone := range []bool{true, false} {
+		b.mu.Lock()
+		b.isGone = isGone
+		b.mu.Unlock()
+		if isGone {
+			<-time.After(1200 * time.Millisecond) // two checks
+			if !g.Status().Leaving {
+				t.Error("got a status without Leaving before another process listens")
+			}
+		}
+	}
+	for g.Status().Leaving {
+		<-changed
+	}
+	if refused, reason := sendFor(g, b, &seq, 10, clock.Second); refused != 0 {
+		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
+	}
+}
--- a/node/gates.go
+++ b/node/gates.go
@@ -105,6 +105,7 @@
 		DependencyFailed: n.entry.FailedWithin,
 		RequestWork:      n.requestWork,
 		OnHung:           n.notifyHung,
+		HasProcessNames:  n.upstreamHeaders.Instance != "",
 		Keys:             n.keys,
 		Crashes:          gateCrashes{n.crashes},
 		Log:              n.log,
