standin, cmd: stand-ins and the soak learn rate limits, leaving servers and restored platforms

A backend server's stand-in names a rate limit or says that it leaves, and can be replaced by another process; the platform's stand-in keeps a backup, restores it under a new era, with Store-Era in all its answers and 410 for revisions that it doesn't have.

--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -19,6 +19,7 @@
 type session struct {
 	processes map[string]*process
 	loads     map[string]*load
+	limits    map[string]namedLimit // by backend
 	sent      atomic.Int64
 	recorder  outcomeRecorder
 }
@@ -29,6 +30,7 @@
 	return &session{
 		processes: map[string]*process{},
 		loads:     map[string]*load{},
+		limits:    map[string]namedLimit{},
 		recorder:  outcomeRecorder{results: map[string]callerResult{}},
 	}
 }
--- a/cmd/soakplan_test.go
+++ b/cmd/soakplan_test.go
@@ -13,8 +13,11 @@
 type plan struct {
 	random      *rand.Rand
 	crashRandom *rand.Rand // draws which faults are replaced by crashes
-	nodes       int
-	caution     string
+	// statedRandom draws which faults are replaced by those that backend servers and the
+	// platform state themselves.
+	statedRandom *rand.Rand
+	nodes        int
+	caution      string
 	// version is the version of the last published table.
 	version int
 	// leftOut lists the numbers of the faults to leave out.
@@ -48,7 +51,8 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	cautions := []string{"fast", "balanced", "cautious", "brief"}
 	return &plan{
-		random: random, crashRandom: rand.New(rand.NewPCG(seed, 2)), nodes: minNodes + random.IntN(maxNodes-minNodes+1),
+		random: random, crashRandom: rand.New(rand.NewPCG(seed, 2)),
+		statedRandom: rand.New(rand.NewPCG(seed, 3)), nodes: minNodes + random.IntN(maxNodes-minNodes+1),
 		caution: cautions[random.IntN(len(cautions))], leftOut: leftOut,
 	}
 }
@@ -132,17 +136,26 @@
 			if p.crashRandom.IntN(4) == 0 {
 				t = p.drawCrashFault()
 			}
+			if p.statedRandom.IntN(3) == 0 {
+				t = p.drawStatedFault()
+			}
 			isLeftOut := slices.Contains(p.leftOut, number)
 			isTaken := slices.ContainsFunc(open, func(o plannedFault) bool { return o.subject == t.subject })
 			if !isLeftOut && !isTaken {
 				p.addLine("\n# fault %d", number)
 				p.lines = append(p.lines, t.begin...)
 				open = append(open, t)
+				if t.subject == "platform" && len(t.end) == 0 {
+					p.addPublish() // what the rewind loses
+				}
 			}
 			number++
 		case len(open) > 0:
 			i := p.random.IntN(len(open))
 			p.lines = append(p.lines, open[i].end...)
+			if open[i].subject == "platform" && len(open[i].end) == 0 {
+				p.addRewind()
+			}
 			open = slices.Delete(open, i, i+1)
 		}
 		span := minPause + time.Duration(p.random.Int64N(int64(maxPause-minPause)))
@@ -192,6 +205,33 @@
 	}
 }
 
+// drawStatedFault draws a fault that a backend server or the platform states in its answers: a
+// rate limit, that the server leaves (another process takes its place at the end), or that the
+// platform was restored from a backup.
+func (p *plan) drawStatedFault() plannedFault {
+	n := 1 + p.statedRandom.IntN(p.nodes)
+	subject := fmt.Sprintf("backendn%d", n)
+	healthy := []string{fmt.Sprintf("await 200 http://$B%d/healthz", n), fmt.Sprintf("fault $B%d healthy", n)}
+	switch p.statedRandom.IntN(3) {
+	case 0:
+		limit := fmt.Sprintf("limit $B%d %.1f", n, 0.2+5*p.statedRandom.Float64())
+		return plannedFault{subject, []string{limit}, append([]string{fmt.Sprintf("paced $B%d", n)}, healthy...)}
+	case 1:
+		crash := fmt.Sprintf("crash $B%d %dms", n, 1500+p.statedRandom.IntN(1500))
+		return plannedFault{subject, []string{fmt.Sprintf("fault $B%d leaves", n)}, []string{healthy[1], crash, "rest 100ms", healthy[0]}}
+	default:
+		return plannedFault{"platform", []string{"backup $PLATFORM"}, nil}
+	}
+}
+
+// addRewind adds the lines that restore the platform from its backup. The last table is then
+// published again.
+func (p *plan) addRewind() {
+	p.addLine("rewind $PLATFORM")
+	p.addLine("rest 500ms")
+	p.addLine("publish $PLATFORM table %d table%d.toml", p.version, p.version)
+}
+
 // addChecks adds the lines that check the results after all faults have ended.
 func (p *plan) addChecks() {
 	p.addLine("\n# All faults are over: the fleet serves again, the last table is in force, and")
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -19,9 +19,12 @@
 const (
 	publishPath = adminPrefix + "publish"
 	restorePath = adminPrefix + "restore"
+	backupPath  = adminPrefix + "backup"
+	rewindPath  = adminPrefix + "rewind"
 	modePath    = adminPrefix + "mode"
 	callsPath   = adminPrefix + "calls"
 	faultPath   = adminPrefix + "fault"
+	crashPath   = adminPrefix + "crash"
 	ledgerPath  = adminPrefix + "ledger"
 	totalsPath  = adminPrefix + "totals"
 	awaitPath   = adminPrefix + "await"
@@ -33,6 +36,8 @@
 		publishPath: p.adminPublish,
 		restorePath: p.adminRestore,
 		modePath:    p.adminMode,
+		backupPath:  p.adminBackup,
+		rewindPath:  p.adminRewind,
 	}
 	switch {
 	case path == callsPath && ctx.IsGet():
@@ -44,6 +49,16 @@
 	}
 }
 
+func (p *Platform) adminBackup(*fasthttp.RequestCtx) error {
+	p.Backup()
+	return nil
+}
+
+func (p *Platform) adminRewind(*fasthttp.RequestCtx) error {
+	p.Rewind()
+	return nil
+}
+
 // adminAwait answers GET /standin/await?calls=N&wait=10s.
 func (p *Platform) adminAwait(ctx *fasthttp.RequestCtx) {
 	calls, err := countArgument(ctx, "calls")
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -183,6 +183,8 @@
 		b.adminAwait(ctx)
 	case path == faultPath:
 		runPost(ctx, b.adminFault)
+	case path == crashPath:
+		runPost(ctx, b.adminCrash)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -197,6 +199,16 @@
 	return nil
 }
 
+// adminCrash crashes the backend server and restarts it after the time in the argument down.
+func (b *Backend) adminCrash(ctx *fasthttp.RequestCtx) error {
+	var downtime clock.Millis
+	if err := downtime.UnmarshalText(ctx.QueryArgs().Peek("down")); err != nil {
+		return errors.Annotate(err, "reading down")
+	}
+	go b.CrashFor(downtime) // it waits until this handler returns
+	return nil
+}
+
 // adminAwait answers GET /standin/await?begun=N&ended=N&refused=N&wait=10s.
 func (b *Backend) adminAwait(ctx *fasthttp.RequestCtx) {
 	var minCounts [3]uint64
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -60,13 +61,14 @@
 // snapshot holds the items and the history of a platform at one revision.
 type snapshot struct {
 	revision  uint64
+	era       uint64 // how often the platform was rewound
 	compacted uint64 // the history has no changes up to this revision
 	items     map[string]PlatformItem
 	history   []PlatformItem
 }
 
 func (s *snapshot) clone() snapshot {
-	copied := snapshot{revision: s.revision, compacted: s.compacted, items: map[string]PlatformItem{}, history: slices.Clone(s.history)}
+	copied := snapshot{revision: s.revision, era: s.era, compacted: s.compacted, items: map[string]PlatformItem{}, history: slices.Clone(s.history)}
 	for key, item := range s.items {
 		copied.items[key] = item
 	}
@@ -85,6 +87,8 @@
 	delay        clock.Millis
 	current      snapshot
 	frozen       snapshot // served in mode Stale
+	backup       snapshot
+	backupOf     map[string]uint64 // the versions as of the backup
 	versions     map[string]uint64
 	changed      broadcast // notified when a value or the mode changes
 	calls        uint64
@@ -106,6 +110,7 @@
 		current:  snapshot{revision: 1, items: map[string]PlatformItem{}},
 		versions: map[string]uint64{},
 	}
+	p.backup, p.backupOf = p.current.clone(), map[string]uint64{}
 	go serve(ln, p.handle)
 	return p, nil
 }
@@ -173,6 +178,24 @@
 	p.changed.notify()
 }
 
+// Backup keeps a copy of all values for Rewind.
+func (p *Platform) Backup() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup, p.backupOf = p.current.clone(), maps.Clone(p.versions)
+}
+
+// Rewind restores all values from the last Backup, or from the empty state without one. What was
+// written since is lost, its revisions are given out again, and the era rises by one.
+func (p *Platform) Rewind() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	era := p.current.era + 1
+	p.current, p.versions = p.backup.clone(), maps.Clone(p.backupOf)
+	p.current.era = era
+	p.changed.notify()
+}
+
 // SetMode changes how calls are answered, including watches that are waiting.
 func (p *Platform) SetMode(mode PlatformMode) {
 	p.mu.Lock()
--- a/standin/platformread.go
+++ b/standin/platformread.go
@@ -11,6 +11,9 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 )
 
+// EraHeader carries, in all answers of a platform, how often it was rewound.
+const EraHeader = "Store-Era"
+
 // pageSize is the maximum number of items on one page of a list.
 const pageSize = 50
 
@@ -78,6 +81,7 @@
 	p.mu.Lock()
 	now := p.currentView()
 	response := body(now)
+	setEra(ctx, now.contents)
 	p.mu.Unlock()
 	if !p.applyMode(ctx, now, gone) {
 		return false
@@ -119,6 +123,11 @@
 	}
 }
 
+// setEra sets the header that carries the era of an answer.
+func setEra(ctx *fasthttp.RequestCtx, s *snapshot) {
+	ctx.Response.Header.Set(EraHeader, strconv.FormatUint(s.era, 10))
+}
+
 // page is the body of an answer to /kv-range.
 type page struct {
 	Items         []PlatformItem `json:"items"`
@@ -154,7 +163,7 @@
 }
 
 // since returns the changes to keys with the prefix after a revision, and false if some of
-// these changes were compacted away.
+// these changes were compacted away or the revision was lost in a Rewind.
 func (s *snapshot) since(prefix string, after uint64) (changes, bool) {
 	out := changes{Events: []PlatformItem{}, StoreRevision: s.revision}
 	for _, item := range s.history {
@@ -162,7 +171,7 @@
 			out.Events = append(out.Events, item)
 		}
 	}
-	return out, after >= s.compacted
+	return out, after >= s.compacted && after <= s.revision
 }
 
 // watch answers once there are changes after a revision, or after waitMs. It returns false
@@ -184,6 +193,7 @@
 		p.mu.Lock()
 		now := p.currentView()
 		found, isKept := now.contents.since(prefix, after)
+		setEra(ctx, now.contents)
 		p.mu.Unlock()
 		isWaiting := isKept && len(found.Events) == 0 && now.holdsWatch()
 		if isWaiting {
