entry: requests that a gate admits don't use up this entry's share of a rate limit

Found by reading: each request to a limited upstream took a token of the entry's own share, also where the gate keeps the limit and the share isn't asked. Only requests that the share admits take from it.

--- a/entry/announcements.go
+++ b/entry/announcements.go
@@ -61,10 +61,16 @@
 	a.share.Limit(now, max(a.RateLimit, limit.MinPace)/float64(max(senders, 1)), start)
 }
 
-// isWithinShare reports whether this entry may send a request to the upstream. A gate that keeps
-// the rate limit decides that itself, for all entries. The caller holds s.mu.
+// keepsShare reports whether this entry must keep to its share of the upstream's rate limit. A
+// gate that keeps the limit admits requests of all entries itself.
+func (m *member) keepsShare() bool {
+	return m.announced != nil && m.announced.IsLimited && !m.gate.KeepsRateLimits()
+}
+
+// isWithinShare reports whether this entry may send a request to the upstream. The caller holds
+// s.mu.
 func (s *service) isWithinShare(now clock.Millis, m *member) bool {
-	if m.announced == nil || !m.announced.IsLimited || m.gate.KeepsRateLimits() {
+	if !m.keepsShare() {
 		return true
 	}
 	m.gate.EnsureLink() // an open link tells whether the gate keeps the limit
@@ -79,7 +85,7 @@
 	if !s.isWithinShare(now, m) {
 		return false
 	}
-	if m.announced != nil {
+	if m.keepsShare() {
 		m.announced.share.Take()
 	}
 	return true
