mirror: nodes wait until one of them has listed a restored store, and start without a grace period

Found by reading. After an outage and a restore 17 of 24 nodes listed all values, for the wait for those that read ahead ended with the poll that was due anyway; at 2,400 nodes the store would refuse most of it. A node now waits as long as the longest backoff of the others, and the spread by nodes. And a node that reads the store for the first time, in any era, took it for restored and kept what was removed in its first two seconds in use.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -267,7 +267,7 @@
 		return false
 	}
 	f.awaitsRestored = true
-	f.schedule.PollSoon(f.config.Now())
+	f.schedule.AwaitPeer(f.config.Now())
 	return true
 }
 
@@ -368,7 +368,7 @@
 // returned from an outage or was restored, as an answer or an update of the given revision
 // shows. f.mu is held.
 func (f *Follower) noteReturn(now clock.Millis, revision uint64) {
-	isRestored := EraOf(revision) > EraOf(f.copy.Revision())
+	isRestored := f.copy.Revision() > 0 && EraOf(revision) > EraOf(f.copy.Revision())
 	if isRestored {
 		f.awaitsRestored = false
 	}
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -191,6 +191,14 @@
 	p.due = min(p.due, now+clock.Millis(p.random.Int64N(int64(p.urgentSpread()))))
 }
 
+// AwaitPeer postpones a call that is due until the nodes that read ahead of the others have called
+// the store, also if they are in their longest backoff.
+func (p *PollSchedule) AwaitPeer(now clock.Millis) {
+	p.isUrgent = true
+	longestBackoff := p.config.MaxBackoff / 2 * 3
+	p.due = now + longestBackoff + clock.Millis(p.random.Int64N(int64(p.urgentSpread())))
+}
+
 // urgentSpread returns the time over which nodes that must read soon spread their calls.
 func (p *PollSchedule) urgentSpread() clock.Millis {
 	return max(minUrgentSpread, clock.Millis(p.nodes)*urgentSpreadPerNode)
