--- a/limit/slots.go
+++ b/limit/slots.go
@@ -183,8 +183,9 @@
 }
 
 // SetPace limits how many requests per second get a slot, but to no less than MinPace. What was
-// sent before the first limit earns no burst. Requests that have a slot are not affected. It returns the tickets of waiters that now have a slot. The next
-// Expire returns the waiters whose turn would come too late.
+// sent before the first limit earns no burst, and requests that have a slot keep it. SetPace
+// returns the tickets of waiters that now have a slot; the next Expire returns the waiters whose
+// turn would come too late.
 func (s *Slots) SetPace(now clock.Millis, rate float64) []uint64 {
 	s.advance(now)
 	s.pace.Limit(now, max(rate, MinPace), 0)
--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// CountWrong returns the number of values for which a list shows that the copy is wrong.
-// It is called before the list is applied, and the list must be of the copy's era. It counts the values that the copy lacks or
+// CountWrong returns the number of values for which a list of the copy's era shows that the copy
+// is wrong. It is called before the list is applied. It counts the values that the copy lacks or
 // holds in an older state although the copy's revision covers them. If the store hasn't
 // changed since that revision, it also counts the values that are no longer in the store.
 func (c *Copy) CountWrong(items []Item, revision uint64) int {
