gate: a refusal that names no rate limit doesn't end one

A refusal may come from a part of the backend server that knows no limit, as from its queue; callers' requests would then reach a server in need without any bound until its next response. Not seen; found by reading. A limit ends with a response to a request that was run. TestRefusalWithoutALimitEndsNone fails without it.

--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -11,9 +11,13 @@
 )
 
 // recordAnnouncement records what the backend server states about itself in a response, and
-// applies it. It is called with the gate's lock held and returns the calls to make after the
-// lock is released.
-func (g *Gate) recordAnnouncement(now clock.Millis, a announcement.Announcement) []func() {
+// applies it. A refusal that names no limit doesn't end one, because it may come from a part of
+// the backend server that knows none. recordAnnouncement is called with the gate's lock held and
+// returns the calls to make after the lock is released.
+func (g *Gate) recordAnnouncement(now clock.Millis, a announcement.Announcement, isRefusal bool) []func() {
+	if isRefusal && !a.IsLimited {
+		a.IsLimited, a.RateLimit = g.announced.IsLimited, g.announced.RateLimit
+	}
 	if a.Malformed != "" {
 		g.log.WithField("limit", a.Malformed).Warn("rate limit of the backend server ignored; it isn't a number of requests per second")
 	}
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -23,12 +23,23 @@
 	named    announcement.Announcement
 	arrivals []clock.Millis
 	isGone   bool
+	isFull   bool
+}
+
+// refuses sets whether the backend server refuses all requests.
+func (b *limitedBackend) refuses(isFull bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isFull = isFull
 }
 
 func (b *limitedBackend) Do(_ context.Context, _ *gate.Call) (gate.Response, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivals = append(b.arrivals, b.now)
+	if b.isFull {
+		return gate.Response{Status: 503, Shed: true, Overloaded: true, Announcement: b.named, HasAnnouncement: true}, nil
+	}
 	return gate.Response{Status: 200, Announcement: b.named, HasAnnouncement: true}, nil
 }
 
@@ -287,3 +298,22 @@
 		t.Errorf("got %d requests refused, the last one as %q; want none", refused, reason)
 	}
 }
+
+// Guards against a limit that a refusal ends, though the backend server still needs it.
+func TestRefusalWithoutALimitEndsNone(t *testing.T) {
+	b := &limitedBackend{named: announcement.Announcement{IsLimited: true, RateLimit: 0.5}}
+	g := gate.New(limitedGateConfig(t, b))
+	seq := uint64(0)
+	sendFor(g, b, &seq, 10, clock.Second)
+	b.announceNothing()
+	b.refuses(true)
+	sendFor(g, b, &seq, 10, 10*clock.Second)
+	if got := g.MetricsState(); !got.IsLimited || got.RateLimit != 0.5 {
+		t.Errorf("got limited %v to %v, want the limit of 0.5 a second", got.IsLimited, got.RateLimit)
+	}
+	b.refuses(false)
+	sendFor(g, b, &seq, 10, 4*clock.Second)
+	if g.MetricsState().IsLimited {
+		t.Error("got a limit after a response without one, want none")
+	}
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -124,7 +124,7 @@
 	if isCurrent {
 		g.observeRun(now, j, response, err)
 		if response.HasAnnouncement {
-			calls = g.recordAnnouncement(now, response.Announcement)
+			calls = g.recordAnnouncement(now, response.Announcement, response.Shed)
 		}
 	}
 	if isCurrent {
