gate: the rate limit of a replaced process ends with it

Found by reading: a gate that saw its leaving backend server replaced forgot what the process had announced, but left its limit on the slots, and callers were refused until a response without a limit. What is announced and what is kept of it are now cleared in one place, for restarts, too.

--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -52,17 +52,26 @@
 // listens at its address, to which the announcement doesn't apply.
 func (g *Gate) checkReplaced(hasEnded bool) {
 	isGone := g.config.Backend.IsGone()
+	var calls []func()
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	switch {
 	case g.leaving || !g.announced.IsLeaving: // the gate is retired, or the table has named another process
 	case hasEnded && !isGone:
-		g.announced, g.hasResponse, g.isTaught = announcement.Announcement{}, false, false
 		g.log.Info("backend server replaced; its predecessor's announcements are void")
+		calls = g.forgetAnnouncement(g.config.Now())
 		g.notifyChange()
 	default:
 		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(hasEnded || isGone) })
 	}
+	g.mu.Unlock()
+	callAll(calls)
+}
+
+// forgetAnnouncement forgets what the previous process has announced. It is called with the gate's
+// lock held and returns the calls to make after the lock is released.
+func (g *Gate) forgetAnnouncement(now clock.Millis) []func() {
+	g.announced, g.hasResponse, g.isTaught = announcement.Announcement{}, false, false
+	return g.applyPace(now)
 }
 
 // LearnAnnouncement takes over what the backend server has announced to an entry, unless it has
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/health"
@@ -19,7 +18,6 @@
 func (g *Gate) restart(now clock.Millis) []func() {
 	g.generation++
 	g.crash, g.succeeded = crashState{}, nil
-	g.announced, g.hasResponse, g.isTaught = announcement.Announcement{}, false, false
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
 	g.config.Backend.ResetConnections()
@@ -31,7 +29,7 @@
 		}
 	}
 	calls := g.startWaiters(now, g.slots.Restart(runs))
-	return append(calls, g.startWaiters(now, g.slots.ClearPace(now))...)
+	return append(calls, g.forgetAnnouncement(now)...)
 }
 
 // startWaiters gives slots to the waiters with the given tickets. It is called with the gate's
