node, link: a leaving node waits until peers have its last replies

Callers got an unknown outcome for requests that had run: a leaving node takes a request for finished when its reply is handed to a link, and closes all links 0.3 s later, with what is still to be written. The node now ends its shutdown with a heartbeat on every link: a peer that confirms it has received all replies before it. A peer that has replaced its link asks for its replies again, so the node repeats that until no reply was sent meanwhile. The grace bounds it, as before.

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -49,20 +49,20 @@
 		s.mu.Lock()
 		address := s.nodes[i%len(s.nodes)]
 		s.mu.Unlock()
-		outcome, err := sendOnce(client, address, i%2 == 0)
+		outcome, reason, err := sendOnce(client, address, i%2 == 0)
 		s.mu.Lock()
 		if err == nil && outcome == string(access.Served) {
 			s.served++
 		} else {
-			s.failed = append(s.failed, fmt.Sprintf("%s: %q %v", address, outcome, err))
+			s.failed = append(s.failed, fmt.Sprintf("%s: %q %q %v", address, outcome, reason, err))
 		}
 		s.mu.Unlock()
 	}
 }
 
 // sendOnce sends one request on a connection of its own, a POST if write is set, and
-// returns its outcome.
-func sendOnce(client *fasthttp.Client, address string, write bool) (outcome string, err error) {
+// returns its outcome and the reason for it.
+func sendOnce(client *fasthttp.Client, address string, write bool) (outcome, reason string, err error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -72,7 +72,7 @@
 		request.Header.SetMethod(fasthttp.MethodPost)
 	}
 	err = client.DoTimeout(request, response, waitTimeout)
-	return string(response.Header.Peek(entry.HeaderOutcome)), err
+	return string(response.Header.Peek(entry.HeaderOutcome)), string(response.Header.Peek(entry.HeaderReason)), err
 }
 
 func (s *steadyLoad) setNodes(nodes []string) {
@@ -243,6 +243,39 @@
 	}
 }
 
+// Guards against a leaving node that closes its links while a reply still waits to be written to
+// a slow one: the request has run, and its caller would receive the outcome "unknown".
+func TestLeavingNodeWaitsForRepliesInTransit(t *testing.T) {
+	const size = 16_000_000 // more than the kernel buffers on the way
+	table := newTable(1)
+	table.Services[0].Deadline = 20 * clock.Second
+	f := startFleet(t, fleet.Config{
+		Table: table, ServiceTime: 300, LinkRelays: true, Adjust: func(s *settings.Settings) { s.Limits.Answer = 2 * size },
+	})
+	gateNode, backend := f.Members[0], f.Backends["conferme-1"]
+	entryNode, err := f.AddMember(t.Context(), "far", "catania")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-entryNode.Node.InForce()
+	done := make(chan answer, 1)
+	go func() { done <- send(t, "POST", entryNode.Caller, fmt.Sprintf("/conferme/turno?size=%d", size), "") }()
+	awaitTotals(t, backend, begunAtLeast(1))
+	gateNode.Node.Leave()
+	waitUntil(t, "leaving announced", func() bool { return !gateNode.Node.Ready() })
+	gateNode.LinkRelay.SetMode(standin.Freeze)
+	awaitTotals(t, backend, func(totals standin.Totals) bool { return totals.Served > 0 })
+	select {
+	case <-gateNode.Done():
+		t.Error("got a node that ended, want it to wait for its reply")
+	case <-time.After(time.Second):
+	}
+	gateNode.LinkRelay.SetMode(standin.Pass)
+	if got := <-done; got.outcome != string(access.Served) || got.body != string(standin.AnswerBody(got.id, size)) {
+		t.Errorf("got outcome %q (%s) and %d bytes, want the whole answer", got.outcome, got.reason, len(got.body))
+	}
+}
+
 // Callers continue to send to a leaving node, as their list of nodes is seconds old.
 // Guards against the node accepting requests in the second half of its grace period,
 // which it can't finish: the process would end with requests in flight.
@@ -261,7 +294,7 @@
 				case <-stop:
 					return
 				default:
-					_, _ = sendOnce(&fasthttp.Client{}, leaving.Caller, false) // fails once the port is closed
+					_, _, _ = sendOnce(&fasthttp.Client{}, leaving.Caller, false) // fails once the port is closed
 				}
 			}
 		})
--- a/link/server.go
+++ b/link/server.go
@@ -75,6 +75,8 @@
 	// sent to any of them in turn.
 	entries   []uint64
 	nextIndex int
+	// lastReplyAt is when the last reply was sent.
+	lastReplyAt clock.Millis
 }
 
 // NewServer returns a server. Serve must be called to accept links.
@@ -141,6 +143,13 @@
 	return true
 }
 
+// RepliedSince reports whether a reply was sent at since or later.
+func (s *Server) RepliedSince(since clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastReplyAt >= since
+}
+
 // OpenLinks returns how many links are open.
 func (s *Server) OpenLinks() int {
 	s.mu.Lock()
@@ -211,6 +220,7 @@
 func (s *Server) SendReply(entry uint64, r *wire.Reply) {
 	s.mu.Lock()
 	c, ok := s.latestConns[entry]
+	s.lastReplyAt = s.config.Now()
 	s.mu.Unlock()
 	if !ok {
 		return
--- a/node/leave.go
+++ b/node/leave.go
@@ -48,7 +48,8 @@
 // drain finishes the requests in flight. Gates immediately refuse new requests, and entries
 // send these to other nodes. Callers are served by upstreams of other nodes until no request
 // has come for idleWindow or callerDrainTimeout is over; then the caller port closes, and the
-// requests that were accepted are finished. Requests that outlast the grace period are cut.
+// requests that were accepted are finished, until peers have confirmed the last replies. Requests
+// that outlast the grace period are cut.
 func (n *Node) drain(ctx context.Context) {
 	n.entry.Leave()
 	left := n.clock.Now()
@@ -68,6 +69,26 @@
 	}
 	if err := n.awaitIdle(ctx, n.InFlight); err != nil {
 		n.log.WithFields(logrus.Fields{"requests": n.InFlight()}).Warn("grace is over; requests are cut")
+		return
+	}
+	if err := n.awaitReplies(ctx); err != nil {
+		n.log.Warn("grace is over; a peer has not confirmed the last replies")
+	}
+}
+
+// awaitReplies waits until all peers with a link have confirmed a heartbeat sent after the last
+// reply. A reply may wait to be written to a slow link, and a peer that replaces the link asks for
+// it again.
+func (n *Node) awaitReplies(ctx context.Context) error {
+	for {
+		sentAt := n.clock.Now()
+		n.links.BroadcastHeartbeat()
+		if err := n.awaitPeers(ctx, sentAt); err != nil {
+			return err
+		}
+		if !n.links.RepliedSince(sentAt) {
+			return nil
+		}
 	}
 }
 
@@ -85,9 +106,10 @@
 	}
 }
 
-// awaitPeers waits until all peers with a link have confirmed a heartbeat sent since the node
-// began to leave. Otherwise a request that an entry sent earlier over a slow link would
-// arrive after the link is closed, and its caller would get an unknown outcome.
+// awaitPeers waits until all peers with a link have confirmed a heartbeat sent since the given
+// time. What they sent before has then arrived here, and what was sent to them before has arrived
+// there. Otherwise a request or a reply on a slow link would be lost with the link, and its caller
+// would get an unknown outcome.
 func (n *Node) awaitPeers(ctx context.Context, since clock.Millis) error {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
