entry, gate: gates decide when an announced shutdown is over

Callers were refused (no-upstream) for up to two minutes after all backend servers of a service had announced to leave and other processes had taken their places: the gates knew, but an entry that had forwarded the announcements held to them by itself. An entry now goes by the announcement itself only while no link is open to a gate that keeps announcements, and asks for such a link; over it the gate is told first and refuses by itself. In a gate an announcement lapses after two minutes where processes have no names of their own, for a replacement may be missed.

--- a/announcement/announcement.go
+++ b/announcement/announcement.go
@@ -7,6 +7,8 @@
 import (
 	"math"
 	"strconv"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 // Headers are the names of the response headers that carry announcements. A header with an
@@ -20,6 +22,11 @@
 	Leaving string
 }
 
+// LeavingRetention is how long an announcement that a backend server leaves holds without another
+// one, where its process isn't known by name: longer than processes are given to shut down.
+// Another process may then have taken its place unnoticed.
+const LeavingRetention = 2 * clock.Minute
+
 // leavingValue is the value of Headers.Leaving in the responses of a leaving backend server.
 const leavingValue = "1"
 
--- a/capacity/entry.go
+++ b/capacity/entry.go
@@ -86,8 +86,8 @@
 // Abandon sends nothing.
 func (instantGateClient) Abandon(wire.RequestID, uint8) {}
 
-// KeepsRateLimits returns true.
-func (instantGateClient) KeepsRateLimits() bool { return true }
+// KeepsAnnouncements returns true.
+func (instantGateClient) KeepsAnnouncements() bool { return true }
 
 // EnsureLink does nothing, because the client has no link.
 func (instantGateClient) EnsureLink() {}
--- a/entry/announcements.go
+++ b/entry/announcements.go
@@ -12,9 +12,9 @@
 // comes back when it does.
 const announcementRetention = 10 * clock.Minute
 
-// leavingRetention is how long an announcement that an upstream leaves holds without another one:
-// longer than processes are given to shut down. Another process may then have its name.
-const leavingRetention = 2 * clock.Minute
+// gateRecheckInterval is how soon an entry checks again whether a gate can say itself that its
+// upstream leaves: a link opens within some milliseconds.
+const gateRecheckInterval = 100 * clock.Millis(1)
 
 // process identifies an upstream's process.
 type process struct {
@@ -64,7 +64,7 @@
 // keepsShare reports whether this entry must keep to its share of the upstream's rate limit. A
 // gate that keeps the limit admits requests of all entries itself.
 func (m *member) keepsShare() bool {
-	return m.announced != nil && m.announced.IsLimited && !m.gate.KeepsRateLimits()
+	return m.announced != nil && m.announced.IsLimited && !m.gate.KeepsAnnouncements()
 }
 
 // isWithinShare reports whether this entry may send a request to the upstream. The caller holds
@@ -111,17 +111,20 @@
 }
 
 // isLeaving reports whether the upstream gets no new requests, by the instance list, by its gate
-// or by its own responses. The last holds even if its gate has restarted and doesn't know it.
+// or by its own responses.
 func (m *member) isLeaving(now clock.Millis) bool {
-	return m.state.Leaving || m.leaving || (m.announced != nil && m.announced.isLeaving(now))
+	return m.state.Leaving || m.leaving || m.isLeavingUnconfirmed(now)
 }
 
-func (a *announced) isLeaving(now clock.Millis) bool {
-	return a.IsLeaving && now < a.leavingUntil()
+// isLeavingUnconfirmed reports whether the upstream has announced to leave and no gate is known to
+// keep that. A gate that does refuses requests itself, until another process has taken the place
+// of the upstream's.
+func (m *member) isLeavingUnconfirmed(now clock.Millis) bool {
+	return m.announced != nil && m.announced.isLeaving(now) && !m.gate.KeepsAnnouncements()
 }
 
-func (a *announced) leavingUntil() clock.Millis {
-	return a.receivedAt + leavingRetention
+func (a *announced) isLeaving(now clock.Millis) bool {
+	return a.IsLeaving && now-a.receivedAt < announcement.LeavingRetention
 }
 
 // Announcements returns the limits and shutdowns that the upstreams beside a node have announced
--- a/entry/announcements_test.go
+++ b/entry/announcements_test.go
@@ -25,10 +25,11 @@
 }
 
 // Guards against requests that an entry sends to an upstream after forwarding its response that
-// it leaves, because the gate beside it has restarted and doesn't know that.
+// it leaves, because the gate beside it has restarted and doesn't know that: it is of an older
+// release, or there is no link yet over which the entry would tell it first.
 func TestLeavingUpstreamStaysUnusedAfterItsGateRestarts(t *testing.T) {
 	for _, methods := range [][]string{{}, {table.AnyMethod}} {
-		first, second := &fakeGate{name: "first"}, &fakeGate{name: "second"}
+		first, second := &fakeGate{name: "first", ignoresLimits: true}, &fakeGate{name: "second"}
 		e := newRouteEntry(t, methods, first, second)
 		announce(first, announcementHeaders.Leaving, "1")
 		for first.dispatched == 0 {
@@ -43,6 +44,27 @@
 	}
 }
 
+// Guards against callers that are refused because all upstreams have announced to leave and were
+// replaced, which their gates know and their entry doesn't.
+func TestReplacedUpstreamsAreUsedAgain(t *testing.T) {
+	for _, caution := range []table.Caution{table.Fast, table.ShortEpisodes} {
+		first, second := &fakeGate{name: "first"}, &fakeGate{name: "second"}
+		e := newServiceEntry(t, table.Service{Name: "conferme", Caution: caution, Floor: 0.3, Deadline: clock.Minute}, nil, first, second)
+		announce(first, announcementHeaders.Leaving, "1")
+		announce(second, announcementHeaders.Leaving, "1")
+		for first.dispatched == 0 || second.dispatched == 0 {
+			post(e)
+		}
+		for _, name := range []string{"first", "second"} {
+			e.UpdateUpstream(wire.Upstream{Name: name, Share: 1, Leaving: true})
+			e.UpdateUpstream(wire.Upstream{Name: name, Share: 1})
+		}
+		if status, by := post(e); status != 200 {
+			t.Errorf("%v: got %d from %q, want 200", caution, status, by)
+		}
+	}
+}
+
 // Guards against a restarted gate that isn't told the limits that an entry knows, or is told
 // limits of other nodes' upstreams or such that have ended.
 func TestEntryTellsWhatUpstreamsOfANodeHaveAnnounced(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,9 +47,9 @@
 	// that the gate couldn't be asked. If ProbeCapacity returns an error, nothing was
 	// asked.
 	ProbeCapacity(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) error
-	// KeepsRateLimits reports whether the gate is known to keep its upstream's rate limit.
-	// Gates of older releases don't.
-	KeepsRateLimits() bool
+	// KeepsAnnouncements reports whether a link is open to a gate that keeps what its upstream
+	// has announced, and was told first what this entry knows. Gates of older releases don't.
+	KeepsAnnouncements() bool
 	// ReleaseReservation releases a slot that was asked for.
 	ReleaseReservation(r *wire.ReleaseReservation)
 	// RevokeKey asks the node for the status of a resend's idempotency key and revokes
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -98,7 +98,7 @@
 	d.linkRequests++
 }
 
-func (d *fakeGate) KeepsRateLimits() bool { return !d.ignoresLimits }
+func (d *fakeGate) KeepsAnnouncements() bool { return !d.ignoresLimits }
 
 func (*fakeGate) Resolve(wire.RequestID, uint8)       {}
 func (*fakeGate) Forget(wire.RequestID, uint8)        {}
--- a/entry/service.go
+++ b/entry/service.go
@@ -48,7 +48,7 @@
 	lowestFailureShare float64 // lowest failure rate among the upstreams in the baseline
 	baselineAt         clock.Millis
 	dirty              bool
-	recheckAt          clock.Millis // when the first ejection or announcement ends; 0 if none does
+	recheckAt          clock.Millis // when an ejection ends or a gate is to be checked again; 0 for never
 	uses               []floor.Use
 	linkCount          episode.LinkCount
 	membership         *resend.Membership
@@ -268,8 +268,9 @@
 		if end := m.updatedAt + m.state.Until; m.verdict(now) == health.Ejected && (s.recheckAt == 0 || end < s.recheckAt) {
 			s.recheckAt = end
 		}
-		if m.announced != nil && m.announced.isLeaving(now) && (s.recheckAt == 0 || m.announced.leavingUntil() < s.recheckAt) {
-			s.recheckAt = m.announced.leavingUntil()
+		if m.isLeavingUnconfirmed(now) {
+			m.gate.EnsureLink()
+			s.recheckAt = now + gateRecheckInterval
 		}
 		s.floorMembers = append(s.floorMembers, floor.Member{
 			Capacity:    float64(m.upstream.Weight * m.upstream.Slots),
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -86,3 +86,27 @@
 	s.group.Wait()
 	check(t)
 }
+
+// Guards against a node that restarts and lets requests through to a backend server that has
+// announced to leave, from an entry that has forwarded the announcement.
+func TestAnnouncedLeavingHoldsThroughARestartOfTheNodeBesideIt(t *testing.T) {
+	f := startFleet(t, fleet.Config{Table: newTable(2), ServiceTime: 20})
+	leaving, entryNode := f.Backends["conferme-1"], f.Members[1]
+	leaving.SetFault(standin.Fault{Kind: standin.Leaves})
+	for send(t, "POST", entryNode.Caller, "/conferme/turno", "").backend != "conferme-1" {
+		continue // until the entry has forwarded the announcement
+	}
+	before := len(leaving.Ledger())
+	if err := f.Replace(t.Context(), f.Members[0]); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if got := send(t, "POST", entryNode.Caller, "/conferme/turno", ""); got.status != 200 || got.backend != "conferme-2" {
+			t.Fatalf("got %d from %q (%s), want 200 from conferme-2", got.status, got.backend, got.reason)
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	if got := len(leaving.Ledger()) - before; got != 0 {
+		t.Errorf("got %d requests at the leaving backend server after the restart, want none", got)
+	}
+}
--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -21,7 +21,7 @@
 	if a.Malformed != "" {
 		g.log.WithField("limit", a.Malformed).Warn("rate limit of the backend server ignored; it isn't a number of requests per second")
 	}
-	g.hasResponse = true
+	g.hasResponse, g.announcedAt = true, now
 	return g.setAnnounced(now, g.announced.Follow(a))
 }
 
@@ -49,14 +49,15 @@
 const replacementInterval = 500 * clock.Millis(1)
 
 // checkReplaced checks whether the process that has announced to leave has ended and another one
-// listens at its address, to which the announcement doesn't apply.
+// listens at its address, to which the announcement doesn't apply. It assumes so after
+// announcement.LeavingRetention; a process that still leaves then says so again.
 func (g *Gate) checkReplaced(hasEnded bool) {
 	isGone := g.config.Backend.IsGone()
 	var calls []func()
 	g.mu.Lock()
 	switch {
 	case g.leaving || !g.announced.IsLeaving: // the gate is retired, or the table has named another process
-	case hasEnded && !isGone:
+	case hasEnded && !isGone, g.config.Now()-g.announcedAt >= announcement.LeavingRetention:
 		g.log.Info("backend server replaced; its predecessor's announcements are void")
 		calls = g.forgetAnnouncement(g.config.Now())
 		g.notifyChange()
@@ -84,8 +85,8 @@
 		return
 	}
 	next := announcement.Announcement{IsLimited: g.announced.IsLimited, RateLimit: g.announced.RateLimit, IsLeaving: a.IsLeaving || g.announced.IsLeaving}
-	if respondedAt := now - a.Age; !g.isTaught || respondedAt > g.taughtAt {
-		g.isTaught, g.taughtAt = true, respondedAt
+	if respondedAt := now - a.Age; !g.isTaught || respondedAt > g.announcedAt {
+		g.isTaught, g.announcedAt = true, respondedAt
 		next.IsLimited, next.RateLimit = a.IsLimited, a.RateLimit
 	}
 	calls := g.setAnnounced(now, next)
@@ -100,10 +101,10 @@
 		return
 	}
 	previous.mu.Lock()
-	announced, hasResponse, u := previous.announced, previous.hasResponse, previous.upstream
+	announced, announcedAt, hasResponse, u := previous.announced, previous.announcedAt, previous.hasResponse, previous.upstream
 	previous.mu.Unlock()
 	if u.Address == g.upstream.Address && u.Started == g.upstream.Started {
-		g.hasResponse = hasResponse
+		g.hasResponse, g.announcedAt = hasResponse, announcedAt
 		callAll(g.setAnnounced(g.createdAt, announced)) // no request waits yet, so there are no calls
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -138,11 +138,10 @@
 	// announced is what the backend server last stated about itself. pacedTimer is set while
 	// a waiter waits only for the backend server's rate limit.
 	announced announcement.Announcement
-	// hasResponse means that announced comes from a response that this gate has received.
-	// Otherwise isTaught means that entries have told this gate of a response, of which the
-	// latest arrived at taughtAt.
+	// announcedAt is when the response arrived that announced comes from. hasResponse means
+	// that it arrived here, otherwise isTaught that entries have told this gate of it.
+	announcedAt           clock.Millis
 	hasResponse, isTaught bool
-	taughtAt              clock.Millis
 	pacedTimer            *time.Timer
 	crash                 crashState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
--- a/link/peer.go
+++ b/link/peer.go
@@ -149,9 +149,9 @@
 	return p.conn != nil && p.conn.Accepts(k)
 }
 
-// KeepsRateLimits reports whether a link is open to a node whose gates keep the rate limits of
-// their upstreams.
-func (p *Peer) KeepsRateLimits() bool {
+// KeepsAnnouncements reports whether a link is open to a node whose gates keep what their upstreams
+// have announced.
+func (p *Peer) KeepsAnnouncements() bool {
 	return p.Accepts(wire.KindAnnouncements)
 }
 
--- a/node/local_gates.go
+++ b/node/local_gates.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// KeepsRateLimits returns true: both sides are of the same release.
-func (localGates) KeepsRateLimits() bool { return true }
+// KeepsAnnouncements returns true: both sides are of the same release.
+func (localGates) KeepsAnnouncements() bool { return true }
 
 // EnsureLink does nothing: there is no link to keep open.
 func (localGates) EnsureLink() {}
