gate: one check for a replaced backend server at a time

Found by reading: each change of the limit that a leaving backend server names started another series of checks, and each check costs it a connection. The series starts with the announcement to leave.

--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -31,14 +31,14 @@
 	if g.announced == a {
 		return nil
 	}
-	wasLeaving := g.isLeaving()
+	wasLeaving, startsLeaving := g.isLeaving(), a.IsLeaving && !g.announced.IsLeaving
 	g.announced = a
 	g.log.WithFields(logrus.Fields{"limited": a.IsLimited, "limit": a.RateLimit, "leaving": a.IsLeaving}).Info("backend server announced a change")
 	calls := g.startLeaving(wasLeaving, "backend server")
-	if a.IsLeaving && !wasLeaving {
+	if startsLeaving {
 		g.notifyChange()
 	}
-	if a.IsLeaving && !g.config.HasProcessNames && g.upstream.Started == 0 {
+	if startsLeaving && !g.config.HasProcessNames && g.upstream.Started == 0 {
 		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(false) })
 	}
 	return append(calls, g.applyPace(now)...)
