--- a/standin/backend.go
+++ b/standin/backend.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -205,10 +206,14 @@
 	if err := downtime.UnmarshalText(ctx.QueryArgs().Peek("down")); err != nil {
 		return errors.Annotate(err, "reading down")
 	}
-	go b.CrashFor(downtime) // it waits until this handler returns
+	time.AfterFunc(crashNotice, func() { b.CrashFor(downtime) })
 	return nil
 }
 
+// crashNotice is the time in which the answer to a call that crashes the backend server is written:
+// the crash closes all connections.
+const crashNotice = 100 * time.Millisecond
+
 // adminAwait answers GET /standin/await?begun=N&ended=N&refused=N&wait=10s.
 func (b *Backend) adminAwait(ctx *fasthttp.RequestCtx) {
 	var minCounts [3]uint64
