fleet, link, node: a failed fleet test prints the nodes' logs

startFleet now keeps the nodes' logs at debug level and prints them when its test fails, with the runs of the requests that weren't served at all backend servers; the load names the id of each request that fails. New debug lines: links that are accepted, how far the peer of an accepted link had confirmed when it ended, dispatches that a dialled link leaves undecided, replies whose entry has no link, and the phases of a shutdown. No check is changed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -36,7 +37,7 @@
 	Adjust func(s *settings.Settings)
 	// KeyMargin is passed to the nodes, see node.Config; 0 means the default.
 	KeyMargin clock.Millis
-	// Log receives the nodes' log lines; nil discards them.
+	// Log receives the nodes' log lines of all levels; nil discards them.
 	Log io.Writer
 }
 
@@ -75,10 +76,11 @@
 // fails to start, it stops the others and returns an error.
 func Start(ctx context.Context, c Config) (*Fleet, error) {
 	f := &Fleet{Backends: map[string]*standin.Backend{}, config: c, log: logrus.New()}
-	f.log.SetFormatter(&logrus.JSONFormatter{})
+	f.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	f.log.SetOutput(io.Discard)
 	if c.Log != nil {
 		f.log.SetOutput(c.Log)
+		f.log.SetLevel(logrus.DebugLevel)
 	}
 	if err := f.start(ctx); err != nil {
 		f.Close()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,19 +48,50 @@
 	}
 }
 
-// startFleet starts a deployment that is closed when the test ends.
+// startFleet starts a deployment that is closed when the test ends. If the test fails, it prints
+// the nodes' logs and what the backend servers did with the requests that were not served.
 func startFleet(t *testing.T, c fleet.Config) *fleet.Fleet {
 	t.Helper()
+	var log logBuffer
+	if c.Log == nil {
+		c.Log = &log
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
 	f, err := fleet.Start(ctx, c)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Close)
+	t.Cleanup(func() {
+		f.Close()
+		if t.Failed() {
+			t.Logf("logs of the nodes:\n%s", log.String())
+			logRunsOfUnserved(t, f, log.String())
+		}
+	})
 	return f
 }
 
+// logRunsOfUnserved prints the runs, at any backend server, of the requests that the log names as
+// not served.
+func logRunsOfUnserved(t *testing.T, f *fleet.Fleet, log string) {
+	t.Helper()
+	unserved := map[string]bool{}
+	for line := range strings.Lines(log) {
+		var parsed logLine
+		if err := json.Unmarshal([]byte(line), &parsed); err == nil && parsed.Message == "request not served" {
+			unserved[parsed.Request] = true
+		}
+	}
+	for name, b := range f.Backends {
+		for _, e := range b.Ledger() {
+			if unserved[e.ID] {
+				t.Logf("%s ran %s %s: started %v, ended %v, %s", name, e.Method, e.ID, e.Started, e.Ended, e.Outcome)
+			}
+		}
+	}
+}
+
 // answer is what a caller receives.
 type answer struct {
 	status  int
@@ -80,6 +113,10 @@
 	if err := fasthttp.DoTimeout(request, response, waitTimeout); err != nil {
 		t.Fatalf("%s %s: got error %v", method, path, err)
 	}
+	return newAnswer(response)
+}
+
+func newAnswer(response *fasthttp.Response) answer {
 	return answer{
 		status:  response.StatusCode(),
 		outcome: string(response.Header.Peek(entry.HeaderOutcome)),
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -11,7 +11,6 @@
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
-	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -49,20 +48,19 @@
 		s.mu.Lock()
 		address := s.nodes[i%len(s.nodes)]
 		s.mu.Unlock()
-		outcome, reason, err := sendOnce(client, address, i%2 == 0)
+		got, err := sendOnce(client, address, i%2 == 0)
 		s.mu.Lock()
-		if err == nil && outcome == string(access.Served) {
+		if err == nil && got.outcome == string(access.Served) {
 			s.served++
 		} else {
-			s.failed = append(s.failed, fmt.Sprintf("%s: %q %q %v", address, outcome, reason, err))
+			s.failed = append(s.failed, fmt.Sprintf("%s: %q %q %v, request %s", address, got.outcome, got.reason, err, got.id))
 		}
 		s.mu.Unlock()
 	}
 }
 
-// sendOnce sends one request on a connection of its own, a POST if write is set, and
-// returns its outcome and the reason for it.
-func sendOnce(client *fasthttp.Client, address string, write bool) (outcome, reason string, err error) {
+// sendOnce sends one request on a connection of its own, a POST if write is set.
+func sendOnce(client *fasthttp.Client, address string, write bool) (answer, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -71,8 +69,8 @@
 	if write {
 		request.Header.SetMethod(fasthttp.MethodPost)
 	}
-	err = client.DoTimeout(request, response, waitTimeout)
-	return string(response.Header.Peek(entry.HeaderOutcome)), string(response.Header.Peek(entry.HeaderReason)), err
+	err := client.DoTimeout(request, response, waitTimeout)
+	return newAnswer(response), err
 }
 
 func (s *steadyLoad) setNodes(nodes []string) {
@@ -294,7 +292,7 @@
 				case <-stop:
 					return
 				default:
-					_, _, _ = sendOnce(&fasthttp.Client{}, leaving.Caller, false) // fails once the port is closed
+					_, _ = sendOnce(&fasthttp.Client{}, leaving.Caller, false) // fails once the port is closed
 				}
 			}
 		})
--- a/link/dial.go
+++ b/link/dial.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/sirupsen/logrus"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -121,7 +123,6 @@
 // requests another link.
 func (p *Peer) serve(conn *Conn) {
 	err := conn.read(func(m wire.Message) { p.handle(conn, m) })
-	p.log.WithError(err).Debug("link ended")
 	p.mu.Lock()
 	current := p.conn == conn
 	if current {
@@ -129,7 +130,9 @@
 		p.detector.Closed(p.config.Now())
 	}
 	busy := len(p.pending)+len(p.revocations)+len(p.capacityProbes)+len(p.quotaRequests) > 0
+	undecided := len(p.pending)
 	p.mu.Unlock()
+	p.log.WithError(err).WithFields(logrus.Fields{"undecided": undecided, "replaced": !current}).Debug("link ended")
 	if current && busy {
 		p.Connect()
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -133,10 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, session := range s.sessions {
-		session.mu.Lock()
-		lastEcho := session.lastEcho
-		session.mu.Unlock()
-		if lastEcho < since {
+		if session.echoed() < since {
 			return false
 		}
 	}
@@ -179,8 +176,10 @@
 		log.WithError(err).Warn("link refused")
 		return
 	}
+	log = log.WithField("peer", remote.Node)
 	session := &session{server: s, conn: c, remote: remote}
 	s.register(session)
+	log.Debug("link accepted")
 	defer s.unregister(remote.Incarnation, c)
 	var writer sync.WaitGroup
 	writer.Go(c.write)
@@ -192,7 +191,7 @@
 	defer cancel()
 	go session.runHeartbeats(ctx)
 	err = c.read(session.handle)
-	log.WithError(err).WithField("peer", remote.Node).Debug("link ended")
+	log.WithError(err).WithField("echoed", session.echoed().String()).Debug("accepted link ended")
 }
 
 func (s *Server) register(session *session) {
@@ -222,10 +221,13 @@
 	c, ok := s.latestConns[entry]
 	s.lastReplyAt = s.config.Now()
 	s.mu.Unlock()
+	log := s.config.Log.WithField("request", r.ID.String())
 	if !ok {
+		log.Debug("reply not sent; its entry has no link and asks again")
 		return
 	}
 	if err := sendReply(c, r); err != nil {
+		log.WithError(err).Debug("reply not sent; closing the link")
 		// Otherwise the entry would wait for the rest of the reply.
 		c.Close()
 	}
@@ -373,6 +375,13 @@
 	}
 }
 
+// echoed returns the Time of this node's last heartbeat that the peer has received.
+func (s *session) echoed() clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastEcho
+}
+
 // runHeartbeats sends heartbeats at regular intervals until the link is closed. They don't
 // depend on the peer's heartbeats: a peer whose frames are lost on the way here learns this
 // from their Echo.
--- a/node/leave.go
+++ b/node/leave.go
@@ -61,19 +61,23 @@
 	callersCtx, stop := context.WithTimeout(ctx, (min(callerDrainTimeout, n.settings.Grace/2) - n.settings.Linger).Duration())
 	defer stop()
 	_ = n.awaitIdle(callersCtx, n.entry.InFlight) // callers that keep sending requests must not delay the shutdown
+	n.log.WithField("requests", n.InFlight()).Debug("closing the callers' port")
 	if err := n.callerServer.ShutdownWithContext(ctx); err != nil {
 		n.log.WithError(err).Warn("callers' connections are cut")
 	}
 	if err := n.awaitPeers(ctx, left); err != nil {
 		n.log.Warn("grace is over; a peer has not confirmed that the node is leaving")
 	}
+	n.log.WithField("requests", n.InFlight()).Debug("peers know that the node is leaving; finishing the requests in flight")
 	if err := n.awaitIdle(ctx, n.InFlight); err != nil {
 		n.log.WithFields(logrus.Fields{"requests": n.InFlight()}).Warn("grace is over; requests are cut")
 		return
 	}
 	if err := n.awaitReplies(ctx); err != nil {
 		n.log.Warn("grace is over; a peer has not confirmed the last replies")
+		return
 	}
+	n.log.WithField("links", n.links.OpenLinks()).Debug("peers have confirmed the last replies")
 }
 
 // awaitReplies waits until all peers with a link have confirmed a heartbeat sent after the last
