link: closing an accepted link closes its connection

Callers of a request in flight waited for their whole deadline and got an unknown outcome when a gate's node closed the link to their entry: on a full send queue, after a write that timed out, on an invalid message, at shutdown. The HTTP library hands over an accepted connection whose Close does nothing until the library itself closes it, after the handler has returned; the handler waits in a read, which only the peer's end of the connection could finish. The peer kept sending on the link, and the node dropped its replies with "link is closed".

A link that the dialling side closes was never affected.

KeepHijackedConns leaves the connection to the link, whose Close then ends the read at both sides at once, so that the entry opens another link and asks for the outcome.

--- a/link/server.go
+++ b/link/server.go
@@ -97,6 +97,8 @@
 		MaxRequestBodySize:    maxHandshakeSize,
 		ReadTimeout:           handshakeTimeout.Duration(),
 		Logger:                discardLogger{},
+		// Otherwise the library ignores that a link is closed until the peer closes it, too.
+		KeepHijackedConns: true,
 	}
 	return s
 }
@@ -183,7 +185,7 @@
 	defer s.unregister(remote.Incarnation, c)
 	var writer sync.WaitGroup
 	writer.Go(c.write)
-	// The HTTP library reuses the connection's memory after this function returns. The
+	// The WebSocket library reuses the link's write buffer after this function returns. The
 	// writer must end first, or it could write bytes of another link or crash the node.
 	defer writer.Wait()
 	defer c.Close()
