link: replies take the link that their entry uses

Callers of requests in flight got an unknown outcome after their whole deadline when the entry's node gave up the handshake of a second link, for example because it took over two seconds on a busy machine: a link became its entry's newest as soon as the gate's node had sent the last message of the handshake, and replies were sent there, though the entry never used it. When that link ended, the entry counted as one without a link, and the replies to all that it sent on the one it still had were dropped, until it opened another.

Found by reading, while looking for further ways in which a reply is lost with a link. A link now becomes its entry's newest with the first message that arrives on it: an entry sends its unresolved requests and a heartbeat on each new link. The session of an accepted link moves to a file of its own.

--- a/link/server.go
+++ b/link/server.go
@@ -5,7 +5,6 @@
 	"net"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/fasthttp/websocket"
 	"github.com/juju/errors"
@@ -67,8 +66,8 @@
 	http     *fasthttp.Server
 
 	mu sync.Mutex
-	// latestConns holds the newest link of each entry. Replies are sent over it, so that an
-	// entry that has replaced a silent link receives them on the new one.
+	// latestConns holds, for each entry, the link that it began to use last. Replies are sent
+	// over it, so that an entry that has replaced a silent link receives them on the new one.
 	latestConns map[uint64]*Conn
 	sessions    map[*Conn]*session
 	// entries holds the keys of latestConns. nextIndex counts the work requests that were
@@ -149,11 +148,17 @@
 	return s.lastReplyAt >= since
 }
 
-// OpenLinks returns how many links are open.
+// OpenLinks returns how many links are open and used by their peers.
 func (s *Server) OpenLinks() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.sessions)
+	count := 0
+	for _, session := range s.sessions {
+		if session.isUsed {
+			count++
+		}
+	}
+	return count
 }
 
 func (s *Server) upgrade(ctx *fasthttp.RequestCtx) {
@@ -199,13 +204,22 @@
 func (s *Server) register(session *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.latestConns[session.remote.Incarnation]; !ok {
-		s.entries = append(s.entries, session.remote.Incarnation)
-	}
-	s.latestConns[session.remote.Incarnation] = session.conn
 	s.sessions[session.conn] = session
 }
 
+// use records that an entry has sent its first message on a link. An entry that has given up the
+// handshake sends none: its replies must not be sent there.
+func (s *Server) use(session *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	session.isUsed = true
+	entry := session.remote.Incarnation
+	if _, ok := s.latestConns[entry]; !ok {
+		s.entries = append(s.entries, entry)
+	}
+	s.latestConns[entry] = session.conn
+}
+
 func (s *Server) unregister(entry uint64, c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -326,91 +340,6 @@
 	}
 }
 
-// session is an open link at the accepting side, after the handshake.
-type session struct {
-	server *Server
-	conn   *Conn
-	remote Remote
-
-	mu           sync.Mutex
-	lastPeerTime clock.Millis // Time of the last heartbeat received
-	// lastEcho is the Time of this node's last heartbeat that the peer has received.
-	lastEcho clock.Millis
-}
-
-// handle handles a message of the dialling side. It closes the link on a message that only
-// the accepting side may send.
-func (s *session) handle(m wire.Message) {
-	h := s.server.config.Handler
-	switch m := m.(type) {
-	case *wire.Dispatch:
-		h.Dispatch(s.remote.Incarnation, m)
-	case *wire.Resolve:
-		h.Resolve(s.remote.Incarnation, m)
-	case *wire.CapacityProbe:
-		h.ProbeCapacity(s.remote.Incarnation, m)
-	case *wire.ReleaseReservation:
-		h.ReleaseReservation(m)
-	case *wire.QuotaRequest:
-		h.RequestQuota(s.remote.Incarnation, m)
-	case *wire.KeyRevocation:
-		_ = s.conn.Send(h.RevokeKey(m)) // the peer repeats the revocation on a new link
-	case *wire.Heartbeat:
-		s.mu.Lock()
-		s.lastPeerTime, s.lastEcho = m.Time, max(s.lastEcho, m.Echo)
-		s.mu.Unlock()
-		h.Heartbeat(s.remote.Node, m)
-	case *wire.TableRequest:
-		if table, ok := h.RequestTable(m); ok {
-			_ = s.conn.Send(table) // the peer asks again after the next heartbeat
-		}
-	case *wire.TableVersion:
-		h.ReceiveTable(s.remote.Node, m)
-	case *wire.Announcements:
-		h.ReceiveAnnouncements(m)
-	case *wire.CrashReport:
-		for _, report := range h.ReceiveCrashes(m) {
-			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
-		}
-	default:
-		s.conn.Close()
-	}
-}
-
-// echoed returns the Time of this node's last heartbeat that the peer has received.
-func (s *session) echoed() clock.Millis {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastEcho
-}
-
-// runHeartbeats sends heartbeats at regular intervals until the link is closed. They don't
-// depend on the peer's heartbeats: a peer whose frames are lost on the way here learns this
-// from their Echo.
-func (s *session) runHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(s.server.config.HeartbeatInterval.Duration())
-	defer ticker.Stop()
-	for {
-		s.sendHeartbeat()
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.conn.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *session) sendHeartbeat() {
-	heartbeat := s.server.config.Handler.Status()
-	heartbeat.Time = s.server.config.Now()
-	s.mu.Lock()
-	heartbeat.Echo = s.lastPeerTime
-	s.mu.Unlock()
-	_ = s.conn.Send(&heartbeat) // if the queue is full, the peer notices a missing heartbeat
-}
-
 // BroadcastHeartbeat immediately sends a heartbeat on every link, for a status that must
 // not wait for the next regular heartbeat.
 func (s *Server) BroadcastHeartbeat() {
--- /dev/null
+++ b/link/session.go
@@ -0,0 +1,101 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// session is an open link at the accepting side, after the handshake.
+type session struct {
+	server *Server
+	conn   *Conn
+	remote Remote
+	// isUsed means that the peer has sent a message. The reading goroutine sets it, under the
+	// server's lock.
+	isUsed bool
+
+	mu           sync.Mutex
+	lastPeerTime clock.Millis // Time of the last heartbeat received
+	// lastEcho is the Time of this node's last heartbeat that the peer has received.
+	lastEcho clock.Millis
+}
+
+// handle handles a message of the dialling side. It closes the link on a message that only
+// the accepting side may send.
+func (s *session) handle(m wire.Message) {
+	if !s.isUsed {
+		s.server.use(s)
+	}
+	h := s.server.config.Handler
+	switch m := m.(type) {
+	case *wire.Dispatch:
+		h.Dispatch(s.remote.Incarnation, m)
+	case *wire.Resolve:
+		h.Resolve(s.remote.Incarnation, m)
+	case *wire.CapacityProbe:
+		h.ProbeCapacity(s.remote.Incarnation, m)
+	case *wire.ReleaseReservation:
+		h.ReleaseReservation(m)
+	case *wire.QuotaRequest:
+		h.RequestQuota(s.remote.Incarnation, m)
+	case *wire.KeyRevocation:
+		_ = s.conn.Send(h.RevokeKey(m)) // the peer repeats the revocation on a new link
+	case *wire.Heartbeat:
+		s.mu.Lock()
+		s.lastPeerTime, s.lastEcho = m.Time, max(s.lastEcho, m.Echo)
+		s.mu.Unlock()
+		h.Heartbeat(s.remote.Node, m)
+	case *wire.TableRequest:
+		if table, ok := h.RequestTable(m); ok {
+			_ = s.conn.Send(table) // the peer asks again after the next heartbeat
+		}
+	case *wire.TableVersion:
+		h.ReceiveTable(s.remote.Node, m)
+	case *wire.Announcements:
+		h.ReceiveAnnouncements(m)
+	case *wire.CrashReport:
+		for _, report := range h.ReceiveCrashes(m) {
+			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
+		}
+	default:
+		s.conn.Close()
+	}
+}
+
+// echoed returns the Time of this node's last heartbeat that the peer has received.
+func (s *session) echoed() clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastEcho
+}
+
+// runHeartbeats sends heartbeats at regular intervals until the link is closed. They don't
+// depend on the peer's heartbeats: a peer whose frames are lost on the way here learns this
+// from their Echo.
+func (s *session) runHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(s.server.config.HeartbeatInterval.Duration())
+	defer ticker.Stop()
+	for {
+		s.sendHeartbeat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.conn.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *session) sendHeartbeat() {
+	heartbeat := s.server.config.Handler.Status()
+	heartbeat.Time = s.server.config.Now()
+	s.mu.Lock()
+	heartbeat.Echo = s.lastPeerTime
+	s.mu.Unlock()
+	_ = s.conn.Send(&heartbeat) // if the queue is full, the peer notices a missing heartbeat
+}
