fleet: each loopback deployment has a secret of its own

With 40 copies of TestRollingReplacementCutsNothing on one machine, 2 of some 500 runs failed in another way than before: "not-run" with "no-such-upstream", followed by unknown outcomes. The logs of both show "two tables have this version" with another digest, and links to ports of no node of that deployment: entries keep dialling the address of an ended node for a while, the kernel had given its port to a node of another copy, and as all deployments shared one secret, the link was accepted and the two exchanged tables.

Users' deployments have different secrets, so that nodes refuse such a link; now those on loopback do, too. No check is changed.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"sync"
 	"time"
@@ -66,16 +67,17 @@
 	Table    *table.Table
 
 	config Config
+	// secret is the deployment's own: a node that still dials the port of an ended one must not
+	// reach a node of another deployment on this machine.
+	secret string
 	log    *logrus.Logger
 	mu     sync.Mutex
 }
 
-const secret = "a secret of the loopback fleet"
-
 // Start starts the deployment and returns when every node has the table in force. If a part
 // fails to start, it stops the others and returns an error.
 func Start(ctx context.Context, c Config) (*Fleet, error) {
-	f := &Fleet{Backends: map[string]*standin.Backend{}, config: c, log: logrus.New()}
+	f := &Fleet{Backends: map[string]*standin.Backend{}, config: c, secret: rand.Text(), log: logrus.New()}
 	f.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	f.log.SetOutput(io.Discard)
 	if c.Log != nil {
@@ -198,7 +200,7 @@
 		return errors.Trace(err)
 	}
 	s.Node, s.Domain, s.Listen.Announce = m.Name, domain, m.Link
-	s.Platform.Address = f.Platform.Address()
+	s.Platform.Address, s.Secret = f.Platform.Address(), f.secret
 	if f.config.PlatformRelays {
 		m.PlatformRelay, err = standin.StartRelay(ctx, standin.RelayConfig{Address: loopbackAddress, Target: f.Platform.Address()})
 		if err != nil {
@@ -226,12 +228,12 @@
 	return nil
 }
 
-// baseSettings are the settings that startNode completes for each node. Its addresses are
-// placeholders: the listeners are already open.
+// baseSettings are the settings that startNode completes for each node. Its addresses and secret
+// are placeholders: the listeners are already open.
 const baseSettings = `
 node = "loopback"
 domain = "loopback"
-secret = "` + secret + `"
+secret = "replaced for each deployment"
 grace = "10s"
 [listen]
 caller = "127.0.0.1:1"
