link, node: a node stops only when its peers have closed their links

Cause: the node asked the peers whose links it knew whether they had everything, and then closed all links. A link opened in between was in nobody's count (the handshake lets the entry send before the server registers the link), nor was a request sent on an open link after the peer's confirmation, nor an entry whose link had just broken.

Now a link is registered before the last message of its handshake, and a node that is about to stop sends GoAway (a new kind, only to peers that know it) on each link. The entry sends nothing more there, and closes the link once all that it has sent is answered. The node stops when no link is left and no entry whose link broke may still need an outcome, or at the end of its grace; from then on it refuses links before their entry can send. Peers of an older release confirm a heartbeat that follows their last reply, as before.

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -274,6 +274,37 @@
 	}
 }
 
+// The link of an entry breaks while a leaving node runs a request for it, and the path is back
+// after a second. Guards against the node ending meanwhile: the request has run, and its caller
+// would receive the outcome "unknown".
+func TestLeavingNodeWaitsForAnEntryWhoseLinkBroke(t *testing.T) {
+	table := newTable(1)
+	table.Services[0].Deadline = 8 * clock.Second
+	f := startFleet(t, fleet.Config{Table: table, ServiceTime: 600, LinkRelays: true})
+	gateNode, backend := f.Members[0], f.Backends["conferme-1"]
+	entryNode, err := f.AddMember(t.Context(), "far", "catania")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-entryNode.Node.InForce()
+	done := make(chan answer, 1)
+	go func() { done <- send(t, "POST", entryNode.Caller, "/conferme/turno", "") }()
+	awaitTotals(t, backend, begunAtLeast(1))
+	gateNode.Node.Leave()
+	waitUntil(t, "leaving announced", func() bool { return !gateNode.Node.Ready() })
+	gateNode.LinkRelay.SetMode(standin.Refuse)
+	awaitTotals(t, backend, func(totals standin.Totals) bool { return totals.Served > 0 })
+	select {
+	case <-gateNode.Done():
+		t.Error("got a node that ended, want it to wait for the entry")
+	case <-time.After(time.Second):
+	}
+	gateNode.LinkRelay.SetMode(standin.Pass)
+	if got := <-done; got.outcome != string(access.Served) {
+		t.Errorf("got outcome %q (%s), want served", got.outcome, got.reason)
+	}
+}
+
 // Callers continue to send to a leaving node, as their list of nodes is seconds old.
 // Guards against the node accepting requests in the second half of its grace period,
 // which it can't finish: the process would end with requests in flight.
--- a/link/conn.go
+++ b/link/conn.go
@@ -43,8 +43,8 @@
 // Conn is one open link. It is safe for concurrent use.
 type Conn struct {
 	socket *websocket.Conn
-	frames chan *bytes.Buffer
-	input  bytes.Buffer // used only by the reading goroutine
+	frames chan *bytes.Buffer // a nil frame ends the link
+	input  bytes.Buffer       // used only by the reading goroutine
 	closed chan struct{}
 	once   sync.Once
 	limit  int
@@ -128,6 +128,21 @@
 	})
 }
 
+// Finish closes the link on purpose, after the frames in its queue: the peer learns that nothing is
+// left to be answered. It doesn't wait.
+func (c *Conn) Finish() {
+	select {
+	case c.frames <- nil:
+	default:
+		c.Close() // the peer has stopped reading
+	}
+}
+
+// isFinished reports whether an error of read means that the peer has finished the link.
+func isFinished(err error) bool {
+	return websocket.IsCloseError(errors.Cause(err), websocket.CloseNormalClosure)
+}
+
 // Done returns a channel that is closed when the link is closed.
 func (c *Conn) Done() <-chan struct{} {
 	return c.closed
@@ -141,6 +156,11 @@
 		case <-c.closed:
 			return
 		case frame := <-c.frames:
+			if frame == nil {
+				reason := websocket.FormatCloseMessage(websocket.CloseNormalClosure, "")
+				_ = c.socket.WriteControl(websocket.CloseMessage, reason, deadline(writeTimeout)) // the link closes in either case
+				return
+			}
 			err := c.writeFrame(frame.Bytes())
 			buffers.Put(frame)
 			if err != nil {
--- a/link/dial.go
+++ b/link/dial.go
@@ -36,7 +36,7 @@
 func (p *Peer) dialIfDue(ctx context.Context) {
 	now := p.config.Now()
 	p.mu.Lock()
-	due := !p.dialling && (p.conn == nil || p.detector.State(now) != path.Good) && p.detector.ShouldDial(now)
+	due := !p.dialling && !p.awaitsDrained(now) && (p.conn == nil || p.detector.State(now) != path.Good) && p.detector.ShouldDial(now)
 	p.dialling = p.dialling || due
 	p.mu.Unlock()
 	if due {
@@ -73,8 +73,8 @@
 func (p *Peer) replaceConn(now clock.Millis, conn *Conn, remote Remote) {
 	p.sendAnnouncements(conn)
 	p.mu.Lock()
-	old := p.conn
-	p.conn = conn
+	old, draining := p.conn, p.draining
+	p.conn, p.draining = conn, nil
 	p.dialling = false
 	p.detector.Opened(now)
 	p.probe = path.Probe{}
@@ -86,13 +86,15 @@
 			continue
 		}
 		unresolved = append(unresolved, pending)
-		pending.partial = nil
+		pending.partial, pending.conn = nil, conn
 	}
 	p.capacityProbes.flush(p, now)
 	p.quotaRequests.flush(p, now)
 	p.mu.Unlock()
-	if old != nil {
-		old.Close()
+	for _, replaced := range []*Conn{old, draining} {
+		if replaced != nil {
+			replaced.Close()
+		}
 	}
 	if changed {
 		p.log.Info("node was replaced")
@@ -124,16 +126,19 @@
 func (p *Peer) serve(conn *Conn) {
 	err := conn.read(func(m wire.Message) { p.handle(conn, m) })
 	p.mu.Lock()
-	current := p.conn == conn
+	current, wasDraining := p.conn == conn, p.draining == conn
 	if current {
 		p.conn = nil
 		p.detector.Closed(p.config.Now())
 	}
+	if wasDraining {
+		p.draining = nil
+	}
 	busy := len(p.pending)+len(p.revocations)+len(p.capacityProbes)+len(p.quotaRequests) > 0
 	undecided := len(p.pending)
 	p.mu.Unlock()
 	p.log.WithError(err).WithFields(logrus.Fields{"undecided": undecided, "replaced": !current}).Debug("link ended")
-	if current && busy {
+	if (current || wasDraining) && busy {
 		p.Connect()
 	}
 }
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -15,6 +15,8 @@
 	observer DispatchObserver
 	queuedAt clock.Millis
 	sentAt   clock.Millis
+	// conn is the link on which the dispatch was sent or resolved last.
+	conn *Conn
 	// unsent is true while the dispatch waits for a link.
 	unsent bool
 	// partial is the reply while body bytes are missing, nil otherwise.
@@ -35,7 +37,7 @@
 		return p.sendDispatch(now, pending)
 	}
 	p.Connect()
-	if p.state == path.Lost || len(p.pending) >= queueLength {
+	if p.draining != nil || p.state == path.Lost || len(p.pending) >= queueLength {
 		return ErrNoLink
 	}
 	pending.unsent = true
@@ -56,7 +58,7 @@
 		delete(p.pending, key)
 		return errors.Trace(err)
 	}
-	pending.unsent, pending.sentAt = false, now
+	pending.unsent, pending.sentAt, pending.conn = false, now, p.conn
 	p.pending[key] = pending
 	p.startProbe(now)
 	p.detector.Sent(now, detectorID(key), now+d.Budget)
@@ -90,8 +92,8 @@
 	case ok && pending.unsent:
 		p.removePending(id.Key(attempt))
 		pending.observer.NotSent()
-	case ok && p.conn != nil:
-		_ = p.conn.Send(newResolve(pending.dispatch)) // after a failure the outcome stays unknown
+	case ok:
+		_ = pending.conn.Send(newResolve(pending.dispatch)) // after a failure the outcome stays unknown
 	}
 }
 
@@ -115,10 +117,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pending, ok := p.pending[id.Key(attempt)]
-	if ok && !pending.unsent && p.conn != nil {
+	if ok && !pending.unsent {
 		resolve := newResolve(pending.dispatch)
 		resolve.Abandon = true
-		_ = p.conn.Send(resolve) // after a failure the run ends with the request's own deadline
+		_ = pending.conn.Send(resolve) // after a failure the run ends with the request's own deadline
 	}
 	p.removePending(id.Key(attempt))
 }
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -114,8 +114,9 @@
 }
 
 // acceptHandshake checks the proof of the dialling side and proves this side. It runs
-// before anything else is read from the peer.
-func (c *Conn) acceptHandshake(self Identity, now func() clock.Millis) (Remote, error) {
+// before anything else is read from the peer. From the call of admit on, the peer may hold the
+// link for open; if admit returns an error, the handshake fails instead.
+func (c *Conn) acceptHandshake(self Identity, now func() clock.Millis, admit func(Remote) error) (Remote, error) {
 	if err := c.socket.SetReadDeadline(deadline(handshakeTimeout)); err != nil {
 		return Remote{}, errors.Trace(err)
 	}
@@ -132,11 +133,14 @@
 	if len(proof.Nonce) != wire.NonceSize || !wire.EqualMAC(proof.MAC, want) {
 		return Remote{}, ErrProof
 	}
+	remote := Remote{Node: proof.Node, Incarnation: proof.Entry}
+	if err := admit(remote); err != nil {
+		return Remote{}, errors.Trace(err)
+	}
 	mac := wire.ComputeMAC(self.Secret, wire.Acceptor, self.Node, self.Incarnation, nonce, proof.Nonce)
 	if err := c.writeMessage(&wire.Welcome{MAC: mac, Time: now()}); err != nil {
-		return Remote{}, errors.Trace(err)
+		return remote, errors.Trace(err)
 	}
-	remote := Remote{Node: proof.Node, Incarnation: proof.Entry}
 	return remote, errors.Trace(c.socket.SetReadDeadline(time.Time{}))
 }
 
--- a/link/peer.go
+++ b/link/peer.go
@@ -93,6 +93,8 @@
 	notifyMu       sync.Mutex // held while the observer is notified of a path change; locked before mu
 	mu             sync.Mutex
 	conn           *Conn
+	draining       *Conn // a link that got a GoAway and still has something unanswered
+	drainingSince  clock.Millis
 	dialling       bool
 	detector       *path.Detector
 	probe          path.Probe
@@ -203,7 +205,7 @@
 // Run keeps a link open while it is needed. It returns when the context ends, with the
 // context's error.
 func (p *Peer) Run(ctx context.Context) error {
-	defer p.closeConn()
+	defer p.finishConns()
 	tick := (p.config.HeartbeatInterval / ticksPerHeartbeat).Duration()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -232,7 +234,7 @@
 func (p *Peer) isQuiescent() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.conn == nil && !p.dialling && p.state == path.Good && p.isIdle()
+	return p.conn == nil && p.draining == nil && !p.dialling && p.state == path.Good && p.isIdle()
 }
 
 // isIdle reports whether the peer has not been used for the idle timeout and has no pending
@@ -241,15 +243,6 @@
 	return p.config.Now()-p.lastUsed > p.config.IdleTimeout && len(p.pending) == 0
 }
 
-func (p *Peer) closeConn() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil {
-		p.conn.Close()
-		p.conn = nil
-	}
-}
-
 // tick closes an idle link, updates the path's state and dials if the path isn't good. A
 // link with an overdue answer is checked by opening a new one. If the old link is dead
 // because something between the two nodes has dropped the connection, the new link works
@@ -260,9 +253,10 @@
 	idle := p.isIdle()
 	open := p.conn != nil
 	if idle && open {
-		p.conn.Close()
+		p.conn.Finish()
 		p.conn = nil
 	}
+	p.finishDrained()
 	if idle && (open || p.state != path.Good) {
 		// Silence after the link is closed says nothing about the peer. A loss of the
 		// path must not outlast the idle timeout either: entries don't choose an
@@ -298,6 +292,13 @@
 // handle handles a message of the peer. It closes the link on a message that only the
 // dialling side may send.
 func (p *Peer) handle(conn *Conn, m wire.Message) {
+	p.handleMessage(conn, m)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.finishDrained()
+}
+
+func (p *Peer) handleMessage(conn *Conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.Reply:
 		p.handleReply(m)
@@ -332,11 +333,13 @@
 	}
 }
 
-// handleOther handles the remaining messages of handle.
+// handleOther handles the remaining messages of handleMessage.
 func (p *Peer) handleOther(conn *Conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.CrashReport:
 		p.config.Observer.PeerCrashReport(m)
+	case *wire.GoAway:
+		p.handleGoAway(conn)
 	default:
 		conn.Close()
 	}
--- a/link/pending.go
+++ b/link/pending.go
@@ -31,7 +31,7 @@
 	request := &pendingRequest[A]{message: message, onReply: onReply, sentAt: now}
 	if p.conn == nil {
 		p.Connect()
-		if p.state == path.Lost || len(q) >= queueLength {
+		if p.draining != nil || p.state == path.Lost || len(q) >= queueLength {
 			return ErrNoLink
 		}
 		request.unsent = true
@@ -56,6 +56,16 @@
 	}
 }
 
+// hasSent reports whether a request that was sent has no reply.
+func (q pendingRequests[K, A]) hasSent() bool {
+	for _, request := range q {
+		if !request.unsent {
+			return true
+		}
+	}
+	return false
+}
+
 // removeUnsent removes the requests that still wait for a link and returns their reply
 // functions. The caller holds the peer's lock.
 func (q pendingRequests[K, A]) removeUnsent() []func(*A) {
--- a/link/revocation.go
+++ b/link/revocation.go
@@ -36,7 +36,7 @@
 	p.lastUsed = now
 	if p.conn == nil {
 		p.Connect()
-		if p.state == path.Lost || len(p.revocations) >= queueLength {
+		if p.draining != nil || p.state == path.Lost || len(p.revocations) >= queueLength {
 			return ErrNoLink
 		}
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -74,8 +74,12 @@
 	// sent to any of them in turn.
 	entries   []uint64
 	nextIndex int
-	// lastReplyAt is when the last reply was sent.
-	lastReplyAt clock.Millis
+	// absent holds the entries whose last link broke, and until when they may need the outcome
+	// of a dispatch.
+	absent map[uint64]clock.Millis
+	// isDraining is set by Drain, at drainingSince, and isClosed by Drained.
+	isDraining, isClosed bool
+	drainingSince        clock.Millis
 }
 
 // NewServer returns a server. Serve must be called to accept links.
@@ -84,6 +88,7 @@
 		config:      c,
 		latestConns: map[uint64]*Conn{},
 		sessions:    map[*Conn]*session{},
+		absent:      map[uint64]clock.Millis{},
 		upgrader: websocket.FastHTTPUpgrader{
 			ReadBufferSize:  bufferSize,
 			WriteBufferSize: bufferSize,
@@ -141,13 +146,6 @@
 	return true
 }
 
-// RepliedSince reports whether a reply was sent at since or later.
-func (s *Server) RepliedSince(since clock.Millis) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastReplyAt >= since
-}
-
 // OpenLinks returns how many links are open and used by their peers.
 func (s *Server) OpenLinks() int {
 	s.mu.Lock()
@@ -178,16 +176,22 @@
 	c := newConn(socket, s.config.MaxFrame, lastKind)
 	defer c.Close()
 	log := s.config.Log.WithField("remote", c.Remote().String())
-	remote, err := c.acceptHandshake(s.config.Identity, s.config.Now)
+	session := &session{server: s, conn: c}
+	remote, err := c.acceptHandshake(s.config.Identity, s.config.Now, func(remote Remote) error {
+		session.remote = remote
+		return s.register(session)
+	})
+	defer func() { s.unregister(session, err) }()
 	if err != nil {
-		log.WithError(err).Warn("link refused")
+		level := logrus.WarnLevel
+		if errors.Is(err, ErrLeaving) {
+			level = logrus.DebugLevel
+		}
+		log.WithError(err).Log(level, "link refused")
 		return
 	}
 	log = log.WithField("peer", remote.Node)
-	session := &session{server: s, conn: c, remote: remote}
-	s.register(session)
 	log.Debug("link accepted")
-	defer s.unregister(remote.Incarnation, c)
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	// The WebSocket library reuses the link's write buffer after this function returns. The
@@ -201,10 +205,15 @@
 	log.WithError(err).WithField("echoed", session.echoed().String()).Debug("accepted link ended")
 }
 
-func (s *Server) register(session *session) {
+// register adds a link before its entry can use it, or returns ErrLeaving.
+func (s *Server) register(session *session) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.admit(session.remote.Incarnation); err != nil {
+		return err
+	}
 	s.sessions[session.conn] = session
+	return nil
 }
 
 // use records that an entry has sent its first message on a link. An entry that has given up the
@@ -220,14 +229,22 @@
 	s.latestConns[entry] = session.conn
 }
 
-func (s *Server) unregister(entry uint64, c *Conn) {
+// unregister removes a link that ended with an error. It does nothing if the link wasn't admitted.
+func (s *Server) unregister(session *session, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, c)
-	if s.latestConns[entry] == c {
+	if s.sessions[session.conn] == nil {
+		return
+	}
+	entry := session.remote.Incarnation
+	delete(s.sessions, session.conn)
+	if s.latestConns[entry] == session.conn {
 		delete(s.latestConns, entry)
 		s.entries = slices.DeleteFunc(s.entries, func(other uint64) bool { return other == entry })
 	}
+	if !isFinished(err) {
+		s.recordAbsent(session)
+	}
 }
 
 // SendReply sends a reply to an entry over its newest link. An entry without a link asks
@@ -235,7 +252,9 @@
 func (s *Server) SendReply(entry uint64, r *wire.Reply) {
 	s.mu.Lock()
 	c, ok := s.latestConns[entry]
-	s.lastReplyAt = s.config.Now()
+	if session := s.sessions[c]; session != nil {
+		session.lastReplyAt = s.config.Now()
+	}
 	s.mu.Unlock()
 	log := s.config.Log.WithField("request", r.ID.String())
 	if !ok {
--- a/link/session.go
+++ b/link/session.go
@@ -17,6 +17,13 @@
 	// isUsed means that the peer has sent a message. The reading goroutine sets it, under the
 	// server's lock.
 	isUsed bool
+	// lastLease is the latest lease of the dispatches received. Only the reading goroutine uses
+	// it.
+	lastLease clock.Millis
+	// lastReplyAt is when the last reply was sent. isAskedToClose means that a GoAway was. The
+	// server's lock guards both.
+	lastReplyAt    clock.Millis
+	isAskedToClose bool
 
 	mu           sync.Mutex
 	lastPeerTime clock.Millis // Time of the last heartbeat received
@@ -33,6 +40,7 @@
 	h := s.server.config.Handler
 	switch m := m.(type) {
 	case *wire.Dispatch:
+		s.lastLease = max(s.lastLease, m.Lease)
 		h.Dispatch(s.remote.Incarnation, m)
 	case *wire.Resolve:
 		h.Resolve(s.remote.Incarnation, m)
--- a/node/leave.go
+++ b/node/leave.go
@@ -48,8 +48,8 @@
 // drain finishes the requests in flight. Gates immediately refuse new requests, and entries
 // send these to other nodes. Callers are served by upstreams of other nodes until no request
 // has come for idleWindow or callerDrainTimeout is over; then the caller port closes, and the
-// requests that were accepted are finished, until peers have confirmed the last replies. Requests
-// that outlast the grace period are cut.
+// requests that were accepted are finished, and peers close their links once they have all replies.
+// Requests that outlast the grace period are cut.
 func (n *Node) drain(ctx context.Context) {
 	n.entry.Leave()
 	left := n.clock.Now()
@@ -73,27 +73,12 @@
 		n.log.WithFields(logrus.Fields{"requests": n.InFlight()}).Warn("grace is over; requests are cut")
 		return
 	}
-	if err := n.awaitReplies(ctx); err != nil {
-		n.log.Warn("grace is over; a peer has not confirmed the last replies")
+	n.links.Drain()
+	if err := awaitCondition(ctx, n.links.Drained); err != nil {
+		n.log.WithField("links", n.links.OpenLinks()).Warn("grace is over; a peer has not closed its link")
 		return
 	}
-	n.log.WithField("links", n.links.OpenLinks()).Debug("peers have confirmed the last replies")
-}
-
-// awaitReplies waits until all peers with a link have confirmed a heartbeat sent after the last
-// reply. A reply may wait to be written to a slow link, and a peer that replaces the link asks for
-// it again.
-func (n *Node) awaitReplies(ctx context.Context) error {
-	for {
-		sentAt := n.clock.Now()
-		n.links.BroadcastHeartbeat()
-		if err := n.awaitPeers(ctx, sentAt); err != nil {
-			return err
-		}
-		if !n.links.RepliedSince(sentAt) {
-			return nil
-		}
-	}
+	n.log.Debug("peers have closed their links")
 }
 
 // linger keeps accepting callers' requests until load balancers that watch the node's
@@ -111,13 +96,17 @@
 }
 
 // awaitPeers waits until all peers with a link have confirmed a heartbeat sent since the given
-// time. What they sent before has then arrived here, and what was sent to them before has arrived
-// there. Otherwise a request or a reply on a slow link would be lost with the link, and its caller
-// would get an unknown outcome.
+// time. What they sent before has then arrived here. Otherwise a request that is still on its way
+// would outlast the requests in flight, which are awaited next.
 func (n *Node) awaitPeers(ctx context.Context, since clock.Millis) error {
+	return awaitCondition(ctx, func() bool { return n.links.HeartbeatEchoed(since) })
+}
+
+// awaitCondition waits until a condition holds. It returns the context's error if that ends first.
+func awaitCondition(ctx context.Context, holds func() bool) error {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for !n.links.HeartbeatEchoed(since) {
+	for !holds() {
 		select {
 		case <-ctx.Done():
 			return errors.Trace(ctx.Err())
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -66,6 +66,7 @@
 	KindHungRun
 	KindAnnouncements
 	KindEraUpdate
+	KindGoAway
 )
 
 const (
@@ -74,7 +75,7 @@
 	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
 	// only to peers that state in the handshake that they accept them, so that a new kind
 	// needs no new Format.
-	LastKind = KindEraUpdate
+	LastKind = KindGoAway
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -183,6 +184,7 @@
 	KindHungRun:            func() Message { return new(HungRun) },
 	KindAnnouncements:      func() Message { return new(Announcements) },
 	KindEraUpdate:          func() Message { return new(EraUpdate) },
+	KindGoAway:             func() Message { return new(GoAway) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -37,6 +37,7 @@
 		&wire.ReleaseReservation{ID: id, Attempt: 2, Upstream: "conferme-1"},
 		&wire.StoreUpdate{Since: 4, Revision: 9, Changes: []byte("[]"), Age: 3, Time: 8},
 		&wire.EraUpdate{Update: wire.StoreUpdate{Since: 1<<40 | 4, Revision: 1<<40 | 9, Changes: []byte("[]"), Age: 3, Time: 8}},
+		&wire.GoAway{},
 		&wire.WorkRequest{Upstream: "conferme-1", TTL: 500},
 		&wire.Announcements{Upstreams: []wire.Announcement{{Upstream: "conferme-1", Started: 5, IsLimited: true, RateLimit: 1.3, IsLeaving: true, Age: 9}}},
 		&wire.KeyRevocationReply{ID: id, KeyStatus: 3, Covers: 900, Version: 2, Status: 201, Body: []byte("ok")},
