limit, gate: a rate limit that admits requests again frees its upstream

Callers got less of a backend server that names a rate limit than the limit allows, for up to seven seconds nothing at all: TestRateLimitOfABackendServerHoldsOverAllNodes, 2 of 144 on the code before (24 copies beside six busy processes), "the last request 1.82 s after the first, want some after 3s".

Cause: a gate reports an upstream whose limit admits no request as full, and computed that from the tokens as of the last request or release. Until a request came, it stayed full in every heartbeat. Entries let a reported load decay, which hides that: three requests count for two after a millisecond, fewer than the slots. During a slow start fewer slots count, so that two are too many, and no entry sent the request that would have shown that a token was there.

Evidence: of 24 logs only the two of the failed runs contain "verdict changed" to ramp at the limited upstream, 1.8 s and 1.5 s after its first request; in both no request came for the rest of the load.

Slots.Load now counts the tokens up to the time of the call. The same stale figure kept a gate from asking entries for work. The new gate test failed before (three in flight two seconds after the last request, want none).

--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -317,3 +317,21 @@
 		t.Error("got a limit after a response without one, want none")
 	}
 }
+
+// Guards against a gate that reports an upstream as full, after its rate limit admits requests
+// again, until one arrives: entries prefer upstreams with free slots, and none does.
+func TestUpstreamIsFreeOnceItsRateLimitAdmitsRequests(t *testing.T) {
+	b := &limitedBackend{now: 1000, named: announcement.Announcement{IsLimited: true, RateLimit: 1}}
+	g := gate.New(limitedGateConfig(t, b))
+	seq := uint64(0)
+	if refused, reason := sendFor(g, b, &seq, 10, clock.Second); refused == 0 || reason != wire.ReasonRateLimit {
+		t.Fatalf("got %d refused, the last for %q; want some for the rate limit", refused, reason)
+	}
+	if got := g.Status().InFlight; got != 3 {
+		t.Errorf("got %d in flight while the limit admits none, want all slots", got)
+	}
+	b.advance(2 * clock.Second)
+	if got := g.Status().InFlight; got != 0 {
+		t.Errorf("got %d in flight once the limit admits a request, want 0", got)
+	}
+}
--- a/gate/status.go
+++ b/gate/status.go
@@ -18,7 +18,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	load := g.slots.Load()
+	load := g.slots.Load(now)
 	retries, retryBound := g.quota.Usage(now)
 	return metrics.GateState{
 		Service:    g.service.Name,
@@ -40,7 +40,7 @@
 func (g *Gate) status(now clock.Millis) wire.Upstream {
 	g.recordState(now)
 	s := g.detector.Status(now)
-	load := g.slots.Load()
+	load := g.slots.Load(now)
 	local := g.detector.LocalBaseline()
 	if load.IsPaced {
 		load.InFlight = max(load.InFlight, g.upstream.Slots) // entries choose upstreams with free slots
--- a/gate/work_request.go
+++ b/gate/work_request.go
@@ -52,8 +52,9 @@
 		return
 	}
 	needsRequest := false
-	if detector, ok := g.detector.(idleDetector); ok && !g.isLeaving() && !g.slots.Load().IsPaced {
-		needsRequest = detector.NeedsRequest(g.config.Now())
+	now := g.config.Now()
+	if detector, ok := g.detector.(idleDetector); ok && !g.isLeaving() && !g.slots.Load(now).IsPaced {
+		needsRequest = detector.NeedsRequest(now)
 	}
 	entry := uint64(0)
 	if needsRequest {
--- a/limit/pace.go
+++ b/limit/pace.go
@@ -39,7 +39,7 @@
 	return p.hasToken()
 }
 
-// hasToken reports whether a request may be sent, as of the last call that had a time.
+// hasToken reports whether a request may be sent, as of the last call of advance.
 func (p *Pace) hasToken() bool {
 	return !p.isLimited || p.tokens >= 1
 }
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -283,8 +283,9 @@
 	return true
 }
 
-// Load returns the current use of the slots.
-func (s *Slots) Load() Load {
+// Load returns the use of the slots at now.
+func (s *Slots) Load(now clock.Millis) Load {
+	s.advance(now)
 	return Load{
 		InFlight: s.running,
 		Waiting:  len(s.waiting),
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -42,7 +42,7 @@
 func (g *gateModel) acquire(t *rapid.T) {
 	g.lastTicket++
 	deadline := g.now + clock.Millis(rapid.IntRange(-5, 200).Draw(t, "deadline"))
-	load := g.slots.Load()
+	load := g.slots.Load(g.now)
 	decision := g.slots.AcquireUntil(g.now, g.lastTicket, deadline)
 	refused := decision.Result == limit.Full || decision.Result == limit.Late
 	if refused != (decision.RetryAfter > 0) {
@@ -115,7 +115,7 @@
 		g.slots = limit.NewSlots(g.config)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			g.step(t)
-			got := g.slots.Load()
+			got := g.slots.Load(g.now)
 			if want := max(g.config.Slots-g.running, 0); got.InFlight != g.running || got.Free != want {
 				t.Fatalf("got %+v, want %d in flight, %d free", got, g.running, want)
 			}
@@ -124,7 +124,7 @@
 			}
 		}
 		g.expire(t)
-		if got, want := g.slots.Load().Waiting, len(g.waiting); got != want {
+		if got, want := g.slots.Load(g.now).Waiting, len(g.waiting); got != want {
 			t.Fatalf("got %d waiting, want %d", got, want)
 		}
 	})
@@ -223,7 +223,7 @@
 	if got := s.Restart(3); !slices.Equal(got, []uint64{3}) {
 		t.Errorf("got tickets %v, want the one that waited", got)
 	}
-	if got := s.Load(); got.InFlight != 1 || got.Free != 2 {
+	if got := s.Load(10); got.InFlight != 1 || got.Free != 2 {
 		t.Errorf("got %+v, want one run and two free slots", got)
 	}
 }
--- a/measure/episodes/short_episodes.go
+++ b/measure/episodes/short_episodes.go
@@ -363,7 +363,7 @@
 // publish sends the current state of an upstream to one entry.
 func (s *shortEpisodes) publish(entry, i int) {
 	now := s.sim.now
-	load := s.slots[i].Load()
+	load := s.slots[i].Load(now)
 	view := upstreamView{probability: s.filters[i].Probability(now), load: load.InFlight + load.Waiting, at: now}
 	s.sim.after(hopDelay, func() {
 		current := &s.views[entry][i]
--- a/measure/overload/gate.go
+++ b/measure/overload/gate.go
@@ -34,7 +34,7 @@
 	if g.sim.config.Queue == Unbounded {
 		return g.running + len(g.unboundedQueue)
 	}
-	l := g.slots.Load()
+	l := g.slots.Load(g.sim.scheduler.now)
 	return l.InFlight + l.Waiting
 }
 
