entry: a refusal for a rate limit is not one for load

Cause: the entry took the refusal for one for load. It cost retry budget, ended the request after three attempts and counted as overload of the service, though the upstream received nothing and no other is the fuller for it. Evidence: the log lines of the refused requests name "attempts", "service full" and "budget" as the reason why they weren't sent again.

Now only the count of refusals bounds further attempts. The entry counts the upstream as full until the time that the gate names, 2 s at most, and doesn't send a request there that was refused elsewhere.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,8 @@
 	served     bool
 	retryAfter clock.Millis
 	full       bool
+	// isPaced means that the upstream's rate limit doesn't admit the request now.
+	isPaced bool
 	// shed means that the upstream itself refused the request.
 	shed bool
 }
@@ -39,7 +41,7 @@
 		if a.isReserved {
 			a.member.gate.ReleaseReservation(&wire.ReleaseReservation{ID: r.id, Attempt: a.number, Upstream: a.upstream.Name})
 		}
-		limited := result{kind: retry.NotRun, reason: string(wire.ReasonRateLimit), full: true}
+		limited := result{kind: retry.NotRun, reason: string(wire.ReasonRateLimit), full: true, isPaced: true}
 		r.service.endAttempt(now, a.member, &limited)
 		return limited
 	}
@@ -207,7 +209,14 @@
 	return result{}, false
 }
 
-// isFull reports whether a gate refused for load: its upstream has no room for the request, but
+// refusedForLoad reports whether the attempt was refused because the upstream has all the load that
+// it can take. A rate limit is no load: the upstream received nothing, and no other upstream is
+// the fuller for it.
+func (o *result) refusedForLoad() bool {
+	return o.full && !o.isPaced
+}
+
+// isFull reports whether a gate refused because its upstream has no room for the request, but
 // nothing is wrong with it.
 func isFull(reason wire.Reason) bool {
 	return reason == wire.ReasonFull || reason == wire.ReasonDeadlineTooShort || reason == wire.ReasonRateLimit
@@ -220,6 +229,7 @@
 		out.kind = retry.NotRun
 		out.shed = reply.Reason == wire.ReasonShed
 		out.full = out.shed || isFull(reply.Reason)
+		out.isPaced = reply.Reason == wire.ReasonRateLimit
 	case wire.Answered:
 		out.kind = retry.Failed
 		out.served = reply.Status < fasthttp.StatusInternalServerError
--- a/entry/member.go
+++ b/entry/member.go
@@ -22,6 +22,9 @@
 	// announced is what the upstream has announced to this entry, nil if nothing.
 	announced *announced
 	inFlight  int // dispatches of this entry without an outcome
+	// pacedUntil is when the gate's next request is due by the upstream's rate limit, as far as
+	// this entry knows.
+	pacedUntil clock.Millis
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
 }
@@ -62,12 +65,27 @@
 	return m.state.Severity
 }
 
+// isPaced reports whether the upstream's rate limit most likely admits no request now.
+func (m *member) isPaced(now clock.Millis) bool {
+	return now < m.pacedUntil
+}
+
+// isExcludedByPace reports whether a request that was sent to a number of upstreams isn't sent to
+// this one. If all upstreams are limited, a further send would most likely be refused, too.
+func (m *member) isExcludedByPace(now clock.Millis, tried int) bool {
+	return tried > 0 && m.isPaced(now)
+}
+
 func (m *member) candidate(now clock.Millis, best float64, usable bool) choice.Candidate {
+	inFlight := max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt))
+	if m.isPaced(now) {
+		inFlight = max(inFlight, m.upstream.Slots) // used only if no other upstream has room
+	}
 	return choice.Candidate{
 		Domain:   m.upstream.Domain,
 		Weight:   m.upstream.Weight,
 		Slots:    m.upstream.Slots,
-		InFlight: max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt)),
+		InFlight: inFlight,
 		Share:    m.slowStartShare(now) * m.failureWeight(best),
 		Usable:   usable,
 	}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -115,7 +115,7 @@
 		p.done[a.index] = true
 		p.refusals[a.index] = result{
 			kind: retry.NotRun, reason: string(a.reply.Reason), retryAfter: a.reply.RetryAfter,
-			full: isFull(a.reply.Reason),
+			full: isFull(a.reply.Reason), isPaced: a.reply.Reason == wire.ReasonRateLimit,
 		}
 		return false
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -200,10 +200,13 @@
 }
 
 // recountUntried returns how many upstreams are left to try after a gate has refused the
-// request because its upstream is ejected. Under the floor that upstream, or another one
-// instead, may now be in use. With the count from before the verdict was known, a request
-// that can be served would be refused.
+// request because its upstream is ejected or its rate limit admits none. Under the floor an
+// ejected upstream, or another one instead, may now be in use. With the count from before the
+// verdict was known, a request that can be served would be refused.
 func (r *request) recountUntried(a *attempt, o *result, untried int) int {
+	if r.config.Caution != table.ShortEpisodes && o.isPaced {
+		return r.service.countUntried(r.entry.config.Now(), r.repeatable, r.tried)
+	}
 	if r.config.Caution == table.ShortEpisodes || o.kind != retry.NotRun || o.reason != string(wire.ReasonEjected) {
 		return untried
 	}
@@ -276,7 +279,7 @@
 func (r *request) retryAttempt(o *result, untried int) retry.Attempt {
 	return retry.Attempt{
 		Result:         o.kind,
-		RefusedForLoad: o.full,
+		RefusedForLoad: o.refusedForLoad(),
 		Repeatable:     r.repeatable,
 		Attempts:       r.sends,
 		Refused:        r.refused,
--- a/entry/service.go
+++ b/entry/service.go
@@ -137,7 +137,7 @@
 	s.refresh(now)
 	s.candidates = s.candidates[:0]
 	for i, m := range s.members {
-		usable := s.usable(now, i, repeatable)
+		usable := s.usable(now, i, repeatable) && !m.isExcludedByPace(now, len(tried))
 		s.candidates = append(s.candidates, m.candidate(now, s.lowestFailureShare, usable))
 		if usable && !slices.Contains(tried, m) {
 			untried++
@@ -159,7 +159,7 @@
 	s.refresh(now)
 	count := 0
 	for i, m := range s.members {
-		if s.usable(now, i, repeatable) && !slices.Contains(tried, m) {
+		if s.usable(now, i, repeatable) && !m.isExcludedByPace(now, len(tried)) && !slices.Contains(tried, m) {
 			count++
 		}
 	}
@@ -338,14 +338,21 @@
 	}
 }
 
+// maxPacedSpan bounds how long an upstream counts as full after its rate limit has refused a
+// request: the limit may end meanwhile.
+const maxPacedSpan = 2 * clock.Second
+
 // endAttempt ends an attempt. If the gate replied, it also records in the retry budget
 // whether the gate refused for load.
 func (s *service) endAttempt(now clock.Millis, m *member, o *result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.inFlight--
+	if o.isPaced {
+		m.pacedUntil = now + min(o.retryAfter, maxPacedSpan)
+	}
 	if o.reply != nil {
-		s.retryBudget.RecordReply(now, o.full)
+		s.retryBudget.RecordReply(now, o.refusedForLoad())
 	}
 }
 
--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -1,11 +1,18 @@
 package fleet_test
 
 import (
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/standin"
 )
 
@@ -110,3 +117,69 @@
 		t.Errorf("got %d requests at the leaving backend server after the restart, want none", got)
 	}
 }
+
+// requestRate is how many requests per second sendPaced sends, idleShare the share of requests that
+// must be served while upstreams have free slots.
+const (
+	requestRate = 60
+	idleShare   = 0.97
+)
+
+// sendPaced sends requests through all nodes in turn for a span, a third of them POST. It returns
+// the share that was served, and how many attempts each took.
+func sendPaced(f *fleet.Fleet, span time.Duration) (served, attempts float64) {
+	var group sync.WaitGroup
+	var count atomic.Int64
+	ticker := time.NewTicker(time.Second / requestRate)
+	defer ticker.Stop()
+	sent := 0
+	for end := time.Now().Add(span); time.Now().Before(end); sent++ {
+		<-ticker.C
+		address, isWrite := f.Members[sent%len(f.Members)].Caller, sent%3 == 0
+		group.Go(func() {
+			got, err := sendOnce(&fasthttp.Client{}, address, isWrite)
+			if err == nil && got.outcome == string(access.Served) {
+				count.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	total := 0
+	for _, m := range f.Members {
+		for _, r := range m.Node.Snapshot(access.Filter{}).Records {
+			total += r.Attempts
+		}
+	}
+	return float64(count.Load()) / float64(sent), float64(total) / float64(sent)
+}
+
+// Guards against requests that are refused for the rate limits of some upstreams while others have
+// free slots, and against requests that try one limited upstream after the other if all are.
+func TestRateLimitsCostNothingThatOtherUpstreamsCanServe(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		limited     int
+		minServed   float64
+		maxAttempts float64
+	}{
+		{"three upstreams without a limit", 9, idleShare, retry.MaxRefused},
+		{"all limited", 12, 0, retry.MaxAttempts},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			table := newTable(12)
+			table.Routes[0].Repeatable = []string{"GET"}
+			f := startFleet(t, fleet.Config{Table: table, ServiceTime: 20})
+			for i := range tt.limited {
+				f.Backends[fmt.Sprintf("conferme-%d", i+1)].SetFault(standin.Fault{Kind: standin.Limits, Rate: 2})
+			}
+			served, attempts := sendPaced(f, loadSpan)
+			t.Logf("served %.3f, %.2f attempts a request", served, attempts)
+			if served < tt.minServed {
+				t.Errorf("got a share of %.3f served, want %.2f at least", served, tt.minServed)
+			}
+			if attempts > tt.maxAttempts {
+				t.Errorf("got %.2f attempts a request, want %.2f at most", attempts, tt.maxAttempts)
+			}
+		})
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -158,8 +158,8 @@
 
 // costsBudget reports whether a retry after the attempt costs budget: the attempt caused
 // work at an upstream or was refused for load. An attempt that was refused for another
-// reason (upstream ejected or leaving, connection refused) caused no work: a retry doesn't
-// multiply load, and without it a request would fail that other upstreams have room for.
+// reason (upstream ejected, leaving or rate limited, connection refused) caused no work: a retry
+// doesn't multiply load, and without it a request would fail that other upstreams have room for.
 func (a Attempt) costsBudget() bool {
 	return a.Result != NotRun || a.RefusedForLoad
 }
