--- a/link/server.go
+++ b/link/server.go
@@ -201,7 +201,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go session.runHeartbeats(ctx)
-	err = c.read(session.handle)
+	err = c.read(session.receive)
 	log.WithError(err).WithField("echoed", session.echoed().String()).Debug("accepted link ended")
 }
 
--- a/link/session.go
+++ b/link/session.go
@@ -31,12 +31,17 @@
 	lastEcho clock.Millis
 }
 
-// handle handles a message of the dialling side. It closes the link on a message that only
-// the accepting side may send.
-func (s *session) handle(m wire.Message) {
+// receive handles a message of the dialling side and records that the link is in use.
+func (s *session) receive(m wire.Message) {
 	if !s.isUsed {
 		s.server.use(s)
 	}
+	s.handle(m)
+}
+
+// handle handles a message of the dialling side. It closes the link on a message that only
+// the accepting side may send.
+func (s *session) handle(m wire.Message) {
 	h := s.server.config.Handler
 	switch m := m.(type) {
 	case *wire.Dispatch:
