entry: log why a request leaves its own failure domain

At debug level an entry now logs the state of each nearer upstream that it passes over: path, verdict, share, load and the age of the figures. Without that level it costs one comparison.

--- a/entry/service.go
+++ b/entry/service.go
@@ -148,6 +148,9 @@
 		return attempt{}, untried, false
 	}
 	m := s.members[i]
+	if m.upstream.Domain != s.domain {
+		s.logPassedOver(now, m, tried)
+	}
 	m.inFlight++
 	return s.newAttempt(now, i), untried - 1, true
 }
