--- a/fleet/atmostonce_test.go
+++ b/fleet/atmostonce_test.go
@@ -72,7 +72,14 @@
 // Every request through the entry node is sent over the link between them.
 func startTwoNodes(t *testing.T, service clock.Millis) (f *fleet.Fleet, entryNode, gateNode *fleet.Member, backend *standin.Backend) {
 	t.Helper()
-	f = startFleet(t, fleet.Config{Table: newTable(1), ServiceTime: service, LinkRelays: true})
+	return startTwoNodesOf(t, fleet.Config{Table: newTable(1), ServiceTime: service})
+}
+
+// startTwoNodesOf is startTwoNodes for a deployment of one node and one upstream.
+func startTwoNodesOf(t *testing.T, c fleet.Config) (f *fleet.Fleet, entryNode, gateNode *fleet.Member, backend *standin.Backend) {
+	t.Helper()
+	c.LinkRelays = true
+	f = startFleet(t, c)
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
 	entryNode, err := f.AddMember(ctx, "far", "catania")
--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -247,15 +247,9 @@
 	const size = 16_000_000 // more than the kernel buffers on the way
 	table := newTable(1)
 	table.Services[0].Deadline = 20 * clock.Second
-	f := startFleet(t, fleet.Config{
-		Table: table, ServiceTime: 300, LinkRelays: true, Adjust: func(s *settings.Settings) { s.Limits.Answer = 2 * size },
+	_, entryNode, gateNode, backend := startTwoNodesOf(t, fleet.Config{
+		Table: table, ServiceTime: 300, Adjust: func(s *settings.Settings) { s.Limits.Answer = 2 * size },
 	})
-	gateNode, backend := f.Members[0], f.Backends["conferme-1"]
-	entryNode, err := f.AddMember(t.Context(), "far", "catania")
-	if err != nil {
-		t.Fatal(err)
-	}
-	<-entryNode.Node.InForce()
 	done := make(chan answer, 1)
 	go func() { done <- send(t, "POST", entryNode.Caller, fmt.Sprintf("/conferme/turno?size=%d", size), "") }()
 	awaitTotals(t, backend, begunAtLeast(1))
@@ -280,13 +274,7 @@
 func TestLeavingNodeWaitsForAnEntryWhoseLinkBroke(t *testing.T) {
 	table := newTable(1)
 	table.Services[0].Deadline = 8 * clock.Second
-	f := startFleet(t, fleet.Config{Table: table, ServiceTime: 600, LinkRelays: true})
-	gateNode, backend := f.Members[0], f.Backends["conferme-1"]
-	entryNode, err := f.AddMember(t.Context(), "far", "catania")
-	if err != nil {
-		t.Fatal(err)
-	}
-	<-entryNode.Node.InForce()
+	_, entryNode, gateNode, backend := startTwoNodesOf(t, fleet.Config{Table: table, ServiceTime: 600})
 	done := make(chan answer, 1)
 	go func() { done <- send(t, "POST", entryNode.Caller, "/conferme/turno", "") }()
 	awaitTotals(t, backend, begunAtLeast(1))
