link, entry: no log entry for each reply; comments read once more

Server.SendReply prepared a log entry for each reply, also when nothing was logged: an allocation on the path of each request, added with the logs of links. It is prepared now only for replies that aren't sent. Behaviour is unchanged.

--- a/entry/member.go
+++ b/entry/member.go
@@ -70,8 +70,8 @@
 	return now < m.pacedUntil
 }
 
-// isExcludedByPace reports whether a request that was sent to a number of upstreams isn't sent to
-// this one. If all upstreams are limited, a further send would most likely be refused, too.
+// isExcludedByPace reports whether a request that some upstreams have refused or failed isn't sent
+// to this one, which would most likely refuse it, too.
 func (m *member) isExcludedByPace(now clock.Millis, tried int) bool {
 	return tried > 0 && m.isPaced(now)
 }
--- a/link/drain.go
+++ b/link/drain.go
@@ -13,7 +13,7 @@
 const ErrLeaving = errors.ConstError("node is about to stop")
 
 // reconnectWindow is how long an entry whose link broke may take to open another one: it dials
-// again after at most a second, and the handshake must succeed.
+// immediately and, if that fails, again within a second, and the handshake must succeed.
 const reconnectWindow = clock.Second + handshakeTimeout
 
 // Drain asks all entries to close their links. From then on a link is accepted only from an entry
@@ -57,8 +57,8 @@
 	return !s.conn.Accepts(wire.KindGoAway) && echoed >= since && echoed > s.lastReplyAt
 }
 
-// admit returns ErrLeaving if the node accepts no link from an entry. The caller holds the
-// server's lock.
+// admit records that an entry has a link again, or returns ErrLeaving if the node accepts none from
+// it. The caller holds the server's lock.
 func (s *Server) admit(entry uint64) error {
 	_, isAbsent := s.absent[entry]
 	if s.isClosed || (s.isDraining && !isAbsent && !s.hasSession(entry)) {
--- a/link/goaway.go
+++ b/link/goaway.go
@@ -43,8 +43,8 @@
 	p.draining = nil
 }
 
-// awaitsDrained reports whether no new link is to be opened, because the peer still answers on the
-// draining one. The caller holds the peer's lock.
+// awaitsDrained reports whether no new link is to be opened, because the peer may still answer on
+// the draining one. The caller holds the peer's lock.
 func (p *Peer) awaitsDrained(now clock.Millis) bool {
 	return p.draining != nil && now-p.drainingSince <= goAwayTimeout
 }
--- a/link/server.go
+++ b/link/server.go
@@ -256,13 +256,12 @@
 		session.lastReplyAt = s.config.Now()
 	}
 	s.mu.Unlock()
-	log := s.config.Log.WithField("request", r.ID.String())
 	if !ok {
-		log.Debug("reply not sent; its entry has no link and asks again")
+		s.config.Log.WithField("request", r.ID.String()).Debug("reply not sent; its entry has no link and asks again")
 		return
 	}
 	if err := sendReply(c, r); err != nil {
-		log.WithError(err).Debug("reply not sent; closing the link")
+		s.config.Log.WithError(err).WithField("request", r.ID.String()).Debug("reply not sent; closing the link")
 		// Otherwise the entry would wait for the rest of the reply.
 		c.Close()
 	}
--- a/link/session.go
+++ b/link/session.go
@@ -9,7 +9,7 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// session is an open link at the accepting side, after the handshake.
+// session is a link at the accepting side, from when its peer has proved itself.
 type session struct {
 	server *Server
 	conn   *Conn
