--- a/fleet/ratelimit_test.go
+++ b/fleet/ratelimit_test.go
@@ -157,10 +157,10 @@
 // free slots, and against requests that try one limited upstream after the other if all are.
 func TestRateLimitsCostNothingThatOtherUpstreamsCanServe(t *testing.T) {
 	for _, tt := range []struct {
-		name        string
-		limited     int
-		minServed   float64
-		maxAttempts float64
+		name         string
+		limited      int
+		minServed    float64
+		mostAttempts float64
 	}{
 		{"three upstreams without a limit", 9, idleShare, retry.MaxRefused},
 		{"all limited", 12, 0, retry.MaxAttempts},
@@ -177,8 +177,8 @@
 			if served < tt.minServed {
 				t.Errorf("got a share of %.3f served, want %.2f at least", served, tt.minServed)
 			}
-			if attempts > tt.maxAttempts {
-				t.Errorf("got %.2f attempts a request, want %.2f at most", attempts, tt.maxAttempts)
+			if attempts > tt.mostAttempts {
+				t.Errorf("got %.2f attempts a request, want %.2f at most", attempts, tt.mostAttempts)
 			}
 		})
 	}
