link: parts of a reply count only on the link that its entry uses

The path is lost at 37.281 s (the test's relay holds the link), a second link opens at 38.243 s with one dispatch undecided, which is resolved there, so that the gate sends its reply again; the backend server has served the request; the caller gets torn-answer at 38.263 s, before the old link has ended. Both links carried parts of the reply then, and the entry joined a part from the old one to the copy of the new one: a misplaced part tears the reply.

A dispatch now names the link on which it was sent or resolved last, and parts of a reply from another link are ignored.

--- a/link/peer.go
+++ b/link/peer.go
@@ -301,9 +301,9 @@
 func (p *Peer) handleMessage(conn *Conn, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.Reply:
-		p.handleReply(m)
+		p.handleReply(conn, m)
 	case *wire.Chunk:
-		p.handleChunk(m)
+		p.handleChunk(conn, m)
 	case *wire.Resolution:
 		p.handleResolution(m)
 	case *wire.KeyRevocationReply:
--- a/link/reply.go
+++ b/link/reply.go
@@ -8,8 +8,10 @@
 
 // handleReply handles a reply with the first part of its body. It drops a reply to an
 // attempt that is no longer pending. Such a reply can't be mistaken for that of a later
-// attempt, because the attempt is part of the key.
-func (p *Peer) handleReply(r *wire.Reply) {
+// attempt, because the attempt is part of the key. A reply in several frames counts only on the
+// link on which the dispatch was resolved last: one that the link has replaced may still bring
+// parts of an earlier copy.
+func (p *Peer) handleReply(conn *Conn, r *wire.Reply) {
 	p.config.Observer.PeerUpstream(p.config.Address, r.Upstream)
 	key := r.ID.Key(r.Attempt)
 	now := p.config.Now()
@@ -24,6 +26,9 @@
 	case !ok:
 		p.mu.Unlock()
 		return
+	case len(r.Body) < r.Length && pending.conn != conn:
+		p.mu.Unlock()
+		return
 	case len(r.Body) < r.Length && r.Length <= p.config.MaxReplyBody:
 		body := make([]byte, len(r.Body), r.Length)
 		copy(body, r.Body)
@@ -41,12 +46,12 @@
 
 // handleChunk appends body bytes to a reply. The observer gets the reply only once its
 // body is complete. A missing or misplaced chunk makes the reply a truncated one.
-func (p *Peer) handleChunk(c *wire.Chunk) {
+func (p *Peer) handleChunk(conn *Conn, c *wire.Chunk) {
 	key := c.ID.Key(c.Attempt)
 	p.mu.Lock()
 	p.detector.Received(p.config.Now())
 	pending, ok := p.pending[key]
-	if !ok || pending.partial == nil {
+	if !ok || pending.partial == nil || pending.conn != conn {
 		p.mu.Unlock()
 		return
 	}
