--- /dev/null
+++ b/link/reply_test.go
@@ -0,0 +1,116 @@
+package link_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// heldObserver holds the reading of a link at a reply whose upstream is named "held".
+type heldObserver struct {
+	workRequestObserver
+
+	proceed chan struct{}
+}
+
+func (o heldObserver) PeerUpstream(_ string, u wire.Upstream) {
+	if u.Name == "held" {
+		<-o.proceed
+	}
+}
+
+// acceptLinks accepts links and passes on their sockets after the handshake.
+func acceptLinks(t *testing.T) (address string, sockets chan *websocket.Conn) {
+	t.Helper()
+	listener := listen(t)
+	address, sockets = listener.Addr().String(), make(chan *websocket.Conn, 8)
+	upgrader := websocket.FastHTTPUpgrader{}
+	serve := func(socket *websocket.Conn) {
+		nonce := wire.Nonce()
+		writeMessage(t, socket, &wire.Challenge{Format: wire.Format, Node: address, Incarnation: 2, Nonce: nonce})
+		proof, ok := readMessage(t, socket).(*wire.Proof)
+		if !ok {
+			return
+		}
+		writeMessage(t, socket, &wire.Welcome{MAC: wire.ComputeMAC(secret, wire.Acceptor, address, 2, nonce, proof.Nonce), Time: 1})
+		sockets <- socket
+		<-t.Context().Done()
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { _ = upgrader.Upgrade(ctx, serve) }}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	return address, sockets
+}
+
+// readMessage returns the next message, nil if the link has ended.
+func readMessage(t *testing.T, socket *websocket.Conn) wire.Message {
+	t.Helper()
+	_, frame, err := socket.ReadMessage()
+	if err != nil {
+		return nil
+	}
+	m, err := wire.Decode(frame, limit)
+	if err != nil {
+		t.Error(err)
+	}
+	return m
+}
+
+// awaitKind reads messages until one of the kind arrives.
+func awaitKind(t *testing.T, socket *websocket.Conn, kind wire.Kind) {
+	t.Helper()
+	for {
+		m := readMessage(t, socket)
+		if m == nil {
+			t.Fatalf("got the end of the link, want a message of kind %d", kind)
+		}
+		if m.Kind() == kind {
+			return
+		}
+	}
+}
+
+// Guards against a response that is taken for a torn one, because parts of it arrive on a link
+// that another one has replaced meanwhile.
+func TestPartsOfAReplyOnAReplacedLinkAreIgnored(t *testing.T) {
+	address, sockets := acceptLinks(t)
+	received, proceed := make(chan int, 8), make(chan struct{})
+	peer, _ := runPeer(t, link.PeerConfig{
+		Address: address, HeartbeatInterval: 300 * clock.Millis(1),
+		Observer: heldObserver{workRequestObserver{received: received}, proceed},
+	})
+	observer := replyObserver{replies: make(chan *wire.Reply, 1)}
+	d := newDispatch(1)
+	if err := peer.Dispatch(d, observer); err != nil {
+		t.Fatal(err)
+	}
+	part := func(upstream string) *wire.Reply {
+		return &wire.Reply{ID: d.ID, Attempt: d.Attempt, Outcome: wire.Answered, Status: 200, Body: []byte("a"), Length: 3, Upstream: wire.Upstream{Name: upstream}}
+	}
+	replaced := <-sockets
+	awaitKind(t, replaced, wire.KindDispatch)
+	writeMessage(t, replaced, part("held"))
+	current := <-sockets // the peer opens another link, as the first is silent
+	awaitKind(t, current, wire.KindResolve)
+	writeMessage(t, current, part("conferme-1"))
+	writeMessage(t, current, &wire.Chunk{ID: d.ID, Attempt: d.Attempt, Offset: 1, Data: []byte("b")})
+	writeMessage(t, current, &wire.WorkRequest{Upstream: "conferme-1"})
+	<-received
+	close(proceed)
+	<-time.After(50 * time.Millisecond) // the held reply is handled
+	writeMessage(t, current, &wire.Chunk{ID: d.ID, Attempt: d.Attempt, Offset: 2, Data: []byte("c")})
+	select {
+	case got := <-observer.replies:
+		if got.Outcome != wire.Answered || string(got.Body) != "abc" {
+			t.Errorf("got outcome %v (%s), body %q; want the whole response", got.Outcome, got.Reason, got.Body)
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("got no reply within 30s")
+	}
+}
