table, wire: keys and messages for waiting for a service and placement by cost

Two deployments have callers that compete for slots, and demand and upstreams that are uneven.

This commit adds what the parts share: the keys waiting and placement of a service, weight of an account and bulk of a route, their checks and documentation, three kinds of messages above BaseKind, which only peers that know them get, and the fields of a request for a slot that name its account and latest useful start. Nothing reads them yet.

--- a/cmd/nodeconfig.go
+++ b/cmd/nodeconfig.go
@@ -48,6 +48,8 @@
 		RetryRatio:         p.Retries,
 		ExtraRetries:       p.Extra,
 		RetryWindow:        p.Window,
+		Waiting:            p.Waiting,
+		Placement:          p.Placement,
 		LiftedFingerprints: p.Lift,
 		Objective:          table.Objective{Availability: table.DefaultAvailability, LatencyRatio: table.DefaultLatencyRatio},
 	}
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -87,6 +87,13 @@
 	Deadline, Until clock.Millis
 	// Priority ranks requests; 0 is the highest.
 	Priority int
+	// Account is the client account of the request, Weight its share of the slots relative to
+	// those of other accounts. Both may be zero.
+	Account string
+	Weight  float64
+	// StartBy is the latest instant at which the request is to start in order to be answered
+	// within its latency target; 0 if it has none.
+	StartBy clock.Millis
 	// NoPacedWait means that the request doesn't wait for the pace: another upstream most
 	// likely serves it sooner.
 	NoPacedWait bool
--- a/settings/check.go
+++ b/settings/check.go
@@ -123,6 +123,7 @@
 	document.CheckRange(doc, n, "retries", s.Policy.Retries, 0, 1)
 	document.CheckRange(doc, n, "extra", s.Policy.Extra, 0, MaxExtra)
 	doc.CheckDuration(n, "window", s.Policy.Window, 0, MaxWindow)
+	table.CheckPlacement(doc, n, s.Policy.Waiting, s.Policy.Placement)
 	table.CheckFingerprints(doc, n, s.Policy.Lift)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,6 +102,10 @@
 	Retries float64      `toml:"retries"`
 	Extra   float64      `toml:"extra"`
 	Window  clock.Millis `toml:"window"`
+	// Waiting and Placement are empty unless the settings give them: the platform's
+	// configuration then decides.
+	Waiting   table.Waiting   `toml:"waiting"`
+	Placement table.Placement `toml:"placement"`
 	// Lift lists the fingerprints of requests whose quarantine is lifted.
 	Lift []string `toml:"lift"`
 }
--- a/table/account.go
+++ b/table/account.go
@@ -98,6 +98,7 @@
 	document.CheckRange(c.doc, n, "rate", a.Rate, 0, MaxRate)
 	document.CheckRange(c.doc, n, "burst", a.Burst, 0, MaxRate)
 	document.CheckRange(c.doc, n, "priority", a.Priority, RoutePriority, MaxPriority)
+	document.CheckRange(c.doc, n, "weight", a.Weight, 0, MaxAccountWeight)
 }
 
 func isDigest(text string) bool {
--- a/table/check.go
+++ b/table/check.go
@@ -31,6 +31,8 @@
 	MaxRate = 1e9
 	// MaxWeight keeps the sum of weight x slots over all upstreams far below overflow.
 	MaxWeight = 10_000
+	// MaxAccountWeight is more than accounts differ.
+	MaxAccountWeight = 1000
 	// MaxSlots is more than one instance serves concurrently.
 	MaxSlots = 10_000
 	// MaxConnections is more than one process may open to one address.
@@ -138,6 +140,7 @@
 	default:
 		c.doc.Refuse(n, "caution", document.Quote(string(s.Caution)), "fast, balanced, cautious, brief")
 	}
+	CheckPlacement(c.doc, n, s.Waiting, s.Placement)
 	document.CheckRange(c.doc, n, "floor", s.Floor, 0, 1)
 	c.doc.CheckDuration(n, "deadline", s.Deadline, MinDeadline, MaxDeadline)
 	if s.ProbePath != "" && !strings.HasPrefix(s.ProbePath, "/") {
@@ -167,6 +170,16 @@
 	}
 }
 
+// CheckPlacement checks the keys waiting and placement of n.
+func CheckPlacement(doc *document.Document, n *document.Node, waiting Waiting, placement Placement) {
+	if waiting != "" && waiting != WaitAtGates && waiting != WaitForService {
+		doc.Refuse(n, "waiting", document.Quote(string(waiting)), "gates, service")
+	}
+	if placement != "" && placement != PlaceNear && placement != PlaceByCost {
+		doc.Refuse(n, "placement", document.Quote(string(placement)), "near, cost")
+	}
+}
+
 // CheckFingerprints checks the key lift of n, the fingerprints of the requests whose
 // quarantine is lifted.
 func CheckFingerprints(doc *document.Document, n *document.Node, fingerprints []string) {
--- a/table/defaults.go
+++ b/table/defaults.go
@@ -30,6 +30,8 @@
 	DefaultLatency = 500 * clock.Millis(1)
 	// DefaultLatencyRatio leaves out the slowest 1 in 100 requests.
 	DefaultLatencyRatio = 0.99
+	// DefaultAccountWeight gives all accounts the same share.
+	DefaultAccountWeight = 1.0
 	// DefaultWeight leaves room to raise or lower an upstream's share in whole
 	// numbers.
 	DefaultWeight = 100
--- a/table/types.go
+++ b/table/types.go
@@ -24,6 +24,30 @@
 	ShortEpisodes Caution = "brief"
 )
 
+// Waiting says where a request waits that finds no free slot.
+type Waiting string
+
+// The values of Waiting; empty stands for WaitAtGates.
+const (
+	// WaitAtGates lets a request wait at a few gates that it chooses once.
+	WaitAtGates Waiting = "gates"
+	// WaitForService lets a request wait at its entry for the first slot of the service that
+	// becomes free, and orders those that wait by priority and by the shares of their accounts.
+	WaitForService Waiting = "service"
+)
+
+// Placement says by what an entry chooses among the upstreams of a service.
+type Placement string
+
+// The values of Placement; empty stands for PlaceNear.
+const (
+	// PlaceNear charges a fixed cost for another failure domain.
+	PlaceNear Placement = "near"
+	// PlaceByCost weighs the distance by the size of the request, and the load by what each
+	// upstream has been observed to carry.
+	PlaceByCost Placement = "cost"
+)
+
 // The tag diff:"unless-zero" leaves a key without a value out of the Change of a part
 // that was added or removed.
 
@@ -67,7 +91,9 @@
 	// Probes may end a hold-off, but never eject or readmit an upstream on their own.
 	ProbePath string `toml:"probe"`
 	// Queue is the number of requests that may wait at a gate for a slot of one upstream.
-	Queue int `toml:"queue"`
+	Queue     int       `toml:"queue"`
+	Waiting   Waiting   `toml:"waiting" diff:"unless-zero"`
+	Placement Placement `toml:"placement" diff:"unless-zero"`
 	// RetryRatio is the share of requests, from 0 to 1, that may be retried.
 	RetryRatio float64 `toml:"retries"`
 	// ExtraRetries is the number of retries beyond RetryRatio that all nodes together may
@@ -150,6 +176,8 @@
 	Repeatable []string `toml:"repeatable"`
 	// Public lets requests through without a key of a client account.
 	Public bool `toml:"public" diff:"unless-zero"`
+	// Bulk marks a route whose requests have large bodies.
+	Bulk bool `toml:"bulk" diff:"unless-zero"`
 }
 
 // AnyMethod in Route.Repeatable stands for all methods.
@@ -182,6 +210,9 @@
 	Burst float64 `toml:"burst"`
 	// Priority replaces the priority of the route, unless it is RoutePriority.
 	Priority int `toml:"priority"`
+	// Weight is the account's share of a service's slots relative to the weights of the other
+	// accounts that wait for one; 0 stands for DefaultAccountWeight.
+	Weight float64 `toml:"weight" diff:"unless-zero"`
 }
 
 // RoutePriority in Account.Priority keeps the priority of the route.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -67,6 +67,9 @@
 	KindAnnouncements
 	KindEraUpdate
 	KindGoAway
+	KindSlotClaim
+	KindClaimQueued
+	KindUpstreamProfile
 )
 
 const (
@@ -75,7 +78,7 @@
 	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
 	// only to peers that state in the handshake that they accept them, so that a new kind
 	// needs no new Format.
-	LastKind = KindGoAway
+	LastKind = KindUpstreamProfile
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -185,6 +188,9 @@
 	KindAnnouncements:      func() Message { return new(Announcements) },
 	KindEraUpdate:          func() Message { return new(EraUpdate) },
 	KindGoAway:             func() Message { return new(GoAway) },
+	KindSlotClaim:          func() Message { return new(SlotClaim) },
+	KindClaimQueued:        func() Message { return new(ClaimQueued) },
+	KindUpstreamProfile:    func() Message { return new(UpstreamProfile) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
