node: gates of a leaving node serve while it lingers

Cause: a node that gets SIGTERM lingers for its callers (2.5 s), but its gates refused new requests at once. The logs show each node idle as a gate for 3.3 s to 5.4 s before its process ended, and 24 of them at the same moment, beside upstreams that were well; the five gates that were left in use answered full to 62 to 83 requests each.

The gates now take requests for the linger time, but for a third of the grace period at most, so that these can finish. Without linger nothing changes. A gate whose upstream leaves, by the table or its own word, refuses as before. Weighed: that entries use leaving upstreams only when no other is free; it needs a state of its own on the wire and keeps other upstreams fuller than necessary.

TestGatesOfALingeringNodeServe fails before (no run beside the lingering node). The shutdown tests of package fleet pass.

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -326,6 +326,25 @@
 	}
 }
 
+// Many nodes of a fleet are restarted in turn, and each lingers for its callers. Guards against
+// upstreams that are idle beside lingering nodes while callers are refused for want of slots.
+func TestGatesOfALingeringNodeServe(t *testing.T) {
+	f := startFleet(t, fleet.Config{Table: newTable(2), ServiceTime: 30, Adjust: func(s *settings.Settings) {
+		s.Grace, s.Linger = 9*clock.Second, 3*clock.Second
+	}})
+	leaving := f.Members[0]
+	leaving.Node.Leave()
+	waitUntil(t, "not ready", func() bool { return !leaving.Node.Ready() })
+	for range 20 {
+		if got, err := sendOnce(&fasthttp.Client{}, f.Members[1].Caller, false); err != nil || got.outcome != string(access.Served) {
+			t.Errorf("got outcome %q and error %v, want served", got.outcome, err)
+		}
+	}
+	if got := len(f.Backends["conferme-1"].Ledger()); got == 0 {
+		t.Error("got no run beside the lingering node, want some")
+	}
+}
+
 // logBuffer collects the log lines of nodes.
 type logBuffer struct {
 	mu   sync.Mutex
--- a/node/leave.go
+++ b/node/leave.go
@@ -45,19 +45,35 @@
 // connections that were just answered.
 const shutdownMargin = 300 * clock.Millis(1)
 
-// drain finishes the requests in flight. Gates immediately refuse new requests, and entries
+// gateShare is the part of the grace period for which the gates of a leaving node still accept
+// requests. The rest is for these requests to finish.
+const gateShare = 1.0 / 3
+
+// gateLinger returns how long gates accept requests after a shutdown has begun. While many nodes
+// are restarted in turn, the slots beside the leaving ones would otherwise be idle, and callers
+// would be refused, for as long as those nodes linger.
+func (n *Node) gateLinger() clock.Millis {
+	return min(n.settings.Linger, clock.Millis(gateShare*float64(n.settings.Grace)))
+}
+
+// drain finishes the requests in flight. After gateLinger, gates refuse new requests, and entries
 // send these to other nodes. Callers are served by upstreams of other nodes until no request
 // has come for idleWindow or callerDrainTimeout is over; then the caller port closes, and the
 // requests that were accepted are finished, and peers close their links once they have all replies.
 // Requests that outlast the grace period are cut.
 func (n *Node) drain(ctx context.Context) {
 	n.entry.Leave()
-	left := n.clock.Now()
-	n.leaveGates()
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
 	ctx, cancel := context.WithTimeout(ctx, (n.settings.Grace - min(n.settings.Grace/10, shutdownMargin)).Duration())
 	defer cancel()
-	n.linger(ctx)
+	gateLinger := n.gateLinger()
+	pause(ctx, gateLinger)
+	left := n.clock.Now()
+	n.leaveGates()
+	pause(ctx, n.settings.Linger-gateLinger)
 	callersCtx, stop := context.WithTimeout(ctx, (min(callerDrainTimeout, n.settings.Grace/2) - n.settings.Linger).Duration())
 	defer stop()
 	_ = n.awaitIdle(callersCtx, n.entry.InFlight) // callers that keep sending requests must not delay the shutdown
@@ -81,13 +97,14 @@
 	n.log.Debug("peers have closed their links")
 }
 
-// linger keeps accepting callers' requests until load balancers that watch the node's
-// readiness have sent callers to other nodes. Without it, callers would find a closed port.
-func (n *Node) linger(ctx context.Context) {
-	if n.settings.Linger <= 0 {
+// pause returns after a span of time or when the context ends. Callers' requests are served
+// meanwhile: load balancers that watch the node's readiness need the time to send callers to other
+// nodes, and without it callers would find a closed port.
+func pause(ctx context.Context, span clock.Millis) {
+	if span <= 0 {
 		return
 	}
-	timer := time.NewTimer(n.settings.Linger.Duration())
+	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -166,7 +183,7 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table != nil && !n.leaving
+	return n.table != nil && !n.stopping
 }
 
 // InForce returns a channel that is closed when the first table is in force.
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,8 @@
 	// earlyAnnouncements holds announcements of upstreams that have no gate yet, by name.
 	earlyAnnouncements map[string]earlyAnnouncement
 	peers              map[string]*peer
-	leaving            bool
+	stopping           bool // a shutdown has begun
+	leaving            bool // the gates refuse new requests
 	// readRevisions holds the revisions of the values that were applied, by key. Only the
 	// follower's goroutine uses it.
 	readRevisions       map[string]uint64
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,7 +44,8 @@
 	Grace clock.Millis `toml:"grace"`
 	// Linger is the minimum time for which a leaving node still accepts callers'
 	// requests. Load balancers that watch its readiness need this time to send callers
-	// to other nodes.
+	// to other nodes. Its gates accept requests for the same time, but for a third of Grace
+	// at most.
 	Linger clock.Millis `toml:"linger"`
 	// Log is the lowest level that is logged: "error", "warn", "info" or "debug".
 	Log string `toml:"log"`
