node, quota: a quota request reaches its home through another node

A fleet could admit up to one and a half times an account's quota while some pairs of nodes couldn't reach each other: a node that can't reach the account's home asks the next one, which grants half of the limit if it can't reach the home either, in addition to the whole limit that the home still grants to all others. A home that was asked by such a node on behalf of a third also granted the whole limit, though it isn't the account's first.

--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -78,6 +78,7 @@
 
 // RequestQuota sends no answer.
 func (*heartbeatCounter) RequestQuota(uint64, *wire.QuotaRequest) {}
+func (*heartbeatCounter) ForwardQuota(uint64, *wire.QuotaForward) {}
 
 // RevokeKey returns an empty reply.
 func (c *heartbeatCounter) RevokeKey(*wire.KeyRevocation) *wire.KeyRevocationReply {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -35,6 +35,7 @@
 func (c *countingHandler) ProbeCapacity(uint64, *wire.CapacityProbe)   {}
 func (c *countingHandler) ReleaseReservation(*wire.ReleaseReservation) {}
 func (c *countingHandler) RequestQuota(uint64, *wire.QuotaRequest)     {}
+func (c *countingHandler) ForwardQuota(uint64, *wire.QuotaForward)     {}
 func (c *countingHandler) RevokeKey(*wire.KeyRevocation) *wire.KeyRevocationReply {
 	return &wire.KeyRevocationReply{}
 }
--- a/link/quota.go
+++ b/link/quota.go
@@ -13,6 +13,17 @@
 	return p.quotaRequests.send(p, r.Seq, r, onReply)
 }
 
+// ForwardQuota asks the node to relay a quota request to another node. It calls onReply and
+// returns errors as ProbeCapacity does, and ErrNoLink if the node's release doesn't relay them.
+func (p *Peer) ForwardQuota(m *wire.QuotaForward, onReply func(*wire.QuotaGrant)) error {
+	if !p.Accepts(wire.KindQuotaForward) {
+		return ErrNoLink
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.quotaRequests.send(p, m.Request.Seq, m, onReply)
+}
+
 // ForgetQuotaRequest removes a quota request that the node has given up, so that a late
 // answer to it is ignored.
 func (p *Peer) ForgetQuotaRequest(seq uint64) {
--- a/link/server.go
+++ b/link/server.go
@@ -30,6 +30,9 @@
 	// RequestQuota decides on requests of a client account. The answer is sent by
 	// Server.SendQuotaGrant.
 	RequestQuota(entry uint64, r *wire.QuotaRequest)
+	// ForwardQuota relays a quota request to another node. The answer is sent by
+	// Server.SendQuotaGrant.
+	ForwardQuota(entry uint64, m *wire.QuotaForward)
 	// RevokeKey forbids sends of a key that a resend supersedes, and returns the record of
 	// the key.
 	RevokeKey(r *wire.KeyRevocation) *wire.KeyRevocationReply
--- a/node/quota.go
+++ b/node/quota.go
@@ -27,6 +27,9 @@
 	// quotaRelayTimeout bounds the wait for a home that comes earlier in the order, when
 	// another home asks it on behalf of a node that can't reach it.
 	quotaRelayTimeout = 40 * clock.Millis(1)
+	// quotaForwardTimeout bounds the wait for a node that asks that home in turn. It and
+	// quotaRelayTimeout together are less than quotaRequestTimeout.
+	quotaForwardTimeout = 50 * clock.Millis(1)
 )
 
 // quotas admits requests of client accounts within their quotas: it asks the homes of the
@@ -242,13 +245,19 @@
 	if peer.RequestQuota(request, func(grant *wire.QuotaGrant) { granted <- grant }) != nil {
 		return nil // the next home is asked
 	}
+	return awaitGrant(peer, request.Seq, granted, timeout)
+}
+
+// awaitGrant waits for the answer to a quota request that was sent to a peer. It returns nil if
+// there is none within the timeout.
+func awaitGrant(peer *link.Peer, seq uint64, granted <-chan *wire.QuotaGrant, timeout clock.Millis) *wire.QuotaGrant {
 	timer := time.NewTimer(timeout.Duration())
 	defer timer.Stop()
 	select {
 	case grant := <-granted:
 		return grant
 	case <-timer.C:
-		peer.ForgetQuotaRequest(request.Seq)
+		peer.ForgetQuotaRequest(seq)
 		return nil
 	}
 }
@@ -260,44 +269,9 @@
 	return q.allocator.Grant(q.now(), request)
 }
 
-// answer answers a quota request of another node. If the sender has skipped homes that come
-// before this one, this node first asks those itself, because a home that some nodes can't
-// reach still grants requests of the others. Only if this node can't reach them either, it
-// grants requests, and then only within a part of the limit.
-func (q *quotas) answer(message *wire.QuotaRequest) *wire.QuotaGrant {
-	request := message.ToQuota()
-	if message.SkippedHomes > 0 && !message.IsRelayed {
-		q.mu.Lock()
-		homes := q.homesFor(message.Account)
-		q.mu.Unlock()
-		relayed := *message
-		relayed.IsRelayed, relayed.Seq = true, q.sequence.Add(1)
-		for _, home := range homes[:min(message.SkippedHomes, len(homes))] {
-			if home == q.self {
-				break
-			}
-			if grant := q.requestFromHome(home, &relayed, quotaRelayTimeout); grant != nil {
-				grant.Seq = message.Seq
-				return grant
-			}
-		}
-		request.Limit = request.Limit.Fallback()
-	}
-	return wire.NewQuotaGrant(message.Seq, q.grant(request))
-}
-
 // QuotaCounts returns how many requests of client accounts this node has admitted and refused.
 func (q *quotas) QuotaCounts() metrics.QuotaCounts {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.counts
 }
-
-// RequestQuota answers a quota request of another node.
-func (n *Node) RequestQuota(from uint64, message *wire.QuotaRequest) {
-	if message.SkippedHomes == 0 || message.IsRelayed {
-		n.links.SendQuotaGrant(from, n.quotas.answer(message))
-		return
-	}
-	go func() { n.links.SendQuotaGrant(from, n.quotas.answer(message)) }() // answering may wait for another home
-}
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -43,6 +43,18 @@
 	Home uint32
 }
 
+// QuotaForward asks a node to relay a quota request to a home that the sender can't reach. The
+// node answers with the home's QuotaGrant, or with one whose Home is NoHome.
+type QuotaForward struct {
+	_ struct{} `cbor:",toarray"`
+	// Home is the link address of the home.
+	Home    string
+	Request QuotaRequest
+}
+
+// NoHome in QuotaGrant.Home means that the node that was asked can't reach the home either.
+const NoHome = 0
+
 // NewQuotaRequest converts a quota request to its message form.
 func NewQuotaRequest(seq uint64, r quota.Request) *QuotaRequest {
 	return &QuotaRequest{
@@ -74,3 +86,6 @@
 
 // Kind implements Message.
 func (*QuotaGrant) Kind() Kind { return KindQuotaGrant }
+
+// Kind implements Message.
+func (*QuotaForward) Kind() Kind { return KindQuotaForward }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -70,6 +70,7 @@
 	KindSlotClaim
 	KindClaimQueued
 	KindUpstreamProfile
+	KindQuotaForward
 )
 
 const (
@@ -78,7 +79,7 @@
 	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
 	// only to peers that state in the handshake that they accept them, so that a new kind
 	// needs no new Format.
-	LastKind = KindUpstreamProfile
+	LastKind = KindQuotaForward
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -191,6 +192,7 @@
 	KindSlotClaim:          func() Message { return new(SlotClaim) },
 	KindClaimQueued:        func() Message { return new(ClaimQueued) },
 	KindUpstreamProfile:    func() Message { return new(UpstreamProfile) },
+	KindQuotaForward:       func() Message { return new(QuotaForward) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -39,6 +39,7 @@
 		&wire.EraUpdate{Update: wire.StoreUpdate{Since: 1<<40 | 4, Revision: 1<<40 | 9, Changes: []byte("[]"), Age: 3, Time: 8}},
 		&wire.GoAway{},
 		&wire.SlotClaim{Probe: wire.CapacityProbe{ID: id, Attempt: 2, Upstream: "conferme-1"}, Account: "hotel", Weight: 0.5, StartBy: 900, Bytes: 60000},
+		&wire.QuotaForward{Home: "127.0.0.1:2", Request: wire.QuotaRequest{Seq: 4, Account: "hotel", Rate: 10, Burst: 10, Count: 2, SkippedHomes: 1}},
 		&wire.ClaimQueued{ID: id, Attempt: 2, Upstream: "conferme-1", Wait: 40},
 		&wire.UpstreamProfile{Upstream: "conferme-1", Speed: 1.25, Concurrency: 4, Shares: []wire.AccountShare{{Account: "hotel", Used: 0.5}, {Used: 2}}},
 		&wire.WorkRequest{Upstream: "conferme-1", TTL: 500},
