logging: one line a second for a lasting condition and its cause

A condition that is evaluated at each request, such as an upstream kept in use under the floor, logged 18,109 lines in ten seconds. The rate of 200 lines a second for one message bounds that, but hides the other causes of the message.

logging.Repeatable marks such lines. Of those with the same message, service, upstream, reason, peer and path the Limiter prints one a second, and the next one carries "suppressed". If none follows, the report of dropped lines has the number. Nothing is left out at level debug, and lines on single requests are not marked. Warnings of links, path changes and failed calls of the platform are marked; the path's state is part of the cause, so that the line of a lost path is not taken for a repetition.

fuchsiapick_log_lines_lost_total has the new cause "repeated". The fake of the metrics test returns three counts in place of two.

--- a/link/dial.go
+++ b/link/dial.go
@@ -6,12 +6,13 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 func (p *Peer) pathChanged(state path.State) {
-	p.log.WithField("path", pathName(state)).Info("path changed")
+	logging.Repeatable(p.log.WithField("path", pathName(state))).Info("path changed")
 	p.config.Observer.PeerPath(p.config.Address, state)
 	if state == path.Lost {
 		p.notifyLost()
@@ -116,7 +117,7 @@
 	}
 	if m := p.config.Announcements(); len(m.Upstreams) > 0 {
 		if err := conn.Send(m); err != nil {
-			p.log.WithError(err).Warn("announcements of upstreams not sent; the peer learns them from their next responses")
+			logging.Repeatable(p.log.WithError(err)).Warn("announcements of upstreams not sent; the peer learns them from their next responses")
 		}
 	}
 }
--- a/link/server.go
+++ b/link/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -187,7 +188,7 @@
 		if errors.Is(err, ErrLeaving) {
 			level = logrus.DebugLevel
 		}
-		log.WithError(err).Log(level, "link refused")
+		logging.Repeatable(log.WithError(err)).Log(level, "link refused")
 		return
 	}
 	log = log.WithField("peer", remote.Node)
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -1,6 +1,6 @@
 // Package logging writes log lines without blocking the process. Lines wait for the output in
-// a bounded queue, and the number of lines per second with the same message is limited.
-// Dropped lines are counted and reported.
+// a bounded queue, and the number of lines per second with the same message, and with the
+// same message and cause, is limited. Dropped lines are counted and reported.
 package logging
 
 import (
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 const (
@@ -80,35 +82,63 @@
 	}
 }
 
-// Limiter is a formatter that drops lines beyond a rate per message. It is safe for concurrent
-// use.
+// Limiter is a formatter that drops lines beyond a rate per message, and lines marked by
+// Repeatable that repeat one of the last second. It is safe for concurrent use.
 type Limiter struct {
 	formatter logrus.Formatter
 	rate      int
 	now       func() time.Time
 
-	dropped atomic.Uint64
-	mu      sync.Mutex
-	second  int64
-	counts  map[string]int
-	skipped map[string]uint64
+	dropped  atomic.Uint64
+	repeated atomic.Uint64
+	mu       sync.Mutex
+	second   int64
+	counts   map[string]int
+	skipped  map[string]uint64
+	repeats  *Repeats
 }
 
 // NewLimiter returns a Limiter around a formatter. The rate is the maximum number of lines
 // per second with the same message.
 func NewLimiter(formatter logrus.Formatter, rate int, now func() time.Time) *Limiter {
-	return &Limiter{formatter: formatter, rate: rate, now: now, counts: map[string]int{}, skipped: map[string]uint64{}}
+	return &Limiter{
+		formatter: formatter, rate: rate, now: now,
+		counts: map[string]int{}, skipped: map[string]uint64{}, repeats: NewRepeats(),
+	}
 }
 
-// Format formats an entry, or returns nothing for an entry beyond the rate. Warnings and errors
-// are limited like other lines: a thousand repetitions of a message add no information.
+// Format formats an entry, or returns nothing for an entry beyond the rate. It changes the
+// entry's fields, which a logger copies for each line. Warnings and errors are limited like
+// other lines: a thousand repetitions of a message add no information.
 func (l *Limiter) Format(e *logrus.Entry) ([]byte, error) {
-	if !l.allow(e.Message) {
+	suppressed, ok := l.allowRepeated(e)
+	if !ok || !l.allow(e.Message) {
 		return nil, nil
 	}
+	if suppressed > 0 {
+		e.Data[suppressedField] = suppressed
+	}
 	return l.formatter.Format(e)
 }
 
+// suppressedField is the number of lines left out since the last one with the same cause.
+const suppressedField = "suppressed"
+
+// allowRepeated reports whether an entry isn't left out as a repetition, and how many
+// entries before it were.
+func (l *Limiter) allowRepeated(e *logrus.Entry) (suppressed uint64, ok bool) {
+	if !takeMark(e) {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	suppressed, ok = l.repeats.Allow(clock.Millis(l.now().UnixMilli()), causeOf(e))
+	if !ok {
+		l.repeated.Add(1)
+	}
+	return suppressed, ok
+}
+
 func (l *Limiter) allow(message string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -132,16 +162,16 @@
 	Limiter *Limiter
 }
 
-// Dropped returns the number of lines dropped because the output was busy, and the number of
-// those beyond the rate.
-func (d DropCounts) Dropped() (busy, rate uint64) {
+// Dropped returns the number of lines dropped because the output was busy, of those beyond
+// the rate, and of those that repeated another one.
+func (d DropCounts) Dropped() (busy, rate, repeated uint64) {
 	if d.Writer != nil {
 		busy = d.Writer.Dropped()
 	}
 	if d.Limiter != nil {
-		rate = d.Limiter.dropped.Load()
+		rate, repeated = d.Limiter.dropped.Load(), d.Limiter.repeated.Load()
 	}
-	return busy, rate
+	return busy, rate, repeated
 }
 
 // Skipped returns the number of lines dropped per message since the last call.
@@ -153,6 +183,12 @@
 	return skipped
 }
 
+func (l *Limiter) takeOmissions() []Omission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.repeats.TakeOmissions(clock.Millis(l.now().UnixMilli()))
+}
+
 // Report logs the numbers of dropped lines every reportInterval until done is closed.
 func Report(done <-chan struct{}, log logrus.FieldLogger, w *Writer, l *Limiter) {
 	ticker := time.NewTicker(reportInterval)
@@ -164,6 +200,9 @@
 			return
 		case <-ticker.C:
 		}
+		for _, o := range l.takeOmissions() {
+			log.WithFields(o.fields()).Warn("log lines left out, they repeated the last one")
+		}
 		for message, count := range l.Skipped() {
 			log.WithFields(logrus.Fields{"of": message, "lines": count}).Warn("log lines left out, over the rate")
 		}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -59,7 +59,7 @@
 	return metrics.QuotaCounts{Granted: 9, Refused: 3, Alone: 2, Unknown: 1}
 }
 
-func (fakeNode) Dropped() (busy, rate uint64) { return 1, 2 }
+func (fakeNode) Dropped() (busy, rate, repeated uint64) { return 1, 2, 3 }
 
 func (fakeNode) Version() uint64 { return 7 }
 func (fakeNode) InFlight() int   { return 2 }
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -54,9 +54,9 @@
 
 // LogDrops provides the number of log lines that were dropped.
 type LogDrops interface {
-	// Dropped returns how many lines were dropped because the output was busy, and because
-	// they exceeded the rate limit of their message.
-	Dropped() (busy, rate uint64)
+	// Dropped returns how many lines were dropped because the output was busy, because they
+	// exceeded the rate limit of their message, and because they repeated another line.
+	Dropped() (busy, rate, repeated uint64)
 }
 
 // Links provides the number of links between this node and others.
@@ -140,7 +140,7 @@
 	platformAgeDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
 		"How long ago what is known was the platform's.", nil, nil)
 	logLinesLostDesc = prometheus.NewDesc(namespace+"_log_lines_lost_total",
-		"Log lines left out: the output was busy, or over the rate of their message.", []string{"cause"}, nil)
+		"Log lines left out: the output was busy, over the rate of their message, or repeated.", []string{"cause"}, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
@@ -202,9 +202,10 @@
 		collectPlatform(out, c.Platform.PlatformStats())
 	}
 	if c.LogDrops != nil {
-		busy, rate := c.LogDrops.Dropped()
+		busy, rate, repeated := c.LogDrops.Dropped()
 		out <- counter(logLinesLostDesc, busy, "busy")
 		out <- counter(logLinesLostDesc, rate, "rate")
+		out <- counter(logLinesLostDesc, repeated, "repeated")
 	}
 	if c.Links != nil {
 		l := c.Links.Links()
--- a/mirror/log.go
+++ b/mirror/log.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/logging"
 )
 
 // bytesReceived returns the number of bytes received from the store so far.
@@ -25,9 +26,9 @@
 	if bits.OnesCount(uint(failures)) != 1 {
 		return
 	}
-	f.config.Log.WithError(err).WithFields(logrus.Fields{
+	logging.Repeatable(f.config.Log.WithError(err).WithFields(logrus.Fields{
 		"failures": failures, "bytes": bytes, "took": took.String(), "revision": StoreRevision(f.copy.Revision()),
-	}).Warn("call of the platform failed")
+	})).Warn("call of the platform failed")
 }
 
 // logLag logs that a change which a peer has read has been unknown here for longer than
--- a/node/platform.go
+++ b/node/platform.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/settings"
@@ -266,7 +267,7 @@
 	event := access.Event{At: n.clock.Now(), Kind: access.PlatformRestored}
 	if cause != nil {
 		event.Kind, event.Reason = access.PlatformLost, cause.Error()
-		n.log.WithError(cause).Warn("platform doesn't answer; the table in force stays")
+		logging.Repeatable(n.log.WithError(cause)).Warn("platform doesn't answer; the table in force stays")
 	} else {
 		n.log.Info("platform answers again")
 	}
