floor, entry: record a shortage under the floor once it has lasted

With caution "brief" an entry decides on the floor at each request, and the severities that it compares are estimates of different ages. A request that fails at a forced upstream gives it the newest and thus highest severity, so that it is ejected and another upstream is forced in its place until the next request. Each exchange was logged and recorded.

floor.Lasting counts an upstream as forced once a second has passed in which it was never out of use for a second, and at most once in two seconds. Other cautions record each change, as before: their verdicts change only with an update.

--- a/entry/service.go
+++ b/entry/service.go
@@ -13,6 +13,7 @@
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -283,17 +284,20 @@
 			Unreachable: m.unreachable || m.state.Down,
 		})
 	}
-	before := append([]floor.Use(nil), s.uses...)
 	s.uses = floor.Decide(s.uses[:0], s.config.Floor, s.floorMembers)
+	span := clock.Millis(0)
+	if shortEpisodes {
+		span = floor.LastingSpan
+	}
 	for i, use := range s.uses {
-		if use == floor.Forced && (i >= len(before) || before[i] != floor.Forced) {
+		if s.members[i].forced.Update(now, use, span) {
 			s.recordForced(now, s.members[i])
 		}
 	}
 }
 
 func (s *service) recordForced(now clock.Millis, m *member) {
-	s.log.WithField("upstream", m.upstream.Name).Warn("kept in use under the floor")
+	logging.Repeatable(s.log.WithField("upstream", m.upstream.Name)).Warn("kept in use under the floor")
 	s.recorder.RecordEvent(access.Event{
 		At:       now,
 		Kind:     access.ForcedUnderFloor,
