retry, gate, entry, metrics, report: count what the retry budget decides

Nothing counted how much of a service's retry budget is granted and why the rest is denied, so that a budget that is too small could not be told from one that is spent on retries which fail.

A Quota and a Budget now return a Ruling: granted, or denied for quota, likely-fails, overload, attempts (and priority, which nothing gives yet). Who bounds the retries counts them: the gates where the table has a window, otherwise the entries. fuchsiapick_retries_total has the counts, fuchsiapick_retry_quota_used and _bound have the present window, and the report has a table of both for each service. What is granted doesn't change.

Tests of retry, gate, entry, metrics, report and access pass.

--- a/access/snapshot.go
+++ b/access/snapshot.go
@@ -12,7 +12,7 @@
 const Format = 1
 
 // Snapshot is the content of a node's Log at one time, as plain data. The node sets Name,
-// Node, Domain, Table and Upstreams; Log.Snapshot sets the rest.
+// Node, Domain, Table, Upstreams and Retries; Log.Snapshot sets the rest.
 type Snapshot struct {
 	Format int `json:"format"`
 	// Name is the node's name, Node its link address, as in the table.
@@ -44,6 +44,41 @@
 	Upstreams []UpstreamState `json:"upstreams"`
 	Burn      []ServiceBurn   `json:"burn"`
 	Dropped   Dropped         `json:"dropped"`
+	// Retries has an entry for each service whose retry budget this node knows to be used.
+	Retries []ServiceRetries `json:"retries,omitempty"`
+}
+
+// ServiceRetries is the use of a service's retry budget at one node.
+type ServiceRetries struct {
+	Service string `json:"service"`
+	// Used and Bound are the retries of the last window at the node's gates, and how many
+	// they may grant in one; 0 if the table has no window for the service.
+	Used  float64 `json:"used"`
+	Bound float64 `json:"bound"`
+	RetryCounts
+}
+
+// RetryCounts counts retries that were granted, and denied by the reason: the bound was used
+// up, likely failing retries had used their part, the rest was kept for more urgent ones, the
+// service was overloaded, or the request had no attempts left. A retry that several gates
+// deny counts at each.
+type RetryCounts struct {
+	Granted     uint64 `json:"granted"`
+	Quota       uint64 `json:"quota"`
+	LikelyFails uint64 `json:"likelyfails"`
+	Priority    uint64 `json:"priority"`
+	Overload    uint64 `json:"overload"`
+	Attempts    uint64 `json:"attempts"`
+}
+
+// Add adds the counts of another node.
+func (c *RetryCounts) Add(o RetryCounts) {
+	c.Granted += o.Granted
+	c.Quota += o.Quota
+	c.LikelyFails += o.LikelyFails
+	c.Priority += o.Priority
+	c.Overload += o.Overload
+	c.Attempts += o.Attempts
 }
 
 // Objective is the objective of a service, as in the table.
--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -1,9 +1,14 @@
 package entry_test
 
 import (
+	"maps"
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -185,3 +190,47 @@
 		t.Errorf("got %d %q, want it served by i", status, body)
 	}
 }
+
+// rulingCounter counts the rulings of an entry's retry budget.
+type rulingCounter map[retry.Ruling]int
+
+func (c rulingCounter) RecordRetry(_ string, ruling retry.Ruling) { c[ruling]++ }
+
+// Operators could not see why entries denied retries. Where gates bound the retries, the
+// gates count what is granted, and an entry that counted it, too, would double it.
+func TestEntryCountsRulingsOnRetries(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		window clock.Millis
+		want   rulingCounter
+	}{
+		{"bound by the entry", 0, rulingCounter{retry.Granted: 2, retry.DeniedAttempts: 1}},
+		{"bound by gates", 10 * clock.Second, rulingCounter{retry.DeniedAttempts: 1}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			gates := map[string]*fakeGate{}
+			service := table.Service{Name: "conferme", Deadline: clock.Minute, RetryRatio: 0.2, RetryWindow: tt.window, ExtraRetries: 5}
+			rulings := rulingCounter{}
+			now := clock.NewSystem().Now
+			e := entry.New(entry.Config{
+				Domain: "catania", Now: now, Pool: newPool(t), Recorder: nopRecorder{}, Retries: rulings, Log: logging.Silent(),
+				GateClient: func(u table.Upstream) entry.GateClient { return gates[u.Name] },
+			})
+			for _, name := range []string{"a", "b", "c", "d"} {
+				gates[name] = &fakeGate{name: name}
+				refuseAll(gates[name], wire.ReasonShed, new(int))
+				service.Upstreams = append(service.Upstreams, table.Upstream{Name: name, Node: name, Domain: "catania", Weight: 100, Slots: 7})
+			}
+			e.Update(table.Index(table.Table{
+				Services: []table.Service{service},
+				Routes:   []table.Route{{Prefix: "/", Service: "conferme", Timeout: clock.Minute, Repeatable: []string{table.AnyMethod}}},
+			}))
+			if status, _ := post(e); status != 503 {
+				t.Fatalf("got %d, want the request refused", status)
+			}
+			if !maps.Equal(rulings, tt.want) {
+				t.Errorf("got %v, want %v", rulings, tt.want)
+			}
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/resend"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -67,6 +68,11 @@
 	RecordEvent(e access.Event)
 }
 
+// RetryRecorder counts the rulings of the retry budget.
+type RetryRecorder interface {
+	RecordRetry(service string, ruling retry.Ruling)
+}
+
 // Config configures an Entry.
 type Config struct {
 	Domain string
@@ -83,6 +89,8 @@
 	Now           func() clock.Millis
 	Pool          *ants.Pool
 	Recorder      Recorder
+	// Retries may be nil.
+	Retries RetryRecorder
 	// GateClient returns the client for the node beside an upstream.
 	GateClient func(u table.Upstream) GateClient
 	// CrashTracker may be nil.
--- a/entry/request.go
+++ b/entry/request.go
@@ -267,7 +267,7 @@
 	if r.reservation.valid || r.continueSelection(&o) {
 		return finalAnswer{}, false
 	}
-	decision := r.service.decideRetry(r.entry.config.Now(), r.retryAttempt(&o, untried))
+	decision := r.decideRetry(r.retryAttempt(&o, untried))
 	if decision.Retry {
 		return finalAnswer{}, false
 	}
@@ -275,6 +275,15 @@
 	return r.unserved(o.reason, max(decision.RetryAfter, o.retryAfter)), true
 }
 
+// decideRetry decides on a retry and counts the part of the retry budget in the decision.
+func (r *request) decideRetry(a retry.Attempt) retry.Decision {
+	decision := r.service.decideRetry(r.entry.config.Now(), a)
+	if decision.Ruling != "" && r.entry.config.Retries != nil {
+		r.entry.config.Retries.RecordRetry(r.serviceName, decision.Ruling)
+	}
+	return decision
+}
+
 // retryAttempt describes the last attempt for the retry decision.
 func (r *request) retryAttempt(o *result, untried int) retry.Attempt {
 	return retry.Attempt{
--- a/entry/reservation.go
+++ b/entry/reservation.go
@@ -50,7 +50,7 @@
 func (r *request) canRetryElsewhere(o *result, untried int) bool {
 	a := r.retryAttempt(o, untried+1) // the reserved slot itself is untried
 	a.Runs++
-	return r.service.decideRetry(r.entry.config.Now(), a).Retry
+	return r.decideRetry(a).Retry
 }
 
 // isRetryEligible reports whether the request may be sent to another upstream while its
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -67,6 +67,11 @@
 	RecordRefusal(service, upstream string, reason wire.Reason)
 }
 
+// RetryRecorder counts the rulings of the retry budget.
+type RetryRecorder interface {
+	RecordRetry(service string, ruling retry.Ruling)
+}
+
 // Config configures a Gate.
 type Config struct {
 	Service     table.Service
@@ -94,6 +99,8 @@
 	Crashes CrashTracker
 	// Refusals may be nil.
 	Refusals RefusalRecorder
+	// Retries may be nil.
+	Retries RetryRecorder
 	// HasProcessNames means that a process which replaces the upstream's has another name.
 	HasProcessNames bool
 	// Keys is shared by all gates of a node.
@@ -214,7 +221,9 @@
 }
 
 func quotaConfig(s *table.Service) retry.QuotaConfig {
-	return retry.QuotaConfig{Share: s.RetryRatio, Extra: s.ExtraRetries, Window: s.RetryWindow, Upstreams: len(s.Upstreams)}
+	return retry.QuotaConfig{
+		Share: s.RetryRatio, Extra: s.ExtraRetries, Window: s.RetryWindow, Upstreams: len(s.Upstreams),
+	}
 }
 
 // Handle runs, queues or refuses a dispatch. It calls respond once, or never for a
@@ -248,7 +257,7 @@
 		g.refuse(now, key, d, respond, wire.ReasonQuarantined, 0) // before the dispatch waits for a slot
 		return
 	}
-	reason, retryAfter := g.refusalReason(now, verdict, admission{isRepeatable: d.Repeatable, isRetry: d.Retry, isForced: d.Forced})
+	reason, retryAfter := g.refusalReason(now, verdict, dispatchAdmission(d))
 	if reason != "" {
 		g.refuse(now, key, d, respond, reason, retryAfter)
 		return
--- a/gate/quota_test.go
+++ b/gate/quota_test.go
@@ -1,10 +1,13 @@
 package gate_test
 
 import (
+	"maps"
+	"sync"
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -92,3 +95,43 @@
 		t.Errorf("got outcome %v, reason %s; want the second retry not run, since the budget is spent", got.Outcome, got.Reason)
 	}
 }
+
+// retryCounter counts the rulings of a retry budget.
+type retryCounter struct {
+	mu     sync.Mutex
+	counts map[retry.Ruling]int
+}
+
+func (c *retryCounter) RecordRetry(_ string, ruling retry.Ruling) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[ruling]++
+}
+
+// Operators could not see how much of the budget was granted, and why the rest was denied.
+func TestRulingsOnRetriesAreCounted(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		waiting table.Waiting
+		want    map[retry.Ruling]int
+	}{
+		{"at gates", table.WaitAtGates, map[retry.Ruling]int{retry.Granted: 4, retry.DeniedQuota: 2}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
+			s := table.Service{Name: "conferme", Waiting: tt.waiting, Queue: 4, ExtraRetries: 20, RetryWindow: clock.Minute, Upstreams: []table.Upstream{u}}
+			counter := &retryCounter{counts: map[retry.Ruling]int{}}
+			g, h := newGateFromConfig(t, gate.Config{Service: s, Upstream: u, Retries: counter})
+			close(h.end)
+			<-handle(g, dispatch(1, "first"))
+			for seq, priority := range []int{2, 2, 2, 2, 0, 0} { // a new gate's bound is 4.4
+				d := retryDispatch(uint64(2 + seq))
+				d.Priority = priority
+				<-handle(g, d)
+			}
+			if !maps.Equal(counter.counts, tt.want) {
+				t.Errorf("got %v, want %v", counter.counts, tt.want)
+			}
+		})
+	}
+}
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -4,16 +4,22 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // admission holds the properties of a request that decide whether it is admitted.
 type admission struct {
 	isRepeatable, isRetry, isForced bool
+	priority                        int
 }
 
 func newAdmission(probe *wire.CapacityProbe) admission {
-	return admission{isRepeatable: probe.Repeatable, isRetry: probe.Retry, isForced: probe.Forced}
+	return admission{isRepeatable: probe.Repeatable, isRetry: probe.Retry, isForced: probe.Forced, priority: probe.Priority}
+}
+
+func dispatchAdmission(d *wire.Dispatch) admission {
+	return admission{isRepeatable: d.Repeatable, isRetry: d.Retry, isForced: d.Forced, priority: d.Priority}
 }
 
 // refusalReason returns why a request isn't admitted and the retry delay, or an empty reason
@@ -28,7 +34,7 @@
 		return wire.ReasonLeaving, 0
 	case g.crash.isDown:
 		return wire.ReasonConnectionRefused, recoveryInterval
-	case a.isRetry && !g.hasRetryBudget(now):
+	case a.isRetry && !g.hasRetryBudget(now, a):
 		return wire.ReasonRetryBudget, g.quota.RetryAfter(now)
 	case a.isForced || g.detector.Admit(now, a.isRepeatable):
 		return "", 0
@@ -39,9 +45,23 @@
 }
 
 // hasRetryBudget reports whether this upstream's part of the service's retry budget admits
-// another retry. It is called with the gate's lock held.
-func (g *Gate) hasRetryBudget(now clock.Millis) bool {
-	return g.quota.Allows(now, g.detector.Status(now).State == health.Ejected)
+// a retry, and counts it if not. It is called with the gate's lock held.
+func (g *Gate) hasRetryBudget(now clock.Millis, a admission) bool {
+	ruling := g.quota.Rule(now, retry.Claim{
+		LikelyFails: g.detector.Status(now).State == health.Ejected, Priority: a.priority, Repeatable: a.isRepeatable,
+	})
+	if ruling != retry.Granted {
+		g.recordRetry(ruling)
+	}
+	return ruling == retry.Granted
+}
+
+// recordRetry is called with the gate's lock held. Gates of a service without a window grant
+// every retry; the entries bound them, and count them.
+func (g *Gate) recordRetry(ruling retry.Ruling) {
+	if g.config.Retries != nil && g.service.RetryWindow > 0 {
+		g.config.Retries.RecordRetry(g.service.Name, ruling)
+	}
 }
 
 // refuse replies that a dispatch was not run. It is called with the gate's lock held and
--- a/gate/run.go
+++ b/gate/run.go
@@ -9,6 +9,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -97,7 +98,8 @@
 // may not begin. A retry is charged here, when it is sent, because it may have waited since it
 // was admitted. It is called with the gate's lock held.
 func (g *Gate) beginRun(now clock.Millis, j *job) wire.Reason {
-	if j.dispatch.Retry && !g.quota.Allows(now, false) {
+	if ruling := g.ruleOnRun(now, j.dispatch); ruling != retry.Granted {
+		g.recordRetry(ruling)
 		g.dedup.Refuse(j.key)
 		return wire.ReasonRetryBudget
 	}
@@ -106,12 +108,22 @@
 	}
 	if j.dispatch.Retry {
 		g.quota.Spend(now)
+		g.recordRetry(retry.Granted)
 	} else {
 		g.quota.RecordRequest(now)
 	}
 	return ""
 }
 
+// ruleOnRun decides whether a dispatch that is about to run is within the retry budget. It is
+// called with the gate's lock held.
+func (g *Gate) ruleOnRun(now clock.Millis, d *wire.Dispatch) retry.Ruling {
+	if !d.Retry {
+		return retry.Granted
+	}
+	return g.quota.Rule(now, retry.Claim{Priority: d.Priority, Repeatable: d.Repeatable})
+}
+
 // finish records the outcome of a run, replies to the entry and gives the slot to a waiter.
 func (g *Gate) finish(j *job, began clock.Millis, response Response, err error) {
 	g.mu.Lock()
--- a/gate/status.go
+++ b/gate/status.go
@@ -31,6 +31,7 @@
 		Queue:      g.service.Queue,
 		Retries:    retries,
 		RetryBound: retryBound,
+		IsBounded:  g.service.RetryWindow > 0,
 		IsLimited:  g.announced.IsLimited,
 		RateLimit:  g.announced.RateLimit,
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
@@ -62,6 +63,7 @@
 	notRetried  *prometheus.CounterVec
 	events      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
+	retries     *prometheus.CounterVec
 	services    *serviceCounters
 }
 
@@ -104,9 +106,13 @@
 			Namespace: namespace, Name: "gate_refusals_total",
 			Help: "Dispatches that a gate of this node refused to run.",
 		}, []string{"service", "upstream", "reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retries_total",
+			Help: "Retries that a retry budget of this node granted or denied, by the reason.",
+		}, []string{"service", "result"}),
 		services: newServiceCounters(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -165,6 +171,27 @@
 	s.refusals.WithLabelValues(service, upstream, string(reason)).Inc()
 }
 
+// RecordRetry counts a ruling of a retry budget of this node.
+func (s *Set) RecordRetry(service string, ruling retry.Ruling) {
+	s.retries.WithLabelValues(service, string(ruling)).Inc()
+}
+
+// RetryCounts returns the rulings on the service's retries since the node started or the
+// table first named the service.
+func (s *Set) RetryCounts(service string) access.RetryCounts {
+	count := func(ruling retry.Ruling) uint64 {
+		var m dto.Metric
+		if err := s.retries.WithLabelValues(service, string(ruling)).Write(&m); err != nil {
+			return 0 // a counter without exemplars has nothing that can fail to encode
+		}
+		return uint64(m.GetCounter().GetValue())
+	}
+	return access.RetryCounts{
+		Granted: count(retry.Granted), Quota: count(retry.DeniedQuota), LikelyFails: count(retry.DeniedLikelyFails),
+		Priority: count(retry.DeniedPriority), Overload: count(retry.DeniedOverload), Attempts: count(retry.DeniedAttempts),
+	}
+}
+
 // SetServices sets the services of the table in force, whose objectives apply to requests
 // from now on. It deletes the series of services that the table no longer names.
 func (s *Set) SetServices(services []table.Service) {
@@ -172,6 +199,9 @@
 		// An alert on a spent retry budget would miss the first request without an earlier
 		// value of the series.
 		s.notRetried.WithLabelValues(services[i].Name, string(retry.NoBudget))
+		for _, ruling := range retry.Rulings {
+			s.retries.WithLabelValues(services[i].Name, string(ruling))
+		}
 	}
 	for _, removed := range s.services.setServices(services) {
 		labels := prometheus.Labels{"service": removed}
@@ -181,5 +211,6 @@
 		s.waitTime.DeletePartialMatch(labels)
 		s.notRetried.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
+		s.retries.DeletePartialMatch(labels)
 	}
 }
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -91,6 +91,8 @@
 	// Retries counts the retries that arrived in the last window of the retry budget,
 	// RetryBound is their limit. Both are 0 for a service whose retries the gates don't bound.
 	Retries, RetryBound float64
+	// IsBounded means that the gate bounds retries.
+	IsBounded bool
 	// IsLimited means that the backend server names a rate limit, RateLimit is that limit in
 	// requests per second.
 	IsLimited bool
@@ -158,6 +160,10 @@
 	quotaDesc = prometheus.NewDesc(namespace+"_quota_requests_total",
 		"Requests of client accounts with a quota, by what was decided: granted or refused by the account's home, "+
 			"alone or unknown while none could be asked.", []string{"decision"}, nil)
+	quotaUsedDesc = prometheus.NewDesc(namespace+"_retry_quota_used",
+		"Retries in the last window at a gate that bounds them.", []string{"service", "upstream"}, nil)
+	quotaBoundDesc = prometheus.NewDesc(namespace+"_retry_quota_bound",
+		"Retries that a gate which bounds them may grant in a window.", []string{"service", "upstream"}, nil)
 	retryBoundDesc = prometheus.NewDesc(namespace+"_gate_retry_bound",
 		"Retries that the gate may grant in a window.", []string{"service", "upstream"}, nil)
 )
@@ -183,7 +189,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc,
+		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 	} {
 		out <- d
 	}
@@ -259,6 +265,10 @@
 	out <- gauge(gateBoundDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
 	out <- gauge(retriesDesc, g.Retries, g.Service, g.Upstream)
 	out <- gauge(retryBoundDesc, g.RetryBound, g.Service, g.Upstream)
+	if g.IsBounded {
+		out <- gauge(quotaUsedDesc, g.Retries, g.Service, g.Upstream)
+		out <- gauge(quotaBoundDesc, g.RetryBound, g.Service, g.Upstream)
+	}
 	if g.IsLimited {
 		out <- gauge(rateLimitDesc, g.RateLimit, g.Service, g.Upstream)
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -183,6 +183,7 @@
 			s.Upstreams = append(s.Upstreams, u)
 		}
 	}
+	s.Retries = n.serviceRetries(f.Service)
 	return s
 }
 
--- a/report/fixture_test.go
+++ b/report/fixture_test.go
@@ -110,6 +110,7 @@
 	n.RequestReceived()
 	s := n.Snapshot(n.now, access.Filter{})
 	s.Name, s.Node, s.Domain, s.Table, s.Upstreams = "palermo-1", palermo, "palermo", 7, upstreamStates(true, access.StateForced)
+	s.Retries = []access.ServiceRetries{{Service: "bacheca", Used: 3, Bound: 4.4, RetryCounts: access.RetryCounts{Granted: 31, Quota: 2, LikelyFails: 5, Priority: 1}}}
 	return s
 }
 
--- a/report/merge.go
+++ b/report/merge.go
@@ -22,7 +22,7 @@
 		Format: Format, Nodes: []Node{}, Findings: []Finding{},
 		Totals: []access.Total{}, Callers: []Caller{}, Refusals: []Refusal{},
 		Services: []Service{}, Upstreams: []Upstream{}, Ejections: []Ejection{}, Paths: []Path{},
-		Events: []Event{}, Unserved: []Record{}, Burn: []Burn{},
+		Events: []Event{}, Unserved: []Record{}, Burn: []Burn{}, Retries: []access.ServiceRetries{},
 	}
 	for _, r := range results {
 		m.addNode(r)
@@ -34,6 +34,7 @@
 	m.finishTotals()
 	m.mergeCallers()
 	m.mergeBurn()
+	m.mergeRetries()
 	m.mergeUpstreams()
 	m.report.Ejections = ejections(m.report.Events)
 	m.report.Paths = pathLosses(m.report.Events)
--- a/report/report.go
+++ b/report/report.go
@@ -49,6 +49,8 @@
 	// Unserved holds records of requests that were not served, the newest first.
 	Unserved []Record `json:"unserved"`
 	Burn     []Burn   `json:"burn"`
+	// Retries is the use of the services' retry budgets, summed over nodes.
+	Retries []access.ServiceRetries `json:"retries"`
 }
 
 // Level is the severity of a finding.
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -66,7 +66,7 @@
 	}
 	return []sheet{
 		r.upstreamSheet().limitRows(maxRows), r.callerSheet().limitRows(maxRows), r.totalSheet().limitRows(maxRows), r.refusalSheet().limitRows(maxRows),
-		r.ejectionSheet().limitRows(maxRows), r.pathSheet().limitRows(maxRows), r.burnSheet().limitRows(maxRows),
+		r.ejectionSheet().limitRows(maxRows), r.pathSheet().limitRows(maxRows), r.burnSheet().limitRows(maxRows), r.retrySheet().limitRows(maxRows),
 		r.causeSheet().limitRows(maxRows), r.unservedSheet().limitRows(maxLatestRows), r.eventSheet().limitRows(maxLatestRows),
 		r.nodeSheet().limitRows(maxRows),
 	}
--- a/retry/quota.go
+++ b/retry/quota.go
@@ -66,17 +66,36 @@
 	}
 }
 
-// Allows reports whether the bound has room for one more retry. A retry that likely
-// fails may only use the part of the bound that is open to such retries.
+// Claim describes a retry that asks for a part of the bound.
+type Claim struct {
+	// LikelyFails means that the upstream more likely fails the retry than not. Such
+	// retries may use likelyFailureShare of the bound.
+	LikelyFails bool
+	// Priority ranks requests, 0 is the most urgent. Repeatable means that the request may
+	// run more than once.
+	Priority   int
+	Repeatable bool
+}
+
+// Allows reports whether the bound has room for one more retry of the most urgent requests.
 func (q *Quota) Allows(now clock.Millis, likelyFails bool) bool {
+	return q.Rule(now, Claim{LikelyFails: likelyFails}) == Granted
+}
+
+// Rule decides whether the bound has room for a retry. It counts nothing.
+func (q *Quota) Rule(now clock.Millis, c Claim) Ruling {
 	if q.window == nil {
-		return true
+		return Granted
 	}
 	bound, spent := q.usage(now)
-	if likelyFails {
-		bound *= likelyFailureShare
+	switch {
+	case spent+1 > bound:
+		return DeniedQuota
+	case c.LikelyFails && spent+1 > bound*likelyFailureShare:
+		return DeniedLikelyFails
+	default:
+		return Granted
 	}
-	return spent+1 <= bound
 }
 
 // Spend counts a retry that is sent now. It returns false, and counts none, if the
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -65,6 +65,9 @@
 	// RetryAfter is the time after which the caller may retry. It is set when Retry is
 	// false, but for NotRepeatable.
 	RetryAfter clock.Millis
+	// Ruling is the budget's part in the decision, empty if it had none. With GateQuotas
+	// the Budget grants nothing: gates do, and count it.
+	Ruling Ruling
 }
 
 // Config configures a Budget.
@@ -142,13 +145,14 @@
 // Decide takes it from the budget.
 func (b *Budget) Decide(now clock.Millis, a Attempt) Decision {
 	reason := b.denialReason(now, a)
+	ruling := b.rulingOf(a, reason)
 	if reason != "" {
-		return Decision{Reason: reason, RetryAfter: b.retryAfter(now, reason, a.RetryAfter)}
+		return Decision{Reason: reason, RetryAfter: b.retryAfter(now, reason, a.RetryAfter), Ruling: ruling}
 	}
-	if !b.gateQuotas && a.costsBudget() {
+	if ruling == Granted {
 		b.tokens--
 	}
-	return Decision{Retry: true}
+	return Decision{Retry: true, Ruling: ruling}
 }
 
 // isExhausted reports whether a retry after the attempt costs more than the budget has.
