retry, gate: admit retries by priority when the bound is short

With less than half of a gate's part of the retry bound left, first come, first served gives the rest to whoever asks first. The requests that lose most by a refusal, urgent ones that may run only once, have no better chance.

With waiting = "service", a gate below half of its part grants retries of priority 0 and 1 only, and each of the four ranks (priority 0 and 1, in each the requests that may run only once before the repeatable ones) leaves an eighth of the part to the more urgent ones. The bound stays; with the default waiting, retries are granted as before.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -223,6 +223,7 @@
 func quotaConfig(s *table.Service) retry.QuotaConfig {
 	return retry.QuotaConfig{
 		Share: s.RetryRatio, Extra: s.ExtraRetries, Window: s.RetryWindow, Upstreams: len(s.Upstreams),
+		ByPriority: s.Waiting == table.WaitForService,
 	}
 }
 
--- a/gate/quota_test.go
+++ b/gate/quota_test.go
@@ -109,6 +109,7 @@
 }
 
 // Operators could not see how much of the budget was granted, and why the rest was denied.
+// With waiting for the service, what is left must go to urgent requests.
 func TestRulingsOnRetriesAreCounted(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -116,6 +117,7 @@
 		want    map[retry.Ruling]int
 	}{
 		{"at gates", table.WaitAtGates, map[retry.Ruling]int{retry.Granted: 4, retry.DeniedQuota: 2}},
+		{"for the service", table.WaitForService, map[retry.Ruling]int{retry.Granted: 4, retry.DeniedPriority: 1, retry.DeniedQuota: 1}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
--- a/retry/quota.go
+++ b/retry/quota.go
@@ -15,6 +15,15 @@
 	// killed. With this share the service's bound holds even if all its upstreams are
 	// killed twice in one window.
 	restartShare = 0.4
+	// shortageShare is the part of the bound below which, by priority, only requests of
+	// priority 0 and 1 are retried. Their retries wait least and are lost at most cost;
+	// while half is left, there is room for all.
+	shortageShare = 0.5
+	// reserveStep is the part of the bound that each rank leaves to the next more urgent
+	// one. There are four ranks below shortageShare: priority 0 and 1, and in each of them
+	// the requests that may run only once, which can't be retried after a run, before the
+	// repeatable ones.
+	reserveStep = shortageShare / 4
 )
 
 // QuotaConfig configures a Quota.
@@ -26,6 +35,9 @@
 	Window clock.Millis
 	// Upstreams is the number of upstreams among which Extra is divided.
 	Upstreams int
+	// ByPriority admits retries by priority once less than shortageShare of the bound is
+	// left.
+	ByPriority bool
 }
 
 // Quota bounds the retries that arrive at one upstream. In any period as long as the
@@ -72,7 +84,7 @@
 	// retries may use likelyFailureShare of the bound.
 	LikelyFails bool
 	// Priority ranks requests, 0 is the most urgent. Repeatable means that the request may
-	// run more than once.
+	// run more than once. Both count only if the Quota is ByPriority.
 	Priority   int
 	Repeatable bool
 }
@@ -91,6 +103,8 @@
 	switch {
 	case spent+1 > bound:
 		return DeniedQuota
+	case q.config.ByPriority && bound-spent < c.reserve()*bound:
+		return DeniedPriority
 	case c.LikelyFails && spent+1 > bound*likelyFailureShare:
 		return DeniedLikelyFails
 	default:
@@ -98,6 +112,15 @@
 	}
 }
 
+// reserve returns the part of the bound that a retry leaves to more urgent ones.
+func (c Claim) reserve() float64 {
+	step := 2 * max(c.Priority, 0)
+	if c.Repeatable {
+		step++
+	}
+	return min(float64(step)*reserveStep, shortageShare)
+}
+
 // Spend counts a retry that is sent now. It returns false, and counts none, if the
 // bound has no room for it.
 func (q *Quota) Spend(now clock.Millis) bool {
