--- a/metrics/node.go
+++ b/metrics/node.go
@@ -54,9 +54,9 @@
 
 // LogDrops provides the number of log lines that were dropped.
 type LogDrops interface {
-	// Dropped returns how many lines were dropped because the output was busy, and because
-	// they exceeded the rate limit of their message.
-	Dropped() (busy, rate uint64)
+	// Dropped returns how many lines were dropped because the output was busy, because they
+	// exceeded the rate limit of their message, and because they repeated another line.
+	Dropped() (busy, rate, repeated uint64)
 }
 
 // Links provides the number of links between this node and others.
@@ -91,6 +91,8 @@
 	// Retries counts the retries that arrived in the last window of the retry budget,
 	// RetryBound is their limit. Both are 0 for a service whose retries the gates don't bound.
 	Retries, RetryBound float64
+	// IsBounded means that the gate bounds retries.
+	IsBounded bool
 	// IsLimited means that the backend server names a rate limit, RateLimit is that limit in
 	// requests per second.
 	IsLimited bool
@@ -140,7 +142,7 @@
 	platformAgeDesc = prometheus.NewDesc(namespace+"_platform_age_seconds",
 		"How long ago what is known was the platform's.", nil, nil)
 	logLinesLostDesc = prometheus.NewDesc(namespace+"_log_lines_lost_total",
-		"Log lines left out: the output was busy, or over the rate of their message.", []string{"cause"}, nil)
+		"Log lines left out: the output was busy, over the rate of their message, or repeated.", []string{"cause"}, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
@@ -158,6 +160,10 @@
 	quotaDesc = prometheus.NewDesc(namespace+"_quota_requests_total",
 		"Requests of client accounts with a quota, by what was decided: granted or refused by the account's home, "+
 			"alone or unknown while none could be asked.", []string{"decision"}, nil)
+	quotaUsedDesc = prometheus.NewDesc(namespace+"_retry_quota_used",
+		"Retries in the last window at a gate that bounds them.", []string{"service", "upstream"}, nil)
+	quotaBoundDesc = prometheus.NewDesc(namespace+"_retry_quota_bound",
+		"Retries that a gate which bounds them may grant in a window.", []string{"service", "upstream"}, nil)
 	retryBoundDesc = prometheus.NewDesc(namespace+"_gate_retry_bound",
 		"Retries that the gate may grant in a window.", []string{"service", "upstream"}, nil)
 )
@@ -183,7 +189,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc,
+		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 	} {
 		out <- d
 	}
@@ -202,9 +208,10 @@
 		collectPlatform(out, c.Platform.PlatformStats())
 	}
 	if c.LogDrops != nil {
-		busy, rate := c.LogDrops.Dropped()
+		busy, rate, repeated := c.LogDrops.Dropped()
 		out <- counter(logLinesLostDesc, busy, "busy")
 		out <- counter(logLinesLostDesc, rate, "rate")
+		out <- counter(logLinesLostDesc, repeated, "repeated")
 	}
 	if c.Links != nil {
 		l := c.Links.Links()
@@ -258,6 +265,10 @@
 	out <- gauge(gateBoundDesc, float64(g.Queue), g.Service, g.Upstream, placeQueue)
 	out <- gauge(retriesDesc, g.Retries, g.Service, g.Upstream)
 	out <- gauge(retryBoundDesc, g.RetryBound, g.Service, g.Upstream)
+	if g.IsBounded {
+		out <- gauge(quotaUsedDesc, g.Retries, g.Service, g.Upstream)
+		out <- gauge(quotaBoundDesc, g.RetryBound, g.Service, g.Upstream)
+	}
 	if g.IsLimited {
 		out <- gauge(rateLimitDesc, g.RateLimit, g.Service, g.Upstream)
 	}
