choice, entry: weigh distance by the bytes of a request

An entry charged the same cost for another failure domain whatever the size of the request. An upload went to another domain as soon as its own had no free slot, and its body then crossed a link of 10 to 13 Mbit/s.

For services with placement = "cost" and short episodes, the cost of distance now grows linearly with the body up to 16 KB, and a little with the typical response of the route. A request with a body of 16 KB or more is offered to the upstreams of its entry's own domain first: directly or by a probe, then by a wait of half of the time that it has left until its target less a typical run. After that it may go to any domain without a charge for its size. On a bulk route the typical length counts if it is larger than the request's own. A body over 1 KB still crosses only after a grant.

With placement = "near" or empty, Transfer is zero and every cost is as it was.

--- a/choice/ranker.go
+++ b/choice/ranker.go
@@ -16,6 +16,8 @@
 	Near bool
 	// Usable is true if the upstream may be chosen.
 	Usable bool
+	// Transfer is what crosses between failure domains if the upstream is in another one.
+	Transfer Transfer
 }
 
 // Costs, as fractions of the value of one request.
@@ -42,11 +44,11 @@
 
 // ProbedCost returns the cost of sending a request to an upstream whose gate has just
 // answered a capacity probe with its risk and reserves a slot.
-func ProbedCost(risk float64, near bool) float64 {
+func ProbedCost(risk float64, near bool, t Transfer) float64 {
 	if near {
 		return risk
 	}
-	return risk + probedFarCost
+	return risk + probedFarCost + t.Cost()
 }
 
 // Ranker chooses the option with the lowest cost. It is not safe for concurrent use.
@@ -79,7 +81,7 @@
 func costOf(o *Option, weight float64) float64 {
 	cost := weight * max(o.Risk-negligibleRisk, 0)
 	if !o.Near {
-		cost += farCost
+		cost += farCost + o.Transfer.Cost()
 	}
 	utilization := float64(o.Load) / float64(max(o.Slots, 1))
 	if utilization < 1 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,7 @@
 	splitter     *Splitter
 	failureTimes *failureTimes
 	profiles     *latencyProfiles
+	sizes        *sizeProfiles
 	trialLocks   trialLocks
 
 	mu    sync.Mutex // guards rates
@@ -128,7 +129,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	e := &Entry{config: c, splitter: NewSplitter(c.Seed), failureTimes: &failureTimes{}, profiles: newLatencyProfiles(), trialLocks: trialLocks{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: maxCallers})}
+	e := &Entry{config: c, splitter: NewSplitter(c.Seed), failureTimes: &failureTimes{}, profiles: newLatencyProfiles(), sizes: newSizeProfiles(), trialLocks: trialLocks{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: maxCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callerRates.Store(&map[string]float64{})
 	return e
--- /dev/null
+++ b/entry/placement_test.go
@@ -0,0 +1,140 @@
+package entry_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+const uploadSize = 60_000
+
+// placementTarget is the latency target of the route in these tests.
+const placementTarget = 4 * clock.Second
+
+// newPlacedEntry returns an entry with the upstream of the near gate in its own failure
+// domain and that of the far gate in another.
+func newPlacedEntry(t *testing.T, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
+	t.Helper()
+	e := entry.New(entry.Config{
+		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
+		GateClient: func(u table.Upstream) entry.GateClient {
+			return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
+		},
+	})
+	e.Update(table.Index(table.Table{
+		Format: table.Format, Version: 1,
+		Services: []table.Service{{
+			Name: "conferme", Caution: table.ShortEpisodes, Placement: p, Floor: 0.3, Deadline: clock.Minute,
+			Upstreams: []table.Upstream{
+				{Name: near.name, Node: near.name, Domain: "catania", Weight: 100, Slots: 5},
+				{Name: far.name, Node: far.name, Domain: "palermo", Weight: 100, Slots: 5},
+			},
+		}},
+		Routes: []table.Route{{Prefix: "/", Service: "conferme", Timeout: 12 * clock.Second, LatencyTarget: placementTarget, Priority: 1, Bulk: true, Repeatable: repeatable}},
+	}))
+	return e
+}
+
+// postBody sends a body of the given size and returns the name of the upstream that served it.
+func postBody(e *entry.Entry, size int) string {
+	var ctx fasthttp.RequestCtx
+	ctx.Init(&fasthttp.Request{}, nil, nil)
+	ctx.Request.Header.SetMethod(fasthttp.MethodPost)
+	ctx.Request.SetRequestURI("http://clinic.example/turno")
+	ctx.Request.SetBodyString(strings.Repeat("x", size))
+	e.Serve(&ctx)
+	return string(ctx.Response.Body())
+}
+
+// busyGate has no free slot. A request that waits gets one if grantsWait is set.
+func busyGate(name string, grantsWait bool, waits *[]clock.Millis) *fakeGate {
+	return &fakeGate{
+		name: name,
+		onProbe: func(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) {
+			if probe.WaitBudget > 0 {
+				*waits = append(*waits, probe.WaitBudget)
+			}
+			if probe.WaitBudget > 0 && grantsWait {
+				grantSlot(name, 0)(probe, onReply)
+				return
+			}
+			refuseSlot(name, wire.ReasonFull)(probe, onReply)
+		},
+	}
+}
+
+// Uploads crossed between failure domains whenever no upstream of their own had a free slot,
+// and then took the bandwidth of the links between them. They must wait for a slot of their
+// own domain as long as that leaves time to meet the target, and no longer.
+func TestUploadWaitsInItsOwnDomain(t *testing.T) {
+	tests := []struct {
+		name       string
+		placement  table.Placement
+		size       int
+		grantsWait bool
+		want       string
+		wantWait   bool // for a slot in the own domain alone
+	}{
+		{"an upload", table.PlaceByCost, uploadSize, true, "near", true},
+		{"an upload that gets no slot in its own domain", table.PlaceByCost, uploadSize, false, "far", true},
+		{"an upload of a service without placement by cost", table.PlaceNear, uploadSize, true, "far", false},
+		{"an ordinary request", table.PlaceByCost, 400, true, "far", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var waits []clock.Millis
+			near, far := busyGate("near", tt.grantsWait, &waits), &fakeGate{name: "far"}
+			got := postBody(newPlacedEntry(t, tt.placement, []string{}, near, far), tt.size)
+			if got != tt.want {
+				t.Errorf("got the request served by %q, want %q", got, tt.want)
+			}
+			if waited := len(waits) > 0; waited != tt.wantWait {
+				t.Errorf("got waits %v in the own domain, want a wait: %v", waits, tt.wantWait)
+			}
+			if tt.wantWait && waits[0] > placementTarget/2 {
+				t.Errorf("got a wait of %v, want half of the target at most", waits[0])
+			}
+			if tt.want == "far" && far.probes == 0 {
+				t.Error("got a dispatch to another domain without a probe, want a grant first")
+			}
+		})
+	}
+}
+
+// A repeatable upload is sent to gates without a probe. Its body must not cross to another
+// domain that way: if the gate has no free slot, the body crosses in vain.
+func TestRepeatableUploadCrossesOnlyAfterGrant(t *testing.T) {
+	var waits []clock.Millis
+	near, far := busyGate("near", false, &waits), &fakeGate{name: "far"}
+	near.onDispatch = func(m *wire.Dispatch) *wire.Reply {
+		return &wire.Reply{ID: m.ID, Attempt: m.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonFull, Upstream: wire.Upstream{Name: "near", Share: 1}}
+	}
+	if got := postBody(newPlacedEntry(t, table.PlaceByCost, []string{table.AnyMethod}, near, far), uploadSize); got != "far" {
+		t.Errorf("got the request served by %q, want far", got)
+	}
+	if far.probes == 0 || far.dispatched != 1 || len(waits) == 0 {
+		t.Errorf("got %d probes, %d dispatches at far and waits %v at near; want a wait, then a grant before the only dispatch", far.probes, far.dispatched, waits)
+	}
+}
+
+// The bodies of a bulk route are as large as those before. A request whose own length says
+// little must be placed like them.
+func TestBulkRouteLearnsItsTypicalLength(t *testing.T) {
+	var waits []clock.Millis
+	near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
+	e := newPlacedEntry(t, table.PlaceByCost, []string{}, near, far)
+	if got := postBody(e, uploadSize); got != "near" {
+		t.Fatalf("got the first upload served by %q, want near", got)
+	}
+	near.onProbe = busyGate("near", true, &waits).onProbe
+	if got := postBody(e, 400); got != "near" || len(waits) == 0 {
+		t.Errorf("got the request served by %q after waits %v, want near after a wait", got, waits)
+	}
+}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	near := p.attempts[a.index].upstream.Domain == p.request.entry.config.Domain
-	if cost := choice.ProbedCost(a.reply.Upstream.Severity, near); p.reserved < 0 || cost < p.cost {
+	if cost := choice.ProbedCost(a.reply.Upstream.Severity, near, p.request.transfer()); p.reserved < 0 || cost < p.cost {
 		p.reserved, p.cost = a.index, cost
 	}
 	return true
--- a/entry/profiles.go
+++ b/entry/profiles.go
@@ -29,9 +29,14 @@
 	return &latencyProfiles{byRoute: map[string]*episode.LatencyProfile{}, failures: map[string]*episode.FailureModes{}}
 }
 
+// routeKey identifies a route in a profile.
+func routeKey(r *table.Route) string {
+	return strings.ToLower(r.Host) + r.Prefix
+}
+
 // routeProfile returns a route's profile and creates it if needed. The caller holds p.mu.
 func (p *latencyProfiles) routeProfile(r *table.Route) *episode.LatencyProfile {
-	key := strings.ToLower(r.Host) + r.Prefix
+	key := routeKey(r)
 	profile, ok := p.byRoute[key]
 	if !ok {
 		if len(p.byRoute) >= maxProfiles {
--- a/entry/request.go
+++ b/entry/request.go
@@ -244,6 +244,7 @@
 func (r *request) handleResult(o result, untried int) (finalAnswer, bool) {
 	r.recordResult(&o)
 	r.updateProfile(&o)
+	r.updateSizes(&o)
 	if o.served {
 		return finalAnswer{outcome: access.Served, status: o.reply.Status, reply: o.reply, replay: o.reply.Replay}, true
 	}
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -47,6 +47,7 @@
 	probed         bool
 	waited         bool
 	forced         bool
+	domain         domainState
 }
 
 // choose picks the upstream for the next attempt. For a service with short episodes it
@@ -60,9 +61,12 @@
 	if n, ok := r.takeReservation(); ok {
 		return n.attempt, n.untried, true
 	}
+	if a, untried, ok = r.chooseInOwnDomain(now); ok {
+		return a, untried, true
+	}
 	switch {
 	case !r.isLastTry() && r.selection.directAttempts < maxDirectAttempts:
-		filter := candidateFilter{retryable: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...)}
+		filter := candidateFilter{retryable: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
 		a, untried, ok = r.service.chooseBySeverity(now, filter)
 		a.noWait = true
 	case r.isLastTry() && !r.selection.probed:
@@ -87,7 +91,7 @@
 func (r *request) reserveSlot(now clock.Millis, maxCandidates int, waitBudget clock.Millis) (attempt, int, bool) {
 	var candidates []attempt
 	untried := 0
-	filter := candidateFilter{tried: slices.Clone(r.tried)}
+	filter := candidateFilter{tried: slices.Clone(r.tried), transfer: r.transfer(), ownDomain: r.selection.domain.isSearched}
 	for len(candidates) < maxCandidates {
 		a, remaining, ok := r.service.chooseBySeverity(now, filter)
 		if !ok {
@@ -185,7 +189,11 @@
 	retryable bool
 	// ejected selects ejected upstreams only.
 	ejected bool
-	tried   []*member
+	// ownDomain selects upstreams in the entry's own failure domain only.
+	ownDomain bool
+	tried     []*member
+	// transfer is what crosses to an upstream in another failure domain.
+	transfer choice.Transfer
 }
 
 // chooseBySeverity picks an upstream of a service whose upstreams fail in short episodes.
@@ -207,18 +215,20 @@
 		if usable {
 			untried++
 		}
+		near := m.upstream.Domain == s.domain
 		s.options = append(s.options, choice.Option{
-			Risk:   risk,
-			Load:   max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt)),
-			Slots:  m.upstream.Slots,
-			Near:   m.upstream.Domain == s.domain,
-			Usable: usable,
+			Risk:     risk,
+			Load:     max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt)),
+			Slots:    m.upstream.Slots,
+			Near:     near,
+			Usable:   usable && (near || !filter.ownDomain),
+			Transfer: filter.transfer,
 		})
 	}
 	retryable := filter.retryable && untried > 0
 	if retryable {
 		s.keepWatchedLinks(now, s.linkCount.RecordRequest(now))
-		if i, wanted := s.takeWorkRequest(now, filter.tried); wanted {
+		if i, wanted := s.takeWorkRequest(now, filter); wanted {
 			return s.startAttempt(now, i), untried, true
 		}
 	}
@@ -262,9 +272,12 @@
 
 // takeWorkRequest returns the index of an untried upstream with a pending work request,
 // and clears that work request. The caller holds s.mu.
-func (s *service) takeWorkRequest(now clock.Millis, tried []*member) (int, bool) {
+func (s *service) takeWorkRequest(now clock.Millis, filter candidateFilter) (int, bool) {
 	for i, m := range s.members {
-		if m.workRequestUntil > 0 && m.workRequestUntil >= now && s.uses[i] != floor.Unavailable && !slices.Contains(tried, m) && s.isWithinShare(now, m) {
+		if filter.ownDomain && m.upstream.Domain != s.domain {
+			continue
+		}
+		if m.workRequestUntil > 0 && m.workRequestUntil >= now && s.uses[i] != floor.Unavailable && !slices.Contains(filter.tried, m) && s.isWithinShare(now, m) {
 			m.workRequestUntil = 0
 			return i, true
 		}
