--- a/gate/gate.go
+++ b/gate/gate.go
@@ -67,11 +67,6 @@
 	RecordRefusal(service, upstream string, reason wire.Reason)
 }
 
-// RetryRecorder counts the rulings of the retry budget.
-type RetryRecorder interface {
-	RecordRetry(service string, ruling retry.Ruling)
-}
-
 // Config configures a Gate.
 type Config struct {
 	Service     table.Service
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -8,6 +8,11 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
+// RetryRecorder counts the rulings of the retry budget.
+type RetryRecorder interface {
+	RecordRetry(service string, ruling retry.Ruling)
+}
+
 // admission holds the properties of a request that decide whether it is admitted.
 type admission struct {
 	isRepeatable, isRetry, isForced bool
