gate, entry, retry: retry a shed request where less is shed

A request that an upstream refuses for load goes to another one, which may shed as well. The severity that gates report counts shed runs as evidence of an episode, but doesn't tell an upstream that sheds a quarter from a healthy one.

With placement = "cost", a gate that reserves a slot for a retry first sends the share of runs that its upstream has shed (retry.ShedMeter, 2 s) to that entry, in the new field Shed of wire.UpstreamProfile, which no release has sent yet. For a request that was shed, the entry takes the higher one of severity and share as the risk, in the choice of gates to ask and among the reservations. Only services with caution "brief" ask gates for retries.

--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -116,6 +116,9 @@
 // PeerWorkRequest ignores the request.
 func (*heartbeatCounter) PeerWorkRequest(*wire.WorkRequest) {}
 
+// PeerProfile ignores the profile.
+func (*heartbeatCounter) PeerProfile(*wire.UpstreamProfile) {}
+
 // PeerTableVersion ignores the table.
 func (*heartbeatCounter) PeerTableVersion(string, *wire.TableVersion) {}
 
--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -234,3 +234,34 @@
 		})
 	}
 }
+
+// An upstream sheds a request. Of the gates that reserve a slot for its retry, one has a
+// slightly higher severity, and the other's upstream sheds most of its runs.
+func TestRetryAfterShedPrefersUpstreamThatShedsLess(t *testing.T) {
+	for _, tt := range []struct {
+		placement table.Placement
+		want      string
+	}{{table.PlaceByCost, "c"}, {table.PlaceNear, "b"}} {
+		t.Run(string(tt.placement), func(t *testing.T) {
+			s := newTestService(t)
+			s.service.Placement = tt.placement
+			for _, name := range []string{"a", "b", "c"} {
+				s.addUpstream(name)
+			}
+			s.publish()
+			refuseAll(s.gates["a"], wire.ReasonShed, new(int))
+			s.entry.UpdateUpstream(wire.Upstream{Name: "a", Share: 1})
+			s.entry.UpdateUpstream(wire.Upstream{Name: "b", Share: 1, Severity: 0.4})
+			s.entry.UpdateUpstream(wire.Upstream{Name: "c", Share: 1, Severity: 0.4})
+			grantB := grantSlot("b", 0.1)
+			s.gates["b"].onProbe = func(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) {
+				s.entry.HandleProfile(&wire.UpstreamProfile{Upstream: "b", Speed: 1, Shed: 0.6})
+				grantB(probe, onReply)
+			}
+			s.gates["c"].onProbe = grantSlot("c", 0.2)
+			if status, body := post(s.entry); status != 200 || body != tt.want {
+				t.Errorf("got %d %q, want it served by %s", status, body, tt.want)
+			}
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -209,6 +209,13 @@
 	}
 }
 
+// HandleProfile records what a gate knows about its upstream.
+func (e *Entry) HandleProfile(p *wire.UpstreamProfile) {
+	if s, ok := e.serviceOf(p.Upstream); ok {
+		s.handleProfile(e.config.Now(), p)
+	}
+}
+
 // UpdatePath records whether the path from here to a node is lost.
 func (e *Entry) UpdatePath(node string, lost bool) {
 	for _, s := range *e.services.Load() {
--- a/entry/member.go
+++ b/entry/member.go
@@ -27,8 +27,6 @@
 	pacedUntil clock.Millis
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
-	// forced says since when the floor keeps the upstream in use, for the log.
-	forced floor.Lasting
 }
 
 // verdict returns the verdict that the gate last reported. If an ejection has ended
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -119,8 +119,12 @@
 		}
 		return false
 	}
-	near := p.attempts[a.index].upstream.Domain == p.request.entry.config.Domain
-	if cost := choice.ProbedCost(a.reply.Upstream.Severity, near); p.reserved < 0 || cost < p.cost {
+	r, attempt := p.request, &p.attempts[a.index]
+	risk := a.reply.Upstream.Severity
+	if r.avoidsShedding() {
+		risk = r.service.riskOfProbed(r.entry.config.Now(), attempt.member, risk)
+	}
+	if cost := choice.ProbedCost(risk, attempt.upstream.Domain == r.entry.config.Domain); p.reserved < 0 || cost < p.cost {
 		p.reserved, p.cost = a.index, cost
 	}
 	return true
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -87,7 +87,7 @@
 func (r *request) reserveSlot(now clock.Millis, maxCandidates int, waitBudget clock.Millis) (attempt, int, bool) {
 	var candidates []attempt
 	untried := 0
-	filter := candidateFilter{tried: slices.Clone(r.tried)}
+	filter := candidateFilter{tried: slices.Clone(r.tried), shed: r.avoidsShedding()}
 	for len(candidates) < maxCandidates {
 		a, remaining, ok := r.service.chooseBySeverity(now, filter)
 		if !ok {
@@ -185,7 +185,9 @@
 	retryable bool
 	// ejected selects ejected upstreams only.
 	ejected bool
-	tried   []*member
+	// shed means that an upstream has shed the request: those that shed less are preferred.
+	shed  bool
+	tried []*member
 }
 
 // chooseBySeverity picks an upstream of a service whose upstreams fail in short episodes.
@@ -203,6 +205,9 @@
 			usable = s.uses[i] == floor.Ejected
 		}
 		risk := m.severity(now, true)
+		if filter.shed {
+			risk = s.riskOfRetry(now, m, risk)
+		}
 		usable = usable && !slices.Contains(filter.tried, m) && s.isWithinShare(now, m)
 		if usable {
 			untried++
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,19 +1,18 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/health"
-	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -51,6 +50,8 @@
 	dirty              bool
 	recheckAt          clock.Millis // when an ejection ends or a gate is to be checked again; 0 for never
 	uses               []floor.Use
+	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
+	shed               map[*member]shedShare
 	linkCount          episode.LinkCount
 	membership         *resend.Membership
 	nodes              map[string]GateClient // clients for the nodes in membership
@@ -68,6 +69,8 @@
 		config:             c,
 		byName:             map[string]*member{},
 		announced:          map[process]*announced{},
+		forced:             map[*member]floor.Lasting{},
+		shed:               map[*member]shedShare{},
 		random:             rand.New(rand.NewPCG(seed, 1)),
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
@@ -106,6 +109,8 @@
 		s.members = append(s.members, m)
 		s.byName[u.Name] = m
 	}
+	maps.DeleteFunc(s.forced, func(m *member, _ floor.Lasting) bool { return s.byName[m.upstream.Name] != m })
+	maps.DeleteFunc(s.shed, func(m *member, _ shedShare) bool { return s.byName[m.upstream.Name] != m })
 	s.pruneAnnouncements(now)
 	s.watchOffset = int(s.seed % uint64(max(len(s.members), 1)))
 	s.dirty = true
@@ -285,27 +290,7 @@
 		})
 	}
 	s.uses = floor.Decide(s.uses[:0], s.config.Floor, s.floorMembers)
-	span := clock.Millis(0)
-	if shortEpisodes {
-		span = floor.LastingSpan
-	}
-	for i, use := range s.uses {
-		if s.members[i].forced.Update(now, use, span) {
-			s.recordForced(now, s.members[i])
-		}
-	}
-}
-
-func (s *service) recordForced(now clock.Millis, m *member) {
-	logging.Repeatable(s.log.WithField("upstream", m.upstream.Name)).Warn("kept in use under the floor")
-	s.recorder.RecordEvent(access.Event{
-		At:       now,
-		Kind:     access.ForcedUnderFloor,
-		Service:  s.config.Name,
-		Upstream: m.upstream.Name,
-		Node:     m.upstream.Node,
-		Reason:   "floor",
-	})
+	s.trackForced(now)
 }
 
 // updateUpstream records the state that a gate reports of its upstream.
--- a/floor/lasting.go
+++ b/floor/lasting.go
@@ -19,13 +19,17 @@
 	lastForceAt clock.Millis
 }
 
+// IsActive reports whether the member was forced within the last span before Update. One that
+// isn't active needs no further updates until it is forced.
+func (l *Lasting) IsActive() bool { return l.isActive }
+
 // Update records a member's use and reports whether the member begins to count as forced: a
 // span has passed since it was first forced, and in between it was never out of use for a
 // span. Update reports that at most once in two spans. With a span of 0 each change counts.
 func (l *Lasting) Update(now clock.Millis, use Use, span clock.Millis) bool {
 	if use != Forced {
 		if now-l.lastForceAt >= span {
-			l.isActive, l.isCounted = false, false
+			*l = Lasting{}
 		}
 		return false
 	}
--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -44,7 +44,11 @@
 	}
 	reservation := g.newReservation(now, w, reason)
 	reservation.RetryAfter = retryAfter
+	profile := g.retryProfile(now, probe)
 	g.mu.Unlock()
+	if profile != nil && reservation.Reserved {
+		g.config.SendProfile(probe.ID.Entry, profile)
+	}
 	respond(reservation)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -62,11 +62,6 @@
 	RecordEvent(e access.Event)
 }
 
-// RefusalRecorder counts dispatches that a gate refused to run.
-type RefusalRecorder interface {
-	RecordRefusal(service, upstream string, reason wire.Reason)
-}
-
 // Config configures a Gate.
 type Config struct {
 	Service     table.Service
@@ -90,6 +85,9 @@
 	// OnHung notifies an entry that a run has most likely hung. It may be nil and must
 	// not block.
 	OnHung func(entry uint64, r *wire.HungRun)
+	// SendProfile sends an entry what the gate knows about its upstream. It may be nil and
+	// must not block.
+	SendProfile func(entry uint64, p *wire.UpstreamProfile)
 	// Crashes may be nil.
 	Crashes CrashTracker
 	// Refusals may be nil.
@@ -119,6 +117,7 @@
 	detector Detector
 	slots    *limit.Slots
 	quota    *retry.Quota
+	shed     *retry.ShedMeter
 	jobs     map[uint64]*job
 	// waiters are the queued capacity probes by ticket. reservations are the timers of
 	// slots reserved for dispatches that have not arrived yet.
@@ -191,6 +190,7 @@
 		detector:     newDetector(c.Service.Caution, c.Seed),
 		slots:        limit.NewSlots(slotsConfig(&c.Service, &c.Upstream, c.Seed)),
 		quota:        retry.NewQuota(c.Now(), quotaConfig(&c.Service)),
+		shed:         retry.NewShedMeter(),
 		jobs:         map[uint64]*job{},
 		waiters:      map[uint64]*waiter{},
 		reservations: map[lease.Key]*time.Timer{},
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -21,6 +21,8 @@
 	end   chan struct{}
 	// isFailing means that released requests get a 500.
 	isFailing bool
+	// isShedding means that released requests are refused for load.
+	isShedding bool
 }
 
 func (h *blockingBackend) Do(ctx context.Context, c *gate.Call) (gate.Response, error) {
@@ -30,6 +32,9 @@
 		if h.isFailing {
 			return gate.Response{Status: 500}, nil
 		}
+		if h.isShedding {
+			return gate.Response{Status: 503, Shed: true, Overloaded: true}, nil
+		}
 		return gate.Response{Status: 200}, nil
 	case <-ctx.Done():
 		return gate.Response{}, gate.ErrCancelled
--- a/gate/quota_test.go
+++ b/gate/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 
@@ -137,3 +138,46 @@
 		})
 	}
 }
+
+// The entry chooses among gates that reserve a slot for a retry, and must know which upstreams
+// shed before it gets the reservations. Other probes, and services without placement by cost,
+// must cost no further message.
+func TestShareOfShedRunsPrecedesReservationForRetry(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		placement table.Placement
+		retry     bool
+		want      []string
+	}{
+		{"retry by cost", table.PlaceByCost, true, []string{"profile", "reservation"}},
+		{"first attempt by cost", table.PlaceByCost, false, []string{"reservation"}},
+		{"retry to the nearest", table.PlaceNear, true, []string{"reservation"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			u := table.Upstream{Name: "c1", Weight: 100, Slots: 1}
+			s := table.Service{Name: "conferme", Caution: table.ShortEpisodes, Placement: tt.placement, Upstreams: []table.Upstream{u}}
+			var sent []string
+			g, h := newGateFromConfig(t, gate.Config{Service: s, Upstream: u, SendProfile: func(_ uint64, p *wire.UpstreamProfile) {
+				if p.Shed < 0.2 || p.Shed > 0.3 || p.Upstream != "c1" {
+					t.Errorf("got %+v, want a quarter of the runs of c1 shed", p)
+				}
+				sent = append(sent, "profile")
+			}})
+			close(h.end)
+			for seq := range uint64(3) {
+				h.isShedding = seq == 2
+				<-handle(g, dispatch(seq, "run"))
+			}
+			g.ProbeCapacity(&wire.CapacityProbe{ID: wire.RequestID{Entry: 1, Seq: 9}, Attempt: 2, Upstream: "c1", Retry: tt.retry, Budget: clock.Second},
+				func(r *wire.Reservation) {
+					if !r.Reserved {
+						t.Errorf("got no slot, reason %s; want one reserved", r.Reason)
+					}
+					sent = append(sent, "reservation")
+				})
+			if !slices.Equal(sent, tt.want) {
+				t.Errorf("got %v, want %v", sent, tt.want)
+			}
+		})
+	}
+}
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -8,6 +8,11 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
+// RefusalRecorder counts dispatches that a gate refused to run.
+type RefusalRecorder interface {
+	RecordRefusal(service, upstream string, reason wire.Reason)
+}
+
 // RetryRecorder counts the rulings of the retry budget.
 type RetryRecorder interface {
 	RecordRetry(service string, ruling retry.Ruling)
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -7,6 +7,7 @@
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -20,6 +21,7 @@
 	g.crash, g.succeeded = crashState{}, nil
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
+	g.shed = retry.NewShedMeter()
 	g.config.Backend.ResetConnections()
 	g.log.Info("upstream restarted; its verdict and connections are reset")
 	runs := 0
--- a/gate/run.go
+++ b/gate/run.go
@@ -135,6 +135,7 @@
 	var calls []func()
 	if isCurrent {
 		g.observeRun(now, j, response, err)
+		g.shed.Record(now, response.Shed)
 		if response.HasAnnouncement {
 			calls = g.recordAnnouncement(now, response.Announcement, response.Shed)
 		}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -266,6 +266,7 @@
 func (l *lossRecorder) PeerUpstream(string, wire.Upstream)          {}
 func (l *lossRecorder) PeerTableVersion(string, *wire.TableVersion) {}
 func (l *lossRecorder) PeerWorkRequest(*wire.WorkRequest)           {}
+func (l *lossRecorder) PeerProfile(*wire.UpstreamProfile)           {}
 func (l *lossRecorder) PeerStoreUpdate(*wire.StoreUpdate)           {}
 func (l *lossRecorder) PeerCrashReport(*wire.CrashReport)           {}
 func (l *lossRecorder) PeerPath(_ string, state path.State) {
@@ -346,6 +347,7 @@
 func (pathObserver) PeerUpstream(string, wire.Upstream)          {}
 func (pathObserver) PeerTableVersion(string, *wire.TableVersion) {}
 func (pathObserver) PeerWorkRequest(*wire.WorkRequest)           {}
+func (pathObserver) PeerProfile(*wire.UpstreamProfile)           {}
 func (pathObserver) PeerStoreUpdate(*wire.StoreUpdate)           {}
 func (pathObserver) PeerCrashReport(*wire.CrashReport)           {}
 func (o pathObserver) PeerPath(_ string, state path.State)       { o.states <- state }
--- a/link/peer.go
+++ b/link/peer.go
@@ -51,6 +51,7 @@
 	PeerUpstream(node string, u wire.Upstream)
 	PeerTableVersion(node string, table *wire.TableVersion)
 	PeerWorkRequest(request *wire.WorkRequest)
+	PeerProfile(profile *wire.UpstreamProfile)
 	PeerStoreUpdate(update *wire.StoreUpdate)
 	PeerCrashReport(report *wire.CrashReport)
 	PeerPath(node string, state path.State)
@@ -340,6 +341,8 @@
 		p.config.Observer.PeerCrashReport(m)
 	case *wire.GoAway:
 		p.handleGoAway(conn)
+	case *wire.UpstreamProfile:
+		p.config.Observer.PeerProfile(m)
 	default:
 		conn.Close()
 	}
--- a/link/server.go
+++ b/link/server.go
@@ -284,6 +284,12 @@
 	s.sendToEntry(entry, m)
 }
 
+// SendProfile sends what a gate knows about its upstream, unless the entry is of a release that
+// doesn't know the message.
+func (s *Server) SendProfile(entry uint64, p *wire.UpstreamProfile) {
+	s.sendToEntry(entry, p)
+}
+
 // SendQuotaGrant sends the answer to a quota request. An entry that doesn't receive it asks
 // another home.
 func (s *Server) SendQuotaGrant(entry uint64, g *wire.QuotaGrant) {
--- a/node/gates.go
+++ b/node/gates.go
@@ -106,6 +106,7 @@
 		DependencyFailed: n.entry.FailedWithin,
 		RequestWork:      n.requestWork,
 		OnHung:           n.notifyHung,
+		SendProfile:      n.sendProfile,
 		HasProcessNames:  n.upstreamHeaders.Instance != "",
 		Keys:             n.keys,
 		Crashes:          gateCrashes{n.crashes},
@@ -215,6 +216,16 @@
 	n.links.SendHungRun(entry, m)
 }
 
+// sendProfile sends an entry what a gate knows about its upstream. Without the message the entry
+// chooses by what it knows itself.
+func (n *Node) sendProfile(entry uint64, p *wire.UpstreamProfile) {
+	if entry == n.incarnation {
+		n.entry.HandleProfile(p)
+		return
+	}
+	n.links.SendProfile(entry, p)
+}
+
 // Dispatch handles a request from another node's entry.
 func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
 	n.handleDispatch(d, func(r *wire.Reply) { n.links.SendReply(from, r) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -205,6 +205,11 @@
 	n.entry.HandleWorkRequest(r)
 }
 
+// PeerProfile handles what a gate knows about its upstream.
+func (n *Node) PeerProfile(p *wire.UpstreamProfile) {
+	n.entry.HandleProfile(p)
+}
+
 // PeerTableVersion handles a table that this node asked a peer for.
 func (n *Node) PeerTableVersion(node string, received *wire.TableVersion) {
 	n.ReceiveTable(node, received)
--- a/retry/overload.go
+++ b/retry/overload.go
@@ -23,9 +23,9 @@
 	return d.value * math.Exp(-float64(now-d.updatedAt)/float64(d.timeConstant))
 }
 
-// add counts n events at an instant.
-func (d *decayingCounter) add(now clock.Millis, n float64) {
-	d.value = d.read(now) + n
+// add counts an event at an instant.
+func (d *decayingCounter) add(now clock.Millis) {
+	d.value = d.read(now) + 1
 	d.updatedAt = max(d.updatedAt, now)
 }
 
@@ -56,10 +56,10 @@
 // add counts a gate's reply to an attempt.
 func (m *overloadMeter) add(now clock.Millis, refused bool) {
 	if refused {
-		m.refused.add(now, 1)
+		m.refused.add(now)
 		return
 	}
-	m.accepted.add(now, 1)
+	m.accepted.add(now)
 }
 
 // overloaded reports whether the service would likely refuse a further attempt for load.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -130,7 +130,7 @@
 
 // RecordRequest counts a first attempt, which adds Share of a retry to the budget.
 func (b *Budget) RecordRequest(now clock.Millis) {
-	b.requests.add(now, 1)
+	b.requests.add(now)
 	burst := min(max(b.share*b.requests.value, MinBurst), MaxBurst)
 	b.tokens = min(b.tokens+b.share, burst)
 }
--- a/wire/claim.go
+++ b/wire/claim.go
@@ -39,6 +39,8 @@
 	Concurrency int
 	// Shares are the accounts that use most of the upstream.
 	Shares []AccountShare
+	// Shed is the share of its runs that the upstream refused for load in the last seconds.
+	Shed float64
 }
 
 // AccountShare is an account's use of an upstream, averaged over some seconds.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -40,7 +40,7 @@
 		&wire.GoAway{},
 		&wire.SlotClaim{Probe: wire.CapacityProbe{ID: id, Attempt: 2, Upstream: "conferme-1"}, Account: "hotel", Weight: 0.5, StartBy: 900, Bytes: 60000},
 		&wire.ClaimQueued{ID: id, Attempt: 2, Upstream: "conferme-1", Wait: 40},
-		&wire.UpstreamProfile{Upstream: "conferme-1", Speed: 1.25, Concurrency: 4, Shares: []wire.AccountShare{{Account: "hotel", Used: 0.5}, {Used: 2}}},
+		&wire.UpstreamProfile{Upstream: "conferme-1", Speed: 1.25, Concurrency: 4, Shares: []wire.AccountShare{{Account: "hotel", Used: 0.5}, {Used: 2}}, Shed: 0.25},
 		&wire.WorkRequest{Upstream: "conferme-1", TTL: 500},
 		&wire.Announcements{Upstreams: []wire.Announcement{{Upstream: "conferme-1", Started: 5, IsLimited: true, RateLimit: 1.3, IsLeaving: true, Age: 9}}},
 		&wire.KeyRevocationReply{ID: id, KeyStatus: 3, Covers: 900, Version: 2, Status: 201, Body: []byte("ok")},
