--- a/entry/selection.go
+++ b/entry/selection.go
@@ -91,7 +91,7 @@
 func (r *request) reserveSlot(now clock.Millis, maxCandidates int, waitBudget clock.Millis) (attempt, int, bool) {
 	var candidates []attempt
 	untried := 0
-	filter := candidateFilter{tried: slices.Clone(r.tried), transfer: r.transfer(), ownDomain: r.selection.domain.isSearched}
+	filter := candidateFilter{tried: slices.Clone(r.tried), transfer: r.transfer(), ownDomain: r.selection.domain.isSearched, shed: r.avoidsShedding()}
 	for len(candidates) < maxCandidates {
 		a, remaining, ok := r.service.chooseBySeverity(now, filter)
 		if !ok {
@@ -191,7 +191,9 @@
 	ejected bool
 	// ownDomain selects upstreams in the entry's own failure domain only.
 	ownDomain bool
-	tried     []*member
+	// shed means that an upstream has shed the request: those that shed less are preferred.
+	shed  bool
+	tried []*member
 	// transfer is what crosses to an upstream in another failure domain.
 	transfer choice.Transfer
 }
@@ -211,6 +213,9 @@
 			usable = s.uses[i] == floor.Ejected
 		}
 		risk := m.severity(now, true)
+		if filter.shed {
+			risk = s.riskOfRetry(now, m, risk)
+		}
 		usable = usable && !slices.Contains(filter.tried, m) && s.isWithinShare(now, m)
 		if usable {
 			untried++
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -8,6 +8,16 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
+// RefusalRecorder counts dispatches that a gate refused to run.
+type RefusalRecorder interface {
+	RecordRefusal(service, upstream string, reason wire.Reason)
+}
+
+// RetryRecorder counts the rulings of the retry budget.
+type RetryRecorder interface {
+	RecordRetry(service string, ruling retry.Ruling)
+}
+
 // admission holds the properties of a request that decide whether it is admitted.
 type admission struct {
 	isRepeatable, isRetry, isForced bool
