link, gate, node: claims of requests that wait for a slot of their service

A capacity probe says nothing of its account or latest useful start, and isn't confirmed: its entry can't tell a queue from a gate that is unreachable.

Gate.ClaimSlot queues a SlotClaim with its account, weight and latest useful start, and confirms it by ClaimQueued. A peer of an older release gets the CapacityProbe in the claim, which counts as confirmed. A claim belongs to the link on which it was sent: it is lost with it, and with the path, and the gate drops it once its entry has no link. Capacity probes and their messages stay as they are.

Tests: claims are lost with a cut path and an ended link; a peer of an older release gets a probe; withdrawn and dropped claims and an unused grant free the queue; a displaced claim gets a Retry-After. go test ./link ./gate ./node passes.

--- a/capacity/entry.go
+++ b/capacity/entry.go
@@ -100,6 +100,9 @@
 	return link.ErrNoLink
 }
 
+// ClaimSlot returns link.ErrNoLink.
+func (instantGateClient) ClaimSlot(*wire.SlotClaim, link.ClaimObserver) error { return link.ErrNoLink }
+
 // ReleaseReservation sends nothing.
 func (instantGateClient) ReleaseReservation(*wire.ReleaseReservation) {}
 
--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -73,6 +73,12 @@
 // ProbeCapacity sends no answer.
 func (*heartbeatCounter) ProbeCapacity(uint64, *wire.CapacityProbe) {}
 
+// ClaimSlot sends no answer.
+func (*heartbeatCounter) ClaimSlot(uint64, *wire.SlotClaim) {}
+
+// EntryLost does nothing, because the handler keeps no claims.
+func (*heartbeatCounter) EntryLost(uint64, clock.Millis) {}
+
 // ReleaseReservation ignores the message.
 func (*heartbeatCounter) ReleaseReservation(*wire.ReleaseReservation) {}
 
--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -13,11 +13,17 @@
 // between failure domains (2 ms each), plus time for a large body.
 const reservationTTL = 40 * clock.Millis(1)
 
-// waiter is a capacity probe that waits for a slot.
+// waiter is a capacity probe or a claim that waits for a slot.
 type waiter struct {
-	key     lease.Key
-	probe   *wire.CapacityProbe
-	respond func(*wire.Reservation)
+	key    lease.Key
+	ticket uint64
+	// arrivedAt is when the probe or claim arrived.
+	arrivedAt clock.Millis
+	probe     *wire.CapacityProbe
+	claim     *wire.SlotClaim // nil for a capacity probe
+	respond   func(*wire.Reservation)
+	// confirm is called when a claim waits; nil for a capacity probe.
+	confirm func(*wire.ClaimQueued)
 	timer   *time.Timer
 }
 
@@ -26,8 +32,13 @@
 // while its body crosses to another failure domain only once. The respond function is
 // called once, or never if the reservation is released while the probe waits.
 func (g *Gate) ProbeCapacity(probe *wire.CapacityProbe, respond func(*wire.Reservation)) {
+	g.admitWaiter(&waiter{key: probe.ID.Key(probe.Attempt), probe: probe, respond: respond})
+}
+
+// admitWaiter answers a capacity probe or a claim, or queues it.
+func (g *Gate) admitWaiter(w *waiter) {
 	now := g.config.Now()
-	w := &waiter{key: probe.ID.Key(probe.Attempt), probe: probe, respond: respond}
+	probe := w.probe
 	g.mu.Lock()
 	g.recordSender(probe.ID.Entry, probe.Repeatable)
 	reason, retryAfter := g.refusalReason(now, lease.Fresh, newAdmission(probe))
@@ -37,7 +48,9 @@
 		if isWaiting {
 			expired := g.refuseExpired(now) // the probe may have taken the queue position of an expired waiter
 			g.schedulePaced(now)
+			confirm := g.confirmation(now, w)
 			g.mu.Unlock()
+			confirm()
 			callAll(expired)
 			return
 		}
@@ -45,7 +58,7 @@
 	reservation := g.newReservation(now, w, reason)
 	reservation.RetryAfter = retryAfter
 	g.mu.Unlock()
-	respond(reservation)
+	w.respond(reservation)
 }
 
 // requestSlot acquires a slot or queues the probe. It returns the reason and the retry delay
@@ -55,11 +68,13 @@
 	request := limit.Request{
 		Ticket: g.lastTicket, Deadline: now + w.probe.Budget, Until: now + w.probe.WaitBudget, Priority: w.probe.Priority,
 	}
+	w.addClaim(now, &request)
 	switch decision := g.slots.Acquire(now, request); decision.Result {
 	case limit.Run:
 		g.reserve(w.key)
 		return "", 0, false
 	case limit.Wait:
+		w.ticket, w.arrivedAt = request.Ticket, now
 		g.waiters[request.Ticket] = w
 		w.timer = time.AfterFunc((w.probe.WaitBudget + 1).Duration(), g.expireWaiters)
 		return "", 0, true
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -92,6 +92,9 @@
 			w.timer.Stop()
 			delete(g.waiters, ticket)
 			reservation := g.newReservation(now, w, reason)
+			if w.claim != nil {
+				reservation.RetryAfter = g.slots.RetryAfter(now)
+			}
 			refused = append(refused, func() { w.respond(reservation) })
 			continue
 		}
--- a/link/dial.go
+++ b/link/dial.go
@@ -15,6 +15,7 @@
 	p.config.Observer.PeerPath(p.config.Address, state)
 	if state == path.Lost {
 		p.notifyLost()
+		p.loseAllClaims()
 	}
 }
 
@@ -58,6 +59,7 @@
 			p.notifyLost()
 			p.failUnsent()
 			p.failUnsentRequests()
+			p.loseClaims(nil)
 			p.failRevocations()
 		}
 		return
@@ -90,6 +92,7 @@
 	}
 	p.capacityProbes.flush(p, now)
 	p.quotaRequests.flush(p, now)
+	p.flushClaims(now)
 	p.mu.Unlock()
 	for _, replaced := range []*Conn{old, draining} {
 		if replaced != nil {
@@ -125,6 +128,7 @@
 // requests another link.
 func (p *Peer) serve(conn *Conn) {
 	err := conn.read(func(m wire.Message) { p.handle(conn, m) })
+	p.loseClaims(conn)
 	p.mu.Lock()
 	current, wasDraining := p.conn == conn, p.draining == conn
 	if current {
@@ -134,7 +138,7 @@
 	if wasDraining {
 		p.draining = nil
 	}
-	busy := len(p.pending)+len(p.revocations)+len(p.capacityProbes)+len(p.quotaRequests) > 0
+	busy := len(p.pending)+len(p.revocations)+len(p.capacityProbes)+len(p.quotaRequests)+len(p.claims) > 0
 	undecided := len(p.pending)
 	p.mu.Unlock()
 	p.log.WithError(err).WithFields(logrus.Fields{"undecided": undecided, "replaced": !current}).Debug("link ended")
--- a/link/goaway.go
+++ b/link/goaway.go
@@ -31,7 +31,7 @@
 // finishDrained closes the draining link if all that was sent on it is answered. The caller holds
 // the peer's lock.
 func (p *Peer) finishDrained() {
-	if p.draining == nil || len(p.revocations) > 0 || p.capacityProbes.hasSent() || p.quotaRequests.hasSent() {
+	if p.draining == nil || len(p.revocations) > 0 || p.capacityProbes.hasSent() || p.quotaRequests.hasSent() || p.hasClaimsOn(p.draining) {
 		return
 	}
 	for _, pending := range p.pending {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -24,15 +24,18 @@
 	limit  = 1 << 20
 )
 
-// countingHandler counts the dispatches that it receives.
+// countingHandler counts the dispatches and claims that it receives, and the entries lost.
 type countingHandler struct {
-	dispatched atomic.Int64
-	announced  chan *wire.Announcements
+	dispatched, claimed, lost atomic.Int64
+
+	announced chan *wire.Announcements
 }
 
 func (c *countingHandler) Dispatch(uint64, *wire.Dispatch)             { c.dispatched.Add(1) }
 func (c *countingHandler) Resolve(uint64, *wire.Resolve)               {}
 func (c *countingHandler) ProbeCapacity(uint64, *wire.CapacityProbe)   {}
+func (c *countingHandler) ClaimSlot(uint64, *wire.SlotClaim)           { c.claimed.Add(1) }
+func (c *countingHandler) EntryLost(uint64, clock.Millis)              { c.lost.Add(1) }
 func (c *countingHandler) ReleaseReservation(*wire.ReleaseReservation) {}
 func (c *countingHandler) RequestQuota(uint64, *wire.QuotaRequest)     {}
 func (c *countingHandler) RevokeKey(*wire.KeyRevocation) *wire.KeyRevocationReply {
--- a/link/peer.go
+++ b/link/peer.go
@@ -105,6 +105,7 @@
 	revocations    map[wire.RequestID]*pendingRevocation
 	capacityProbes pendingRequests[lease.Key, wire.Reservation]
 	quotaRequests  pendingRequests[uint64, wire.QuotaGrant]
+	claims         map[lease.Key]*pendingClaim
 	lastUsed       clock.Millis
 	lastPeerTime   clock.Millis // Time of the last heartbeat received
 }
@@ -123,6 +124,7 @@
 		revocations:     map[wire.RequestID]*pendingRevocation{},
 		capacityProbes:  pendingRequests[lease.Key, wire.Reservation]{},
 		quotaRequests:   pendingRequests[uint64, wire.QuotaGrant]{},
+		claims:          map[lease.Key]*pendingClaim{},
 		lastUsed:        c.Now() - c.IdleTimeout - 1, // not needed yet
 	}
 }
@@ -340,6 +342,8 @@
 		p.config.Observer.PeerCrashReport(m)
 	case *wire.GoAway:
 		p.handleGoAway(conn)
+	case *wire.ClaimQueued:
+		p.handleClaimQueued(m)
 	default:
 		conn.Close()
 	}
--- a/link/reservation.go
+++ b/link/reservation.go
@@ -15,7 +15,7 @@
 	return p.capacityProbes.send(p, probe.ID.Key(probe.Attempt), probe, onReply)
 }
 
-// ReleaseReservation removes a capacity probe that the entry has given up, and notifies
+// ReleaseReservation removes a capacity probe or claim that the entry has given up, and notifies
 // the gate that the slot isn't needed.
 func (p *Peer) ReleaseReservation(r *wire.ReleaseReservation) {
 	p.mu.Lock()
@@ -23,7 +23,7 @@
 	key := r.ID.Key(r.Attempt)
 	request, ok := p.capacityProbes[key]
 	delete(p.capacityProbes, key)
-	if p.conn != nil && (!ok || !request.unsent) {
+	if p.withdrawClaim(key) && p.conn != nil && (!ok || !request.unsent) {
 		_ = p.conn.Send(r) // after a failure the reservation soon expires at the gate
 	}
 }
@@ -36,6 +36,7 @@
 	p.detector.Received(now)
 	p.estimate.Update(now, p.estimate.Incarnation(), r.Time)
 	onReply, ok := p.capacityProbes.complete(p, key)
+	p.answerClaim(key, r)
 	p.mu.Unlock()
 	if ok {
 		onReply(r)
--- a/link/server.go
+++ b/link/server.go
@@ -26,7 +26,13 @@
 	// ProbeCapacity reserves a slot for a dispatch or refuses it. The answer is sent by
 	// Server.SendReservation.
 	ProbeCapacity(entry uint64, probe *wire.CapacityProbe)
+	// ClaimSlot reserves a slot for a dispatch, queues the claim or refuses it. The answers are
+	// sent by Server.SendClaimQueued and Server.SendReservation.
+	ClaimSlot(entry uint64, c *wire.SlotClaim)
 	ReleaseReservation(r *wire.ReleaseReservation)
+	// EntryLost drops the claims of an entry whose last link ended at the given time. The entry
+	// may have another link by now.
+	EntryLost(entry uint64, at clock.Millis)
 	// RequestQuota decides on requests of a client account. The answer is sent by
 	// Server.SendQuotaGrant.
 	RequestQuota(entry uint64, r *wire.QuotaRequest)
@@ -231,10 +237,17 @@
 
 // unregister removes a link that ended with an error. It does nothing if the link wasn't admitted.
 func (s *Server) unregister(session *session, err error) {
+	if at, isLast := s.removeSession(session, err); isLast {
+		s.config.Handler.EntryLost(session.remote.Incarnation, at)
+	}
+}
+
+// removeSession returns the current time and whether the link was the last one of its entry.
+func (s *Server) removeSession(session *session, err error) (now clock.Millis, isLast bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sessions[session.conn] == nil {
-		return
+		return 0, false
 	}
 	entry := session.remote.Incarnation
 	delete(s.sessions, session.conn)
@@ -245,6 +258,7 @@
 	if !isFinished(err) {
 		s.recordAbsent(session)
 	}
+	return s.config.Now(), !s.hasSession(entry)
 }
 
 // SendReply sends a reply to an entry over its newest link. An entry without a link asks
--- a/link/session.go
+++ b/link/session.go
@@ -70,6 +70,17 @@
 		h.ReceiveTable(s.remote.Node, m)
 	case *wire.Announcements:
 		h.ReceiveAnnouncements(m)
+	default:
+		s.handleOther(m)
+	}
+}
+
+// handleOther handles the remaining messages of handle.
+func (s *session) handleOther(m wire.Message) {
+	h := s.server.config.Handler
+	switch m := m.(type) {
+	case *wire.SlotClaim:
+		h.ClaimSlot(s.remote.Incarnation, m)
 	case *wire.CrashReport:
 		for _, report := range h.ReceiveCrashes(m) {
 			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
