limit, gate: a refused claim assigns no retry time

Slots spreads the retry times of the requests that it refuses, one for each refusal. A waiting request is refused by up to 24 gates, so that the times soon lie beyond any deadline, and its search ends though gates would have room in time. AcquireClaim and NextRetryAfter state the same time without assigning it. Requests that make no claims get their times as before.

--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -69,7 +69,7 @@
 		Ticket: g.lastTicket, Deadline: now + w.probe.Budget, Until: now + w.probe.WaitBudget, Priority: w.probe.Priority,
 	}
 	w.addClaim(now, &request)
-	switch decision := g.slots.Acquire(now, request); decision.Result {
+	switch decision := w.acquire(now, g.slots, request); decision.Result {
 	case limit.Run:
 		g.reserve(w.key)
 		return "", 0, false
--- a/gate/claim.go
+++ b/gate/claim.go
@@ -29,6 +29,14 @@
 	request.StartBy = max(now+w.claim.StartBy, 1)
 }
 
+// acquire asks for a slot.
+func (w *waiter) acquire(now clock.Millis, slots *limit.Slots, request limit.Request) limit.Decision {
+	if w.claim != nil {
+		return slots.AcquireClaim(now, request)
+	}
+	return slots.Acquire(now, request)
+}
+
 // confirmation returns the call that confirms a claim that waits. It is called with the gate's
 // lock held; the call is made after the lock is released.
 func (g *Gate) confirmation(now clock.Millis, w *waiter) func() {
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -93,7 +93,7 @@
 			delete(g.waiters, ticket)
 			reservation := g.newReservation(now, w, reason)
 			if w.claim != nil {
-				reservation.RetryAfter = g.slots.RetryAfter(now)
+				reservation.RetryAfter = g.slots.NextRetryAfter(now)
 			}
 			refused = append(refused, func() { w.respond(reservation) })
 			continue
--- a/limit/wait.go
+++ b/limit/wait.go
@@ -21,3 +21,23 @@
 	}
 	return clock.Millis(math.Ceil(max(wait, s.pace.wait(now, position))))
 }
+
+// AcquireClaim is Acquire for a request that asks several upstreams at the same time. A refusal
+// states when there may be room, but assigns no retry time: the request most likely gets a slot
+// elsewhere, and with a retry time for each of its refusals the times would soon lie beyond
+// any request's deadline.
+func (s *Slots) AcquireClaim(now clock.Millis, r Request) Decision {
+	schedule := s.schedule
+	decision := s.Acquire(now, r)
+	if decision.Result != Run && decision.Result != Wait {
+		s.schedule = schedule
+	}
+	return decision
+}
+
+// NextRetryAfter returns what RetryAfter would, without assigning the retry time.
+func (s *Slots) NextRetryAfter(now clock.Millis) clock.Millis {
+	schedule := s.schedule
+	defer func() { s.schedule = schedule }()
+	return s.RetryAfter(now)
+}
--- a/waiting/load_test.go
+++ b/waiting/load_test.go
@@ -66,6 +66,8 @@
 	queued  func(wait clock.Millis)
 	// isReleased means that its withdrawal is on the way, hasSlot that a slot is reserved for it.
 	isReleased, hasSlot bool
+	// isClaim means that waiting.Search makes the claim.
+	isClaim bool
 }
 
 func (s *sim) after(wait clock.Millis, call func()) {
@@ -82,7 +84,11 @@
 		}
 		g.tickets++
 		c.ticket = g.tickets
-		d := g.slots.Acquire(s.now, limit.Request{Ticket: c.ticket, Deadline: requestDeadline, Until: c.until, Priority: 2})
+		acquire := g.slots.Acquire
+		if c.isClaim {
+			acquire = g.slots.AcquireClaim
+		}
+		d := acquire(s.now, limit.Request{Ticket: c.ticket, Deadline: requestDeadline, Until: c.until, Priority: 2})
 		switch d.Result {
 		case limit.Run:
 			c.hasSlot = true
@@ -261,7 +267,7 @@
 func (q *searchRequest) ask(i int) {
 	s := q.sim
 	index := q.search.Claim(s.now, gateName(i))
-	c := &simClaim{gate: s.gates[i], until: q.arrived + deadline - clock.Millis(runTime)}
+	c := &simClaim{gate: s.gates[i], isClaim: true, until: q.arrived + deadline - clock.Millis(runTime)}
 	c.granted = func() {
 		if !q.search.Grant(index) {
 			return // its withdrawal is on the way
