entry, metrics: requests wait for the first slot of their service

With waiting = "service", a request that finds no free slot no longer queues at four gates chosen once. waiting.Search decides which gates have its claims until one grants a slot, until it is too late to start (the deadline less a typical run and the time to resolve), or until no gate is left to ask. A gate that doesn't confirm in 100 ms is tried no more by this request, and counts as unreachable for no other. An ejected upstream is tried only after that, by repeatable requests. The Retry-After of a refusal is when the first of the gates asked expects room. Other services keep their way.

New metrics: claims_total and claim_wait_seconds; new log field: claims. A node exposes the metrics only for such services, so the fleet's test of documented metrics now has one. Tests with small gates cover refusals, silent gates, lost links, late grants and tables that differ; a fleet of six nodes, one of them cut off, serves a burst of 60 uploads on 18 slots, each at most once.

--- a/entry/attemptlog.go
+++ b/entry/attemptlog.go
@@ -119,6 +119,9 @@
 	if t := r.entry.table.Load(); t != nil {
 		fields["version"] = t.Version
 	}
+	if r.claims > 0 {
+		fields["claims"] = r.claims
+	}
 	if r.noRetryReason != "" {
 		fields["noretry"] = string(r.noRetryReason)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,9 @@
 	// that the gate couldn't be asked. If ProbeCapacity returns an error, nothing was
 	// asked.
 	ProbeCapacity(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) error
+	// ClaimSlot sends a claim to its gate. If it returns an error, nothing was sent and the
+	// observer isn't called.
+	ClaimSlot(claim *wire.SlotClaim, observer link.ClaimObserver) error
 	// KeepsAnnouncements reports whether a link is open to a gate that keeps what its upstream
 	// has announced, and was told first what this entry knows. Gates of older releases don't.
 	KeepsAnnouncements() bool
@@ -87,6 +90,8 @@
 	GateClient func(u table.Upstream) GateClient
 	// CrashTracker may be nil.
 	CrashTracker CrashTracker
+	// Claims may be nil.
+	Claims ClaimRecorder
 	// Quotas may be nil: client accounts then have no limits.
 	Quotas Quotas
 	// KeyMargin is how much older an idempotency key may be than its caller states; 0
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -21,6 +21,8 @@
 	name string
 	// onProbe answers a capacity probe; nil grants a slot with severity 0.
 	onProbe func(probe *wire.CapacityProbe, onReply func(*wire.Reservation))
+	// onClaim answers a claim; nil grants a slot.
+	onClaim func(c *wire.SlotClaim, o link.ClaimObserver)
 	// verdict is the state with which the gate refuses dispatches that are not forced;
 	// nil refuses none.
 	verdict *wire.Upstream
--- a/entry/request.go
+++ b/entry/request.go
@@ -104,6 +104,8 @@
 	runs          int   // attempts that an upstream ran or may have run
 	selection     selectionState
 	reservation   reservation
+	claims        int          // claims made, over all searches for a slot
+	roomAt        clock.Millis // when a gate that was asked expects room; 0 if none said so
 	attemptLog    attemptLog
 	noRetryReason retry.Reason // why the request is not retried
 	waited        clock.Millis // from arrival until the last attempt
@@ -223,7 +225,7 @@
 		r.noRetryReason = retry.NoBudget
 		return r.unserved(string(wire.ReasonRetryBudget), r.service.spreadRetryAfter(r.budgetRetryAfter))
 	}
-	return r.unserved(access.ReasonNoUpstream, r.service.retryAfter(now))
+	return r.unserved(access.ReasonNoUpstream, r.retryAfter(now))
 }
 
 // unserved returns the final answer to a request that no upstream has served. An
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -69,9 +69,8 @@
 		r.selection.probed = true
 		a, untried, ok = r.reserveSlot(now, maxProbedGates, 0)
 	}
-	if waitBudget := r.waitBudget(now); !ok && !r.selection.waited && waitBudget > 0 {
-		r.selection.waited = true
-		a, untried, ok = r.reserveSlot(now, maxQueuedGates, waitBudget)
+	if !ok && !r.selection.waited {
+		a, untried, ok = r.awaitSlot(now)
 	}
 	if !ok && !r.selection.forced && r.mayForce() && !r.isCallerGone() {
 		r.selection.forced = true
@@ -81,6 +80,21 @@
 	return a, untried, ok
 }
 
+// awaitSlot waits for a slot at several gates, or for one of the whole service.
+func (r *request) awaitSlot(now clock.Millis) (attempt, int, bool) {
+	if r.config.Waiting == table.WaitForService {
+		a, untried, ok := r.searchSlot(now)
+		r.selection.waited = !ok // after a grant that could not be used, the search goes on
+		return a, untried, ok
+	}
+	waitBudget := r.waitBudget(now)
+	if waitBudget <= 0 {
+		return attempt{}, 0, false
+	}
+	r.selection.waited = true
+	return r.reserveSlot(now, maxQueuedGates, waitBudget)
+}
+
 // reserveSlot probes up to maxCandidates gates simultaneously for a slot. With a
 // waitBudget of 0 it takes the free slot of the upstream with the lowest severity,
 // otherwise the first slot that becomes free.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -63,6 +63,7 @@
 	events      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	services    *serviceCounters
+	claims      *claimCounters
 }
 
 // New returns a set with a registry of its own.
@@ -105,11 +106,13 @@
 			Help: "Dispatches that a gate of this node refused to run.",
 		}, []string{"service", "upstream", "reason"}),
 		services: newServiceCounters(),
+		claims:   newClaimCounters(),
 	}
 	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
+	s.registry.MustRegister(s.claims.claims, s.claims.waits)
 	for _, kind := range eventKinds {
 		s.events.WithLabelValues(string(kind))
 	}
@@ -173,6 +176,7 @@
 		// value of the series.
 		s.notRetried.WithLabelValues(services[i].Name, string(retry.NoBudget))
 	}
+	s.claims.setServices(services)
 	for _, removed := range s.services.setServices(services) {
 		labels := prometheus.Labels{"service": removed}
 		s.requests.DeletePartialMatch(labels)
@@ -181,5 +185,6 @@
 		s.waitTime.DeletePartialMatch(labels)
 		s.notRetried.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
+		s.claims.deleteSeries(labels)
 	}
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -22,6 +22,7 @@
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/waiting"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -82,7 +83,7 @@
 }
 
 // populatedSet returns a set that has counted a request for each pair of an outcome and a
-// reason, and a refusal for each reason.
+// reason, a refusal for each reason, and a claim for each outcome.
 func populatedSet(t *testing.T) *metrics.Set {
 	t.Helper()
 	s := newSet(access.New(access.Config{}))
@@ -93,6 +94,10 @@
 			s.RecordRefusal("conferme", "at-in-use", wire.Reason(reason))
 		}
 	}
+	for _, outcome := range waiting.Outcomes {
+		s.RecordClaim("conferme", outcome)
+	}
+	s.RecordClaimWait("conferme", clock.Second)
 	return s
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,7 @@
 		Now:           n.clock.Now,
 		Pool:          n.entryPool,
 		Recorder:      n.metrics,
+		Claims:        n.metrics,
 		GateClient:    n.gateClient,
 		CrashTracker:  n.crashes,
 		Quotas:        n.quotas,
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -21,6 +21,23 @@
 	MinAskAgain = 100 * clock.Millis(1)
 )
 
+// Outcome is how a claim ended.
+type Outcome string
+
+// The values of Outcome.
+const (
+	Granted Outcome = "granted"
+	Refused Outcome = "refused"
+	// Withdrawn means that the request started elsewhere, ended, or found a shorter wait.
+	Withdrawn Outcome = "withdrawn"
+	// Unconfirmed means that the claim was not sent, not confirmed in time or lost with its
+	// link.
+	Unconfirmed Outcome = "unconfirmed"
+)
+
+// Outcomes holds all values of Outcome.
+var Outcomes = []Outcome{Granted, Refused, Withdrawn, Unconfirmed}
+
 // Config configures a Search.
 type Config struct {
 	// StartBy is the latest instant at which it is useful for the request to start.
@@ -186,6 +203,17 @@
 	return withdrawn
 }
 
+// End ends the search and returns its open claims, which are to be withdrawn.
+func (s *Search) End(now clock.Millis) []Withdrawal {
+	s.config.StartBy = min(s.config.StartBy, now)
+	return s.Withdraw(now)
+}
+
+// IsOpen reports whether a gate may still grant a claim.
+func (s *Search) IsOpen(index int) bool {
+	return s.claims[index].isOpen
+}
+
 // soonestTurn returns when the first of the open claims is expected to get a slot; ok is false
 // if no gate has stated it.
 func (s *Search) soonestTurn() (at clock.Millis, ok bool) {
