--- a/link/peer.go
+++ b/link/peer.go
@@ -106,6 +106,7 @@
 	revocations    map[wire.RequestID]*pendingRevocation
 	capacityProbes pendingRequests[lease.Key, wire.Reservation]
 	quotaRequests  pendingRequests[uint64, wire.QuotaGrant]
+	claims         map[lease.Key]*pendingClaim
 	lastUsed       clock.Millis
 	lastPeerTime   clock.Millis // Time of the last heartbeat received
 }
@@ -124,6 +125,7 @@
 		revocations:     map[wire.RequestID]*pendingRevocation{},
 		capacityProbes:  pendingRequests[lease.Key, wire.Reservation]{},
 		quotaRequests:   pendingRequests[uint64, wire.QuotaGrant]{},
+		claims:          map[lease.Key]*pendingClaim{},
 		lastUsed:        c.Now() - c.IdleTimeout - 1, // not needed yet
 	}
 }
@@ -343,6 +345,8 @@
 		p.handleGoAway(conn)
 	case *wire.UpstreamProfile:
 		p.config.Observer.PeerProfile(m)
+	case *wire.ClaimQueued:
+		p.handleClaimQueued(m)
 	default:
 		conn.Close()
 	}
--- a/link/session.go
+++ b/link/session.go
@@ -81,6 +81,8 @@
 	switch m := m.(type) {
 	case *wire.QuotaForward:
 		h.ForwardQuota(s.remote.Incarnation, m)
+	case *wire.SlotClaim:
+		h.ClaimSlot(s.remote.Incarnation, m)
 	case *wire.CrashReport:
 		for _, report := range h.ReceiveCrashes(m) {
 			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,6 +65,7 @@
 	refusals    *prometheus.CounterVec
 	retries     *prometheus.CounterVec
 	services    *serviceCounters
+	claims      *claimCounters
 }
 
 // New returns a set with a registry of its own.
@@ -111,11 +112,13 @@
 			Help: "Retries that a retry budget of this node granted or denied, by the reason.",
 		}, []string{"service", "result"}),
 		services: newServiceCounters(),
+		claims:   newClaimCounters(),
 	}
 	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
+	s.registry.MustRegister(s.claims.claims, s.claims.waits)
 	for _, kind := range eventKinds {
 		s.events.WithLabelValues(string(kind))
 	}
@@ -203,6 +206,7 @@
 			s.retries.WithLabelValues(services[i].Name, string(ruling))
 		}
 	}
+	s.claims.setServices(services)
 	for _, removed := range s.services.setServices(services) {
 		labels := prometheus.Labels{"service": removed}
 		s.requests.DeletePartialMatch(labels)
@@ -212,5 +216,6 @@
 		s.notRetried.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
 		s.retries.DeletePartialMatch(labels)
+		s.claims.deleteSeries(labels)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -174,6 +174,7 @@
 		Pool:          n.entryPool,
 		Recorder:      n.metrics,
 		Retries:       n.metrics,
+		Claims:        n.metrics,
 		GateClient:    n.gateClient,
 		CrashTracker:  n.crashes,
 		Quotas:        n.quotas,
