limit: order waiters by the shares of their accounts

With SlotsConfig.FairShare the waiters of a priority are ordered by how far their accounts are over their shares, then by whether they can meet their targets, then by their latest starts. A full queue displaces the last waiter of the account furthest over its share, in the least urgent priority, and its retry time grows with the excess. The queue itself stays in the order of arrival, so the field may change while requests wait.

TestSlotsLoseNoTicketOrSlot now also draws accounts, weights and priorities with FairShare.

--- a/limit/slots.go
+++ b/limit/slots.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/share"
 )
 
 // SlotsConfig configures the Slots of a gate.
@@ -16,6 +17,9 @@
 	Queue int
 	// Seed makes the jitter of RetryAfter reproducible.
 	Seed uint64
+	// FairShare orders the waiters of a priority by the shares of their accounts instead of by
+	// arrival, and lets no priority starve.
+	FairShare bool
 }
 
 // Result says what happens to a request that asked for a slot.
@@ -69,6 +73,7 @@
 	serviceTime serviceTime
 	pace        Pace
 	schedule    RetrySchedule
+	fair        *fairShare // nil without SlotsConfig.FairShare
 }
 
 // waiter is a request in the queue. It leaves the queue after waitUntil.
@@ -76,6 +81,11 @@
 	ticket              uint64
 	deadline, waitUntil clock.Millis
 	priority            int
+	// The other fields serve the order by shares.
+	account string
+	weight  float64
+	startBy clock.Millis
+	excess  float64 // see share.Ledger.Excess, as of the last call of order
 }
 
 // Request asks for a slot.
@@ -101,7 +111,9 @@
 
 // NewSlots returns Slots with none in use.
 func NewSlots(c SlotsConfig) *Slots {
-	return &Slots{config: c, random: rand.New(rand.NewPCG(c.Seed, 0))}
+	s := &Slots{config: c, random: rand.New(rand.NewPCG(c.Seed, 0))}
+	s.setFairShare()
+	return s
 }
 
 // AcquireUntil asks for a slot at the highest priority, for a request that may wait until
@@ -111,7 +123,8 @@
 }
 
 // Acquire asks for a slot. A request that finds the queue full, but ranks higher than the
-// last waiter, displaces that waiter; Expire returns the ticket of the displaced waiter.
+// last waiter, displaces that waiter; Expire returns the ticket of the displaced waiter. With
+// FairShare, displace chooses the waiter.
 //
 // A free slot goes to the next request whatever its priority: if slots were reserved for
 // higher priorities, they would be idle while requests wait. With a pace it goes to the first
@@ -120,7 +133,7 @@
 	s.advance(now)
 	r.Priority = min(max(r.Priority, 0), priorityLevels-1)
 	if r.Deadline <= now {
-		return s.refuse(now, Late)
+		return s.refuse(now, r, Late)
 	}
 	hasFreeSlot := s.running < s.config.Slots
 	if hasFreeSlot && s.pace.Allows(now) && (!s.pace.isLimited || len(s.waiting) == 0) {
@@ -128,32 +141,29 @@
 		return Decision{Result: Run}
 	}
 	position := s.queuePosition(r.Priority)
-	pacedWait, wait := s.pace.wait(now, position), s.releaseInterval()*float64(position+1)
+	ahead := s.waitersAhead(now, r, position)
+	pacedWait, wait := s.pace.wait(now, ahead), s.releaseInterval()*float64(ahead+1)
 	if hasFreeSlot {
 		wait = 0
 	}
 	switch {
 	case pacedWait > 0 && (r.NoPacedWait || float64(now)+pacedWait > float64(r.Until) || !s.serviceTime.meetsDeadline(pacedWait, r.Deadline)):
-		return s.refuse(now, Paced)
-	case r.Until <= now, position >= s.config.Queue:
-		return s.refuse(now, Full)
+		return s.refuse(now, r, Paced)
+	case r.Until <= now, s.isFull(position):
+		return s.refuse(now, r, Full)
 	case !s.serviceTime.meetsDeadline(wait, r.Deadline), s.serviceTime.isReliable() && float64(now)+wait > float64(r.Until):
-		return s.refuse(now, Late)
+		return s.refuse(now, r, Late)
 	}
-	s.waiting = slices.Insert(s.waiting, position, waiter{
-		ticket: r.Ticket, deadline: r.Deadline, waitUntil: r.Until, priority: r.Priority,
-	})
+	s.waiting = slices.Insert(s.waiting, position, newWaiter(r))
 	if len(s.waiting) > s.config.Queue {
-		last := len(s.waiting) - 1
-		s.skipped = append(s.skipped, s.waiting[last].ticket)
-		s.waiting = s.waiting[:last]
+		return s.displace(now, r)
 	}
 	return Decision{Result: Wait}
 }
 
 // priorityLevels is the number of distinct priorities; requests below the lowest one get
 // the lowest.
-const priorityLevels = 4
+const priorityLevels = share.LevelCount
 
 // queuePosition returns the index in the queue for a request of the priority: behind the
 // waiters of the same and of higher priorities.
@@ -280,6 +290,7 @@
 func (s *Slots) Cancel(ticket uint64) bool {
 	if i := slices.Index(s.skipped, ticket); i >= 0 {
 		s.skipped = slices.Delete(s.skipped, i, i+1)
+		s.Displacement(ticket)
 		return true
 	}
 	i := slices.IndexFunc(s.waiting, func(w waiter) bool { return w.ticket == ticket })
@@ -330,6 +341,7 @@
 // before.
 func (s *Slots) Resize(c SlotsConfig) []uint64 {
 	s.config = c
+	s.setFairShare()
 	var admitted []uint64
 	for {
 		ticket, ok := s.admitNext()
@@ -346,10 +358,12 @@
 // run.
 func (s *Slots) admitNext() (ticket uint64, ok bool) {
 	for s.running < s.config.Slots && len(s.waiting) > 0 && s.pace.hasToken() {
-		w := s.waiting[0]
-		s.waiting = slices.Delete(s.waiting, 0, 1)
+		i := s.nextWaiter()
+		w := s.waiting[i]
+		s.waiting = slices.Delete(s.waiting, i, i+1)
 		if s.serviceTime.meetsDeadline(0, w.deadline) {
 			s.startRun()
+			s.countGrant(&w)
 			return w.ticket, true
 		}
 		s.skipped = append(s.skipped, w.ticket)
@@ -364,6 +378,6 @@
 }
 
 // refuse returns a refusal with its retry time.
-func (s *Slots) refuse(now clock.Millis, result Result) Decision {
-	return Decision{Result: result, RetryAfter: s.RetryAfter(now)}
+func (s *Slots) refuse(now clock.Millis, r Request, result Result) Decision {
+	return Decision{Result: result, RetryAfter: s.retryAfter(now, r, result)}
 }
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -28,6 +28,7 @@
 	lastTicket uint64
 	running    int
 	waiting    map[uint64]clock.Millis
+	isFair     bool // draw FairShare, accounts, weights and priorities
 }
 
 func (g *gateModel) markRunning(t *rapid.T, ticket uint64) {
@@ -43,7 +44,15 @@
 	g.lastTicket++
 	deadline := g.now + clock.Millis(rapid.IntRange(-5, 200).Draw(t, "deadline"))
 	load := g.slots.Load(g.now)
-	decision := g.slots.AcquireUntil(g.now, g.lastTicket, deadline)
+	request := limit.Request{Ticket: g.lastTicket, Deadline: deadline, Until: deadline}
+	if g.isFair {
+		request.Priority = rapid.IntRange(0, 3).Draw(t, "priority")
+		request.Account = rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "account")
+		request.Weight = rapid.Float64Range(0, 2).Draw(t, "weight")
+		request.StartBy = g.now + clock.Millis(rapid.IntRange(0, 100).Draw(t, "start by"))
+		g.slots.BeginUse(g.now, request.Account)
+	}
+	decision := g.slots.Acquire(g.now, request)
 	refused := decision.Result == limit.Full || decision.Result == limit.Late
 	if refused != (decision.RetryAfter > 0) {
 		t.Fatalf("got %+v, want RetryAfter on a refusal only", decision)
@@ -81,6 +90,7 @@
 	case 5:
 		g.config = limit.SlotsConfig{
 			Slots: rapid.IntRange(0, 7).Draw(t, "slots"), Queue: rapid.IntRange(0, 5).Draw(t, "queue"),
+			FairShare: g.isFair && rapid.Bool().Draw(t, "fair share"),
 		}
 		g.expire(t)
 		for _, ticket := range g.slots.Resize(g.config) {
@@ -110,8 +120,14 @@
 // would repeat a payroll entry, and a lost slot would reduce the upstream's capacity until
 // a restart.
 func TestSlotsLoseNoTicketOrSlot(t *testing.T) {
+	t.Run("by arrival", func(t *testing.T) { checkSlots(t, false) })
+	t.Run("by shares", func(t *testing.T) { checkSlots(t, true) })
+}
+
+func checkSlots(t *testing.T, isFair bool) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
-		g := &gateModel{config: limit.SlotsConfig{Slots: 3, Queue: 4}, waiting: make(map[uint64]clock.Millis)}
+		g := &gateModel{config: limit.SlotsConfig{Slots: 3, Queue: 4, FairShare: isFair}, waiting: make(map[uint64]clock.Millis), isFair: isFair}
 		g.slots = limit.NewSlots(g.config)
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			g.step(t)
