share: count accounts that want slots among those that share them

An account that used all slots of an upstream alone was at exactly its share, so a first request of another account was not before its waiters. Ledger and Service now count accounts that wait or claim, too. The use of evicted accounts stays in the totals, and Service removes their names from what gates stated.

--- a/limit/fair.go
+++ b/limit/fair.go
@@ -113,6 +113,7 @@
 	if s.fair == nil {
 		return position
 	}
+	s.fair.ledger.Want(now, r.Account)
 	s.updateExcess(now)
 	w := newWaiter(r)
 	w.excess = s.fair.ledger.Excess(now, w.account, w.weight)
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -45,6 +45,8 @@
 	use average
 	// weight is the account's weight as far as it is known, see Ledger.Excess.
 	weight float64
+	// seenAt is when a request of the account last asked for a slot.
+	seenAt clock.Millis
 	// returnAt is the instant in milliseconds at which the request refused last may return.
 	returnAt float64
 }
@@ -75,6 +77,12 @@
 	return &Ledger{maxAccounts: maxAccounts, accounts: make(map[string]*account, maxAccounts)}
 }
 
+// Want counts the account among those that the slots are shared by, also if it has none.
+func (l *Ledger) Want(now clock.Millis, name string) {
+	l.sweep(now)
+	l.record(now, name)
+}
+
 // Begin counts a run of the account that begins.
 func (l *Ledger) Begin(now clock.Millis, name string) {
 	l.sweep(now)
@@ -94,12 +102,13 @@
 // used account if the ledger is full. Accounts with a running request are evicted last.
 func (l *Ledger) record(now clock.Millis, name string) *account {
 	if a, ok := l.accounts[name]; ok {
+		a.seenAt = max(a.seenAt, now)
 		return a
 	}
 	if len(l.accounts) >= l.maxAccounts {
 		l.evict(now)
 	}
-	a := &account{use: average{updatedAt: now}}
+	a := &account{use: average{updatedAt: now}, seenAt: now}
 	l.accounts[name] = a
 	return a
 }
@@ -121,14 +130,14 @@
 	delete(l.accounts, name)
 }
 
-// sweep removes the accounts whose use has decayed below minUse.
+// sweep removes the accounts whose use has decayed below minUse and that want no slot.
 func (l *Ledger) sweep(now clock.Millis) {
 	if now-l.sweptAt < sweepInterval {
 		return
 	}
 	l.sweptAt = now
 	for name, a := range l.accounts {
-		if a.use.advance(now) < minUse && a.use.running == 0 && a.returnAt <= float64(now) {
+		if a.use.advance(now) < minUse && a.use.running == 0 && max(a.returnAt, float64(a.seenAt+decayTime)) < float64(now) {
 			l.remove(now, name)
 		}
 	}
--- a/share/service.go
+++ b/share/service.go
@@ -24,9 +24,13 @@
 type Service struct {
 	statements map[string]statement // by upstream
 	used       map[string]float64   // by account
-	total      float64
-	summedAt   clock.Millis
-	isSummed   bool
+	// claims holds when accounts last made a claim. They count among those that the slots are
+	// shared by, also if they have none.
+	claims   map[string]clock.Millis
+	sharers  int
+	total    float64
+	summedAt clock.Millis
+	isSummed bool
 }
 
 // statement is what one gate stated last.
@@ -37,7 +41,7 @@
 
 // NewService returns a Service that knows of no use.
 func NewService() *Service {
-	return &Service{statements: map[string]statement{}, used: map[string]float64{}}
+	return &Service{statements: map[string]statement{}, used: map[string]float64{}, claims: map[string]clock.Millis{}}
 }
 
 // Update replaces what the gate of an upstream has stated. The uses of accounts that the gate
@@ -53,12 +57,15 @@
 	if weight <= 0 {
 		weight = defaultWeight
 	}
+	if _, ok := s.claims[name]; ok || len(s.claims) < maxServiceAccounts {
+		s.claims[name] = now
+	}
 	s.sum(now)
 	used := s.used[name]
 	if used <= 0 || s.total <= 0 {
 		return weight
 	}
-	relative := used * float64(len(s.used)) / s.total
+	relative := used * float64(s.sharers) / s.total
 	return weight * max(min(1/relative, 1), minWeightPart)
 }
 
@@ -81,9 +88,18 @@
 	if len(s.used) > maxServiceAccounts {
 		s.evict()
 	}
+	s.sharers = len(s.used)
+	for name, at := range s.claims {
+		if now-at > maxStatementAge {
+			delete(s.claims, name)
+		} else if _, ok := s.used[name]; !ok {
+			s.sharers++
+		}
+	}
 }
 
-// evict keeps the accounts with the largest use. Their total includes the use of the others.
+// evict keeps the accounts with the largest use. The others are removed from the statements,
+// too, so that these hold no more names; their use stays in the total without a name.
 func (s *Service) evict() {
 	uses := make([]Use, 0, len(s.used))
 	for name, used := range s.used {
@@ -93,4 +109,18 @@
 	for _, u := range selectLargest(uses, maxServiceAccounts) {
 		s.used[u.Account] = u.Used
 	}
+	for upstream, stated := range s.statements {
+		kept, rest := stated.uses[:0], 0.0
+		for _, u := range stated.uses {
+			if _, ok := s.used[u.Account]; ok {
+				kept = append(kept, u)
+			} else {
+				rest += u.Used
+			}
+		}
+		if rest > 0 {
+			kept = append(kept, Use{Used: rest})
+		}
+		s.statements[upstream] = statement{at: stated.at, uses: kept}
+	}
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -33,9 +33,9 @@
 	if want := 5 * (1 - math.Exp(-2)); math.Abs(total-want) > 0.05 {
 		t.Errorf("got a total of %v with %v for the rest, want %v: evicted accounts count", total, rest, want)
 	}
-	l.Begin(now+clock.Minute, "other")
+	l.Want(now+clock.Minute, "other")
 	if got := l.Excess(now+clock.Minute, "large", 1); math.Abs(got-2) > 0.01 {
-		t.Errorf("got excess %v with one idle account, want 2: all others forgotten", got)
+		t.Errorf("got excess %v beside an account without a slot, want 2: all others forgotten", got)
 	}
 }
 
@@ -50,10 +50,18 @@
 	if got, want := s.Weight(1000, "large", 10), max(10/(1200*256/1534.485), 0.1); math.Abs(got-want) > 1e-6 {
 		t.Errorf("got weight %v for the large account, want %v", got, want)
 	}
+	if got, again := s.Weight(1000, "large", 10), s.Weight(1500, "large", 10); got != again {
+		t.Errorf("got weight %v and then %v, want evicted accounts to stay in the total", got, again)
+	}
 	if got := s.Weight(1000, "299", 2); got != 2 {
 		t.Errorf("got weight %v for a small account, want its own, 2", got)
 	}
 	if got := s.Weight(7000, "large", 0); got != 1 {
 		t.Errorf("got weight %v from statements 6 s old, want the default, 1", got)
 	}
+	s.Update(8000, "0", []share.Use{{Account: "large", Used: 4}})
+	s.Weight(8000, "new", 1)
+	if got := s.Weight(8000, "large", 1); got != 0.5 {
+		t.Errorf("got weight %v for the only user beside a new account, want 0.5", got)
+	}
 }
