gate: order the queue by the shares of client accounts

For services with waiting = "service" a gate counts the use of its slots by account from the begin of a run to its end, and its queue is ordered by shares. A displaced waiter is refused as full, not run, with the retry time of its account, instead of as too late. Gate.Shares returns the 8 largest users and the rest for the profile of the upstream. fuchsiapick_share_displaced_total counts displaced waiters; its series exist only for such services.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -62,9 +62,10 @@
 	RecordEvent(e access.Event)
 }
 
-// RefusalRecorder counts dispatches that a gate refused to run.
+// RefusalRecorder counts dispatches that a gate refused to run, and waiters that it displaced.
 type RefusalRecorder interface {
 	RecordRefusal(service, upstream string, reason wire.Reason)
+	RecordDisplacement(service string)
 }
 
 // Config configures a Gate.
@@ -206,7 +207,7 @@
 const queuePerSlot = 3
 
 func slotsConfig(s *table.Service, u *table.Upstream, seed uint64) limit.SlotsConfig {
-	c := limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue, Seed: seed}
+	c := limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue, Seed: seed, FairShare: s.Waiting == table.WaitForService}
 	if s.Caution == table.ShortEpisodes {
 		c.Queue = max(c.Queue, queuePerSlot*u.Slots)
 	}
@@ -297,7 +298,7 @@
 	if d.NoQueue {
 		waitUntil = now
 	}
-	decision := g.slots.Acquire(now, limit.Request{Ticket: j.ticket, Deadline: j.deadline, Until: waitUntil, Priority: d.Priority, NoPacedWait: true})
+	decision := g.slots.Acquire(now, limit.Request{Ticket: j.ticket, Deadline: j.deadline, Until: waitUntil, Priority: d.Priority, Account: d.Account, NoPacedWait: true})
 	switch decision.Result {
 	case limit.Run:
 		g.jobs[j.ticket] = j
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -88,10 +88,12 @@
 func (g *Gate) refuseWaiters(now clock.Millis, tickets []uint64, reason wire.Reason) []func() {
 	var refused []func()
 	for _, ticket := range tickets {
+		reason, retryAfter := g.waiterRefusal(ticket, reason)
 		if w, ok := g.waiters[ticket]; ok {
 			w.timer.Stop()
 			delete(g.waiters, ticket)
 			reservation := g.newReservation(now, w, reason)
+			reservation.RetryAfter = retryAfter
 			refused = append(refused, func() { w.respond(reservation) })
 			continue
 		}
@@ -106,7 +108,10 @@
 		g.dedup.Refuse(j.key)
 		g.countRefusal(reason)
 		reply := g.reply(now, j.dispatch)
-		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, g.slots.RetryAfter(now)
+		if retryAfter == 0 {
+			retryAfter = g.slots.RetryAfter(now)
+		}
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, retryAfter
 		refused = append(refused, func() { j.respond(reply) })
 	}
 	return refused
--- a/gate/run.go
+++ b/gate/run.go
@@ -86,6 +86,7 @@
 		return now, reason, false
 	}
 	j.running, j.generation, j.began = true, g.generation, now
+	g.slots.BeginUse(now, j.dispatch.Account)
 	if j.timer != nil {
 		j.timer.Stop()
 	}
@@ -118,6 +119,7 @@
 	now := g.config.Now()
 	j.timer.Stop()
 	delete(g.jobs, j.ticket)
+	g.slots.EndUse(now, j.dispatch.Account)
 	isCurrent := j.generation == g.generation
 	g.recordFinished(now, j, response, err)
 	var calls []func()
--- /dev/null
+++ b/gate/shares.go
@@ -0,0 +1,41 @@
+package gate
+
+import (
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// maxShares is the number of accounts that a gate names in its profile. An account over its
+// share of a service is among the largest users of most gates; more names would only add bytes.
+const maxShares = 8
+
+// Shares returns the maxShares accounts that use most of the upstream, the largest first, and
+// then the use of all others without a name. It returns nothing unless requests wait for the
+// whole service.
+func (g *Gate) Shares() []wire.AccountShare {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	largest, rest := g.slots.LargestUses(g.config.Now(), maxShares)
+	shares := make([]wire.AccountShare, 0, len(largest)+1)
+	for _, u := range largest {
+		shares = append(shares, wire.AccountShare{Account: u.Account, Used: wire.RoundFloat(u.Used)})
+	}
+	if rest > 0 {
+		shares = append(shares, wire.AccountShare{Used: wire.RoundFloat(rest)})
+	}
+	return shares
+}
+
+// waiterRefusal returns the reason and the retry delay for a waiter that was removed from the
+// queue for the given reason, or those of a waiter that a request of another account displaced.
+// The delay is 0 unless the waiter was displaced. It is called with the gate's lock held.
+func (g *Gate) waiterRefusal(ticket uint64, reason wire.Reason) (wire.Reason, clock.Millis) {
+	retryAfter, ok := g.slots.Displacement(ticket)
+	if !ok {
+		return reason, 0
+	}
+	if g.config.Refusals != nil {
+		g.config.Refusals.RecordDisplacement(g.service.Name)
+	}
+	return wire.ReasonFull, retryAfter
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -62,6 +62,7 @@
 	notRetried  *prometheus.CounterVec
 	events      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
+	displaced   *prometheus.CounterVec
 	services    *serviceCounters
 }
 
@@ -104,9 +105,13 @@
 			Namespace: namespace, Name: "gate_refusals_total",
 			Help: "Dispatches that a gate of this node refused to run.",
 		}, []string{"service", "upstream", "reason"}),
+		displaced: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "share_displaced_total",
+			Help: "Waiters whose queue position a gate of this node gave to a request of another account or priority.",
+		}, []string{"service"}),
 		services: newServiceCounters(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.displaced,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -165,6 +170,11 @@
 	s.refusals.WithLabelValues(service, upstream, string(reason)).Inc()
 }
 
+// RecordDisplacement counts a waiter that a gate of this node displaced from its queue.
+func (s *Set) RecordDisplacement(service string) {
+	s.displaced.WithLabelValues(service).Inc()
+}
+
 // SetServices sets the services of the table in force, whose objectives apply to requests
 // from now on. It deletes the series of services that the table no longer names.
 func (s *Set) SetServices(services []table.Service) {
@@ -172,6 +182,9 @@
 		// An alert on a spent retry budget would miss the first request without an earlier
 		// value of the series.
 		s.notRetried.WithLabelValues(services[i].Name, string(retry.NoBudget))
+		if services[i].Waiting == table.WaitForService {
+			s.displaced.WithLabelValues(services[i].Name)
+		}
 	}
 	for _, removed := range s.services.setServices(services) {
 		labels := prometheus.Labels{"service": removed}
@@ -181,5 +194,6 @@
 		s.waitTime.DeletePartialMatch(labels)
 		s.notRetried.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
+		s.displaced.DeletePartialMatch(labels)
 	}
 }
