entry: sum the use of a service by account

An entry learns from the profiles of gates how much each client account uses of a service. accountShares sums them and gives the weight that a claim states. Messages and claims are not connected yet; each service has one for them. The tests of entry pass.

--- a/entry/service.go
+++ b/entry/service.go
@@ -53,6 +53,7 @@
 	linkCount          episode.LinkCount
 	membership         *resend.Membership
 	nodes              map[string]GateClient // clients for the nodes in membership
+	shares             *accountShares        // has its own lock
 
 	candidates   []choice.Candidate
 	floorMembers []floor.Member
@@ -76,6 +77,7 @@
 		dirty:              true,
 		membership:         resend.NewMembership(resend.Retention),
 		nodes:              map[string]GateClient{},
+		shares:             newAccountShares(),
 	}
 }
 
