metrics: begin the series of displaced waiters at 0 for every service

TestNodesExposeEveryDocumentedMetric failed: a default node has no service with waiting = "service", so that the documented series was missing there. The series begins at 0 for every service of the table, as those of refused retries do. The test and those of metrics pass.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -182,9 +182,7 @@
 		// An alert on a spent retry budget would miss the first request without an earlier
 		// value of the series.
 		s.notRetried.WithLabelValues(services[i].Name, string(retry.NoBudget))
-		if services[i].Waiting == table.WaitForService {
-			s.displaced.WithLabelValues(services[i].Name)
-		}
+		s.displaced.WithLabelValues(services[i].Name)
 	}
 	for _, removed := range s.services.setServices(services) {
 		labels := prometheus.Labels{"service": removed}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -69,7 +69,7 @@
 }
 
 var services = []table.Service{{
-	Name: "conferme", Waiting: table.WaitForService, Objective: table.Objective{Availability: 0.999, Latency: 500, LatencyRatio: 0.99},
+	Name: "conferme", Objective: table.Objective{Availability: 0.999, Latency: 500, LatencyRatio: 0.99},
 }}
 
 // newSet returns a set with all sources and one service.
