report: show the accounts that use most of a service

An operator couldn't see whose requests use up a service. A node's /report now carries the shares of accounts at its own gates, and the report sums them: for each service the 8 accounts with the largest use, their share, and the requests of theirs that were refused. Both leave the list out unless a service has waiting = "service", so that the sample reports in report/testdata stay as they are. The tests of access, report and node pass.

--- a/access/snapshot.go
+++ b/access/snapshot.go
@@ -12,7 +12,7 @@
 const Format = 1
 
 // Snapshot is the content of a node's Log at one time, as plain data. The node sets Name,
-// Node, Domain, Table and Upstreams; Log.Snapshot sets the rest.
+// Node, Domain, Table, Upstreams and Shares; Log.Snapshot sets the rest.
 type Snapshot struct {
 	Format int `json:"format"`
 	// Name is the node's name, Node its link address, as in the table.
@@ -43,7 +43,9 @@
 	Events    []Event         `json:"events"`
 	Upstreams []UpstreamState `json:"upstreams"`
 	Burn      []ServiceBurn   `json:"burn"`
-	Dropped   Dropped         `json:"dropped"`
+	// Shares are the shares of accounts at the node's own gates, set by the node.
+	Shares  []AccountShare `json:"shares,omitempty"`
+	Dropped Dropped        `json:"dropped"`
 }
 
 // Objective is the objective of a service, as in the table.
--- a/node/leave.go
+++ b/node/leave.go
@@ -183,6 +183,7 @@
 			s.Upstreams = append(s.Upstreams, u)
 		}
 	}
+	s.Shares = n.accountShares(f, s.Totals)
 	return s
 }
 
--- a/report/merge.go
+++ b/report/merge.go
@@ -33,6 +33,7 @@
 	}
 	m.finishTotals()
 	m.mergeCallers()
+	m.mergeShares()
 	m.mergeBurn()
 	m.mergeUpstreams()
 	m.report.Ejections = ejections(m.report.Events)
--- a/report/report.go
+++ b/report/report.go
@@ -38,11 +38,14 @@
 	// the largest first.
 	Totals []access.Total `json:"totals"`
 	// Callers counts the requests of each caller, and how many the totals may miss.
-	Callers   []Caller   `json:"callers"`
-	Services  []Service  `json:"services"`
-	Refusals  []Refusal  `json:"refusals"`
-	Ejections []Ejection `json:"asides"`
-	Paths     []Path     `json:"paths"`
+	Callers  []Caller  `json:"callers"`
+	Services []Service `json:"services"`
+	// Shares are the accounts that use most of each service in which requests wait for the
+	// whole service.
+	Shares    []access.AccountShare `json:"shares,omitempty"`
+	Refusals  []Refusal             `json:"refusals"`
+	Ejections []Ejection            `json:"asides"`
+	Paths     []Path                `json:"paths"`
 	// Events is sorted newest first. It includes the events that Ejections and Paths are
 	// made from.
 	Events []Event `json:"events"`
--- a/report/sheet.go
+++ b/report/sheet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strconv"
 
 	"fuchsiapick.example/fuchsiapick/access"
@@ -64,12 +65,13 @@
 	if r.Answered() == 0 {
 		return []sheet{r.nodeSheet().limitRows(maxRows)}
 	}
-	return []sheet{
+	sheets := []sheet{
 		r.upstreamSheet().limitRows(maxRows), r.callerSheet().limitRows(maxRows), r.totalSheet().limitRows(maxRows), r.refusalSheet().limitRows(maxRows),
 		r.ejectionSheet().limitRows(maxRows), r.pathSheet().limitRows(maxRows), r.burnSheet().limitRows(maxRows),
 		r.causeSheet().limitRows(maxRows), r.unservedSheet().limitRows(maxLatestRows), r.eventSheet().limitRows(maxLatestRows),
 		r.nodeSheet().limitRows(maxRows),
 	}
+	return slices.Insert(sheets, 2, r.shareSheets()...) // behind the callers
 }
 
 func (r *Report) upstreamSheet() sheet {
