Merge fair queueing by client account

Conflicts where both sides add a field, a case or a metric; a displaced claim gets the retry time of its account, any other refused claim an unassigned one.

--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -8,9 +8,10 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// RefusalRecorder counts dispatches that a gate refused to run.
+// RefusalRecorder counts dispatches that a gate refused to run, and waiters that it displaced.
 type RefusalRecorder interface {
 	RecordRefusal(service, upstream string, reason wire.Reason)
+	RecordDisplacement(service string)
 }
 
 // RetryRecorder counts the rulings of the retry budget.
@@ -118,13 +119,15 @@
 func (g *Gate) refuseWaiters(now clock.Millis, tickets []uint64, reason wire.Reason) []func() {
 	var refused []func()
 	for _, ticket := range tickets {
+		reason, retryAfter := g.waiterRefusal(ticket, reason)
 		if w, ok := g.waiters[ticket]; ok {
 			w.timer.Stop()
 			delete(g.waiters, ticket)
 			reservation := g.newReservation(now, w, reason)
-			if w.claim != nil {
-				reservation.RetryAfter = g.slots.NextRetryAfter(now)
+			if retryAfter == 0 && w.claim != nil {
+				retryAfter = g.slots.NextRetryAfter(now)
 			}
+			reservation.RetryAfter = retryAfter
 			refused = append(refused, func() { w.respond(reservation) })
 			continue
 		}
@@ -139,7 +142,10 @@
 		g.dedup.Refuse(j.key)
 		g.countRefusal(reason)
 		reply := g.reply(now, j.dispatch)
-		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, g.slots.RetryAfter(now)
+		if retryAfter == 0 {
+			retryAfter = g.slots.RetryAfter(now)
+		}
+		reply.Outcome, reply.Reason, reply.RetryAfter = wire.NotRun, reason, retryAfter
 		refused = append(refused, func() { j.respond(reply) })
 	}
 	return refused
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -64,6 +64,7 @@
 	events      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	retries     *prometheus.CounterVec
+	displaced   *prometheus.CounterVec
 	services    *serviceCounters
 	claims      *claimCounters
 }
@@ -111,10 +112,14 @@
 			Namespace: namespace, Name: "retries_total",
 			Help: "Retries that a retry budget of this node granted or denied, by the reason.",
 		}, []string{"service", "result"}),
+		displaced: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "share_displaced_total",
+			Help: "Waiters whose queue position a gate of this node gave to a request of another account or priority.",
+		}, []string{"service"}),
 		services: newServiceCounters(),
 		claims:   newClaimCounters(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries, s.displaced,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -195,6 +200,11 @@
 	}
 }
 
+// RecordDisplacement counts a waiter that a gate of this node displaced from its queue.
+func (s *Set) RecordDisplacement(service string) {
+	s.displaced.WithLabelValues(service).Inc()
+}
+
 // SetServices sets the services of the table in force, whose objectives apply to requests
 // from now on. It deletes the series of services that the table no longer names.
 func (s *Set) SetServices(services []table.Service) {
@@ -205,6 +215,7 @@
 		for _, ruling := range retry.Rulings {
 			s.retries.WithLabelValues(services[i].Name, string(ruling))
 		}
+		s.displaced.WithLabelValues(services[i].Name)
 	}
 	s.claims.setServices(services)
 	for _, removed := range s.services.setServices(services) {
@@ -217,5 +228,6 @@
 		s.refusals.DeletePartialMatch(labels)
 		s.retries.DeletePartialMatch(labels)
 		s.claims.deleteSeries(labels)
+		s.displaced.DeletePartialMatch(labels)
 	}
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -201,6 +201,7 @@
 		}
 	}
 	s.Retries = n.serviceRetries(f.Service)
+	s.Shares = n.accountShares(f, s.Totals)
 	return s
 }
 
