entry, gate, limit: requests with large bodies wait by claims

Uploads waited for slots of their own failure domain with capacity probes. A reservation lasts 40 ms, and a body of 60 KB takes 48 ms on a link of 10 Mbit/s: the gate refused it as full on arrival, the entry asked for the next slot, up to eight times, and these transfers filled the links of the gates, which then answered other entries' probes too late.

A claim states the size of its body, so that the slot stays reserved until the body has arrived at half of the rate of such a link. Requests with large bodies that are likely on their last attempt now ask for slots by claims only where their service has waiting = "service", first in their own failure domain. Claims also prefer upstreams as other attempts do (distance, shed load), state the account's weight less what it has used, and the estimate of a claim's wait follows the order by shares.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -19,10 +19,21 @@
 	RecordClaimWait(service string, wait clock.Millis)
 }
 
+// searchScope limits a search for a slot.
+type searchScope struct {
+	// startBy is the latest instant at which the request may still start.
+	startBy clock.Millis
+	// ownDomain limits the search to the entry's own failure domain.
+	ownDomain bool
+	// claims is the number of claims that the search may make.
+	claims int
+}
+
 // claimSearch is a request's search for a slot of its service. The claims have the indexes
 // that the search gave them.
 type claimSearch struct {
 	request *request
+	scope   searchScope
 	search  *waiting.Search
 	claims  []attempt
 	events  chan claimEvent
@@ -85,10 +96,11 @@
 // searchSlot claims slots at the gates of the service until one grants its claim, none is left
 // that could, or it is too late for the request to start. The untried result is how many other
 // upstreams the request may be sent to.
-func (r *request) searchSlot(now clock.Millis) (a attempt, untried int, ok bool) {
+func (r *request) searchSlot(now clock.Millis, scope searchScope) (a attempt, untried int, ok bool) {
 	c := &claimSearch{
 		request: r,
-		search:  waiting.New(waiting.Config{StartBy: r.startBy(), Claims: waiting.MaxClaims - r.claims}),
+		scope:   scope,
+		search:  waiting.New(waiting.Config{StartBy: scope.startBy, Claims: min(scope.claims, waiting.MaxClaims-r.claims)}),
 		events:  make(chan claimEvent, eventsPerClaim*waiting.MaxClaims),
 	}
 	granted := c.run(now)
@@ -140,7 +152,9 @@
 func (c *claimSearch) askGates(now clock.Millis) {
 	r := c.request
 	for c.search.WantsClaim(now) {
-		a, _, ok := r.service.chooseBySeverity(now, candidateFilter{tried: c.excluded(now)})
+		a, _, ok := r.service.chooseBySeverity(now, candidateFilter{
+			tried: c.excluded(now), ownDomain: c.scope.ownDomain, transfer: r.transfer(), shed: r.avoidsShedding(),
+		})
 		if !ok {
 			c.search.Exhaust(now)
 			return
@@ -149,7 +163,7 @@
 		r.claims++
 		index := c.search.Claim(now, a.upstream.Name)
 		c.claims = append(c.claims, a)
-		if a.member.gate.ClaimSlot(r.newClaim(now, &a), claimObserver{c.events, index}) != nil {
+		if a.member.gate.ClaimSlot(c.newClaim(now, &a), claimObserver{c.events, index}) != nil {
 			c.lose(now, index)
 		}
 	}
@@ -166,20 +180,20 @@
 	return excluded
 }
 
-func (r *request) newClaim(now clock.Millis, a *attempt) *wire.SlotClaim {
+func (c *claimSearch) newClaim(now clock.Millis, a *attempt) *wire.SlotClaim {
+	r := c.request
 	claim := &wire.SlotClaim{
 		Probe: wire.CapacityProbe{
 			ID: r.id, Attempt: a.number, Upstream: a.upstream.Name, Repeatable: r.repeatable, Retry: r.reachedUpstream, Forced: a.forced,
-			Priority: r.priority(), Budget: r.deadline - now, WaitBudget: r.startBy() - now,
+			Priority: r.priority(), Budget: r.deadline - now, WaitBudget: c.scope.startBy - now,
 		},
-		Weight: table.DefaultAccountWeight, StartBy: r.startForTarget() - now, Bytes: len(r.body),
+		Account: r.accountName(), StartBy: r.startForTarget() - now, Bytes: len(r.body),
 	}
-	if r.account != nil {
-		claim.Account = r.account.Name
-		if r.account.Weight > 0 {
-			claim.Weight = r.account.Weight
-		}
+	weight := table.DefaultAccountWeight
+	if r.account != nil && r.account.Weight > 0 {
+		weight = r.account.Weight
 	}
+	claim.Weight = r.service.shares.claimWeight(now, claim.Account, weight)
 	return claim
 }
 
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -6,6 +6,7 @@
 	"fuchsiapick.example/fuchsiapick/choice"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/waiting"
 )
 
 // domainWaitShare divides the time that a request with a large body has left to meet its
@@ -13,6 +14,10 @@
 // fraction, and the rest remains for a slot in another.
 const domainWaitShare = 2
 
+// maxDomainClaims is the number of claims of a search in the own failure domain: half of those of
+// a request, so that it can still search the other domains.
+const maxDomainClaims = waiting.MaxClaims / 2
+
 // domainState records the search of a request with a large body for a slot in its entry's
 // own failure domain.
 type domainState struct {
@@ -52,7 +57,14 @@
 	domain := &r.selection.domain
 	domain.isSearched = true
 	defer func() { domain.isSearched = false }()
+	budget := r.domainWaitBudget(now)
 	switch {
+	case r.claimsOnly():
+		if budget > 0 && !r.isCallerGone() {
+			a, untried, ok = r.searchSlot(now, searchScope{startBy: now + budget, ownDomain: true, claims: maxDomainClaims})
+		}
+		domain.left = !ok
+		return a, untried, ok
 	case !r.isLastTry() && r.selection.directAttempts < maxDirectAttempts:
 		filter := candidateFilter{retryable: true, ownDomain: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
 		a, untried, ok = r.service.chooseBySeverity(now, filter)
@@ -61,7 +73,7 @@
 		domain.probed = true
 		a, untried, ok = r.reserveSlot(now, maxProbedGates, 0)
 	}
-	if budget := r.domainWaitBudget(now); !ok && budget > 0 && !r.isCallerGone() {
+	if !ok && budget > 0 && !r.isCallerGone() {
 		a, untried, ok = r.reserveSlot(now, maxQueuedGates, budget)
 	}
 	if !ok {
@@ -71,6 +83,13 @@
 	return a, untried, ok
 }
 
+// claimsOnly reports whether the request asks for slots with claims alone. A claim states the size
+// of its body, so that the slot stays reserved until a large body has arrived; the slot that a
+// capacity probe reserves would be lost meanwhile, and the transfer wasted.
+func (r *request) claimsOnly() bool {
+	return r.config.Waiting == table.WaitForService && r.isLastTry() && len(r.body) >= choice.BulkSize
+}
+
 // domainWaitBudget returns how long a request may wait for a slot in its own failure domain.
 func (r *request) domainWaitBudget(now clock.Millis) clock.Millis {
 	target := r.deadline
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -8,6 +8,7 @@
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/waiting"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -69,7 +70,7 @@
 		filter := candidateFilter{retryable: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
 		a, untried, ok = r.service.chooseBySeverity(now, filter)
 		a.noWait = true
-	case r.isLastTry() && !r.selection.probed:
+	case r.isLastTry() && !r.selection.probed && !r.claimsOnly():
 		r.selection.probed = true
 		a, untried, ok = r.reserveSlot(now, maxProbedGates, 0)
 	}
@@ -87,7 +88,7 @@
 // awaitSlot waits for a slot at several gates, or for one of the whole service.
 func (r *request) awaitSlot(now clock.Millis) (attempt, int, bool) {
 	if r.config.Waiting == table.WaitForService {
-		a, untried, ok := r.searchSlot(now)
+		a, untried, ok := r.searchSlot(now, searchScope{startBy: r.startBy(), claims: waiting.MaxClaims})
 		r.selection.waited = !ok // after a grant that could not be used, the search goes on
 		return a, untried, ok
 	}
--- a/entry/shed.go
+++ b/entry/shed.go
@@ -21,6 +21,7 @@
 
 // handleProfile records what a gate knows about its upstream.
 func (s *service) handleProfile(now clock.Millis, p *wire.UpstreamProfile) {
+	s.shares.update(now, p.Upstream, p.Shares)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m, ok := s.byName[p.Upstream]; ok {
--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -9,9 +9,24 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// reservationTTL is how long a slot stays reserved for a dispatch: about ten round trips
-// between failure domains (2 ms each), plus time for a large body.
-const reservationTTL = 40 * clock.Millis(1)
+const (
+	// reservationTTL is how long a slot stays reserved for a dispatch: about ten round trips
+	// between failure domains (2 ms each).
+	reservationTTL = 40 * clock.Millis(1)
+	// transferRate, in bytes per millisecond, is the rate at which a body arrives at least: half
+	// of a link of 10 Mbit/s. A slot whose reservation ends while the body is on the way is lost
+	// for the request, and the transfer is wasted.
+	transferRate = 625
+)
+
+// reservationTTL returns how long a slot stays reserved for the request. A capacity probe doesn't
+// state the size of the body.
+func (w *waiter) reservationTTL() clock.Millis {
+	if w.claim == nil {
+		return reservationTTL
+	}
+	return reservationTTL + clock.Millis(max(w.claim.Bytes, 0)/transferRate)
+}
 
 // waiter is a capacity probe or a claim that waits for a slot.
 type waiter struct {
@@ -75,7 +90,7 @@
 	w.addClaim(now, &request)
 	switch decision := w.acquire(now, g.slots, request); decision.Result {
 	case limit.Run:
-		g.reserve(w.key)
+		g.reserve(w)
 		return "", 0, false
 	case limit.Wait:
 		w.ticket, w.arrivedAt = request.Ticket, now
@@ -116,10 +131,11 @@
 	callAll(calls)
 }
 
-// reserve holds an acquired slot until its dispatch arrives or reservationTTL has passed. It
+// reserve holds an acquired slot until its dispatch arrives or the reservation's time is over. It
 // is called with the gate's lock held.
-func (g *Gate) reserve(key lease.Key) {
-	g.reservations[key] = time.AfterFunc(reservationTTL.Duration(), func() {
+func (g *Gate) reserve(w *waiter) {
+	key := w.key
+	g.reservations[key] = time.AfterFunc(w.reservationTTL().Duration(), func() {
 		g.mu.Lock()
 		var calls []func()
 		if g.takeReservation(key) {
--- a/gate/run.go
+++ b/gate/run.go
@@ -262,7 +262,7 @@
 	// failing upstream that fails fast is the first to free its slots.
 	reason, retryAfter := g.refusalReason(now, lease.Fresh, newAdmission(w.probe))
 	if reason == "" {
-		g.reserve(w.key)
+		g.reserve(w)
 	}
 	reservation := g.newReservation(now, w, reason)
 	reservation.RetryAfter = retryAfter
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -117,9 +117,17 @@
 	s.updateExcess(now)
 	w := newWaiter(r)
 	w.excess = s.fair.ledger.Excess(now, w.account, w.weight)
+	return s.countAhead(now, &w)
+}
+
+// countAhead returns how many other waiters get a slot before a waiter whose excess is updated.
+func (s *Slots) countAhead(now clock.Millis, w *waiter) int {
 	ahead := 0
 	for i := range s.waiting {
 		other := &s.waiting[i]
+		if other.ticket == w.ticket {
+			continue
+		}
 		isMoreUrgent := other.priority < w.priority && !s.fair.levels.IsDue(w.priority)
 		if isMoreUrgent || (other.priority == w.priority && !w.goesBefore(now, other)) {
 			ahead++
--- a/limit/wait.go
+++ b/limit/wait.go
@@ -15,6 +15,10 @@
 	if position < 0 {
 		return 0
 	}
+	if s.fair != nil {
+		s.updateExcess(now)
+		position = s.countAhead(now, &s.waiting[position])
+	}
 	wait := s.releaseInterval() * float64(position+1)
 	if s.running < s.config.Slots {
 		wait = 0 // only the pace delays the waiter
