share: honour the weights of accounts

A claim carries one number, the weight reduced by use. A gate that took it for both could not tell an account of weight 0.5 from one that has used twice its share, and would have given the former nothing while another account of weight 1 waits; an account of weight 10 would have got less than its part after a restart of the gate.

The gate now reads the account's own weight from the table in force, and relates use to the weighted share. TestSlotsAreSharedByWeight finds 3 to 1 for weights of 3 and 1, 1.5 and 0.5, and 30 and 10, with and without what entries state. The figures of TestAccountOverItsShareBearsTheRefusals stay as they are. The configuration of the slots moves to gate/shares.go. The tests of limit, share, gate, entry and node pass.

--- a/entry/shares.go
+++ b/entry/shares.go
@@ -37,3 +37,17 @@
 	defer a.mu.Unlock()
 	return a.state.Weight(now, account, weight)
 }
+
+// AccountWeight returns the weight of a client account in the table in force, or 0 for the
+// default.
+func (e *Entry) AccountWeight(account string) float64 {
+	t := e.table.Load()
+	if t == nil || account == "" {
+		return 0
+	}
+	a, ok := t.AccountNamed(account)
+	if !ok {
+		return 0
+	}
+	return a.Weight
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,6 +95,9 @@
 	Crashes CrashTracker
 	// Refusals may be nil.
 	Refusals RefusalRecorder
+	// AccountWeight returns the weight of a client account in the table, or 0 for the default. It
+	// may be nil and must not block.
+	AccountWeight func(account string) float64
 	// HasProcessNames means that a process which replaces the upstream's has another name.
 	HasProcessNames bool
 	// Keys is shared by all gates of a node.
@@ -188,7 +191,7 @@
 		upstream:     c.Upstream,
 		dedup:        lease.NewDeduplicator[*wire.Reply](c.Incarnation),
 		detector:     newDetector(c.Service.Caution, c.Seed),
-		slots:        limit.NewSlots(slotsConfig(&c.Service, &c.Upstream, c.Seed)),
+		slots:        limit.NewSlots(c.slots(&c.Service, &c.Upstream)),
 		quota:        retry.NewQuota(c.Now(), quotaConfig(&c.Service)),
 		jobs:         map[uint64]*job{},
 		waiters:      map[uint64]*waiter{},
@@ -202,18 +205,6 @@
 	return g
 }
 
-// queuePerSlot is the number of queue positions per slot for services whose requests wait at
-// several gates at the same time: most of the positions are released unused.
-const queuePerSlot = 3
-
-func slotsConfig(s *table.Service, u *table.Upstream, seed uint64) limit.SlotsConfig {
-	c := limit.SlotsConfig{Slots: u.Slots, Queue: s.Queue, Seed: seed, FairShare: s.Waiting == table.WaitForService}
-	if s.Caution == table.ShortEpisodes {
-		c.Queue = max(c.Queue, queuePerSlot*u.Slots)
-	}
-	return c
-}
-
 func quotaConfig(s *table.Service) retry.QuotaConfig {
 	return retry.QuotaConfig{Share: s.RetryRatio, Extra: s.ExtraRetries, Window: s.RetryWindow, Upstreams: len(s.Upstreams)}
 }
@@ -340,7 +331,7 @@
 	calls := g.startLeaving(wasLeaving, "zero weight")
 	calls = append(calls, g.refuseExpired(g.config.Now())...) // first, so that no new slot goes to an expired waiter
 	now := g.config.Now()
-	calls = append(calls, g.startWaiters(now, g.slots.Resize(slotsConfig(&s, &u, g.config.Seed)))...)
+	calls = append(calls, g.startWaiters(now, g.slots.Resize(g.config.slots(&s, &u)))...)
 	if started != u.Started {
 		calls = append(calls, g.restart(now)...)
 	}
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -2,6 +2,8 @@
 
 import (
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -9,6 +11,22 @@
 // share of a service is among the largest users of most gates; more names would only add bytes.
 const maxShares = 8
 
+// queuePerSlot is the number of queue positions per slot for services whose requests wait at
+// several gates at the same time: most of the positions are released unused.
+const queuePerSlot = 3
+
+// slots returns the configuration of the slots of an upstream.
+func (g *Config) slots(s *table.Service, u *table.Upstream) limit.SlotsConfig {
+	c := limit.SlotsConfig{
+		Slots: u.Slots, Queue: s.Queue, Seed: g.Seed,
+		FairShare: s.Waiting == table.WaitForService, AccountWeight: g.AccountWeight,
+	}
+	if s.Caution == table.ShortEpisodes {
+		c.Queue = max(c.Queue, queuePerSlot*u.Slots)
+	}
+	return c
+}
+
 // Shares returns the maxShares accounts that use most of the upstream, the largest first, and
 // then the use of all others without a name. It returns nothing unless requests wait for the
 // whole service.
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -30,10 +30,17 @@
 	case !s.config.FairShare:
 		s.fair = nil
 	case s.fair == nil:
-		s.fair = &fairShare{ledger: share.NewLedger(maxAccounts)}
+		s.fair = &fairShare{ledger: share.NewLedger(share.LedgerConfig{MaxAccounts: maxAccounts, Weight: s.accountWeight})}
 	}
 }
 
+func (s *Slots) accountWeight(account string) float64 {
+	if s.config.AccountWeight == nil {
+		return 0
+	}
+	return s.config.AccountWeight(account)
+}
+
 // BeginUse counts a run of the account that begins in a slot.
 func (s *Slots) BeginUse(now clock.Millis, account string) {
 	if s.fair != nil {
--- a/limit/fair_test.go
+++ b/limit/fair_test.go
@@ -6,6 +6,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
+	"fuchsiapick.example/fuchsiapick/share"
 )
 
 // fairRequest returns a request that can wait for a minute.
@@ -92,3 +93,39 @@
 		}
 	}
 }
+
+// Two accounts always have more requests than they can get slots for. Each must get slots by its
+// weight, with what entries state and by the gate's count alone, whether weights are above or
+// below the default.
+func TestSlotsAreSharedByWeight(t *testing.T) {
+	for _, weights := range []map[string]float64{{"a": 3, "b": 1}, {"a": 1.5, "b": 0.5}, {"a": 30, "b": 10}} {
+		for _, isStated := range []bool{true, false} {
+			weightOf := func(account string) float64 { return weights[account] }
+			s := limit.NewSlots(limit.SlotsConfig{Slots: 1, Queue: 8, Seed: 1, FairShare: true, AccountWeight: weightOf})
+			service, accounts, runs := share.NewService(), map[uint64]string{}, map[string]int{}
+			for ticket := uint64(0); ticket < 4000; {
+				now := clock.Millis(ticket) * 50
+				for _, account := range []string{"a", "b"} {
+					ticket++
+					stated := weights[account]
+					if isStated {
+						stated = service.Weight(now, account, stated)
+					}
+					accounts[ticket] = account
+					s.Acquire(now, limit.Request{Ticket: ticket, Deadline: now + 1000, Until: now + 900, Account: account, Weight: stated})
+				}
+				s.Expire(now)
+				if next, ok := s.Release(now); ok {
+					runs[accounts[next]]++
+					s.BeginUse(now, accounts[next])
+					s.EndUse(now+100, accounts[next])
+				}
+				largest, _ := s.LargestUses(now+100, 8)
+				service.Update(now, "c1", largest)
+			}
+			if got := float64(runs["a"]) / float64(runs["b"]); got < 2.7 || got > 3.3 {
+				t.Errorf("weights %v, stated %v: got %v runs, want 3 to 1", weights, isStated, runs)
+			}
+		}
+	}
+}
--- a/limit/slots.go
+++ b/limit/slots.go
@@ -20,6 +20,9 @@
 	// FairShare orders the waiters of a priority by the shares of their accounts instead of by
 	// arrival, and lets no priority starve.
 	FairShare bool
+	// AccountWeight returns the weight of an account for FairShare, or 0 for the default, 1. If it
+	// is nil, all accounts have the same weight.
+	AccountWeight func(account string) float64
 }
 
 // Result says what happens to a request that asked for a slot.
@@ -97,8 +100,8 @@
 	Deadline, Until clock.Millis
 	// Priority ranks requests; 0 is the highest.
 	Priority int
-	// Account is the client account of the request, Weight its share of the slots relative to
-	// those of other accounts. Both may be zero.
+	// Account is the client account of the request, Weight the account's weight reduced by what
+	// it has used of the service, as a claim states it. Both may be zero.
 	Account string
 	Weight  float64
 	// StartBy is the latest instant at which the request is to start in order to be answered
--- a/node/gates.go
+++ b/node/gates.go
@@ -101,6 +101,7 @@
 		Pool:             n.gatePool,
 		Recorder:         n.metrics,
 		Refusals:         n.metrics,
+		AccountWeight:    n.entry.AccountWeight,
 		OnChange:         n.requestHeartbeat,
 		DependencyFailed: n.entry.FailedWithin,
 		RequestWork:      n.requestWork,
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -34,16 +34,23 @@
 // decayTime. It holds a bounded number of accounts; the least used is evicted first. It isn't
 // safe for concurrent use.
 type Ledger struct {
-	maxAccounts int
-	accounts    map[string]*account
-	total       average
-	sweptAt     clock.Millis
+	config   LedgerConfig
+	accounts map[string]*account
+	weights  float64 // sum over accounts
+	total    average
+	sweptAt  clock.Millis
+}
+
+// LedgerConfig configures a Ledger.
+type LedgerConfig struct {
+	MaxAccounts int
+	// Weight returns the weight of an account relative to others, or 0 for the default, 1.
+	Weight func(account string) float64
 }
 
 // account is what a Ledger holds for one account.
 type account struct {
-	use average
-	// weight is the account's weight as far as it is known, see Ledger.Excess.
+	use    average
 	weight float64
 	// seenAt is when a request of the account last asked for a slot.
 	seenAt clock.Millis
@@ -72,9 +79,9 @@
 	a.running = max(a.running+runs, 0)
 }
 
-// NewLedger returns a Ledger without use that holds at most maxAccounts accounts.
-func NewLedger(maxAccounts int) *Ledger {
-	return &Ledger{maxAccounts: maxAccounts, accounts: make(map[string]*account, maxAccounts)}
+// NewLedger returns a Ledger without use.
+func NewLedger(c LedgerConfig) *Ledger {
+	return &Ledger{config: c, accounts: make(map[string]*account, c.MaxAccounts)}
 }
 
 // Want counts the account among those that the slots are shared by, also if it has none.
@@ -101,22 +108,31 @@
 // record returns an account's record. It creates the record if needed, in place of the least
 // used account if the ledger is full. Accounts with a running request are evicted last.
 func (l *Ledger) record(now clock.Millis, name string) *account {
-	if a, ok := l.accounts[name]; ok {
-		a.seenAt = max(a.seenAt, now)
-		return a
-	}
-	if len(l.accounts) >= l.maxAccounts {
-		l.evict(now)
+	a, ok := l.accounts[name]
+	if !ok {
+		if len(l.accounts) >= l.config.MaxAccounts {
+			l.evict(now)
+		}
+		a = &account{use: average{updatedAt: now}}
+		l.accounts[name] = a
 	}
-	a := &account{use: average{updatedAt: now}, seenAt: now}
-	l.accounts[name] = a
+	weight := l.weightOf(name)
+	l.weights += weight - a.weight
+	a.weight, a.seenAt = weight, max(a.seenAt, now)
 	return a
 }
 
+func (l *Ledger) weightOf(name string) float64 {
+	if weight := l.config.Weight(name); weight > 0 {
+		return weight
+	}
+	return defaultWeight
+}
+
 func (l *Ledger) evict(now clock.Millis) {
 	victim, least := "", math.Inf(1)
 	for name, a := range l.accounts {
-		use := a.use.advance(now) + float64(a.use.running)*float64(l.maxAccounts)
+		use := a.use.advance(now) + float64(a.use.running)*float64(l.config.MaxAccounts)
 		if use < least || (use == least && name < victim) {
 			victim, least = name, use
 		}
@@ -126,7 +142,9 @@
 
 // remove removes an account. Its past use still counts in the total until it has decayed.
 func (l *Ledger) remove(now clock.Millis, name string) {
-	l.total.add(now, -l.accounts[name].use.running)
+	a := l.accounts[name]
+	l.total.add(now, -a.use.running)
+	l.weights -= a.weight
 	delete(l.accounts, name)
 }
 
@@ -143,23 +161,21 @@
 	}
 }
 
-// Excess returns how often the account has used its share, 1 for exactly its share: the larger
-// of its use of this upstream, relative to an equal share and to its weight, and of the use of
-// the whole service that the weight stated in a claim implies. The stated weight is 0 if there
-// is none.
+// Excess returns how often the account has used its weighted share, 1 if it has not used more
+// than that. It is the larger of what the ledger has counted, and of the use of the whole service
+// by which the weight stated in a claim is reduced. The stated weight is 0 if there is none.
 //
-// A stated weight is at most the account's own one, because use only reduces it. The largest
-// one seen is therefore the best estimate of the account's own weight.
+// Accounts within their shares are not told apart: whatever they want is less than what those
+// over their shares can have.
 func (l *Ledger) Excess(now clock.Millis, name string, stated float64) float64 {
-	if stated <= 0 {
-		stated = defaultWeight
+	weight, excess := l.weightOf(name), 1.0
+	if len(l.accounts) > 0 && stated > 0 && stated < weight {
+		// A claim relates the use to an equal share, without weights.
+		excess = max(excess, l.weights/float64(len(l.accounts))/stated)
 	}
-	excess := 1 / stated
 	if a, ok := l.accounts[name]; ok {
-		a.weight = max(a.weight, stated, defaultWeight)
-		total := l.total.advance(now)
-		if total > 0 {
-			excess = max(excess, a.use.advance(now)*float64(len(l.accounts))/total/a.weight)
+		if total := l.total.advance(now); total > 0 {
+			excess = max(excess, a.use.advance(now)/weight*l.weights/total)
 		}
 	}
 	return excess
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -12,7 +12,7 @@
 // More accounts than a ledger holds use an upstream. The largest user must stay known, or it
 // would be served as one that has used nothing, and what the others use must not be lost.
 func TestLedgerKeepsTheLargestUsers(t *testing.T) {
-	l := share.NewLedger(64)
+	l := share.NewLedger(share.LedgerConfig{MaxAccounts: 64, Weight: func(string) float64 { return 0 }})
 	for range 4 {
 		l.Begin(0, "large")
 	}
