--- a/node/gates.go
+++ b/node/gates.go
@@ -102,6 +102,7 @@
 		Recorder:         n.metrics,
 		Refusals:         n.metrics,
 		Retries:          n.metrics,
+		AccountWeight:    n.entry.AccountWeight,
 		OnChange:         n.requestHeartbeat,
 		DependencyFailed: n.entry.FailedWithin,
 		RequestWork:      n.requestWork,
