test(fleet): a retry window in the check of documented metrics

fuchsiapick_retry_quota_used and _bound are exposed only where the table has a window, which the table of TestNodesExposeEveryDocumentedMetric lacked, so that the test failed since the two were documented. Its table has one now, and the test checks all documented metrics as before.

--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
 )
@@ -19,7 +20,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := startFleet(t, fleet.Config{Table: newTable(1)})
+	tab := newTable(1)
+	tab.Services[0].RetryWindow = 10 * clock.Second // the gate exports its part of the bound
+	f := startFleet(t, fleet.Config{Table: tab})
 	f.Backends["conferme-1"].SetFault(standin.Fault{Kind: standin.Limits, Rate: 1000}) // the gate exports the limit
 	if status, _, err := fasthttp.GetTimeout(nil, "http://"+f.Members[0].Caller+"/conferme/1", waitTimeout); err != nil || status != fasthttp.StatusOK {
 		t.Fatalf("got %d, %v, want %d", status, err, fasthttp.StatusOK)
