--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -20,9 +21,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	withClaims := newTable(1)
-	withClaims.Services[0].Waiting = table.WaitForService // the entry exports the claims of such services
-	f := startFleet(t, fleet.Config{Table: withClaims})
+	tab := newTable(1)
+	tab.Services[0].Waiting = table.WaitForService  // the entry exports the claims of such services
+	tab.Services[0].RetryWindow = 10 * clock.Second // the gate exports its part of the bound
+	f := startFleet(t, fleet.Config{Table: tab})
 	f.Backends["conferme-1"].SetFault(standin.Fault{Kind: standin.Limits, Rate: 1000}) // the gate exports the limit
 	if status, _, err := fasthttp.GetTimeout(nil, "http://"+f.Members[0].Caller+"/conferme/1", waitTimeout); err != nil || status != fasthttp.StatusOK {
 		t.Fatalf("got %d, %v, want %d", status, err, fasthttp.StatusOK)
