Merge the capacity that gates learn

One message now carries speed, concurrency, shed share and the shares of accounts, and Entry.UpdateProfile records it. A gate whose queue isn't empty refreshes it for the shares as well. The test of the documented metrics needs a service with placement by cost.

--- a/entry/budget_test.go
+++ b/entry/budget_test.go
@@ -255,7 +255,7 @@
 			s.entry.UpdateUpstream(wire.Upstream{Name: "c", Share: 1, Severity: 0.4})
 			grantB := grantSlot("b", 0.1)
 			s.gates["b"].onProbe = func(probe *wire.CapacityProbe, onReply func(*wire.Reservation)) {
-				s.entry.HandleProfile(&wire.UpstreamProfile{Upstream: "b", Speed: 1, Shed: 0.6})
+				s.entry.UpdateProfile(&wire.UpstreamProfile{Upstream: "b", Speed: 1, Shed: 0.6})
 				grantB(probe, onReply)
 			}
 			s.gates["c"].onProbe = grantSlot("c", 0.2)
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,10 +52,12 @@
 	uses               []floor.Use
 	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
 	shed               map[*member]shedShare
-	linkCount          episode.LinkCount
-	membership         *resend.Membership
-	nodes              map[string]GateClient // clients for the nodes in membership
-	shares             *accountShares        // has its own lock
+	// capacities holds the members whose gates have sent a profile.
+	capacities map[*member]upstreamCapacity
+	linkCount  episode.LinkCount
+	membership *resend.Membership
+	nodes      map[string]GateClient // clients for the nodes in membership
+	shares     *accountShares        // has its own lock
 
 	candidates   []choice.Candidate
 	floorMembers []floor.Member
@@ -114,6 +116,7 @@
 	maps.DeleteFunc(s.forced, func(m *member, _ floor.Lasting) bool { return s.byName[m.upstream.Name] != m })
 	maps.DeleteFunc(s.shed, func(m *member, _ shedShare) bool { return s.byName[m.upstream.Name] != m })
 	s.pruneAnnouncements(now)
+	s.pruneCapacities()
 	s.watchOffset = int(s.seed % uint64(max(len(s.members), 1)))
 	s.dirty = true
 }
--- a/entry/shed.go
+++ b/entry/shed.go
@@ -4,7 +4,6 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
-	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // shedShare is the share of its runs that an upstream sheds, as its gate said.
@@ -19,16 +18,6 @@
 	return r.shed > 0 && r.config.Placement == table.PlaceByCost
 }
 
-// handleProfile records what a gate knows about its upstream.
-func (s *service) handleProfile(now clock.Millis, p *wire.UpstreamProfile) {
-	s.shares.update(now, p.Upstream, p.Shares)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if m, ok := s.byName[p.Upstream]; ok {
-		s.shed[m] = shedShare{share: p.Shed, receivedAt: now}
-	}
-}
-
 // riskOfRetry returns the probability that a retry fails at an upstream of the given severity
 // or is shed there. The caller holds s.mu.
 func (s *service) riskOfRetry(now clock.Millis, m *member, severity float64) float64 {
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -23,6 +23,7 @@
 	}
 	tab := newTable(1)
 	tab.Services[0].Waiting = table.WaitForService  // the entry exports the claims of such services
+	tab.Services[0].Placement = table.PlaceByCost   // the gate exports what it learns of the upstream
 	tab.Services[0].RetryWindow = 10 * clock.Second // the gate exports its part of the bound
 	f := startFleet(t, fleet.Config{Table: tab})
 	f.Backends["conferme-1"].SetFault(standin.Fault{Kind: standin.Limits, Rate: 1000}) // the gate exports the limit
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -88,6 +88,9 @@
 	// SendProfile sends an entry what the gate knows about its upstream. It may be nil and
 	// must not block.
 	SendProfile func(entry uint64, p *wire.UpstreamProfile)
+	// OnProfile sends what the gate has learned about its upstream to entries. It may be nil
+	// and must not block.
+	OnProfile func(p *wire.UpstreamProfile)
 	// Crashes may be nil.
 	Crashes CrashTracker
 	// Refusals may be nil.
@@ -148,6 +151,7 @@
 	hasResponse, isTaught bool
 	pacedTimer            *time.Timer
 	crash                 crashState
+	profile               profileState
 	// succeeded is a hash table, without chaining, of requests that succeeded in this
 	// process.
 	succeeded []uint64
@@ -172,6 +176,8 @@
 	// no slot, and its outcome doesn't count for or against the current process.
 	generation int
 	began      clock.Millis
+	// concurrent is the number of runs at the upstream when this one began, with it.
+	concurrent int
 	// isTrial means that the request is suspected and runs while no other suspect does.
 	isTrial bool
 	timer   *time.Timer
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -8,6 +8,7 @@
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/speed"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -18,19 +19,13 @@
 // returns the calls to make after the lock is released.
 func (g *Gate) restart(now clock.Millis) []func() {
 	g.generation++
-	g.crash, g.succeeded = crashState{}, nil
+	g.crash, g.succeeded, g.profile.learner = crashState{}, nil, speed.Learner{}
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
 	g.shed = retry.NewShedMeter()
 	g.config.Backend.ResetConnections()
 	g.log.Info("upstream restarted; its verdict and connections are reset")
-	runs := 0
-	for _, j := range g.jobs {
-		if j.running {
-			runs++
-		}
-	}
-	calls := g.startWaiters(now, g.slots.Restart(runs))
+	calls := g.startWaiters(now, g.slots.Restart(g.countRunning()))
 	return append(calls, g.forgetAnnouncement(now)...)
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -88,6 +88,7 @@
 	}
 	j.running, j.generation, j.began = true, g.generation, now
 	g.slots.BeginUse(now, j.dispatch.Account)
+	j.concurrent = g.countRunning()
 	if j.timer != nil {
 		j.timer.Stop()
 	}
@@ -138,8 +139,9 @@
 	if isCurrent {
 		g.observeRun(now, j, response, err)
 		g.shed.Record(now, response.Shed)
+		calls = g.observeSpeed(now, j, response, err)
 		if response.HasAnnouncement {
-			calls = g.recordAnnouncement(now, response.Announcement, response.Shed)
+			calls = append(calls, g.recordAnnouncement(now, response.Announcement, response.Shed)...)
 		}
 	}
 	if isCurrent {
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -33,7 +33,12 @@
 func (g *Gate) Shares() []wire.AccountShare {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	largest, rest := g.slots.LargestUses(g.config.Now(), maxShares)
+	return g.shares(g.config.Now())
+}
+
+// shares is Shares with the gate's lock held.
+func (g *Gate) shares(now clock.Millis) []wire.AccountShare {
+	largest, rest := g.slots.LargestUses(now, maxShares)
 	shares := make([]wire.AccountShare, 0, len(largest)+1)
 	for _, u := range largest {
 		shares = append(shares, wire.AccountShare{Account: u.Account, Used: wire.RoundFloat(u.Used)})
--- a/link/peer.go
+++ b/link/peer.go
@@ -341,10 +341,10 @@
 	switch m := m.(type) {
 	case *wire.CrashReport:
 		p.config.Observer.PeerCrashReport(m)
-	case *wire.GoAway:
-		p.handleGoAway(conn)
 	case *wire.UpstreamProfile:
 		p.config.Observer.PeerProfile(m)
+	case *wire.GoAway:
+		p.handleGoAway(conn)
 	case *wire.ClaimQueued:
 		p.handleClaimQueued(m)
 	default:
--- a/node/gates.go
+++ b/node/gates.go
@@ -108,6 +108,7 @@
 		RequestWork:      n.requestWork,
 		OnHung:           n.notifyHung,
 		SendProfile:      n.sendProfile,
+		OnProfile:        n.publishProfile,
 		HasProcessNames:  n.upstreamHeaders.Instance != "",
 		Keys:             n.keys,
 		Crashes:          gateCrashes{n.crashes},
@@ -221,12 +222,19 @@
 // chooses by what it knows itself.
 func (n *Node) sendProfile(entry uint64, p *wire.UpstreamProfile) {
 	if entry == n.incarnation {
-		n.entry.HandleProfile(p)
+		n.entry.UpdateProfile(p)
 		return
 	}
 	n.links.SendProfile(entry, p)
 }
 
+// publishProfile passes the profile of an upstream beside this node to all entries that have a
+// link here.
+func (n *Node) publishProfile(p *wire.UpstreamProfile) {
+	n.entry.UpdateProfile(p)
+	n.links.BroadcastProfile(p)
+}
+
 // Dispatch handles a request from another node's entry.
 func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
 	n.handleDispatch(d, func(r *wire.Reply) { n.links.SendReply(from, r) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -200,16 +200,16 @@
 	n.entry.UpdateUpstream(u)
 }
 
+// PeerProfile handles the profile of an upstream.
+func (n *Node) PeerProfile(p *wire.UpstreamProfile) {
+	n.entry.UpdateProfile(p)
+}
+
 // PeerWorkRequest handles a gate's request for work.
 func (n *Node) PeerWorkRequest(r *wire.WorkRequest) {
 	n.entry.HandleWorkRequest(r)
 }
 
-// PeerProfile handles what a gate knows about its upstream.
-func (n *Node) PeerProfile(p *wire.UpstreamProfile) {
-	n.entry.HandleProfile(p)
-}
-
 // PeerTableVersion handles a table that this node asked a peer for.
 func (n *Node) PeerTableVersion(node string, received *wire.TableVersion) {
 	n.ReceiveTable(node, received)
