--- a/limit/fair_test.go
+++ b/limit/fair_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// An account over its share fills the queue. A request of another account must displace its last
-// waiter. If that one returned no later than the others, or before those refused earlier, the
+// An account over its share, of which the gate knows only from what claims state, fills the queue.
+// A request of another account must displace its last waiter. If that one returned no later than the others, or before those refused earlier, the
 // account would gain from being refused.
 func TestAccountOverItsShareIsDisplacedAndReturnsLater(t *testing.T) {
 	s := limit.NewSlots(limit.SlotsConfig{Slots: 1, Queue: 3, Seed: 1, FairShare: true})
@@ -72,28 +72,6 @@
 	}
 }
 
-// A gate that has just started has counted nothing. What an entry states of the service must
-// decide until then, or else the account with the most requests gets the most slots. Later the
-// gate's own count holds where the entry knows nothing.
-func TestStatedAndCountedUseDecide(t *testing.T) {
-	for _, c := range []struct {
-		name                 string
-		largeStates, counted float64
-	}{{"stated", 0.1, 0}, {"counted", 1, 1}} {
-		s := limit.NewSlots(limit.SlotsConfig{Slots: 1, Queue: 4, Seed: 1, FairShare: true})
-		s.Acquire(0, fairRequest(1, 1, "large", 1))
-		if c.counted > 0 {
-			s.BeginUse(0, "large")
-			s.BeginUse(900, "small")
-		}
-		s.Acquire(1000, fairRequest(2, 1, "large", c.largeStates))
-		s.Acquire(1001, fairRequest(3, 1, "small", 1))
-		if next, _ := s.Release(1010); next != 3 {
-			t.Errorf("%s: got ticket %d, want that of the account that has used less", c.name, next)
-		}
-	}
-}
-
 // Two accounts always have more requests than they can get slots for. Each must get slots by its
 // weight, with what entries state and by the gate's count alone, whether weights are above or
 // below the default.
