gate, entry: queues hold more claims, and gates that don't answer are asked last

In the upload burst, calls of 72 ms that 1 s is left for ended after 0.5 s: the queues of 15 positions were full of claims, of which each request holds four, so that a request was refused as full by one gate after the other and spent its 24 claims within milliseconds.

A queue now has room for four times as many claims where requests wait for their service, and a gate that didn't answer an attempt counts as busy for a second: it is asked after the others.

--- a/entry/selection.go
+++ b/entry/selection.go
@@ -238,7 +238,7 @@
 		near := m.upstream.Domain == s.domain
 		s.options = append(s.options, choice.Option{
 			Risk:     risk,
-			Load:     max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt)),
+			Load:     m.load(now),
 			Slots:    m.upstream.Slots,
 			Capacity: s.capacityOf(now, m),
 			Near:     near,
--- a/entry/service.go
+++ b/entry/service.go
@@ -345,6 +345,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.inFlight--
+	if s.config.Waiting == table.WaitForService {
+		m.recordAnswer(now, o)
+	}
 	if o.isPaced {
 		m.pacedUntil = now + min(o.retryAfter, maxPacedSpan)
 	}
--- a/gate/shares.go
+++ b/gate/shares.go
@@ -4,6 +4,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/waiting"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -11,9 +12,15 @@
 // share of a service is among the largest users of most gates; more names would only add bytes.
 const maxShares = 8
 
-// queuePerSlot is the number of queue positions per slot for services whose requests wait at
-// several gates at the same time: most of the positions are released unused.
-const queuePerSlot = 3
+const (
+	// queuePerSlot is the number of queue positions per slot for services whose requests wait at
+	// several gates at the same time: most of the positions are released unused.
+	queuePerSlot = 3
+	// claimsPerSlot is the number of claims per slot that may wait. A request that waits for its
+	// service has waiting.MaxOpen of them, and a claim is small. With fewer positions, requests are
+	// refused as full by one gate after the other and spend their claims within milliseconds.
+	claimsPerSlot = queuePerSlot * waiting.MaxOpen
+)
 
 // slots returns the configuration of the slots of an upstream.
 func (g *Config) slots(s *table.Service, u *table.Upstream) limit.SlotsConfig {
@@ -22,7 +29,11 @@
 		FairShare: s.Waiting == table.WaitForService, AccountWeight: g.AccountWeight,
 	}
 	if s.Caution == table.ShortEpisodes {
-		c.Queue = max(c.Queue, queuePerSlot*u.Slots)
+		perSlot := queuePerSlot
+		if s.Waiting == table.WaitForService {
+			perSlot = claimsPerSlot
+		}
+		c.Queue = max(c.Queue, perSlot*u.Slots)
 	}
 	return c
 }
