--- a/link/claim_test.go
+++ b/link/claim_test.go
@@ -83,3 +83,17 @@
 		}
 	}
 }
+
+// Guards against claims that are lost because their link counts as idle: a claim may wait for
+// longer than the idle timeout.
+func TestLinkWithAClaimIsNotIdle(t *testing.T) {
+	address, handler := serve(t, "")
+	peer, _ := runPeer(t, link.PeerConfig{Address: address, IdleTimeout: 20, HeartbeatInterval: clock.Second, Observer: pathObserver{states: make(chan path.State, 8)}})
+	events := sendClaim(t, peer)
+	waitFor(t, func() bool { return handler.claimed.Load() == 1 })
+	select {
+	case got := <-events:
+		t.Errorf("got the claim %s, want it to wait", got)
+	case <-time.After(600 * time.Millisecond): // the peer checks for idle links four times per heartbeat
+	}
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -240,9 +240,9 @@
 }
 
 // isIdle reports whether the peer has not been used for the idle timeout and has no pending
-// dispatch. The caller holds the peer's lock.
+// dispatch or claim. The caller holds the peer's lock.
 func (p *Peer) isIdle() bool {
-	return p.config.Now()-p.lastUsed > p.config.IdleTimeout && len(p.pending) == 0
+	return p.config.Now()-p.lastUsed > p.config.IdleTimeout && len(p.pending) == 0 && len(p.claims) == 0
 }
 
 // tick closes an idle link, updates the path's state and dials if the path isn't good. A
