waiting: a wait that isn't known or was wrong is no Retry-After

A gate of an older release doesn't say how long a claim waits, and an estimate may pass without a grant. Both counted as the earliest instant at which a gate expects room, which lay in the past, so that the caller got the default Retry-After of at least one second in place of what other gates had stated.

TestFullGateIsAskedAgain has both cases.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -94,7 +94,7 @@
 	granted := c.run(now)
 	now = r.entry.config.Now()
 	c.withdrawAll(now)
-	if at := c.search.RoomAt(); at > 0 {
+	if at := c.search.RoomAt(now); at > 0 {
 		r.roomAt = at
 	}
 	if granted < 0 {
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -128,10 +128,16 @@
 	s.isExhausted, s.exhaustedAt = true, now
 }
 
-// Queue records that a gate has confirmed a claim, which waits there for the given time.
+// Queue records that a gate has confirmed a claim, which waits there for about the given time;
+// 0 if the time isn't known.
 func (s *Search) Queue(now clock.Millis, index int, wait clock.Millis) {
-	if c := &s.claims[index]; c.isOpen {
-		c.isConfirmed, c.turnAt = true, now+wait
+	c := &s.claims[index]
+	if !c.isOpen {
+		return
+	}
+	c.isConfirmed = true
+	if wait > 0 {
+		c.turnAt = now + wait
 	}
 }
 
@@ -273,13 +279,13 @@
 	return max(at, now+1)
 }
 
-// RoomAt returns the earliest instant at which a gate asked expects room, as it last stated;
-// 0 if none has stated it.
-func (s *Search) RoomAt() clock.Millis {
+// RoomAt returns the earliest instant after now at which a gate asked expects room, as it last
+// stated; 0 if none has stated it. Instants that have passed were wrong: the gate granted nothing.
+func (s *Search) RoomAt(now clock.Millis) clock.Millis {
 	room := clock.Millis(0)
 	for i := range s.claims {
 		c := &s.claims[i]
-		if c.turnAt > 0 && s.latest(c.gate) == c && (room == 0 || c.turnAt < room) {
+		if c.turnAt > now && s.latest(c.gate) == c && (room == 0 || c.turnAt < room) {
 			room = c.turnAt
 		}
 	}
--- a/waiting/waiting_test.go
+++ b/waiting/waiting_test.go
@@ -57,7 +57,9 @@
 			if got := s.WantsClaim(405) && s.MayAsk(405, "a"); got == tt.wantEnd {
 				t.Errorf("got the gate asked again: %v, want %v", got, !tt.wantEnd)
 			}
-			if got, want := s.RoomAt(), 5+tt.refusal.RetryAfter; got != want {
+			s.Queue(5, s.Claim(5, "older release"), 0)
+			s.Queue(0, s.Claim(0, "wrong estimate"), 4)
+			if got, want := s.RoomAt(5), 5+tt.refusal.RetryAfter; got != want {
 				t.Errorf("got room at %v, want %v", got, want)
 			}
 		})
