--- a/entry/claim.go
+++ b/entry/claim.go
@@ -106,7 +106,7 @@
 	granted := c.run(now)
 	now = r.entry.config.Now()
 	c.withdrawAll(now)
-	if at := c.search.RoomAt(); at > 0 {
+	if at := c.search.RoomAt(now); at > 0 {
 		r.roomAt = at
 	}
 	if granted < 0 {
