gate: keep idle connections to backend servers where that is safe

A gate opened about 30 connections in 30 s to an upstream with 5 to 8 slots, for two reasons. A request that may run only once used a connection up to 250 ms after its last response only, and opened another one otherwise. And a connection was not used after 4 s idle, so that each peak of a load that varies within 13 s found the connections of the last one expired.

With placement = "cost", a gate now keeps idle connections for up to a minute, or until the backend server's own timeout is near: as its Keep-Alive header announces, or 500 ms less than the shortest idle time after which a connection was found ended. A request that may run only once uses a connection for half of the longest idle time that connections of this process are known to have survived, and for less than half of one after which one was found ended. A restart forgets both. A connection with a cancelled or failed exchange is still closed, and each one is still checked before it is used.

ProbeHealth moves to a file of its own.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -114,6 +114,10 @@
 	busy   map[*backendConn]struct{}
 	open   int
 	closed bool
+	// keepsIdle means that idle connections are kept until the backend server's own idle
+	// timeout is near, which idleTimes estimates.
+	keepsIdle bool
+	idleTimes idleTimes
 }
 
 const connectTimeout = clock.Second
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -36,9 +36,12 @@
 
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// lastUsed is when the last response on the connection ended; idleUntil is until when
-	// an idle connection may be used again.
-	lastUsed, idleUntil time.Time
+	// lastUsed is when the last response on the connection ended.
+	lastUsed time.Time
+	// announced is the idle time up to which the connection may be used by the timeout that the
+	// last response announced, if hasAnnounced is set.
+	announced    time.Duration
+	hasAnnounced bool
 	// isObsolete means that the process at the other side is gone.
 	isObsolete atomic.Bool
 }
@@ -92,12 +95,13 @@
 	for len(h.idle) > 0 {
 		last := len(h.idle) - 1
 		conn := h.idle[last]
-		recent := now.Sub(conn.lastUsed) < recentUseWindow
-		if !repeatable && !recent && h.open < h.config.MaxConnections {
+		idle := now.Sub(conn.lastUsed)
+		isSafe := repeatable || idle < h.onceLimit()
+		if !isSafe && h.open < h.config.MaxConnections && h.staysIdle(conn, idle) {
 			break // the connection stays available to repeatable requests
 		}
 		h.idle = h.idle[:last]
-		if (repeatable || recent) && now.Before(conn.idleUntil) && conn.isIdle() {
+		if isSafe && idle < h.idleLimit(conn) && h.isOpen(conn, idle) {
 			return conn, true
 		}
 		h.open--
@@ -129,7 +133,7 @@
 		return
 	}
 	conn.lastUsed = time.Now()
-	conn.idleUntil = conn.lastUsed.Add(idleTimeout(response))
+	conn.announced, conn.hasAnnounced = announcedIdleTime(response)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.busy, conn)
@@ -141,26 +145,25 @@
 	h.idle = append(h.idle, conn)
 }
 
-// idleTimeout returns how long a connection may be used again after a response: at most
-// defaultIdleTimeout, and idleMargin less than the Keep-Alive timeout in the response, if
-// there is one.
-func idleTimeout(response *fasthttp.Response) time.Duration {
+// announcedIdleTime returns how long a connection may be used again after a response by the
+// Keep-Alive timeout in the response, idleMargin less than that; false if it announces none.
+func announcedIdleTime(response *fasthttp.Response) (time.Duration, bool) {
 	value, ok := headerValue(response, "Keep-Alive")
 	if !ok {
-		return defaultIdleTimeout
+		return 0, false
 	}
 	_, timeout, ok := bytes.Cut(value, []byte("timeout="))
 	if !ok {
-		return defaultIdleTimeout
+		return 0, false
 	}
 	if end := bytes.IndexByte(timeout, ','); end >= 0 {
 		timeout = timeout[:end]
 	}
 	seconds, err := strconv.Atoi(string(bytes.TrimSpace(timeout)))
 	if err != nil {
-		return defaultIdleTimeout
+		return 0, false
 	}
-	return min(defaultIdleTimeout, max(time.Duration(seconds)*time.Second-idleMargin, 0))
+	return max(time.Duration(seconds)*time.Second-idleMargin, 0), true
 }
 
 // isIdle reports whether the other side has neither closed an idle connection
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -201,6 +201,7 @@
 	}
 	g.previous.Store(c.Previous)
 	g.inheritAnnouncement(c.Previous)
+	g.keepConnections(&c.Service)
 	if c.RequestWork != nil {
 		time.AfterFunc(workRequestInterval.Duration(), g.requestWork)
 	}
@@ -342,6 +343,7 @@
 	wasLeaving, started := g.isLeaving(), g.upstream.Started
 	g.service, g.upstream = s, u
 	g.quota.Adjust(quotaConfig(&s))
+	g.keepConnections(&s)
 	calls := g.startLeaving(wasLeaving, "zero weight")
 	calls = append(calls, g.refuseExpired(g.config.Now())...) // first, so that no new slot goes to an expired waiter
 	now := g.config.Now()
@@ -353,31 +355,6 @@
 	callAll(calls)
 }
 
-// ProbeHealth requests the backend server's health endpoint, if the table names one and the
-// detector records probes, and passes the result to the detector. It blocks until the
-// response arrives or the probe times out.
-func (g *Gate) ProbeHealth() {
-	g.mu.Lock()
-	path := g.service.ProbePath
-	recorder, usesProbes := g.detector.(probeRecorder)
-	g.mu.Unlock()
-	if path == "" || !usesProbes {
-		return
-	}
-	ok := g.config.Backend.Probe(path)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.config.Now()
-	recorder.RecordProbe(now, ok)
-	g.recordState(now)
-}
-
-// probeRecorder is a detector that uses health checks. A check takes 25 ms of a slot, and is
-// useless where the health endpoint reports success during a failure episode, too.
-type probeRecorder interface {
-	RecordProbe(now clock.Millis, ok bool)
-}
-
 // Pending returns the number of dispatches that wait or run.
 func (g *Gate) Pending() int {
 	g.mu.Lock()
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -89,7 +89,7 @@
 		h.open--
 		_ = c.Close() // an idle connection has no request in flight
 	}
-	h.idle = nil
+	h.idle, h.idleTimes = nil, idleTimes{}
 	deadline := time.Now().Add(resetDelay)
 	for c := range h.busy {
 		c.isObsolete.Store(true)
