choice, entry: choose the domain of an overflow by a forecast of its load

An entry sends requests to another failure domain when its own has no free slot, by loads that are up to a second old. Domains whose demand varies in turn sent requests to one that had just filled up.

Where a service is placed by cost, the load of the upstreams in another domain now counts as it is expected a second later: the utilization of each domain is smoothed (double exponential), and the difference from what is known is added to each upstream's load. A domain that doesn't expect 0.1 less than the entry's own counts with 0.1 more. The own domain still comes first by the cost of distance.

--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -21,9 +21,14 @@
 // newPlacedEntry returns an entry with the upstream of the near gate in its own failure
 // domain and that of the far gate in another.
 func newPlacedEntry(t *testing.T, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
+	t.Helper()
+	return newTimedPlacedEntry(t, clock.NewSystem().Now, p, repeatable, near, far)
+}
+
+func newTimedPlacedEntry(t *testing.T, now func() clock.Millis, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
 	t.Helper()
 	e := entry.New(entry.Config{
-		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
+		Domain: "catania", Now: now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
 		GateClient: func(u table.Upstream) entry.GateClient {
 			return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
 		},
@@ -138,3 +143,31 @@
 		t.Errorf("got the request served by %q after waits %v, want near after a wait", got, waits)
 	}
 }
+
+// The load of another failure domain is known by a sample now and then. Requests overflowed into
+// a full domain because one sample showed free slots, which others had taken meanwhile.
+func TestNoOverflowIntoFullDomainOnOneSample(t *testing.T) {
+	for _, placement := range []table.Placement{table.PlaceByCost, table.PlaceNear} {
+		now := clock.Second
+		near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
+		e := newTimedPlacedEntry(t, func() clock.Millis { return now }, placement, []string{table.AnyMethod}, near, far)
+		const samples, requests = 30, 40
+		for i := range samples + requests {
+			load := 5
+			if i < samples {
+				now += 100
+			} else {
+				load = 3
+			}
+			if i == samples {
+				near.dispatched, far.dispatched = 0, 0
+			}
+			e.UpdateUpstream(wire.Upstream{Name: "near", Share: 1, InFlight: 5})
+			e.UpdateUpstream(wire.Upstream{Name: "far", Share: 1, InFlight: load})
+			postBody(e, 400)
+		}
+		if got := far.dispatched > requests/2; got != (placement == table.PlaceNear) {
+			t.Errorf("placement %q: got %d of %d requests in a domain that is full, want more than half: %v", placement, far.dispatched, requests, placement == table.PlaceNear)
+		}
+	}
+}
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -204,6 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyFloor(now) // severities drift between updates
+	s.observeDomains(now)
 	s.options = s.options[:0]
 	for i, m := range s.members {
 		usable := s.uses[i] == floor.Normal || s.uses[i] == floor.Forced
@@ -218,7 +219,7 @@
 		near := m.upstream.Domain == s.domain
 		s.options = append(s.options, choice.Option{
 			Risk:     risk,
-			Load:     max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt)),
+			Load:     s.loadOf(now, m),
 			Slots:    m.upstream.Slots,
 			Capacity: s.capacityOf(now, m),
 			Near:     near,
--- a/entry/service.go
+++ b/entry/service.go
@@ -50,6 +50,8 @@
 	dirty              bool
 	recheckAt          clock.Millis // when an ejection ends or a gate is to be checked again; 0 for never
 	uses               []floor.Use
+	// overflow is nil unless the service is placed by cost.
+	overflow *choice.Overflow
 	// capacities holds the members whose gates have sent a profile.
 	capacities map[*member]upstreamCapacity
 	linkCount  episode.LinkCount
