--- a/access/record.go
+++ b/access/record.go
@@ -56,6 +56,9 @@
 	NoRetry string `json:"noretry,omitempty"`
 	// Forced means that the upstream was ejected, but in use because of the service's floor.
 	Forced bool `json:"forced,omitempty"`
+	// CrossBytes is the size of the bodies of the request and its responses that crossed between
+	// failure domains, in bytes. It counts in the metrics only.
+	CrossBytes int `json:"-"`
 }
 
 // EventKind is the kind of an event of an upstream, a path, the table or the platform.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,6 +55,7 @@
 		return notSent
 	}
 	outcome := r.awaitOutcome(d, &a, w, untried)
+	r.countCrossBytes(&a, &outcome)
 	if reply := outcome.reply; reply != nil && reply.Outcome == wire.Answered && !reply.Replay {
 		r.service.recordAnnouncement(r.entry.config.Now(), a.member, r.entry.config.Announcements.Read(reply.Headers.Get))
 	}
--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/logging"
@@ -22,17 +23,16 @@
 // domain and that of the far gate in another.
 func newPlacedEntry(t *testing.T, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
 	t.Helper()
-	return newTimedPlacedEntry(t, clock.NewSystem().Now, p, repeatable, near, far)
+	return newPlacedEntryFromConfig(t, entry.Config{Now: clock.NewSystem().Now, Recorder: nopRecorder{}}, p, repeatable, near, far)
 }
 
-func newTimedPlacedEntry(t *testing.T, now func() clock.Millis, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
+func newPlacedEntryFromConfig(t *testing.T, c entry.Config, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
 	t.Helper()
-	e := entry.New(entry.Config{
-		Domain: "catania", Now: now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
-		GateClient: func(u table.Upstream) entry.GateClient {
-			return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
-		},
-	})
+	c.Domain, c.Pool, c.Log = "catania", newPool(t), logging.Silent()
+	c.GateClient = func(u table.Upstream) entry.GateClient {
+		return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
+	}
+	e := entry.New(c)
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1,
 		Services: []table.Service{{
@@ -150,7 +150,7 @@
 	for _, placement := range []table.Placement{table.PlaceByCost, table.PlaceNear} {
 		now := clock.Second
 		near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
-		e := newTimedPlacedEntry(t, func() clock.Millis { return now }, placement, []string{table.AnyMethod}, near, far)
+		e := newPlacedEntryFromConfig(t, entry.Config{Now: func() clock.Millis { return now }, Recorder: nopRecorder{}}, placement, []string{table.AnyMethod}, near, far)
 		const samples, requests = 30, 40
 		for i := range samples + requests {
 			load := 5
@@ -171,3 +171,28 @@
 		}
 	}
 }
+
+// byteRecorder sums the bytes that crossed between failure domains.
+type byteRecorder struct {
+	nopRecorder
+
+	crossed int
+}
+
+func (b *byteRecorder) RequestFinished(_ clock.Millis, r access.Record) { b.crossed += r.CrossBytes }
+
+// Guards against bytes between failure domains that no metric shows.
+func TestCrossBytesAreCounted(t *testing.T) {
+	recorder := &byteRecorder{}
+	near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
+	e := newPlacedEntryFromConfig(t, entry.Config{Now: clock.NewSystem().Now, Recorder: recorder}, table.PlaceByCost, []string{}, near, far)
+	postBody(e, uploadSize)
+	if recorder.crossed != 0 {
+		t.Errorf("got %d bytes for a request in the own domain, want 0", recorder.crossed)
+	}
+	near.onProbe = refuseSlot("near", wire.ReasonFull)
+	postBody(e, uploadSize)
+	if want := uploadSize + len("far"); recorder.crossed != want {
+		t.Errorf("got %d bytes for a request to another domain, want %d", recorder.crossed, want)
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -120,6 +120,7 @@
 	// has denied; 0 if no gate denied one.
 	budgetRetryAfter clock.Millis
 	lastUpstream     table.Upstream // the upstream of the last attempt
+	crossBytes       int            // bytes of bodies that crossed between failure domains
 	idempotency      idempotency
 	// fingerprint is computed on first use.
 	fingerprint quarantine.Fingerprint
@@ -324,20 +325,21 @@
 	r.refundQuota(&f)
 	now := r.entry.config.Now()
 	record := access.Record{
-		ID:       r.id.String(),
-		Caller:   r.recordedCaller(),
-		Method:   r.method,
-		Outcome:  f.outcome,
-		Reason:   f.reason,
-		Attempts: r.sends,
-		Status:   f.status,
-		Started:  r.started,
-		Took:     now - r.started,
-		Waited:   r.waited,
-		NoRetry:  string(r.noRetryReason),
-		Forced:   r.forced,
-		Upstream: r.lastUpstream.Name,
-		Domain:   r.lastUpstream.Domain,
+		ID:         r.id.String(),
+		Caller:     r.recordedCaller(),
+		Method:     r.method,
+		Outcome:    f.outcome,
+		Reason:     f.reason,
+		Attempts:   r.sends,
+		Status:     f.status,
+		Started:    r.started,
+		Took:       now - r.started,
+		Waited:     r.waited,
+		NoRetry:    string(r.noRetryReason),
+		Forced:     r.forced,
+		Upstream:   r.lastUpstream.Name,
+		Domain:     r.lastUpstream.Domain,
+		CrossBytes: r.crossBytes,
 	}
 	if r.route != nil {
 		record.Service, record.Route = r.serviceName, r.route.Prefix
--- a/entry/sizes.go
+++ b/entry/sizes.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
@@ -64,3 +66,15 @@
 		r.entry.sizes.observe(r.route, len(r.body), len(o.reply.Body))
 	}
 }
+
+// countCrossBytes counts the bodies of an attempt at an upstream in another failure domain,
+// unless it found no path there.
+func (r *request) countCrossBytes(a *attempt, o *result) {
+	if a.upstream.Domain == r.entry.config.Domain || (o.kind == retry.NotRun && o.reason == access.ReasonUnreachable) {
+		return
+	}
+	r.crossBytes += len(r.body)
+	if o.reply != nil {
+		r.crossBytes += len(o.reply.Body)
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -62,6 +62,7 @@
 	notRetried  *prometheus.CounterVec
 	events      *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
+	crossBytes  *prometheus.CounterVec
 	services    *serviceCounters
 }
 
@@ -104,9 +105,13 @@
 			Namespace: namespace, Name: "gate_refusals_total",
 			Help: "Dispatches that a gate of this node refused to run.",
 		}, []string{"service", "upstream", "reason"}),
+		crossBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "cross_domain_bytes_total",
+			Help: "Bytes of the bodies of requests and responses that crossed between failure domains.",
+		}, []string{"service"}),
 		services: newServiceCounters(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.crossBytes,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -150,6 +155,7 @@
 	if r.NoRetry != "" {
 		s.notRetried.WithLabelValues(r.Service, r.NoRetry).Inc()
 	}
+	s.crossBytes.WithLabelValues(r.Service).Add(float64(r.CrossBytes))
 	s.services.count(&r)
 	s.config.Recorder.RequestFinished(now, r)
 }
@@ -181,5 +187,6 @@
 		s.waitTime.DeletePartialMatch(labels)
 		s.notRetried.DeletePartialMatch(labels)
 		s.refusals.DeletePartialMatch(labels)
+		s.crossBytes.DeletePartialMatch(labels)
 	}
 }
