fleet: place by cost where a node must expose each documented metric

The speed and concurrency of an upstream have series only where its service is placed by cost, so that the test found none from a node. Its table now enables that, as it enables a rate limit for the metric of that. The check is as strict as before. go test ./fleet -run TestNodesExposeEveryDocumentedMetric passes.

--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -10,6 +10,7 @@
 
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // Guards against a metric that is documented and implemented in package metrics, but not
@@ -19,7 +20,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := startFleet(t, fleet.Config{Table: newTable(1)})
+	placed := newTable(1)
+	placed.Services[0].Placement = table.PlaceByCost // the gate exports what it learns for that
+	f := startFleet(t, fleet.Config{Table: placed})
 	f.Backends["conferme-1"].SetFault(standin.Fault{Kind: standin.Limits, Rate: 1000}) // the gate exports the limit
 	if status, _, err := fasthttp.GetTimeout(nil, "http://"+f.Members[0].Caller+"/conferme/1", waitTimeout); err != nil || status != fasthttp.StatusOK {
 		t.Fatalf("got %d, %v, want %d", status, err, fasthttp.StatusOK)
