--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/logging"
@@ -22,12 +23,16 @@
 // domain and that of the far gate in another.
 func newPlacedEntry(t *testing.T, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
 	t.Helper()
-	e := entry.New(entry.Config{
-		Domain: "catania", Now: clock.NewSystem().Now, Pool: newPool(t), Recorder: nopRecorder{}, Log: logging.Silent(),
-		GateClient: func(u table.Upstream) entry.GateClient {
-			return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
-		},
-	})
+	return newPlacedEntryFromConfig(t, entry.Config{Now: clock.NewSystem().Now, Recorder: nopRecorder{}}, p, repeatable, near, far)
+}
+
+func newPlacedEntryFromConfig(t *testing.T, c entry.Config, p table.Placement, repeatable []string, near, far *fakeGate) *entry.Entry {
+	t.Helper()
+	c.Domain, c.Pool, c.Log = "catania", newPool(t), logging.Silent()
+	c.GateClient = func(u table.Upstream) entry.GateClient {
+		return map[string]*fakeGate{near.name: near, far.name: far}[u.Name]
+	}
+	e := entry.New(c)
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1,
 		Services: []table.Service{{
@@ -138,3 +143,56 @@
 		t.Errorf("got the request served by %q after waits %v, want near after a wait", got, waits)
 	}
 }
+
+// The load of another failure domain is known by a sample now and then. Requests overflowed into
+// a full domain because one sample showed free slots, which others had taken meanwhile.
+func TestNoOverflowIntoFullDomainOnOneSample(t *testing.T) {
+	for _, placement := range []table.Placement{table.PlaceByCost, table.PlaceNear} {
+		now := clock.Second
+		near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
+		e := newPlacedEntryFromConfig(t, entry.Config{Now: func() clock.Millis { return now }, Recorder: nopRecorder{}}, placement, []string{table.AnyMethod}, near, far)
+		const samples, requests = 30, 40
+		for i := range samples + requests {
+			load := 5
+			if i < samples {
+				now += 100
+			} else {
+				load = 3
+			}
+			if i == samples {
+				near.dispatched, far.dispatched = 0, 0
+			}
+			e.UpdateUpstream(wire.Upstream{Name: "near", Share: 1, InFlight: 5})
+			e.UpdateUpstream(wire.Upstream{Name: "far", Share: 1, InFlight: load})
+			postBody(e, 400)
+		}
+		if got := far.dispatched > requests/2; got != (placement == table.PlaceNear) {
+			t.Errorf("placement %q: got %d of %d requests in a domain that is full, want more than half: %v", placement, far.dispatched, requests, placement == table.PlaceNear)
+		}
+	}
+}
+
+// byteRecorder sums the bytes that crossed between failure domains.
+type byteRecorder struct {
+	nopRecorder
+
+	crossed int
+}
+
+func (b *byteRecorder) RequestFinished(_ clock.Millis, r access.Record) { b.crossed += r.CrossBytes }
+
+// Guards against bytes between failure domains that no metric shows.
+func TestCrossBytesAreCounted(t *testing.T) {
+	recorder := &byteRecorder{}
+	near, far := &fakeGate{name: "near"}, &fakeGate{name: "far"}
+	e := newPlacedEntryFromConfig(t, entry.Config{Now: clock.NewSystem().Now, Recorder: recorder}, table.PlaceByCost, []string{}, near, far)
+	postBody(e, uploadSize)
+	if recorder.crossed != 0 {
+		t.Errorf("got %d bytes for a request in the own domain, want 0", recorder.crossed)
+	}
+	near.onProbe = refuseSlot("near", wire.ReasonFull)
+	postBody(e, uploadSize)
+	if want := uploadSize + len("far"); recorder.crossed != want {
+		t.Errorf("got %d bytes for a request to another domain, want %d", recorder.crossed, want)
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,6 +52,8 @@
 	uses               []floor.Use
 	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
 	shed               map[*member]shedShare
+	// overflow is nil unless the service is placed by cost.
+	overflow *choice.Overflow
 	// capacities holds the members whose gates have sent a profile.
 	capacities map[*member]upstreamCapacity
 	linkCount  episode.LinkCount
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,6 +65,7 @@
 	refusals    *prometheus.CounterVec
 	retries     *prometheus.CounterVec
 	displaced   *prometheus.CounterVec
+	crossBytes  *prometheus.CounterVec
 	services    *serviceCounters
 	claims      *claimCounters
 }
@@ -116,10 +117,14 @@
 			Namespace: namespace, Name: "share_displaced_total",
 			Help: "Waiters whose queue position a gate of this node gave to a request of another account or priority.",
 		}, []string{"service"}),
+		crossBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "cross_domain_bytes_total",
+			Help: "Bytes of the bodies of requests and responses that crossed between failure domains.",
+		}, []string{"service"}),
 		services: newServiceCounters(),
 		claims:   newClaimCounters(),
 	}
-	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries, s.displaced,
+	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries, s.displaced, s.crossBytes,
 		&stateCollector{source: c.State}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
@@ -164,6 +169,7 @@
 	if r.NoRetry != "" {
 		s.notRetried.WithLabelValues(r.Service, r.NoRetry).Inc()
 	}
+	s.crossBytes.WithLabelValues(r.Service).Add(float64(r.CrossBytes))
 	s.services.count(&r)
 	s.config.Recorder.RequestFinished(now, r)
 }
@@ -229,5 +235,6 @@
 		s.retries.DeletePartialMatch(labels)
 		s.claims.deleteSeries(labels)
 		s.displaced.DeletePartialMatch(labels)
+		s.crossBytes.DeletePartialMatch(labels)
 	}
 }
