--- a/cmd/soakplan_test.go
+++ b/cmd/soakplan_test.go
@@ -18,6 +18,8 @@
 	statedRandom *rand.Rand
 	nodes        int
 	caution      string
+	// waiting and placement are drawn apart from the rest, so that the other draws of a seed stay.
+	waiting, placement string
 	// version is the version of the last published table.
 	version int
 	// leftOut lists the numbers of the faults to leave out.
@@ -50,7 +52,9 @@
 func newPlan(seed uint64, leftOut []int) *plan {
 	random := rand.New(rand.NewPCG(seed, 1))
 	cautions := []string{"fast", "balanced", "cautious", "brief"}
+	keys := rand.New(rand.NewPCG(seed, 4))
 	return &plan{
+		waiting: []string{"gates", "service"}[keys.IntN(2)], placement: []string{"near", "cost"}[keys.IntN(2)],
 		random: random, crashRandom: rand.New(rand.NewPCG(seed, 2)),
 		statedRandom: rand.New(rand.NewPCG(seed, 3)), nodes: minNodes + random.IntN(maxNodes-minNodes+1),
 		caution: cautions[random.IntN(len(cautions))], leftOut: leftOut,
@@ -112,8 +116,8 @@
 	p.version++
 	name := fmt.Sprintf("table%d.toml", p.version)
 	var b strings.Builder
-	fmt.Fprintf(&b, "-- %s --\nformat = 1\nversion = %d\n\n[[service]]\nname = \"conferme\"\ncaution = %q\nfloor = 0.%d\n",
-		name, p.version, p.caution, 2+p.random.IntN(3))
+	fmt.Fprintf(&b, "-- %s --\nformat = 1\nversion = %d\n\n[[service]]\nname = \"conferme\"\ncaution = %q\nwaiting = %q\nplacement = %q\nfloor = 0.%d\n",
+		name, p.version, p.caution, p.waiting, p.placement, 2+p.random.IntN(3))
 	for i := range p.nodes {
 		fmt.Fprintf(&b, "\n[[service.upstream]]\nname = \"conferme-%d\"\naddress = \"$B%d\"\nnode = \"$R_n%d\"\ndomain = \"palermo\"\nslots = 3\nweight = %d\n",
 			i+1, i+1, i+1, 50+50*p.random.IntN(3))
