--- a/link/server.go
+++ b/link/server.go
@@ -296,23 +296,6 @@
 	s.sendToEntry(entry, r)
 }
 
-// SendHungRun notifies an entry that a run has most likely hung.
-func (s *Server) SendHungRun(entry uint64, m *wire.HungRun) {
-	s.sendToEntry(entry, m)
-}
-
-// SendProfile sends what a gate knows about its upstream, unless the entry is of a release that
-// doesn't know the message.
-func (s *Server) SendProfile(entry uint64, p *wire.UpstreamProfile) {
-	s.sendToEntry(entry, p)
-}
-
-// SendQuotaGrant sends the answer to a quota request. An entry that doesn't receive it asks
-// another home.
-func (s *Server) SendQuotaGrant(entry uint64, g *wire.QuotaGrant) {
-	s.sendToEntry(entry, g)
-}
-
 func (s *Server) sendToEntry(entry uint64, m wire.Message) {
 	s.mu.Lock()
 	c, ok := s.latestConns[entry]
@@ -382,15 +365,6 @@
 	}
 }
 
-// BroadcastProfile sends the profile of an upstream to all entries with a link that accept it.
-func (s *Server) BroadcastProfile(profile *wire.UpstreamProfile) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.latestConns {
-		_ = c.Send(profile) // an entry that misses it gets the next one, and counts with defaults until then
-	}
-}
-
 // BroadcastHeartbeat immediately sends a heartbeat on every link, for a status that must
 // not wait for the next regular heartbeat.
 func (s *Server) BroadcastHeartbeat() {
