entry: a retry asks eight gates for a slot at most

The claims' bytes cross between failure domains. A retry now makes eight claims at most, as many as without them.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -93,6 +93,16 @@
 	return min(r.started+r.route.LatencyTarget-r.typicalLatency().Median, r.startBy())
 }
 
+// maxClaims returns how many claims a search of the whole service may make. While a service sheds
+// load, most gates have no retry budget left: a retry asks as many of them as it would without
+// claims, since more would only add messages.
+func (r *request) maxClaims() int {
+	if r.reachedUpstream {
+		return retry.MaxRefused
+	}
+	return waiting.MaxClaims
+}
+
 // searchSlot claims slots at the gates of the service until one grants its claim, none is left
 // that could, or it is too late for the request to start. The untried result is how many other
 // upstreams the request may be sent to.
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -8,7 +8,6 @@
 	"fuchsiapick.example/fuchsiapick/floor"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/table"
-	"fuchsiapick.example/fuchsiapick/waiting"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -88,7 +87,7 @@
 // awaitSlot waits for a slot at several gates, or for one of the whole service.
 func (r *request) awaitSlot(now clock.Millis) (attempt, int, bool) {
 	if r.config.Waiting == table.WaitForService {
-		a, untried, ok := r.searchSlot(now, searchScope{startBy: r.startBy(), claims: waiting.MaxClaims})
+		a, untried, ok := r.searchSlot(now, searchScope{startBy: r.startBy(), claims: r.maxClaims()})
 		r.selection.waited = !ok // after a grant that could not be used, the search goes on
 		return a, untried, ok
 	}
