entry: gates that don't answer are kept in a map beside the members

Most members never need it, so that a map holds the few that do.

TestGateThatDoesNotAnswerIsAskedLast shows that two requests ask a silent gate once where they wait for their service, and twice as before where they don't. The capacity tests pass.

--- a/entry/member.go
+++ b/entry/member.go
@@ -25,8 +25,6 @@
 	// pacedUntil is when the gate's next request is due by the upstream's rate limit, as far as
 	// this entry knows.
 	pacedUntil clock.Millis
-	// unansweredUntil is until when the gate counts as busy, because it didn't answer; 0 if it did.
-	unansweredUntil clock.Millis
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
 }
@@ -67,34 +65,6 @@
 	return m.state.Severity
 }
 
-// unansweredSpan is how long a gate that didn't answer counts as busy: a few times what a request
-// loses by asking it. The path detector takes seconds to find a link that is cut in one direction.
-const unansweredSpan = clock.Second
-
-// recordAnswer records whether the gate answered an attempt.
-func (m *member) recordAnswer(now clock.Millis, o *result) {
-	switch {
-	case o.reason == access.ReasonUnreachable:
-		m.unansweredUntil = now + unansweredSpan
-	case o.reply != nil:
-		m.unansweredUntil = 0
-	}
-}
-
-// load returns the number of requests at the upstream, as far as this entry knows. A gate that
-// doesn't answer counts as full with a queue, so that requests ask others first; it may only be
-// slow, so it can still be chosen.
-func (m *member) load(now clock.Millis) int {
-	load := max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt))
-	if now < m.unansweredUntil {
-		return max(load, unansweredLoad*m.upstream.Slots)
-	}
-	return load
-}
-
-// unansweredLoad is the load of a gate that doesn't answer, as a multiple of its slots.
-const unansweredLoad = 2
-
 // isPaced reports whether the upstream's rate limit most likely admits no request now.
 func (m *member) isPaced(now clock.Millis) bool {
 	return now < m.pacedUntil
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,6 +52,7 @@
 	uses               []floor.Use
 	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
 	shed               map[*member]shedShare
+	unansweredUntil    map[*member]clock.Millis // until when a gate that didn't answer counts as busy
 	// overflow is nil unless the service is placed by cost.
 	overflow *choice.Overflow
 	// capacities holds the members whose gates have sent a profile.
@@ -76,6 +77,7 @@
 		announced:          map[process]*announced{},
 		forced:             map[*member]floor.Lasting{},
 		shed:               map[*member]shedShare{},
+		unansweredUntil:    map[*member]clock.Millis{},
 		random:             rand.New(rand.NewPCG(seed, 1)),
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
@@ -116,6 +118,7 @@
 		s.byName[u.Name] = m
 	}
 	maps.DeleteFunc(s.forced, func(m *member, _ floor.Lasting) bool { return s.byName[m.upstream.Name] != m })
+	maps.DeleteFunc(s.unansweredUntil, func(m *member, _ clock.Millis) bool { return s.byName[m.upstream.Name] != m })
 	maps.DeleteFunc(s.shed, func(m *member, _ shedShare) bool { return s.byName[m.upstream.Name] != m })
 	s.pruneAnnouncements(now)
 	s.pruneCapacities()
@@ -348,7 +351,7 @@
 	defer s.mu.Unlock()
 	m.inFlight--
 	if s.config.Waiting == table.WaitForService {
-		m.recordAnswer(now, o)
+		s.recordAnswer(now, m, o)
 	}
 	if o.isPaced {
 		m.pacedUntil = now + min(o.retryAfter, maxPacedSpan)
