gate: requests that may run only once use fresh connections only, as before

With placement = "cost" they used a connection for half of the longest idle time that connections had survived. Some backend servers forget idle connections after 320 ms to 430 ms without closing them, for seconds, and a request that is sent on one then ends with an unknown outcome, which is worse for its caller than a new connection. The limit was learned from other times.

Repeatable requests still use kept connections. The test of kept connections asked for the reuse that is gone; it now asks that a request that may run only once opens a new one after 320 ms, and for kept connections with repeatable requests over 4.5 s. The test of a restart shows that the limit of the old process is forgotten. Tests of gate pass.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -96,7 +96,7 @@
 		last := len(h.idle) - 1
 		conn := h.idle[last]
 		idle := now.Sub(conn.lastUsed)
-		isSafe := repeatable || idle < h.onceLimit()
+		isSafe := repeatable || idle < recentUseWindow
 		if !isSafe && h.open < h.config.MaxConnections && h.staysIdle(conn, idle) {
 			break // the connection stays available to repeatable requests
 		}
--- a/gate/idle.go
+++ b/gate/idle.go
@@ -6,31 +6,23 @@
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-const (
-	// maxIdleTimeout is how long an idle connection is kept if the backend server neither
-	// announces nor shows a shorter timeout: longer than the variations of the load, after
-	// which the connection is needed again.
-	maxIdleTimeout = time.Minute
-	// onceShare divides the longest idle time that connections are known to survive: a
-	// request that may run only once uses a connection after this fraction of it at most.
-	onceShare = 2
-)
+// maxIdleTimeout is how long an idle connection is kept if the backend server neither announces
+// nor shows a shorter timeout: longer than the variations of the load, after which the connection
+// is needed again. Requests that may run only once use connections for recentUseWindow only: a
+// backend server or a middlebox may forget an idle connection without closing it, and the outcome
+// of a request that is sent on it is unknown.
+const maxIdleTimeout = time.Minute
 
 // idleTimes is what is known of the time after which the backend server ends idle connections.
 type idleTimes struct {
-	// survived is the longest idle time after which a connection was found open, ended the
-	// shortest after which one was found ended; 0 if none was.
-	survived, ended time.Duration
+	// ended is the shortest idle time after which a connection was found ended; 0 if none was.
+	ended time.Duration
 }
 
 // record records whether a connection was open after an idle time. A connection that ended
 // earlier than others shows that the backend server doesn't go by a timeout alone.
 func (t *idleTimes) record(idle time.Duration, isOpen bool) {
-	if isOpen {
-		t.survived = max(t.survived, idle)
-		return
-	}
-	if t.ended == 0 || idle < t.ended {
+	if !isOpen && (t.ended == 0 || idle < t.ended) {
 		t.ended = idle
 	}
 }
@@ -45,16 +37,6 @@
 	return min(max(t.ended-idleMargin, defaultIdleTimeout), maxIdleTimeout)
 }
 
-// onceLimit returns the idle time up to which a request that may run only once uses a
-// connection.
-func (t *idleTimes) onceLimit() time.Duration {
-	known := t.survived
-	if t.ended > 0 {
-		known = min(known, t.ended)
-	}
-	return max(known/onceShare, recentUseWindow)
-}
-
 // connectionKeeper is a backend that can keep its connections open across variations of the
 // load.
 type connectionKeeper interface {
@@ -69,8 +51,7 @@
 }
 
 // KeepConnections sets whether idle connections are kept until the backend server's own idle
-// timeout is near. Otherwise they are used for defaultIdleTimeout at most, and for
-// recentUseWindow by requests that may run only once.
+// timeout is near. Otherwise they are used for defaultIdleTimeout at most.
 func (h *HTTP) KeepConnections(keep bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -90,15 +71,6 @@
 	return limit
 }
 
-// onceLimit is idleLimit for a request that may run only once. It is called with the backend's
-// lock held.
-func (h *HTTP) onceLimit() time.Duration {
-	if h.keepsIdle {
-		return h.idleTimes.onceLimit()
-	}
-	return recentUseWindow
-}
-
 // staysIdle reports whether a connection that the request can't use is left to other requests.
 // It is called with the backend's lock held.
 func (h *HTTP) staysIdle(conn *backendConn, idle time.Duration) bool {
