--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -62,6 +62,9 @@
 	if !ok {
 		return
 	}
+	if s.shed == nil {
+		s.shed = map[*member]shedShare{}
+	}
 	s.shed[m] = shedShare{share: p.Shed, receivedAt: now}
 	if s.capacities == nil {
 		s.capacities = map[*member]upstreamCapacity{}
--- a/entry/forced.go
+++ b/entry/forced.go
@@ -29,6 +29,9 @@
 			s.recordForced(now, m)
 		}
 		if lasting.IsActive() {
+			if s.forced == nil {
+				s.forced = map[*member]floor.Lasting{}
+			}
 			s.forced[m] = lasting
 		} else {
 			delete(s.forced, m)
--- a/entry/overflow.go
+++ b/entry/overflow.go
@@ -49,7 +49,7 @@
 // loadOf returns the requests at a member as the choice counts them: what the entry knows and,
 // in another failure domain, what the forecast adds. The caller holds s.mu.
 func (s *service) loadOf(now clock.Millis, m *member) int {
-	load := s.reportedLoad(now, m)
+	load := max(m.inFlight, choice.DecayLoad(m.state.InFlight+m.state.Waiting, now-m.updatedAt))
 	if s.overflow == nil || m.upstream.Domain == s.domain {
 		return load
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,7 +52,6 @@
 	uses               []floor.Use
 	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
 	shed               map[*member]shedShare
-	unansweredUntil    map[*member]clock.Millis // until when a gate that didn't answer counts as busy
 	// overflow is nil unless the service is placed by cost.
 	overflow *choice.Overflow
 	// capacities holds the members whose gates have sent a profile.
@@ -75,9 +74,6 @@
 		config:             c,
 		byName:             map[string]*member{},
 		announced:          map[process]*announced{},
-		forced:             map[*member]floor.Lasting{},
-		shed:               map[*member]shedShare{},
-		unansweredUntil:    map[*member]clock.Millis{},
 		random:             rand.New(rand.NewPCG(seed, 1)),
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
@@ -118,7 +114,6 @@
 		s.byName[u.Name] = m
 	}
 	maps.DeleteFunc(s.forced, func(m *member, _ floor.Lasting) bool { return s.byName[m.upstream.Name] != m })
-	maps.DeleteFunc(s.unansweredUntil, func(m *member, _ clock.Millis) bool { return s.byName[m.upstream.Name] != m })
 	maps.DeleteFunc(s.shed, func(m *member, _ shedShare) bool { return s.byName[m.upstream.Name] != m })
 	s.pruneAnnouncements(now)
 	s.pruneCapacities()
@@ -350,9 +345,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.inFlight--
-	if s.config.Waiting == table.WaitForService {
-		s.recordAnswer(now, m, o)
-	}
 	if o.isPaced {
 		m.pacedUntil = now + min(o.retryAfter, maxPacedSpan)
 	}
--- a/share/service.go
+++ b/share/service.go
@@ -41,12 +41,15 @@
 
 // NewService returns a Service that knows of no use.
 func NewService() *Service {
-	return &Service{statements: map[string]statement{}, used: map[string]float64{}, claims: map[string]clock.Millis{}}
+	return &Service{}
 }
 
 // Update replaces what the gate of an upstream has stated. The uses of accounts that the gate
 // doesn't name have an empty name. Service keeps uses.
 func (s *Service) Update(now clock.Millis, upstream string, uses []Use) {
+	if s.statements == nil { // most services never get a statement
+		s.statements, s.used = map[string]statement{}, map[string]float64{}
+	}
 	s.statements[upstream] = statement{at: now, uses: uses}
 }
 
@@ -57,6 +60,9 @@
 	if weight <= 0 {
 		weight = defaultWeight
 	}
+	if s.claims == nil {
+		s.claims = map[string]clock.Millis{}
+	}
 	if _, ok := s.claims[name]; ok || len(s.claims) < maxServiceAccounts {
 		s.claims[name] = now
 	}
