gate: a slot isn't reserved for longer than the request may take

The time for which a slot stays reserved grows with the size of the body that the claim states. Found in review: a body of 64 MiB whose entry is gone, or a size that is wrong, kept the slot idle for 107 s or more. The time for the transfer is now bounded by the request's own budget. TestReservationLastsForTheTransfer asks for both ends; without the bound its second case doesn't end.

--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -20,12 +20,13 @@
 )
 
 // reservationTTL returns how long a slot stays reserved for the request. A capacity probe doesn't
-// state the size of the body.
+// state the size of the body. A slot isn't reserved for longer than the request may take in all.
 func (w *waiter) reservationTTL() clock.Millis {
 	if w.claim == nil {
 		return reservationTTL
 	}
-	return reservationTTL + clock.Millis(max(w.claim.Bytes, 0)/transferRate)
+	transfer := min(clock.Millis(max(w.claim.Bytes, 0)/transferRate), max(w.probe.Budget, 0))
+	return reservationTTL + transfer
 }
 
 // waiter is a capacity probe or a claim that waits for a slot.
--- a/gate/claim_test.go
+++ b/gate/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
@@ -48,6 +49,39 @@
 	}
 }
 
+// A claim states the size of a body that its entry never sends. Guards against a slot that stays
+// reserved for longer than the request may take, and against one that is lost while the body of an
+// upload is on a slow link.
+func TestReservationLastsForTheTransfer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		bytes  int
+		budget clock.Millis
+		least  clock.Millis // until the slot is free again
+	}{
+		{"an upload on a link of 10 Mbit/s", 60_000, clock.Hour, 48},
+		{"a size beyond the deadline", 1 << 40, 60, 60},
+	} {
+		g, _, s, u := newGate(t)
+		u.Slots = 1
+		g.Update(s, u)
+		probe := wire.CapacityProbe{ID: wire.RequestID{Entry: 2, Seq: 1}, Attempt: 1, Upstream: "c1", Budget: tt.budget}
+		unused := make(chan *wire.Reservation, 1)
+		began := time.Now()
+		g.ClaimSlot(&wire.SlotClaim{Probe: probe, Bytes: tt.bytes}, func(r *wire.Reservation) { unused <- r }, nil)
+		if got := <-unused; !got.Reserved {
+			t.Fatalf("%s: got the claim refused (%s), want it granted", tt.name, got.Reason)
+		}
+		next, _ := claimSlot(g, 3)
+		if got := <-next; !got.Reserved {
+			t.Errorf("%s: got the next claim refused (%s), want it granted", tt.name, got.Reason)
+		}
+		if got := clock.FromDuration(time.Since(began)); got < tt.least {
+			t.Errorf("%s: got the slot free after %v, want it reserved for %v at least", tt.name, got, tt.least)
+		}
+	}
+}
+
 // Guards against refusals without the time after which the queue has room: the claim is
 // displaced by one of a higher priority.
 func TestDisplacedClaimGetsARetryAfter(t *testing.T) {
