relay, referral, mirror, node: the fleet reads the store by three nodes and joins by copies

Each start listed all values page by page (seven calls an instance); three nodes of each group of 128 read for themselves; each upstream that left without announcing it cost a call of every node, and a whole list where the node had never called before, since its last confirmed revision was 0; a list after the store had dropped its history wasn't sent to the others.

Change: package relay names three readers in different failure domains, groups within a domain whose size is the square root of three times the nodes, and three relays for each. Nodes subscribe to their parents on each link and get what they have missed; an update that is news is forwarded down, and up where it comes from below. Package referral spreads copies over nodes that start at once: a node serves four of its domain and one of each other and refers the rest to these. The role serves control, so that the platform names three seeds. A removal is confirmed by nodes with a link to the node beside the upstream or a failed call, from the revision known before it. After dropped history the readers' list is published, and others await it once.

Tests: relay TestTopologyIsBoundedAtAnySize has the bounds of the two tests of mirror.Readers that it replaces (150 subscribers at 2,400 nodes), for subscribers of any node, and stability across views. TestNodesThatStartAtOnceTakeTheCopiesOfSeeds counts the lists of 30 nodes (30 without joining, 3 now).

--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -105,7 +105,13 @@
 // ReceiveAnnouncements ignores the announcements.
 func (*heartbeatCounter) ReceiveAnnouncements(*wire.Announcements) {}
 
-// ReceiveCrashes ignores the report and returns none.
+// Subscribe ignores the subscription.
+func (*heartbeatCounter) Subscribe(uint64, string, *wire.Subscription) {}
+
+// ReceiveUpdate ignores the update.
+func (*heartbeatCounter) ReceiveUpdate(string, *wire.StoreUpdate) {}
+
+// ReceiveCrashes returns no crashes.
 func (*heartbeatCounter) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport { return nil }
 
 // PeerHeartbeat counts a heartbeat from the accepting side.
@@ -115,7 +121,13 @@
 func (*heartbeatCounter) PeerUpstream(string, wire.Upstream) {}
 
 // PeerStoreUpdate ignores the update.
-func (*heartbeatCounter) PeerStoreUpdate(*wire.StoreUpdate) {}
+func (*heartbeatCounter) PeerStoreUpdate(string, *wire.StoreUpdate) {}
+
+// PeerReferral ignores the referral.
+func (*heartbeatCounter) PeerReferral(string, *wire.Referral) {}
+
+// PeerCopyPart ignores the part.
+func (*heartbeatCounter) PeerCopyPart(string, *wire.CopyPart) {}
 
 // PeerCrashReport ignores the report.
 func (*heartbeatCounter) PeerCrashReport(*wire.CrashReport) {}
--- a/link/dial.go
+++ b/link/dial.go
@@ -110,6 +110,7 @@
 	p.log.WithField("undecided", len(unresolved)).Debug("link opened")
 	p.updateState()
 	p.sendHeartbeat()
+	p.sendSubscription(conn)
 }
 
 // sendAnnouncements sends what the peer's upstreams have announced, before any request: the peer
--- a/link/peer.go
+++ b/link/peer.go
@@ -52,7 +52,10 @@
 	PeerTableVersion(node string, table *wire.TableVersion)
 	PeerWorkRequest(request *wire.WorkRequest)
 	PeerProfile(profile *wire.UpstreamProfile)
-	PeerStoreUpdate(update *wire.StoreUpdate)
+	PeerStoreUpdate(node string, update *wire.StoreUpdate)
+	// PeerReferral and PeerCopyPart answer a subscription.
+	PeerReferral(node string, referral *wire.Referral)
+	PeerCopyPart(node string, part *wire.CopyPart)
 	PeerCrashReport(report *wire.CrashReport)
 	PeerPath(node string, state path.State)
 }
@@ -107,8 +110,10 @@
 	capacityProbes pendingRequests[lease.Key, wire.Reservation]
 	quotaRequests  pendingRequests[uint64, wire.QuotaGrant]
 	claims         map[lease.Key]*pendingClaim
-	lastUsed       clock.Millis
-	lastPeerTime   clock.Millis // Time of the last heartbeat received
+	// newSubscription returns the subscription to send on each new link; nil without one.
+	newSubscription func() *wire.Subscription
+	lastUsed        clock.Millis
+	lastPeerTime    clock.Millis // Time of the last heartbeat received
 }
 
 // NewPeer returns a peer without a link. Run opens the link when it is first needed.
@@ -347,6 +352,10 @@
 		p.handleGoAway(conn)
 	case *wire.ClaimQueued:
 		p.handleClaimQueued(m)
+	case *wire.Referral:
+		p.config.Observer.PeerReferral(p.config.Address, m)
+	case *wire.CopyPart:
+		p.handleCopyPart(m)
 	default:
 		conn.Close()
 	}
@@ -363,7 +372,7 @@
 		update.Age += max(p.estimate.At(now)-update.Time, 0)
 	}
 	p.mu.Unlock()
-	p.config.Observer.PeerStoreUpdate(update)
+	p.config.Observer.PeerStoreUpdate(p.config.Address, update)
 }
 
 func (p *Peer) handleHeartbeat(heartbeat *wire.Heartbeat) {
--- a/link/server.go
+++ b/link/server.go
@@ -54,6 +54,11 @@
 	// ReceiveAnnouncements handles what the upstreams beside this node have announced to the
 	// peer.
 	ReceiveAnnouncements(m *wire.Announcements)
+	// Subscribe handles a subscription of the peer with link address node. The answers are sent
+	// by Server.SendReferral, SendCopyPart and SendUpdate.
+	Subscribe(entry uint64, node string, m *wire.Subscription)
+	// ReceiveUpdate handles an update of the store from the peer with link address node.
+	ReceiveUpdate(node string, update *wire.StoreUpdate)
 	// ReceiveCrashes handles a peer's crash report and returns the reports to send back.
 	ReceiveCrashes(report *wire.CrashReport) []*wire.CrashReport
 }
--- a/link/session.go
+++ b/link/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -25,6 +26,12 @@
 	lastReplyAt    clock.Millis
 	isAskedToClose bool
 
+	// isSubscribed means that the entry receives forwarded updates, isJoining that it knows only
+	// a few seeds. The server's lock guards both.
+	isSubscribed, isJoining bool
+	// estimate is that of the peer's clock. Only the reading goroutine uses it.
+	estimate lease.ClockEstimate
+
 	mu           sync.Mutex
 	lastPeerTime clock.Millis // Time of the last heartbeat received
 	// lastEcho is the Time of this node's last heartbeat that the peer has received.
@@ -61,6 +68,7 @@
 		s.mu.Lock()
 		s.lastPeerTime, s.lastEcho = m.Time, max(s.lastEcho, m.Echo)
 		s.mu.Unlock()
+		s.estimate.Update(s.server.config.Now(), s.remote.Incarnation, m.Time)
 		h.Heartbeat(s.remote.Node, m)
 	case *wire.TableRequest:
 		if table, ok := h.RequestTable(m); ok {
@@ -83,6 +91,12 @@
 		h.ForwardQuota(s.remote.Incarnation, m)
 	case *wire.SlotClaim:
 		h.ClaimSlot(s.remote.Incarnation, m)
+	case *wire.Subscription:
+		h.Subscribe(s.remote.Incarnation, s.remote.Node, m)
+	case *wire.StoreUpdate:
+		s.handleUpdate(m)
+	case *wire.EraUpdate:
+		s.handleUpdate(&m.Update)
 	case *wire.CrashReport:
 		for _, report := range h.ReceiveCrashes(m) {
 			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
@@ -92,6 +106,14 @@
 	}
 }
 
+// handleUpdate passes an update of the store on, and adds the time in transit to its age.
+func (s *session) handleUpdate(update *wire.StoreUpdate) {
+	if s.estimate.Known() {
+		update.Age += max(s.estimate.At(s.server.config.Now())-update.Time, 0)
+	}
+	s.server.config.Handler.ReceiveUpdate(s.remote.Node, update)
+}
+
 // echoed returns the Time of this node's last heartbeat that the peer has received.
 func (s *session) echoed() clock.Millis {
 	s.mu.Lock()
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -1,6 +1,9 @@
 package metrics
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"fuchsiapick.example/fuchsiapick/access"
@@ -23,6 +26,8 @@
 type PlatformStats struct {
 	// Answered and Failed sum up the calls with and without a complete answer.
 	Answered, Failed CallStats
+	// Causes counts the calls by why they were made; the pages of a list count one by one.
+	Causes map[string]uint64
 	// UpdatesReceived counts updates from other nodes that replaced a call.
 	UpdatesReceived uint64
 	// CopyErrors counts the complete lists of values that differed from this node's copy.
@@ -68,6 +73,9 @@
 type LinkCount struct {
 	// Peers counts the nodes that this one may dial.
 	Peers int
+	// Subscriptions counts the nodes whose updates this one gets, Subscribers those that get its
+	// updates.
+	Subscriptions, Subscribers int
 	// Dialled counts the open links that this node opened, Accepted those that others opened.
 	Dialled, Accepted int
 }
@@ -126,6 +134,8 @@
 		"Concurrent requests of callers that the settings allow.", nil, nil)
 	platformCallsDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
 		"Calls to the platform by what came of them.", []string{"result"}, nil)
+	platformCausesDesc = prometheus.NewDesc(namespace+"_platform_requests_total",
+		"Requests to the platform by why they were made; a list takes one for each page.", []string{"cause"}, nil)
 	platformBytesDesc = prometheus.NewDesc(namespace+"_platform_bytes_total",
 		"Bytes that came from the platform, by what became of the call.", []string{"result"}, nil)
 	platformCallTimeDesc = prometheus.NewDesc(namespace+"_platform_call_seconds_total",
@@ -150,6 +160,8 @@
 		"Log lines left out: the output was busy, over the rate of their message, or repeated.", []string{"cause"}, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
+	subscriptionsDesc = prometheus.NewDesc(namespace+"_subscriptions",
+		"Subscriptions to updates of the platform's values: of this node to others, and of others to it.", []string{"direction"}, nil)
 	linksDesc = prometheus.NewDesc(namespace+"_links",
 		"Open links by who opened them.", []string{"direction"}, nil)
 	verdictDesc = prometheus.NewDesc(namespace+"_gate_verdict",
@@ -198,6 +210,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
+		subscriptionsDesc, platformCausesDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc, speedDesc, concurrencyDesc,
 	} {
@@ -226,6 +239,8 @@
 	if c.Links != nil {
 		l := c.Links.Links()
 		out <- gauge(peersDesc, float64(l.Peers))
+		out <- gauge(subscriptionsDesc, float64(l.Subscriptions), "dialled")
+		out <- gauge(subscriptionsDesc, float64(l.Subscribers), "accepted")
 		out <- gauge(linksDesc, float64(l.Dialled), "dialled")
 		out <- gauge(linksDesc, float64(l.Accepted), "accepted")
 	}
@@ -242,6 +257,9 @@
 func collectPlatform(out chan<- prometheus.Metric, stats PlatformStats) {
 	collectCalls(out, stats.Answered, resultAnswered)
 	collectCalls(out, stats.Failed, resultError)
+	for _, cause := range slices.Sorted(maps.Keys(stats.Causes)) {
+		out <- counter(platformCausesDesc, stats.Causes[cause], cause)
+	}
 	out <- gauge(platformLagDesc, stats.Lag.Seconds())
 	out <- counter(platformLateDesc, stats.LateChanges)
 	out <- counter(platformUpdatesDesc, stats.UpdatesReceived)
--- a/mirror/audit.go
+++ b/mirror/audit.go
@@ -86,7 +86,7 @@
 
 func (f *Follower) suspect(now clock.Millis) {
 	if f.audit.suspect(now) {
-		f.schedule.PollSoon(now)
+		f.pollSoon(now, CauseSuspicion)
 		f.wake()
 	}
 }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,9 @@
 	Publish func(u Update)
 	// ExpectedRemoval reports whether the removal of a value was expected. It may be nil.
 	ExpectedRemoval func(old Item) bool
+	// IsReachable reports whether this node has evidence that what a value describes still
+	// exists. It may be nil, which stands for evidence of everything.
+	IsReachable func(old Item) bool
 	// IsOlder compares the content of values, to keep what a restored store has lost. It may
 	// be nil.
 	IsOlder OlderFunc
@@ -54,7 +58,10 @@
 	// BytesReceived returns the total number of bytes received from the store. It may be
 	// nil.
 	BytesReceived func() uint64
-	Seed          uint64
+	// CallsMade returns the total number of calls made, a list's pages one by one. It may be
+	// nil: a list then counts as one call.
+	CallsMade func() uint64
+	Seed      uint64
 	// Log receives log lines; nil discards them.
 	Log logrus.FieldLogger
 }
@@ -71,27 +78,40 @@
 	revision      atomic.Uint64
 	wakeup        chan struct{}
 	isUnavailable bool
-	// confirmedRevision is the revision of the last answered call, which started at
-	// confirmedAt. unconfirmedRevision is the revision of a later update with removals
-	// that the store has not confirmed; 0 if there is none.
-	confirmedRevision   uint64
-	confirmedAt         clock.Millis
-	unconfirmedRevision uint64
-	audit               audit
-	lag                 lag
-	pendingUpdates      []pendingUpdate
+	// confirmedAt is the start of the last answered call. unconfirmedRevision is the revision of
+	// a later update with removals that the store has not confirmed, 0 if there is none. The
+	// removals came after unconfirmedSince.
+	confirmedAt                           clock.Millis
+	unconfirmedRevision, unconfirmedSince uint64
+	audit                                 audit
+	lag                                   lag
+	pendingUpdates                        []pendingUpdate
 	// awaitsRestored means that the store was restored, and that this node waits for the
 	// update of one that has listed the values before it lists them itself.
 	awaitsRestored bool
+	// awaitsReaders means that the store has dropped changes that this node needs, and that it
+	// waits for the update of a reader before it lists the values itself.
+	awaitsReaders bool
 	// peerBytes is the size of all values in the copy of a peer with newer values.
 	peerBytes int
-	stats     Stats
+	history   history
+	// forwardedRevision and forwardedAt are those of the last update that was news here: the
+	// revision, and the time at which the store was at it.
+	forwardedRevision uint64
+	forwardedAt       clock.Millis
+	// urgentCause is the cause of a call that must be made soon.
+	urgentCause Cause
+	// callsCounted is the number of calls that Stats.Causes includes. Only Serve uses it.
+	callsCounted uint64
+	stats        Stats
 }
 
 // Stats holds the counters of a follower.
 type Stats struct {
 	// Answered counts the calls that returned a complete answer, Failed the others.
 	Answered, Failed CallStats
+	// Causes counts the calls by cause.
+	Causes map[Cause]uint64
 	// LateChanges counts the periods in which a change known to a peer was not read
 	// within MaxStaleness. Lag is the time since a peer announced the oldest change that
 	// is still unread.
@@ -131,6 +151,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.stats
+	s.Causes = maps.Clone(s.Causes)
 	s.KnownAt, s.IsKnown = f.schedule.currentAt, f.schedule.currentAt >= 0
 	s.Lag = f.lag.age(f.config.Now())
 	s.ValuesIgnored, s.Era = f.copy.ignored, EraOf(f.copy.Revision())
@@ -158,11 +179,15 @@
 			f.mu.Unlock()
 		}
 		startedAt, received := f.config.Now(), f.bytesReceived()
-		err := f.poll(ctx)
+		f.mu.Lock()
+		cause := f.callCause()
+		f.mu.Unlock()
+		err := f.poll(ctx, &cause)
+		f.countCalls(cause)
 		if ctx.Err() != nil {
 			break
 		}
-		f.recordCall(f.config.Now()-startedAt, f.bytesReceived()-received, err)
+		f.recordCall(cause, f.config.Now()-startedAt, f.bytesReceived()-received, err)
 	}
 	return errors.Trace(ctx.Err())
 }
@@ -215,6 +240,23 @@
 func (f *Follower) Seed(items []Item, revision uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.seed(items, revision)
+}
+
+// SeedCurrent does the same with a copy that equalled the store at an age before now. The next
+// call is due as after an update of that age.
+func (f *Follower) SeedCurrent(items []Item, revision uint64, age clock.Millis) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.seed(items, revision) {
+		return false
+	}
+	f.schedule.Refreshed(f.config.Now() - age)
+	f.wake()
+	return true
+}
+
+func (f *Follower) seed(items []Item, revision uint64) bool {
 	if f.copy.Revision() > 0 || revision == 0 {
 		return false
 	}
@@ -224,20 +266,23 @@
 	return true
 }
 
-// poll makes one call of the store and applies its answer.
-func (f *Follower) poll(ctx context.Context) error {
+// poll makes one call of the store and applies its answer. It changes the cause if the store can't
+// return the changes.
+func (f *Follower) poll(ctx context.Context, cause *Cause) error {
 	after, isAudit := f.watchStart()
 	if after == 0 || isAudit {
 		return f.relist(ctx, false)
 	}
 	startedAt := f.config.Now()
 	events, revision, err := f.config.Store.Watch(ctx, after, watchTimeout, f.maxWatchBytes())
-	if errors.Is(err, ErrRestored) && f.awaitRestored() {
+	if (errors.Is(err, ErrRestored) && f.awaitRestored()) || (errors.Is(err, ErrCompacted) && f.awaitReaders()) {
 		return nil
 	}
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) || errors.Is(err, ErrTooLarge) {
 		f.config.Log.WithError(err).WithField("revision", StoreRevision(after)).Info("can't read the changes since this revision; listing all values")
-		return f.relist(ctx, !errors.Is(err, ErrCompacted))
+		f.countCalls(*cause)
+		*cause = CauseHistory
+		return f.relist(ctx, true)
 	}
 	if err != nil {
 		return errors.Trace(err)
@@ -268,6 +313,21 @@
 	}
 	f.awaitsRestored = true
 	f.schedule.AwaitPeer(f.config.Now())
+	f.urgentCause = CauseHistory
+	return true
+}
+
+// awaitReaders reports whether this node waits for the update of one that reads ahead of the others,
+// because the store has dropped the changes that this node needs. It waits once: then it lists all
+// values itself.
+func (f *Follower) awaitReaders() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.awaitsReaders || f.schedule.isReader || f.config.Nodes == nil {
+		return false
+	}
+	f.awaitsReaders = true
+	f.schedule.AwaitReaders(f.config.Now())
 	return true
 }
 
@@ -290,14 +350,14 @@
 	defer f.mu.Unlock()
 	f.audit.recordCall(len(f.copy.items))
 	if f.unconfirmedRevision > 0 {
-		return f.confirmedRevision, f.audit.isDue
+		return f.unconfirmedSince, f.audit.isDue
 	}
 	return f.copy.Revision(), f.audit.isDue
 }
 
 // relist lists all values and replaces the copy. It publishes the difference if
-// shouldPublish, that is, if the list replaces a watch whose answer was too large or that a
-// restored store can't answer.
+// shouldPublish, that is, if the list replaces a watch that the store couldn't answer or whose
+// answer was too large.
 func (f *Follower) relist(ctx context.Context, shouldPublish bool) error {
 	startedAt := f.config.Now()
 	list, err := f.config.Store.List(ctx)
@@ -341,11 +401,13 @@
 	f.revision.Store(f.copy.Revision())
 	f.config.Deliver(f.copy.Items(now), false)
 	f.schedule.Answered(startedAt)
-	f.confirmedRevision, f.confirmedAt = revision, startedAt
+	f.confirmedAt = startedAt
+	f.awaitsReaders = false
 	if revision >= f.unconfirmedRevision {
 		f.unconfirmedRevision = 0
 	} else {
-		f.schedule.PollSoon(now)
+		f.unconfirmedSince = revision
+		f.pollSoon(now, CauseRemoval)
 	}
 	if digest, isSettled := f.copy.Digest(); isSettled && f.unconfirmedRevision == 0 && update.Revision == f.copy.Revision() {
 		update.Digest = digest
@@ -353,6 +415,7 @@
 	if update.IsTruncated {
 		update.Bytes = f.copy.Bytes()
 	}
+	f.history.record(update)
 	if !isUrgent {
 		f.publish(update, now, startedAt)
 	}
@@ -360,7 +423,7 @@
 	f.receivePending(now)
 	f.logLag()
 	if f.lag.hasTruncated() {
-		f.schedule.PollSoon(now) // a peer announced a large change during the call
+		f.pollSoon(now, CauseLarge) // a peer announced a large change during the call
 	}
 }
 
@@ -379,7 +442,8 @@
 
 // recordCall records the result of a call, and reports when the store becomes unavailable
 // and when it answers again.
-func (f *Follower) recordCall(took clock.Millis, bytes uint64, err error) {
+func (f *Follower) recordCall(cause Cause, took clock.Millis, bytes uint64, err error) {
+	f.config.Log.WithFields(logrus.Fields{"cause": string(cause), "bytes": bytes, "took": took.String(), "answered": err == nil}).Debug("platform called")
 	f.mu.Lock()
 	if err == nil {
 		f.stats.Answered.add(bytes, took)
--- a/mirror/update.go
+++ b/mirror/update.go
@@ -162,20 +162,34 @@
 // written up to the known revision is already known, or was removed since. A registration
 // also expires when its upstream is alive and only cut off from the store, together with
 // this node or close to it. An unexpected removal is therefore accepted only if the store
-// has recently answered this node itself. Otherwise a node that is cut off too would lose
-// the upstreams that only it can reach.
+// has recently answered this node itself, or if nothing indicates that the upstream still
+// exists. Otherwise a node that is cut off too would lose the upstreams that only it can
+// reach.
 func (f *Follower) trustedEvents(now clock.Millis, u Update) []Event {
 	events := newerThan(u.Events, f.copy.Revision())
-	isUnexpectedRemoval := func(e Event) bool { return e.Gone && !f.isExpectedRemoval(e.Key) }
+	isUnexpectedRemoval := func(e Event) bool { return e.Gone && !f.isExpectedRemoval(e.Key) && f.mayExist(e.Key) }
 	if now-f.confirmedAt <= confirmWindow || !slices.ContainsFunc(events, isUnexpectedRemoval) {
 		return events
 	}
+	if f.unconfirmedRevision == 0 {
+		f.unconfirmedSince = f.copy.Revision()
+	}
 	f.unconfirmedRevision = max(f.unconfirmedRevision, u.Revision)
-	f.schedule.PollSoon(now)
+	f.pollSoon(now, CauseRemoval)
 	f.wake()
 	return slices.DeleteFunc(events, isUnexpectedRemoval)
 }
 
+// mayExist reports whether what a removed value describes may still exist: there is evidence of it,
+// or this node's last call failed, so that it may be cut off together with the value's writer.
+func (f *Follower) mayExist(key string) bool {
+	if f.config.IsReachable == nil || f.schedule.Failures() > 0 {
+		return true
+	}
+	old, ok := f.copy.effective(key)
+	return ok && f.config.IsReachable(old)
+}
+
 // newerThan leaves out the values that were written up to the known revision.
 func newerThan(events []Event, known uint64) []Event {
 	isKnown := func(e Event) bool { return !e.Gone && e.Revision <= known }
@@ -200,17 +214,36 @@
 	at     clock.Millis
 }
 
-// ReceiveUpdate applies an update from another node.
-func (f *Follower) ReceiveUpdate(u Update) {
+// minFreshness is by how much an update without changes must be more recent than the last one to
+// be news. It keeps nodes that forward updates to each other from sending the same one on and on.
+const minFreshness = 100 * clock.Millis(1)
+
+// ReceiveUpdate applies an update from another node. It reports whether the update is news, which
+// this node forwards: it shows a later state of the store than all before.
+func (f *Follower) ReceiveUpdate(u Update) (isNews bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
 	if u.IsUnavailable {
 		f.schedule.Postpone(now)
-		return
+		return false
 	}
+	isNews = f.isNews(now, &u)
 	f.receive(now, u)
 	f.logLag()
+	return isNews
+}
+
+// isNews reports whether an update shows a later state of the store than all before, and records
+// it.
+func (f *Follower) isNews(now clock.Millis, u *Update) bool {
+	latest := max(f.forwardedRevision, f.copy.Revision())
+	at := now - u.Age
+	isNews := u.Revision > latest || (u.Revision == latest && at >= max(f.forwardedAt, f.schedule.currentAt)+minFreshness)
+	if isNews {
+		f.forwardedRevision, f.forwardedAt = u.Revision, at
+	}
+	return isNews
 }
 
 // receive applies an update with changes. Updates that leave a gap after the known
@@ -236,6 +269,8 @@
 	f.copy.Apply(now, f.trustedEvents(now, u), u.Revision)
 	f.revision.Store(f.copy.Revision())
 	f.stats.UpdatesReceived++
+	f.awaitsReaders = false
+	f.history.record(received)
 	f.config.Deliver(f.copy.Items(now), true) // a grace period may have ended, even without events
 	if len(f.copy.carried) == 0 {             // peers don't send the writes that end what is carried here alone
 		f.schedule.Refreshed(now - u.Age)
@@ -261,7 +296,7 @@
 	}
 	f.schedule.MissedChanges(now)
 	if u.IsTruncated {
-		f.schedule.PollSoon(now)
+		f.pollSoon(now, CauseLarge)
 	}
 	f.wake()
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,11 +9,14 @@
 func (n *Node) Links() metrics.LinkCount {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count := metrics.LinkCount{Peers: len(n.peers), Accepted: n.links.OpenLinks()}
+	count := metrics.LinkCount{Peers: len(n.peers), Accepted: n.links.OpenLinks(), Subscribers: n.links.Subscribers()}
 	for _, p := range n.peers {
 		if p.link.Ready() {
 			count.Dialled++
 		}
+		if p.isSubscribed {
+			count.Subscriptions++
+		}
 	}
 	return count
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,8 @@
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
+	"fuchsiapick.example/fuchsiapick/referral"
+	"fuchsiapick.example/fuchsiapick/relay"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/versionguard"
@@ -96,6 +98,14 @@
 	inForce     chan struct{}
 	inForceOnce sync.Once
 
+	// copyKnown is closed when this node has its first copy of the platform's values.
+	copyKnown     chan struct{}
+	copyKnownOnce sync.Once
+	// joinAnswers holds the answers of the nodes that this node asks while it joins the fleet.
+	joinAnswers chan joinAnswer
+	// receivedParts holds the parts of a copy that is being received, by node.
+	receivedParts map[string][]mirror.Item
+
 	// heartbeatRequested is filled when a change of a gate should reach the entries of other
 	// nodes immediately.
 	heartbeatRequested chan struct{}
@@ -112,8 +122,18 @@
 	// earlyAnnouncements holds announcements of upstreams that have no gate yet, by name.
 	earlyAnnouncements map[string]earlyAnnouncement
 	peers              map[string]*peer
-	stopping           bool // a shutdown has begun
-	leaving            bool // the gates refuse new requests
+	// members are the nodes that the table names, topology is theirs or nil until it is needed.
+	members  []relay.Member
+	topology *relay.Topology
+	// joinParent is the node that serves this one while it joins the fleet; empty afterwards.
+	// placements records the joining nodes that this node serves, awaitedCopies those that wait
+	// for this node's first copy, until sendsCopies is set.
+	joinParent    string
+	placements    *referral.Book
+	awaitedCopies []uint64
+	sendsCopies   bool
+	stopping      bool // a shutdown has begun
+	leaving       bool // the gates refuse new requests
 	// readRevisions holds the revisions of the values that were applied, by key. Only the
 	// follower's goroutine uses it.
 	readRevisions       map[string]uint64
@@ -127,34 +147,7 @@
 	if c.UpstreamHeaders == (gate.Headers{}) {
 		c.UpstreamHeaders = gate.DefaultHeaders()
 	}
-	n := &Node{
-		settings:           c.Settings,
-		tableBuilder:       c.TableBuilder,
-		upstreamHeaders:    c.UpstreamHeaders,
-		listeners:          c.Listeners,
-		log:                c.Log.WithField("node", c.Settings.Node),
-		clock:              clock.NewSystem(),
-		incarnation:        randomUint64(),
-		leave:              make(chan struct{}),
-		heartbeatRequested: make(chan struct{}, 1),
-		peerVersionKnown:   make(chan struct{}),
-		inForce:            make(chan struct{}),
-		versionGuard:       versionguard.New(),
-		gates:              map[string]*gate.Gate{},
-		retired:            map[string]retiredGate{},
-		unknownUpstreams:   map[string]clock.Millis{},
-		earlyAnnouncements: map[string]earlyAnnouncement{},
-		localWaiters:       newLocalWaiters(),
-		peers:              map[string]*peer{},
-		listedLeaving:      map[string]bool{},
-		readRevisions:      map[string]uint64{},
-		neighbourSeed:      maphash.MakeSeed(),
-		accessLog: access.New(access.Config{
-			Records: c.Settings.Limits.Records,
-			Events:  maxEvents,
-			Callers: maxCallers,
-		}),
-	}
+	n := newNode(c)
 	n.seed = n.incarnation
 	n.keys = gate.NewKeyStore(n.clock.Now)
 	n.crashes = newCrashTracker(n.clock.Now, func(c *wire.CrashReport) { n.links.BroadcastCrashes(c) })
@@ -195,6 +188,42 @@
 	return n, nil
 }
 
+// newNode returns a node without the parts that New builds.
+func newNode(c Config) *Node {
+	return &Node{
+		settings:           c.Settings,
+		tableBuilder:       c.TableBuilder,
+		upstreamHeaders:    c.UpstreamHeaders,
+		listeners:          c.Listeners,
+		log:                c.Log.WithField("node", c.Settings.Node),
+		clock:              clock.NewSystem(),
+		incarnation:        randomUint64(),
+		leave:              make(chan struct{}),
+		heartbeatRequested: make(chan struct{}, 1),
+		peerVersionKnown:   make(chan struct{}),
+		inForce:            make(chan struct{}),
+		copyKnown:          make(chan struct{}),
+		joinAnswers:        make(chan joinAnswer, joinAnswerQueue),
+		receivedParts:      map[string][]mirror.Item{},
+		placements:         referral.NewBook(c.Settings.Domain),
+		versionGuard:       versionguard.New(),
+		gates:              map[string]*gate.Gate{},
+		retired:            map[string]retiredGate{},
+		unknownUpstreams:   map[string]clock.Millis{},
+		earlyAnnouncements: map[string]earlyAnnouncement{},
+		localWaiters:       newLocalWaiters(),
+		peers:              map[string]*peer{},
+		listedLeaving:      map[string]bool{},
+		readRevisions:      map[string]uint64{},
+		neighbourSeed:      maphash.MakeSeed(),
+		accessLog: access.New(access.Config{
+			Records: c.Settings.Limits.Records,
+			Events:  maxEvents,
+			Callers: maxCallers,
+		}),
+	}
+}
+
 // newMetrics returns the node's metrics, which read the state of its parts.
 func (n *Node) newMetrics(drops metrics.LogDrops) *metrics.Set {
 	return metrics.New(metrics.Config{
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/thejerf/suture/v4"
 
@@ -9,6 +10,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/path"
+	"fuchsiapick.example/fuchsiapick/relay"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/versionguard"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -20,6 +22,7 @@
 	token suture.ServiceToken
 	// leaving is whether the peer's last heartbeat said that it is leaving.
 	leaving      bool
+	isSubscribed bool // this node subscribes to the peer's updates
 	lossRecorded bool // the last event recorded for the path says that it is lost
 	// crashesAskedAt is when the peer was last asked for the crashes that it knows; 0 for
 	// never.
@@ -37,15 +40,20 @@
 // applyPeers adds the peers that the table names, and removes the others once canRemovePeer
 // allows it. The caller holds the node's lock.
 func (n *Node) applyPeers(t *table.Table) {
-	named := map[string]bool{}
+	named := map[string]bool{n.joinParent: true}
+	members := make([]relay.Member, 0, len(n.members))
 	for i := range t.Services {
 		for _, u := range t.Services[i].Upstreams {
+			members = append(members, relay.Member{Node: u.Node, Domain: u.Domain})
 			if u.Node != n.address() {
 				named[u.Node] = true
 				n.addPeer(u.Node).removedAt = 0
 			}
 		}
 	}
+	if !slices.Equal(members, n.members) {
+		n.members, n.topology = members, nil
+	}
 	for address, p := range n.peers {
 		if !named[address] && n.canRemovePeer(p) {
 			delete(n.peers, address)
@@ -246,6 +254,9 @@
 func (n *Node) bootstrap() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.tableBuilder != nil {
+		return // join asks them for the platform's values
+	}
 	for _, address := range n.settings.Peers {
 		if address != n.address() {
 			n.addPeer(address).link.EnsureLink()
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,10 +45,15 @@
 	if n.follower == nil {
 		return
 	}
-	tree.Add(service{"relay", every(linkCheckInterval, n.keepNeighbourLinks)})
-	tree.Add(service{"readers", every(linkCheckInterval, n.keepReaderLinks)})
+	tree.Add(service{"neighbours", every(linkCheckInterval, n.keepNeighbourLinks)})
+	tree.Add(service{"subscriptions", every(linkCheckInterval, n.keepSubscriptions)})
+	tree.Add(service{"copies", n.sendAwaitedCopies})
 	tree.Add(service{"platform reader", func(ctx context.Context) error {
-		n.awaitPeerVersion(ctx)
+		if n.tableBuilder != nil {
+			n.join(ctx)
+		} else {
+			n.awaitPeerVersion(ctx)
+		}
 		return n.follower.Serve(ctx)
 	}})
 }
@@ -70,6 +74,12 @@
 	if counter, ok := store.(interface{ Received() uint64 }); ok {
 		config.BytesReceived = counter.Received
 	}
+	if counter, ok := store.(interface{ Calls() uint64 }); ok {
+		config.CallsMade = counter.Calls
+	}
+	if _, ok := n.tableBuilder.(locator); ok {
+		config.IsReachable = n.isReachable
+	}
 	if n.tableBuilder != nil {
 		config.Hash, config.ExpectedRemoval, config.IsOlder = n.tableBuilder.Hash, n.tableBuilder.ExpectedRemoval, n.tableBuilder.IsOlder
 	}
@@ -79,46 +89,11 @@
 	return mirror.NewFollower(config)
 }
 
-// fleetSize returns how many nodes read the platform, and whether this node is one of those
-// that read it ahead of the others.
-func (n *Node) fleetSize() (int, bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.peers) + 1, slices.Contains(n.readers(), n.address())
-}
-
-// readers returns the addresses of the nodes that read the platform ahead of the others in
-// this node's group. The caller holds the node's lock.
-func (n *Node) readers() []string {
-	return mirror.Readers(n.address(), n.knownNodes())
-}
-
-// knownNodes returns the addresses of all peers and of this node. The caller holds the node's
-// lock.
-func (n *Node) knownNodes() []string {
-	return append(slices.Collect(maps.Keys(n.peers)), n.address())
-}
-
-// keepReaderLinks keeps links to the nodes that read the platform ahead of the others,
-// because their updates arrive over these links.
-func (n *Node) keepReaderLinks() {
-	n.mu.Lock()
-	var readers []*peer
-	for _, address := range n.readers() {
-		if p, ok := n.peers[address]; ok {
-			readers = append(readers, p)
-		}
-	}
-	n.mu.Unlock()
-	for _, p := range readers {
-		p.link.EnsureLink()
-	}
-}
-
 // deliver applies the platform's values: through the TableBuilder if there is one, otherwise
 // the table and the instance list if their revisions have changed. fromUpdate says that the
 // values come from another node's update.
 func (n *Node) deliver(items []mirror.Item, fromUpdate bool) {
+	n.copyKnownOnce.Do(func() { close(n.copyKnown) })
 	if n.tableBuilder != nil {
 		if t, ok := n.tableBuilder.Table(items); ok {
 			n.Adopt(t)
@@ -145,12 +120,16 @@
 	return fromPlatform
 }
 
-// announceUpdate sends an update of the platform's values to all nodes with a link.
+// announceUpdate sends an update of the platform's values, which this node has read itself, to all
+// nodes with a link, and to those that forward updates to this node.
 func (n *Node) announceUpdate(update mirror.Update) {
 	message, ok := n.packUpdate(update)
 	if !ok {
 		return
 	}
+	if !update.IsUnavailable {
+		n.sendToParents(message, "")
+	}
 	if mirror.EraOf(update.Revision) == 0 {
 		n.links.BroadcastUpdate(message, nil)
 		return
@@ -178,11 +157,8 @@
 	return message, true
 }
 
-// PeerStoreUpdate handles another node's update of the platform's values.
-func (n *Node) PeerStoreUpdate(message *wire.StoreUpdate) {
-	if n.follower == nil {
-		return
-	}
+// unpackUpdate returns the update in a message, or false if its changes can't be unpacked.
+func (n *Node) unpackUpdate(message *wire.StoreUpdate) (mirror.Update, bool) {
 	update := mirror.Update{
 		Since: message.Since, Revision: message.Revision, IsTruncated: message.IsTruncated, IsUnavailable: message.IsUnavailable, Age: message.Age,
 		IsListDiff: message.IsListDiff, Bytes: message.Bytes, Digest: message.Digest,
@@ -190,10 +166,10 @@
 	if len(message.Changes) > 0 {
 		if err := wire.Unpack(message.Changes, &update.Events); err != nil {
 			n.log.WithError(err).Error("update from a peer ignored; its changes can't be unpacked")
-			return
+			return update, false
 		}
 	}
-	n.follower.ReceiveUpdate(update)
+	return update, true
 }
 
 // seedersPerRound is the approximate number of nodes that send a peer without a table their
@@ -304,7 +280,10 @@
 	stats := metrics.PlatformStats{
 		Answered: metrics.CallStats(s.Answered), Failed: metrics.CallStats(s.Failed), UpdatesReceived: s.UpdatesReceived, CopyErrors: s.CopyErrors,
 		ValuesIgnored: s.ValuesIgnored, Era: s.Era,
-		Revision: mirror.StoreRevision(n.follower.Revision()), Lag: s.Lag, LateChanges: s.LateChanges,
+		Causes: map[string]uint64{}, Revision: mirror.StoreRevision(n.follower.Revision()), Lag: s.Lag, LateChanges: s.LateChanges,
+	}
+	for _, cause := range mirror.Causes() {
+		stats.Causes[string(cause)] = s.Causes[cause]
 	}
 	if s.IsKnown {
 		stats.IsKnown, stats.Age = true, max(n.clock.Now()-s.KnownAt, 0)
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -10,7 +10,6 @@
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
-	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -37,17 +36,17 @@
 			n.crashes.expire()
 		case <-n.crashes.changed:
 			if crashes := n.crashes.takePending(); len(crashes) > 0 {
-				n.announceToReaders(wire.NewCrashReports(n.clock.Now(), crashes))
+				n.announceToRelays(wire.NewCrashReports(n.clock.Now(), crashes))
 			}
 		}
 		n.applyCases(n.crashes.cases(), quarantined)
 	}
 }
 
-// announceToReaders sends crash reports to the reader nodes of all groups, because every node
-// keeps links to some of them.
-func (n *Node) announceToReaders(reports []*wire.CrashReport) {
-	for _, p := range n.allReaders() {
+// announceToRelays sends crash reports to all relays, because every node keeps links to some of
+// them.
+func (n *Node) announceToRelays(reports []*wire.CrashReport) {
+	for _, p := range n.allRelays() {
 		p.link.EnsureLink()
 		for _, report := range reports {
 			p.link.SendCrashes(report)
@@ -55,17 +54,17 @@
 	}
 }
 
-// allReaders returns the peers that read the platform ahead of the others, of all groups.
-func (n *Node) allReaders() []*peer {
+// allRelays returns the peers that other nodes subscribe to.
+func (n *Node) allRelays() []*peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var readers []*peer
-	for _, address := range mirror.AllReaders(n.knownNodes()) {
+	var relays []*peer
+	for _, address := range n.currentTopology().Relays() {
 		if p, ok := n.peers[address]; ok {
-			readers = append(readers, p)
+			relays = append(relays, p)
 		}
 	}
-	return readers
+	return relays
 }
 
 // applyCases logs and records which requests are newly quarantined and which no longer are,
@@ -111,8 +110,7 @@
 // ReceiveCrashes merges the crash report of a node that dialled this one. It returns the
 // crashes that the sender lacks, preceded by all crashes if the report asks for a reply.
 func (n *Node) ReceiveCrashes(report *wire.CrashReport) []*wire.CrashReport {
-	_, isReader := n.fleetSize()
-	missing := n.crashes.merge(report, isReader)
+	missing := n.crashes.merge(report, n.isRelay())
 	if report.WantsReply {
 		missing = append(n.crashes.allCrashes(), missing...)
 	}
@@ -121,8 +119,7 @@
 
 // PeerCrashReport merges the crash report of a node that this one dialled.
 func (n *Node) PeerCrashReport(report *wire.CrashReport) {
-	_, isReader := n.fleetSize()
-	n.crashes.merge(report, isReader)
+	n.crashes.merge(report, n.isRelay())
 }
 
 // syncCrashes exchanges all crashes with a peer whose crash digest differs from this node's.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -71,6 +71,9 @@
 	KindClaimQueued
 	KindUpstreamProfile
 	KindQuotaForward
+	KindSubscription
+	KindReferral
+	KindCopyPart
 )
 
 const (
@@ -79,7 +82,7 @@
 	// LastKind is the highest kind that this release accepts. Kinds above BaseKind are sent
 	// only to peers that state in the handshake that they accept them, so that a new kind
 	// needs no new Format.
-	LastKind = KindQuotaForward
+	LastKind = KindCopyPart
 )
 
 // Message is a pointer to one of the message types of this package.
@@ -193,6 +196,9 @@
 	KindClaimQueued:        func() Message { return new(ClaimQueued) },
 	KindUpstreamProfile:    func() Message { return new(UpstreamProfile) },
 	KindQuotaForward:       func() Message { return new(QuotaForward) },
+	KindSubscription:       func() Message { return new(Subscription) },
+	KindReferral:           func() Message { return new(Referral) },
+	KindCopyPart:           func() Message { return new(CopyPart) },
 }
 
 // newMessage returns an empty message of a kind, or nil for an unknown kind.
