link, node: a peer has a goroutine only while it is needed

Cause: each node that the table names had a supervised goroutine, used or not: 983 in each process of the whole fleet, whose median resident size was 46 MB before any traffic. Change: a peer starts its loop when it is connected to, and ends it when it has no link, nothing pending and a good path. TestPeersRunOnlyWhileTheyAreNeeded can't be written without the change, as peers ran from the start.

--- a/link/peer.go
+++ b/link/peer.go
@@ -80,6 +80,9 @@
 	Now         func() clock.Millis
 	// Status returns the content of this node's heartbeats, without Time and Echo.
 	Status func() wire.Heartbeat
+	// Start runs Run in the background. The peer calls it when it is needed, and Run returns when
+	// it isn't any more. It may be nil: Run is then called once, and runs until its context ends.
+	Start func()
 	// Announcements returns what the upstreams beside the peer have announced to this node. It
 	// may be nil.
 	Announcements func() *wire.Announcements
@@ -94,6 +97,9 @@
 	log             logrus.FieldLogger
 	connectRequests chan struct{}
 
+	runMu              sync.Mutex // guards the two below
+	isStarted, isEnded bool
+
 	notifyMu       sync.Mutex // held while the observer is notified of a path change; locked before mu
 	mu             sync.Mutex
 	conn           *Conn
@@ -167,6 +173,28 @@
 
 // Connect requests that Run open a link. It doesn't wait for it.
 func (p *Peer) Connect() {
+	p.runMu.Lock()
+	defer p.runMu.Unlock()
+	if p.isEnded {
+		return
+	}
+	p.wake()
+	if !p.isStarted && p.config.Start != nil {
+		p.isStarted = true
+		p.config.Start()
+	}
+}
+
+// End ends Run, and the peer's links with it, for a node that no table names any more.
+func (p *Peer) End() {
+	p.runMu.Lock()
+	defer p.runMu.Unlock()
+	p.isEnded = true
+	p.wake()
+}
+
+// wake makes Run check what it has to do.
+func (p *Peer) wake() {
 	select {
 	case p.connectRequests <- struct{}{}:
 	default:
@@ -210,8 +238,22 @@
 	p.Connect()
 }
 
+// mayStop reports whether Run isn't needed: nothing has to be checked until the next Connect, which
+// starts it again.
+func (p *Peer) mayStop() bool {
+	if p.config.Start == nil {
+		return false
+	}
+	p.runMu.Lock()
+	defer p.runMu.Unlock()
+	stops := p.isEnded || (len(p.connectRequests) == 0 && p.isQuiescent())
+	p.isStarted = !stops
+	return stops
+}
+
 // Run keeps a link open while it is needed. It returns when the context ends, with the
-// context's error.
+// context's error, and nil when the peer needs no periodic checks and has PeerConfig.Start. In a
+// fleet of the design size a node has thousands of peers and uses few of them at a time.
 func (p *Peer) Run(ctx context.Context) error {
 	defer p.finishConns()
 	tick := (p.config.HeartbeatInterval / ticksPerHeartbeat).Duration()
@@ -219,6 +261,9 @@
 	defer ticker.Stop()
 	ticks := 0
 	for {
+		if p.mayStop() {
+			return nil
+		}
 		if p.isQuiescent() {
 			ticker.Stop()
 		}
@@ -237,8 +282,7 @@
 	}
 }
 
-// isQuiescent reports whether the peer needs no periodic checks. In a fleet of the design
-// size a node has thousands of peers and uses few of them at a time.
+// isQuiescent reports whether the peer needs no periodic checks.
 func (p *Peer) isQuiescent() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/link/start_test.go
@@ -0,0 +1,54 @@
+package link_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/path"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// Guards against a goroutine for each node of the fleet: with 983 nodes each process held as many
+// stacks, used or not. A peer runs while it is needed, and again after it has stopped.
+func TestPeersRunOnlyWhileTheyAreNeeded(t *testing.T) {
+	address, _, server := serveLinks(t, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var started, running atomic.Int64
+	var peer *link.Peer
+	peer = link.NewPeer(link.PeerConfig{
+		Address: address, Self: identity("10.0.0.1:7000", secret), MaxFrame: limit, MaxReplyBody: limit,
+		HeartbeatInterval: 40, IdleTimeout: 100, Now: clock.NewSystem().Now,
+		Status: func() wire.Heartbeat { return wire.Heartbeat{} }, Observer: pathObserver{states: make(chan path.State, 100)}, Log: logger(),
+		Start: func() {
+			started.Add(1)
+			running.Add(1)
+			go func() {
+				_ = peer.Run(ctx) // returns nil when the peer isn't needed
+				running.Add(-1)
+			}()
+		},
+	})
+	if got := started.Load(); got != 0 {
+		t.Fatalf("got %d runs of a peer that isn't needed, want none", got)
+	}
+	for round := range int64(3) {
+		peer.EnsureLink()
+		waitFor(t, func() bool { return server.OpenLinks() > 0 || peer.Ready() })
+		waitFor(t, func() bool { return running.Load() == 0 })
+		if got, want := started.Load(), round+1; got != want {
+			t.Errorf("got %d runs after %d links, want %d", got, round+1, want)
+		}
+	}
+	peer.EnsureLink()
+	waitFor(t, func() bool { return running.Load() == 1 })
+	peer.End()
+	waitFor(t, func() bool { return running.Load() == 0 })
+	peer.EnsureLink()
+	if got := running.Load(); got != 0 {
+		t.Errorf("got %d runs of a peer that has ended, want none", got)
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -18,8 +18,7 @@
 
 // peer is another node that this node may dial.
 type peer struct {
-	link  *link.Peer
-	token suture.ServiceToken
+	link *link.Peer
 	// leaving is whether the peer's last heartbeat said that it is leaving.
 	leaving      bool
 	isSubscribed bool // this node subscribes to the peer's updates
@@ -57,7 +56,7 @@
 	for address, p := range n.peers {
 		if !named[address] && n.canRemovePeer(p) {
 			delete(n.peers, address)
-			_ = n.peerSupervisor.Remove(p.token) // removed already when the node stops
+			p.link.End()
 		}
 	}
 }
@@ -98,7 +97,8 @@
 	if p, ok := n.peers[address]; ok {
 		return p
 	}
-	p := &peer{link: link.NewPeer(link.PeerConfig{
+	p := &peer{}
+	p.link = link.NewPeer(link.PeerConfig{
 		Address:           address,
 		Self:              n.identity(),
 		MaxFrame:          n.frameLimit(),
@@ -111,12 +111,22 @@
 		Announcements:     func() *wire.Announcements { return n.entry.Announcements(address) },
 		Observer:          n,
 		Log:               n.log,
-	})}
-	p.token = n.peerSupervisor.Add(service{"peer " + address, func(ctx context.Context) error { return p.link.Run(ctx) }})
+		Start:             func() { n.runPeer(p.link) },
+	})
 	n.peers[address] = p
 	return p
 }
 
+// runPeer runs a peer under the supervisor of peers, until it isn't needed any more.
+func (n *Node) runPeer(p *link.Peer) {
+	n.peerSupervisor.Add(service{"peer " + p.Address(), func(ctx context.Context) error {
+		if err := p.Run(ctx); err != nil {
+			return err
+		}
+		return suture.ErrDoNotRestart
+	}})
+}
+
 // Status returns the content of this node's heartbeats: the version in force, whether the
 // node is leaving and the states of its upstreams. With a TableBuilder, the version is the
 // revision of the platform's values.
