mirror, node: exact copies, and a longer backoff while peers keep the copy current

And a node that the store refuses while peers keep its copy current called it every 0.15 to 0.45 s for a removal that only the store confirms.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -243,15 +243,37 @@
 	return f.seed(items, revision)
 }
 
-// SeedCurrent does the same with a copy that equalled the store at an age before now. The next
-// call is due as after an update of that age.
-func (f *Follower) SeedCurrent(items []Item, revision uint64, age clock.Millis) bool {
+// Replica is a node's copy of the store.
+type Replica struct {
+	Items    []Item
+	Revision uint64
+	// Age is the time since the store was at Revision.
+	Age clock.Millis
+	// IsExact is true if Items are exactly what the store held at Revision.
+	IsExact bool
+}
+
+// Replica returns the values that count now.
+func (f *Follower) Replica() Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	return Replica{
+		Items: f.copy.Items(now), Revision: f.copy.Revision(), Age: max(now-f.schedule.currentAt, 0),
+		IsExact: f.copy.IsExact() && len(f.copy.expiring)+len(f.copy.carried) == 0,
+	}
+}
+
+// SeedReplica does the same as Seed with a copy of known age. The next call is due as after an
+// update of that age.
+func (f *Follower) SeedReplica(r Replica) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.seed(items, revision) {
+	if !f.seed(r.Items, r.Revision) {
 		return false
 	}
-	f.schedule.Refreshed(f.config.Now() - age)
+	f.copy.mayLackRemovals = !r.IsExact
+	f.schedule.Refreshed(f.config.Now() - r.Age)
 	f.wake()
 	return true
 }
--- a/mirror/forward_test.go
+++ b/mirror/forward_test.go
@@ -20,7 +20,7 @@
 		Store: s, Now: s.now, MaxStaleness: clock.Minute, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
 		IsReachable: func(old mirror.Item) bool { return old.Key == "a" },
 	})
-	if !f.SeedCurrent([]mirror.Item{item("a", 4), item("b", 5)}, 5, 0) {
+	if !f.SeedReplica(mirror.Replica{Items: []mirror.Item{item("a", 4), item("b", 5)}, Revision: 5}) {
 		t.Fatal("got the initial copy refused, want it accepted")
 	}
 	return f, s
@@ -144,3 +144,51 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a reading of the store by every node after history was dropped: the list of a node
+// that joined by a peer's copy must continue exactly from that copy.
+func TestListOfJoinedNodeIsACompleteUpdate(t *testing.T) {
+	for _, isExact := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &scriptedStore{lists: [][]mirror.Item{{item("a", 9)}}, watchErrors: []error{mirror.ErrCompacted}, now: clock.NewSystem().Now, onDone: func() {}}
+			var published []mirror.Update
+			f := mirror.NewFollower(mirror.FollowerConfig{
+				Store: s, Now: s.now, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
+				Publish: func(u mirror.Update) { published = append(published, u) },
+			})
+			f.SeedReplica(mirror.Replica{Items: []mirror.Item{item("a", 1)}, Revision: 1, IsExact: isExact})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = f.Serve(ctx) }() // returns when ctx ends
+			<-time.After(1300 * time.Millisecond)
+			cancel()
+			synctest.Wait()
+			if len(published) == 0 || published[0].IsTruncated == isExact {
+				t.Errorf("exact copy %v: got updates %+v, want one that is complete only for an exact copy", isExact, published)
+			}
+		})
+	}
+}
+
+// Guards against calls of every node that the store refuses, for as long as it does: while peers keep
+// a copy current, only the confirmation of a removal waits for the store.
+func TestConfirmationBacksOffWhilePeersKeepCopyCurrent(t *testing.T) {
+	p := mirror.NewPollSchedule(mirror.PollConfig{MaxStaleness: 4 * clock.Second, Seed: 1})
+	p.SetFleetSize(1000, false)
+	p.Answered(0)
+	calls := 0
+	for now := clock.Millis(1); now <= 10*clock.Second; now++ {
+		if now%700 == 0 {
+			p.Refreshed(now)
+		}
+		if now == clock.Second {
+			p.PollSoon(now)
+		}
+		if now >= p.Due() {
+			calls++
+			p.Failed(now)
+		}
+	}
+	if calls < 4 || calls > 10 {
+		t.Errorf("got %d calls in 9 s, want 4 to 10", calls)
+	}
+}
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -141,10 +141,19 @@
 func (p *PollSchedule) Failed(now clock.Millis) {
 	p.failures++
 	p.failedAt = now
-	delay := min(initialBackoff<<min(p.failures, maxDoublings), p.config.MaxBackoff)
+	delay := min(initialBackoff<<min(p.failures, maxDoublings), p.maxBackoff(now))
 	p.due = now + delay/2 + clock.Millis(p.random.Int64N(int64(delay)))
 }
 
+// maxBackoff returns the longest delay after a failed call, before jitter. While updates keep the
+// copy current, nothing but the confirmation of removals waits for this node's own call.
+func (p *PollSchedule) maxBackoff(now clock.Millis) clock.Millis {
+	if p.currentAt >= 0 && now-p.currentAt < clock.Millis(minPollShare*p.maxStaleness()) {
+		return max(p.config.MaxBackoff, clock.Millis(minPollShare*p.maxStaleness()))
+	}
+	return p.config.MaxBackoff
+}
+
 const (
 	// maxPostponement, or postponementPerNode times the number of nodes if that is more,
 	// limits how long a node postpones its call after a failed one. When a third of 30
--- a/node/join.go
+++ b/node/join.go
@@ -173,7 +173,7 @@
 		delete(n.receivedParts, node)
 	}
 	n.mu.Unlock()
-	if part.IsLast && n.follower.SeedCurrent(items, part.Revision, part.Age) {
+	if part.IsLast && n.follower.SeedReplica(mirror.Replica{Items: items, Revision: part.Revision, Age: part.Age, IsExact: part.IsExact}) {
 		log.WithFields(logrus.Fields{"revision": mirror.StoreRevision(part.Revision), "values": len(items)}).Info("platform's values taken over from a peer")
 	}
 }
@@ -220,9 +220,9 @@
 	if len(entries) == 0 {
 		return
 	}
-	items, revision := n.follower.Snapshot()
-	stats := n.follower.Stats()
-	parts, err := packParts(items)
+	copied := n.follower.Replica()
+	packedAt := n.clock.Now()
+	parts, err := packParts(copied.Items)
 	if err != nil {
 		n.log.WithError(err).Error("copy of the platform's values not sent to joining nodes; packing it failed")
 		return
@@ -230,11 +230,12 @@
 	for i, body := range parts {
 		for _, entry := range entries {
 			n.links.SendCopyPart(entry, &wire.CopyPart{
-				Revision: revision, Items: body, IsFirst: i == 0, IsLast: i == len(parts)-1, Age: max(n.clock.Now()-stats.KnownAt, 0),
+				Revision: copied.Revision, Items: body, IsFirst: i == 0, IsLast: i == len(parts)-1, IsExact: copied.IsExact,
+				Age: copied.Age + n.clock.Now() - packedAt,
 			})
 		}
 	}
-	n.log.WithFields(logrus.Fields{"nodes": len(entries), "values": len(items)}).Debug("copy of the platform's values sent to joining nodes")
+	n.log.WithFields(logrus.Fields{"nodes": len(entries), "values": len(copied.Items)}).Debug("copy of the platform's values sent to joining nodes")
 }
 
 // packParts packs values in parts of at most maxPartItems values and about maxPartBytes bytes. An
--- a/wire/subscription.go
+++ b/wire/subscription.go
@@ -38,6 +38,8 @@
 	Items   []byte
 	IsFirst bool
 	IsLast  bool
+	// IsExact is true if the copy equals what the platform held at Revision.
+	IsExact bool
 	// Age is how long before Time, on the sender's clock, the platform was at Revision.
 	Age, Time clock.Millis
 }
