node: seeds wait less for each other, and older seeds are passed over at once

When the whole fleet starts, a seed that asked another one before that accepted links waited 0.7 s for its answer, and all nodes below it waited with it. A seed waits 0.2 s now. A node that accepts links but not subscriptions is passed over as soon as its link is open, in place of after 0.7 s.

--- a/node/join.go
+++ b/node/join.go
@@ -21,6 +21,9 @@
 	// answerTimeout bounds the wait for the answer of one node, its dial included. A node that
 	// starts at the same time refuses connections for up to 0.3 s.
 	answerTimeout = 700 * clock.Millis(1)
+	// seedAnswerTimeout is the same for a seed that asks another one. It is shorter because all
+	// nodes wait for the seeds when the whole fleet starts.
+	seedAnswerTimeout = 200 * clock.Millis(1)
 	// joinCheckInterval is how often a joining node checks that the link to the node that serves
 	// it is open.
 	joinCheckInterval = 50 * time.Millisecond
@@ -48,37 +51,51 @@
 	if len(seeds) == 0 {
 		return
 	}
-	isSeed := len(seeds) < len(n.settings.Peers)
 	startedAt := n.clock.Now()
+	isSeed := len(seeds) < len(n.settings.Peers)
 	search := referral.NewSearch(seeds, n.seed)
 	for ctx.Err() == nil && n.clock.Now()-startedAt < searchTimeout {
 		node, ok := search.Next()
 		if !ok || (isSeed && search.Rounds() > 1) {
 			break
 		}
-		answer, ok := n.askToServe(ctx, node, search.Unreachable())
-		switch {
-		case n.isCopyKnown():
+		if n.joinBy(ctx, node, search, isSeed, startedAt+copyTimeout) {
+			n.log.WithFields(logrus.Fields{"peer": node, "took": (n.clock.Now() - startedAt).String()}).Info("copy of the platform's values received from a peer")
 			return
-		case !ok:
-			search.Failed(node)
-		case len(answer.Nodes) > 0:
-			search.Referred(answer.Nodes)
-		case isSeed && !answer.HasCopy:
-		default:
-			if n.awaitCopy(ctx, node, startedAt+copyTimeout) {
-				n.log.WithFields(logrus.Fields{"peer": node, "took": (n.clock.Now() - startedAt).String()}).Info("copy of the platform's values received from a peer")
-				return
-			}
-			search.Failed(node)
 		}
-		n.endJoinAttempt(node, isSeed && ok)
 	}
 	n.log.WithField("took", (n.clock.Now() - startedAt).String()).Info("no peer has sent a copy of the platform's values; reading the platform")
 }
 
-// askToServe asks a node to serve this one. It returns false if the node doesn't answer in time.
-func (n *Node) askToServe(ctx context.Context, node string, unreachable []string) (*wire.Referral, bool) {
+// joinBy asks a node to serve this one and waits for its copy. It returns false, and records why in
+// the search, if this node must ask another one.
+func (n *Node) joinBy(ctx context.Context, node string, search *referral.Search, isSeed bool, until clock.Millis) bool {
+	timeout := answerTimeout
+	if isSeed {
+		timeout = seedAnswerTimeout
+	}
+	answer, ok := n.askToServe(ctx, node, search.Unreachable(), timeout)
+	switch {
+	case n.isCopyKnown():
+		return true
+	case !ok:
+		search.Failed(node)
+	case len(answer.Nodes) > 0:
+		search.Referred(answer.Nodes)
+	case isSeed && !answer.HasCopy:
+		return false // seeds stay subscribed to each other
+	case n.awaitCopy(ctx, node, until):
+		return true
+	default:
+		search.Failed(node)
+	}
+	n.endJoinAttempt(node)
+	return false
+}
+
+// askToServe asks a node to serve this one. It returns false if the node doesn't answer in time, or
+// is of a release that serves no joining nodes.
+func (n *Node) askToServe(ctx context.Context, node string, unreachable []string, timeout clock.Millis) (*wire.Referral, bool) {
 	n.mu.Lock()
 	p := n.addPeer(node)
 	n.joinParent = node
@@ -87,8 +104,10 @@
 	unreachable = slices.Clone(unreachable)
 	p.link.Subscribe(func() *wire.Subscription { return n.newSubscription(true, unreachable) })
 	p.link.EnsureLink()
-	timer := time.NewTimer(answerTimeout.Duration())
+	timer := time.NewTimer(timeout.Duration())
 	defer timer.Stop()
+	ticker := time.NewTicker(joinCheckInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,6 +116,10 @@
 			return nil, false
 		case <-n.copyKnown:
 			return nil, false
+		case <-ticker.C:
+			if p.link.Ready() && !p.link.Accepts(wire.KindSubscription) {
+				return nil, false
+			}
 		case answer := <-n.joinAnswers:
 			if answer.node == node {
 				return answer.referral, true
@@ -125,12 +148,8 @@
 	return false
 }
 
-// endJoinAttempt ends the subscription to a node that doesn't serve this one. Seeds stay subscribed
-// to each other.
-func (n *Node) endJoinAttempt(node string, stays bool) {
-	if stays {
-		return
-	}
+// endJoinAttempt ends the subscription to a node that doesn't serve this one.
+func (n *Node) endJoinAttempt(node string) {
 	n.mu.Lock()
 	p := n.peers[node]
 	p.isSubscribed = false
