--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -46,9 +46,9 @@
 	Publish func(u Update)
 	// ExpectedRemoval reports whether the removal of a value was expected. It may be nil.
 	ExpectedRemoval func(old Item) bool
-	// IsReachable reports whether this node has evidence that what a value describes still
-	// exists. It may be nil, which stands for evidence of everything.
-	IsReachable func(old Item) bool
+	// Evidence returns this node's evidence that what a value describes still exists. It may be
+	// nil: then only the store confirms unexpected removals.
+	Evidence func(old Item) Evidence
 	// IsOlder compares the content of values, to keep what a restored store has lost. It may
 	// be nil.
 	IsOlder OlderFunc
@@ -83,9 +83,11 @@
 	// removals came after unconfirmedSince.
 	confirmedAt                           clock.Millis
 	unconfirmedRevision, unconfirmedSince uint64
-	audit                                 audit
-	lag                                   lag
-	pendingUpdates                        []pendingUpdate
+	// unconfirmed holds these removals.
+	unconfirmed    []Event
+	audit          audit
+	lag            lag
+	pendingUpdates []pendingUpdate
 	// awaitsRestored means that the store was restored, and that this node waits for the
 	// update of one that has listed the values before it lists them itself.
 	awaitsRestored bool
@@ -179,9 +181,10 @@
 			f.mu.Unlock()
 		}
 		startedAt, received := f.config.Now(), f.bytesReceived()
-		f.mu.Lock()
-		cause := f.callCause()
-		f.mu.Unlock()
+		cause, isDue := f.confirmDue()
+		if !isDue {
+			continue
+		}
 		err := f.poll(ctx, &cause)
 		f.countCalls(cause)
 		if ctx.Err() != nil {
@@ -192,6 +195,15 @@
 	return errors.Trace(ctx.Err())
 }
 
+// confirmDue returns the cause of the call that is due, and false if it is due no more, because the
+// removals that it was to confirm are confirmed otherwise.
+func (f *Follower) confirmDue() (Cause, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recheckRemovals()
+	return f.callCause(), f.schedule.Due() <= f.config.Now()
+}
+
 // waitUntilDue waits until a call is due. It returns false when the context ends.
 func (f *Follower) waitUntilDue(ctx context.Context) bool {
 	timer := time.NewTimer(0)
@@ -426,7 +438,7 @@
 	f.confirmedAt = startedAt
 	f.awaitsReaders = false
 	if revision >= f.unconfirmedRevision {
-		f.unconfirmedRevision = 0
+		f.unconfirmedRevision, f.unconfirmed = 0, nil
 	} else {
 		f.unconfirmedSince = revision
 		f.pollSoon(now, CauseRemoval)
--- a/mirror/forward_test.go
+++ b/mirror/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,14 +12,19 @@
 	"fuchsiapick.example/fuchsiapick/mirror"
 )
 
-// newFollowerWithEvidence returns a follower that holds a and b at revision 5, with evidence that
-// only a still exists, and the store that it reads.
-func newFollowerWithEvidence(t *testing.T) (*mirror.Follower, *scriptedStore) {
+// newFollowerWithEvidence returns a follower that holds a and b at revision 5, with evidence of a until
+// isForgotten is set, and the store that it reads.
+func newFollowerWithEvidence(t *testing.T, isForgotten *atomic.Bool) (*mirror.Follower, *scriptedStore) {
 	t.Helper()
 	s := &scriptedStore{lists: [][]mirror.Item{{}}, now: clock.NewSystem().Now, onDone: func() {}}
 	f := mirror.NewFollower(mirror.FollowerConfig{
 		Store: s, Now: s.now, MaxStaleness: clock.Minute, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
-		IsReachable: func(old mirror.Item) bool { return old.Key == "a" },
+		Evidence: func(old mirror.Item) mirror.Evidence {
+			if old.Key == "a" && !isForgotten.Load() {
+				return mirror.EvidencePeer
+			}
+			return mirror.EvidenceNone
+		},
 	})
 	if !f.SeedReplica(mirror.Replica{Items: []mirror.Item{item("a", 4), item("b", 5)}, Revision: 5}) {
 		t.Fatal("got the initial copy refused, want it accepted")
@@ -30,7 +36,7 @@
 // a call of every node, 983 for one upstream.
 func TestRemovalOfUnusedUpstreamNeedsNoCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, s := newFollowerWithEvidence(t)
+		f, s := newFollowerWithEvidence(t, new(atomic.Bool))
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 7}, Gone: true}}})
@@ -52,11 +58,41 @@
 	})
 }
 
+// Guards against calls that grow with the links of a fleet: the node beside an upstream asks the store,
+// and the nodes with a link to it take its word.
+func TestRemovalIsConfirmedByTheNodeBesideTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var isForgotten atomic.Bool
+		f, s := newFollowerWithEvidence(t, &isForgotten)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
+		<-time.After(5 * time.Second)    // after the window of a call
+		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 7}, Gone: true}}})
+		<-time.After(50 * time.Millisecond)
+		items, _ := f.Snapshot()
+		if got, want := keys(items), []string{"a", "b"}; !slices.Equal(got, want) {
+			t.Errorf("got %v before the confirmation, want %v", got, want)
+		}
+		isForgotten.Store(true)
+		f.RecheckRemovals()
+		items, _ = f.Snapshot()
+		if got, want := keys(items), []string{"b"}; !slices.Equal(got, want) {
+			t.Errorf("got %v after the confirmation, want %v", got, want)
+		}
+		<-time.After(5 * time.Second)
+		if got := len(s.calls); got != 0 {
+			t.Errorf("got %d calls, want none", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a node that drops what only it can reach: while its own calls fail, it may be cut
 // off together with the upstream.
 func TestRemovalNeedsConfirmationWhileCallsFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, s := newFollowerWithEvidence(t)
+		f, s := newFollowerWithEvidence(t, new(atomic.Bool))
 		for range 1000 {
 			s.watchErrors = append(s.watchErrors, mirror.ErrUnavailable)
 		}
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -200,6 +200,27 @@
 	p.due = min(p.due, now+clock.Millis(p.random.Int64N(int64(p.urgentSpread()))))
 }
 
+// PollNow makes a call due immediately, unless it waits for its backoff.
+func (p *PollSchedule) PollNow(now clock.Millis) {
+	if p.failures == 0 {
+		p.isUrgent, p.due = true, min(p.due, now)
+	}
+}
+
+// PollAfter is like PollSoon after a delay.
+func (p *PollSchedule) PollAfter(now, delay clock.Millis) {
+	p.PollSoon(now + delay)
+}
+
+// Settle records that the change which this node had to read itself is known. The next call is due
+// by the age of the copy.
+func (p *PollSchedule) Settle() {
+	if p.failures == 0 {
+		p.isUrgent = false
+		p.schedule()
+	}
+}
+
 // AwaitPeer postpones a call that is due until the nodes that read ahead of the others have called
 // the store, also if they are in their longest backoff.
 func (p *PollSchedule) AwaitPeer(now clock.Millis) {
--- a/mirror/update.go
+++ b/mirror/update.go
@@ -153,43 +153,6 @@
 	f.config.Publish(u)
 }
 
-// confirmWindow is how long after a call of its own a node accepts removals that a peer
-// sends. During consecutive removals, as in a release, each node makes one call per
-// window.
-const confirmWindow = 3 * clock.Second
-
-// trustedEvents returns the changes that are accepted from a peer. A value that was
-// written up to the known revision is already known, or was removed since. A registration
-// also expires when its upstream is alive and only cut off from the store, together with
-// this node or close to it. An unexpected removal is therefore accepted only if the store
-// has recently answered this node itself, or if nothing indicates that the upstream still
-// exists. Otherwise a node that is cut off too would lose the upstreams that only it can
-// reach.
-func (f *Follower) trustedEvents(now clock.Millis, u Update) []Event {
-	events := newerThan(u.Events, f.copy.Revision())
-	isUnexpectedRemoval := func(e Event) bool { return e.Gone && !f.isExpectedRemoval(e.Key) && f.mayExist(e.Key) }
-	if now-f.confirmedAt <= confirmWindow || !slices.ContainsFunc(events, isUnexpectedRemoval) {
-		return events
-	}
-	if f.unconfirmedRevision == 0 {
-		f.unconfirmedSince = f.copy.Revision()
-	}
-	f.unconfirmedRevision = max(f.unconfirmedRevision, u.Revision)
-	f.pollSoon(now, CauseRemoval)
-	f.wake()
-	return slices.DeleteFunc(events, isUnexpectedRemoval)
-}
-
-// mayExist reports whether what a removed value describes may still exist: there is evidence of it,
-// or this node's last call failed, so that it may be cut off together with the value's writer.
-func (f *Follower) mayExist(key string) bool {
-	if f.config.IsReachable == nil || f.schedule.Failures() > 0 {
-		return true
-	}
-	old, ok := f.copy.effective(key)
-	return ok && f.config.IsReachable(old)
-}
-
 // newerThan leaves out the values that were written up to the known revision.
 func newerThan(events []Event, known uint64) []Event {
 	isKnown := func(e Event) bool { return !e.Gone && e.Revision <= known }
--- a/node/peers.go
+++ b/node/peers.go
@@ -20,7 +20,9 @@
 type peer struct {
 	link *link.Peer
 	// leaving is whether the peer's last heartbeat said that it is leaving.
-	leaving      bool
+	leaving bool
+	// upstreams are the names of the upstreams in the peer's last heartbeat.
+	upstreams    []string
 	isSubscribed bool // this node subscribes to the peer's updates
 	lossRecorded bool // the last event recorded for the path says that it is lost
 	// crashesAskedAt is when the peer was last asked for the crashes that it knows; 0 for
@@ -201,11 +203,7 @@
 	for _, u := range h.Upstreams {
 		n.entry.UpdateUpstream(u)
 	}
-	n.mu.Lock()
-	if p, ok := n.peers[node]; ok {
-		p.leaving = h.Leaving
-	}
-	n.mu.Unlock()
+	n.recordHeartbeat(node, h)
 	n.seedPeer(node, h)
 	n.syncCrashes(node, h)
 	if n.requestNewerTable(node, h) {
@@ -213,6 +211,25 @@
 	}
 }
 
+// recordHeartbeat records what a peer says about itself. A peer that ceases to name an upstream
+// confirms that it has ended.
+func (n *Node) recordHeartbeat(node string, h *wire.Heartbeat) {
+	names := make([]string, 0, len(h.Upstreams))
+	for i := range h.Upstreams {
+		names = append(names, h.Upstreams[i].Name)
+	}
+	n.mu.Lock()
+	p, ok := n.peers[node]
+	isChanged := ok && (p.leaving != h.Leaving || !slices.Equal(p.upstreams, names))
+	if ok {
+		p.leaving, p.upstreams = h.Leaving, names
+	}
+	n.mu.Unlock()
+	if isChanged && n.follower != nil {
+		n.follower.RecheckRemovals()
+	}
+}
+
 // PeerUpstream handles the state of an upstream that a reply carries.
 func (n *Node) PeerUpstream(_ string, u wire.Upstream) {
 	n.entry.UpdateUpstream(u)
--- a/node/platform.go
+++ b/node/platform.go
@@ -78,7 +78,7 @@
 		config.CallsMade = counter.Calls
 	}
 	if _, ok := n.tableBuilder.(locator); ok {
-		config.IsReachable = n.isReachable
+		config.Evidence = n.evidenceOf
 	}
 	if n.tableBuilder != nil {
 		config.Hash, config.ExpectedRemoval, config.IsOlder = n.tableBuilder.Hash, n.tableBuilder.ExpectedRemoval, n.tableBuilder.IsOlder
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -15,8 +15,9 @@
 
 // locator finds the node beside the upstream that a value describes.
 type locator interface {
-	// NodeOf returns the link address of the node; empty if the value describes no upstream.
-	NodeOf(item mirror.Item) string
+	// UpstreamOf returns the name of the upstream and the link address of the node beside it, both
+	// empty if the value describes no upstream.
+	UpstreamOf(item mirror.Item) (upstream, node string)
 }
 
 // currentTopology returns the topology of the nodes that the table names. The caller holds the
@@ -181,20 +182,23 @@
 	}
 }
 
-// isReachable reports whether the node beside an upstream has an open link to this node, or is
-// this node.
-func (n *Node) isReachable(old mirror.Item) bool {
+// evidenceOf returns the evidence that an upstream still exists: the node beside it has an open link to
+// this node and names it in its heartbeats, or is this node.
+func (n *Node) evidenceOf(old mirror.Item) mirror.Evidence {
 	located, ok := n.tableBuilder.(locator)
 	if !ok {
-		return true
+		return mirror.EvidencePeer
 	}
-	address := located.NodeOf(old)
+	upstream, address := located.UpstreamOf(old)
 	if address == n.address() {
-		return true
+		return mirror.EvidenceOwn
 	}
 	n.mu.Lock()
 	p, ok := n.peers[address]
-	isLeaving := ok && p.leaving
+	isNamed := ok && !p.leaving && slices.Contains(p.upstreams, upstream)
 	n.mu.Unlock()
-	return ok && !isLeaving && p.link.Ready() && !p.link.IsLost()
+	if isNamed && p.link.Ready() && !p.link.IsLost() {
+		return mirror.EvidencePeer
+	}
+	return mirror.EvidenceNone
 }
