--- a/mirror/forward_test.go
+++ b/mirror/forward_test.go
@@ -12,6 +12,13 @@
 	"fuchsiapick.example/fuchsiapick/mirror"
 )
 
+// recordedCalls returns the calls made so far.
+func (s *scriptedStore) recordedCalls() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
 // newFollowerWithEvidence returns a follower that holds a and b at revision 5, with evidence of a until
 // isForgotten is set, and the store that it reads.
 func newFollowerWithEvidence(t *testing.T, isForgotten *atomic.Bool) (*mirror.Follower, *scriptedStore) {
@@ -45,13 +52,13 @@
 		if got, want := keys(items), []string{"a"}; !slices.Equal(got, want) {
 			t.Errorf("got %v, want %v", got, want)
 		}
-		if got := len(s.calls); got != 0 {
+		if got := len(s.recordedCalls()); got != 0 {
 			t.Errorf("got %d calls, want none", got)
 		}
 		f.ReceiveUpdate(mirror.Update{Since: 7, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 9}, Gone: true}}})
 		<-time.After(5 * time.Second)
-		if len(s.calls) == 0 || s.calls[0] != "watch" {
-			t.Errorf("got calls %v after the removal of an upstream that this node uses, want a watch", s.calls)
+		if got := s.recordedCalls(); len(got) == 0 || got[0] != "watch" {
+			t.Errorf("got calls %v after the removal of an upstream that this node uses, want a watch", got)
 		}
 		cancel()
 		synctest.Wait()
@@ -80,7 +87,7 @@
 			t.Errorf("got %v after the confirmation, want %v", got, want)
 		}
 		<-time.After(5 * time.Second)
-		if got := len(s.calls); got != 0 {
+		if got := len(s.recordedCalls()); got != 0 {
 			t.Errorf("got %d calls, want none", got)
 		}
 		cancel()
@@ -170,7 +177,7 @@
 		<-time.After(200 * time.Millisecond)
 		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("a", 9)}}})
 		<-time.After(500 * time.Millisecond)
-		if got, want := s.calls, []string{"watch"}; !slices.Equal(got, want) {
+		if got, want := s.recordedCalls(), []string{"watch"}; !slices.Equal(got, want) {
 			t.Errorf("got calls %v, want %v", got, want)
 		}
 		if got, want := f.Revision(), uint64(9); got != want {
