platform, deploy: links stay on their port, and seeds are reached there

Nodes of two releases, which take the own link port for that of all nodes, couldn't have reached each other during an upgrade. Change: the link port is as before, and the adapter takes the IP numbers of the seeds and the own link port. A reload compares the settings as they are written.

--- a/cmd/nodeconfig.go
+++ b/cmd/nodeconfig.go
@@ -32,6 +32,12 @@
 		LinkPort: link.Port(),
 		Log:      log,
 	})
+	adapted := *s // reloads compare the settings as they are written
+	adapted.Peers, err = platform.NodesOf(s.Peers, link.Port())
+	if err != nil {
+		return c, nil, errors.Annotate(err, "reading the seeds")
+	}
+	c.Settings = &adapted
 	c.CallerHeaders = platform.CallerHeaders()
 	c.UpstreamHeaders = platform.UpstreamHeaders()
 	c.TableBuilder = builder
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -17,7 +17,7 @@
 // platformFields are example values of the placeholders that the platform fills in per node.
 var platformFields = map[string]string{
 	"node": "sidecar-palermo-1", "zone": "palermo", "service": "wuno96b",
-	"listen.outbound": "10.1.0.8:8304", "listen.control": "10.1.0.8:8300", "listen.ready": "10.1.0.8:8302",
+	"listen.outbound": "10.1.0.8:8304", "listen.inbound": "10.1.0.8:8300", "listen.ready": "10.1.0.8:8302",
 	"platform.address": "10.200.1.7:8309", "ip": "10.1.0.8",
 	"bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
 }
