link: a peer that is needed doesn't wait for the check whether it may stop

Change: the run state is a word without a lock, and starting the peer under its supervisor doesn't wait.

--- a/link/peer.go
+++ b/link/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,8 +81,9 @@
 	Now         func() clock.Millis
 	// Status returns the content of this node's heartbeats, without Time and Echo.
 	Status func() wire.Heartbeat
-	// Start runs Run in the background. The peer calls it when it is needed, and Run returns when
-	// it isn't any more. It may be nil: Run is then called once, and runs until its context ends.
+	// Start runs Run in the background, without waiting. The peer calls it when it is needed, and
+	// Run returns when it isn't any more. It may be nil: Run is then called once, and runs until
+	// its context ends.
 	Start func()
 	// Announcements returns what the upstreams beside the peer have announced to this node. It
 	// may be nil.
@@ -97,8 +99,7 @@
 	log             logrus.FieldLogger
 	connectRequests chan struct{}
 
-	runMu              sync.Mutex // guards the two below
-	isStarted, isEnded bool
+	runState atomic.Uint32 // one of the values below
 
 	notifyMu       sync.Mutex // held while the observer is notified of a path change; locked before mu
 	mu             sync.Mutex
@@ -173,23 +174,15 @@
 
 // Connect requests that Run open a link. It doesn't wait for it.
 func (p *Peer) Connect() {
-	p.runMu.Lock()
-	defer p.runMu.Unlock()
-	if p.isEnded {
-		return
-	}
 	p.wake()
-	if !p.isStarted && p.config.Start != nil {
-		p.isStarted = true
+	if p.config.Start != nil && p.runState.CompareAndSwap(runIdle, runStarted) {
 		p.config.Start()
 	}
 }
 
 // End ends Run, and the peer's links with it, for a node that no table names any more.
 func (p *Peer) End() {
-	p.runMu.Lock()
-	defer p.runMu.Unlock()
-	p.isEnded = true
+	p.runState.Store(runEnded)
 	p.wake()
 }
 
@@ -238,17 +231,32 @@
 	p.Connect()
 }
 
+// The values of Peer.runState. Callers of Connect may hold the peer's lock, so that the state has
+// none.
+const (
+	// runIdle means that the next Connect starts Run.
+	runIdle uint32 = iota
+	// runStarted means that Run handles the connect requests.
+	runStarted
+	// runEnded means that Run isn't started any more.
+	runEnded
+)
+
 // mayStop reports whether Run isn't needed: nothing has to be checked until the next Connect, which
 // starts it again.
 func (p *Peer) mayStop() bool {
-	if p.config.Start == nil {
+	switch {
+	case p.config.Start == nil:
+		return false
+	case p.runState.Load() == runEnded:
+		return true
+	case len(p.connectRequests) > 0 || !p.isQuiescent():
 		return false
+	case !p.runState.CompareAndSwap(runStarted, runIdle):
+		return true // it has ended meanwhile
 	}
-	p.runMu.Lock()
-	defer p.runMu.Unlock()
-	stops := p.isEnded || (len(p.connectRequests) == 0 && p.isQuiescent())
-	p.isStarted = !stops
-	return stops
+	// A Connect before the swap didn't start another Run.
+	return len(p.connectRequests) == 0 || !p.runState.CompareAndSwap(runIdle, runStarted)
 }
 
 // Run keeps a link open while it is needed. It returns when the context ends, with the
--- a/link/start_test.go
+++ b/link/start_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -52,3 +54,40 @@
 		t.Errorf("got %d runs of a peer that has ended, want none", got)
 	}
 }
+
+// Guards against a deadlock between requests that need a link and the check whether the peer may stop: a
+// node would never send to the peer again.
+func TestPeersAreNeededWhileTheyCheckWhetherToStop(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var peer *link.Peer
+	peer = link.NewPeer(link.PeerConfig{
+		Address: "127.0.0.1:1", Self: identity("10.0.0.1:7000", secret), MaxFrame: limit, MaxReplyBody: limit,
+		HeartbeatInterval: 4, IdleTimeout: 1, Now: clock.NewSystem().Now,
+		Status: func() wire.Heartbeat { return wire.Heartbeat{} }, Observer: pathObserver{states: make(chan path.State, 1<<20)}, Log: logger(),
+		Start: func() { go func() { _ = peer.Run(ctx) }() }, // returns when the peer isn't needed
+	})
+	const senders, rounds = 8, 4000
+	var requests sync.WaitGroup
+	for sender := range uint64(senders) {
+		requests.Go(func() {
+			for seq := sender; seq < senders*rounds; seq += senders {
+				_ = peer.RequestQuota(&wire.QuotaRequest{Seq: seq}, func(*wire.QuotaGrant) {}) // nothing listens there
+				peer.ForgetQuotaRequest(seq)
+				if seq%64 == sender {
+					<-time.After(time.Millisecond)
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		requests.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("got no end of the requests within 20s, want one")
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -113,7 +113,7 @@
 		Announcements:     func() *wire.Announcements { return n.entry.Announcements(address) },
 		Observer:          n,
 		Log:               n.log,
-		Start:             func() { n.runPeer(p.link) },
+		Start:             func() { go n.runPeer(p.link) }, // a supervisor that is stopping makes Add wait
 	})
 	n.peers[address] = p
 	return p
