entry: Retry-After counts from now, not from before the wait

Cause: a request that found no upstream took the time until a gate expects room from the instant at which its search began, so that a caller that had waited was told to wait that much longer once more. Change: from the instant of the refusal.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -106,7 +106,7 @@
 	case !ok && s.Verdict == quarantine.Quarantined:
 		return r.quarantined(), true
 	case !ok:
-		return r.noUpstreamLeft(now), true
+		return r.noUpstreamLeft(), true
 	}
 	return r.trySuspect(now, choice, untried)
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -191,7 +191,7 @@
 		}
 		choice, untried, ok := r.choose(now)
 		if !ok {
-			return r.noUpstreamLeft(now)
+			return r.noUpstreamLeft()
 		}
 		result := r.try(now, choice, untried)
 		r.recordAttempt(&choice, &result, now)
@@ -221,12 +221,12 @@
 }
 
 // noUpstreamLeft returns the final answer when no upstream is left to try.
-func (r *request) noUpstreamLeft(now clock.Millis) finalAnswer {
+func (r *request) noUpstreamLeft() finalAnswer {
 	if r.budgetRetryAfter > 0 {
 		r.noRetryReason = retry.NoBudget
 		return r.unserved(string(wire.ReasonRetryBudget), r.service.spreadRetryAfter(r.budgetRetryAfter))
 	}
-	return r.unserved(access.ReasonNoUpstream, r.retryAfter(now))
+	return r.unserved(access.ReasonNoUpstream, r.retryAfter(r.entry.config.Now())) // the request may have waited
 }
 
 // unserved returns the final answer to a request that no upstream has served. An
