node: tables are logged in the order in which they were in force

Cause, from the log of n4: two peers sent versions 5 and 6 at the same time; 5 came into force, then 6, and both were logged after the lock was released, 6 first. The table in force was right; an operator read that an older one had replaced a newer one. Change: a lock is held from the decision until it is logged. TestTablesAreLoggedInTheOrderInWhichTheyAreInForce: "got version 5 in force after 6" before, 5 of 5 with the race detector now.

--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,10 @@
 	// nodes immediately.
 	heartbeatRequested chan struct{}
 
+	// offerMu is held from the decision about an offered table until it is logged: peers offer
+	// tables at the same time, and the log must have them in the order in which they were in
+	// force. It is locked before mu.
+	offerMu      sync.Mutex
 	mu           sync.Mutex
 	versionGuard *versionguard.VersionGuard
 	table        *table.Table
--- a/node/table.go
+++ b/node/table.go
@@ -39,6 +39,8 @@
 	}
 	version := t.Version
 	log = log.WithField("version", version)
+	n.offerMu.Lock()
+	defer n.offerMu.Unlock()
 	n.mu.Lock()
 	decision := n.versionGuard.Propose(versionguard.Candidate{Version: version, Digest: table.Digest(text), Source: source})
 	conflicting, isConflict := n.versionGuard.Conflicting()
