test(relay): bound the nodes with subscribers, as the replaced test did

TestReadersOfLargeFleetAreGrouped, which TestTopologyIsBoundedAtAnySize replaced in, also asked for 100 readers at most at 2,400 nodes; the replacement had lost that. It holds (one domain, as there).

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -59,6 +59,9 @@
 		if most > tt.maxSubscribers {
 			t.Errorf("%d nodes: got a node with %d subscribers, want at most %d", tt.nodes, most, tt.maxSubscribers)
 		}
+		if got := len(subscribers); tt.domains == 1 && got > 100 {
+			t.Errorf("%d nodes: got %d nodes with subscribers, want at most 100", tt.nodes, got)
+		}
 		hops := reach(topology, all, topology.Readers()[0], nil)
 		deepest := 0
 		for _, count := range hops {
