--- a/episode/level.go
+++ b/episode/level.go
@@ -17,9 +17,8 @@
 	CertainlyFailing
 )
 
-// Thresholds of the levels. One failure raises the probability of a healthy upstream from
-// 0.01 to 0.3. An upstream without an outcome for ten seconds is at 0.25, and one failure
-// makes it failing.
+// Thresholds of the levels: a single failure makes a healthy upstream suspect, and one without
+// recent outcomes failing.
 const (
 	suspectThreshold = 0.15
 	// EjectThreshold is the probability from which on an upstream gets no requests that
--- a/referral/book.go
+++ b/referral/book.go
@@ -14,9 +14,7 @@
 
 const (
 	// maxOwnDomain is how many joining nodes of its own failure domain a node serves,
-	// maxOtherDomain how many of each other domain. With four the copies of a node take less
-	// than half a second on a link of 20 Mbit/s, and a domain of 1,000 nodes is five levels
-	// deep.
+	// maxOtherDomain how many of each other domain.
 	maxOwnDomain   = 4
 	maxOtherDomain = 1
 	// placementLifetime is how long a node that was served counts against these limits. It is
