link, mirror, node: one place for the age in transit, the await and the subscription's state

Found in reading the whole change once more: the time in transit was computed alike for updates and for parts of a copy; AwaitPeer repeated AwaitReaders; whether a peer is subscribed to was kept by the node and asked of the link. A copy whose link broke before its last part stayed in memory until the process ended; all parts are dropped once a copy is complete. No other behaviour changes. Race detector over link, mirror, node, relay, referral: passed.

--- a/link/peer.go
+++ b/link/peer.go
@@ -417,14 +417,21 @@
 // the peer sent the update to the update's age, because a slow path or a pause of this
 // process may have delayed it.
 func (p *Peer) handleStoreUpdate(update *wire.StoreUpdate) {
+	update.Age += p.receivedAfter(update.Time)
+	p.config.Observer.PeerStoreUpdate(p.config.Address, update)
+}
+
+// receivedAfter records that a message was received, and returns how long after the given time on
+// the peer's clock, 0 if that clock isn't known.
+func (p *Peer) receivedAfter(sentAt clock.Millis) clock.Millis {
 	now := p.config.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.detector.Received(now)
-	if p.estimate.Known() {
-		update.Age += max(p.estimate.At(now)-update.Time, 0)
+	if !p.estimate.Known() {
+		return 0
 	}
-	p.mu.Unlock()
-	p.config.Observer.PeerStoreUpdate(p.config.Address, update)
+	return max(p.estimate.At(now)-sentAt, 0)
 }
 
 func (p *Peer) handleHeartbeat(heartbeat *wire.Heartbeat) {
--- a/link/subscription.go
+++ b/link/subscription.go
@@ -17,13 +17,6 @@
 	}
 }
 
-// IsSubscribed reports whether Subscribe was called and Unsubscribe wasn't since.
-func (p *Peer) IsSubscribed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.newSubscription != nil
-}
-
 // Unsubscribe ends a subscription. The link closes when nothing else needs it.
 func (p *Peer) Unsubscribe() {
 	p.mu.Lock()
@@ -75,13 +68,7 @@
 
 // handleCopyPart passes a part of a copy on, and adds the time in transit to its age.
 func (p *Peer) handleCopyPart(part *wire.CopyPart) {
-	now := p.config.Now()
-	p.mu.Lock()
-	p.detector.Received(now)
-	if p.estimate.Known() {
-		part.Age += max(p.estimate.At(now)-part.Time, 0)
-	}
-	p.mu.Unlock()
+	part.Age += p.receivedAfter(part.Time)
 	p.config.Observer.PeerCopyPart(p.config.Address, part)
 }
 
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -225,15 +225,15 @@
 // the store, also if they are in their longest backoff.
 func (p *PollSchedule) AwaitPeer(now clock.Millis) {
 	p.isUrgent = true
-	longestBackoff := p.config.MaxBackoff / 2 * 3
-	p.due = now + longestBackoff + clock.Millis(p.random.Int64N(int64(p.urgentSpread())))
+	p.AwaitReaders(now)
 }
 
 // AwaitReaders postpones the next call until the nodes that read ahead of the others have called
 // the store, also if they are in their longest backoff. An update that makes the copy current
 // replaces the call.
 func (p *PollSchedule) AwaitReaders(now clock.Millis) {
-	p.due = now + p.config.MaxBackoff/2*3 + clock.Millis(p.random.Int64N(int64(p.urgentSpread())))
+	longestBackoff := p.config.MaxBackoff / 2 * 3
+	p.due = now + longestBackoff + clock.Millis(p.random.Int64N(int64(p.urgentSpread())))
 }
 
 // urgentSpread returns the time over which nodes that must read soon spread their calls.
--- a/node/join.go
+++ b/node/join.go
@@ -29,7 +29,7 @@
 	joinCheckInterval = 50 * time.Millisecond
 	// joinAnswerQueue is the number of answers that wait to be handled.
 	joinAnswerQueue = 8
-	// maxPartItems is the number of values in a part of a copy. A registration has 300 bytes.
+	// maxPartItems is the maximum number of values in a part of a copy.
 	maxPartItems = 1000
 	// maxPartBytes limits, in bytes, the values of a part besides its first one.
 	maxPartBytes = 1 << 20
@@ -189,7 +189,7 @@
 	n.receivedParts[node] = append(n.receivedParts[node], items...)
 	items = n.receivedParts[node]
 	if part.IsLast {
-		delete(n.receivedParts, node)
+		clear(n.receivedParts) // parts of other copies may have been cut off
 	}
 	n.mu.Unlock()
 	if part.IsLast && n.follower.SeedReplica(mirror.Replica{Items: items, Revision: part.Revision, Age: part.Age, IsExact: part.IsExact}) {
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -67,7 +67,7 @@
 func (n *Node) keepSubscriptions() {
 	n.mu.Lock()
 	parents := n.parents()
-	isServed := slices.ContainsFunc(parents, func(p *peer) bool { return p.link.Ready() && p.link.IsSubscribed() })
+	isServed := slices.ContainsFunc(parents, func(p *peer) bool { return p.isSubscribed && p.link.Ready() })
 	if isServed && n.joinParent != "" {
 		n.log.WithField("peer", n.joinParent).Debug("joined; updates come over the subscriptions")
 		n.joinParent = ""
