test(fleet): run-once requests that a leaving gate begins and its node cuts

Cause: gates of a leaving node take requests for the linger time, a third of the grace period, also those that may run once and whose deadline lies after the end of the node.

--- /dev/null
+++ b/fleet/nodestop_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/fleet"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/standin"
+)
+
+// sendConcurrently sends requests that may run once, all at the same time, and returns their
+// answers. The outcome of one whose connection ends without an answer is empty.
+func sendConcurrently(count int, address string) []answer {
+	answers := make([]answer, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			answers[i], _ = sendOnce(&fasthttp.Client{ReadTimeout: waitTimeout}, address, true) // an error leaves the outcome empty
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+// Guards against a gate that begins a run-once request while its node leaves, though the request may
+// outlast the node: the node cuts the run, and the caller receives the outcome "unknown".
+func TestLeavingGateBeginsNoRunOnceRequestThatMayOutlastItsNode(t *testing.T) {
+	deployment := newTable(2)
+	deployment.Services[0].Deadline = 6 * clock.Second
+	f := startFleet(t, fleet.Config{Table: deployment, ServiceTime: 20, Adjust: func(s *settings.Settings) {
+		s.Grace, s.Linger = 3*clock.Second, clock.Second
+	}})
+	f.Backends["conferme-1"].SetFault(standin.Fault{Kind: standin.Slow, Factor: 200}) // longer than the grace period
+	leaving := f.Members[0]
+	leaving.Node.Leave()
+	waitUntil(t, "not ready", func() bool { return !leaving.Node.Ready() })
+	for _, got := range sendConcurrently(6, f.Members[1].Caller) {
+		if got.outcome != string(access.Served) {
+			t.Errorf("got outcome %q (%s), want served", got.outcome, got.reason)
+		}
+	}
+	if got := len(f.Backends["conferme-1"].Ledger()); got > 0 {
+		t.Errorf("got %d runs beside the leaving node, want none", got)
+	}
+}
