entry, node: a leaving entry answers all its callers before its node stops

Callers whose requests waited for a slot, or ran elsewhere, when the grace period of their entry's node was over got no answer: their connections were closed.

Cause: only the process's end was bounded by the grace period, not what the entry waits for. A request that arrives during the linger time may wait for a slot longer than the node lives.

Change: on SIGTERM the entry learns when its node stops. Requests that arrive later have no deadline beyond that; those in flight are woken 150 ms before. What waits is refused as not run, with Retry-After; what was sent is resolved as at a deadline: revoked by its gate if it has not begun, else unknown. Quotas aren't asked for longer either way: their answers are bounded already.

Why it works: every wait of a request now ends before the node does, by the path that deadlines use.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -52,7 +52,7 @@
 		return refused(fasthttp.StatusServiceUnavailable, access.ReasonNoTable, clock.Second), false
 	}
 	r.config, r.baseline = r.service.startRequest(r.started)
-	r.deadline = r.started + r.timeout()
+	r.deadline = r.entry.latestDeadline(r.started + r.timeout())
 	r.repeatable = route.MayRepeat(r.method)
 	if grant := r.entry.allow(r.started, &r.config, r.caller); !grant.OK {
 		return refused(fasthttp.StatusTooManyRequests, limitReason(grant.By), grant.RetryAfter), false
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -134,6 +134,8 @@
 	until    clock.Millis
 	// awaitingLink is true while the dispatch may still be waiting for a link.
 	awaitingLink bool
+	// stopped is closed when the node stops; nil once that is handled.
+	stopped <-chan struct{}
 	// resolveSent is true once the gate has been asked for the unknown outcome.
 	resolveSent bool
 }
@@ -143,31 +145,34 @@
 // run has not begun.
 func (r *request) awaitOutcome(d *wire.Dispatch, a *attempt, w *waiter, untried int) result {
 	began := r.entry.config.Now()
-	wait := dispatchWait{dispatch: d, gate: a.member.gate, began: began, until: began + d.Budget}
+	wait := dispatchWait{dispatch: d, gate: a.member.gate, began: began, until: began + d.Budget, stopped: r.entry.stopped}
 	if a.noWait && linkTimeout < d.Budget {
 		wait.awaitingLink, wait.until = true, began+linkTimeout
 	}
 	for {
 		now := r.entry.config.Now()
-		e := w.next(max(wait.until-now, 0)+1, r.callerGone)
-		if e.kind == expired {
-			if out, ok := r.handleTimeout(&wait); ok {
-				return out
-			}
-			continue
-		}
-		if e.kind == hung {
-			if out, ok := r.retryElsewhere(w, untried); ok {
-				return out
-			}
-			continue
-		}
-		if out, ok := r.resultOfEvent(e); ok {
+		e := w.next(max(wait.until-now, 0)+1, r.callerGone, wait.stopped)
+		if out, ok := r.handleEvent(&wait, w, e, untried); ok {
 			return out
 		}
 	}
 }
 
+// handleEvent returns the result that follows from an event, or false if the wait continues.
+func (r *request) handleEvent(wait *dispatchWait, w *waiter, e event, untried int) (result, bool) {
+	switch e.kind {
+	case expired:
+		return r.handleTimeout(wait)
+	case stopped:
+		r.stop(wait)
+		return r.handleTimeout(wait)
+	case hung:
+		return r.retryElsewhere(w, untried)
+	default:
+		return r.resultOfEvent(e)
+	}
+}
+
 // resultOfEvent returns the result that an event implies, or false if the wait continues.
 func (r *request) resultOfEvent(e event) (result, bool) {
 	switch {
@@ -197,7 +202,7 @@
 	case wait.awaitingLink && wait.gate.Withdraw(d.ID, d.Attempt):
 		return result{kind: retry.NotRun, reason: access.ReasonUnreachable}, true
 	case wait.awaitingLink:
-		wait.awaitingLink, wait.until = false, wait.began+d.Budget
+		wait.awaitingLink, wait.until = false, min(wait.began+d.Budget, r.deadline)
 	case r.repeatable:
 		return noReply, true
 	case wait.resolveSent:
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -154,6 +154,8 @@
 			now = c.request.entry.config.Now()
 		case <-c.request.callerGone:
 			return -1
+		case <-c.request.entry.stopped:
+			return -1
 		}
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,7 +114,9 @@
 	sequence        atomic.Uint64
 	inFlight        atomic.Int64
 	leaving         atomic.Bool
-	routesChangedAt atomic.Int64 // time of the last change of routes
+	stopsAt         atomic.Int64  // the time given to StopAt; 0 before
+	stopped         chan struct{} // closed at stopsAt
+	routesChangedAt atomic.Int64  // time of the last change of routes
 
 	table        atomic.Pointer[table.Table]
 	callerRates  atomic.Pointer[map[string]float64] // rate limits of individual callers
@@ -142,7 +144,7 @@
 	if c.Headers == (Headers{}) {
 		c.Headers = DefaultHeaders()
 	}
-	e := &Entry{config: c, splitter: NewSplitter(c.Seed), failureTimes: &failureTimes{}, profiles: newLatencyProfiles(), sizes: newSizeProfiles(), trialLocks: trialLocks{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: maxCallers})}
+	e := &Entry{config: c, stopped: make(chan struct{}), splitter: NewSplitter(c.Seed), failureTimes: &failureTimes{}, profiles: newLatencyProfiles(), sizes: newSizeProfiles(), trialLocks: trialLocks{running: map[quarantine.Fingerprint]chan struct{}{}}, rates: limit.NewRates(limit.RatesConfig{Seed: c.Seed, Callers: maxCallers})}
 	e.services.Store(&map[string]*service{})
 	e.callerRates.Store(&map[string]float64{})
 	return e
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -60,7 +60,7 @@
 	budget := r.domainWaitBudget(now)
 	switch {
 	case r.claimsOnly():
-		if budget > 0 && !r.isCallerGone() {
+		if budget > 0 && !r.mustEnd() {
 			a, untried, ok = r.searchSlot(now, searchScope{startBy: now + budget, ownDomain: true, claims: maxDomainClaims})
 		}
 		domain.left = !ok
@@ -73,7 +73,7 @@
 		domain.probed = true
 		a, untried, ok = r.reserveSlot(now, maxProbedGates, 0)
 	}
-	if !ok && budget > 0 && !r.isCallerGone() {
+	if !ok && budget > 0 && !r.mustEnd() {
 		a, untried, ok = r.reserveSlot(now, maxQueuedGates, budget)
 	}
 	if !ok {
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -85,6 +85,8 @@
 			p.pending = 0
 		case <-r.callerGone:
 			p.pending, p.reserved = 0, -1
+		case <-r.entry.stopped:
+			p.pending, p.reserved = 0, -1
 		}
 	}
 	p.releaseUnused()
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -151,6 +151,8 @@
 		return finalAnswer{}, false
 	case <-r.callerGone:
 		return r.unserved(string(wire.ReasonCallerLeft), 0), true
+	case <-r.entry.stopped:
+		return r.stoppedAnswer(), true
 	case <-timer.C:
 		return r.unserved(access.ReasonNoUpstream, r.service.retryAfter(now)), true
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -181,6 +181,10 @@
 		return refused(fasthttp.StatusServiceUnavailable, string(wire.ReasonCallerLeft), 0)
 	}
 	for {
+		if r.isStopped() {
+			r.dropReservation()
+			return r.stoppedAnswer()
+		}
 		now := r.entry.config.Now()
 		if status := r.quarantineStatus(); status.Verdict != quarantine.Free {
 			r.dropReservation()
@@ -268,6 +272,9 @@
 	if r.isCallerGone() {
 		return r.unknown(string(wire.ReasonCallerLeft)), true
 	}
+	if r.isStopped() {
+		return r.unserved(o.reason, max(o.retryAfter, r.service.retryAfter(r.entry.config.Now()))), true
+	}
 	if r.reservation.valid || r.continueSelection(&o) {
 		return finalAnswer{}, false
 	}
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -233,6 +233,8 @@
 			}
 		case <-timer.C:
 			return all
+		case <-r.entry.stopped:
+			return all
 		}
 	}
 	return all
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -76,7 +76,7 @@
 	if !ok && !r.selection.waited {
 		a, untried, ok = r.awaitSlot(now)
 	}
-	if !ok && !r.selection.forced && r.mayForce() && !r.isCallerGone() {
+	if !ok && !r.selection.forced && r.mayForce() && !r.mustEnd() {
 		r.selection.forced = true
 		a, untried, ok = r.service.chooseBySeverity(now, candidateFilter{tried: r.tried, ejected: true})
 		a.noWait, a.forced = true, true
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// StopAt makes the entry answer all requests by the given time, shortly before the node closes its
+// callers' connections. Requests that still wait then are refused, and the gates of those that were
+// sent are asked for the outcome. It may be called once.
+func (e *Entry) StopAt(at clock.Millis) {
+	e.stopsAt.Store(int64(at))
+	time.AfterFunc(max(at-e.config.Now(), 0).Duration(), func() { close(e.stopped) })
+}
+
+// latestDeadline returns the deadline of a request that arrives now, which ends before the entry
+// stops.
+func (e *Entry) latestDeadline(deadline clock.Millis) clock.Millis {
+	if at := clock.Millis(e.stopsAt.Load()); at > 0 {
+		return min(deadline, at)
+	}
+	return deadline
+}
+
+// isStopped reports whether the request must be answered now, as the node stops.
+func (r *request) isStopped() bool {
+	select {
+	case <-r.entry.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// mustEnd reports whether no further upstream may be tried: the caller has disconnected, or the node
+// stops.
+func (r *request) mustEnd() bool {
+	return r.isCallerGone() || r.isStopped()
+}
+
+// stop makes the wait for an outcome end as at the request's deadline, since the node stops: the gate
+// is asked for the outcome, and revokes a dispatch that has not begun.
+func (r *request) stop(wait *dispatchWait) {
+	now := r.entry.config.Now()
+	r.deadline = min(r.deadline, now+r.resolveTimeout())
+	wait.until, wait.stopped = min(wait.until, now), nil
+}
+
+// stoppedAnswer is the final answer to a request that is not served before the node stops.
+func (r *request) stoppedAnswer() finalAnswer {
+	return r.unserved(string(wire.ReasonLeaving), r.service.retryAfter(r.entry.config.Now()))
+}
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -20,6 +20,7 @@
 	hung // the run will most likely never finish
 	expired
 	callerGone // the caller has closed the connection
+	stopped    // the node stops
 )
 
 type event struct {
@@ -93,9 +94,9 @@
 
 var timerPool = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 
-// next returns the next event. It returns an expired event after span, and a callerGone
-// event when gone is closed.
-func (w *waiter) next(span clock.Millis, gone <-chan struct{}) event {
+// next returns the next event. It returns an expired event after span, a callerGone event when
+// gone is closed, and a stopped event when stop is closed.
+func (w *waiter) next(span clock.Millis, gone, stop <-chan struct{}) event {
 	timer, _ := timerPool.Get().(*time.Timer)
 	timer.Reset(span.Duration())
 	defer timerPool.Put(timer)
@@ -106,6 +107,9 @@
 	case <-gone:
 		timer.Stop()
 		return event{kind: callerGone}
+	case <-stop:
+		timer.Stop()
+		return event{kind: stopped}
 	case <-timer.C:
 		return event{kind: expired}
 	}
--- a/fleet/nodestop_test.go
+++ b/fleet/nodestop_test.go
@@ -11,6 +11,7 @@
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/standin"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // sendConcurrently sends requests that may run once, all at the same time, and returns their
@@ -65,3 +66,34 @@
 		t.Errorf("got outcome %q (%s), want unknown (node-stopped)", got.outcome, got.reason)
 	}
 }
+
+// Guards against a node that stops while requests of its callers run elsewhere or wait, at a gate or at
+// its entry: their connections would end without an answer.
+func TestLeavingNodeAnswersAllItsCallers(t *testing.T) {
+	for name, caution := range map[string]table.Caution{"waiting at a gate": table.Fast, "waiting at the entry": table.ShortEpisodes} {
+		t.Run(name, func(t *testing.T) {
+			deployment := newTable(1)
+			deployment.Services[0].Deadline, deployment.Services[0].Caution = 20*clock.Second, caution
+			_, entryNode, _, backend := startTwoNodesOf(t, fleet.Config{
+				Table: deployment, ServiceTime: 15 * clock.Second, Adjust: func(s *settings.Settings) { s.Grace = 2 * clock.Second },
+			})
+			answers := make(chan []answer, 1)
+			slots := deployment.Services[0].Upstreams[0].Slots
+			go func() { answers <- sendConcurrently(slots+2, entryNode.Caller) }()
+			awaitTotals(t, backend, begunAtLeast(uint64(slots)))
+			waitUntil(t, "all requests in flight", func() bool { return entryNode.Node.InFlight() >= slots+2 })
+			entryNode.Node.Leave()
+			<-entryNode.Done()
+			if got := entryNode.Node.InFlight(); got > 0 {
+				t.Errorf("got %d requests without an answer when the node had stopped, want none", got)
+			}
+			counts := map[string]int{}
+			for _, got := range <-answers {
+				counts[got.outcome]++
+			}
+			if counts[string(access.Unknown)] != slots || counts[string(access.NotRun)] != 2 {
+				t.Errorf("got outcomes %v, want %d unknown and 2 not run", counts, slots)
+			}
+		})
+	}
+}
--- a/node/leave.go
+++ b/node/leave.go
@@ -100,6 +100,10 @@
 // have ended, so that their replies arrive before the links close.
 const replyMargin = 50 * clock.Millis(1)
 
+// answerMargin is how long before the node stops the entry begins to answer the requests that are
+// not served yet: as long as asking a gate for an outcome takes, twice, and the answer's way.
+const answerMargin = 150 * clock.Millis(1)
+
 // stopAt records that the node stops at the given time at the latest, and tells the gates.
 func (n *Node) stopAt(at clock.Millis) {
 	n.mu.Lock()
@@ -108,6 +112,7 @@
 	for _, g := range n.allGates() {
 		g.StopAt(at - replyMargin)
 	}
+	n.entry.StopAt(at - answerMargin)
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
@@ -123,9 +128,12 @@
 	for _, g := range n.gatesWithRetired() {
 		runs += g.Cut()
 	}
-	n.log.WithFields(logrus.Fields{
-		"requests": requests, "callers": callers, "runs": runs,
-	}).Warn("grace is over; requests are cut")
+	log := n.log.WithFields(logrus.Fields{"requests": requests, "callers": callers, "runs": runs})
+	if requests > 0 {
+		log.Warn("grace is over; requests are cut")
+	} else {
+		log.Info("grace is over; nothing is cut")
+	}
 	n.links.Drain()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutReplyTimeout)
 	defer cancel()
