gate: an upstream that returns to use is published at once

Callers of the node beside an upstream whose weight was 0 for a while (drained and put back) are sent to other upstreams only, for as long as nothing else changes its status.

Cause: a gate publishes that it leaves, not that it is back. Entries of other nodes learn it by regular heartbeats; the entry of the gate's own node gets none and knows only what is published.

Change: a gate that doesn't leave any more, by the table or the instance list, requests a heartbeat.

Measured: TestReturnToUseIsPublished failed before at both steps.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -344,6 +344,9 @@
 	g.service, g.upstream = s, u
 	g.quota.Adjust(quotaConfig(&s, u.Name))
 	g.keepConnections(&s)
+	if wasLeaving && !g.isLeaving() {
+		g.notifyChange() // the node's own entry gets no regular heartbeats
+	}
 	calls := g.startLeaving(wasLeaving, "zero weight")
 	calls = append(calls, g.refuseExpired(g.config.Now())...) // first, so that no new slot goes to an expired waiter
 	now := g.config.Now()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -373,3 +373,28 @@
 	t.Cleanup(pool.Release)
 	return pool
 }
+
+// Guards against an entry that takes an upstream for leaving after it has returned to use: the entry of the
+// gate's own node learns its status only when it changes.
+func TestReturnToUseIsPublished(t *testing.T) {
+	changes := 0
+	g, _, s, u := newGateOnChange(t, func() { changes++ })
+	steps := []func(leaves bool){
+		func(leaves bool) {
+			u.Weight = 100
+			if leaves {
+				u.Weight = 0
+			}
+			g.Update(s, u)
+		},
+		g.SetListedLeaving,
+	}
+	for i, setLeaving := range steps {
+		setLeaving(true)
+		before := changes
+		setLeaving(false)
+		if changes == before {
+			t.Errorf("step %d: got no change published, want one", i)
+		}
+	}
+}
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -59,6 +59,9 @@
 	g.mu.Lock()
 	wasLeaving := g.isLeaving()
 	g.listedLeaving = leaving
+	if wasLeaving && !g.isLeaving() {
+		g.notifyChange()
+	}
 	refused := g.startLeaving(wasLeaving, "instance list")
 	g.mu.Unlock()
 	callAll(refused)
