standin: a backend server says when and from which gate a request ran

A check of shutdowns has to compare a run with the SIGTERM and the end of its gate's process, and needs runs of different lengths. The ledger's times counted from the start of the stand-in, and every request took the one service time.

Entries of the ledger have the time of day (arrived) and the address from which the gate's connection came (gate); the query argument work sets how long a request takes.

Measured: go test ./standin passed. The new test can't be built without the change.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -36,6 +36,10 @@
 	BackendHeader = "Backend"
 )
 
+// WorkArgument is the query argument that says how long its request takes, such as "2.5s", in
+// place of the backend server's service time.
+const WorkArgument = "work"
+
 // loadUpdateInterval is the number of begun requests after which /load is updated.
 const loadUpdateInterval = 32
 
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -38,9 +39,9 @@
 	return resp
 }
 
-// openRequest sends a request with the given id and returns the connection without reading
+// openRequest sends a request for a path with the given id and returns the connection without reading
 // the answer.
-func openRequest(t *testing.T, address, id string) net.Conn {
+func openRequest(t *testing.T, address, path, id string) net.Conn {
 	t.Helper()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(t.Context(), "tcp", address)
@@ -48,7 +49,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	_, err = conn.Write([]byte("GET /open HTTP/1.1\r\nHost: x\r\nFuchsiapick-Request: " + id + "\r\n\r\n"))
+	_, err = conn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: x\r\nFuchsiapick-Request: " + id + "\r\n\r\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,6 +84,29 @@
 	}
 }
 
+// A check compares runs with the shutdown of the gate that sent them. Without the time of day of
+// a run, its length and its gate, it couldn't tell which process cut the run.
+func TestBackendRecordsWhenAndFromWhereARequestRan(t *testing.T) {
+	const work = 30 * clock.Millis(1)
+	b := startBackend(t, standin.BackendConfig{Service: clock.Minute})
+	before := time.Now()
+	conn := openRequest(t, b.Address(), "/open?"+standin.WorkArgument+"="+work.String(), "first")
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Served == 1 })
+	e := b.Ledger()[0]
+	if got, want := e.Gate, conn.LocalAddr().String(); got != want {
+		t.Errorf("got a run from %s, want %s", got, want)
+	}
+	if e.Arrived.Before(before) || e.Arrived.After(time.Now()) {
+		t.Errorf("got arrival %v, want one during the test", e.Arrived)
+	}
+	if got := e.Ended - e.Started; got < work || got >= clock.Minute {
+		t.Errorf("got a run of %v, want one of %v and not of the service time", got, work)
+	}
+	if got := get(t, b.Address(), "/open?"+standin.WorkArgument+"=soon").StatusCode(); got != fasthttp.StatusBadRequest {
+		t.Errorf("got status %d for a time that doesn't parse, want 400", got)
+	}
+}
+
 func TestBackendFaults(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -135,7 +159,7 @@
 func TestBackendHangEndsWhenConnectionCloses(t *testing.T) {
 	b := startBackend(t, standin.BackendConfig{Slots: 1})
 	b.SetFault(standin.Fault{Kind: standin.Hangs})
-	conn := openRequest(t, b.Address(), "lost")
+	conn := openRequest(t, b.Address(), "/open", "lost")
 	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Begun == 1 })
 	if got := b.Ledger()[0].Outcome; got != standin.Running {
 		t.Errorf("got %s while it hangs, want running", got)
@@ -159,9 +183,9 @@
 func TestBackendQueuedRequestEndsWhenConnectionCloses(t *testing.T) {
 	b := startBackend(t, standin.BackendConfig{Slots: 1})
 	b.SetFault(standin.Fault{Kind: standin.Hangs})
-	holder := openRequest(t, b.Address(), "holder")
+	holder := openRequest(t, b.Address(), "/open", "holder")
 	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Begun == 1 })
-	waiter := openRequest(t, b.Address(), "waiter")
+	waiter := openRequest(t, b.Address(), "/open", "waiter")
 	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Queued == 1 })
 	_ = waiter.Close()
 	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Abandoned == 1 })
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 )
@@ -33,6 +34,11 @@
 	Started  clock.Millis `json:"started"`
 	Ended    clock.Millis `json:"ended"`
 	Outcome  Outcome      `json:"outcome"`
+	// Arrived is the time of day of Started, to compare with times of other processes.
+	Arrived time.Time `json:"arrived"`
+	// Gate is the address from which the gate's connection came. A process of a gate has
+	// others than the one that it replaces.
+	Gate string `json:"gate"`
 }
 
 // Totals counts all requests since the start, including those that the ledger no longer
--- a/standin/request.go
+++ b/standin/request.go
@@ -22,12 +22,14 @@
 	duration  time.Duration
 }
 
-func (b *Backend) planFault() faultPlan {
+// planFault returns the effect of the current fault on a request that takes serviceTime
+// without one.
+func (b *Backend) planFault(serviceTime clock.Millis) faultPlan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := faultPlan{fault: b.fault}
 	p.affected = b.rand.Float64() < p.fault.share()
-	p.duration = time.Duration(float64(b.config.Service.Duration()) * p.fault.slowdown(b.sequence, p.affected))
+	p.duration = time.Duration(float64(serviceTime.Duration()) * p.fault.slowdown(b.sequence, p.affected))
 	p.failsFast = p.fault.FailFastShare > 0 && b.rand.Float64() < p.fault.FailFastShare
 	b.sequence++
 	return p
@@ -44,7 +46,12 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if !b.admit(ctx, conn, b.planFault(), left) {
+	serviceTime, err := b.serviceTime(ctx)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if !b.admit(ctx, conn, b.planFault(serviceTime), left) {
 		conn.abort()
 		return
 	}
@@ -78,6 +85,18 @@
 	return clock.Millis(left).Duration(), nil
 }
 
+// serviceTime returns the time that the request's query argument WorkArgument says, else that of
+// the backend server. It returns an error if the argument isn't a duration.
+func (b *Backend) serviceTime(ctx *fasthttp.RequestCtx) (clock.Millis, error) {
+	text := ctx.QueryArgs().Peek(WorkArgument)
+	if len(text) == 0 {
+		return b.config.Service, nil
+	}
+	var span clock.Millis
+	err := span.UnmarshalText(text)
+	return span, errors.Annotatef(err, "reading %s", WorkArgument)
+}
+
 // admit runs the request in a slot, or refuses it. It returns false if the connection is to
 // be closed without an answer.
 func (b *Backend) admit(ctx *fasthttp.RequestCtx, conn *watchedConn, p faultPlan, left time.Duration) bool {
@@ -188,6 +207,8 @@
 		BodyHash:      hex.EncodeToString(hash[:]),
 		Started:       b.clock.Now(),
 		Outcome:       Running,
+		Arrived:       time.Now(),
+		Gate:          ctx.RemoteAddr().String(),
 	}
 }
 
