test(cmd): test processes that run at the same time share no ports

Ruled out: connections out of this machine, whose ports are above 32,768; another script of the same process, which takes no port twice.

A process now locks blocks of 200 ports by listening on the first of each. Processes of older checkouts don't heed it.

--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -44,26 +45,74 @@
 }
 
 // Scripts use ports below the kernel's range for outgoing connections. Otherwise an outgoing
-// connection could take the port of a node while the node is down.
+// connection could take the port of a node while the node is down. Test processes share no ports
+// for the same reason: each takes blocks of them, which it locks by listening on their first port.
 const (
 	firstPort = 12_000
 	portCount = 20_000
+	blockSize = 200
 )
 
-var nextPort atomic.Int64
+// ports are the ports of this test process.
+var ports portBlocks
 
-// freePort returns a loopback address on which nothing listens. Each test process starts
-// at another port, and a process returns no port twice until it has tried all.
+// portBlocks hands out the ports of the blocks that a process has locked.
+type portBlocks struct {
+	mu     sync.Mutex
+	locks  []net.Listener
+	firsts []int
+	// next counts the ports handed out, in all blocks.
+	next int
+}
+
+// take returns a port, and the same one again only after all others.
+func (p *portBlocks) take() (int, bool) {
+	const usable = blockSize - 1 // without the lock
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next >= usable*len(p.firsts) && !p.lock() {
+		p.next = 0
+	}
+	if len(p.firsts) == 0 {
+		return 0, false
+	}
+	port := p.firsts[p.next/usable] + 1 + p.next%usable
+	p.next++
+	return port, true
+}
+
+// lock takes another block of ports and reports whether one was free.
+func (p *portBlocks) lock() bool {
+	const blocks = portCount / blockSize
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockSize
+		l, err := net.Listen("tcp", loopback(first))
+		if err != nil {
+			continue
+		}
+		p.locks, p.firsts = append(p.locks, l), append(p.firsts, first)
+		return true
+	}
+	return false
+}
+
+func loopback(port int) string {
+	return "127.0.0.1:" + strconv.Itoa(port)
+}
+
+// freePort returns a loopback address on which nothing listens.
 func freePort(ts *testscript.TestScript) string {
 	for range portCount {
-		n := (int64(os.Getpid())*389 + nextPort.Add(1)) % portCount
-		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.FormatInt(firstPort+n, 10))
+		port, ok := ports.take()
+		if !ok {
+			break
+		}
+		l, err := net.Listen("tcp", loopback(port))
 		if err != nil {
 			continue
 		}
-		address := l.Addr().String()
 		ts.Check(l.Close())
-		return address
+		return loopback(port)
 	}
 	ts.Fatalf("no free port")
 	return ""
