test(cmd): a soak of restarts, with runs longer than the linger time and waiting at leaving entries

TestSoakRestarts draws plans in which nodes end by SIGTERM alone, in series that overlap, with SIGHUP and tables in between and upstreams that leave, drain or are replaced while their node is stopped. Runs last up to a quarter more than the grace period, floods make requests wait at leaving entries, and callers use their open connections until the process is gone. The new check compares each caller's outcome with the ledgers and with when each process got SIGTERM and ended. The draws of TestSoak stay as they were.

An upstream that was drained by weight 0 and has its weight again stays leaving at the node beside it for the 30 s of the check: a table that comes into force doesn't pass the new state of the node's own gates to its entry (read in the code, no trace). This is open.

--- a/cmd/load_test.go
+++ b/cmd/load_test.go
@@ -5,12 +5,15 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
+	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/entry"
+	"fuchsiapick.example/fuchsiapick/standin"
 )
 
 // connectionCut is the outcome of a request whose connection broke without an answer.
@@ -24,6 +27,14 @@
 	outcome access.Outcome
 	status  int
 	reason  string
+	// host is the address that the request was sent to.
+	host           string
+	sent, answered time.Time
+	// work is how long the request runs, limit its time limit; 0 if the request names none.
+	work, limit time.Duration
+	// isClosed means that the other side has closed the connection in an orderly way, without
+	// an answer.
+	isClosed bool
 }
 
 // outcomeRecorder records the results of all requests by path. Each request has a unique
@@ -157,6 +168,12 @@
 
 // send sends one request and records its result.
 func (s *session) send(client *fasthttp.Client, method, url string) callerResult {
+	return s.sendWork(client, method, url, 0, 0)
+}
+
+// sendWork is send for a request that runs for a given time and has a time limit, unless they
+// are 0.
+func (s *session) sendWork(client *fasthttp.Client, method, url string, work, limit time.Duration) callerResult {
 	number := s.sent.Add(1)
 	path := "/" + strconv.FormatInt(number, 10)
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -165,10 +182,18 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI(url + path)
 	request.Header.Set(entry.HeaderCaller, "hotel-"+strconv.FormatInt(number%callerCount, 10))
+	if work > 0 {
+		request.URI().QueryArgs().Set(standin.WorkArgument, work.String())
+		request.Header.Set(entry.HeaderDeadline, strconv.FormatInt(limit.Milliseconds(), 10))
+	}
 	client.MaxIdemponentCallAttempts = 1
 	client.RetryIfErr = func(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+	result := callerResult{
+		path: string(request.URI().Path()), method: method, outcome: connectionCut,
+		host: string(request.URI().Host()), work: work, limit: limit, sent: time.Now(),
+	}
 	err := client.DoTimeout(request, response, waitTimeout)
-	result := callerResult{path: string(request.URI().Path()), method: method, outcome: connectionCut}
+	result.answered, result.isClosed = time.Now(), errors.Is(err, fasthttp.ErrConnectionClosed)
 	if err == nil {
 		result.id = string(response.Header.Peek(entry.HeaderRequest))
 		result.outcome = access.Outcome(response.Header.Peek(entry.HeaderOutcome))
@@ -179,7 +204,7 @@
 	}
 	s.recorder.mu.Lock()
 	defer s.recorder.mu.Unlock()
-	s.recorder.results[string(request.URI().Path())] = result
+	s.recorder.results[result.path] = result
 	return result
 }
 
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -21,6 +21,9 @@
 	stdout standin.Output
 	stderr standin.Output
 	done   chan struct{}
+	// terminated is when the script sent SIGTERM, zero if it didn't. ended may be read once
+	// done is closed.
+	started, terminated, ended time.Time
 }
 
 // startProcess implements "start NAME PROGRAM ARG...": it starts a program that runs at
@@ -32,14 +35,16 @@
 	}
 	path, err := exec.LookPath(args[1])
 	ts.Check(err)
-	p := &process{cmd: exec.Command(path, args[2:]...), done: make(chan struct{})}
+	p := &process{cmd: exec.Command(path, args[2:]...), done: make(chan struct{}), started: time.Now()}
 	p.cmd.Dir = ts.MkAbs(".")
 	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
 	ts.Check(p.cmd.Start())
 	s.processes[args[0]] = p
+	s.history[args[0]] = append(s.history[args[0]], p)
 	go func() {
 		defer close(p.done)
 		_ = p.cmd.Wait() // scripts check the exit code
+		p.ended = time.Now()
 	}()
 	ts.Defer(func() { p.killAndLog(ts, args[0]) })
 }
@@ -77,6 +82,9 @@
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, name := range args {
 			p := processOf(ts, name)
+			if signal == syscall.SIGTERM && p.terminated.IsZero() {
+				p.terminated = time.Now()
+			}
 			ts.Check(p.cmd.Process.Signal(signal))
 			if signal == syscall.SIGSTOP {
 				p.awaitStopped(ts, name)
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,10 +20,12 @@
 // session holds the state of one script: its processes, loads and recorded results.
 type session struct {
 	processes map[string]*process
-	loads     map[string]*load
-	limits    map[string]namedLimit // by backend
-	sent      atomic.Int64
-	recorder  outcomeRecorder
+	// history holds all processes that had a name, the oldest first.
+	history  map[string][]*process
+	loads    map[string]*load
+	limits   map[string]namedLimit // by backend
+	sent     atomic.Int64
+	recorder outcomeRecorder
 }
 
 type sessionKey struct{}
@@ -30,6 +33,7 @@
 func newSession() *session {
 	return &session{
 		processes: map[string]*process{},
+		history:   map[string][]*process{},
 		loads:     map[string]*load{},
 		limits:    map[string]namedLimit{},
 		recorder:  outcomeRecorder{results: map[string]callerResult{}},
@@ -123,6 +127,7 @@
 domain = %q
 secret = "sixteen letters!"
 grace = %q
+linger = %q
 peers = [%s]
 log = "debug"
 
@@ -139,8 +144,9 @@
 
 // writeSettings implements "configure NAME DOMAIN PLATFORM [PEER...]": it writes the
 // settings file NAME.toml. The node listens on $C_NAME, $L_NAME and $A_NAME, which it
-// sets if they are empty. The node announces $R_NAME if that is set, else $L_NAME. $GRACE
-// and $POLL are its grace period and poll interval, by default 10s and 5s.
+// sets if they are empty. The node announces $R_NAME if that is set, else $L_NAME. $GRACE,
+// $LINGER and $POLL are its grace period, linger time and poll interval, by default 10s, 0s and
+// 5s.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
 	name := args[0]
 	for _, kind := range []string{"C_", "L_", "A_"} {
@@ -150,12 +156,13 @@
 	}
 	announce := valueOr(ts.Getenv("R_"+name), ts.Getenv("L_"+name))
 	grace := valueOr(ts.Getenv("GRACE"), "10s")
+	linger := valueOr(ts.Getenv("LINGER"), "0s")
 	poll := valueOr(ts.Getenv("POLL"), "5s")
 	peers := make([]string, 0, len(args))
 	for _, peer := range args[3:] {
 		peers = append(peers, strconv.Quote(peer))
 	}
-	text := fmt.Sprintf(settingsTemplate, name, args[1], grace, strings.Join(peers, ", "),
+	text := fmt.Sprintf(settingsTemplate, name, args[1], grace, linger, strings.Join(peers, ", "),
 		ts.Getenv("C_"+name), ts.Getenv("L_"+name), announce, ts.Getenv("A_"+name), args[2], poll)
 	ts.Check(os.WriteFile(ts.MkAbs(name+".toml"), []byte(text), 0o600))
 }
@@ -266,6 +273,21 @@
 	}
 }
 
+// awaitNoLine implements "lacks TEXT URL [EXCEPT...]": it waits until no line of the answer contains
+// the text, but lines that contain one of the exceptions, too.
+func awaitNoLine(ts *testscript.TestScript, _ bool, args []string) {
+	poll(ts, "no line with "+args[0], func() (string, bool) {
+		found := ""
+		for line := range strings.Lines(fetchLines(ts, args[1], args[0])) {
+			isExcepted := slices.ContainsFunc(args[2:], func(text string) bool { return strings.Contains(line, text) })
+			if !isExcepted {
+				found += line
+			}
+		}
+		return found, found == ""
+	})
+}
+
 // checkLineCount implements "atmost N TEXT URL": it fails if more than N lines of the
 // answer contain the text.
 func checkLineCount(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
@@ -36,6 +37,13 @@
 // A seed that fails prints its plan. Use -soak.without to find the faults that matter, and
 // keep the reduced plan in testdata/script.
 func TestSoak(t *testing.T) {
+	runSoak(t, func(seed uint64, without []int) string { return newPlan(seed, without).text() })
+}
+
+// runSoak runs the plans of all seeds. It gets the script of a seed, without the parts of the plan
+// that have the given numbers.
+func runSoak(t *testing.T, script func(seed uint64, without []int) string) {
+	t.Helper()
 	dir := *soakKeep
 	if dir == "" {
 		dir = t.TempDir()
@@ -50,7 +58,7 @@
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
 		file := filepath.Join(dir, fmt.Sprintf("seed%d.txtar", seed))
-		if err := os.WriteFile(file, []byte(newPlan(seed, without).text()), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(script(seed, without)), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		files = append(files, file)
@@ -67,6 +75,13 @@
 	<-time.After(span)
 }
 
+// reloadUnlessEnded implements "hangup NAME": it sends SIGHUP to a process, which may end meanwhile.
+func reloadUnlessEnded(ts *testscript.TestScript, _ bool, args []string) {
+	if err := processOf(ts, args[0]).cmd.Process.Signal(syscall.SIGHUP); !errors.Is(err, os.ErrProcessDone) {
+		ts.Check(err)
+	}
+}
+
 // awaitEnd implements "gone NAME": it waits until a process ends and ignores its exit
 // code.
 func awaitEnd(ts *testscript.TestScript, _ bool, args []string) {
