gate: refuse what waits when a node leaves whose gate the instance list marked before

What callers would see: the platform's list marks an instance as leaving before its node gets SIGTERM. For the drain time its gate still admits requests of entries that don't know it, and they wait for a slot. The node's shutdown did not refuse these: Gate.Leave refused waiters only if the gate wasn't leaving yet. They waited on, and began to run later in the grace period of a node that ends, or were cut with it.

Leave refuses what waits in any case.

--- a/gate/leave.go
+++ b/gate/leave.go
@@ -7,7 +7,8 @@
 )
 
 // Leave permanently stops the gate from admitting dispatches. Running requests finish;
-// waiting ones are refused, since there is still time to send them to other upstreams.
+// waiting ones are refused, since there is still time to send them to other upstreams. Requests
+// also wait at a gate that was leaving before and admitted them within its drain time.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	wasLeaving := g.isLeaving()
@@ -15,6 +16,7 @@
 		g.leaving, g.endedAt = true, g.config.Now()
 	}
 	refused := g.startLeaving(wasLeaving, "shutdown")
+	refused = append(refused, g.refuseWaiters(g.config.Now(), g.slots.Flush(), wire.ReasonLeaving)...)
 	g.mu.Unlock()
 	callAll(refused)
 }
