cmd: a node outlives the reader of its log

What callers would see: a node writes its log to standard output, which is a pipe to a log collector in most deployments. Go ends a process with SIGPIPE when a write to descriptor 1 or 2 fails because the pipe is closed. A collector that ends or is restarted thus ended the node with its next log lines, whatever was in flight, without a line about it and without any grace: the same for every node whose collector is replaced.

The signal is ignored, so that the write fails and the line is lost, as logging.Writer intends for an output that fails.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -25,6 +25,7 @@
 // second one ends the process immediately. If the node cut requests in flight, run
 // returns ExitFailure, so that a release procedure notices.
 func (c *nodeCmd) run(stdout, stderr io.Writer) int {
+	signal.Ignore(syscall.SIGPIPE) // otherwise the process ends when the reader of its log ends
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -6,9 +6,11 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"fuchsiapick.example/fuchsiapick/standin"
@@ -18,7 +20,7 @@
 // it.
 type process struct {
 	cmd    *exec.Cmd
-	stdout standin.Output
+	stdout processOutput
 	stderr standin.Output
 	done   chan struct{}
 	// terminated is when the script sent SIGTERM, zero if it didn't. ended may be read once
@@ -26,6 +28,28 @@
 	started, terminated, ended time.Time
 }
 
+// processOutput collects the output of a process until it is set to unread. The pipe to the process
+// is closed then, after what the process writes next.
+type processOutput struct {
+	standin.Output
+
+	isUnread atomic.Bool
+}
+
+const errUnread = errors.ConstError("nobody reads the output")
+
+func (o *processOutput) Write(p []byte) (int, error) {
+	if o.isUnread.Load() {
+		return 0, errUnread
+	}
+	return o.Output.Write(p)
+}
+
+// stopReading implements "unread NAME": nobody reads the standard output of a process any more.
+func stopReading(ts *testscript.TestScript, _ bool, args []string) {
+	processOf(ts, args[0]).stdout.isUnread.Store(true)
+}
+
 // startProcess implements "start NAME PROGRAM ARG...": it starts a program that runs at
 // most until the script ends.
 func startProcess(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -60,6 +60,7 @@
 			"sigterm":   sendSignals(syscall.SIGTERM),
 			"sighup":    sendSignals(syscall.SIGHUP),
 			"hangup":    reloadUnlessEnded,
+			"unread":    stopReading,
 			"ended":     awaitExit,
 			"logged":    awaitLogLine,
 			"relay":     setMode,
