cmd: SIGHUP is handled from the first line of the node

What was seen: the handler of SIGHUP was installed by the reloader's goroutine, after the settings were read and the node was built, and the node's ports opened at the same time. A SIGHUP before that ended the process (exit 129 in a shell): an operator who edits the settings of many nodes and signals them all ends those that just start, and in the worst order one that serves already.

The handler is installed first, and the reloader takes the signal that has waited. SIGTERM and SIGINT keep their default action until the node is built: nothing is served yet, and the process ends, which is what they ask for. A signal before the first line of the program still ends it.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -25,6 +25,9 @@
 // second one ends the process immediately. If the node cut requests in flight, run
 // returns ExitFailure, so that a release procedure notices.
 func (c *nodeCmd) run(stdout, stderr io.Writer) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first, since SIGHUP ends a process without a handler
+	defer signal.Stop(hangups)
 	signal.Ignore(syscall.SIGPIPE) // otherwise the process ends when the reader of its log ends
 	s, err := settings.Load(c.Settings)
 	if err != nil {
@@ -54,7 +57,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	r := &reloader{path: c.Settings, inForce: s, log: log, tableBuilder: builder}
-	go r.run(ctx)
+	go r.run(ctx, hangups)
 	go func() {
 		<-signals
 		n.Leave()
--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,12 +28,9 @@
 	modTime time.Time
 }
 
-// run reloads the settings on SIGHUP and when the file changes, until the context ends.
-// Without this handler, SIGHUP would end the process and cut every request in flight.
-func (r *reloader) run(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// run reloads the settings on SIGHUP, which arrives on hangups, and when the file changes, until
+// the context ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
 	r.fileChanged()
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
