gate, node: a gate is kept, counted and asked as long as its dispatches

What callers could see: a request that may run once runs twice, or gets 'unknown' for a run that ends well. An upstream whose registration expires and returns gets a new gate; the old one answers for its dispatches. The node forgot an old gate in three ways:

- a minute after its removal, whatever leases it had recorded.
Deadlines may be ten minutes.
The next gate of the name, which has the same incarnation, then resolved a dispatch that had run as not run, and its entry would send the request again.
It takes a path that is down for more than the minute and a lease beyond it.
- together with a younger gate: ForgetPrevious dropped the whole chain behind an idle gate, and the map of removed gates held only the last one of a name.
A run at the first of three gates was then resolved as not run while it was at work.
- in the count of requests in flight: a run at a gate that was replaced twice was in nobody's count.
A node that leaves takes itself for idle then.

A gate is forgotten once its deduplicator holds no record any more, and at the earliest after the minute. Gates count those behind them. A gate that is dropped is closed now as well: the first of two removed gates kept its idle connections to the backend server. Cost: the records of a removed gate, which last as long as those of a gate in use.

--- a/gate/cut.go
+++ b/gate/cut.go
@@ -10,9 +10,17 @@
 // maxLoggedCuts limits the lines about the requests that a gate's node cuts when it stops.
 const maxLoggedCuts = 16
 
-// Cut replies to all dispatches for a node that stops now, and returns how many of them run: no
-// other process can tell their entries that these runs are cut. The others are refused.
+// Cut replies to all dispatches for a node that stops now, those of previous gates included, and
+// returns how many of them run: no other process can tell their entries that these runs are cut. The
+// others are refused.
 func (g *Gate) Cut() (running int) {
+	for current := g; current != nil; current = current.previous.Load() {
+		running += current.cut()
+	}
+	return running
+}
+
+func (g *Gate) cut() (running int) {
 	g.mu.Lock()
 	now := g.config.Now()
 	calls := make([]func(), 0, len(g.jobs))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -358,11 +358,15 @@
 	callAll(calls)
 }
 
-// Pending returns the number of dispatches that wait or run.
+// Pending returns the number of dispatches that wait or run, those at previous gates included.
 func (g *Gate) Pending() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.jobs)
+	count := 0
+	for current := g; current != nil; current = current.previous.Load() {
+		current.mu.Lock()
+		count += len(current.jobs)
+		current.mu.Unlock()
+	}
+	return count
 }
 
 // Close closes the connections to the backend server.
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -61,20 +61,39 @@
 	return nil, false
 }
 
-// ForgetPrevious drops the previous gates that left before the given time and have no pending
-// dispatches. Callers choose a time after which no entry resolves their dispatches any more.
+// ForgetPrevious closes and drops the previous gates that left before the given time and have no
+// dispatch that an entry may still resolve.
 func (g *Gate) ForgetPrevious(before clock.Millis) {
+	for current := g; ; {
+		previous := current.previous.Load()
+		switch {
+		case previous == nil:
+			return
+		case previous.endedBefore(before):
+			previous.Close()
+			current.previous.Store(previous.previous.Load())
+		default:
+			current = previous
+		}
+	}
+}
+
+// IsForgettable reports whether ForgetPrevious would drop the gate and all its previous gates.
+func (g *Gate) IsForgettable(before clock.Millis) bool {
 	for current := g; current != nil; current = current.previous.Load() {
-		if previous := current.previous.Load(); previous != nil && previous.endedBefore(before) {
-			current.previous.Store(nil)
+		if !current.endedBefore(before) {
+			return false
 		}
 	}
+	return true
 }
 
+// endedBefore reports whether the gate left before the given time and holds no record of a
+// dispatch: without the record of one that ran, the next gate would resolve it as not run.
 func (g *Gate) endedBefore(instant clock.Millis) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.leaving && g.endedAt < instant && len(g.jobs) == 0
+	return g.leaving && g.endedAt < instant && len(g.jobs) == 0 && g.dedup.IsEmpty(g.config.Now())
 }
 
 // resetDelay is how long a response of a process that is gone may still be in transit from
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -124,3 +124,35 @@
 		t.Errorf("got error %v, want a truncated response", got)
 	}
 }
+
+// An upstream returns twice under its name while a dispatch to its first gate runs, or after it ran
+// and its entry has lost its link. Guards against a gate that forgets the first one and resolves the
+// dispatch as not run: the entry would send the request again.
+func TestGatesAreKeptAsLongAsTheirDispatches(t *testing.T) {
+	for _, isFinished := range []bool{false, true} {
+		first, h, s, u := newGate(t)
+		d := dispatch(1, "first")
+		replies := make(chan *wire.Reply, 1)
+		first.Handle(d, func(r *wire.Reply) { replies <- r })
+		<-h.begun
+		if isFinished {
+			close(h.end)
+			<-replies
+		}
+		first.Leave()
+		second, _ := newGateWithPrevious(t, first, s, u)
+		second.Leave()
+		third, _ := newGateWithPrevious(t, second, s, u)
+		if got := third.Pending(); !isFinished && got != 1 {
+			t.Errorf("got %d pending dispatches, want 1", got)
+		}
+		third.ForgetPrevious(clock.Hour)
+		resolution, reply := third.Resolve(&wire.Resolve{ID: d.ID, Attempt: 1, Incarnation: incarnation, Upstream: "c1", Lease: d.Lease})
+		if reply == nil && (resolution.Revoked || isFinished) {
+			t.Errorf("finished %v: got %+v for a dispatch that ran, want its outcome", isFinished, resolution)
+		}
+		if !isFinished {
+			close(h.end)
+		}
+	}
+}
--- a/lease/deduplicator.go
+++ b/lease/deduplicator.go
@@ -161,6 +161,12 @@
 	return ok
 }
 
+// IsEmpty reports whether no dispatch is recorded any more at the given time.
+func (d *Deduplicator[V]) IsEmpty(now clock.Millis) bool {
+	d.expire(now)
+	return len(d.records) == 0
+}
+
 // Len returns the number of recorded dispatches.
 func (d *Deduplicator[V]) Len() int {
 	return len(d.records)
--- a/node/gates.go
+++ b/node/gates.go
@@ -37,9 +37,8 @@
 	n.closeRetiredGates()
 }
 
-// retiredGateTTL is how long a removed gate still answers entries that ask for the outcome of
-// a dispatch. It is longer than the longest deadline of the current routes, 15 s, and than
-// lease.Retention.
+// retiredGateTTL is how long a removed gate answers entries that ask for the outcome of a dispatch
+// at least. It answers for as long as it has a record of one.
 const retiredGateTTL = clock.Minute
 
 // retireGate removes a gate, which finishes the requests that it has begun. The gate still
@@ -50,23 +49,18 @@
 	g := n.gates[name]
 	g.Leave()
 	delete(n.gates, name)
-	n.retired[name] = retiredGate{gate: g, retiredAt: n.clock.Now()}
+	n.retired[name] = g
 }
 
-// retiredGate is a removed gate that still answers for its dispatches.
-type retiredGate struct {
-	gate      *gate.Gate
-	retiredAt clock.Millis
-}
-
-// closeRetiredGates closes the idle gates that were removed more than retiredGateTTL ago, and
-// makes the current gates drop their predecessors of that age.
+// closeRetiredGates closes the gates that were removed more than retiredGateTTL ago and have no
+// record of a dispatch, and makes the other gates drop their predecessors of that kind.
 func (n *Node) closeRetiredGates() {
 	before := n.clock.Now() - retiredGateTTL
-	for name, r := range n.retired {
-		if r.retiredAt < before && r.gate.Pending() == 0 {
+	for name, g := range n.retired {
+		g.ForgetPrevious(before)
+		if g.IsForgettable(before) {
 			delete(n.retired, name)
-			r.gate.Close()
+			g.Close()
 		}
 	}
 	for _, g := range n.gates {
@@ -85,7 +79,7 @@
 		n.retireGate(u.Name)
 	}
 	n.gates[u.Name] = gate.New(gate.Config{
-		Previous:    n.retired[u.Name].gate,
+		Previous:    n.retired[u.Name],
 		Service:     s,
 		Upstream:    u,
 		Incarnation: n.incarnation,
@@ -138,8 +132,8 @@
 	if g, ok := n.gates[upstream]; ok {
 		return g, true
 	}
-	r, ok := n.retired[upstream]
-	return r.gate, ok
+	g, ok := n.retired[upstream]
+	return g, ok
 }
 
 func (n *Node) allGates() []*gate.Gate {
@@ -152,13 +146,16 @@
 	return gates
 }
 
-// gatesWithRetired returns the current gates and the removed ones that may still have requests.
-func (n *Node) gatesWithRetired() []*gate.Gate {
+// newestGates returns the newest gate of each upstream, current or removed. The others are its
+// previous gates.
+func (n *Node) newestGates() []*gate.Gate {
 	gates := n.allGates()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, r := range n.retired {
-		gates = append(gates, r.gate)
+	for name, g := range n.retired {
+		if n.gates[name] == nil {
+			gates = append(gates, g)
+		}
 	}
 	return gates
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -125,7 +125,7 @@
 // cut ends the requests that outlast the grace period, tells their entries and returns their number.
 func (n *Node) cut(ctx context.Context) int {
 	requests, callers, runs := n.InFlight(), n.entry.InFlight(), 0
-	for _, g := range n.gatesWithRetired() {
+	for _, g := range n.newestGates() {
 		runs += g.Cut()
 	}
 	log := n.log.WithFields(logrus.Fields{"requests": requests, "callers": callers, "runs": runs})
@@ -208,7 +208,7 @@
 // InFlight returns how many requests are in flight, in the entry and in all gates.
 func (n *Node) InFlight() int {
 	count := n.entry.InFlight()
-	for _, g := range n.gatesWithRetired() {
+	for _, g := range n.newestGates() {
 		count += g.Pending()
 	}
 	return count
--- a/node/node.go
+++ b/node/node.go
@@ -119,9 +119,9 @@
 	table        *table.Table
 	tableText    []byte
 	gates        map[string]*gate.Gate
-	// retired holds the removed gates by the name of their upstream. unknownUpstreams holds
-	// when an upstream that this node doesn't know was asked for first.
-	retired          map[string]retiredGate
+	// retired holds the gate that was removed last, by the name of its upstream. unknownUpstreams
+	// holds when an upstream that this node doesn't know was asked for first.
+	retired          map[string]*gate.Gate
 	unknownUpstreams map[string]clock.Millis
 	// earlyAnnouncements holds announcements of upstreams that have no gate yet, by name.
 	earlyAnnouncements map[string]earlyAnnouncement
@@ -215,7 +215,7 @@
 		placements:         referral.NewBook(c.Settings.Domain),
 		versionGuard:       versionguard.New(),
 		gates:              map[string]*gate.Gate{},
-		retired:            map[string]retiredGate{},
+		retired:            map[string]*gate.Gate{},
 		unknownUpstreams:   map[string]clock.Millis{},
 		earlyAnnouncements: map[string]earlyAnnouncement{},
 		localWaiters:       newLocalWaiters(),
@@ -334,8 +334,8 @@
 	for _, g := range n.gates {
 		g.Close()
 	}
-	for _, r := range n.retired {
-		r.gate.Close()
+	for _, g := range n.retired {
+		g.Close()
 	}
 	n.entryPool.Release()
 	n.gatePool.Release()
