gate: a registration that comes late doesn't cut the runs of the process it names

What callers see: a backend server's process ends and is restarted. The gate finds within a tenth of a second that the next process listens, and sends it requests. When the table brings the new start time, seconds later, the gate took all runs for those of the previous process: it closed their connections after 100 ms, so that the callers of requests that may run once got 502 torn-answer under a healthy run, and it freed their slots, so that the process got more requests than it has slots.

Evidence: TestRunsOfTheNextProcessOutliveItsRegistration failed before (torn-answer, 0 slots in use while the run was at work).

The gate knows when it last saw the process gone. What began after that, and the connections opened after that, belong to the next process and are kept, if the table names it within registrationDelay. Where no request met the process while it was down, nothing was seen, and all runs are cut as before: the start time is on another clock, and can't be compared.

Beside it: a second restart freed the slots of runs that the first one had freed already, which took them from requests with a reservation. TestSecondRestartFreesNoReservedSlot failed before (0 slots in use, want 1).

ResetConnections has a parameter for it; its tests pass the current time, for which nothing changes.

--- a/capacity/gates.go
+++ b/capacity/gates.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/panjf2000/ants/v2"
@@ -67,7 +68,7 @@
 func (instantBackend) Probe(string) bool { return true }
 
 // ResetConnections does nothing, because there are no connections.
-func (instantBackend) ResetConnections() {}
+func (instantBackend) ResetConnections(time.Time) {}
 
 // IsGone reports that the server's process has not ended.
 func (instantBackend) IsGone() bool { return false }
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -146,7 +146,7 @@
 	if g.crash.isDown {
 		return nil
 	}
-	g.crash.isDown = true
+	g.crash.isDown, g.wasGone, g.goneAt = true, true, now
 	g.profile.learner = speed.Learner{} // the next process may be another
 	g.notifyChange()
 	time.AfterFunc(recoveryInterval.Duration(), g.checkRecovery)
@@ -210,12 +210,14 @@
 // checkRecovery checks whether the backend server listens again, and schedules another check
 // if it doesn't.
 func (g *Gate) checkRecovery() {
+	checkedAt := g.config.Now()
 	isGone := g.config.Backend.IsGone()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case !g.crash.isDown || g.leaving:
 	case isGone:
+		g.wasGone, g.goneAt = true, checkedAt
 		time.AfterFunc(recoveryInterval.Duration(), g.checkRecovery)
 	default:
 		g.crash.isDown = false
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -34,8 +34,9 @@
 type backendConn struct {
 	net.Conn
 
-	reader *bufio.Reader
-	writer *bufio.Writer
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	openedAt time.Time // when the connection attempt began
 	// lastUsed is when the last response on the connection ended.
 	lastUsed time.Time
 	// announced is the idle time up to which the connection may be used by the timeout that the
@@ -60,6 +61,7 @@
 	if !ok {
 		return nil, errors.Annotatef(ErrRefused, "%d connections are in use", h.config.MaxConnections)
 	}
+	openedAt := time.Now()
 	dialer := net.Dialer{Timeout: connectTimeout.Duration(), Deadline: deadline}
 	raw, err := dialer.DialContext(ctx, "tcp", h.config.Address)
 	if err == nil {
@@ -72,9 +74,10 @@
 		return nil, errors.Annotatef(ErrRefused, "opening a connection: %v", err)
 	}
 	conn = &backendConn{
-		Conn:   raw,
-		reader: bufio.NewReaderSize(raw, bufferSize),
-		writer: bufio.NewWriterSize(raw, bufferSize),
+		Conn:     raw,
+		reader:   bufio.NewReaderSize(raw, bufferSize),
+		writer:   bufio.NewWriterSize(raw, bufferSize),
+		openedAt: openedAt,
 	}
 	h.markBusy(conn)
 	return conn, nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -34,9 +34,9 @@
 	Probe(path string) bool
 	// IsGone reports whether the backend server's process has ended.
 	IsGone() bool
-	// ResetConnections drops the connections to the previous process after the backend
-	// server was restarted.
-	ResetConnections()
+	// ResetConnections drops the connections to the previous process, those opened before the
+	// given time, after the backend server was restarted.
+	ResetConnections(openedBefore time.Time)
 	Close()
 }
 
@@ -143,8 +143,11 @@
 	leavingSince  clock.Millis
 	state         health.State
 	level         episode.Level
-	// generation counts the restarts of the upstream's process.
+	// generation counts the restarts of the upstream's process that the table has shown. goneAt is
+	// when the process was last seen to be gone, if it was in this generation.
 	generation int
+	wasGone    bool
+	goneAt     clock.Millis
 	// announced is what the backend server last stated about itself. pacedTimer is set while
 	// a waiter waits only for the backend server's rate limit.
 	announced announcement.Announcement
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 
@@ -41,10 +42,10 @@
 	}
 }
 
-func (*blockingBackend) Probe(string) bool { return true }
-func (*blockingBackend) IsGone() bool      { return false }
-func (*blockingBackend) Close()            {}
-func (*blockingBackend) ResetConnections() {}
+func (*blockingBackend) Probe(string) bool          { return true }
+func (*blockingBackend) IsGone() bool               { return false }
+func (*blockingBackend) Close()                     {}
+func (*blockingBackend) ResetConnections(time.Time) {}
 
 type discardRecorder struct{}
 
--- a/gate/idle_test.go
+++ b/gate/idle_test.go
@@ -89,7 +89,7 @@
 			_ = (<-opened).Close() // an error means that it is closed already
 			<-time.After(100 * time.Millisecond)
 		case 2:
-			backend.ResetConnections()
+			backend.ResetConnections(time.Now())
 		}
 		if _, err := backend.Do(t.Context(), call); err != nil {
 			t.Fatal(err)
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -49,8 +49,8 @@
 	defer b.mu.Unlock()
 	return b.isGone
 }
-func (*limitedBackend) Close()            {}
-func (*limitedBackend) ResetConnections() {}
+func (*limitedBackend) Close()                     {}
+func (*limitedBackend) ResetConnections(time.Time) {}
 
 func (b *limitedBackend) clock() clock.Millis {
 	b.mu.Lock()
--- a/gate/restart.go
+++ b/gate/restart.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -17,18 +18,46 @@
 // Waiting requests stay queued. The deduplicator is kept, because a dispatch that was revoked
 // or begun must not run on the new process either. It is called with the gate's lock held and
 // returns the calls to make after the lock is released.
+//
+// If the previous process was seen to be gone a short time ago, what began after that belongs to the
+// next one, which the table names only now.
 func (g *Gate) restart(now clock.Millis) []func() {
-	g.generation++
+	since := now + 1
+	if g.wasGone && now-g.goneAt <= registrationDelay {
+		since = g.goneAt
+	}
+	ended := g.beginGeneration(since)
 	g.crash, g.succeeded, g.profile.learner = crashState{}, nil, speed.Learner{}
 	g.detector = newDetector(g.service.Caution, g.config.Seed)
 	g.state, g.level = health.InUse, episode.Healthy
 	g.shed = retry.NewShedMeter()
-	g.config.Backend.ResetConnections()
+	g.config.Backend.ResetConnections(time.Now().Add((since - now).Duration()))
 	g.log.Info("upstream restarted; its verdict and connections are reset")
-	calls := g.startWaiters(now, g.slots.Restart(g.countRunning()))
+	calls := g.startWaiters(now, g.slots.Restart(ended))
 	return append(calls, g.forgetAnnouncement(now)...)
 }
 
+// registrationDelay is how long after a process has ended the table may name the next one. A
+// process that was seen to be gone earlier isn't the one that the table has replaced.
+const registrationDelay = 20 * clock.Second
+
+// beginGeneration assigns the runs that began since the given time to a new generation, and returns
+// the number of the other runs of the last one. It is called with the gate's lock held.
+func (g *Gate) beginGeneration(since clock.Millis) (ended int) {
+	g.generation++
+	for _, j := range g.jobs {
+		switch {
+		case !j.running || j.generation != g.generation-1:
+		case j.began < since:
+			ended++
+		default:
+			j.generation, j.run = g.generation, nil // the next detector doesn't know the run
+		}
+	}
+	g.wasGone = false
+	return ended
+}
+
 // startWaiters gives slots to the waiters with the given tickets. It is called with the gate's
 // lock held and returns the calls to make after the lock is released.
 func (g *Gate) startWaiters(now clock.Millis, tickets []uint64) []func() {
@@ -100,21 +129,27 @@
 // the backend server beside this node.
 const resetDelay = 100 * time.Millisecond
 
-// ResetConnections closes the idle connections to a process that is gone and lets calls in
-// flight fail after resetDelay: they would get no response and keep their callers waiting until
-// the deadline.
-func (h *HTTP) ResetConnections() {
+// ResetConnections closes the idle connections to a process that is gone, those opened before the
+// given time, and lets calls in flight on such connections fail after resetDelay: they would get no
+// response and keep their callers waiting until the deadline.
+func (h *HTTP) ResetConnections(openedBefore time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, c := range h.idle {
+	h.idle = slices.DeleteFunc(h.idle, func(c *backendConn) bool {
+		if !c.openedAt.Before(openedBefore) {
+			return false
+		}
 		h.open--
 		_ = c.Close() // an idle connection has no request in flight
-	}
-	h.idle, h.idleTimes = nil, idleTimes{}
+		return true
+	})
+	h.idleTimes = idleTimes{}
 	deadline := time.Now().Add(resetDelay)
 	for c := range h.busy {
-		c.isObsolete.Store(true)
-		_ = c.SetDeadline(deadline) // a closed connection needs no deadline
+		if c.openedAt.Before(openedBefore) {
+			c.isObsolete.Store(true)
+			_ = c.SetDeadline(deadline) // a closed connection needs no deadline
+		}
 	}
 }
 
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -4,11 +4,15 @@
 	"bufio"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -119,7 +123,7 @@
 		done <- err
 	}()
 	<-read
-	h.ResetConnections()
+	h.ResetConnections(time.Now())
 	if got := <-done; !errors.Is(got, gate.ErrTruncated) {
 		t.Errorf("got error %v, want a truncated response", got)
 	}
@@ -156,3 +160,98 @@
 		}
 	}
 }
+
+// A backend server's process ends and the next one runs a request before the table names it. Guards
+// against a gate that takes this run for one of the previous process and cuts it.
+func TestRunsOfTheNextProcessOutliveItsRegistration(t *testing.T) {
+	first, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := first.Addr().String()
+	_ = first.Close() // the previous process has ended
+	s := table.Service{Name: "conferme", Caution: table.ShortEpisodes, Queue: 4}
+	u := table.Upstream{Name: "c1", Address: address, Weight: 100, Slots: 1}
+	now := clock.NewSystem().Now
+	g := gate.New(gate.Config{
+		Service: s, Upstream: u, Incarnation: incarnation, Now: now, Pool: newPool(t), Recorder: discardRecorder{},
+		Keys: gate.NewKeyStore(now), Log: logging.Silent(),
+		Backend: gate.NewHTTP(gate.HTTPConfig{Address: address, MaxConnections: 4, MaxBody: 1 << 10}),
+	})
+	replies := make(chan *wire.Reply, 1)
+	g.Handle(dispatch(1, "first"), func(r *wire.Reply) { replies <- r })
+	if got := <-replies; got.Reason != wire.ReasonConnectionRefused {
+		t.Fatalf("got reason %s from a process that has ended, want the connection refused", got.Reason)
+	}
+	awaitDown(t, g, true)
+	second, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun, end := make(chan struct{}), make(chan struct{})
+	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {
+		close(begun)
+		<-end
+	}}
+	go func() { _ = server.Serve(second) }() // an error shows below: the request isn't answered
+	defer func() { _ = second.Close() }()
+	awaitDown(t, g, false)
+	d := dispatch(2, "second")
+	d.Forced = true // the verdict on the previous process still holds
+	g.Handle(d, func(r *wire.Reply) { replies <- r })
+	select {
+	case <-begun:
+	case got := <-replies:
+		t.Fatalf("got reason %s, want the next process to run the request", got.Reason)
+	}
+	u.Started = 1_767_225_600_900
+	g.Update(s, u)
+	if got := g.MetricsState().Running; got != 1 {
+		t.Errorf("got %d slots in use, want 1: the next process runs the request", got)
+	}
+	select {
+	case got := <-replies:
+		t.Errorf("got reason %s while the next process runs the request, want no reply", got.Reason)
+		close(end)
+	case <-time.After(time.Second):
+		close(end)
+		if got := <-replies; got.Outcome != wire.Answered {
+			t.Errorf("got outcome %v (%s), want it answered", got.Outcome, got.Reason)
+		}
+	}
+	if got := g.MetricsState().Running; got != 0 {
+		t.Errorf("got %d slots in use after all runs have ended, want 0", got)
+	}
+}
+
+// awaitDown waits until the gate knows whether its backend server's process has ended.
+func awaitDown(t *testing.T, g *gate.Gate, want bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); g.Status().Down != want; <-time.After(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got no gate with down %v within 10s", want)
+		}
+	}
+}
+
+// An upstream is restarted twice while a run of the first process hangs. Guards against a slot that
+// is freed twice, and given to another request while it is reserved.
+func TestSecondRestartFreesNoReservedSlot(t *testing.T) {
+	g, h, s, u := newGate(t)
+	g.Handle(dispatch(1, "hangs"), func(*wire.Reply) {})
+	<-h.begun
+	u.Started = 1_767_225_600_900
+	g.Update(s, u)
+	answers := make(chan *wire.Reservation, 1)
+	upload := &wire.SlotClaim{Probe: *newCapacityProbe(2), Bytes: 1 << 30} // the slot stays reserved for its transfer
+	g.ClaimSlot(upload, func(r *wire.Reservation) { answers <- r }, func(*wire.ClaimQueued) {})
+	if got := <-answers; !got.Reserved {
+		t.Fatalf("got no slot (%s), want it reserved", got.Reason)
+	}
+	u.Started++
+	g.Update(s, u)
+	if got := g.MetricsState().Running; got != 1 {
+		t.Errorf("got %d slots in use, want the reserved one", got)
+	}
+	close(h.end)
+}
