link: a request that waits for a link is not lost with the path

What callers see: an entry sends a request to a node to which it has no link, and the node has just ended (it was replaced, or the table still names it). The dial is refused. The entry told all pending dispatches first that the path is lost, then those that waited for the link that they were not sent. For a request that may be repeated the first notice decides: it counted as one that may have run. Its caller got 502 unknown in place of 503 not run, its second attempt was charged to the retry budget, and one of its runs was used up.

A dispatch that was not sent is only told so, and it is told when the path is declared lost as well, since a new one isn't accepted then either.

--- a/fleet/leave_test.go
+++ b/fleet/leave_test.go
@@ -364,3 +364,16 @@
 	defer l.mu.Unlock()
 	return l.text.String()
 }
+
+// A node has ended, and an entry that has no link to it sends it a request. Guards against the
+// outcome "unknown" for a request that was never sent.
+func TestRequestToANodeThatHasEndedIsNotRun(t *testing.T) {
+	d := newTable(1)
+	d.Routes[0].Repeatable = []string{"GET"}
+	_, entryNode, gateNode, _ := startTwoNodesOf(t, fleet.Config{Table: d, ServiceTime: 1})
+	gateNode.Stop()
+	gateNode.LinkRelay.SetMode(standin.Refuse)
+	if got := send(t, "GET", entryNode.Caller, "/conferme/turno", ""); got.outcome != string(access.NotRun) {
+		t.Errorf("got outcome %q (%s), want it not run", got.outcome, got.reason)
+	}
+}
--- a/link/dial.go
+++ b/link/dial.go
@@ -15,17 +15,21 @@
 	logging.Repeatable(p.log.WithField("path", pathName(state))).Info("path changed")
 	p.config.Observer.PeerPath(p.config.Address, state)
 	if state == path.Lost {
+		p.failUnsent()
 		p.notifyLost()
 		p.loseAllClaims()
 	}
 }
 
-// notifyLost notifies the observers of all pending dispatches that the path is lost.
+// notifyLost notifies the observers of the dispatches that were sent that the path is lost. Of one
+// that wasn't sent, an entry would assume that it may have run.
 func (p *Peer) notifyLost() {
 	p.mu.Lock()
 	observers := make([]DispatchObserver, 0, len(p.pending))
 	for _, pending := range p.pending {
-		observers = append(observers, pending.observer)
+		if !pending.unsent {
+			observers = append(observers, pending.observer)
+		}
 	}
 	p.mu.Unlock()
 	for _, observer := range observers {
--- a/link/peer.go
+++ b/link/peer.go
@@ -39,7 +39,8 @@
 	Resolved(revoked bool)
 	// NotSent is called if no link opened in time, so that nothing was sent.
 	NotSent()
-	// PathLost is called when the path is lost. A reply may still arrive.
+	// PathLost is called when the path is lost after the dispatch was sent. A reply may still
+	// arrive.
 	PathLost()
 	// Hung is called when the run has most likely hung. A reply may still arrive.
 	Hung()
--- a/link/start_test.go
+++ b/link/start_test.go
@@ -91,3 +91,31 @@
 		t.Fatal("got no end of the requests within 20s, want one")
 	}
 }
+
+// lossObserver records the notices of a dispatch in their order.
+type lossObserver struct {
+	resultObserver
+
+	lost atomic.Int64
+}
+
+func (o *lossObserver) PathLost() { o.lost.Add(1) }
+
+// Guards against a request that waits for a link to a node which has ended, and whose entry learns
+// that the path is lost: it takes the request, which was never sent, for one that may have run.
+func TestUnsentDispatchIsNotLost(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	_ = listener.Close() // the node has ended
+	peer := runQuietPeer(t, address)
+	observer := &lossObserver{resultObserver: newResultObserver()}
+	if err := peer.Dispatch(newDispatch(1), observer); err != nil {
+		t.Fatal(err)
+	}
+	if got := observer.await(t); got != "not sent" {
+		t.Errorf("got %q, want it not sent", got)
+	}
+	if got := observer.lost.Load(); got != 0 {
+		t.Errorf("got %d notices that the path is lost, want none", got)
+	}
+}
