--- a/cmd/nodecmd_test.go
+++ b/cmd/nodecmd_test.go
@@ -38,7 +38,7 @@
 		defer close(ended)
 		_ = node.Wait() // the state tells how it ended
 	}()
-	_, _ = fmt.Fprintf(file, settingsTemplate, "n1", "palermo", "1s", "", anyPort, anyPort, "127.0.0.1:1", anyPort, "127.0.0.1:2", "5s")
+	_, _ = fmt.Fprintf(file, settingsTemplate, "n1", "palermo", "1s", "0s", "", anyPort, anyPort, "127.0.0.1:1", anyPort, "127.0.0.1:2", "5s")
 	_ = file.Close() // an error of either shows below: the node doesn't start
 	for !strings.Contains(output.String(), "node started") {
 		select {
