entry: a gate that refuses a long request before its node stops still gets short ones

Callers of short run-once requests were refused (`no-upstream`) at the only upstream of their service, which would have served them, after any longer one had met its leaving node.

Cause: an entry asked a gate that had refused a run-once request as leaving for none of that kind for a second, whatever their deadlines; with routes of different timeouts each long request renewed that.

Change: the entry keeps the earliest deadline that the gate has refused, and asks it for requests with earlier ones. Refusals of repeatable requests don't count. The search for a slot takes what a request demands, in place of a flag.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -32,6 +32,7 @@
 	if r.needsProbe(&a) {
 		refusal, isReserved := r.probeGate(&a)
 		if !isReserved {
+			r.recordNodeStop(a.member, &refusal)
 			r.service.endAttempt(r.entry.config.Now(), a.member, &refusal)
 			return refusal
 		}
@@ -64,6 +65,7 @@
 	} else {
 		a.member.gate.Forget(d.ID, d.Attempt)
 	}
+	r.recordNodeStop(a.member, &outcome)
 	r.service.endAttempt(r.entry.config.Now(), a.member, &outcome)
 	return outcome
 }
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -128,7 +128,7 @@
 	if recorder := r.entry.config.Claims; recorder != nil {
 		recorder.RecordClaimWait(r.serviceName, now-r.started)
 	}
-	return a, max(r.service.countUntried(now, r.repeatable, r.tried)-1, 0), true
+	return a, max(r.service.countUntried(now, r.demand(), r.tried)-1, 0), true
 }
 
 // run returns the index of the claim that was granted, -1 if none was.
@@ -165,7 +165,7 @@
 	r := c.request
 	for c.search.WantsClaim(now) {
 		a, _, ok := r.service.chooseBySeverity(now, candidateFilter{
-			once: !r.repeatable, tried: c.excluded(now), ownDomain: c.scope.ownDomain, transfer: r.transfer(), shed: r.avoidsShedding(),
+			demand: r.demand(), tried: c.excluded(now), ownDomain: c.scope.ownDomain, transfer: r.transfer(), shed: r.avoidsShedding(),
 		})
 		if !ok {
 			c.search.Exhaust(now)
@@ -265,6 +265,7 @@
 func (c *claimSearch) end(now clock.Millis, index int, outcome waiting.Outcome, refusal *result) {
 	r, a := c.request, &c.claims[index]
 	c.record(outcome)
+	r.recordNodeStop(a.member, refusal)
 	r.service.endAttempt(now, a.member, refusal)
 	r.recordAttempt(a, refusal, now)
 	if !refusal.full {
--- a/entry/member.go
+++ b/entry/member.go
@@ -25,9 +25,8 @@
 	// pacedUntil is when the gate's next request is due by the upstream's rate limit, as far as
 	// this entry knows.
 	pacedUntil clock.Millis
-	// refusesOnceUntil is until when the gate most likely refuses requests that may run only once,
-	// since its node stops.
-	refusesOnceUntil clock.Millis
+	// stop is the last refusal of a request that may outlast the gate's node.
+	stop nodeStop
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
 }
@@ -68,15 +67,6 @@
 	return m.state.Severity
 }
 
-// stopRetention is how long a gate that refused a request because its node stops gets no further
-// request that may run only once. Its status doesn't tell, as it still takes others.
-const stopRetention = clock.Second
-
-// refusesOnce reports whether the gate most likely refuses a request that may run only once.
-func (m *member) refusesOnce(now clock.Millis) bool {
-	return now < m.refusesOnceUntil
-}
-
 // isPaced reports whether the upstream's rate limit most likely admits no request now.
 func (m *member) isPaced(now clock.Millis) bool {
 	return now < m.pacedUntil
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -66,7 +66,7 @@
 		domain.left = !ok
 		return a, untried, ok
 	case !r.isLastTry() && r.selection.directAttempts < maxDirectAttempts:
-		filter := candidateFilter{retryable: true, once: !r.repeatable, ownDomain: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
+		filter := candidateFilter{retryable: true, ownDomain: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
 		a, untried, ok = r.service.chooseBySeverity(now, filter)
 		a.noWait = true
 	case r.isLastTry() && !domain.probed:
--- a/entry/request.go
+++ b/entry/request.go
@@ -212,7 +212,7 @@
 // verdict was known, a request that can be served would be refused.
 func (r *request) recountUntried(a *attempt, o *result, untried int) int {
 	if r.config.Caution != table.ShortEpisodes && o.isPaced {
-		return r.service.countUntried(r.entry.config.Now(), r.repeatable, r.tried)
+		return r.service.countUntried(r.entry.config.Now(), r.demand(), r.tried)
 	}
 	if r.config.Caution == table.ShortEpisodes || o.kind != retry.NotRun || o.reason != string(wire.ReasonEjected) {
 		return untried
@@ -221,7 +221,7 @@
 	if !a.forced && r.service.isForced(now, a.member) {
 		r.tried = slices.DeleteFunc(r.tried, func(m *member) bool { return m == a.member })
 	}
-	return r.service.countUntried(now, r.repeatable, r.tried)
+	return r.service.countUntried(now, r.demand(), r.tried)
 }
 
 // noUpstreamLeft returns the final answer when no upstream is left to try.
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -56,7 +56,7 @@
 // untried result is how many other usable upstreams are left.
 func (r *request) choose(now clock.Millis) (a attempt, untried int, ok bool) {
 	if r.config.Caution != table.ShortEpisodes {
-		return r.service.choose(now, r.repeatable, r.tried)
+		return r.service.choose(now, r.demand(), r.tried)
 	}
 	if n, ok := r.takeReservation(); ok {
 		return n.attempt, n.untried, true
@@ -66,7 +66,7 @@
 	}
 	switch {
 	case !r.isLastTry() && r.selection.directAttempts < maxDirectAttempts:
-		filter := candidateFilter{retryable: true, once: !r.repeatable, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
+		filter := candidateFilter{retryable: true, tried: append(slices.Clone(r.tried), r.selection.fullGates...), transfer: r.transfer()}
 		a, untried, ok = r.service.chooseBySeverity(now, filter)
 		a.noWait = true
 	case r.isLastTry() && !r.selection.probed && !r.claimsOnly():
@@ -105,7 +105,7 @@
 func (r *request) reserveSlot(now clock.Millis, maxCandidates int, waitBudget clock.Millis) (attempt, int, bool) {
 	var candidates []attempt
 	untried := 0
-	filter := candidateFilter{once: !r.repeatable, tried: slices.Clone(r.tried), transfer: r.transfer(), ownDomain: r.selection.domain.isSearched, shed: r.avoidsShedding()}
+	filter := candidateFilter{demand: r.demand(), tried: slices.Clone(r.tried), transfer: r.transfer(), ownDomain: r.selection.domain.isSearched, shed: r.avoidsShedding()}
 	for len(candidates) < maxCandidates {
 		a, remaining, ok := r.service.chooseBySeverity(now, filter)
 		if !ok {
@@ -131,6 +131,7 @@
 		return a, untried + len(candidates) - 1, true
 	}
 	for i := range candidates {
+		r.recordNodeStop(candidates[i].member, &probe.refusals[i])
 		r.recordAttempt(&candidates[i], &probe.refusals[i], now)
 		if !probe.refusals[i].full {
 			r.tried = append(r.tried, candidates[i].member)
@@ -201,8 +202,8 @@
 type candidateFilter struct {
 	// retryable means that the request can be retried if this attempt fails.
 	retryable bool
-	// once means that the request may run only once.
-	once bool
+	// demand is the request's; the zero value excludes no upstream.
+	demand demand
 	// ejected selects ejected upstreams only.
 	ejected bool
 	// ownDomain selects upstreams in the entry's own failure domain only.
@@ -219,7 +220,7 @@
 	if f.ejected != (use == floor.Ejected) || use == floor.Unavailable || slices.Contains(f.tried, m) {
 		return false
 	}
-	return !f.once || !m.refusesOnce(now)
+	return !m.stop.refuses(now, f.demand)
 }
 
 // chooseBySeverity picks an upstream of a service whose upstreams fail in short episodes.
--- a/entry/service.go
+++ b/entry/service.go
@@ -142,13 +142,13 @@
 
 // choose picks the upstream for the next attempt. The untried result is how many other
 // usable upstreams have not been tried.
-func (s *service) choose(now clock.Millis, repeatable bool, tried []*member) (a attempt, untried int, ok bool) {
+func (s *service) choose(now clock.Millis, d demand, tried []*member) (a attempt, untried int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now)
 	s.candidates = s.candidates[:0]
 	for i, m := range s.members {
-		usable := s.usable(now, i, repeatable) && !m.isExcludedByPace(now, len(tried))
+		usable := s.usable(now, i, d) && !m.isExcludedByPace(now, len(tried))
 		s.candidates = append(s.candidates, m.candidate(now, s.lowestFailureShare, usable))
 		if usable && !slices.Contains(tried, m) {
 			untried++
@@ -167,13 +167,13 @@
 }
 
 // countUntried returns how many upstreams the request may still be sent to.
-func (s *service) countUntried(now clock.Millis, repeatable bool, tried []*member) int {
+func (s *service) countUntried(now clock.Millis, d demand, tried []*member) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now)
 	count := 0
 	for i, m := range s.members {
-		if s.usable(now, i, repeatable) && !m.isExcludedByPace(now, len(tried)) && !slices.Contains(tried, m) {
+		if s.usable(now, i, d) && !m.isExcludedByPace(now, len(tried)) && !slices.Contains(tried, m) {
 			count++
 		}
 	}
@@ -191,15 +191,15 @@
 
 // usable reports whether a request may go to an upstream. An upstream on trial gets
 // repeatable requests only: if it still fails, another upstream can serve them.
-func (s *service) usable(now clock.Millis, i int, repeatable bool) bool {
-	if !s.isWithinShare(now, s.members[i]) || (!repeatable && s.members[i].refusesOnce(now)) {
+func (s *service) usable(now clock.Millis, i int, d demand) bool {
+	if !s.isWithinShare(now, s.members[i]) || s.members[i].stop.refuses(now, d) {
 		return false
 	}
 	switch s.uses[i] {
 	case floor.Normal, floor.Forced:
 		return true
 	case floor.Ejected:
-		return repeatable && s.members[i].verdict(now) == health.Trial
+		return d.repeatable && s.members[i].verdict(now) == health.Trial
 	default:
 		return false
 	}
@@ -348,9 +348,6 @@
 	if o.isPaced {
 		m.pacedUntil = now + min(o.retryAfter, maxPacedSpan)
 	}
-	if o.reason == string(wire.ReasonLeaving) {
-		m.refusesOnceUntil = now + stopRetention
-	}
 	if o.reply != nil {
 		s.retryBudget.RecordReply(now, o.refusedForLoad())
 	}
