--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,8 +114,9 @@
 	sequence        atomic.Uint64
 	inFlight        atomic.Int64
 	leaving         atomic.Bool
-	stopsAt         atomic.Int64  // the time given to StopAt; 0 before
-	stopped         chan struct{} // closed at stopsAt
+	stopsAt         atomic.Int64 // the time given to StopAt; 0 before
+	stopOnce        sync.Once
+	stopped         chan struct{} // closed by Stop
 	routesChangedAt atomic.Int64  // time of the last change of routes
 
 	table        atomic.Pointer[table.Table]
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -7,12 +7,17 @@
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// StopAt makes the entry answer all requests by the given time, shortly before the node closes its
-// callers' connections. Requests that still wait then are refused, and the gates of those that were
-// sent are asked for the outcome. It may be called once.
+// StopAt makes the entry stop at the given time, shortly before the node closes its callers'
+// connections. Requests that arrive until then have no later deadline.
 func (e *Entry) StopAt(at clock.Millis) {
 	e.stopsAt.Store(int64(at))
-	time.AfterFunc(max(at-e.config.Now(), 0).Duration(), func() { close(e.stopped) })
+	time.AfterFunc(max(at-e.config.Now(), 0).Duration(), e.Stop)
+}
+
+// Stop makes the entry answer all requests now. Those that wait are refused, and the gates of those
+// that were sent are asked for the outcome.
+func (e *Entry) Stop() {
+	e.stopOnce.Do(func() { close(e.stopped) })
 }
 
 // latestDeadline returns the deadline of a request that arrives now, which ends before the entry
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// pendingOr returns a pending event, or one of the given kind if there is none: an answer that has
+// come is delivered.
+func (w *waiter) pendingOr(kind eventKind) event {
+	if e, ok := w.poll(); ok {
+		return e
+	}
+	return event{kind: kind}
+}
+
 func (w *waiter) put(e event) {
 	select {
 	case w.events <- e:
@@ -109,8 +118,8 @@
 		return event{kind: callerGone}
 	case <-stop:
 		timer.Stop()
-		return event{kind: stopped}
+		return w.pendingOr(stopped)
 	case <-timer.C:
-		return event{kind: expired}
+		return w.pendingOr(expired)
 	}
 }
--- a/gate/run.go
+++ b/gate/run.go
@@ -73,15 +73,16 @@
 	if now >= j.deadline {
 		return now, wire.ReasonRevoked, false
 	}
+	if g.mayOutlastNode(j.dispatch.Repeatable, j.deadline) {
+		g.dedup.Refuse(j.key)
+		return now, wire.ReasonLeaving, false
+	}
 	switch reason, isParked := g.admitSuspect(j); {
 	case isParked:
 		return now, "", true
 	case reason != "":
 		g.dedup.Refuse(j.key)
 		return now, reason, false
-	case g.mayOutlastNode(j.dispatch.Repeatable, j.deadline):
-		g.dedup.Refuse(j.key)
-		return now, wire.ReasonLeaving, false
 	case !g.beginKey(now, j):
 		return now, wire.ReasonRevoked, false
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -64,8 +64,8 @@
 func (n *Node) drain(ctx context.Context) (cut int) {
 	n.entry.Leave()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
-	span := n.settings.Grace - min(n.settings.Grace/10, shutdownMargin)
-	n.stopAt(n.clock.Now() + span)
+	span := n.settings.Grace - n.exitMargin()
+	n.stopIn(span)
 	ctx, cancel := context.WithTimeout(ctx, span.Duration())
 	defer cancel()
 	gateLinger := n.gateLinger()
@@ -96,35 +96,48 @@
 	return n.InFlight()
 }
 
-// replyMargin is how long before the node stops the last runs of requests that may run only once
-// have ended, so that their replies arrive before the links close.
-const replyMargin = 50 * clock.Millis(1)
+const (
+	// maxReplyMargin is how long before the node stops the last runs of requests that may run only
+	// once have ended, so that their replies arrive before the links close. maxAnswerMargin is how long
+	// before it the entry begins to answer the requests that are not served yet: as long as asking
+	// a gate for an outcome takes, twice, and the way of the answer.
+	maxReplyMargin  = 50 * clock.Millis(1)
+	maxAnswerMargin = 150 * clock.Millis(1)
+	// replyMarginShare and answerMarginShare divide a short grace period: the margins are at most
+	// these fractions of it.
+	replyMarginShare  = 40
+	answerMarginShare = 20
+	// cutReplyShare divides exitMargin: for this fraction of it a node waits for its links to carry
+	// the replies to what it cuts.
+	cutReplyShare = 3
+)
 
-// answerMargin is how long before the node stops the entry begins to answer the requests that are
-// not served yet: as long as asking a gate for an outcome takes, twice, and the answer's way.
-const answerMargin = 150 * clock.Millis(1)
+// exitMargin returns the part of the grace period that is kept for the exit of the process.
+func (n *Node) exitMargin() clock.Millis {
+	return min(n.settings.Grace/10, shutdownMargin)
+}
 
-// stopAt records that the node stops at the given time at the latest, and tells the gates.
-func (n *Node) stopAt(at clock.Millis) {
+// stopIn tells the gates and the entry that the node stops after a span of time at the latest.
+func (n *Node) stopIn(span clock.Millis) {
+	now := n.clock.Now()
+	gatesStopAt := now + span - min(span/replyMarginShare, maxReplyMargin)
 	n.mu.Lock()
-	n.gatesStopAt = at - replyMargin
+	n.gatesStopAt = gatesStopAt
 	n.mu.Unlock()
-	for _, g := range n.allGates() {
-		g.StopAt(at - replyMargin)
+	for _, g := range n.newestGates() {
+		g.StopAt(gatesStopAt)
 	}
-	n.entry.StopAt(at - answerMargin)
+	n.entry.StopAt(now + span - min(span/answerMarginShare, maxAnswerMargin))
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
 }
 
-// cutReplyTimeout bounds the wait for the links to carry the replies to what a node cuts. It is less
-// than shutdownMargin.
-const cutReplyTimeout = 100 * time.Millisecond
-
-// cut ends the requests that outlast the grace period, tells their entries and returns their number.
+// cut ends the requests that outlast the grace period, or all after a second signal. It answers the
+// callers, tells the entries of runs, and returns the number of requests.
 func (n *Node) cut(ctx context.Context) int {
 	requests, callers, runs := n.InFlight(), n.entry.InFlight(), 0
+	n.entry.Stop()
 	for _, g := range n.newestGates() {
 		runs += g.Cut()
 	}
@@ -135,9 +148,9 @@
 		log.Info("grace is over; nothing is cut")
 	}
 	n.links.Drain()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutReplyTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), (n.exitMargin() / cutReplyShare).Duration())
 	defer cancel()
-	if err := awaitCondition(ctx, n.links.Drained); err != nil {
+	if err := awaitCondition(ctx, func() bool { return n.entry.InFlight() == 0 && n.links.Drained() }); err != nil {
 		n.log.WithField("links", n.links.OpenLinks()).Debug("a peer has not closed its link")
 	}
 	return requests
