cmd: a paused process of a script stays paused when the shell that started the tests ends

Cause: nobody passes over the paused node in this failure. The node runs again. Processes of a script were in the process group of the test. If the shell that started the tests in the background ends while they run, their group is orphaned, and the kernel then resumes its stopped members (measured: SIGHUP and SIGCONT for the stopped process, SIGCONT for a running one). The paused node reads the request within its lease and serves it. All copies that this shell has started are hit at the same instant. That the request had gone to another node was inferred: a request that is served in time is in no log. What the logs show is "settings reloaded" with the cause "signal" of the paused node alone.

Change: each process of a script has a process group of its own, whose parent, the test, stays. Since a signal to the group of the test no longer reaches them, the kernel kills them when the test ends.

Script and checks are unchanged.

--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -59,7 +59,7 @@
 	}
 	path, err := exec.LookPath(args[1])
 	ts.Check(err)
-	p := &process{cmd: exec.Command(path, args[2:]...), done: make(chan struct{}), started: time.Now()}
+	p := &process{cmd: newCommand(path, args[2:]...), done: make(chan struct{}), started: time.Now()}
 	p.cmd.Dir = ts.MkAbs(".")
 	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
 	ts.Check(p.cmd.Start())
@@ -73,6 +73,15 @@
 	ts.Defer(func() { p.killAndLog(ts, args[0]) })
 }
 
+// newCommand returns a command whose process has a group of its own and ends with the test. If it
+// were in the group of the test, the kernel would resume it when the shell that started the tests
+// ends while the process is paused.
+func newCommand(path string, args ...string) *exec.Cmd {
+	c := exec.Command(path, args...)
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	return c
+}
+
 // killAndLog kills the process unless it has ended, also while SIGSTOP suspends it, and adds its
 // output to the script's log, which is shown if the script fails.
 func (p *process) killAndLog(ts *testscript.TestScript, name string) {
@@ -121,13 +130,25 @@
 // effect some time after it is sent.
 func (p *process) awaitStopped(ts *testscript.TestScript, name string) {
 	poll(ts, "stopped process "+name, func() (string, bool) {
-		stat, err := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/stat")
+		state, err := processState(p.cmd.Process.Pid)
 		ts.Check(err)
-		_, state, _ := strings.Cut(string(stat), ") ")
-		return state[:1], state[:1] == "T"
+		return state, state == stoppedState
 	})
 }
 
+// stoppedState is the state of a process that a stop signal has suspended.
+const stoppedState = "T"
+
+// processState returns the letter by which the kernel names the state of a process.
+func processState(pid int) (string, error) {
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return "", err
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return state[:1], nil
+}
+
 // awaitExit implements "ended NAME CODE": it waits until a process ends, and checks its
 // exit code or the name of the signal that ended it, such as "killed". The output of the
 // process is then available to stdout and stderr.
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -24,6 +24,7 @@
 	testscript.Main(m, map[string]func(){
 		"fuchsiapick": func() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin":     func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"pausechild":  pauseChild,
 	})
 }
 
