cmd: a script that fails shows who answered its requests and which processes were paused

The failure of freeze_gate couldn't be traced from its logs: nodes don't log a request that is served in time, so that "served by the other node" and "served by the paused one" look alike, and nothing shows whether the paused node was paused. The log of a script now has the backend servers that answered each load, and the state of each process at the end.

--- a/cmd/load_test.go
+++ b/cmd/load_test.go
@@ -35,6 +35,7 @@
 	// isClosed means that the other side has closed the connection in an orderly way, without
 	// an answer.
 	isClosed bool
+	backend  string // the backend server that answered, if the answer names it
 }
 
 // outcomeRecorder records the results of all requests by path. Each request has a unique
@@ -59,18 +60,23 @@
 }
 
 // print writes a summary such as "served=3 not-run=1 unknown=0 cut=0 reasons=full" to the
-// script's standard output.
+// script's standard output. It adds to the script's log which backend servers have answered, since
+// nodes don't log requests that are served in time.
 func (l *load) print(ts *testscript.TestScript) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := map[access.Outcome]int{}
+	counts, answers := map[access.Outcome]int{}, map[string]int{}
 	var reasons []string
 	for _, result := range l.results {
 		counts[result.outcome]++
+		if result.backend != "" {
+			answers[result.backend]++
+		}
 		if result.reason != "" && !strings.Contains(strings.Join(reasons, ","), result.reason) {
 			reasons = append(reasons, result.reason)
 		}
 	}
+	ts.Logf("answers by backend server: %v", answers)
 	fmt.Fprintf(ts.Stdout(), "served=%d not-run=%d unknown=%d cut=%d reasons=%s\n",
 		counts[access.Served], counts[access.NotRun], counts[access.Unknown], counts[connectionCut], strings.Join(reasons, ","))
 }
@@ -199,6 +205,7 @@
 		result.outcome = access.Outcome(response.Header.Peek(entry.HeaderOutcome))
 		result.status = response.StatusCode()
 		result.reason = string(response.Header.Peek(entry.HeaderReason))
+		result.backend = string(response.Header.Peek(standin.BackendHeader))
 	} else if strings.Contains(err.Error(), "connection refused") {
 		result.outcome = connectionRefused
 	}
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -85,11 +85,15 @@
 // killAndLog kills the process unless it has ended, also while SIGSTOP suspends it, and adds its
 // output to the script's log, which is shown if the script fails.
 func (p *process) killAndLog(ts *testscript.TestScript, name string) {
+	state := "ended"
 	if !p.hasEnded() {
+		if s, err := processState(p.cmd.Process.Pid); err == nil {
+			state = s
+		}
 		_ = p.cmd.Process.Kill() // fails if the process has ended meanwhile
 	}
 	<-p.done
-	ts.Logf("[%s]\n%s%s", name, p.stdout.String(), p.stderr.String())
+	ts.Logf("[%s, state %s]\n%s%s", name, state, p.stdout.String(), p.stderr.String())
 }
 
 func (p *process) hasEnded() bool {
