entry: a request that was revoked with its link is sent to its only upstream again

TestScript/freeze_gate failed 1 of 96 at line 45, 12 copies beside six busy processes, race detector on: served=2 not-run=1 reasons=voided, want served=3. One of two upstreams was unreachable, the other one healthy. Timeline of the entry:

06.552 the path to the healthy upstream's node is doubted (it was starved) 06.646 the request is sent on the old link 06.647 the check's link is open and replaces the old one, undecided 1 06.648 the gate, asked over the new link, has revoked the request; the entry refuses it as voided: nowhere left

Cause: an upstream that a request was sent to counts as tried, also if the request was only lost with the link. With another upstream left, it goes there; without, the caller is refused although the only upstream has room and its new link works. The same held for services with short episodes (refused with no-upstream).

Change: if no other upstream is left, a request that was revoked with its link may be sent to the same upstream again, within the bound on refused attempts. One that the entry itself has revoked at the end of its time is refused as before: it could only end as unknown.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,9 @@
 	isPaced bool
 	// shed means that the upstream itself refused the request.
 	shed bool
+	// isLinkReplaced means that the dispatch was lost with a link that was replaced, and that the
+	// gate has revoked it: nothing speaks against another attempt there.
+	isLinkReplaced bool
 }
 
 // try sends the request to one upstream and waits for the outcome.
@@ -155,6 +158,7 @@
 		now := r.entry.config.Now()
 		e := w.next(max(wait.until-now, 0)+1, r.callerGone, wait.stopped)
 		if out, ok := r.handleEvent(&wait, w, e, untried); ok {
+			out.isLinkReplaced = e.kind == revoked && !wait.resolveSent
 			return out
 		}
 	}
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -31,6 +31,8 @@
 	// handle replaces all of the handling of dispatches that verdict, onDispatch and
 	// pathLost configure; nil leaves them in effect.
 	handle func(d *fakeGate, m *wire.Dispatch, w link.DispatchObserver)
+	// onResolve handles a question for the outcome of a dispatch; nil answers none.
+	onResolve func()
 	// publish receives the upstream state of a refusal by verdict.
 	publish func(u wire.Upstream)
 
@@ -102,7 +104,12 @@
 
 func (d *fakeGate) KeepsAnnouncements() bool { return !d.ignoresLimits }
 
-func (*fakeGate) Resolve(wire.RequestID, uint8)       {}
+func (d *fakeGate) Resolve(wire.RequestID, uint8) {
+	if d.onResolve != nil {
+		d.onResolve()
+	}
+}
+
 func (*fakeGate) Forget(wire.RequestID, uint8)        {}
 func (*fakeGate) Withdraw(wire.RequestID, uint8) bool { return false }
 func (d *fakeGate) Abandon(wire.RequestID, uint8)     { d.abandoned++ }
--- a/entry/request.go
+++ b/entry/request.go
@@ -209,8 +209,13 @@
 // recountUntried returns how many upstreams are left to try after a gate has refused the
 // request because its upstream is ejected or its rate limit admits none. Under the floor an
 // ejected upstream, or another one instead, may now be in use. With the count from before the
-// verdict was known, a request that can be served would be refused.
+// verdict was known, a request that can be served would be refused. A request that was revoked
+// with its link may be sent to the same upstream again if it is the last one.
 func (r *request) recountUntried(a *attempt, o *result, untried int) int {
+	if o.isLinkReplaced && untried <= 0 {
+		r.allowAgain(a.member)
+		return r.service.countUntried(r.entry.config.Now(), r.demand(), r.tried)
+	}
 	if r.config.Caution != table.ShortEpisodes && o.isPaced {
 		return r.service.countUntried(r.entry.config.Now(), r.demand(), r.tried)
 	}
@@ -219,11 +224,16 @@
 	}
 	now := r.entry.config.Now()
 	if !a.forced && r.service.isForced(now, a.member) {
-		r.tried = slices.DeleteFunc(r.tried, func(m *member) bool { return m == a.member })
+		r.allowAgain(a.member)
 	}
 	return r.service.countUntried(now, r.demand(), r.tried)
 }
 
+// allowAgain lets the request be sent to an upstream that was tried.
+func (r *request) allowAgain(tried *member) {
+	r.tried = slices.DeleteFunc(r.tried, func(m *member) bool { return m == tried })
+}
+
 // noUpstreamLeft returns the final answer when no upstream is left to try.
 func (r *request) noUpstreamLeft() finalAnswer {
 	if r.budgetRetryAfter > 0 {
