link: the refusal of a late frame counts as the resolution that it has overtaken

A dispatch whose link was replaced is revoked over the new link. If its frame is read from the old link afterwards, the gate refuses it as voided, and that reply may reach the entry before the resolution does: two goroutines of the gate's node send them. The entry took it for a refusal by the gate.

The peer now reports such a reply as the resolution that follows.

--- a/link/dial.go
+++ b/link/dial.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		unresolved = append(unresolved, pending)
-		pending.partial, pending.conn = nil, conn
+		pending.partial, pending.conn, pending.isLinkReplaced = nil, conn, true
 	}
 	p.capacityProbes.flush(p, now)
 	p.quotaRequests.flush(p, now)
--- a/link/dispatch.go
+++ b/link/dispatch.go
@@ -17,8 +17,9 @@
 	sentAt   clock.Millis
 	// conn is the link on which the dispatch was sent or resolved last.
 	conn *Conn
-	// unsent is true while the dispatch waits for a link.
-	unsent bool
+	// unsent is true while the dispatch waits for a link. isLinkReplaced means that the link on which
+	// it was sent was replaced.
+	unsent, isLinkReplaced bool
 	// partial is the reply while body bytes are missing, nil otherwise.
 	partial *wire.Reply
 }
--- a/link/reply.go
+++ b/link/reply.go
@@ -41,6 +41,10 @@
 	}
 	p.removePending(key)
 	p.mu.Unlock()
+	if pending.isLinkReplaced && r.Outcome == wire.NotRun && r.Reason == wire.ReasonRevoked {
+		pending.observer.Resolved(true) // the refusal of the late frame has overtaken the resolution
+		return
+	}
 	pending.observer.Replied(r)
 }
 
--- a/link/reply_test.go
+++ b/link/reply_test.go
@@ -114,3 +114,38 @@
 		t.Error("got no reply within 30s")
 	}
 }
+
+// Guards against taking the refusal of a late frame for one by the gate, if it arrives before the
+// resolution that has revoked the dispatch.
+func TestRefusalOfALateFrameCountsAsResolution(t *testing.T) {
+	address, sockets := acceptLinks(t)
+	peer, _ := runPeer(t, link.PeerConfig{Address: address, HeartbeatInterval: 300 * clock.Millis(1), Observer: workRequestObserver{}})
+	observer := resolutionObserver{replyObserver{replies: make(chan *wire.Reply, 1)}, make(chan bool, 1)}
+	d := newDispatch(1)
+	if err := peer.Dispatch(d, observer); err != nil {
+		t.Fatal(err)
+	}
+	awaitKind(t, <-sockets, wire.KindDispatch)
+	current := <-sockets // the peer opens another link, as the first is silent
+	awaitKind(t, current, wire.KindResolve)
+	writeMessage(t, current, &wire.Reply{ID: d.ID, Attempt: d.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonRevoked})
+	select {
+	case got := <-observer.resolutions:
+		if !got {
+			t.Error("got a resolution of an unknown dispatch, want of a revoked one")
+		}
+	case got := <-observer.replies:
+		t.Errorf("got reply %q, want a resolution", got.Reason)
+	case <-time.After(30 * time.Second):
+		t.Error("got neither within 30s, want a resolution")
+	}
+}
+
+// resolutionObserver is a replyObserver that passes on the resolutions, too.
+type resolutionObserver struct {
+	replyObserver
+
+	resolutions chan bool
+}
+
+func (o resolutionObserver) Resolved(revoked bool) { o.resolutions <- revoked }
