entry: gates whose nodes stop are kept in a map beside the members

Cause: each member had a field for a state that only gates of stopping nodes have, since.

Change: a map of those gates, pruned with the table and with each new refusal.

--- a/entry/gatestop.go
+++ b/entry/gatestop.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -28,12 +30,12 @@
 	return !d.repeatable && now < s.until && d.deadline >= s.refused
 }
 
-// record adds a refusal.
-func (s *nodeStop) record(now, deadline clock.Millis) {
-	if now >= s.until || deadline < s.refused {
-		s.refused = deadline
+// withRefusal returns the knowledge after another refusal.
+func (s nodeStop) withRefusal(now, deadline clock.Millis) nodeStop {
+	if now < s.until {
+		deadline = min(deadline, s.refused)
 	}
-	s.until = now + stopRetention
+	return nodeStop{until: now + stopRetention, refused: deadline}
 }
 
 func (r *request) demand() demand {
@@ -49,8 +51,12 @@
 	r.service.recordNodeStop(r.entry.config.Now(), m, r.deadline)
 }
 
+// recordNodeStop forgets the gates whose knowledge has ended, too.
 func (s *service) recordNodeStop(now clock.Millis, m *member, deadline clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m.stop.record(now, deadline)
+	maps.DeleteFunc(s.stops, func(_ *member, stop nodeStop) bool { return now >= stop.until })
+	if s.byName[m.upstream.Name] == m {
+		s.stops[m] = s.stops[m].withRefusal(now, deadline)
+	}
 }
--- a/entry/member.go
+++ b/entry/member.go
@@ -25,8 +25,6 @@
 	// pacedUntil is when the gate's next request is due by the upstream's rate limit, as far as
 	// this entry knows.
 	pacedUntil clock.Millis
-	// stop is the last refusal of a request that may outlast the gate's node.
-	stop nodeStop
 	// workRequestUntil is when the gate's work request expires; 0 if there is none.
 	workRequestUntil clock.Millis
 }
--- a/entry/selection.go
+++ b/entry/selection.go
@@ -216,11 +216,11 @@
 }
 
 // allows reports whether the request may be sent to an upstream that is used in the given way.
-func (f *candidateFilter) allows(now clock.Millis, m *member, use floor.Use) bool {
+func (f *candidateFilter) allows(now clock.Millis, m *member, use floor.Use, stop nodeStop) bool {
 	if f.ejected != (use == floor.Ejected) || use == floor.Unavailable || slices.Contains(f.tried, m) {
 		return false
 	}
-	return !m.stop.refuses(now, f.demand)
+	return !stop.refuses(now, f.demand)
 }
 
 // chooseBySeverity picks an upstream of a service whose upstreams fail in short episodes.
@@ -234,7 +234,7 @@
 	s.observeDomains(now)
 	s.options = s.options[:0]
 	for i, m := range s.members {
-		usable := filter.allows(now, m, s.uses[i]) && s.isWithinShare(now, m)
+		usable := filter.allows(now, m, s.uses[i], s.stops[m]) && s.isWithinShare(now, m)
 		risk := m.severity(now, true)
 		if filter.shed {
 			risk = s.riskOfRetry(now, m, risk)
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,6 +52,7 @@
 	uses               []floor.Use
 	forced             map[*member]floor.Lasting // upstreams that the floor keeps in use, for the log
 	shed               map[*member]shedShare
+	stops              map[*member]nodeStop // gates that refuse requests because their nodes stop
 	// overflow is nil unless the service is placed by cost.
 	overflow *choice.Overflow
 	// capacities holds the members whose gates have sent a profile.
@@ -74,6 +75,7 @@
 		config:             c,
 		byName:             map[string]*member{},
 		announced:          map[process]*announced{},
+		stops:              map[*member]nodeStop{},
 		random:             rand.New(rand.NewPCG(seed, 1)),
 		chooser:            choice.New(choice.Config{Domain: domain, Seed: seed}),
 		ranker:             choice.NewRanker(seed),
@@ -114,6 +116,7 @@
 		s.byName[u.Name] = m
 	}
 	maps.DeleteFunc(s.forced, func(m *member, _ floor.Lasting) bool { return s.byName[m.upstream.Name] != m })
+	maps.DeleteFunc(s.stops, func(m *member, _ nodeStop) bool { return s.byName[m.upstream.Name] != m })
 	maps.DeleteFunc(s.shed, func(m *member, _ shedShare) bool { return s.byName[m.upstream.Name] != m })
 	s.pruneAnnouncements(now)
 	s.pruneCapacities()
@@ -192,7 +195,7 @@
 // usable reports whether a request may go to an upstream. An upstream on trial gets
 // repeatable requests only: if it still fails, another upstream can serve them.
 func (s *service) usable(now clock.Millis, i int, d demand) bool {
-	if !s.isWithinShare(now, s.members[i]) || s.members[i].stop.refuses(now, d) {
+	if !s.isWithinShare(now, s.members[i]) || s.stops[s.members[i]].refuses(now, d) {
 		return false
 	}
 	switch s.uses[i] {
