quota, node, link, mirror: homes of an account grant shares of its limit

Each home in an account's order now has an equal part of the limit and lends it to the first one that it reaches (quota.Contacts). For accounts near their limit a home checks the later ones by empty quota requests, ten a second at most; silence for 300 ms loses a part, a refused connection doesn't, as a node that is down grants nothing. A home that is cut off (its table is outdated and most nodes are lost) grants a quarter at most, as the other side's tables may no longer name it. A third home has its request relayed to the second one as well as to the first.

The simulation's home took itself for isolated after 500 ms, which the code never did (three heartbeat intervals); it now uses the decisions of package quota. The bounds are the same.

--- a/fleet/account_test.go
+++ b/fleet/account_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/fleet"
 	"fuchsiapick.example/fuchsiapick/quota"
+	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/table"
 )
@@ -194,3 +197,97 @@
 		t.Errorf("got %d requests served, want more than 6 and %d at most", served, burst)
 	}
 }
+
+// Guards against a home that grants its own node the whole quota for seconds after it was cut off,
+// while the next home grants the part of the three others to all other nodes.
+func TestHomeThatIsCutOffLeavesRoomForTheNextHome(t *testing.T) {
+	const overage, slack, nextHomesShare = 1.25, 20, 0.75
+	f, home := startPressedHome(t)
+	for _, m := range f.Members {
+		m.LinkRelay.SetMode(standin.DropToTarget)
+	}
+	if got, most := pressHome(t, home), int((overage-nextHomesShare)*quotaOfPress)+slack; got > most {
+		t.Errorf("got %d requests admitted at the home, want %d at most", got, most)
+	}
+}
+
+// Guards against refusals of most of an account's quota while the nodes that would grant it in place
+// of its home are down, so that nobody does.
+func TestHomeGrantsTheQuotaWhileTheNextHomesAreDown(t *testing.T) {
+	f, home := startPressedHome(t)
+	for _, m := range f.Members[1:] {
+		m.LinkRelay.Close()
+		m.Stop()
+	}
+	if got, least := pressHome(t, home), quotaOfPress*2/3; got < least {
+		t.Errorf("got %d requests admitted at the home, want %d at least", got, least)
+	}
+}
+
+// The quota of the account that pressHome uses, and how much of it there is for the press.
+const (
+	pressedRate, pressedBurst = 60, 4
+	pressSeconds              = 5
+	quotaOfPress              = pressSeconds*pressedRate + pressedBurst
+)
+
+// startPressedHome starts a fleet with an account that has used up its burst at its home, which has
+// the only upstream in use.
+func startPressedHome(t *testing.T) (*fleet.Fleet, *fleet.Member) {
+	t.Helper()
+	deployed := tableWithAccounts(4)
+	for i := range deployed.Services[0].Upstreams[1:] {
+		deployed.Services[0].Upstreams[i+1].Weight = 0
+	}
+	slowHeartbeats := func(s *settings.Settings) { s.HeartbeatInterval = 2 * clock.Second }
+	f := startFleet(t, fleet.Config{Table: deployed, LinkRelays: true, Adjust: slowHeartbeats})
+	home := f.Members[0]
+	account := newAccount(accountWithHome(f, home), hotelKey)
+	account.Rate, account.Burst = pressedRate, pressedBurst
+	if err := f.Publish(func(tt *table.Table) { tt.Accounts[0] = account }); err != nil {
+		t.Fatal(err)
+	}
+	awaitVersion(t, f)
+	admitted := 0
+	waitUntil(t, "the quota of a second", func() bool {
+		if isWithinQuota(t, home) {
+			admitted++
+		}
+		return admitted >= pressedRate
+	})
+	return f, home
+}
+
+// pressHome sends requests of the account for some seconds and returns how many are admitted.
+func pressHome(t *testing.T, home *fleet.Member) int {
+	t.Helper()
+	ticker := time.NewTicker(2 * time.Millisecond)
+	defer ticker.Stop()
+	admitted := 0
+	for start := time.Now(); time.Since(start) < pressSeconds*time.Second; <-ticker.C {
+		if isWithinQuota(t, home) {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+func isWithinQuota(t *testing.T, m *fleet.Member) bool {
+	t.Helper()
+	got := sendWithHeaders(t, m.Caller, "/conferme/a", "Authorization", "Bearer "+hotelKey)
+	return got.reason != access.ReasonAccountLimit && got.reason != access.ReasonQuotaUnknown
+}
+
+// accountWithHome returns the name of an account whose home is the given node.
+func accountWithHome(f *fleet.Fleet, home *fleet.Member) string {
+	nodes := make([]string, 0, len(f.Members))
+	for _, m := range f.Members {
+		nodes = append(nodes, m.Link)
+	}
+	for i := 0; ; i++ {
+		name := fmt.Sprintf("hotel-%d", i)
+		if quota.Homes(name, nodes)[0] == home.Link {
+			return name
+		}
+	}
+}
--- a/link/dial.go
+++ b/link/dial.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -56,7 +58,7 @@
 	if err != nil {
 		p.log.WithError(err).Debug("link not opened")
 		p.mu.Lock()
-		p.dialling = false
+		p.dialling, p.refused = false, errors.Is(err, syscall.ECONNREFUSED)
 		p.detector.Failed(now)
 		lost := p.conn == nil
 		p.mu.Unlock()
@@ -82,7 +84,7 @@
 	p.mu.Lock()
 	old, draining := p.conn, p.draining
 	p.conn, p.draining = conn, nil
-	p.dialling = false
+	p.dialling, p.refused = false, false
 	p.detector.Opened(now)
 	p.probe = path.Probe{}
 	changed := p.estimate.Update(now, remote.Incarnation, remote.Time)
--- a/link/peer.go
+++ b/link/peer.go
@@ -108,6 +108,7 @@
 	draining       *Conn // a link that got a GoAway and still has something unanswered
 	drainingSince  clock.Millis
 	dialling       bool
+	refused        bool // the last dial failed because no process listens at the address
 	detector       *path.Detector
 	probe          path.Probe
 	checkScheduled bool // a timer for checkProbe is running
--- a/link/quota.go
+++ b/link/quota.go
@@ -48,3 +48,11 @@
 	defer p.mu.Unlock()
 	return p.state == path.Lost
 }
+
+// IsRefused reports whether the node's machine refused the last attempt to open a link, so that no
+// process of the node runs.
+func (p *Peer) IsRefused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused && p.conn == nil
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -160,6 +160,13 @@
 	return s
 }
 
+// IsOutdated reports whether the copy is older than MaxStaleness, or was never the store's.
+func (f *Follower) IsOutdated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.schedule.currentAt < 0 || f.config.Now()-f.schedule.currentAt > f.config.MaxStaleness
+}
+
 // NewFollower returns a follower that Serve runs.
 func NewFollower(c FollowerConfig) *Follower {
 	if c.MaxStaleness <= 0 {
--- a/node/peers.go
+++ b/node/peers.go
@@ -73,8 +73,12 @@
 	return nil
 }
 
-// isCutOff reports whether more peers are unreachable than have an open link.
+// isCutOff reports whether the table may be older than that of other nodes, because the platform's
+// values weren't confirmed for a while, and more peers are unreachable than have an open link.
 func (n *Node) isCutOff() bool {
+	if n.follower == nil || !n.follower.IsOutdated() {
+		return false
+	}
 	n.mu.Lock()
 	peers := make([]*link.Peer, 0, len(n.peers))
 	for _, p := range n.peers {
--- a/node/quota.go
+++ b/node/quota.go
@@ -40,7 +40,7 @@
 	self string
 	// peer returns the link to a node, or nil if there is no such peer.
 	peer func(node string) *link.Peer
-	// isCutOff reports whether more peers are unreachable than have an open link.
+	// isCutOff reports whether the table is outdated and most nodes are unreachable.
 	isCutOff func() bool
 
 	sequence atomic.Uint64
@@ -51,6 +51,7 @@
 	allocator *quota.Allocator
 	nodes     []string // that the table names, sorted
 	homes     map[string][]string
+	contacts  *quota.Contacts
 	accounts  *simplelru.LRU[string, *accountQuota]
 }
 
@@ -71,7 +72,7 @@
 	}
 	return &quotas{
 		now: n.clock.Now, self: n.address(), peer: n.peerLink, isCutOff: n.isCutOff, random: rand.New(rand.NewPCG(n.seed, 4)),
-		allocator: quota.NewAllocator(maxAccounts, n.seed), homes: map[string][]string{}, accounts: accounts,
+		allocator: quota.NewAllocator(maxAccounts, n.seed), homes: map[string][]string{}, contacts: quota.NewContacts(), accounts: accounts,
 	}
 }
 
@@ -90,6 +91,7 @@
 	defer q.mu.Unlock()
 	if !slices.Equal(nodes, q.nodes) {
 		q.nodes = nodes
+		q.contacts.Retain(nodes)
 		clear(q.homes)
 	}
 }
@@ -215,14 +217,14 @@
 }
 
 // tryHomes asks the homes in order, and returns false if none has answered. This node grants
-// its own requests only if it is the first home and isn't cut off. Otherwise it would grant
-// requests in addition to a home that all other nodes ask.
+// its own requests only if it is the first home. Otherwise it would grant requests in addition
+// to a home that all other nodes ask.
 func (q *quotas) tryHomes(homes []string, request quota.Request) (quota.Grant, bool) {
+	if len(homes) > 0 && homes[0] == q.self {
+		return q.grant(request), true
+	}
 	for skipped, home := range homes {
 		if home == q.self {
-			if skipped == 0 && !q.isCutOff() {
-				return q.grant(request), true
-			}
 			continue
 		}
 		frame := wire.NewQuotaRequest(q.sequence.Add(1), request)
@@ -241,9 +243,20 @@
 	if peer == nil || peer.IsLost() {
 		return nil
 	}
+	sent := q.now()
+	grant := q.sendRequest(peer, request, timeout)
+	if grant != nil {
+		q.recordContact(home, sent)
+	}
+	return grant
+}
+
+// sendRequest sends a quota request to a peer and waits for its grant. It returns nil if nothing
+// was sent or the peer doesn't answer within the timeout.
+func (q *quotas) sendRequest(peer *link.Peer, request *wire.QuotaRequest, timeout clock.Millis) *wire.QuotaGrant {
 	granted := make(chan *wire.QuotaGrant, 1)
 	if peer.RequestQuota(request, func(grant *wire.QuotaGrant) { granted <- grant }) != nil {
-		return nil // the next home is asked
+		return nil
 	}
 	return awaitGrant(peer, request.Seq, granted, timeout)
 }
@@ -262,11 +275,42 @@
 	}
 }
 
-// grant decides about a quota request as the account's home.
+// grant decides about a quota request as a home of the account, within this home's share of the
+// limit. If the account is near its limit, it has the other homes checked that the share depends on.
 func (q *quotas) grant(request quota.Request) quota.Grant {
+	isCutOff := q.isCutOff()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.now()
+	homes := q.homesFor(request.Account)
+	if q.allocator.IsNearLimit(request.Account, request.Limit) {
+		for _, home := range q.contacts.StartChecks(now, quota.LaterHomes(q.self, homes)) {
+			go q.checkContact(home)
+		}
+	}
+	request.Limit = request.Limit.Part(q.contacts.Share(now, q.self, homes, isCutOff))
+	return q.allocator.Grant(now, request)
+}
+
+// checkContact checks the contact with another home by a quota request for no account, which every
+// node answers. It is sent also if the path counts as lost. A node whose machine refuses links
+// grants nothing to others, and counts as reached.
+func (q *quotas) checkContact(home string) {
+	peer := q.peer(home)
+	if peer == nil {
+		return
+	}
+	sent := q.now()
+	grant := q.sendRequest(peer, wire.NewQuotaRequest(q.sequence.Add(1), quota.Request{}), quota.ContactTimeout)
+	if grant != nil || peer.IsRefused() {
+		q.recordContact(home, sent)
+	}
+}
+
+func (q *quotas) recordContact(home string, sent clock.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.allocator.Grant(q.now(), request)
+	q.contacts.Answered(home, sent)
 }
 
 // QuotaCounts returns how many requests of client accounts this node has admitted and refused.
--- a/node/quotahome.go
+++ b/node/quotahome.go
@@ -6,37 +6,28 @@
 
 // answer answers a quota request of another node. If the sender has skipped homes that come
 // before this one, this node first asks those, because a home that some nodes can't reach still
-// grants requests of the others. Only if it can't reach them either, it grants requests, and then
-// only within a part of the limit.
+// grants requests of the others. Only if it can't reach them either, it grants requests itself.
 func (q *quotas) answer(message *wire.QuotaRequest) *wire.QuotaGrant {
 	request := message.ToQuota()
-	if message.SkippedHomes > 0 {
-		if !message.IsRelayed {
-			if grant := q.askEarlierHomes(message); grant != nil {
-				grant.Seq = message.Seq
-				return grant
-			}
-		}
-		q.mu.Lock()
-		homes := q.homesFor(message.Account)
-		q.mu.Unlock()
-		if len(homes) == 0 || homes[0] != q.self {
-			request.Limit = request.Limit.Fallback()
+	if message.SkippedHomes > 0 && !message.IsRelayed {
+		if grant := q.askEarlierHomes(message); grant != nil {
+			grant.Seq = message.Seq
+			return grant
 		}
 	}
 	return wire.NewQuotaGrant(message.Seq, q.grant(request))
 }
 
-// askEarlierHomes asks the homes that the sender of a quota request has skipped. If the first of
-// them can't be reached from here, one of the later homes is asked to relay the request to it: a
-// home behind a partial partition still grants the whole limit to the nodes that reach it. It
-// returns nil if no home has answered.
+// askEarlierHomes asks the homes that the sender of a quota request has skipped. If one of them
+// can't be reached from here, one of the later homes is asked to relay the request to it: a home
+// behind a partial partition still grants the requests of the nodes that reach it. It returns nil
+// if no home has answered.
 func (q *quotas) askEarlierHomes(message *wire.QuotaRequest) *wire.QuotaGrant {
 	q.mu.Lock()
 	homes := q.homesFor(message.Account)
 	q.mu.Unlock()
 	skipped := min(message.SkippedHomes, len(homes))
-	for i, home := range homes[:skipped] {
+	for _, home := range homes[:skipped] {
 		if home == q.self {
 			break
 		}
@@ -45,10 +36,8 @@
 		if grant := q.requestFromHome(home, &relayed, quotaRelayTimeout); grant != nil {
 			return grant
 		}
-		if i == 0 {
-			if grant := q.forwardToHome(home, homes[skipped:], message); grant != nil {
-				return grant
-			}
+		if grant := q.forwardToHome(home, homes[skipped:], message); grant != nil {
+			return grant
 		}
 	}
 	return nil
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -56,6 +56,12 @@
 	return &Allocator{id: uint32(seed), random: rand.New(rand.NewPCG(seed, 3)), buckets: buckets}
 }
 
+// IsNearLimit reports whether an account has used most of its burst.
+func (a *Allocator) IsNearLimit(account string, l Limit) bool {
+	b, ok := a.buckets.Peek(account)
+	return ok && b.level < nearLimitLevel*l.depth()
+}
+
 // Grant grants as many of the requests as the account may send now. An account without a
 // rate has no limit.
 func (a *Allocator) Grant(now clock.Millis, r Request) Grant {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -29,15 +29,10 @@
 	return max(l.Burst, 1)
 }
 
-// fallbackShare is the part of a limit that another node grants in place of the home: the
-// home may still grant the requests of the nodes that reach it.
-const fallbackShare = 0.5
-
-// Fallback returns the limit that a node grants while it can't reach the homes that come
-// before it. A small burst is not reduced: half of it would refuse two requests of an
-// account that arrive together.
-func (l Limit) Fallback() Limit {
-	return Limit{Rate: fallbackShare * l.Rate, Burst: max(fallbackShare*l.Burst, min(l.Burst, minInitial))}
+// Part returns a part of the limit. A small burst is not reduced: a part of it would refuse two
+// requests of an account that arrive together.
+func (l Limit) Part(share float64) Limit {
+	return Limit{Rate: share * l.Rate, Burst: max(share*l.Burst, min(l.Burst, minInitial))}
 }
 
 const (
--- a/quota/cut_test.go
+++ b/quota/cut_test.go
@@ -16,36 +16,9 @@
 	return p[[2]string{min(a, b), max(a, b)}] > now
 }
 
-// admitThrough admits a request as a node does whose links to some homes are cut: it asks the
-// first home that it can reach. A home that isn't the account's first asks that one, directly
-// or through a later home, before it grants a part of the limit.
+// admitThrough admits a request while some pairs of nodes can't reach each other.
 func (sim *simulator) admitThrough(now clock.Millis, p partition, at string, l quota.Limit) bool {
-	homes := quota.Homes("hotel", sim.nodes)
-	reaches := func(a, b string) bool { return a == b || !p.blocks(now, a, b) }
-	for i, home := range homes {
-		if home == at && i > 0 || !reaches(at, home) {
-			continue
-		}
-		granting, limit := home, l.Fallback()
-		if reaches(home, homes[0]) {
-			granting, limit = homes[0], l
-		} else {
-			for _, via := range homes[i+1:] {
-				if !reaches(home, via) {
-					continue
-				}
-				if reaches(via, homes[0]) {
-					granting, limit = homes[0], l
-					break
-				}
-			}
-		}
-		hint, hintHome := sim.history[at].Hint(now)
-		g := sim.allocators[granting].Grant(now, quota.Request{Account: "hotel", Limit: limit, Count: 1, Hint: hint, HintHome: hintHome})
-		sim.history[at].RecordGrant(now, l, g)
-		return g.Granted == 1
-	}
-	return sim.history[at].AdmitWithoutHome(now, l, sim.random.Float64())
+	return sim.admitBetween(now, at, l, func(a, b string) bool { return a == b || !p.blocks(now, a, b) })
 }
 
 // An account sends six times its quota at all nodes while a fifth of the pairs of nodes can't
@@ -77,7 +50,66 @@
 			}
 		}
 		bound := int(overage*(5*l.Rate+l.Burst)) + slack
-		if most := maxWithin(admissions, 5*clock.Second); most > bound {
+		if most := maxWithinSpan(admissions); most > bound {
+			t.Errorf("seed %d, %d nodes, %.0f a second: got %d requests within 5 s, want %d at most", seed, len(sim.nodes), l.Rate, most, bound)
+		}
+	}
+}
+
+// An account sends six times its quota at all nodes while a third of them, its home among them, can
+// reach each other but none of the others, whose tables don't name them any more after a while. Guards
+// against two sides that grant the limit once each, or one and a half of it together.
+func TestFleetKeepsQuotasWhileItIsSplit(t *testing.T) {
+	testSplitFleet(t, 0)
+}
+
+// Guards against several homes on one side of such a split that grant in place of one another, as
+// some pairs of nodes on the same side can't reach each other either.
+func TestFleetKeepsQuotasWhileItIsSplitAndLinksAreCut(t *testing.T) {
+	testSplitFleet(t, 0.3)
+}
+
+// testSplitFleet splits fleets. On each side a share of the pairs of nodes can't reach each other.
+func testSplitFleet(t *testing.T, cutPairs float64) {
+	t.Helper()
+	const slack, overage, cutShare, cutFor, expiry = 20, 1.25, 0.3, 6 * clock.Second, 3500 * clock.Millis(1)
+	for seed := range uint64(48) {
+		sim := newSimulator(seed, []int{12, 24, 88}[seed%3])
+		random := rand.New(rand.NewPCG(seed, 8))
+		l := quota.Limit{Rate: float64(20 + sim.random.IntN(100))}
+		l.Burst = l.Rate
+		var island map[string]bool
+		cut := partition{}
+		splitAt := -cutFor
+		var now clock.Millis
+		reaches := func(a, b string) bool { return a == b || (island[a] == island[b] && !cut.blocks(now, a, b)) }
+		var admissions []clock.Millis
+		for ; now < 30*clock.Second; now++ {
+			switch {
+			case now%(12*clock.Second) == 2*clock.Second:
+				splitAt, island = now, map[string]bool{sim.homes[0]: true}
+				for i, a := range sim.nodes {
+					island[a] = island[a] || random.Float64() < cutShare
+					for _, b := range sim.nodes[:i] {
+						if random.Float64() < cutPairs {
+							cut[[2]string{min(a, b), max(a, b)}] = now + cutFor
+						}
+					}
+				}
+			case now == splitAt+expiry:
+				sim.remove(island)
+			case now == splitAt+cutFor:
+				island = nil
+				sim.remove(nil)
+			}
+			for next := random.ExpFloat64() * 1000 / (6 * l.Rate); next < 1; next += random.ExpFloat64() * 1000 / (6 * l.Rate) {
+				if sim.admitBetween(now, sim.nodes[random.IntN(len(sim.nodes))], l, reaches) {
+					admissions = append(admissions, now)
+				}
+			}
+		}
+		bound := int(overage*(5*l.Rate+l.Burst)) + slack
+		if most := maxWithinSpan(admissions); most > bound {
 			t.Errorf("seed %d, %d nodes, %.0f a second: got %d requests within 5 s, want %d at most", seed, len(sim.nodes), l.Rate, most, bound)
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -164,63 +164,123 @@
 	history       map[string]*quota.History
 	downUntil     map[string]clock.Millis // time at which a killed node is back
 	isolatedUntil map[string]clock.Millis // time at which a node can reach others again
-	isolatedAt    map[string]clock.Millis
+	contacts      map[string]*quota.Contacts
+	// removed are the nodes that the tables of the others don't name, while their own do.
+	removed map[string]bool
+	// homes are the account's by the tables of the removed nodes, remainingHomes by the others.
+	homes, remainingHomes []string
 }
 
-// isolationDelay is how long an isolated node takes to detect that it can reach no other.
-const isolationDelay = 500 * clock.Millis(1)
-
 func newSimulator(seed uint64, nodes int) *simulator {
 	sim := &simulator{
 		random: rand.New(rand.NewPCG(seed, 0)), allocators: map[string]*quota.Allocator{}, history: map[string]*quota.History{},
-		downUntil: map[string]clock.Millis{}, isolatedUntil: map[string]clock.Millis{}, isolatedAt: map[string]clock.Millis{},
+		downUntil: map[string]clock.Millis{}, isolatedUntil: map[string]clock.Millis{}, contacts: map[string]*quota.Contacts{},
 	}
 	for i := range nodes {
 		name := fmt.Sprintf("10.1.0.%d:7000", i)
 		sim.nodes = append(sim.nodes, name)
 		sim.start(name)
 	}
+	sim.homes = quota.Homes("hotel", sim.nodes)
+	sim.remove(nil)
 	return sim
 }
 
 func (sim *simulator) start(node string) {
 	sim.allocators[node] = quota.NewAllocator(10, sim.random.Uint64())
 	sim.history[node] = &quota.History{}
+	sim.contacts[node] = quota.NewContacts()
 }
 
 func (sim *simulator) canReach(now clock.Millis, from, to string) bool {
 	return from == to || (sim.downUntil[to] <= now && sim.isolatedUntil[to] <= now && sim.isolatedUntil[from] <= now)
 }
 
-// admit admits a request as a node does: the node asks the first home that it can reach,
-// which forwards to those before it that it can reach. A node grants its own requests only
-// as the first home, and only while it hasn't detected that it is isolated.
+// admit admits a request while nodes are killed and isolated.
 func (sim *simulator) admit(now clock.Millis, at string, l quota.Limit) bool {
+	return sim.admitBetween(now, at, l, func(a, b string) bool { return sim.canReach(now, a, b) })
+}
+
+// admitBetween admits a request as a node does: the node asks the first home that it can reach,
+// which asks those before it, directly or through a later home. A node grants its own requests only
+// as the first home.
+func (sim *simulator) admitBetween(now clock.Millis, at string, l quota.Limit, reaches func(a, b string) bool) bool {
 	h := sim.history[at]
-	isIsolated := sim.isolatedUntil[at] > now && now > sim.isolatedAt[at]+isolationDelay
-	homes := quota.Homes("hotel", sim.nodes)
-	for i, home := range homes {
-		if (home == at && (i > 0 || isIsolated)) || !sim.canReach(now, at, home) {
+	for i, home := range sim.homesAt(at) {
+		if (home == at && i > 0) || !reaches(at, home) {
 			continue
 		}
-		limit := l
-		if i > 0 {
-			limit = l.Fallback()
-		}
-		for _, before := range homes[:i] {
-			if sim.canReach(now, home, before) {
-				home, limit = before, l
-				break
-			}
-		}
+		granting := sim.findGranting(home, i, reaches)
 		hint, hintHome := h.Hint(now)
-		g := sim.allocators[home].Grant(now, quota.Request{Account: "hotel", Limit: limit, Count: 1, Hint: hint, HintHome: hintHome})
+		g := sim.grantAt(now, granting, quota.Request{Account: "hotel", Limit: l, Count: 1, Hint: hint, HintHome: hintHome}, reaches)
 		h.RecordGrant(now, l, g)
 		return g.Granted == 1
 	}
 	return h.AdmitWithoutHome(now, l, sim.random.Float64())
 }
 
+// findGranting returns the home that grants a request which a home receives from a node that has
+// skipped others.
+func (sim *simulator) findGranting(home string, skipped int, reaches func(a, b string) bool) string {
+	homes := sim.homesAt(home)
+	skipped = min(skipped, len(homes))
+	for _, earlier := range homes[:skipped] {
+		if earlier == home {
+			break
+		}
+		if reaches(home, earlier) {
+			return earlier
+		}
+		for _, via := range homes[skipped:] {
+			if reaches(home, via) && reaches(via, earlier) {
+				return earlier
+			}
+		}
+	}
+	return home
+}
+
+// grantAt decides about a request as a home does.
+func (sim *simulator) grantAt(now clock.Millis, home string, r quota.Request, reaches func(a, b string) bool) quota.Grant {
+	homes, contacts, allocator := sim.homesAt(home), sim.contacts[home], sim.allocators[home]
+	if allocator.IsNearLimit(r.Account, r.Limit) {
+		for _, later := range contacts.StartChecks(now, quota.LaterHomes(home, homes)) {
+			if reaches(home, later) {
+				contacts.Answered(later, now)
+			}
+		}
+	}
+	r.Limit = r.Limit.Part(contacts.Share(now, home, homes, sim.removed[home] && sim.isCutOff(home, reaches)))
+	return allocator.Grant(now, r)
+}
+
+// isCutOff reports whether a node reaches less than half of the nodes. Only those whose table is
+// outdated ask for it.
+func (sim *simulator) isCutOff(node string, reaches func(a, b string) bool) bool {
+	lost := 0
+	for _, other := range sim.nodes {
+		if !reaches(node, other) {
+			lost++
+		}
+	}
+	return 2*lost > len(sim.nodes)
+}
+
+// remove removes nodes from the tables of the others, not from their own. Without nodes, all tables
+// name all nodes.
+func (sim *simulator) remove(nodes map[string]bool) {
+	sim.removed = nodes
+	sim.remainingHomes = quota.Homes("hotel", slices.DeleteFunc(slices.Clone(sim.nodes), func(node string) bool { return nodes[node] }))
+}
+
+// homesAt returns the homes of the account by the table of a node.
+func (sim *simulator) homesAt(node string) []string {
+	if sim.removed[node] {
+		return sim.homes
+	}
+	return sim.remainingHomes
+}
+
 func (sim *simulator) kill(now clock.Millis, share float64) {
 	for _, node := range sim.nodes {
 		if sim.random.Float64() < share {
@@ -233,7 +293,6 @@
 func (sim *simulator) isolate(now clock.Millis, share float64) {
 	for _, node := range sim.nodes {
 		if sim.random.Float64() < share {
-			sim.isolatedAt[node] = now
 			sim.isolatedUntil[node] = now + clock.Millis(2000+sim.random.IntN(6000))
 		}
 	}
@@ -276,7 +335,7 @@
 			}
 		}
 		bound := int(overage*(5*l.Rate+l.Burst)) + slack
-		if most := maxWithin(admissions, 5*clock.Second); most > bound {
+		if most := maxWithinSpan(admissions); most > bound {
 			t.Errorf("seed %d, %d nodes, %.0f a second: got %d requests within 5 s, want %d at most", seed, len(sim.nodes), l.Rate, most, bound)
 		}
 		if demand < l.Rate && float64(refused-idealRefused) > 0.02*float64(requests)+2 {
@@ -285,10 +344,14 @@
 	}
 }
 
-func maxWithin(at []clock.Millis, window clock.Millis) int {
+// quotaSpan is the time in which the requests of an account are counted.
+const quotaSpan = 5 * clock.Second
+
+// maxWithinSpan returns the largest number of the times that lie within a quotaSpan.
+func maxWithinSpan(at []clock.Millis) int {
 	most, first := 0, 0
 	for i := range at {
-		for at[i]-at[first] >= window {
+		for at[i]-at[first] >= quotaSpan {
 			first++
 		}
 		most = max(most, i-first+1)
