--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -32,7 +32,7 @@
 	p.notes = append(p.notes, fmt.Sprintf("%8.3f  ", time.Since(p.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
-var plays = map[string]func(p *play) ([]string, error){"doubled-shed": doubledShed}
+var plays = map[string]func(p *play) ([]string, error){"doubled-shed": doubledShed, "sigterm-twice": sigtermTwice}
 
 func main() {
 	os.Exit(run0())
