--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -107,6 +107,7 @@
 	n.command.Dir = f.root
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FUCHSIAPICK_CONFIG=" + n.settings}
 	n.command.Stdout, n.command.Stderr = log, log
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // see init
 	if err := n.command.Start(); err != nil {
 		return err
 	}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -6,8 +6,11 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -34,11 +37,34 @@
 
 var plays = map[string]func(p *play) ([]string, error){"doubled-shed": doubledShed, "sigterm-twice": sigtermTwice}
 
+// timeLimit ends a play that hangs; a script may take 120 s.
+const timeLimit = 110 * time.Second
+
+// init keeps main on the process's first thread: nodes are started from there, and the kernel ends
+// them with the thread that started them.
+func init() {
+	runtime.LockOSThread()
+}
+
 func main() {
-	os.Exit(run0())
+	os.Exit(playOne())
+}
+
+// abortOnSignal ends a play early. The nodes end with this process.
+func abortOnSignal(f *fleet) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		fmt.Println("not run:", s)
+	case <-time.After(timeLimit):
+		fmt.Println("not run: over", timeLimit)
+	}
+	_ = os.RemoveAll(f.folder)
+	os.Exit(failed)
 }
 
-func run0() int {
+func playOne() int {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: driver PLAY ROOT RECORD")
 		return failed
@@ -53,6 +79,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
+	go abortOnSignal(f)
 	p := &play{fleet: f, results: &results{}, isTroubled: os.Getenv("TROUBLE") != "0", startedAt: time.Now()}
 	breaks, err := script(p)
 	f.end()
