node: log lines for updates of the platform's values, with the sender's clock

Cause: nothing in a node's log told how old an update of the platform's values was, or when it was sent, so that three explanations of review/1 looked alike: (1) the receiver's estimate of the sender's clock lets late updates count as current; (2) the age is already wrong where the update is made or forwarded; (3) calm nodes' own calls are put off by reports that the store is unavailable.

Change: debug lines "update of the platform's values sent" and "... received", with revision, age and the sender's clock when it was sent, so that the two ends of one update can be joined.

--- a/node/platform.go
+++ b/node/platform.go
@@ -130,14 +130,15 @@
 	if !update.IsUnavailable {
 		n.sendToParents(message, "")
 	}
-	if mirror.EraOf(update.Revision) == 0 {
-		n.links.BroadcastUpdate(message, nil)
-		return
+	var withoutEra func() *wire.StoreUpdate
+	if mirror.EraOf(update.Revision) > 0 {
+		withoutEra = func() *wire.StoreUpdate {
+			plain, _ := n.packUpdate(update.WithoutEra()) // nil if it can't be packed
+			return plain
+		}
 	}
-	n.links.BroadcastUpdate(message, func() *wire.StoreUpdate {
-		plain, _ := n.packUpdate(update.WithoutEra()) // nil if it can't be packed
-		return plain
-	})
+	n.links.BroadcastUpdate(message, withoutEra)
+	n.log.WithFields(updateFields(message, message.Time)).Debug("update of the platform's values sent")
 }
 
 // packUpdate returns the message with an update, or false if the update can't be packed.
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/relay"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -144,9 +147,22 @@
 		return
 	}
 	update, ok := n.unpackUpdate(message)
-	if ok && n.follower.ReceiveUpdate(update) {
+	if !ok {
+		return
+	}
+	sentAt := message.Time // forward sets that of this node's clock
+	isNews := n.follower.ReceiveUpdate(update)
+	if isNews {
 		n.forward(node, message)
 	}
+	n.log.WithFields(updateFields(message, sentAt)).WithFields(logrus.Fields{"peer": node, "news": isNews}).Debug("update of the platform's values received")
+}
+
+// updateFields returns the log fields of an update that was sent at a time of its sender's clock.
+func updateFields(message *wire.StoreUpdate, sentAt clock.Millis) logrus.Fields {
+	return logrus.Fields{
+		"revision": mirror.StoreRevision(message.Revision), "age": message.Age.String(), "sent": int64(sentAt), "unavailable": message.IsUnavailable,
+	}
 }
 
 // forward sends an update to the nodes that subscribe to this one. If the update doesn't come from a
