link: heartbeats echo only those of the process at the other end

What callers saw: nothing reported. A node that is restarted and stops again soon may stop before its peers know, and cut the requests that they still send to it.

Cause: an entry kept the time of the last heartbeat beyond the link on which it came. After the node's process was replaced, the first heartbeat on the new link echoed the clock of the old process, which had run longer. The new process takes the highest echo of a link, so that for as long as the old one had run every heartbeat of its own, also "leaving", counted as confirmed.

Change: an entry echoes only heartbeats that came on the open link, and a node ignores echoes of a time before it accepted the link, which older releases may still send.

--- a/link/dial.go
+++ b/link/dial.go
@@ -87,6 +87,7 @@
 	p.dialling, p.refused = false, false
 	p.detector.Opened(now)
 	p.probe = path.Probe{}
+	p.lastPeerTime = 0 // a new process would take the echo of its predecessor's heartbeat for one of its own
 	changed := p.estimate.Update(now, remote.Incarnation, remote.Time)
 	unresolved := make([]*pendingDispatch, 0, len(p.pending))
 	for _, pending := range p.pending {
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -30,7 +30,7 @@
 type Remote struct {
 	Node        string
 	Incarnation uint64
-	// Time is the time on the clock of the accepting side; 0 for a remote that dialled.
+	// Time is when the accepting side accepted the link, on its clock.
 	Time clock.Millis
 }
 
@@ -138,7 +138,8 @@
 		return Remote{}, errors.Trace(err)
 	}
 	mac := wire.ComputeMAC(self.Secret, wire.Acceptor, self.Node, self.Incarnation, nonce, proof.Nonce)
-	if err := c.writeMessage(&wire.Welcome{MAC: mac, Time: now()}); err != nil {
+	remote.Time = now()
+	if err := c.writeMessage(&wire.Welcome{MAC: mac, Time: remote.Time}); err != nil {
 		return remote, errors.Trace(err)
 	}
 	return remote, errors.Trace(c.socket.SetReadDeadline(time.Time{}))
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -88,6 +88,8 @@
 	return listener
 }
 
+func listenOn(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 func serveOn(t *testing.T, listener net.Listener, claimed string) (*countingHandler, *link.Server) {
 	t.Helper()
 	handler := &countingHandler{announced: make(chan *wire.Announcements, 8)}
--- a/link/peer.go
+++ b/link/peer.go
@@ -122,7 +122,8 @@
 	// newSubscription returns the subscription to send on each new link; nil without one.
 	newSubscription func() *wire.Subscription
 	lastUsed        clock.Millis
-	lastPeerTime    clock.Millis // Time of the last heartbeat received
+	// lastPeerTime is the Time of the last heartbeat received on the open link, 0 before the first.
+	lastPeerTime clock.Millis
 }
 
 // NewPeer returns a peer without a link. Run opens the link when it is first needed.
@@ -377,7 +378,7 @@
 	case *wire.HungRun:
 		p.handleHungRun(m)
 	case *wire.Heartbeat:
-		p.handleHeartbeat(m)
+		p.handleHeartbeat(conn, m)
 		if m.Leaving {
 			p.sendHeartbeat() // the peer waits for this echo before it stops
 		}
@@ -436,11 +437,13 @@
 	return max(p.estimate.At(now)-sentAt, 0)
 }
 
-func (p *Peer) handleHeartbeat(heartbeat *wire.Heartbeat) {
+func (p *Peer) handleHeartbeat(conn *Conn, heartbeat *wire.Heartbeat) {
 	now := p.config.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastPeerTime = heartbeat.Time
+	if conn == p.conn {
+		p.lastPeerTime = heartbeat.Time
+	}
 	p.detector.Received(now)
 	if heartbeat.Echo > 0 {
 		p.detector.Echoed(now, heartbeat.Echo)
--- a/link/server.go
+++ b/link/server.go
@@ -205,6 +205,7 @@
 		logging.Repeatable(log.WithError(err)).Log(level, "link refused")
 		return
 	}
+	session.acceptedAt = remote.Time
 	log = log.WithField("peer", remote.Node)
 	log.Debug("link accepted")
 	var writer sync.WaitGroup
--- a/link/session.go
+++ b/link/session.go
@@ -32,6 +32,9 @@
 	// estimate is that of the peer's clock. Only the reading goroutine uses it.
 	estimate lease.ClockEstimate
 
+	// acceptedAt is when the link was accepted. Only the reading goroutine uses it.
+	acceptedAt clock.Millis
+
 	mu           sync.Mutex
 	lastPeerTime clock.Millis // Time of the last heartbeat received
 	// lastEcho is the Time of this node's last heartbeat that the peer has received.
@@ -65,9 +68,7 @@
 	case *wire.KeyRevocation:
 		_ = s.conn.Send(h.RevokeKey(m)) // the peer repeats the revocation on a new link
 	case *wire.Heartbeat:
-		s.mu.Lock()
-		s.lastPeerTime, s.lastEcho = m.Time, max(s.lastEcho, m.Echo)
-		s.mu.Unlock()
+		s.recordHeartbeat(m)
 		s.estimate.Update(s.server.config.Now(), s.remote.Incarnation, m.Time)
 		h.Heartbeat(s.remote.Node, m)
 	case *wire.TableRequest:
@@ -114,6 +115,17 @@
 	s.server.config.Handler.ReceiveUpdate(s.remote.Node, update)
 }
 
+// recordHeartbeat records a heartbeat of the peer. An echo of a time before the link is that of a
+// heartbeat from an earlier process of this node, whose clock was another one.
+func (s *session) recordHeartbeat(m *wire.Heartbeat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastPeerTime = m.Time
+	if m.Echo >= s.acceptedAt {
+		s.lastEcho = max(s.lastEcho, m.Echo)
+	}
+}
+
 // echoed returns the Time of this node's last heartbeat that the peer has received.
 func (s *session) echoed() clock.Millis {
 	s.mu.Lock()
