standin: a relay mode that delivers all bytes late

Cause: tests with real processes couldn't meet messages that are held up by the network and arrive later than others. The mode "freeze" holds bytes back for as long as it lasts, and everything waits.

Change: mode "late" delivers each read 6 s after it was made, in order, longer than a silent path takes to be found lost. Bytes on their way when the mode ends still arrive late.

--- a/standin/relay.go
+++ b/standin/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -28,8 +29,14 @@
 	BlackholeOpen RelayMode = "silentold"
 	// Refuse resets open and new connections.
 	Refuse RelayMode = "refuse"
+	// Late forwards all bytes LateDelay after they were read. Bytes that are on their way when the
+	// mode ends still arrive late, and those behind them not earlier.
+	Late RelayMode = "late"
 )
 
+// LateDelay is the delay of the mode Late: longer than nodes take to find a silent path lost.
+const LateDelay = 6 * time.Second
+
 // RelayConfig describes a relay to start.
 type RelayConfig struct {
 	Address string
@@ -43,7 +50,8 @@
 	// Passed and Lost count the bytes of both directions together.
 	Passed uint64 `json:"passed"`
 	Lost   uint64 `json:"lost"`
-	// Held counts reads whose bytes, or end of stream, were held back by Freeze.
+	// Held counts reads whose bytes, or end of stream, were held back by Freeze or
+	// Late.
 	Held uint64 `json:"held"`
 }
 
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"testing"
+	"time"
 
 	"fuchsiapick.example/fuchsiapick/standin"
 )
@@ -173,3 +174,23 @@
 		t.Error("got a byte, want the end")
 	}
 }
+
+// Guards against tests of late messages that test nothing: bytes must arrive, in order, and not
+// before their delay, also those that were sent when the mode had ended.
+func TestLateRelayDelaysAndKeepsOrder(t *testing.T) {
+	r := startRelay(t)
+	client := dial(t, r)
+	client.sendLine("first")
+	client.expectLine("first")
+	r.SetMode(standin.Late)
+	began := time.Now()
+	client.sendLine("second")
+	awaitRelay(t, r, func(s standin.RelayStats) bool { return s.Held == 1 })
+	r.SetMode(standin.Pass)
+	client.sendLine("third")
+	client.expectLine("second")
+	if got := time.Since(began); got < standin.LateDelay {
+		t.Errorf("got the answer after %v, want %v at least", got, standin.LateDelay)
+	}
+	client.expectLine("third")
+}
--- a/standin/relayadmin.go
+++ b/standin/relayadmin.go
@@ -50,7 +50,7 @@
 func (a *RelayAdmin) setMode(ctx *fasthttp.RequestCtx) error {
 	mode := RelayMode(ctx.QueryArgs().Peek("mode"))
 	switch mode {
-	case Pass, DropToTarget, DropFromTarget, Freeze, BlackholeOpen, Refuse:
+	case Pass, DropToTarget, DropFromTarget, Freeze, BlackholeOpen, Refuse, Late:
 		a.relay.SetMode(mode)
 		return nil
 	default:
--- a/standin/relayconn.go
+++ b/standin/relayconn.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -96,30 +98,90 @@
 	lost     bool      // bytes were dropped, so all later ones are too
 }
 
+// delivery is what one read returned, to be written at due.
+type delivery struct {
+	bytes []byte
+	err   error // of the read
+	due   time.Time
+}
+
+// maxDeliveries bounds the reads that wait in the mode Late; then nothing is read.
+const maxDeliveries = 4096
+
 // forward copies the bytes of one direction until it ends.
 func (r *Relay) forward(d *direction) {
+	deliveries := make(chan delivery, maxDeliveries)
+	go r.read(d, deliveries)
+	isWritable := true
+	for next := range deliveries { // until read has ended, as the connection is closed then
+		isWritable = isWritable && r.awaitDue(next.due) && r.deliver(d, next)
+	}
+}
+
+// read passes on what it reads from one direction until that ends.
+func (r *Relay) read(d *direction, deliveries chan<- delivery) {
+	defer close(deliveries)
 	buffer := make([]byte, relayBufferSize)
 	for {
 		n, err := d.from.Read(buffer)
 		if !r.holdWhileFrozen() {
 			return
 		}
-		d.lost = d.lost || r.isDropping(d)
-		if !d.lost && n > 0 {
-			_, writeErr := d.to.Write(buffer[:n])
-			if writeErr != nil {
-				d.conn.reset()
-				return
-			}
-		}
-		r.countBytes(d.lost, n)
+		deliveries <- delivery{bytes: slices.Clone(buffer[:n]), err: err, due: r.dueTime()}
 		if err != nil {
-			d.propagateClose(err)
 			return
 		}
 	}
 }
 
+// dueTime returns when bytes that were read now are to be written.
+func (r *Relay) dueTime() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mode == Late {
+		r.stats.Held++
+		r.statsChanged.notify()
+		return time.Now().Add(LateDelay)
+	}
+	return time.Now()
+}
+
+// awaitDue waits until a time. It returns false if the relay closes or refuses connections.
+func (r *Relay) awaitDue(due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		isEnded, changed := r.closed || r.mode == Refuse, r.changed.wait()
+		r.mu.Unlock()
+		if isEnded {
+			return false
+		}
+		select {
+		case <-timer.C:
+			return true
+		case <-changed:
+		}
+	}
+}
+
+// deliver writes what was read, unless its bytes are lost. It returns false if the direction has
+// ended.
+func (r *Relay) deliver(d *direction, next delivery) bool {
+	d.lost = d.lost || r.isDropping(d)
+	if !d.lost && len(next.bytes) > 0 {
+		if _, err := d.to.Write(next.bytes); err != nil {
+			d.conn.reset()
+			return false
+		}
+	}
+	r.countBytes(d.lost, len(next.bytes))
+	if next.err != nil {
+		d.propagateClose(next.err)
+	}
+	return next.err == nil
+}
+
 // holdWhileFrozen waits after a read while the relay is frozen. It returns false if the
 // relay closes or refuses connections.
 func (r *Relay) holdWhileFrozen() bool {
