--- a/capacity/link_server.go
+++ b/capacity/link_server.go
@@ -109,7 +109,7 @@
 func (*heartbeatCounter) Subscribe(uint64, string, *wire.Subscription) {}
 
 // ReceiveUpdate ignores the update.
-func (*heartbeatCounter) ReceiveUpdate(string, *wire.StoreUpdate) {}
+func (*heartbeatCounter) ReceiveUpdate(string, *wire.StoreUpdate, clock.Millis) {}
 
 // ReceiveCrashes returns no crashes.
 func (*heartbeatCounter) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport { return nil }
@@ -121,13 +121,13 @@
 func (*heartbeatCounter) PeerUpstream(string, wire.Upstream) {}
 
 // PeerStoreUpdate ignores the update.
-func (*heartbeatCounter) PeerStoreUpdate(string, *wire.StoreUpdate) {}
+func (*heartbeatCounter) PeerStoreUpdate(string, *wire.StoreUpdate, clock.Millis) {}
 
 // PeerReferral ignores the referral.
 func (*heartbeatCounter) PeerReferral(string, *wire.Referral) {}
 
 // PeerCopyPart ignores the part.
-func (*heartbeatCounter) PeerCopyPart(string, *wire.CopyPart) {}
+func (*heartbeatCounter) PeerCopyPart(string, *wire.CopyPart, clock.Millis) {}
 
 // PeerCrashReport ignores the report.
 func (*heartbeatCounter) PeerCrashReport(*wire.CrashReport) {}
--- a/link/conn.go
+++ b/link/conn.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/freshness"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -50,6 +51,8 @@
 	limit  int
 	// lastKind is the highest kind of message that the peer accepts.
 	lastKind wire.Kind
+	// peerClock is that of the process at the other end; used only by the reading goroutine.
+	peerClock freshness.PeerClock
 }
 
 func newConn(socket *websocket.Conn, limit int, lastKind wire.Kind) *Conn {
--- a/link/dial.go
+++ b/link/dial.go
@@ -53,6 +53,7 @@
 }
 
 func (p *Peer) dial(ctx context.Context) {
+	dialledAt := p.config.Now()
 	conn, remote, err := Dial(ctx, p.config.Address, p.config.Self, p.config.MaxFrame)
 	now := p.config.Now()
 	if err != nil {
@@ -71,6 +72,7 @@
 		}
 		return
 	}
+	conn.peerClock.RoundTrip(now, dialledAt, remote.Time)
 	conn.onPong(p.handlePong)
 	p.replaceConn(now, conn, remote)
 	p.serve(conn)
--- a/link/late_test.go
+++ b/link/late_test.go
@@ -1,22 +1,47 @@
 package link_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/path"
+	"fuchsiapick.example/fuchsiapick/standin"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// updateHandler records the heartbeats that a server receives.
+// receivedUpdate is an update of the store and the time after which it is known to have been sent.
+type receivedUpdate struct {
+	update    wire.StoreUpdate
+	sentAfter clock.Millis
+}
+
+// updateRecorder records the updates that a peer receives.
+type updateRecorder struct {
+	pathObserver
+
+	received chan receivedUpdate
+}
+
+func (o updateRecorder) PeerStoreUpdate(_ string, u *wire.StoreUpdate, sentAfter clock.Millis) {
+	o.received <- receivedUpdate{*u, sentAfter}
+}
+
+// updateHandler records the updates that a server receives.
 type updateHandler struct {
 	countingHandler
 
+	received   chan receivedUpdate
 	heartbeats chan *wire.Heartbeat
 }
 
+func (h *updateHandler) ReceiveUpdate(_ string, u *wire.StoreUpdate, sentAfter clock.Millis) {
+	h.received <- receivedUpdate{*u, sentAfter}
+}
+
 func (h *updateHandler) Heartbeat(_ string, m *wire.Heartbeat) { h.heartbeats <- m }
 
 // awaitEcho returns the first echo of the server's heartbeats.
@@ -35,6 +60,61 @@
 	}
 }
 
+// Guards against old values that count as current: the updates of a partition's whole length arrive
+// when it ends, behind heartbeats that are as late, and nodes put off reading the store.
+func TestUpdatesHeldUpByAPartitionKeepTheirAge(t *testing.T) {
+	// The two clocks show different times, and both go on by what is added to elapsed.
+	var elapsed atomic.Int64
+	system := clock.NewSystem()
+	peerNow := func() clock.Millis { return system.Now() + clock.Millis(elapsed.Load()) }
+	serverNow := func() clock.Millis { return peerNow() + clock.Hour }
+
+	listener := listen(t)
+	relay, err := standin.StartRelay(t.Context(), standin.RelayConfig{Address: "127.0.0.1:0", Target: listener.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	handler := &updateHandler{received: make(chan receivedUpdate, 100), heartbeats: make(chan *wire.Heartbeat, 100)}
+	server := link.NewServer(link.ServerConfig{
+		Identity: identity(relay.Address(), secret), MaxFrame: limit, HeartbeatInterval: clock.Hour, Now: serverNow, Handler: handler, Log: logger(),
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close(); server.Close() })
+	observer := updateRecorder{pathObserver{states: make(chan path.State, 100)}, make(chan receivedUpdate, 100)}
+	self := identity("10.0.0.1:7000", secret)
+	self.Incarnation = 2
+	peer := link.NewPeer(link.PeerConfig{
+		Address: relay.Address(), Self: self, MaxFrame: limit, MaxReplyBody: limit, HeartbeatInterval: clock.Hour, Now: peerNow,
+		Status: func() wire.Heartbeat { return wire.Heartbeat{} }, Observer: observer, Log: logger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = peer.Run(ctx) }()
+	peer.EnsureLink()
+	handler.awaitEcho(t)
+
+	relay.SetMode(standin.Freeze)
+	const updates = 9
+	for i := range updates {
+		server.BroadcastHeartbeat()
+		server.BroadcastUpdate(&wire.StoreUpdate{Revision: uint64(i), Time: serverNow()}, nil)
+		peer.SendUpdate(&wire.StoreUpdate{Revision: uint64(i), Time: peerNow()}, false)
+		elapsed.Add(int64(clock.Second))
+	}
+	relay.SetMode(standin.Pass)
+	for range updates {
+		got := <-observer.received
+		if want := got.update.Time - clock.Hour; got.sentAfter > want || got.sentAfter < want-clock.Second {
+			t.Errorf("got update %d from the server counted as sent after %v, want %v or little earlier", got.update.Revision, got.sentAfter, want)
+		}
+		got = <-handler.received
+		if want := got.update.Time + clock.Hour; got.sentAfter > want || got.sentAfter < want-clock.Second {
+			t.Errorf("got update %d to the server counted as sent after %v, want %v or little earlier", got.update.Revision, got.sentAfter, want)
+		}
+	}
+}
+
 // Guards against ages that are counted by the clock of an earlier process of a node: the new one
 // would take an echo of its predecessor's heartbeat for one of its own, and stop before its peers
 // know that it leaves.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -47,10 +47,10 @@
 func (c *countingHandler) RequestTable(*wire.TableRequest) (*wire.TableVersion, bool) {
 	return nil, false
 }
-func (c *countingHandler) ReceiveTable(string, *wire.TableVersion)              {}
-func (c *countingHandler) Subscribe(uint64, string, *wire.Subscription)         {}
-func (c *countingHandler) ReceiveUpdate(string, *wire.StoreUpdate)              {}
-func (c *countingHandler) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport { return nil }
+func (c *countingHandler) ReceiveTable(string, *wire.TableVersion)               {}
+func (c *countingHandler) Subscribe(uint64, string, *wire.Subscription)          {}
+func (c *countingHandler) ReceiveUpdate(string, *wire.StoreUpdate, clock.Millis) {}
+func (c *countingHandler) ReceiveCrashes(*wire.CrashReport) []*wire.CrashReport  { return nil }
 func (c *countingHandler) ReceiveAnnouncements(m *wire.Announcements) {
 	c.announced <- m
 }
@@ -270,15 +270,15 @@
 	wasLost atomic.Bool
 }
 
-func (l *lossRecorder) PeerHeartbeat(string, *wire.Heartbeat)       {}
-func (l *lossRecorder) PeerUpstream(string, wire.Upstream)          {}
-func (l *lossRecorder) PeerTableVersion(string, *wire.TableVersion) {}
-func (l *lossRecorder) PeerWorkRequest(*wire.WorkRequest)           {}
-func (l *lossRecorder) PeerProfile(*wire.UpstreamProfile)           {}
-func (l *lossRecorder) PeerStoreUpdate(string, *wire.StoreUpdate)   {}
-func (l *lossRecorder) PeerReferral(string, *wire.Referral)         {}
-func (l *lossRecorder) PeerCopyPart(string, *wire.CopyPart)         {}
-func (l *lossRecorder) PeerCrashReport(*wire.CrashReport)           {}
+func (l *lossRecorder) PeerHeartbeat(string, *wire.Heartbeat)                   {}
+func (l *lossRecorder) PeerUpstream(string, wire.Upstream)                      {}
+func (l *lossRecorder) PeerTableVersion(string, *wire.TableVersion)             {}
+func (l *lossRecorder) PeerWorkRequest(*wire.WorkRequest)                       {}
+func (l *lossRecorder) PeerProfile(*wire.UpstreamProfile)                       {}
+func (l *lossRecorder) PeerStoreUpdate(string, *wire.StoreUpdate, clock.Millis) {}
+func (l *lossRecorder) PeerReferral(string, *wire.Referral)                     {}
+func (l *lossRecorder) PeerCopyPart(string, *wire.CopyPart, clock.Millis)       {}
+func (l *lossRecorder) PeerCrashReport(*wire.CrashReport)                       {}
 func (l *lossRecorder) PeerPath(_ string, state path.State) {
 	l.wasLost.Store(l.wasLost.Load() || state == path.Lost)
 }
@@ -353,16 +353,16 @@
 	states chan path.State
 }
 
-func (pathObserver) PeerHeartbeat(string, *wire.Heartbeat)       {}
-func (pathObserver) PeerUpstream(string, wire.Upstream)          {}
-func (pathObserver) PeerTableVersion(string, *wire.TableVersion) {}
-func (pathObserver) PeerWorkRequest(*wire.WorkRequest)           {}
-func (pathObserver) PeerProfile(*wire.UpstreamProfile)           {}
-func (pathObserver) PeerStoreUpdate(string, *wire.StoreUpdate)   {}
-func (pathObserver) PeerReferral(string, *wire.Referral)         {}
-func (pathObserver) PeerCopyPart(string, *wire.CopyPart)         {}
-func (pathObserver) PeerCrashReport(*wire.CrashReport)           {}
-func (o pathObserver) PeerPath(_ string, state path.State)       { o.states <- state }
+func (pathObserver) PeerHeartbeat(string, *wire.Heartbeat)                   {}
+func (pathObserver) PeerUpstream(string, wire.Upstream)                      {}
+func (pathObserver) PeerTableVersion(string, *wire.TableVersion)             {}
+func (pathObserver) PeerWorkRequest(*wire.WorkRequest)                       {}
+func (pathObserver) PeerProfile(*wire.UpstreamProfile)                       {}
+func (pathObserver) PeerStoreUpdate(string, *wire.StoreUpdate, clock.Millis) {}
+func (pathObserver) PeerReferral(string, *wire.Referral)                     {}
+func (pathObserver) PeerCopyPart(string, *wire.CopyPart, clock.Millis)       {}
+func (pathObserver) PeerCrashReport(*wire.CrashReport)                       {}
+func (o pathObserver) PeerPath(_ string, state path.State)                   { o.states <- state }
 
 // waitFor waits until a condition holds, and fails the test after 30 s.
 func waitFor(t *testing.T, holds func() bool) {
--- a/link/peer.go
+++ b/link/peer.go
@@ -54,10 +54,11 @@
 	PeerTableVersion(node string, table *wire.TableVersion)
 	PeerWorkRequest(request *wire.WorkRequest)
 	PeerProfile(profile *wire.UpstreamProfile)
-	PeerStoreUpdate(node string, update *wire.StoreUpdate)
+	// PeerStoreUpdate receives an update of the store, which the peer sent after the given time.
+	PeerStoreUpdate(node string, update *wire.StoreUpdate, sentAfter clock.Millis)
 	// PeerReferral and PeerCopyPart answer a subscription.
 	PeerReferral(node string, referral *wire.Referral)
-	PeerCopyPart(node string, part *wire.CopyPart)
+	PeerCopyPart(node string, part *wire.CopyPart, sentAfter clock.Millis)
 	PeerCrashReport(report *wire.CrashReport)
 	PeerPath(node string, state path.State)
 }
@@ -372,25 +373,18 @@
 	case *wire.KeyRevocationReply:
 		p.handleRevocationReply(m)
 	case *wire.Reservation:
-		p.handleReservation(m)
+		p.handleReservation(conn, m)
 	case *wire.QuotaGrant:
 		p.handleQuotaGrant(m)
 	case *wire.HungRun:
 		p.handleHungRun(m)
 	case *wire.Heartbeat:
 		p.handleHeartbeat(conn, m)
-		if m.Leaving {
-			p.sendHeartbeat() // the peer waits for this echo before it stops
-		}
 		p.config.Observer.PeerHeartbeat(p.config.Address, m)
 	case *wire.TableVersion:
 		p.config.Observer.PeerTableVersion(p.config.Address, m)
 	case *wire.WorkRequest:
 		p.config.Observer.PeerWorkRequest(m)
-	case *wire.StoreUpdate:
-		p.handleStoreUpdate(m)
-	case *wire.EraUpdate:
-		p.handleStoreUpdate(&m.Update)
 	default:
 		p.handleOther(conn, m)
 	}
@@ -399,6 +393,10 @@
 // handleOther handles the remaining messages of handleMessage.
 func (p *Peer) handleOther(conn *Conn, m wire.Message) {
 	switch m := m.(type) {
+	case *wire.StoreUpdate:
+		p.config.Observer.PeerStoreUpdate(p.config.Address, m, p.sentAfter(conn, m.Time))
+	case *wire.EraUpdate:
+		p.config.Observer.PeerStoreUpdate(p.config.Address, &m.Update, p.sentAfter(conn, m.Update.Time))
 	case *wire.CrashReport:
 		p.config.Observer.PeerCrashReport(m)
 	case *wire.UpstreamProfile:
@@ -410,45 +408,55 @@
 	case *wire.Referral:
 		p.config.Observer.PeerReferral(p.config.Address, m)
 	case *wire.CopyPart:
-		p.handleCopyPart(m)
+		p.config.Observer.PeerCopyPart(p.config.Address, m, p.sentAfter(conn, m.Time))
 	default:
 		conn.Close()
 	}
 }
 
-// handleStoreUpdate passes an update of the store to the observer. It adds the time since
-// the peer sent the update to the update's age, because a slow path or a pause of this
-// process may have delayed it.
-func (p *Peer) handleStoreUpdate(update *wire.StoreUpdate) {
-	update.Age += p.receivedAfter(update.Time)
-	p.config.Observer.PeerStoreUpdate(p.config.Address, update)
-}
-
-// receivedAfter records that a message was received, and returns how long after the given time on
-// the peer's clock, 0 if that clock isn't known.
-func (p *Peer) receivedAfter(sentAt clock.Millis) clock.Millis {
+// sentAfter records that a message was received, and returns a time on this node's clock after
+// which the peer sent it, at the given time of the peer's clock. A slow path, or a pause of
+// this process, may have delayed the message by any time.
+func (p *Peer) sentAfter(conn *Conn, peerTime clock.Millis) clock.Millis {
 	now := p.config.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.detector.Received(now)
-	if !p.estimate.Known() {
-		return 0
-	}
-	return max(p.estimate.At(now)-sentAt, 0)
+	p.mu.Unlock()
+	return conn.peerClock.SentAfter(now, peerTime)
 }
 
+// handleHeartbeat records a heartbeat, and answers the first one of a link and those of a peer that
+// leaves: until the echo arrives, the peer can't tell how old messages are, nor may it stop.
 func (p *Peer) handleHeartbeat(conn *Conn, heartbeat *wire.Heartbeat) {
+	if isFirst := p.recordHeartbeat(conn, heartbeat); isFirst || heartbeat.Leaving {
+		p.sendHeartbeat()
+	}
+}
+
+// recordHeartbeat reports whether the heartbeat is the first one of the open link.
+func (p *Peer) recordHeartbeat(conn *Conn, heartbeat *wire.Heartbeat) (isFirst bool) {
 	now := p.config.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn == p.conn {
-		p.lastPeerTime = heartbeat.Time
-	}
 	p.detector.Received(now)
 	if heartbeat.Echo > 0 {
 		p.detector.Echoed(now, heartbeat.Echo)
+		conn.peerClock.RoundTrip(now, heartbeat.Echo, heartbeat.Time)
 	}
-	if p.estimate.Known() {
-		p.estimate.Update(now, p.estimate.Incarnation(), heartbeat.Time)
+	p.observePeerTime(now, conn, heartbeat.Time)
+	if conn != p.conn {
+		return false
+	}
+	isFirst = p.lastPeerTime == 0
+	p.lastPeerTime = heartbeat.Time
+	return isFirst
+}
+
+// observePeerTime updates the estimate of the peer's clock by a time that the peer sent on a link.
+// A link that was replaced may be one to an earlier process of the node, with another clock. The
+// caller holds the peer's lock.
+func (p *Peer) observePeerTime(now clock.Millis, conn *Conn, peerTime clock.Millis) {
+	if conn == p.conn || conn == p.draining {
+		p.estimate.Update(now, p.estimate.Incarnation(), peerTime)
 	}
 }
--- a/link/reply.go
+++ b/link/reply.go
@@ -17,7 +17,7 @@
 	now := p.config.Now()
 	p.mu.Lock()
 	p.detector.Received(now)
-	p.estimate.Update(now, p.estimate.Incarnation(), r.Time)
+	p.observePeerTime(now, conn, r.Time)
 	pending, ok := p.pending[key]
 	if ok {
 		p.probe.Answered(pending.sentAt)
--- a/link/reservation.go
+++ b/link/reservation.go
@@ -28,13 +28,13 @@
 	}
 }
 
-func (p *Peer) handleReservation(r *wire.Reservation) {
+func (p *Peer) handleReservation(conn *Conn, r *wire.Reservation) {
 	p.config.Observer.PeerUpstream(p.config.Address, r.Upstream)
 	key := r.ID.Key(r.Attempt)
 	now := p.config.Now()
 	p.mu.Lock()
 	p.detector.Received(now)
-	p.estimate.Update(now, p.estimate.Incarnation(), r.Time)
+	p.observePeerTime(now, conn, r.Time)
 	onReply, ok := p.capacityProbes.complete(p, key)
 	p.answerClaim(key, r)
 	p.mu.Unlock()
--- a/link/server.go
+++ b/link/server.go
@@ -57,8 +57,9 @@
 	// Subscribe handles a subscription of the peer with link address node. The answers are sent
 	// by Server.SendReferral, SendCopyPart and SendUpdate.
 	Subscribe(entry uint64, node string, m *wire.Subscription)
-	// ReceiveUpdate handles an update of the store from the peer with link address node.
-	ReceiveUpdate(node string, update *wire.StoreUpdate)
+	// ReceiveUpdate handles an update of the store, which the peer with link address node sent
+	// after the given time.
+	ReceiveUpdate(node string, update *wire.StoreUpdate, sentAfter clock.Millis)
 	// ReceiveCrashes handles a peer's crash report and returns the reports to send back.
 	ReceiveCrashes(report *wire.CrashReport) []*wire.CrashReport
 }
@@ -336,9 +337,8 @@
 
 // BroadcastUpdate sends an update of the store to all entries with a link. Entries that know no
 // eras get the update that withoutEra returns, or nothing if that is nil; withoutEra is nil for
-// an update that names no era. BroadcastUpdate sets the updates' Time.
+// an update that names no era.
 func (s *Server) BroadcastUpdate(update *wire.StoreUpdate, withoutEra func() *wire.StoreUpdate) {
-	update.Time = s.config.Now()
 	var message wire.Message = update
 	if withoutEra != nil {
 		message = &wire.EraUpdate{Update: *update}
@@ -355,7 +355,6 @@
 			if plain = withoutEra(); plain == nil {
 				return
 			}
-			plain.Time = update.Time
 		}
 		_ = c.Send(plain)
 	}
--- a/link/session.go
+++ b/link/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
-	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -29,9 +28,6 @@
 	// isSubscribed means that the entry receives forwarded updates, isJoining that it knows only
 	// a few seeds. The server's lock guards both.
 	isSubscribed, isJoining bool
-	// estimate is that of the peer's clock. Only the reading goroutine uses it.
-	estimate lease.ClockEstimate
-
 	// acceptedAt is when the link was accepted. Only the reading goroutine uses it.
 	acceptedAt clock.Millis
 
@@ -69,7 +65,6 @@
 		_ = s.conn.Send(h.RevokeKey(m)) // the peer repeats the revocation on a new link
 	case *wire.Heartbeat:
 		s.recordHeartbeat(m)
-		s.estimate.Update(s.server.config.Now(), s.remote.Incarnation, m.Time)
 		h.Heartbeat(s.remote.Node, m)
 	case *wire.TableRequest:
 		if table, ok := h.RequestTable(m); ok {
@@ -95,9 +90,9 @@
 	case *wire.Subscription:
 		h.Subscribe(s.remote.Incarnation, s.remote.Node, m)
 	case *wire.StoreUpdate:
-		s.handleUpdate(m)
+		h.ReceiveUpdate(s.remote.Node, m, s.sentAfter(m.Time))
 	case *wire.EraUpdate:
-		s.handleUpdate(&m.Update)
+		h.ReceiveUpdate(s.remote.Node, &m.Update, s.sentAfter(m.Update.Time))
 	case *wire.CrashReport:
 		for _, report := range h.ReceiveCrashes(m) {
 			_ = s.conn.Send(report) // the peer asks again after the next heartbeat
@@ -107,21 +102,23 @@
 	}
 }
 
-// handleUpdate passes an update of the store on, and adds the time in transit to its age.
-func (s *session) handleUpdate(update *wire.StoreUpdate) {
-	if s.estimate.Known() {
-		update.Age += max(s.estimate.At(s.server.config.Now())-update.Time, 0)
-	}
-	s.server.config.Handler.ReceiveUpdate(s.remote.Node, update)
+// sentAfter returns a time on this node's clock after which the peer sent a message, at the given
+// time of the peer's clock.
+func (s *session) sentAfter(peerTime clock.Millis) clock.Millis {
+	return s.conn.peerClock.SentAfter(s.server.config.Now(), peerTime)
 }
 
 // recordHeartbeat records a heartbeat of the peer. An echo of a time before the link is that of a
 // heartbeat from an earlier process of this node, whose clock was another one.
 func (s *session) recordHeartbeat(m *wire.Heartbeat) {
+	isEcho := m.Echo > 0 && m.Echo >= s.acceptedAt
+	if isEcho {
+		s.conn.peerClock.RoundTrip(s.server.config.Now(), m.Echo, m.Time)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastPeerTime = m.Time
-	if m.Echo >= s.acceptedAt {
+	if isEcho {
 		s.lastEcho = max(s.lastEcho, m.Echo)
 	}
 }
--- a/link/subscription.go
+++ b/link/subscription.go
@@ -54,7 +54,6 @@
 	if p.conn == nil || !p.conn.Accepts(wire.KindSubscription) {
 		return
 	}
-	u.Time = p.config.Now()
 	_ = p.conn.Send(updateMessage(u, hasEra)) // the peer reads the store itself
 }
 
@@ -66,12 +65,6 @@
 	return u
 }
 
-// handleCopyPart passes a part of a copy on, and adds the time in transit to its age.
-func (p *Peer) handleCopyPart(part *wire.CopyPart) {
-	part.Age += p.receivedAfter(part.Time)
-	p.config.Observer.PeerCopyPart(p.config.Address, part)
-}
-
 // SetSubscribed records whether an entry receives forwarded updates, and whether it is joining.
 // It lasts as long as the entry's link.
 func (s *Server) SetSubscribed(entry uint64, isSubscribed, isJoining bool) {
@@ -98,7 +91,6 @@
 // ForwardUpdate sends an update to the entries that have subscribed, but not to the node that it
 // is from; with joiningOnly, only to nodes that are joining. It returns the number of entries.
 func (s *Server) ForwardUpdate(u *wire.StoreUpdate, hasEra bool, from string, joiningOnly bool) int {
-	u.Time = s.config.Now()
 	message := updateMessage(u, hasEra)
 	count := 0
 	s.mu.Lock()
@@ -114,7 +106,6 @@
 
 // SendUpdate sends an update to one entry.
 func (s *Server) SendUpdate(entry uint64, u *wire.StoreUpdate, hasEra bool) {
-	u.Time = s.config.Now()
 	s.sendToEntry(entry, updateMessage(u, hasEra))
 }
 
@@ -123,8 +114,7 @@
 	s.sendToEntry(entry, r)
 }
 
-// SendCopyPart sends a part of a copy. It sets the part's Time.
+// SendCopyPart sends a part of a copy.
 func (s *Server) SendCopyPart(entry uint64, part *wire.CopyPart) {
-	part.Time = s.config.Now()
 	s.sendToEntry(entry, part)
 }
--- a/link/subscription_test.go
+++ b/link/subscription_test.go
@@ -17,7 +17,9 @@
 	received chan int
 }
 
-func (o updateObserver) PeerStoreUpdate(string, *wire.StoreUpdate) { o.received <- o.index }
+func (o updateObserver) PeerStoreUpdate(string, *wire.StoreUpdate, clock.Millis) {
+	o.received <- o.index
+}
 
 // Guards against updates that go to every node with a link, or back to the node that they are from: in a
 // large fleet each would cross every link.
--- a/mirror/convergence_test.go
+++ b/mirror/convergence_test.go
@@ -250,6 +250,7 @@
 	*storeModel
 
 	t                *testing.T
+	now              func() clock.Millis // of all nodes
 	nodes            []*mirror.Follower
 	lastRevisions    []map[string]uint64 // by node and key, the last revision delivered
 	removedRevisions []map[string]uint64 // by node and key, the last revision of a value that is no longer delivered
@@ -296,7 +297,7 @@
 		wait = lossyConvergenceTime
 	}
 	synctest.Test(t, func(t *testing.T) {
-		s.t = t
+		s.t, s.now = t, clock.NewSystem().Now
 		for i := range nodeCount {
 			s.startNode(i)
 		}
@@ -324,7 +325,7 @@
 	log := logging.Silent()
 	lastRevisions, removedRevisions := map[string]uint64{}, map[string]uint64{}
 	f := mirror.NewFollower(mirror.FollowerConfig{
-		Store: nodeStore{s.storeModel, i}, Now: clock.NewSystem().Now, Hash: hashBeforeSlash, IsOlder: s.isOlder, Seed: uint64(i), Log: log,
+		Store: nodeStore{s.storeModel, i}, Now: s.now, Hash: hashBeforeSlash, IsOlder: s.isOlder, Seed: uint64(i), Log: log,
 		Deliver:        func(items []mirror.Item, _ bool) { s.checkDelivery(i, items, lastRevisions, removedRevisions) },
 		Publish:        func(u mirror.Update) { s.sendUpdate(i, u) },
 		OnAvailability: func(error) {},
--- a/mirror/edit_test.go
+++ b/mirror/edit_test.go
@@ -92,6 +92,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFollowerWithValue(t, tt.held, tt.at)
+			update.CurrentAt = clock.Minute
 			f.ReceiveUpdate(update)
 			items, revision := f.Snapshot()
 			if revision != tt.revision || !bytes.Equal(items[0].Value, tt.want) {
@@ -110,7 +111,7 @@
 	f := newFollowerWithValue(t, largeText(7), 9)
 	late := update.Events[0]
 	late.Revision = 12
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 8, IsListDiff: true, Events: []mirror.Event{late}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: clock.Minute, Since: 5, Revision: 8, IsListDiff: true, Events: []mirror.Event{late}})
 	if items, _ := f.Snapshot(); !bytes.Equal(items[0].Value, largeText(7)) {
 		t.Errorf("got a value of %d bytes, want the value unchanged", len(items[0].Value))
 	}
@@ -137,13 +138,15 @@
 	update := editUpdate(t)
 	second := mirror.Update{Since: 3, Revision: 4, Events: slices.Clone(update.Events[1:])}
 	synctest.Test(t, func(t *testing.T) {
+		now := clock.NewSystem().Now
 		f := mirror.NewFollower(mirror.FollowerConfig{
-			Store: &slowListStore{revision: 3}, Now: clock.NewSystem().Now, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
+			Store: &slowListStore{revision: 3}, Now: now, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); _ = f.Serve(ctx) }() // returns when ctx ends
 		<-time.After(500 * time.Millisecond)
+		second.CurrentAt = now()
 		f.ReceiveUpdate(second)
 		<-time.After(600 * time.Millisecond)
 		if got := f.Revision(); got != 4 {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -84,10 +84,11 @@
 	confirmedAt                           clock.Millis
 	unconfirmedRevision, unconfirmedSince uint64
 	// unconfirmed holds these removals.
-	unconfirmed    []Event
-	audit          audit
-	lag            lag
-	pendingUpdates []pendingUpdate
+	unconfirmed []Event
+	audit       audit
+	lag         lag
+	// pendingUpdates left a gap after the known revision when they arrived.
+	pendingUpdates []Update
 	// awaitsRestored means that the store was restored, and that this node waits for the
 	// update of one that has listed the values before it lists them itself.
 	awaitsRestored bool
@@ -266,8 +267,9 @@
 type Replica struct {
 	Items    []Item
 	Revision uint64
-	// Age is the time since the store was at Revision.
-	Age clock.Millis
+	// CurrentAt is a time at which the store was at Revision, as in Update; negative if it isn't
+	// known.
+	CurrentAt clock.Millis
 	// IsExact is true if Items are exactly what the store held at Revision.
 	IsExact bool
 }
@@ -278,7 +280,7 @@
 	defer f.mu.Unlock()
 	now := f.config.Now()
 	return Replica{
-		Items: f.copy.Items(now), Revision: f.copy.Revision(), Age: max(now-f.schedule.currentAt, 0),
+		Items: f.copy.Items(now), Revision: f.copy.Revision(), CurrentAt: f.schedule.currentAt,
 		IsExact: f.copy.IsExact() && len(f.copy.expiring)+len(f.copy.carried) == 0,
 	}
 }
@@ -292,7 +294,7 @@
 		return false
 	}
 	f.copy.mayLackRemovals = !r.IsExact
-	f.schedule.Refreshed(f.config.Now() - r.Age)
+	f.schedule.Refreshed(r.CurrentAt)
 	f.wake()
 	return true
 }
@@ -458,7 +460,7 @@
 	}
 	f.history.record(update)
 	if !isUrgent {
-		f.publish(update, now, startedAt)
+		f.publish(update, startedAt)
 	}
 	f.peerBytes = 0
 	f.receivePending(now)
@@ -485,19 +487,20 @@
 // and when it answers again.
 func (f *Follower) recordCall(cause Cause, took clock.Millis, bytes uint64, err error) {
 	f.config.Log.WithFields(logrus.Fields{"cause": string(cause), "bytes": bytes, "took": took.String(), "answered": err == nil}).Debug("platform called")
+	now := f.config.Now()
 	f.mu.Lock()
 	if err == nil {
 		f.stats.Answered.add(bytes, took)
 	} else {
 		f.stats.Failed.add(bytes, took)
-		f.schedule.Failed(f.config.Now())
+		f.schedule.Failed(now)
 		f.logFailure(took, bytes, err)
 	}
 	f.logLag()
 	f.mu.Unlock()
 	isUnanswered := err != nil && !errors.Is(err, ErrTruncated) // other nodes may get complete answers
 	if isUnanswered && f.config.Publish != nil {
-		f.config.Publish(Update{IsUnavailable: true})
+		f.config.Publish(Update{IsUnavailable: true, CurrentAt: now})
 	}
 	if hasFailed := err != nil; hasFailed != f.isUnavailable {
 		f.isUnavailable = hasFailed
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -120,12 +120,14 @@
 	}
 }
 
+// frozenNow is the time on the clock of newFollowerAtRevision5, long after any call.
+const frozenNow = clock.Minute
+
 // newFollowerAtRevision5 returns a follower that holds a and b at revision 5.
 func newFollowerAtRevision5(t *testing.T, delivered *[][]mirror.Item) *mirror.Follower {
 	t.Helper()
-	now := clock.Minute // long after any call
 	f := mirror.NewFollower(mirror.FollowerConfig{
-		Now:             func() clock.Millis { return now },
+		Now:             func() clock.Millis { return frozenNow },
 		Deliver:         func(items []mirror.Item, _ bool) { *delivered = append(*delivered, items) },
 		OnAvailability:  func(error) {},
 		ExpectedRemoval: func(old mirror.Item) bool { return string(old.Value) == "draining" },
@@ -141,18 +143,18 @@
 func TestUpdateWithGapDoesNotAdvanceRevision(t *testing.T) {
 	var delivered [][]mirror.Item
 	f := newFollowerAtRevision5(t, &delivered)
-	f.ReceiveUpdate(mirror.Update{Since: 7, Revision: 9, Events: []mirror.Event{{Item: item("c", 9)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 7, Revision: 9, Events: []mirror.Event{{Item: item("c", 9)}}})
 	if got := f.Revision(); got != 5 {
 		t.Errorf("got revision %d after an update with a gap, want 5", got)
 	}
-	f.ReceiveUpdate(mirror.Update{Since: 4, Revision: 9, Events: []mirror.Event{{Item: item("c", 9)}, {Item: item("a", 8)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 4, Revision: 9, Events: []mirror.Event{{Item: item("c", 9)}, {Item: item("a", 8)}}})
 	if got := f.Revision(); got != 9 {
 		t.Errorf("got revision %d, want 9", got)
 	}
 	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a", "b", "c"}) {
 		t.Errorf("got %v, want a, b and c", got)
 	}
-	f.ReceiveUpdate(mirror.Update{Since: 4, Revision: 6, Events: []mirror.Event{{Item: item("a", 6)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 4, Revision: 6, Events: []mirror.Event{{Item: item("a", 6)}}})
 	if got := f.Revision(); got != 9 {
 		t.Errorf("got revision %d after a late update, want 9 unchanged", got)
 	}
@@ -166,7 +168,7 @@
 	var delivered [][]mirror.Item
 	f := newFollowerAtRevision5(t, &delivered)
 	removal := mirror.Event{Item: mirror.Item{Key: "a", Revision: 8}, Gone: true}
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, Events: []mirror.Event{removal, {Item: item("c", 9)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 9, Events: []mirror.Event{removal, {Item: item("c", 9)}}})
 	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a", "b", "c"}) {
 		t.Errorf("got %v after a peer's update, want a kept and c added", got)
 	}
@@ -180,10 +182,10 @@
 func TestExpectedRemovalsNeedNoConfirmation(t *testing.T) {
 	var delivered [][]mirror.Item
 	f := newFollowerAtRevision5(t, &delivered)
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, Events: []mirror.Event{
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 9, Events: []mirror.Event{
 		{Item: mirror.Item{Key: "b", Revision: 7, Value: []byte("draining")}},
 	}})
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 9}, Gone: true}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 9}, Gone: true}}})
 	if got := keys(delivered[len(delivered)-1]); !slices.Equal(got, []string{"a"}) {
 		t.Errorf("got %v, want only a", got)
 	}
@@ -224,7 +226,7 @@
 	})
 	s.onFirstWatch = func() {
 		elapsed.Store(int64(clock.Minute)) // time since the last answered call
-		f.ReceiveUpdate(mirror.Update{Since: 1, Revision: 8, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 8}, Gone: true}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: now(), Since: 1, Revision: 8, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 8}, Gone: true}}})
 	}
 	_ = f.Serve(ctx) // returns when ctx ends
 	if want := []uint64{1, 6}; !slices.Equal(s.after, want) {
@@ -240,7 +242,7 @@
 func TestTruncatedUpdateDoesNotAdvanceRevision(t *testing.T) {
 	var delivered [][]mirror.Item
 	f := newFollowerAtRevision5(t, &delivered)
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, IsTruncated: true})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 9, IsTruncated: true})
 	if got := f.Revision(); got != 5 {
 		t.Errorf("got revision %d, want 5, because the changes are unknown", got)
 	}
--- a/mirror/forward_test.go
+++ b/mirror/forward_test.go
@@ -46,7 +46,7 @@
 		f, s := newFollowerWithEvidence(t, new(atomic.Bool))
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
-		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 7}, Gone: true}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 7}, Gone: true}}})
 		<-time.After(5 * time.Second)
 		items, _ := f.Snapshot()
 		if got, want := keys(items), []string{"a"}; !slices.Equal(got, want) {
@@ -55,7 +55,7 @@
 		if got := len(s.recordedCalls()); got != 0 {
 			t.Errorf("got %d calls, want none", got)
 		}
-		f.ReceiveUpdate(mirror.Update{Since: 7, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 9}, Gone: true}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 7, Revision: 9, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 9}, Gone: true}}})
 		<-time.After(5 * time.Second)
 		if got := s.recordedCalls(); len(got) == 0 || got[0] != "watch" {
 			t.Errorf("got calls %v after the removal of an upstream that this node uses, want a watch", got)
@@ -74,7 +74,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 		<-time.After(5 * time.Second)    // after the window of a call
-		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 7}, Gone: true}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "a", Revision: 7}, Gone: true}}})
 		<-time.After(50 * time.Millisecond)
 		items, _ := f.Snapshot()
 		if got, want := keys(items), []string{"a", "b"}; !slices.Equal(got, want) {
@@ -106,7 +106,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 		<-time.After(45 * time.Second)
-		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 7}, Gone: true}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 5, Revision: 7, Events: []mirror.Event{{Item: mirror.Item{Key: "b", Revision: 7}, Gone: true}}})
 		items, _ := f.Snapshot()
 		if got, want := keys(items), []string{"a", "b"}; !slices.Equal(got, want) {
 			t.Errorf("got %v, want %v", got, want)
@@ -121,8 +121,8 @@
 func TestChangesSinceARevisionAreMerged(t *testing.T) {
 	var delivered [][]mirror.Item
 	f, other := newFollowerAtRevision5(t, &delivered), newFollowerAtRevision5(t, &delivered)
-	f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 7, Events: []mirror.Event{{Item: item("c", 7)}}})
-	f.ReceiveUpdate(mirror.Update{Since: 7, Revision: 9, Events: []mirror.Event{{Item: item("c", 8)}, {Item: item("d", 9)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 7, Events: []mirror.Event{{Item: item("c", 7)}}})
+	f.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 7, Revision: 9, Events: []mirror.Event{{Item: item("c", 8)}, {Item: item("d", 9)}}})
 	u, ok := f.ChangesSince(5)
 	if !ok || u.Since != 5 || u.Revision != 9 {
 		t.Fatalf("got %+v, %v, want the changes from 5 to 9", u, ok)
@@ -147,14 +147,14 @@
 		update mirror.Update
 		want   bool
 	}{
-		{"change", mirror.Update{Since: 5, Revision: 7, Age: 500, Events: []mirror.Event{{Item: item("c", 7)}}}, true},
-		{"the same change by another way", mirror.Update{Since: 5, Revision: 7, Age: 500, Events: []mirror.Event{{Item: item("c", 7)}}}, false},
-		{"a little fresher", mirror.Update{Since: 7, Revision: 7, Age: 490}, false},
-		{"much fresher", mirror.Update{Since: 7, Revision: 7, Age: 100}, true},
-		{"older", mirror.Update{Since: 5, Revision: 6, Age: 0}, false},
-		{"change after a gap", mirror.Update{Since: 9, Revision: 10, Events: []mirror.Event{{Item: item("d", 10)}}}, true},
-		{"the same change after a gap", mirror.Update{Since: 9, Revision: 10, Events: []mirror.Event{{Item: item("d", 10)}}}, false},
-		{"outage", mirror.Update{IsUnavailable: true}, false},
+		{"change", mirror.Update{Since: 5, Revision: 7, CurrentAt: frozenNow - 500, Events: []mirror.Event{{Item: item("c", 7)}}}, true},
+		{"the same change by another way", mirror.Update{Since: 5, Revision: 7, CurrentAt: frozenNow - 500, Events: []mirror.Event{{Item: item("c", 7)}}}, false},
+		{"a little fresher", mirror.Update{Since: 7, Revision: 7, CurrentAt: frozenNow - 490}, false},
+		{"much fresher", mirror.Update{Since: 7, Revision: 7, CurrentAt: frozenNow - 100}, true},
+		{"older", mirror.Update{Since: 5, Revision: 6, CurrentAt: frozenNow}, false},
+		{"change after a gap", mirror.Update{CurrentAt: frozenNow, Since: 9, Revision: 10, Events: []mirror.Event{{Item: item("d", 10)}}}, true},
+		{"the same change after a gap", mirror.Update{CurrentAt: frozenNow, Since: 9, Revision: 10, Events: []mirror.Event{{Item: item("d", 10)}}}, false},
+		{"outage", mirror.Update{CurrentAt: frozenNow, IsUnavailable: true}, false},
 	} {
 		if got := f.ReceiveUpdate(tt.update); got != tt.want {
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
@@ -175,7 +175,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 		<-time.After(200 * time.Millisecond)
-		f.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("a", 9)}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 5, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("a", 9)}}})
 		<-time.After(500 * time.Millisecond)
 		if got, want := s.recordedCalls(), []string{"watch"}; !slices.Equal(got, want) {
 			t.Errorf("got calls %v, want %v", got, want)
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -48,6 +48,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u, ok := f.history.since(revision, f.copy.Revision())
-	u.Age = f.config.Now() - f.schedule.currentAt
+	u.CurrentAt = f.schedule.currentAt
 	return u, ok && f.schedule.currentAt >= 0
 }
--- a/mirror/lag_test.go
+++ b/mirror/lag_test.go
@@ -45,7 +45,7 @@
 		done := make(chan struct{})
 		go func() { defer close(done); _ = f.Serve(ctx) }() // returns when ctx ends
 		<-time.After(3 * time.Second)
-		f.ReceiveUpdate(mirror.Update{Since: 7, Revision: 9})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: now(), Since: 7, Revision: 9})
 		<-time.After(5 * time.Second)
 		if got := f.Stats(); got.LateChanges != 1 || got.Lag < 5*clock.Second || got.Failed.Bytes != 500*got.Failed.Count {
 			t.Errorf("got %+v, want one late change, announced 5s ago, and the bytes of each failed call", got)
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -168,24 +168,24 @@
 	peerAnswerWindow = clock.Second
 )
 
-// Postpone records that a peer's call has failed as well, and postpones the next call: if
-// the store answers no node, an occasional call by one node of the fleet is enough to
-// detect its return. A node whose own calls succeed postpones nothing, nor does a node
-// that has recently received an update from a peer whose calls succeed.
-func (p *PollSchedule) Postpone(now clock.Millis) {
-	if p.failures == 0 || (p.peerAnsweredAt > 0 && now-p.peerAnsweredAt < peerAnswerWindow) {
+// Postpone records that a peer's call failed as well, at the given time, and postpones the next
+// call: if the store answers no node, an occasional call by one node of the fleet is enough to
+// detect its return. A node whose own calls succeed postpones nothing, nor does a node that
+// has received an update from a peer whose calls succeeded shortly before or later.
+func (p *PollSchedule) Postpone(failedAt clock.Millis) {
+	if p.failures == 0 || (p.peerAnsweredAt > 0 && failedAt-p.peerAnsweredAt < peerAnswerWindow) {
 		return
 	}
 	delay := p.config.MaxBackoff
 	latest := p.failedAt + max(maxPostponement, clock.Millis(p.nodes)*postponementPerNode)
-	p.due = max(p.due, min(now+delay/2+clock.Millis(p.random.Int64N(int64(delay))), latest))
+	p.due = max(p.due, min(failedAt+delay/2+clock.Millis(p.random.Int64N(int64(delay))), latest))
 }
 
-// MissedChanges records that the store answers a peer, which knows changes that this node
-// has missed. If this node's last call failed, the next one is made soon, because updates
+// MissedChanges records that the store answered a peer at the given time, and that the peer knows
+// changes that this node has missed. If this node's last call failed, the next one is made soon, because updates
 // from peers can't fill the gap.
-func (p *PollSchedule) MissedChanges(now clock.Millis) {
-	p.peerAnsweredAt = now
+func (p *PollSchedule) MissedChanges(now, answeredAt clock.Millis) {
+	p.peerAnsweredAt = max(p.peerAnsweredAt, answeredAt)
 	if p.failures > 0 {
 		p.due = min(p.due, now+clock.Millis(p.random.Int64N(int64(p.urgentSpread()))))
 	}
--- a/mirror/update.go
+++ b/mirror/update.go
@@ -36,8 +36,10 @@
 	IsListDiff bool
 	// IsUnavailable is true if the store didn't answer; the other fields are empty then.
 	IsUnavailable bool
-	// Age is the time since Revision was the store's current revision.
-	Age clock.Millis
+	// CurrentAt is a time at which the store was at Revision, or didn't answer, on the clock of the
+	// process that holds the update. It is never too late: one that isn't known exactly is the
+	// earliest possible.
+	CurrentAt clock.Millis
 	// Bytes is the size of all values that the sender holds, set with IsTruncated. A node
 	// that is behind reads a list rather than a larger answer to a watch.
 	Bytes int
@@ -145,11 +147,11 @@
 
 // publish sends the changes that a call has returned to other nodes, unless the update is
 // empty, as after the first list or an audit.
-func (f *Follower) publish(u Update, now, startedAt clock.Millis) {
+func (f *Follower) publish(u Update, startedAt clock.Millis) {
 	if f.config.Publish == nil || u.Since == 0 {
 		return
 	}
-	u.Age = now - startedAt
+	u.CurrentAt = startedAt
 	f.config.Publish(u)
 }
 
@@ -170,13 +172,6 @@
 // up to a second, there is an edit every 0.4 s, and several peers send each edit.
 const maxPending = 16
 
-// pendingUpdate is an update that left a gap after the known revision when it arrived at
-// the given time.
-type pendingUpdate struct {
-	update Update
-	at     clock.Millis
-}
-
 // minFreshness is by how much an update without changes must be more recent than the last one to
 // be news. It keeps nodes that forward updates to each other from sending the same one on and on.
 const minFreshness = 100 * clock.Millis(1)
@@ -188,10 +183,10 @@
 	defer f.mu.Unlock()
 	now := f.config.Now()
 	if u.IsUnavailable {
-		f.schedule.Postpone(now)
+		f.schedule.Postpone(u.CurrentAt)
 		return false
 	}
-	isNews = f.isNews(now, &u)
+	isNews = f.isNews(&u)
 	f.receive(now, u)
 	f.logLag()
 	return isNews
@@ -199,12 +194,11 @@
 
 // isNews reports whether an update shows a later state of the store than all before, and records
 // it.
-func (f *Follower) isNews(now clock.Millis, u *Update) bool {
+func (f *Follower) isNews(u *Update) bool {
 	latest := max(f.forwardedRevision, f.copy.Revision())
-	at := now - u.Age
-	isNews := u.Revision > latest || (u.Revision == latest && at >= max(f.forwardedAt, f.schedule.currentAt)+minFreshness)
+	isNews := u.Revision > latest || (u.Revision == latest && u.CurrentAt >= max(f.forwardedAt, f.schedule.currentAt)+minFreshness)
 	if isNews {
-		f.forwardedRevision, f.forwardedAt = u.Revision, at
+		f.forwardedRevision, f.forwardedAt = u.Revision, u.CurrentAt
 	}
 	return isNews
 }
@@ -225,7 +219,7 @@
 	}
 	if known < u.Since || (known < u.Revision && (u.IsTruncated || !f.continuesCopy(&u))) {
 		f.receivePartial(now, u)
-		f.addPending(now, received)
+		f.addPending(received)
 		return
 	}
 	f.noteReturn(now, u.Revision)
@@ -236,7 +230,7 @@
 	f.history.record(received)
 	f.config.Deliver(f.copy.Items(now), true) // a grace period may have ended, even without events
 	if len(f.copy.carried) == 0 {             // peers don't send the writes that end what is carried here alone
-		f.schedule.Refreshed(now - u.Age)
+		f.schedule.Refreshed(u.CurrentAt)
 	}
 	f.compareDigest(now, &u)
 }
@@ -257,7 +251,7 @@
 		f.copy.Apply(now, events, f.copy.Revision())
 		f.config.Deliver(f.copy.Items(now), true)
 	}
-	f.schedule.MissedChanges(now)
+	f.schedule.MissedChanges(now, u.CurrentAt)
 	if u.IsTruncated {
 		f.pollSoon(now, CauseLarge)
 	}
@@ -267,24 +261,23 @@
 // addPending retains an update that left a gap until this node's own call has filled the
 // gap. Without it, a node whose calls take longer than the time between two edits would
 // miss the next edit during each call, and read every edit itself.
-func (f *Follower) addPending(now clock.Millis, u Update) {
+func (f *Follower) addPending(u Update) {
 	if u.IsTruncated {
 		return // the missing changes can only come from the store
 	}
 	if len(f.pendingUpdates) == maxPending {
 		f.pendingUpdates = slices.Delete(f.pendingUpdates, 0, 1)
 	}
-	f.pendingUpdates = append(f.pendingUpdates, pendingUpdate{u, now})
+	f.pendingUpdates = append(f.pendingUpdates, u)
 }
 
 // receivePending applies the retained updates that continue from what is known now.
 func (f *Follower) receivePending(now clock.Millis) {
 	pending := f.pendingUpdates
 	f.pendingUpdates = nil
-	for _, p := range pending {
-		if known := f.copy.Revision(); p.update.Since <= known && known < p.update.Revision {
-			p.update.Age += now - p.at
-			f.receive(now, p.update)
+	for _, u := range pending {
+		if known := f.copy.Revision(); u.Since <= known && known < u.Revision {
+			f.receive(now, u)
 		}
 	}
 }
--- a/mirror/update_test.go
+++ b/mirror/update_test.go
@@ -43,7 +43,7 @@
 		Publish: func(u mirror.Update) { updates = append(updates, u) },
 	})
 	s.onWatch = func() {
-		f.ReceiveUpdate(mirror.Update{Since: 1, Revision: 20, Events: []mirror.Event{{Item: item("a", 12)}, {Item: item("b", 15)}}})
+		f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 1, Revision: 20, Events: []mirror.Event{{Item: item("a", 12)}, {Item: item("b", 15)}}})
 	}
 	_ = f.Serve(ctx) // returns when ctx ends
 	if len(updates) != 1 || updates[0].Since != 1 || len(updates[0].Events) != 2 {
@@ -100,7 +100,7 @@
 		go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 		for range 5 {                    // a list on suspicion needs a delay after the previous list
 			<-time.After(time.Second)
-			f.ReceiveUpdate(mirror.Update{Since: 1, Revision: 5, Digest: digest})
+			f.ReceiveUpdate(mirror.Update{CurrentAt: now(), Since: 1, Revision: 5, Digest: digest})
 		}
 		<-time.After(time.Second)
 		cancel()
@@ -132,7 +132,7 @@
 				cancel()
 				return
 			}
-			f.ReceiveUpdate(mirror.Update{Since: 20, Revision: 30, IsTruncated: true})
+			f.ReceiveUpdate(mirror.Update{CurrentAt: s.now(), Since: 20, Revision: 30, IsTruncated: true})
 		}
 		_ = f.Serve(ctx) // returns when ctx ends
 		if len(callTimes) < 2 || callTimes[1]-callTimes[0] > 200 {
@@ -166,7 +166,7 @@
 	}
 	var delivered [][]mirror.Item
 	second := newFollowerAtRevision5(t, &delivered) // holds a and b at revision 5
-	second.ReceiveUpdate(mirror.Update{Since: 4, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("c", 8)}}})
+	second.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 4, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("c", 8)}}})
 	if got := second.Revision(); got != 5 {
 		t.Errorf("got revision %d after an update made from a list, want 5", got)
 	}
@@ -174,7 +174,7 @@
 		t.Errorf("got %v, want c besides a and b", got)
 	}
 	third := newFollowerAtRevision5(t, &delivered)
-	third.ReceiveUpdate(mirror.Update{Since: 5, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("c", 8)}}})
+	third.ReceiveUpdate(mirror.Update{CurrentAt: frozenNow, Since: 5, Revision: 9, IsListDiff: true, Events: []mirror.Event{{Item: item("c", 8)}}})
 	if got := third.Revision(); got != 9 {
 		t.Errorf("got revision %d of a node that knew exactly the sender's state, want 9", got)
 	}
@@ -277,9 +277,9 @@
 				go func() { _ = f.Serve(ctx) }() // returns when ctx ends
 				for round := range 100 {
 					<-time.After(30 * time.Millisecond)
-					f.ReceiveUpdate(mirror.Update{IsUnavailable: true})
+					f.ReceiveUpdate(mirror.Update{CurrentAt: now(), IsUnavailable: true})
 					if othersRead && round%10 == 0 {
-						f.ReceiveUpdate(mirror.Update{Since: 50, Revision: 60})
+						f.ReceiveUpdate(mirror.Update{CurrentAt: now(), Since: 50, Revision: 60})
 					}
 				}
 				cancel()
--- a/node/join.go
+++ b/node/join.go
@@ -172,7 +172,7 @@
 }
 
 // PeerCopyPart collects the parts of another node's copy, and takes it over if this node has none.
-func (n *Node) PeerCopyPart(node string, part *wire.CopyPart) {
+func (n *Node) PeerCopyPart(node string, part *wire.CopyPart, sentAfter clock.Millis) {
 	if n.follower == nil || n.isCopyKnown() {
 		return
 	}
@@ -192,7 +192,7 @@
 		clear(n.receivedParts) // parts of other copies may have been cut off
 	}
 	n.mu.Unlock()
-	if part.IsLast && n.follower.SeedReplica(mirror.Replica{Items: items, Revision: part.Revision, Age: part.Age, IsExact: part.IsExact}) {
+	if part.IsLast && n.follower.SeedReplica(mirror.Replica{Items: items, Revision: part.Revision, CurrentAt: sentAfter - part.Age, IsExact: part.IsExact}) {
 		log.WithFields(logrus.Fields{"revision": mirror.StoreRevision(part.Revision), "values": len(items)}).Info("platform's values taken over from a peer")
 	}
 }
@@ -240,7 +240,6 @@
 		return
 	}
 	copied := n.follower.Replica()
-	packedAt := n.clock.Now()
 	parts, err := packParts(copied.Items)
 	if err != nil {
 		n.log.WithError(err).Error("copy of the platform's values not sent to joining nodes; packing it failed")
@@ -248,9 +247,9 @@
 	}
 	for i, body := range parts {
 		for _, entry := range entries {
+			now, age := n.sendTime(copied.CurrentAt)
 			n.links.SendCopyPart(entry, &wire.CopyPart{
-				Revision: copied.Revision, Items: body, IsFirst: i == 0, IsLast: i == len(parts)-1, IsExact: copied.IsExact,
-				Age: copied.Age + n.clock.Now() - packedAt,
+				Revision: copied.Revision, Items: body, IsFirst: i == 0, IsLast: i == len(parts)-1, IsExact: copied.IsExact, Time: now, Age: age,
 			})
 		}
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -10,6 +10,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/freshness"
 	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
@@ -138,15 +140,16 @@
 		}
 	}
 	n.links.BroadcastUpdate(message, withoutEra)
-	n.log.WithFields(updateFields(message, message.Time)).Debug("update of the platform's values sent")
+	n.log.WithFields(updateFields(message, message.Age, message.Time)).Debug("update of the platform's values sent")
 }
 
 // packUpdate returns the message with an update, or false if the update can't be packed.
 func (n *Node) packUpdate(update mirror.Update) (*wire.StoreUpdate, bool) {
 	message := &wire.StoreUpdate{
-		Since: update.Since, Revision: update.Revision, IsTruncated: update.IsTruncated, IsUnavailable: update.IsUnavailable, Age: update.Age,
+		Since: update.Since, Revision: update.Revision, IsTruncated: update.IsTruncated, IsUnavailable: update.IsUnavailable,
 		IsListDiff: update.IsListDiff, Bytes: update.Bytes, Digest: update.Digest,
 	}
+	message.Time, message.Age = n.sendTime(update.CurrentAt)
 	if len(update.Events) > 0 {
 		var err error
 		message.Changes, err = wire.Pack(update.Events)
@@ -158,10 +161,21 @@
 	return message, true
 }
 
-// unpackUpdate returns the update in a message, or false if its changes can't be unpacked.
-func (n *Node) unpackUpdate(message *wire.StoreUpdate) (mirror.Update, bool) {
+// sendTime returns the current time and the age of what was current at the given time, negative if
+// that isn't known. Both must be of one moment: a pause between them would be in neither.
+func (n *Node) sendTime(currentAt clock.Millis) (now, age clock.Millis) {
+	now = n.clock.Now()
+	if currentAt < 0 {
+		return now, freshness.MaxAge
+	}
+	return now, max(now-currentAt, 0)
+}
+
+// unpackUpdate returns the update in a message that was sent after the given time, or false if its
+// changes can't be unpacked.
+func (n *Node) unpackUpdate(message *wire.StoreUpdate, sentAfter clock.Millis) (mirror.Update, bool) {
 	update := mirror.Update{
-		Since: message.Since, Revision: message.Revision, IsTruncated: message.IsTruncated, IsUnavailable: message.IsUnavailable, Age: message.Age,
+		Since: message.Since, Revision: message.Revision, IsTruncated: message.IsTruncated, IsUnavailable: message.IsUnavailable, CurrentAt: sentAfter - message.Age,
 		IsListDiff: message.IsListDiff, Bytes: message.Bytes, Digest: message.Digest,
 	}
 	if len(message.Changes) > 0 {
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -132,36 +132,39 @@
 }
 
 // PeerStoreUpdate handles an update of the platform's values from a node that this node dialled.
-func (n *Node) PeerStoreUpdate(node string, message *wire.StoreUpdate) {
-	n.receiveUpdate(node, message)
+func (n *Node) PeerStoreUpdate(node string, message *wire.StoreUpdate, sentAfter clock.Millis) {
+	n.receiveUpdate(node, message, sentAfter)
 }
 
 // ReceiveUpdate handles an update of the platform's values from a node that subscribes to this one.
-func (n *Node) ReceiveUpdate(node string, message *wire.StoreUpdate) {
-	n.receiveUpdate(node, message)
+func (n *Node) ReceiveUpdate(node string, message *wire.StoreUpdate, sentAfter clock.Millis) {
+	n.receiveUpdate(node, message, sentAfter)
 }
 
 // receiveUpdate applies another node's update, and forwards it if it is news.
-func (n *Node) receiveUpdate(node string, message *wire.StoreUpdate) {
+func (n *Node) receiveUpdate(node string, message *wire.StoreUpdate, sentAfter clock.Millis) {
 	if n.follower == nil {
 		return
 	}
-	update, ok := n.unpackUpdate(message)
+	update, ok := n.unpackUpdate(message, sentAfter)
 	if !ok {
 		return
 	}
-	sentAt := message.Time // forward sets that of this node's clock
 	isNews := n.follower.ReceiveUpdate(update)
+	n.log.WithFields(updateFields(message, n.clock.Now()-update.CurrentAt, message.Time)).
+		WithFields(logrus.Fields{"peer": node, "news": isNews}).Debug("update of the platform's values received")
 	if isNews {
-		n.forward(node, message)
+		forwarded := *message
+		forwarded.Time, forwarded.Age = n.sendTime(update.CurrentAt)
+		n.forward(node, &forwarded)
 	}
-	n.log.WithFields(updateFields(message, sentAt)).WithFields(logrus.Fields{"peer": node, "news": isNews}).Debug("update of the platform's values received")
 }
 
-// updateFields returns the log fields of an update that was sent at a time of its sender's clock.
-func updateFields(message *wire.StoreUpdate, sentAt clock.Millis) logrus.Fields {
+// updateFields returns the log fields of an update of a given age, which was sent at a time of its
+// sender's clock.
+func updateFields(message *wire.StoreUpdate, age, sentAt clock.Millis) logrus.Fields {
 	return logrus.Fields{
-		"revision": mirror.StoreRevision(message.Revision), "age": message.Age.String(), "sent": int64(sentAt), "unavailable": message.IsUnavailable,
+		"revision": mirror.StoreRevision(message.Revision), "age": age.String(), "sent": int64(sentAt), "unavailable": message.IsUnavailable,
 	}
 }
 
@@ -193,8 +196,7 @@
 	}
 	n.mu.Unlock()
 	for _, p := range parents {
-		copied := *message
-		p.link.SendUpdate(&copied, mirror.EraOf(message.Revision) > 0)
+		p.link.SendUpdate(message, mirror.EraOf(message.Revision) > 0)
 	}
 }
 
