mirror: the grace period of removed values starts once, when the store answers again, and ends in time

Cause: values that are removed within 2 s after the store's return still count until these are over, since their writers may register again. (a) Every answer and every update that came while the node's last own call had failed counted as such a return, also updates that TCP delivered 6 s late: after a partition the period started up to 21 times, the last time at the node's own call, which the first unexpected removal makes. (b) Nothing ended the period: the value was dropped with the next answer or update, up to 0.6 s later.

Change: the follower knows the latest time at which the store has answered any node. The period starts only if nothing is known of an answer for longer than the longest interval between two calls, at the time of the first answer after that, and not again by later ones. Its end is a time on which the follower wakes. A debug line says when it starts.

Ways weighed: (1) no period for a node that gets updates while its own calls fail: one that was cut off together with the upstreams beside it loses them for up to 2 s.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -97,9 +97,19 @@
 	return c.bytes
 }
 
-// StoreReturned starts the grace period of the store's return after an outage.
-func (c *Copy) StoreReturned(now clock.Millis) {
-	c.graceEnd = now + returnGrace
+// StoreReturned records that the store returned from an outage at the given time at the latest. It
+// returns the end of the grace period, which starts then.
+func (c *Copy) StoreReturned(at clock.Millis) (graceEnd clock.Millis) {
+	c.graceEnd = max(c.graceEnd, at+returnGrace)
+	return c.graceEnd
+}
+
+// NextExpiry returns the time at which a removed value ceases to count, and false if there is none.
+func (c *Copy) NextExpiry() (clock.Millis, bool) {
+	if len(c.expiring) == 0 {
+		return 0, false
+	}
+	return slices.Min(slices.Collect(maps.Values(c.expiring))), true
 }
 
 // Digest returns a hash over the relevant parts of all values that are not removed. Two
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -25,6 +25,9 @@
 	watchTimeout = clock.Millis(1)
 )
 
+// neverAnswered is before any time at which the store can have answered.
+const neverAnswered = -clock.Day
+
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
 	Store Store
@@ -78,6 +81,8 @@
 	revision      atomic.Uint64
 	wakeup        chan struct{}
 	isUnavailable bool
+	// answeredAt is the latest time at which the store is known to have answered any node.
+	answeredAt clock.Millis
 	// confirmedAt is the start of the last answered call. unconfirmedRevision is the revision of
 	// a later update with removals that the store has not confirmed, 0 if there is none. The
 	// removals came after unconfirmedSince.
@@ -176,7 +181,7 @@
 	if c.Log == nil {
 		c.Log = logging.Silent()
 	}
-	return &Follower{config: c, copy: NewCopy(c.Hash, c.IsOlder), schedule: NewPollSchedule(PollConfig{MaxStaleness: c.MaxStaleness, MaxBackoff: c.MaxBackoff, Seed: c.Seed}), wakeup: make(chan struct{}, 1)}
+	return &Follower{config: c, copy: NewCopy(c.Hash, c.IsOlder), schedule: NewPollSchedule(PollConfig{MaxStaleness: c.MaxStaleness, MaxBackoff: c.MaxBackoff, Seed: c.Seed}), wakeup: make(chan struct{}, 1), answeredAt: neverAnswered}
 }
 
 // Serve follows the store until the context ends, and returns the context's error.
@@ -217,13 +222,19 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
+		now := f.config.Now()
 		f.mu.Lock()
-		remaining := f.schedule.Due() - f.config.Now()
+		f.expireRemoved(now)
+		next := f.schedule.Due()
+		isDue := next <= now
+		if expiry, ok := f.copy.NextExpiry(); ok {
+			next = min(next, expiry)
+		}
 		f.mu.Unlock()
-		if remaining <= 0 {
+		if isDue {
 			return true
 		}
-		timer.Reset(remaining.Duration())
+		timer.Reset((next - now).Duration())
 		select {
 		case <-ctx.Done():
 		case <-f.wakeup:
@@ -233,6 +244,24 @@
 	return false
 }
 
+// expireRemoved delivers the values without those whose grace period is over. f.mu is held.
+func (f *Follower) expireRemoved(now clock.Millis) {
+	if expiry, ok := f.copy.NextExpiry(); ok && expiry <= now {
+		f.config.Deliver(f.copy.Items(now), true)
+	}
+}
+
+// applyFromPeer applies changes that don't come from a call of this node, and delivers the values.
+// f.mu is held.
+func (f *Follower) applyFromPeer(now clock.Millis, events []Event, revision uint64) {
+	f.copy.Apply(now, events, revision)
+	f.revision.Store(f.copy.Revision())
+	f.config.Deliver(f.copy.Items(now), true)
+	if _, ok := f.copy.NextExpiry(); ok {
+		f.wake()
+	}
+}
+
 // wake makes waitUntilDue check the schedule again.
 func (f *Follower) wake() {
 	select {
@@ -294,6 +323,7 @@
 		return false
 	}
 	f.copy.mayLackRemovals = !r.IsExact
+	f.recordStoreAnswer(r.CurrentAt)
 	f.schedule.Refreshed(r.CurrentAt)
 	f.wake()
 	return true
@@ -437,7 +467,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	f.noteReturn(now, revision)
+	f.recordStoreAnswer(startedAt)
+	f.noteRestore(now, revision)
 	update := change(now)
 	f.copy.PruneTombstones(revision)
 	isUrgent := f.schedule.IsUrgent() // the other nodes make such a call too and need no update
@@ -470,15 +501,28 @@
 	}
 }
 
-// noteReturn starts the grace period for values whose writers register again if the store has
-// returned from an outage or was restored, as an answer or an update of the given revision
-// shows. f.mu is held.
-func (f *Follower) noteReturn(now clock.Millis, revision uint64) {
-	isRestored := f.copy.Revision() > 0 && EraOf(revision) > EraOf(f.copy.Revision())
-	if isRestored {
-		f.awaitsRestored = false
+// recordStoreAnswer records that the store answered this node or another one at the given time. If
+// that ends an outage, the grace period starts for values whose writers register again. There
+// was none if the store is known to have answered as often as without an outage: then only this node's
+// calls have failed. f.mu is held.
+func (f *Follower) recordStoreAnswer(at clock.Millis) {
+	if at <= f.answeredAt {
+		return
+	}
+	silence := at - f.answeredAt
+	f.answeredAt = at
+	if f.schedule.Failures() == 0 || silence <= f.schedule.LongestInterval() {
+		return
 	}
-	if isRestored || f.schedule.Failures() > 0 {
+	graceEnd := f.copy.StoreReturned(at)
+	f.config.Log.WithFields(logrus.Fields{"silence": silence.String(), "until": (graceEnd - f.config.Now()).String()}).Debug("platform may have been unavailable; values that were removed meanwhile still count")
+}
+
+// noteRestore starts the grace period if the store was restored, as an answer or an update of the
+// given revision shows. f.mu is held.
+func (f *Follower) noteRestore(now clock.Millis, revision uint64) {
+	if f.copy.Revision() > 0 && EraOf(revision) > EraOf(f.copy.Revision()) {
+		f.awaitsRestored = false
 		f.copy.StoreReturned(now)
 	}
 }
--- a/mirror/removal.go
+++ b/mirror/removal.go
@@ -101,8 +101,7 @@
 	}
 	f.unconfirmed = slices.DeleteFunc(f.unconfirmed, func(e Event) bool { return !isContradicted(e) })
 	now := f.config.Now()
-	f.copy.Apply(now, confirmed, f.copy.Revision())
-	f.config.Deliver(f.copy.Items(now), true)
+	f.applyFromPeer(now, confirmed, f.copy.Revision())
 	if len(f.unconfirmed) == 0 {
 		f.unconfirmedRevision = 0
 		f.schedule.Settle()
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -87,6 +87,11 @@
 	return max(float64(p.config.MaxStaleness), float64(p.nodes)*float64(clock.Second)/maxFleetCalls/minPollShare)
 }
 
+// LongestInterval returns the time between two calls of a node that gets answers and no updates.
+func (p *PollSchedule) LongestInterval() clock.Millis {
+	return clock.Millis(maxPollShare * p.maxStaleness())
+}
+
 // Due returns the time of the next call.
 func (p *PollSchedule) Due() clock.Millis {
 	return p.due
--- a/mirror/update.go
+++ b/mirror/update.go
@@ -210,6 +210,7 @@
 	if EraOf(u.Revision) < EraOf(known) {
 		return // the sender hasn't read the store since it was restored, or knows no eras
 	}
+	f.recordStoreAnswer(u.CurrentAt)
 	events, isComplete := decodeEdits(f.copy, newerThan(u.Events, known))
 	u.Events = events
 	if known < u.Revision {
@@ -222,14 +223,12 @@
 		f.addPending(received)
 		return
 	}
-	f.noteReturn(now, u.Revision)
-	f.copy.Apply(now, f.trustedEvents(now, u), u.Revision)
-	f.revision.Store(f.copy.Revision())
+	f.noteRestore(now, u.Revision)
+	f.applyFromPeer(now, f.trustedEvents(now, u), u.Revision)
 	f.stats.UpdatesReceived++
 	f.awaitsReaders = false
 	f.history.record(received)
-	f.config.Deliver(f.copy.Items(now), true) // a grace period may have ended, even without events
-	if len(f.copy.carried) == 0 {             // peers don't send the writes that end what is carried here alone
+	if len(f.copy.carried) == 0 { // peers don't send the writes that end what is carried here alone
 		f.schedule.Refreshed(u.CurrentAt)
 	}
 	f.compareDigest(now, &u)
@@ -248,8 +247,7 @@
 func (f *Follower) receivePartial(now clock.Millis, u Update) {
 	f.copy.startEra(u.Revision)
 	if events := f.trustedEvents(now, u); f.copy.Revision() > 0 && len(events) > 0 {
-		f.copy.Apply(now, events, f.copy.Revision())
-		f.config.Deliver(f.copy.Items(now), true)
+		f.applyFromPeer(now, events, f.copy.Revision())
 	}
 	f.schedule.MissedChanges(now, u.CurrentAt)
 	if u.IsTruncated {
