cmd: sessions of real processes meet messages that arrive late

The relays of sessions could hold bytes back only while everything waits, and the soak did so for 2 s at most, shorter than the 5 s after which the old estimate gave way.

The soak draws such links with a random source of its own, so that the other draws of a seed stay.

--- a/cmd/soakplan_test.go
+++ b/cmd/soakplan_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"fuchsiapick.example/fuchsiapick/standin"
 )
 
 // plan is a run of a fleet under faults, drawn from a seed and written as a script, so
@@ -16,6 +18,7 @@
 	// statedRandom draws which faults are replaced by those that backend servers and the
 	// platform state themselves.
 	statedRandom *rand.Rand
+	lateRandom   *rand.Rand // draws which faults are replaced by messages that arrive late
 	nodes        int
 	caution      string
 	// waiting and placement are drawn apart from the rest, so that the other draws of a seed stay.
@@ -56,7 +59,7 @@
 	return &plan{
 		waiting: []string{"gates", "service"}[keys.IntN(2)], placement: []string{"near", "cost"}[keys.IntN(2)],
 		random: random, crashRandom: rand.New(rand.NewPCG(seed, 2)),
-		statedRandom: rand.New(rand.NewPCG(seed, 3)), nodes: minNodes + random.IntN(maxNodes-minNodes+1),
+		statedRandom: rand.New(rand.NewPCG(seed, 3)), lateRandom: rand.New(rand.NewPCG(seed, 5)), nodes: minNodes + random.IntN(maxNodes-minNodes+1),
 		caution: cautions[random.IntN(len(cautions))], leftOut: leftOut,
 	}
 }
@@ -143,6 +146,9 @@
 			if p.statedRandom.IntN(3) == 0 {
 				t = p.drawStatedFault()
 			}
+			if p.lateRandom.IntN(6) == 0 {
+				t = p.drawLateFault()
+			}
 			isLeftOut := slices.Contains(p.leftOut, number)
 			isTaken := slices.ContainsFunc(open, func(o plannedFault) bool { return o.subject == t.subject })
 			if !isLeftOut && !isTaken {
@@ -228,6 +234,14 @@
 	}
 }
 
+// drawLateFault draws a fault that makes all that is sent to or from a node's link address arrive
+// late. It lasts until the first of it has arrived.
+func (p *plan) drawLateFault() plannedFault {
+	n := 1 + p.lateRandom.IntN(p.nodes)
+	late, pass := fmt.Sprintf("relay $RELAY%d late", n), fmt.Sprintf("relay $RELAY%d pass", n)
+	return plannedFault{fmt.Sprintf("relayn%d", n), []string{late, fmt.Sprintf("rest %v", standin.LateDelay+time.Second)}, []string{pass}}
+}
+
 // addRewind adds the lines that restore the platform from its backup. The last table is then
 // published again.
 func (p *plan) addRewind() {
