--- a/freshness/peer_clock.go
+++ b/freshness/peer_clock.go
@@ -42,7 +42,8 @@
 // ago.
 //
 // A message that seems to arrive before it was sent shows that this process's clock has stood
-// still, as on a suspended machine; what was known of the peer's clock is then dropped.
+// still, as on a suspended machine; what was known of the peer's clock is then dropped. Until then
+// ages are too low by the time for which it stood still.
 func (c *PeerClock) SentAfter(now, peerTime clock.Millis) clock.Millis {
 	sentAfter := peerTime + c.minOffset(now)
 	if sentAfter > now {
--- a/lease/clock_estimate.go
+++ b/lease/clock_estimate.go
@@ -39,11 +39,6 @@
 	return isReplaced
 }
 
-// Known reports whether the entry has received the gate's time.
-func (e *ClockEstimate) Known() bool {
-	return e.isKnown
-}
-
 // Incarnation returns the gate's incarnation as last received.
 func (e *ClockEstimate) Incarnation() uint64 {
 	return e.incarnation
