link: both ends of a link answer a heartbeat every 30 s, so that ages stay exact

After some ten minutes more calls of the store by every node, and beyond the rate that the platform allows in a large fleet.

A regular heartbeat echoes a time that is as old as the interval of heartbeats (2 s on the deployments, as much as a copy may be old). The exact limit of a link's start gets less by 0.1% of its age, 0.6 s after ten minutes; then the one of the regular echoes holds, and updates count as too old to replace a call.

Change: an end that hasn't answered a heartbeat of the link for 30 s answers the next one at once. The other end does the same with that answer, so that both get an echo without delay: two heartbeats more in 30 s and link, beside 30 at an interval of 2 s. Weighed: (1) the time since the echoed heartbeat arrived, in the heartbeat itself: exact with each, but a new format, and nodes of two formats refuse each other's links; (2) a lower drift: 0.1% is what two clocks that are being adjusted may reach.

--- a/link/conn.go
+++ b/link/conn.go
@@ -51,8 +51,26 @@
 	limit  int
 	// lastKind is the highest kind of message that the peer accepts.
 	lastKind wire.Kind
-	// peerClock is that of the process at the other end; used only by the reading goroutine.
-	peerClock freshness.PeerClock
+	// peerClock is that of the process at the other end. answeredAt is when a heartbeat of the peer was
+	// last answered, hasAnswered whether one was. Only the reading goroutine uses them.
+	peerClock   freshness.PeerClock
+	answeredAt  clock.Millis
+	hasAnswered bool
+}
+
+// answerInterval is the time between two heartbeats of a peer that are answered immediately. An echo in
+// a regular heartbeat may be as old as the interval of these, and what an earlier answer has shown of
+// the clocks gets less exact as they drift.
+const answerInterval = 30 * clock.Second
+
+// mustAnswer reports whether a heartbeat of the peer that has arrived now is to be answered, so that the
+// peer gets an echo without delay. Both ends do so, and the answer to an answer ends it.
+func (c *Conn) mustAnswer(now clock.Millis) bool {
+	if c.hasAnswered && now-c.answeredAt < answerInterval {
+		return false
+	}
+	c.answeredAt, c.hasAnswered = now, true
+	return true
 }
 
 func newConn(socket *websocket.Conn, limit int, lastKind wire.Kind) *Conn {
--- a/link/late_test.go
+++ b/link/late_test.go
@@ -19,13 +19,16 @@
 	sentAfter clock.Millis
 }
 
-// updateRecorder records the updates that a peer receives.
+// updateRecorder records the updates and heartbeats that a peer receives.
 type updateRecorder struct {
 	pathObserver
 
-	received chan receivedUpdate
+	received   chan receivedUpdate
+	heartbeats chan *wire.Heartbeat
 }
 
+func (o updateRecorder) PeerHeartbeat(_ string, m *wire.Heartbeat) { o.heartbeats <- m }
+
 func (o updateRecorder) PeerStoreUpdate(_ string, u *wire.StoreUpdate, sentAfter clock.Millis) {
 	o.received <- receivedUpdate{*u, sentAfter}
 }
@@ -81,7 +84,7 @@
 	})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close(); server.Close() })
-	observer := updateRecorder{pathObserver{states: make(chan path.State, 100)}, make(chan receivedUpdate, 100)}
+	observer := updateRecorder{pathObserver{states: make(chan path.State, 100)}, make(chan receivedUpdate, 100), make(chan *wire.Heartbeat, 100)}
 	self := identity("10.0.0.1:7000", secret)
 	self.Incarnation = 2
 	peer := link.NewPeer(link.PeerConfig{
@@ -115,6 +118,53 @@
 	}
 }
 
+// Guards against calls of the store that a calm network doesn't need: ages were counted too high by what
+// the clocks may have drifted since the link was opened, and by the age of the echoes in regular heartbeats.
+func TestAgesStayExactOnACalmLink(t *testing.T) {
+	var elapsed atomic.Int64
+	elapsed.Store(int64(clock.Second)) // an echo of the time 0 would be none
+	system := clock.NewSystem()
+	now := func() clock.Millis { return system.Now() + clock.Millis(elapsed.Load()) }
+	listener := listen(t)
+	handler := &updateHandler{received: make(chan receivedUpdate, 1), heartbeats: make(chan *wire.Heartbeat, 100)}
+	server := link.NewServer(link.ServerConfig{
+		Identity: identity(listener.Addr().String(), secret), MaxFrame: limit, HeartbeatInterval: clock.Hour, Now: now, Handler: handler, Log: logger(),
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close(); server.Close() })
+	observer := updateRecorder{pathObserver{states: make(chan path.State, 100)}, make(chan receivedUpdate, 1), make(chan *wire.Heartbeat, 100)}
+	self := identity("10.0.0.1:7000", secret)
+	self.Incarnation = 2
+	peer := link.NewPeer(link.PeerConfig{
+		Address: listener.Addr().String(), Self: self, MaxFrame: limit, MaxReplyBody: limit, HeartbeatInterval: clock.Hour, IdleTimeout: clock.Day, Now: now,
+		Status: func() wire.Heartbeat { return wire.Heartbeat{} }, Observer: observer, Log: logger(),
+	})
+	go func() { _ = peer.Run(t.Context()) }()
+	peer.EnsureLink()
+	handler.awaitEcho(t)
+	<-observer.heartbeats
+	<-observer.heartbeats // the answer to the answer to the first one
+
+	elapsed.Add(int64(40 * clock.Minute)) // drift may be 2.4 s by now
+	server.BroadcastHeartbeat()
+	handler.awaitEcho(t)
+	const allowed = 500 * clock.Millis(1)
+	fromServer, toServer := clock.Hour, clock.Hour
+	for range 100 { // until the answer to the answer has arrived
+		server.BroadcastUpdate(&wire.StoreUpdate{Revision: 1, Time: now()}, nil)
+		peer.SendUpdate(&wire.StoreUpdate{Revision: 1, Time: now()}, false)
+		got := <-observer.received
+		fromServer = min(fromServer, got.update.Time-got.sentAfter)
+		got = <-handler.received
+		toServer = min(toServer, got.update.Time-got.sentAfter)
+		if fromServer <= allowed && toServer <= allowed {
+			return
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	t.Errorf("got ages that are too high by %v from the server and %v to the server, want %v at most", fromServer, toServer, allowed)
+}
+
 // Guards against ages that are counted by the clock of an earlier process of a node: the new one
 // would take an echo of its predecessor's heartbeat for one of its own, and stop before its peers
 // know that it leaves.
--- a/link/peer.go
+++ b/link/peer.go
@@ -425,31 +425,25 @@
 	return conn.peerClock.SentAfter(now, peerTime)
 }
 
-// handleHeartbeat records a heartbeat, and answers the first one of a link and those of a peer that
-// leaves: until the echo arrives, the peer can't tell how old messages are, nor may it stop.
+// handleHeartbeat records a heartbeat. It answers that of a peer that leaves, which waits for the
+// echo before it stops.
 func (p *Peer) handleHeartbeat(conn *Conn, heartbeat *wire.Heartbeat) {
-	if isFirst := p.recordHeartbeat(conn, heartbeat); isFirst || heartbeat.Leaving {
-		p.sendHeartbeat()
-	}
-}
-
-// recordHeartbeat reports whether the heartbeat is the first one of the open link.
-func (p *Peer) recordHeartbeat(conn *Conn, heartbeat *wire.Heartbeat) (isFirst bool) {
 	now := p.config.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.detector.Received(now)
 	if heartbeat.Echo > 0 {
 		p.detector.Echoed(now, heartbeat.Echo)
 		conn.peerClock.RoundTrip(now, heartbeat.Echo, heartbeat.Time)
 	}
 	p.observePeerTime(now, conn, heartbeat.Time)
-	if conn != p.conn {
-		return false
+	isOpen := conn == p.conn
+	if isOpen {
+		p.lastPeerTime = heartbeat.Time
+	}
+	p.mu.Unlock()
+	if isOpen && (conn.mustAnswer(now) || heartbeat.Leaving) {
+		p.sendHeartbeat()
 	}
-	isFirst = p.lastPeerTime == 0
-	p.lastPeerTime = heartbeat.Time
-	return isFirst
 }
 
 // observePeerTime updates the estimate of the peer's clock by a time that the peer sent on a link.
--- a/link/session.go
+++ b/link/session.go
@@ -64,7 +64,7 @@
 	case *wire.KeyRevocation:
 		_ = s.conn.Send(h.RevokeKey(m)) // the peer repeats the revocation on a new link
 	case *wire.Heartbeat:
-		s.recordHeartbeat(m)
+		s.handleHeartbeat(m)
 		h.Heartbeat(s.remote.Node, m)
 	case *wire.TableRequest:
 		if table, ok := h.RequestTable(m); ok {
@@ -108,12 +108,21 @@
 	return s.conn.peerClock.SentAfter(s.server.config.Now(), peerTime)
 }
 
+// handleHeartbeat records a heartbeat of the peer, and answers it if the peer needs an echo.
+func (s *session) handleHeartbeat(m *wire.Heartbeat) {
+	now := s.server.config.Now()
+	s.recordHeartbeat(now, m)
+	if m.Echo > 0 && s.conn.mustAnswer(now) { // without an echo it crosses the first heartbeat from here
+		s.sendHeartbeat()
+	}
+}
+
 // recordHeartbeat records a heartbeat of the peer. An echo of a time before the link is that of a
 // heartbeat from an earlier process of this node, whose clock was another one.
-func (s *session) recordHeartbeat(m *wire.Heartbeat) {
+func (s *session) recordHeartbeat(now clock.Millis, m *wire.Heartbeat) {
 	isEcho := m.Echo > 0 && m.Echo >= s.acceptedAt
 	if isEcho {
-		s.conn.peerClock.RoundTrip(s.server.config.Now(), m.Echo, m.Time)
+		s.conn.peerClock.RoundTrip(now, m.Echo, m.Time)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
