--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -502,9 +502,9 @@
 }
 
 // recordStoreAnswer records that the store answered this node or another one at the given time. If
-// that ends an outage, the grace period starts for values whose writers register again. There
-// was none if the store is known to have answered as often as without an outage: then only this node's
-// calls have failed. f.mu is held.
+// that ends an outage, the grace period starts for values whose writers register again. While the
+// store answers others as often as usual, there is no outage, and only this node's calls fail. f.mu is
+// held.
 func (f *Follower) recordStoreAnswer(at clock.Millis) {
 	if at <= f.answeredAt {
 		return
--- a/mirror/schedule.go
+++ b/mirror/schedule.go
@@ -187,8 +187,8 @@
 }
 
 // MissedChanges records that the store answered a peer at the given time, and that the peer knows
-// changes that this node has missed. If this node's last call failed, the next one is made soon, because updates
-// from peers can't fill the gap.
+// changes that this node has missed. If this node's last call failed, the next one is made soon,
+// because updates from peers can't fill the gap.
 func (p *PollSchedule) MissedChanges(now, answeredAt clock.Millis) {
 	p.peerAnsweredAt = max(p.peerAnsweredAt, answeredAt)
 	if p.failures > 0 {
