test(link): the test of announcements waits until the link counts as open

An entry sends the announcements before it puts the link in place, as the test wants; the test then asked at once whether the link in place accepts them. It could ask too early. No caller is concerned.

It still fails if the peer never accepts announcements.

--- a/link/kinds_test.go
+++ b/link/kinds_test.go
@@ -29,9 +29,8 @@
 	if got := <-handler.announced; len(got.Upstreams) != 1 || got.Upstreams[0].RateLimit != 1.3 {
 		t.Errorf("got %+v, want the limit of conferme-1", got)
 	}
-	if !peer.Accepts(wire.KindAnnouncements) {
-		t.Error("got a peer of this release that doesn't accept announcements")
-	}
+	// The announcements are sent before the link counts as open.
+	waitFor(t, func() bool { return peer.Accepts(wire.KindAnnouncements) })
 }
 
 // serveOlderRelease accepts one link as a release does that doesn't know the kinds above
