test(cmd): sessions and soaks fail if a node's process ends by itself

Cause: no check asked for it. A node that ended by itself and was started again by a plan, or wasn't needed any more, went unnoticed.

The failure shows the exit code and the last lines.

--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -26,6 +27,10 @@
 	// terminated is when the script sent SIGTERM, zero if it didn't. ended may be read once
 	// done is closed.
 	started, terminated, ended time.Time
+	// isNode means that the program is a node. isToEnd means that the script has sent a signal that
+	// ends the process, isKilled that it was SIGKILL, and isExitChecked that the script has checked the
+	// exit code.
+	isNode, isToEnd, isKilled, isExitChecked bool
 	// pauses are the spans between SIGSTOP and SIGCONT.
 	pauses []timeSpan
 }
@@ -72,7 +77,10 @@
 	}
 	path, err := exec.LookPath(args[1])
 	ts.Check(err)
-	p := &process{cmd: newCommand(path, args[2:]...), done: make(chan struct{}), started: time.Now()}
+	p := &process{
+		cmd: newCommand(path, args[2:]...), done: make(chan struct{}), started: time.Now(),
+		isNode: args[1] == "fuchsiapick" && slices.Contains(args[2:], "node"),
+	}
 	p.cmd.Dir = ts.MkAbs(".")
 	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
 	ts.Check(p.cmd.Start())
@@ -99,6 +107,9 @@
 // output to the script's log, which is shown if the script fails.
 func (p *process) killAndLog(ts *testscript.TestScript, name string) {
 	state := "ended"
+	if end := p.unexpectedEnd(name); end != "" {
+		sessionOf(ts).addUnexpectedEnd(end)
+	}
 	if !p.hasEnded() {
 		if s, err := processState(p.cmd.Process.Pid); err == nil {
 			state = s
@@ -138,6 +149,7 @@
 			if signal == syscall.SIGSTOP {
 				p.pause()
 			}
+			p.recordSignal(signal)
 			ts.Check(p.cmd.Process.Signal(signal))
 			switch signal {
 			case syscall.SIGSTOP:
@@ -186,6 +198,7 @@
 	if status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() {
 		code = status.Signal().String()
 	}
+	p.isExitChecked = true
 	if code != args[1] {
 		ts.Fatalf("process %s: got exit %s, want %s\n%s", args[0], code, args[1], p.stderr.String())
 	}
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -40,7 +40,9 @@
 		Setup: func(env *testscript.Env) error {
 			root, err := os.Getwd()
 			env.Setenv("EXAMPLES", root+"/../examples")
-			env.Values[sessionKey{}] = newSession()
+			s := newSession()
+			env.Values[sessionKey{}] = s
+			env.Defer(func() { s.checkEnds(env.T()) })
 			stalls.start()
 			return err
 		},
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -26,6 +26,8 @@
 	limits   map[string]namedLimit // by backend
 	sent     atomic.Int64
 	recorder outcomeRecorder
+	// unexpectedEnds describes the processes that ended by themselves.
+	unexpectedEnds []string
 }
 
 type sessionKey struct{}
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -139,6 +139,7 @@
 	s, client := sessionOf(ts), &fasthttp.Client{}
 	defer client.CloseIdleConnections()
 	p := processOf(ts, args[0])
+	p.recordSignal(syscall.SIGTERM)
 	ts.Check(p.cmd.Process.Signal(syscall.SIGTERM))
 	unread := map[string]bool{}
 	for !p.hasEnded() {
