test(cmd): what strangers send to a node's ports doesn't end its process

Cause: no session sent a real process anything but requests of its callers and messages of its peers; a panic in a worker of the HTTP library ends the process.

--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -65,6 +65,7 @@
 			"sigint":    sendSignals(syscall.SIGINT),
 			"sighup":    sendSignals(syscall.SIGHUP),
 			"hangup":    reloadUnlessEnded,
+			"garbage":   sendGarbage,
 			"unread":    stopReading,
 			"ended":     awaitExit,
 			"logged":    awaitLogLine,
