test(gate): answers cut at each byte, whole answers, unclear framing

An operator reported a 200 with an empty or short body after an upstream had closed inside its answer's head. These tests show that a gate doesn't do so: 17 forms of answers (length, chunks, trailer, ended by the connection, HTTP/1.0, HEAD, 204, 304, interim ones, folded), cut at each byte by a close and by a reset, on a new and on a kept connection, with both sets of header names, are truncated; the request after each gets its own answer.

The one exception is that of the protocol: a body with neither length nor chunks that is closed in an orderly way.

--- /dev/null
+++ b/gate/truncated_test.go
@@ -0,0 +1,252 @@
+package gate_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/gate"
+)
+
+// ending is how a backend server ends its connection after an answer.
+type ending string
+
+const (
+	kept  ending = "kept"
+	fin   ending = "closed"
+	reset ending = "reset"
+)
+
+// answerText is what a rawUpstream writes for one request.
+type answerText struct {
+	text   string
+	ending ending
+}
+
+// rawUpstream answers each request with the text that is set at the time, byte for byte.
+type rawUpstream struct {
+	address string
+	next    atomic.Pointer[answerText]
+}
+
+func startRawUpstream(t testing.TB) *rawUpstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &rawUpstream{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		answer := u.next.Load()
+		if _, err := conn.Write([]byte(answer.text)); err != nil {
+			return
+		}
+		switch answer.ending {
+		case fin:
+			return
+		case reset:
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		case kept:
+		}
+	}
+}
+
+// headerSet is one of the sets of header names between a gate and its backend server.
+type headerSet struct {
+	name    string
+	headers gate.Headers
+	own     string // the fields that an answer to the request "b" has
+}
+
+func headerSets() []headerSet {
+	return []headerSet{
+		{"default", gate.DefaultHeaders(), ""},
+		{"sealed", sealHeaders, "Id: b\r\nSeal: s\r\n"},
+	}
+}
+
+func (u *rawUpstream) backend(t testing.TB, s headerSet) *gate.HTTP {
+	t.Helper()
+	h := gate.NewHTTP(gate.HTTPConfig{Address: u.address, MaxConnections: 4, MaxBody: 100_000, Headers: s.headers, Instance: "i-1"})
+	t.Cleanup(h.Close)
+	return h
+}
+
+// do sends a request that the backend server answers with the text.
+func (u *rawUpstream) do(t *testing.T, h *gate.HTTP, method, text string, e ending) (gate.Response, error) {
+	t.Helper()
+	u.next.Store(&answerText{text, e})
+	return h.Do(t.Context(), &gate.Call{ID: "b", Method: method, URI: "/x", Deadline: 30 * clock.Second, Repeatable: method != http.MethodPost})
+}
+
+// checkNext fails the test unless the next request gets its own answer.
+func (u *rawUpstream) checkNext(t *testing.T, h *gate.HTTP, s headerSet, after string) {
+	t.Helper()
+	got, err := u.do(t, h, http.MethodGet, "HTTP/1.1 201 Created\r\n"+s.own+"Content-Length: 4\r\n\r\nnext", kept)
+	if err != nil || got.Status != 201 || string(got.Body) != "next" {
+		t.Errorf("request after %s: got %d %q and error %v, want its own answer", after, got.Status, got.Body, err)
+	}
+}
+
+// wholeAnswer is an answer that is cut at each of its bytes.
+type wholeAnswer struct {
+	name   string
+	method string
+	text   string // %s stands for the fields of the header set
+	status int
+	body   string
+	// endsWithConnection means that the answer has neither a length nor chunks: nothing tells
+	// an orderly close in its body from its end.
+	endsWithConnection bool
+}
+
+func wholeAnswers() []wholeAnswer {
+	return []wholeAnswer{
+		{name: "length", method: "GET", text: "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\nX: y\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "length, once", method: "POST", text: "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "empty", method: "GET", text: "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", status: 200},
+		{name: "chunks", method: "GET", text: "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n", status: 200, body: "abcde"},
+		{name: "trailer", method: "GET", text: "HTTP/1.1 200 OK\r\n%sTrailer: T\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\nU: w\r\n\r\n", status: 200, body: "abc"},
+		{name: "to the end", method: "GET", text: "HTTP/1.1 200 OK\r\n%sX: y\r\n\r\nabcde", status: 200, body: "abcde", endsWithConnection: true},
+		{name: "HTTP/1.0", method: "GET", text: "HTTP/1.0 200 OK\r\n%sX: y\r\n\r\nabcde", status: 200, body: "abcde", endsWithConnection: true},
+		{name: "HTTP/1.0 with a length", method: "GET", text: "HTTP/1.0 200 OK\r\n%sContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "closing", method: "GET", text: "HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "HEAD", method: "HEAD", text: "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\n", status: 200},
+		{name: "HEAD in chunks", method: "HEAD", text: "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", status: 200},
+		{name: "204", method: "GET", text: "HTTP/1.1 204 No Content\r\n%sX: y\r\n\r\n", status: 204},
+		{name: "304", method: "GET", text: "HTTP/1.1 304 Not Modified\r\n%sContent-Length: 5\r\nETag: \"a\"\r\n\r\n", status: 304},
+		{name: "error", method: "POST", text: "HTTP/1.1 503 Busy\r\n%sRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy", status: 503, body: "busy"},
+		{name: "interim", method: "GET", text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX: y\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "folded", method: "GET", text: "HTTP/1.1 200 OK\r\n%sX: y\r\n z\r\nContent-Length:\r\n 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "space before the colon", method: "GET", text: "HTTP/1.1 200 OK\r\n%sContent-Length : 5\r\n\r\nabcde", status: 200, body: "abcde"},
+	}
+}
+
+// Guards against an answer that was cut in its head, its body or its framing, and is taken for a
+// whole one: whether it was closed or reset, on a new connection or on one with an earlier answer.
+func TestAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
+	for _, s := range headerSets() {
+		for _, a := range wholeAnswers() {
+			for _, e := range []ending{fin, reset} {
+				t.Run(fmt.Sprintf("%s/%s/%s", s.name, a.name, e), func(t *testing.T) {
+					t.Parallel()
+					u := startRawUpstream(t)
+					text := fmt.Sprintf(a.text, s.own)
+					headLength := strings.LastIndex(text, "\r\n\r\n") + 4
+					for cut := range text {
+						onNew, onKept := u.backend(t, s), u.backend(t, s)
+						u.checkNext(t, onKept, s, "none")
+						for connection, h := range map[string]*gate.HTTP{"new": onNew, "kept": onKept} {
+							got, err := u.do(t, h, a.method, text[:cut], e)
+							if a.endsWithConnection && e == fin && cut >= headLength {
+								if err != nil || string(got.Body) != text[headLength:cut] {
+									t.Errorf("closed in the body: got %q and error %v, want its part", got.Body, err)
+								}
+							} else if !errors.Is(err, gate.ErrTruncated) {
+								t.Errorf("%d bytes, %s connection: got %d %q and error %v, want %v", cut, connection, got.Status, got.Body, err, gate.ErrTruncated)
+							}
+							u.checkNext(t, h, s, "a cut")
+							h.Close()
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a whole answer that is changed on its way or refused for its framing.
+func TestWholeAnswerIsUnchanged(t *testing.T) {
+	for _, s := range headerSets() {
+		for _, a := range wholeAnswers() {
+			t.Run(s.name+"/"+a.name, func(t *testing.T) {
+				u := startRawUpstream(t)
+				h := u.backend(t, s)
+				e := kept
+				if a.endsWithConnection {
+					e = fin
+				}
+				for range 3 {
+					got, err := u.do(t, h, a.method, fmt.Sprintf(a.text, s.own), e)
+					if err != nil || got.Status != a.status || string(got.Body) != a.body {
+						t.Errorf("got %d %q and error %v, want %d %q", got.Status, got.Body, err, a.status, a.body)
+					}
+				}
+				u.checkNext(t, h, s, "whole ones")
+			})
+		}
+	}
+}
+
+// Guards against an answer whose head has no clear end or framing and that is passed on as a whole one.
+func TestAnswerWithUnclearFramingIsRefused(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"two lengths", "HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde"},
+		{"the same length twice", "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\nContent-Length: 5\r\n\r\nabcde"},
+		{"list of lengths", "HTTP/1.1 200 OK\r\n%sContent-Length: 5, 5\r\n\r\nabcde"},
+		{"negative length", "HTTP/1.1 200 OK\r\n%sContent-Length: -5\r\n\r\nabcde"},
+		{"signed length", "HTTP/1.1 200 OK\r\n%sContent-Length: +5\r\n\r\nabcde"},
+		{"empty length", "HTTP/1.1 200 OK\r\n%sContent-Length:\r\n\r\nabcde"},
+		{"no number as length", "HTTP/1.1 200 OK\r\n%sContent-Length: 0x5\r\n\r\nabcde"},
+		{"length that overflows", "HTTP/1.1 200 OK\r\n%sContent-Length: 18446744073709551621\r\n\r\nabcde"},
+		{"folded length", "HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n 0\r\n\r\nabcde"},
+		{"other encoding", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+		{"two encodings", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+		{"chunk size that overflows", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n10000000000000003\r\nabc\r\n0\r\n\r\n"},
+		{"negative chunk size", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n"},
+		{"chunk size with a line feed alone", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n3\nabc\n0\n\n"},
+		{"chunk without its end", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n0\r\n\r\n"},
+		{"length as trailer", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nContent-Length: 3\r\n\r\n"},
+		{"NUL in a value", "HTTP/1.1 200 OK\r\n%sX: \x00\r\nContent-Length: 3\r\n\r\nabc"},
+		{"NUL in a name", "HTTP/1.1 200 OK\r\n%sX\x00: y\r\nContent-Length: 3\r\n\r\nabc"},
+		{"carriage return in a value", "HTTP/1.1 200 OK\r\n%sX: y\rz\r\nContent-Length: 3\r\n\r\nabc"},
+		{"no colon", "HTTP/1.1 200 OK\r\n%sX\r\nContent-Length: 3\r\n\r\nabc"},
+		{"body alone", "<html>abc</html>\r\n\r\n%s"},
+		{"no version", "200 OK\r\n%sContent-Length: 3\r\n\r\nabc"},
+		{"no status", "HTTP/1.1\r\n%sContent-Length: 3\r\n\r\nabc"},
+		{"long status", "HTTP/1.1 2000 OK\r\n%sContent-Length: 3\r\n\r\nabc"},
+		{"line feeds alone", "HTTP/1.1 200 OK\n%sContent-Length: 3\n\nabc"},
+		{"nothing but line ends", "\r\n\r\n\r\n%.0s"},
+		{"nothing but interim answers", strings.Repeat("HTTP/1.1 102 Processing\r\n%[1]s\r\n", 200)},
+	}
+	for _, s := range headerSets() {
+		for _, tt := range tests {
+			t.Run(s.name+"/"+tt.name, func(t *testing.T) {
+				u := startRawUpstream(t)
+				h := u.backend(t, s)
+				got, err := u.do(t, h, http.MethodPost, fmt.Sprintf(tt.text, s.own), fin)
+				if err == nil || errors.Is(err, gate.ErrRefused) {
+					t.Errorf("got %d %q and error %v, want an error after the request was sent", got.Status, got.Body, err)
+				}
+				u.checkNext(t, h, s, "it")
+			})
+		}
+	}
+}
