gate: answers with long heads are passed on; a head is parsed only once it is whole

Callers got a 502 `truncated`, outcome unknown, for each whole answer with a head of 4 KB or more (many cookies, a long policy); repeatable requests were run again, and the upstream counted as failing. A buffer of 4 KB was the limit of a head, and what didn't fit was classified like a broken connection.

On the code before, TestLongHeadIsPassedOn: `default, 4096 bytes: got "", fields of 0 and 0 bytes and error reading the response: error when reading response headers: fasthttp: small read buffer`; TestHeadOverTheLimitIsRefused: the same error where ErrTooLarge is wanted.

Now the gate waits until the buffer holds the end of the head, and then has the HTTP library parse it. So a head that was cut never reaches the parser, whatever that takes for an end. A buffer that is too small is doubled, up to the 32 KB that a request's head may have; more is ErrTooLarge, no evidence against the upstream, as for bodies.

Two ways: buffers of 32 KB for all connections cost 28 KB for each open connection (2.8 MB for 100) at all times; growing costs one allocation per doubling, once per connection with such answers, and one search for the end of the head.

Two small differences: a head needs CRLF CRLF even if it has no field, and what doesn't begin with HTTP/ is refused at once.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -27,7 +27,6 @@
 	// maxLateResponses limits the responses that are read for one request: those to earlier
 	// requests on the connection are skipped.
 	maxLateResponses = 4
-	bufferSize       = 4 << 10
 )
 
 // backendConn is one connection to the backend server.
@@ -208,7 +207,7 @@
 		return errors.Annotate(err, "writing the request")
 	}
 	for range maxLateResponses {
-		if err := response.ReadLimitBody(c.reader, h.config.MaxBody); err != nil {
+		if err := c.readResponse(response, h.config.MaxBody); err != nil {
 			return errors.Annotate(err, "reading the response")
 		}
 		if ok, err := h.matches(response, id); ok || err != nil {
--- /dev/null
+++ b/gate/head.go
@@ -0,0 +1,143 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// bufferSize is the size of a connection's buffer, enough for most heads.
+	bufferSize = 4 << 10
+	// maxHeadSize limits the head of a response, in bytes. Callers' requests have the same limit.
+	// Its fields have to fit into a frame, see wire.MaxOverhead.
+	maxHeadSize = 32 << 10
+	// maxInterim limits the interim (1xx) responses before a final one.
+	maxInterim = 100
+)
+
+// headEnd ends a head.
+var headEnd = []byte("\r\n\r\n")
+
+// readResponse reads the final response to a request.
+func (c *backendConn) readResponse(response *fasthttp.Response, maxBody int) error {
+	response.ResetBody()
+	if err := c.readHead(response); err != nil {
+		return errors.Trace(err)
+	}
+	if isBodiless(response) {
+		return nil
+	}
+	if err := response.ReadBody(c.reader, maxBody); err != nil {
+		return errors.Trace(err)
+	}
+	if response.Header.ContentLength() != chunked {
+		return nil
+	}
+	return c.readTrailer(response)
+}
+
+// readTrailer reads the fields after the last chunk, up to the size of the buffer.
+func (c *backendConn) readTrailer(response *fasthttp.Response) error {
+	err := response.Header.ReadTrailer(c.reader)
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	case errors.As(err, &small):
+		err = errors.Annotatef(ErrTooLarge, "a trailer of more than %d bytes", c.reader.Size())
+	}
+	return errors.Trace(err)
+}
+
+// chunked is what ContentLength returns for a response in chunks.
+const chunked = -1
+
+// isBodiless reports whether no body follows the head, whatever length the head has.
+func isBodiless(response *fasthttp.Response) bool {
+	status := response.StatusCode()
+	return response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// readHead reads the head of the final response and skips the interim ones before it.
+func (c *backendConn) readHead(response *fasthttp.Response) error {
+	for range maxInterim {
+		if err := c.awaitHead(); err != nil {
+			return errors.Trace(err)
+		}
+		if err := response.Header.Read(c.reader); err != nil {
+			return errors.Trace(err)
+		}
+		status := response.StatusCode()
+		if status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return errors.Errorf("more than %d interim responses", maxInterim)
+}
+
+// awaitHead returns nil once the whole head of the next response is in the buffer, so that the HTTP
+// library never parses a part of one.
+func (c *backendConn) awaitHead() error {
+	if err := c.skipLineEnds(); err != nil {
+		return errors.Trace(err)
+	}
+	searched := 0
+	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // what is buffered can be peeked at
+		if !beginsStatusLine(buffered) {
+			return errors.Trace(errNoHTTP)
+		}
+		if bytes.Contains(buffered[searched:], headEnd) {
+			return nil
+		}
+		searched = max(len(buffered)-len(headEnd)+1, 0)
+		if len(buffered) == c.reader.Size() && !c.growBuffer() {
+			return errors.Annotatef(ErrTooLarge, "a head of more than %d bytes", maxHeadSize)
+		}
+		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
+			return errors.Annotatef(err, "after %d bytes of the head", len(buffered))
+		}
+	}
+}
+
+// skipLineEnds discards line ends before a head, which some servers send after a body.
+func (c *backendConn) skipLineEnds() error {
+	for {
+		next, err := c.reader.Peek(1)
+		if err != nil {
+			return errors.Annotate(err, "before the head")
+		}
+		if next[0] != '\r' && next[0] != '\n' {
+			return nil
+		}
+		_, _ = c.reader.Discard(1) // it is buffered
+	}
+}
+
+// errNoHTTP means that what has arrived isn't the beginning of an HTTP response.
+const errNoHTTP = errors.ConstError("no HTTP response")
+
+// beginsStatusLine reports whether a status line may begin with the bytes.
+func beginsStatusLine(b []byte) bool {
+	n := min(len(b), len(protocol))
+	return string(b[:n]) == protocol[:n]
+}
+
+const protocol = "HTTP/"
+
+// growBuffer doubles the size of the buffer; false if it has its maximum.
+func (c *backendConn) growBuffer() bool {
+	size := c.reader.Size()
+	if size >= maxHeadSize {
+		return false
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	held := bytes.Clone(buffered)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(held), c.Conn), 2*size)
+	_, err := c.reader.Peek(len(held)) // moves them into the new buffer
+	return err == nil
+}
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -250,3 +250,49 @@
 		}
 	}
 }
+
+// Guards against an answer that is refused, or taken for a truncated one, because its head is longer
+// than the buffer of the connection.
+func TestLongHeadIsPassedOn(t *testing.T) {
+	for _, s := range headerSets() {
+		for _, length := range []int{3000, 4096, 5000, 16_384, 30_000} {
+			for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("l", length) + "\r\n\r\n"} {
+				u := startRawUpstream(t)
+				h := u.backend(t, s)
+				value := strings.Repeat("v", length/2)
+				text := interim + "HTTP/1.1 200 OK\r\n" + s.own + "A: " + value + "\r\nB: " + value + "\r\nContent-Length: 5\r\n\r\nabcde"
+				for range 2 {
+					got, err := u.do(t, h, http.MethodPost, text, kept)
+					a, _ := got.Headers.Get("A")
+					b, _ := got.Headers.Get("B")
+					if err != nil || string(got.Body) != "abcde" || string(a) != value || string(b) != value {
+						t.Errorf("%s, %d bytes: got %q, fields of %d and %d bytes and error %v, want it whole", s.name, length, got.Body, len(a), len(b), err)
+					}
+				}
+				for _, cut := range []int{len(interim) + 100, len(text) - 20, len(text) - 9, len(text) - 6, len(text) - 1} {
+					if got, err := u.do(t, h, http.MethodGet, text[:cut], fin); !errors.Is(err, gate.ErrTruncated) {
+						t.Errorf("%s, %d bytes, cut at %d: got %d %q and error %v, want %v", s.name, length, cut, got.Status, got.Body, err, gate.ErrTruncated)
+					}
+					u.checkNext(t, h, s, "a cut")
+				}
+			}
+		}
+	}
+}
+
+// Guards against a backend server whose endless head takes up memory without bound.
+func TestHeadOverTheLimitIsRefused(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("v", 100_000) + "\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: v\r\n", 20_000) + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 " + strings.Repeat("v", 100_000),
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + strings.Repeat("v", 100_000) + "\r\n\r\n",
+	} {
+		u := startRawUpstream(t)
+		h := u.backend(t, headerSets()[0])
+		if got, err := u.do(t, h, http.MethodPost, text, kept); !errors.Is(err, gate.ErrTooLarge) {
+			t.Errorf("got %d and error %v, want %v", got.Status, err, gate.ErrTooLarge)
+		}
+		u.checkNext(t, h, headerSets()[0], "it")
+	}
+}
