gate: a status that is none, or that switches the protocol, is no final answer

An upstream that answers `HTTP/1.1 000` had its answer passed on as a 200: the HTTP library takes a status of 0 for one that isn't set. A 099 was passed on as `HTTP/1.1 99`, which is no status line, and a 101 as a final answer without a body. Callers take a 101 for an interim answer or for the end of HTTP on their connection, and then wait, or take the next answer for that of this request.

Now the bytes of a status line are compared with its grammar as they arrive, before the HTTP library sees them, and a 101 is a mismatched reply, as the entry forwards no Upgrade. Two ways for the status 0: to ask the library can't tell it from 200; to read the line twice costs 12 comparisons for each answer. For the 101, to skip it like other interim answers would wait for an answer in HTTP that may not come. Status lines with two spaces after the version, which the grammar doesn't have, are refused as well.

--- a/gate/head.go
+++ b/gate/head.go
@@ -71,8 +71,10 @@
 		if err := response.Header.Read(c.reader); err != nil {
 			return errors.Trace(err)
 		}
-		status := response.StatusCode()
-		if status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
+		switch status := response.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errors.Annotate(ErrMismatchedReply, "the response switches the protocol, which no request asks for")
+		case status >= fasthttp.StatusOK:
 			return nil
 		}
 	}
@@ -118,17 +120,25 @@
 	}
 }
 
-// errNoHTTP means that what has arrived isn't the beginning of an HTTP response.
-const errNoHTTP = errors.ConstError("no HTTP response")
+// errNoHTTP means that what has arrived isn't the beginning of a response of HTTP/1.
+const errNoHTTP = errors.ConstError("no HTTP/1 response")
+
+// statusLine is the beginning of a status line, its digits the lowest of their place: there is no
+// status below 100.
+const statusLine = "HTTP/1.0 100"
 
 // beginsStatusLine reports whether a status line may begin with the bytes.
 func beginsStatusLine(b []byte) bool {
-	n := min(len(b), len(protocol))
-	return string(b[:n]) == protocol[:n]
+	for i, c := range b[:min(len(b), len(statusLine))] {
+		lowest := statusLine[i]
+		isDigit := '0' <= lowest && lowest <= '9'
+		if c != lowest && (!isDigit || c < lowest || c > '9') {
+			return false
+		}
+	}
+	return true
 }
 
-const protocol = "HTTP/"
-
 // growBuffer doubles the size of the buffer; false if it has its maximum.
 func (c *backendConn) growBuffer() bool {
 	size := c.reader.Size()
