gate: a response of HTTP/1.0 in chunks is refused

Callers got a 200 whose body was the upstream's framing, `3 abc 0` with its line ends, as a whole one; of one that had ended early as much as had come. With a length as well they got that many bytes of the framing. The HTTP library ignores a transfer encoding in any version but 1.1, and drops the field, so that the gate can't see it either; the body then ends with the connection. Old proxies and applications that set the field themselves answer so.

Now the gate looks for the field itself in heads of HTTP/1.0, and refuses versions after 1.1, which don't exist in this form. Two ways: to decode the chunks nevertheless would need the library's decoder on a head that it has parsed otherwise, and RFC 9112 has such framing count as faulty; to refuse costs a caller of such an upstream its answer, which was wrong before. Heads of HTTP/1.1 pay a comparison of nine bytes.

--- a/gate/head.go
+++ b/gate/head.go
@@ -65,10 +65,14 @@
 // readHead reads the head of the final response and skips the interim ones before it.
 func (c *backendConn) readHead(response *fasthttp.Response) error {
 	for range maxInterim {
-		if err := c.awaitHead(); err != nil {
+		head, err := c.awaitHead()
+		if err != nil {
 			return errors.Trace(err)
 		}
-		if err := response.Header.Read(c.reader); err != nil {
+		if !isClearlyFramed(head) {
+			return errors.Trace(errChunkedHTTP10)
+		}
+		if err = response.Header.Read(c.reader); err != nil {
 			return errors.Trace(err)
 		}
 		switch status := response.StatusCode(); {
@@ -81,27 +85,50 @@
 	return errors.Errorf("more than %d interim responses", maxInterim)
 }
 
-// awaitHead returns nil once the whole head of the next response is in the buffer, so that the HTTP
-// library never parses a part of one.
-func (c *backendConn) awaitHead() error {
+// errChunkedHTTP10 means a response of HTTP/1.0 that is said to be in chunks, which HTTP/1.0 doesn't
+// have. The HTTP library ignores that it is, and takes the sizes of the chunks for the body.
+const errChunkedHTTP10 = errors.ConstError("response of HTTP/1.0 with a transfer encoding")
+
+// isClearlyFramed reports whether a head of HTTP/1.0 has no transfer encoding. Others pass.
+func isClearlyFramed(head []byte) bool {
+	if bytes.HasPrefix(head, http11) {
+		return true
+	}
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if bytes.EqualFold(bytes.TrimSpace(name), transferEncoding) {
+			return false
+		}
+	}
+	return true
+}
+
+var (
+	http11           = []byte("HTTP/1.1 ")
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+)
+
+// awaitHead returns the head of the next response, which stays in the buffer, once it is there as a
+// whole. So the HTTP library never parses a part of one.
+func (c *backendConn) awaitHead() ([]byte, error) {
 	if err := c.skipLineEnds(); err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	searched := 0
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // what is buffered can be peeked at
 		if !beginsStatusLine(buffered) {
-			return errors.Trace(errNoHTTP)
+			return nil, errors.Trace(errNoHTTP)
 		}
-		if bytes.Contains(buffered[searched:], headEnd) {
-			return nil
+		if end := bytes.Index(buffered[searched:], headEnd); end >= 0 {
+			return buffered[:searched+end+len(headEnd)], nil
 		}
 		searched = max(len(buffered)-len(headEnd)+1, 0)
 		if len(buffered) == c.reader.Size() && !c.growBuffer() {
-			return errors.Annotatef(ErrTooLarge, "a head of more than %d bytes", maxHeadSize)
+			return nil, errors.Annotatef(ErrTooLarge, "a head of more than %d bytes", maxHeadSize)
 		}
 		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
-			return errors.Annotatef(err, "after %d bytes of the head", len(buffered))
+			return nil, errors.Annotatef(err, "after %d bytes of the head", len(buffered))
 		}
 	}
 }
@@ -123,16 +150,17 @@
 // errNoHTTP means that what has arrived isn't the beginning of a response of HTTP/1.
 const errNoHTTP = errors.ConstError("no HTTP/1 response")
 
-// statusLine is the beginning of a status line, its digits the lowest of their place: there is no
-// status below 100.
-const statusLine = "HTTP/1.0 100"
+// The beginning of a status line, between its lowest and its highest digits: there is no status below
+// 100, and no later version of HTTP with this form.
+const (
+	lowestStatusLine  = "HTTP/1.0 100"
+	highestStatusLine = "HTTP/1.1 999"
+)
 
 // beginsStatusLine reports whether a status line may begin with the bytes.
 func beginsStatusLine(b []byte) bool {
-	for i, c := range b[:min(len(b), len(statusLine))] {
-		lowest := statusLine[i]
-		isDigit := '0' <= lowest && lowest <= '9'
-		if c != lowest && (!isDigit || c < lowest || c > '9') {
+	for i, c := range b[:min(len(b), len(lowestStatusLine))] {
+		if c < lowestStatusLine[i] || c > highestStatusLine[i] {
 			return false
 		}
 	}
