gate: a connection isn't used again after a head that announces a body which must not follow

A backend server that sends a body after its answer to a HEAD request, or after a 204 or 304, and sends it late, had that body taken for the answer to the next request on the connection, if it looks like one; else that request, which had run, ended as truncated. A connection with bytes on it isn't used, but bytes that come after the next request has been sent can't be seen before. With a request id in answers (the platform's names) such a body can't be taken for an answer, but the next request still fails.

On the code before, TestBodyThatMustNotFollowIsNoAnswer: `request after HEAD "HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n": got 200 "wrong" and error <nil>, want its own answer`, in 7 of 7 forms.

Now a connection is closed after such a head, so that no byte behind it is ever read. Two ways: to wait for a moment whether something comes bounds nothing; to close costs a HEAD request, or a 304 with a length, the setup of a connection beside the node.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -129,7 +129,11 @@
 // the connection.
 func (h *HTTP) release(conn *backendConn, response *fasthttp.Response) {
 	length := response.Header.ContentLength()
-	framed := length >= 0 || length == -1 // by content length or chunked
+	framed := length >= 0 || length == chunked
+	if isBodiless(response) {
+		// Some servers send the body that the head announces, perhaps after the next request.
+		framed = length == 0
+	}
 	if response.Header.ConnectionClose() || !framed || conn.reader.Buffered() > 0 || conn.isObsolete.Load() {
 		h.discard(conn)
 		return
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -34,6 +34,13 @@
 type rawUpstream struct {
 	address string
 	next    atomic.Pointer[answerText]
+	late    atomic.Pointer[lateBody] // nil for none
+}
+
+// lateBody is written on a connection, counted from 1, before the answer to its next request.
+type lateBody struct {
+	connection int
+	text       string
 }
 
 func startRawUpstream(t testing.TB) *rawUpstream {
@@ -45,26 +52,29 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	u := &rawUpstream{address: listener.Addr().String()}
 	go func() {
-		for {
+		for opened := 1; ; opened++ {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go u.serve(conn)
+			go u.serve(conn, opened)
 		}
 	}()
 	return u
 }
 
-func (u *rawUpstream) serve(conn net.Conn) {
+func (u *rawUpstream) serve(conn net.Conn, opened int) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
-		answer := u.next.Load()
-		if _, err := conn.Write([]byte(answer.text)); err != nil {
+		answer, text := u.next.Load(), ""
+		if late := u.late.Load(); late != nil && late.connection == opened {
+			text = late.text
+		}
+		if _, err := conn.Write([]byte(text + answer.text)); err != nil {
 			return
 		}
 		switch answer.ending {
@@ -305,3 +315,30 @@
 		u.checkNext(t, h, headerSets()[0], "it")
 	}
 }
+
+// Guards against a body that a backend server sends where none may follow, late, and that is taken
+// for the answer to the next request.
+func TestBodyThatMustNotFollowIsNoAnswer(t *testing.T) {
+	const surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(surplus))
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for _, tt := range []struct{ method, head string }{
+		{"HEAD", "HTTP/1.1 200 OK\r\n" + length + "\r\n"},
+		{"HEAD", "HTTP/1.1 200 OK\r\n" + chunked + "\r\n"},
+		{"HEAD", "HTTP/1.1 404 Not Found\r\n" + length + "\r\n"},
+		{"GET", "HTTP/1.1 204 No Content\r\n" + length + "\r\n"},
+		{"GET", "HTTP/1.1 204 No Content\r\n" + chunked + "\r\n"},
+		{"GET", "HTTP/1.1 304 Not Modified\r\n" + length + "\r\n"},
+		{"GET", "HTTP/1.1 304 Not Modified\r\n" + chunked + "\r\n"},
+	} {
+		u := startRawUpstream(t)
+		s := headerSets()[0]
+		h := u.backend(t, s)
+		if _, err := u.do(t, h, tt.method, tt.head, kept); err != nil {
+			t.Errorf("%s %q: got error %v, want none", tt.method, tt.head, err)
+		}
+		// The body arrives when the next request on the connection has been sent.
+		u.late.Store(&lateBody{connection: 1, text: surplus})
+		u.checkNext(t, h, s, fmt.Sprintf("%s %q", tt.method, tt.head))
+	}
+}
