gate: an answer to another request isn't skipped for a HEAD request

With the platform's names of headers a gate skips answers with another request id, late ones to earlier requests on a connection. For a HEAD request it takes every answer for one without a body, so that the body of a skipped one counted as the next answer. No connection of a gate with an answer outstanding is used again, so that only an upstream or a proxy before it that sends such answers brings this about.

On the code before, TestLateAnswerIsNotSkippedForAHeadRequest: `got "Id:b\nSeal:s\nX:wrong\nContent-Length:5\n" and error <nil>, want backend server's response doesn't belong to the request`.

Now the exchange ends as a mismatched reply, and its connection is closed. Two ways: to read a body would need the other request's method, which nobody keeps; to end costs a HEAD request behind a late answer its own.

--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -240,6 +240,8 @@
 		return true, nil // refused before the request was read
 	case !ok:
 		return false, errors.Annotate(ErrMismatchedReply, "the response has no request id")
+	case string(echoed) != id && response.SkipBody:
+		return false, errors.Annotate(ErrMismatchedReply, "a response to another request, whose body may follow")
 	case string(echoed) != id:
 		return false, nil
 	}
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -342,3 +342,18 @@
 		u.checkNext(t, h, s, fmt.Sprintf("%s %q", tt.method, tt.head))
 	}
 }
+
+// Guards against the body of a late answer to another request, which is taken for the answer to a HEAD
+// request, whose own answer has no body.
+func TestLateAnswerIsNotSkippedForAHeadRequest(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\nX: wrong\r\nContent-Length: 5\r\n\r\n"
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	u := startRawUpstream(t)
+	s := headerSets()[1]
+	h := u.backend(t, s)
+	got, err := u.do(t, h, http.MethodHead, late+"HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\nContent-Length: 7\r\n\r\n", kept)
+	if !errors.Is(err, gate.ErrMismatchedReply) {
+		t.Errorf("got %q and error %v, want %v", got.Headers, err, gate.ErrMismatchedReply)
+	}
+	u.checkNext(t, h, s, "it")
+}
