gate: errors don't quote the upstream's answer

A line `request not answered by the backend server` had up to 400 bytes of the answer's head, cookies included, for each head that was cut or malformed: the HTTP library's errors quote what they couldn't read, and the gate logs them.

On the code before, TestErrorsDoNotQuoteTheAnswer: `got error reading the response: error when reading response headers: EOF: buffer size=47, contents: "HTTP/1.1 200 OK\r\nSet-Cookie: s3cr3t\r\nContent-Le"`, and 10 more of its 12 forms.

Two ways: the library can leave its quotes out, but only its own client and server can turn that on, not a response that is read by itself; to filter texts would have to know all of them. Lost is which field was malformed. Nothing changes for answers without an error.

--- a/gate/head.go
+++ b/gate/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -43,14 +44,33 @@
 // readTrailer reads the fields after the last chunk, up to the size of the buffer.
 func (c *backendConn) readTrailer(response *fasthttp.Response) error {
 	err := response.Header.ReadTrailer(c.reader)
+	if err == nil {
+		return nil
+	}
 	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return errors.Annotatef(ErrTooLarge, "a trailer of more than %d bytes", c.reader.Size())
+	}
+	return errors.Trace(unquoted(err))
+}
+
+// errMalformed means fields that can't be parsed.
+const errMalformed = errors.ConstError("malformed fields in the head or the trailer")
+
+// unquoted returns the reason for an error of the HTTP library without the part of the response that
+// its text quotes: the log must not show cookies.
+func unquoted(err error) error {
+	var netErr net.Error
 	switch {
+	case errors.Is(err, fasthttp.ErrTimeout):
+		return fasthttp.ErrTimeout
+	case errors.As(err, &netErr):
+		return netErr
 	case errors.Is(err, io.EOF):
-		err = io.ErrUnexpectedEOF
-	case errors.As(err, &small):
-		err = errors.Annotatef(ErrTooLarge, "a trailer of more than %d bytes", c.reader.Size())
+		return io.ErrUnexpectedEOF
+	default:
+		return errMalformed
 	}
-	return errors.Trace(err)
 }
 
 // chunked is what ContentLength returns for a response in chunks.
@@ -73,7 +93,7 @@
 			return errors.Trace(errChunkedHTTP10)
 		}
 		if err = response.Header.Read(c.reader); err != nil {
-			return errors.Trace(err)
+			return errors.Trace(unquoted(err))
 		}
 		switch status := response.StatusCode(); {
 		case status == fasthttp.StatusSwitchingProtocols:
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -357,3 +357,28 @@
 	}
 	u.checkNext(t, h, s, "it")
 }
+
+// Guards against an error, which the log shows, that quotes a part of an answer, such as its cookies.
+func TestErrorsDoNotQuoteTheAnswer(t *testing.T) {
+	const secret = "s3cr3t"
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nSet-Cookie: " + secret + "\r\nContent-Le",
+		"HTTP/1.1 200 OK\r\nSet-Cookie: \x00" + secret + "\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + secret + "\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + secret + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + secret + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nSet-Cookie: " + secret + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: \x00" + secret + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + secret + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + secret + "\r\n\r\n",
+		"HTTP/1.1 2000 OK\r\nSet-Cookie: " + secret + "\r\n\r\n",
+		"HTTP/1.1\r\nSet-Cookie: " + secret + "\r\n\r\n",
+		secret + "\r\n\r\n",
+	} {
+		u := startRawUpstream(t)
+		_, err := u.do(t, u.backend(t, headerSets()[0]), http.MethodPost, text, fin)
+		if err == nil || strings.Contains(err.Error(), secret) {
+			t.Errorf("%q: got error %v, want one without a part of the answer", text, err)
+		}
+	}
+}
