--- a/gate/backend.go
+++ b/gate/backend.go
@@ -259,8 +259,10 @@
 			r.Headers = r.Headers.Add(name, value)
 		}
 	}
-	if length := response.Header.ContentLength(); method == fasthttp.MethodHead && length >= 0 {
-		// The response to a HEAD request has no body that gives the length.
+	length := response.Header.ContentLength()
+	namesLength := method == fasthttp.MethodHead || r.Status == fasthttp.StatusNotModified
+	if namesLength && length >= 0 {
+		// The length is that of the body that a GET request, or a full response, would have.
 		r.Headers = r.Headers.Add([]byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(length), 10))
 	}
 	value, _ := headerValue(response, fasthttp.HeaderRetryAfter)
