--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -382,3 +382,25 @@
 		}
 	}
 }
+
+// Guards against a health check that counts as passed although its answer was cut.
+func TestCutProbeFails(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde"
+	for _, e := range []ending{fin, reset} {
+		u := startRawUpstream(t)
+		for cut := range text {
+			h := u.backend(t, headerSets()[0])
+			u.checkNext(t, h, headerSets()[0], "none")
+			u.next.Store(&answerText{text[:cut], e})
+			if h.Probe("/health") {
+				t.Errorf("%d bytes, %s: got a passed check, want a failed one", cut, e)
+			}
+			u.checkNext(t, h, headerSets()[0], "a cut")
+		}
+	}
+	u := startRawUpstream(t)
+	u.next.Store(&answerText{text, kept})
+	if !u.backend(t, headerSets()[0]).Probe("/health") {
+		t.Error("got a failed check for a whole answer, want a passed one")
+	}
+}
