gate: few line ends are skipped before a head

The reading of heads that came with these changes skips line ends before a head without a bound but the request's deadline, so that an upstream which sends nothing else would keep a core busy until then. Now four bytes are skipped, two line ends, and more is no answer. One line end passes as before.

--- a/gate/head.go
+++ b/gate/head.go
@@ -18,6 +18,8 @@
 	maxHeadSize = 32 << 10
 	// maxInterim limits the interim (1xx) responses before a final one.
 	maxInterim = 100
+	// maxLineEnds limits the bytes of line ends before a head, which some servers send after a body.
+	maxLineEnds = 4
 )
 
 // headEnd ends a head.
@@ -153,9 +155,9 @@
 	}
 }
 
-// skipLineEnds discards line ends before a head, which some servers send after a body.
+// skipLineEnds discards line ends before a head.
 func (c *backendConn) skipLineEnds() error {
-	for {
+	for range maxLineEnds {
 		next, err := c.reader.Peek(1)
 		if err != nil {
 			return errors.Annotate(err, "before the head")
@@ -165,6 +167,7 @@
 		}
 		_, _ = c.reader.Discard(1) // it is buffered
 	}
+	return nil
 }
 
 // errNoHTTP means that what has arrived isn't the beginning of a response of HTTP/1.
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -154,6 +154,7 @@
 		{name: "304", method: "GET", text: "HTTP/1.1 304 Not Modified\r\n%sContent-Length: 5\r\nETag: \"a\"\r\n\r\n", status: 304},
 		{name: "error", method: "POST", text: "HTTP/1.1 503 Busy\r\n%sRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy", status: 503, body: "busy"},
 		{name: "interim", method: "GET", text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX: y\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
+		{name: "line end first", method: "GET", text: "\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nabcde", status: 200, body: "abcde"},
 		{name: "folded", method: "GET", text: "HTTP/1.1 200 OK\r\n%sX: y\r\n z\r\nContent-Length:\r\n 5\r\n\r\nabcde", status: 200, body: "abcde"},
 		{name: "space before the colon", method: "GET", text: "HTTP/1.1 200 OK\r\n%sContent-Length : 5\r\n\r\nabcde", status: 200, body: "abcde"},
 	}
@@ -253,6 +254,7 @@
 		{"chunks of HTTP/1.0 without a body", "HTTP/1.0 204 No Content\r\n%stransfer-encoding: chunked\r\n\r\n"},
 		{"line feeds alone", "HTTP/1.1 200 OK\n%sContent-Length: 3\n\nabc"},
 		{"nothing but line ends", "\r\n\r\n\r\n%.0s"},
+		{"many line ends first", strings.Repeat("\r\n", 100) + "HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nabc"},
 		{"nothing but interim answers", strings.Repeat("HTTP/1.1 102 Processing\r\n%[1]s\r\n", 200)},
 	}
 	for _, s := range headerSets() {
