test(gate): answers in pieces; "not run" counts only in a whole head

Answers that arrive in pieces, also with heads over the first buffer, whose end lies in two pieces, are whole. A request isn't called not run for a field of an interim answer or of a trailer, nor for a refusal that was cut at any byte.

--- a/gate/exchange_bench_test.go
+++ b/gate/exchange_bench_test.go
@@ -18,7 +18,7 @@
 					text += "abcde"
 				}
 				u := startRawUpstream(b)
-				u.next.Store(&answerText{text, kept})
+				u.next.Store(&answerText{text: text, ending: kept})
 				h := u.backend(b, s)
 				b.ReportAllocs()
 				for b.Loop() {
--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 type answerText struct {
 	text   string
 	ending ending
+	piece  int // bytes in one write, 0 for all
 }
 
 // rawUpstream answers each request with the text that is set at the time, byte for byte.
@@ -74,7 +76,7 @@
 		if late := u.late.Load(); late != nil && late.connection == opened {
 			text = late.text
 		}
-		if _, err := conn.Write([]byte(text + answer.text)); err != nil {
+		if err := writePieces(conn, []byte(text+answer.text), answer.piece); err != nil {
 			return
 		}
 		switch answer.ending {
@@ -88,6 +90,18 @@
 	}
 }
 
+func writePieces(conn net.Conn, b []byte, piece int) error {
+	if piece == 0 {
+		piece = max(len(b), 1)
+	}
+	for part := range slices.Chunk(b, piece) {
+		if _, err := conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // headerSet is one of the sets of header names between a gate and its backend server.
 type headerSet struct {
 	name    string
@@ -112,7 +126,12 @@
 // do sends a request that the backend server answers with the text.
 func (u *rawUpstream) do(t *testing.T, h *gate.HTTP, method, text string, e ending) (gate.Response, error) {
 	t.Helper()
-	u.next.Store(&answerText{text, e})
+	return u.doPieces(t, h, method, &answerText{text: text, ending: e})
+}
+
+func (u *rawUpstream) doPieces(t *testing.T, h *gate.HTTP, method string, a *answerText) (gate.Response, error) {
+	t.Helper()
+	u.next.Store(a)
 	return h.Do(t.Context(), &gate.Call{ID: "b", Method: method, URI: "/x", Deadline: 30 * clock.Second, Repeatable: method != http.MethodPost})
 }
 
@@ -216,6 +235,33 @@
 	}
 }
 
+// Guards against an answer that is taken for a cut one, or put together wrongly, because it arrives in
+// pieces: the end of a head in two of them, a long head in many.
+func TestAnswerInPiecesIsWhole(t *testing.T) {
+	long := "A: " + strings.Repeat("v", 5000) + "\r\n"
+	for _, a := range wholeAnswers() {
+		for _, tt := range []struct {
+			fields string
+			piece  int
+		}{{"", 1}, {"", 2}, {"", 3}, {long, 7}, {long + long + long, 4095}, {long, 4096}, {long + long, 4097}} {
+			u := startRawUpstream(t)
+			s := headerSets()[1]
+			h := u.backend(t, s)
+			e := kept
+			if a.endsWithConnection {
+				e = fin
+			}
+			for range 2 {
+				got, err := u.doPieces(t, h, a.method, &answerText{text: fmt.Sprintf(a.text, s.own+tt.fields), ending: e, piece: tt.piece})
+				if err != nil || got.Status != a.status || string(got.Body) != a.body {
+					t.Errorf("%s, pieces of %d: got %d %q and error %v, want %d %q", a.name, tt.piece, got.Status, got.Body, err, a.status, a.body)
+				}
+			}
+			u.checkNext(t, h, s, "pieces")
+		}
+	}
+}
+
 // Guards against an answer whose head has no clear end or framing and that is passed on as a whole one.
 func TestAnswerWithUnclearFramingIsRefused(t *testing.T) {
 	tests := []struct{ name, text string }{
@@ -393,7 +439,7 @@
 		for cut := range text {
 			h := u.backend(t, headerSets()[0])
 			u.checkNext(t, h, headerSets()[0], "none")
-			u.next.Store(&answerText{text[:cut], e})
+			u.next.Store(&answerText{text: text[:cut], ending: e})
 			if h.Probe("/health") {
 				t.Errorf("%d bytes, %s: got a passed check, want a failed one", cut, e)
 			}
@@ -401,8 +447,34 @@
 		}
 	}
 	u := startRawUpstream(t)
-	u.next.Store(&answerText{text, kept})
+	u.next.Store(&answerText{text: text, ending: kept})
 	if !u.backend(t, headerSets()[0]).Probe("/health") {
 		t.Error("got a failed check for a whole answer, want a passed one")
 	}
 }
+
+// Guards against a request that is called not run for a field of an interim answer or of a trailer, or
+// for an answer that says so and was cut.
+func TestNotRunCountsOnlyInAWholeHead(t *testing.T) {
+	u := startRawUpstream(t)
+	for _, text := range []string{
+		"HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\nHTTP/1.1 503 Busy\r\nId: b\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nId: b\r\nTrailer: Not-Run\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNot-Run: 1\r\n\r\n",
+	} {
+		got, err := u.do(t, u.backend(t, headerSets()[1]), http.MethodPost, text, kept)
+		if err != nil || got.Shed || got.Status != 503 {
+			t.Errorf("%q: got %d, shed %v and error %v; want 503, not shed", text, got.Status, got.Shed, err)
+		}
+	}
+	const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nFuchsiapick-Backend: shed\r\nContent-Length: 4\r\n\r\nbusy"
+	for _, s := range headerSets() {
+		for cut := range refusal {
+			if got, err := u.do(t, u.backend(t, s), http.MethodPost, refusal[:cut], fin); !errors.Is(err, gate.ErrTruncated) {
+				t.Errorf("%s, %d bytes: got %d, shed %v and error %v; want %v", s.name, cut, got.Status, got.Shed, err, gate.ErrTruncated)
+			}
+		}
+		if got, err := u.do(t, u.backend(t, s), http.MethodPost, refusal, fin); err != nil || !got.Shed {
+			t.Errorf("%s: got shed %v and error %v for a whole refusal, want it shed", s.name, got.Shed, err)
+		}
+	}
+}
