--- a/gate/truncated_test.go
+++ b/gate/truncated_test.go
@@ -262,6 +262,21 @@
 	}
 }
 
+// Guards against a cut answer in chunks that counts as a whole one because its version has no chunks.
+func TestChunksOfHTTP10AreNeverWhole(t *testing.T) {
+	for _, s := range headerSets() {
+		u := startRawUpstream(t)
+		h := u.backend(t, s)
+		text := "HTTP/1.0 200 OK\r\n" + s.own + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+		for cut := range len(text) + 1 {
+			if got, err := u.do(t, h, http.MethodPost, text[:cut], fin); !errors.Is(err, gate.ErrTruncated) {
+				t.Errorf("%s, %d of %d bytes: got %d %q and error %v, want %v", s.name, cut, len(text), got.Status, got.Body, err, gate.ErrTruncated)
+			}
+			u.checkNext(t, h, s, "it")
+		}
+	}
+}
+
 // Guards against an answer whose head has no clear end or framing and that is passed on as a whole one.
 func TestAnswerWithUnclearFramingIsRefused(t *testing.T) {
 	tests := []struct{ name, text string }{
