--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -27,7 +27,6 @@
 	// maxLateResponses limits the responses that are read for one request: those to earlier
 	// requests on the connection are skipped.
 	maxLateResponses = 4
-	bufferSize       = 4 << 10
 )
 
 // backendConn is one connection to the backend server.
@@ -130,7 +129,11 @@
 // the connection.
 func (h *HTTP) release(conn *backendConn, response *fasthttp.Response) {
 	length := response.Header.ContentLength()
-	framed := length >= 0 || length == -1 // by content length or chunked
+	framed := length >= 0 || length == chunked
+	if isBodiless(response) {
+		// Some servers send the body that the head announces, perhaps after the next request.
+		framed = length == 0
+	}
 	if response.Header.ConnectionClose() || !framed || conn.reader.Buffered() > 0 || conn.isObsolete.Load() {
 		h.discard(conn)
 		return
@@ -208,7 +211,7 @@
 		return errors.Annotate(err, "writing the request")
 	}
 	for range maxLateResponses {
-		if err := response.ReadLimitBody(c.reader, h.config.MaxBody); err != nil {
+		if err := c.readResponse(response, h.config.MaxBody); err != nil {
 			return errors.Annotate(err, "reading the response")
 		}
 		if ok, err := h.matches(response, id); ok || err != nil {
@@ -237,6 +240,8 @@
 		return true, nil // refused before the request was read
 	case !ok:
 		return false, errors.Annotate(ErrMismatchedReply, "the response has no request id")
+	case string(echoed) != id && response.SkipBody:
+		return false, errors.Annotate(ErrMismatchedReply, "a response to another request, whose body may follow")
 	case string(echoed) != id:
 		return false, nil
 	}
