entry: the bodies of all requests together have a bound

What callers saw: a node that is killed for its memory, with everything in flight.

Cause: a body has a bound, the sum of them none. The HTTP server allocates what the head of a request announces before a byte has arrived, keeps such buffers in a pool, and the entry copies the body.

Now the server hands a request over with the first 8 KB of its body. The entry counts the announced size against a budget of three eighths of the new setting limits.memory, twice, as a link needs a copy, and refuses what doesn't fit as not run (503, node-memory, Retry-After) without reading it. Bodies over 64 KiB may take three quarters of it, so that small ones are served beside them. A buffer grows with what arrives, so that an announcement takes no memory, also without the setting. Bodies of unknown length are counted as they grow. The connection of a refused caller lingers: it was reset by unread bytes before the caller had the answer. The runtime's soft limit is four fifths of the same setting; without it nothing has a bound, as before.

With a body the copy out of the server's buffer was there before.

A body of more than 39 MB is refused with 413 on an instance of 284 MB, also when the node is idle: it and its copy wouldn't fit beside the rest.

--- a/access/reason.go
+++ b/access/reason.go
@@ -21,6 +21,8 @@
 	ReasonServiceLimit = "service-limit"
 	// ReasonBusy means that the node already holds the maximum number of requests.
 	ReasonBusy = "node-busy"
+	// ReasonMemory means that the node already holds as many bytes of bodies as it may.
+	ReasonMemory = "node-memory"
 	// ReasonCallerFault means that the request itself is malformed.
 	ReasonCallerFault = "caller-fault"
 	// ReasonCallerGone means that the caller closed the connection.
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -4,6 +4,7 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -21,6 +22,9 @@
 	maxReadAhead = 64 << 10
 	// readSize is the size of the buffer for one read, in bytes.
 	readSize = 4 << 10
+	// lingerTimeout bounds how long a connection lingers. An answer reaches the caller within a
+	// round trip.
+	lingerTimeout = 2 * clock.Second
 	// arrivalResolution is the difference up to which bytes count as arrived at the same time,
 	// that of the first. It bounds what a watch keeps of a caller that sends single bytes.
 	arrivalResolution = 10 * clock.Millis(1)
@@ -53,6 +57,8 @@
 	err        error  // error that ended a watch; Read returns it after buffered
 	readBuffer []byte // allocated by the first watch
 
+	lingers bool // Close lingers
+
 	mu      sync.Mutex // guards answers
 	answers []answer   // whose writing hasn't been reported
 }
@@ -140,10 +146,33 @@
 	})
 }
 
+// Linger makes Close read and drop what the caller still sends, for a while. A connection that is
+// closed with unread bytes is reset, and the reset may overtake the answer. The server's handler
+// calls Linger before it returns.
+func (c *Conn) Linger() {
+	c.lingers = true
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.reportWritten()
-	return c.Conn.Close()
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !c.lingers || !ok {
+		return c.Conn.Close()
+	}
+	c.lingers = false
+	go drain(conn)
+	return nil
+}
+
+// drain ends the answers on a connection, and closes it when the caller has ended its requests or
+// lingerTimeout is over.
+func drain(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }() // the caller has its answer, or has gone
+	if conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTimeout.Duration())) != nil {
+		return
+	}
+	_, _ = io.CopyBuffer(io.Discard, struct{ io.Reader }{conn}, make([]byte, readSize))
 }
 
 // Watch reads ahead in a goroutine until the connection ends, and then calls gone. If the
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
@@ -51,6 +53,9 @@
 		log.WithError(err).Error("node not created; the process ends")
 		return ExitFailure
 	}
+	if limit := memory.RuntimeLimit(int64(s.Limits.Memory)); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -19,7 +19,7 @@
 	"node": "sidecar-palermo-1", "zone": "palermo", "service": "wuno96b",
 	"listen.outbound": "10.1.0.8:8304", "listen.inbound": "10.1.0.8:8300", "listen.ready": "10.1.0.8:8302",
 	"platform.address": "10.200.1.7:8309", "ip": "10.1.0.8",
-	"bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
+	"limits.memoryMb": "284", "bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
 }
 
 // An error in the template would stop every node from starting, and would show only at the
@@ -31,6 +31,18 @@
 	}
 }
 
+// The memory of an instance reaches the node in megabytes, which may have a fraction. A node that doesn't
+// know it takes what callers send until it is killed.
+func TestTemplateGivesTheMemory(t *testing.T) {
+	for megabytes, want := range map[string]float64{"284": 284e6, "0": 0, "95.5": 95.5e6} {
+		changed := maps.Clone(platformFields)
+		changed["limits.memoryMb"] = megabytes
+		if got := parseTemplate(t, changed).Limits.Memory; got != want {
+			t.Errorf("%s MB: got %v bytes, want %v", megabytes, got, want)
+		}
+	}
+}
+
 // The platform scales its limits with the size of a deployment. A fleet once failed to start
 // because its number of extra retries wasn't an integer.
 func TestTemplateAcceptsFractionalRetries(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/quarantine"
 	"fuchsiapick.example/fuchsiapick/resend"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -92,7 +93,11 @@
 	Seed          uint64
 	Now           func() clock.Millis
 	Pool          *ants.Pool
-	Recorder      Recorder
+	// MaxBody is the maximum size of a request's body in bytes; 0 means that of the HTTP library.
+	MaxBody int
+	// Memory bounds the bodies of all requests together; nil means that they have no bound.
+	Memory   *memory.Budget
+	Recorder Recorder
 	// Retries may be nil.
 	Retries RetryRecorder
 	// GateClient returns the client for the node beside an upstream.
@@ -269,12 +274,19 @@
 // Serve answers one request of a caller. If the pool is full, it refuses the request
 // immediately.
 func (e *Entry) Serve(ctx *fasthttp.RequestCtx) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	defer e.closeIfLeaving(ctx)
 	defer e.flushAnswer(ctx)
+	body := receivedBody{budget: e.config.Memory, maxSize: e.config.MaxBody}
+	defer body.release()
+	if err := body.receive(ctx); err != nil {
+		e.refuseBody(ctx, err)
+		return
+	}
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
 	e.config.Recorder.RequestReceived()
 	r := e.newRequest(ctx)
+	r.body = body.bytes
 	defer r.watchCaller()()
 	done := make(chan struct{})
 	err := e.config.Pool.Submit(func() {
--- a/entry/request.go
+++ b/entry/request.go
@@ -178,9 +178,6 @@
 		return
 	}
 	r.headers = r.forwardedHeaders()
-	// A gate may still use the body after the caller's connection has reused its buffer
-	// for the next request.
-	r.body = append(r.body, r.ctx.PostBody()...)
 	r.finish(r.run())
 }
 
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -41,7 +41,7 @@
 		return finalAnswer{}, false
 	}
 	var err error
-	r.idempotency, err = parseIdempotency(&r.ctx.Request)
+	r.idempotency, err = parseIdempotency(&r.ctx.Request.Header, r.body)
 	switch {
 	case err != nil:
 		r.entry.config.Log.WithError(err).WithField("request", r.id.String()).Debug("malformed request")
@@ -57,16 +57,16 @@
 // resend.ErrMalformed if a value is malformed, if a header occurs twice or if
 // HeaderResend comes without a key. Treating such a request as a first send would
 // silently drop the protection that its caller asked for.
-func parseIdempotency(request *fasthttp.Request) (idempotency, error) {
-	key, keys := headerValue(&request.Header, HeaderKey)
-	value, resends := headerValue(&request.Header, HeaderResend)
+func parseIdempotency(header *fasthttp.RequestHeader, body []byte) (idempotency, error) {
+	key, keys := headerValue(header, HeaderKey)
+	value, resends := headerValue(header, HeaderResend)
 	if keys+resends == 0 {
 		return idempotency{}, nil
 	}
 	if keys != 1 || resends > 1 {
 		return idempotency{}, errors.Annotatef(resend.ErrMalformed, "%d Idempotency-Key and %d Fuchsiapick-Resend headers", keys, resends)
 	}
-	s := idempotency{key: string(key), digest: digestOf(request)}
+	s := idempotency{key: string(key), digest: digestOf(header, body)}
 	if err := resend.CheckKey(s.key); err != nil {
 		return idempotency{}, errors.Trace(err)
 	}
@@ -95,13 +95,13 @@
 
 // digestOf returns a digest that distinguishes requests with the same key. Line feeds
 // separate the parts, since neither a method nor a request target can contain one.
-func digestOf(request *fasthttp.Request) resend.Digest {
+func digestOf(header *fasthttp.RequestHeader, body []byte) resend.Digest {
 	hash := sha256.New()
-	hash.Write(request.Header.Method())
+	hash.Write(header.Method())
 	hash.Write([]byte{'\n'})
-	hash.Write(request.Header.RequestURI())
+	hash.Write(header.RequestURI())
 	hash.Write([]byte{'\n'})
-	hash.Write(request.Body())
+	hash.Write(body)
 	return resend.Digest(hash.Sum(nil)[:len(resend.Digest{})])
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -48,6 +48,14 @@
 	// Requests is the maximum number of concurrent requests from callers, as set in the
 	// settings.
 	Requests int
+	// Memory bounds the bodies that the node holds.
+	Memory Memory
+}
+
+// Memory provides the bytes of requests' bodies that the node counts and their bound, 0 without one.
+type Memory interface {
+	Held() int64
+	Bound() int64
 }
 
 // Set wraps a Recorder and counts the requests and events that it passes on. It is safe for
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -60,6 +60,9 @@
 	return metrics.QuotaCounts{Granted: 9, Refused: 3, Alone: 2, Unknown: 1}
 }
 
+func (fakeNode) Held() int64  { return 3000 }
+func (fakeNode) Bound() int64 { return 9000 }
+
 func (fakeNode) Dropped() (busy, rate, repeated uint64) { return 1, 2, 3 }
 
 func (fakeNode) Version() uint64 { return 7 }
@@ -76,7 +79,7 @@
 // newSet returns a set with all sources and one service.
 func newSet(recorder metrics.Recorder) *metrics.Set {
 	s := metrics.New(metrics.Config{
-		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Requests: 4096,
+		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Requests: 4096, Memory: fakeNode{},
 	})
 	s.SetServices(services)
 	return s
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -132,6 +132,10 @@
 		"1 with a table in force, 0 before that and when leaving.", nil, nil)
 	requestsBoundDesc = prometheus.NewDesc(namespace+"_requests_bound",
 		"Concurrent requests of callers that the settings allow.", nil, nil)
+	bodyBytesDesc = prometheus.NewDesc(namespace+"_body_bytes",
+		"Bytes that are counted for requests' bodies, with the copies that a request may need.", nil, nil)
+	bodyBytesBoundDesc = prometheus.NewDesc(namespace+"_body_bytes_bound",
+		"Bytes that may be counted for requests' bodies; 0 without a bound.", nil, nil)
 	platformCallsDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
 		"Calls to the platform by what came of them.", []string{"result"}, nil)
 	platformCausesDesc = prometheus.NewDesc(namespace+"_platform_requests_total",
@@ -210,7 +214,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		subscriptionsDesc, platformCausesDesc,
+		subscriptionsDesc, platformCausesDesc, bodyBytesDesc, bodyBytesBoundDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc, speedDesc, concurrencyDesc,
 	} {
@@ -227,6 +231,10 @@
 	if c.Requests > 0 {
 		out <- gauge(requestsBoundDesc, float64(c.Requests))
 	}
+	if c.Memory != nil {
+		out <- gauge(bodyBytesDesc, float64(c.Memory.Held()))
+		out <- gauge(bodyBytesBoundDesc, float64(c.Memory.Bound()))
+	}
 	if c.Platform != nil {
 		collectPlatform(out, c.Platform.PlatformStats())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/referral"
@@ -82,6 +83,7 @@
 	keys            *gate.KeyStore
 	crashes         *crashTracker
 	quotas          *quotas
+	memory          *memory.Budget
 	localWaiters    *localWaiters
 	entryPool       *ants.Pool
 	gatePool        *ants.Pool
@@ -172,6 +174,8 @@
 		Seed:          n.seed,
 		Now:           n.clock.Now,
 		Pool:          n.entryPool,
+		MaxBody:       c.Settings.Limits.Body,
+		Memory:        n.memory,
 		Recorder:      n.metrics,
 		Retries:       n.metrics,
 		Claims:        n.metrics,
@@ -207,6 +211,7 @@
 		log:                c.Log.WithField("node", c.Settings.Node),
 		clock:              clock.NewSystem(),
 		incarnation:        randomUint64(),
+		memory:             memory.NewBudget(int64(c.Settings.Limits.Memory)),
 		leave:              make(chan struct{}),
 		heartbeatRequested: make(chan struct{}, 1),
 		peerVersionKnown:   make(chan struct{}),
@@ -245,6 +250,7 @@
 		Quotas:    n.quotas,
 		LogDrops:  drops,
 		Requests:  n.settings.Limits.Requests,
+		Memory:    n.memory,
 	})
 }
 
--- a/node/services.go
+++ b/node/services.go
@@ -136,7 +136,7 @@
 		NoDefaultServerHeader:         true,
 		DisableHeaderNamesNormalizing: true,
 		DisablePreParseMultipartForm:  true, // a parsed body is written again in another form
-		MaxRequestBodySize:            n.settings.Limits.Body,
+		StreamRequestBody:             true, // the entry bounds what it holds
 		ReadBufferSize:                maxCallerHeaders,
 		Concurrency:                   n.settings.Limits.Requests * 2,
 		ReadTimeout:                   callerReadTimeout,
--- a/report/format.go
+++ b/report/format.go
@@ -20,6 +20,7 @@
 	access.ReasonCallerLimit:   "the caller was over its own limit",
 	access.ReasonServiceLimit:  "the service was over its limit",
 	access.ReasonBusy:          "the node held as many requests as it may",
+	access.ReasonMemory:        "the node held as much of requests' bodies as it may",
 	access.ReasonCallerFault:   "the request was malformed",
 	access.ReasonCallerGone:    "the caller hung up",
 	access.ReasonNoRoute:       "the table has no route for the path",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -121,6 +121,10 @@
 	Requests int `toml:"requests"`
 	// Records bounds the number of records of individual requests.
 	Records int `toml:"records"`
+	// Memory is the memory of the instance in bytes, which the process must not exceed; 0 means
+	// that it isn't known. Bodies may take a part of it, and the runtime frees memory earlier
+	// when it gets short.
+	Memory float64 `toml:"memory"`
 }
 
 // MaxBytes bounds the text of settings in bytes, far above the size that they need.
