gate, link: large answers together have a bound

What callers saw: a node that is killed for its memory, with everything in flight.

Cause: an answer has a bound, the sum of them none. A gate reads an answer into the HTTP library's buffer, which is kept in a pool, and copies it; it is then held until its caller has read it, for up to a minute. A reply in several frames takes its whole length at the first frame.

Now the gate reads an answer's body itself, into its only buffer, and counts it against three eighths of limits.memory, twice, as a link needs a copy. An entry can't wait for room with a reply that comes over a link, as it would hold up the others: the reply ends as a cut one. A single answer above the part is accepted while no other is held. Answers of up to 64 KiB aren't counted: the number of requests bounds them.

The count ends when the garbage collector has freed the buffer. So no place that passes an answer on or drops it has to give anything back, and the count is that of the memory which is really taken. When it is full, a collection is run, at most each 200 ms.

Weighed: a release by whoever is the last to hold an answer (the entry, the caller's connection, a retained reply, the links' queues: each new place is a leak or a double release). It would cost a counter for each answer, the collector's way a cleanup for each large one. Refusing requests before they run by what their answers may take: the size isn't known before.

Open: frames in the queue of a link aren't counted by themselves, up to 64 MB for a peer that doesn't read, for 5 s; bodies that peers send a gate aren't counted there; two answers of unknown length that together exceed the part may both wait until their deadlines.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -12,6 +12,7 @@
 
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -94,6 +95,8 @@
 	MaxConnections int
 	// MaxBody limits the body of a response, in bytes.
 	MaxBody int
+	// Answers counts the memory of responses; nil means that it has no bound.
+	Answers *memory.Answers
 	// Headers are the header names that the backend server uses; the zero value
 	// stands for DefaultHeaders.
 	Headers Headers
@@ -253,7 +256,9 @@
 
 func (h *HTTP) newResponse(method string, response *fasthttp.Response) Response {
 	r := Response{Status: response.StatusCode()}
-	r.Body = append(r.Body, response.Body()...)
+	if body := response.Body(); len(body) > 0 {
+		r.Body = body // a buffer of its own
+	}
 	for name, value := range response.Header.All() {
 		if !wire.IsHopByHop(name) {
 			r.Headers = r.Headers.Add(name, value)
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -37,6 +37,7 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	openedAt time.Time // when the connection attempt began
+	deadline time.Time // of the exchange in progress
 	// lastUsed is when the last response on the connection ended.
 	lastUsed time.Time
 	// announced is the idle time up to which the connection may be used by the timeout that the
@@ -56,6 +57,7 @@
 	conn, ok := h.acquireIdle(repeatable)
 	if conn != nil {
 		h.markBusy(conn)
+		conn.deadline = deadline
 		return conn, errors.Trace(conn.SetDeadline(deadline))
 	}
 	if !ok {
@@ -78,6 +80,7 @@
 		reader:   bufio.NewReaderSize(raw, bufferSize),
 		writer:   bufio.NewWriterSize(raw, bufferSize),
 		openedAt: openedAt,
+		deadline: deadline,
 	}
 	h.markBusy(conn)
 	return conn, nil
@@ -208,7 +211,7 @@
 		return errors.Annotate(err, "writing the request")
 	}
 	for range maxLateResponses {
-		if err := response.ReadLimitBody(c.reader, h.config.MaxBody); err != nil {
+		if err := c.readResponse(ctx, h, response); err != nil {
 			return errors.Annotate(err, "reading the response")
 		}
 		if ok, err := h.matches(response, id); ok || err != nil {
--- /dev/null
+++ b/gate/response.go
@@ -0,0 +1,134 @@
+package gate
+
+import (
+	"context"
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/memory"
+)
+
+// maxSegment is the maximum size in bytes of the parts in which a response of unknown length is read.
+const maxSegment = 1 << 20
+
+// readResponse reads the next response on a connection. Its body is in a buffer of its own, which
+// counts towards the memory for answers: without room the rest stays with the backend server until there
+// is, or the request's deadline has passed.
+func (c *backendConn) readResponse(ctx context.Context, h *HTTP, response *fasthttp.Response) error {
+	response.ResetBody()
+	response.StreamBody = true
+	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+		return errors.Trace(err)
+	}
+	stream := response.BodyStream()
+	if stream == nil {
+		return nil
+	}
+	holding := h.config.Answers.NewHolding()
+	defer holding.Release()
+	r := responseReader{conn: c, holding: &holding, maxBody: h.config.MaxBody}
+	var body []byte
+	var err error
+	if length := response.Header.ContentLength(); length >= 0 {
+		body, err = r.readLength(ctx, stream, length)
+	} else {
+		body, err = r.readSegments(ctx, stream)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	holding.Attach(body)
+	response.SetBodyRaw(body)
+	return nil
+}
+
+// responseReader reads the body of one response.
+type responseReader struct {
+	conn    *backendConn
+	holding *memory.Holding
+	maxBody int
+	size    int // bytes that are counted
+}
+
+// grow counts more bytes of the body. A body within the size of a small one isn't counted.
+func (r *responseReader) grow(ctx context.Context, more int) error {
+	before := r.size
+	r.size += more
+	switch {
+	case r.size <= memory.SmallBody:
+		return nil
+	case before <= memory.SmallBody:
+		more = r.size
+	}
+	if r.holding.Grow(ctx, r.conn.deadline, more) {
+		return nil
+	}
+	if err := ctx.Err(); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotate(ErrTooLarge, "no memory is left for it")
+}
+
+func (r *responseReader) readLength(ctx context.Context, body io.Reader, length int) ([]byte, error) {
+	if r.maxBody > 0 && length > r.maxBody {
+		return nil, errors.Trace(fasthttp.ErrBodyTooLarge)
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	if err := r.grow(ctx, length); err != nil {
+		return nil, errors.Trace(err)
+	}
+	buffer := make([]byte, length)
+	_, err := io.ReadFull(body, buffer)
+	return buffer, errors.Annotate(err, "reading the body")
+}
+
+// readSegments reads a body of unknown length into parts, and then joins them.
+func (r *responseReader) readSegments(ctx context.Context, body io.Reader) ([]byte, error) {
+	var segments [][]byte
+	total := 0
+	for size := bufferSize; ; size = min(2*size, maxSegment) {
+		if err := r.grow(ctx, size); err != nil {
+			return nil, errors.Trace(err)
+		}
+		segment := make([]byte, size)
+		n, err := fill(body, segment)
+		if total += n; r.maxBody > 0 && total > r.maxBody {
+			return nil, errors.Trace(fasthttp.ErrBodyTooLarge)
+		}
+		segments = append(segments, segment[:n])
+		switch {
+		case errors.Is(err, io.EOF):
+			return join(segments, total), nil
+		case err != nil:
+			return nil, errors.Annotate(err, "reading the body")
+		}
+	}
+}
+
+// fill reads until the buffer is full or the body ends with an error, which is io.EOF at its end.
+func fill(body io.Reader, buffer []byte) (int, error) {
+	n := 0
+	for n < len(buffer) {
+		read, err := body.Read(buffer[n:])
+		n += read
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func join(segments [][]byte, total int) []byte {
+	if len(segments) == 1 {
+		return segments[0]
+	}
+	joined := make([]byte, 0, total)
+	for _, segment := range segments {
+		joined = append(joined, segment...)
+	}
+	return joined
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -11,6 +11,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/lease"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/path"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -73,8 +74,10 @@
 	IdleTimeout clock.Millis
 	// MaxFrame is the maximum size of a frame, MaxReplyBody that of a reply's body, both in
 	// bytes.
-	MaxFrame          int
-	MaxReplyBody      int
+	MaxFrame     int
+	MaxReplyBody int
+	// Answers counts the memory of replies in several frames; nil means that it has no bound.
+	Answers           *memory.Answers
 	HeartbeatInterval clock.Millis
 	// RedialDelay is the approximate delay between a failed dial and the next dial; 0 means
 	// HeartbeatInterval.
--- a/link/reply.go
+++ b/link/reply.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -29,10 +31,7 @@
 	case len(r.Body) < r.Length && pending.conn != conn:
 		p.mu.Unlock()
 		return
-	case len(r.Body) < r.Length && r.Length <= p.config.MaxReplyBody:
-		body := make([]byte, len(r.Body), r.Length)
-		copy(body, r.Body)
-		r.Body = body
+	case len(r.Body) < r.Length && p.allocateBody(r):
 		pending.partial = r
 		p.mu.Unlock()
 		return
@@ -48,6 +47,21 @@
 	pending.observer.Replied(r)
 }
 
+// allocateBody gives a reply whose body comes in several frames room for all of it. It returns false if the
+// body is too large or the node has no memory for it: to wait would hold up the link.
+func (p *Peer) allocateBody(r *wire.Reply) bool {
+	if r.Length > p.config.MaxReplyBody {
+		return false
+	}
+	body, ok := p.config.Answers.Buffer(r.Length)
+	if !ok {
+		logging.Repeatable(p.log.WithField("bytes", r.Length)).Log(logrus.WarnLevel, "answer dropped; no memory is left for it")
+		return false
+	}
+	r.Body = body[:copy(body, r.Body)]
+	return true
+}
+
 // handleChunk appends body bytes to a reply. The observer gets the reply only once its
 // body is complete. A missing or misplaced chunk makes the reply a truncated one.
 func (p *Peer) handleChunk(conn *Conn, c *wire.Chunk) {
--- a/link/reply_test.go
+++ b/link/reply_test.go
@@ -9,6 +9,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -149,3 +150,47 @@
 }
 
 func (o resolutionObserver) Resolved(revoked bool) { o.resolutions <- revoked }
+
+// Guards against replies that together take more memory than the instance has. The reply without room
+// ends at once as a cut one, and the link goes on.
+func TestRepliesStayWithinTheMemory(t *testing.T) {
+	address, sockets := acceptLinks(t)
+	const length = limit // of a reply in several frames
+	answers := memory.NewAnswers(8*memory.Copies*length/3 + 8)
+	peer, _ := runPeer(t, link.PeerConfig{Address: address, HeartbeatInterval: clock.Minute, Observer: workRequestObserver{}, Answers: answers})
+	first, second := replyObserver{replies: make(chan *wire.Reply, 1)}, replyObserver{replies: make(chan *wire.Reply, 1)}
+	dispatches := []*wire.Dispatch{newDispatch(1), newDispatch(2)}
+	for i, observer := range []replyObserver{first, second} {
+		if err := peer.Dispatch(dispatches[i], observer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	socket := <-sockets
+	awaitKind(t, socket, wire.KindDispatch)
+	awaitKind(t, socket, wire.KindDispatch)
+	half := make([]byte, length/2)
+	for _, d := range dispatches {
+		writeMessage(t, socket, &wire.Reply{ID: d.ID, Attempt: d.Attempt, Outcome: wire.Answered, Status: 200, Body: half, Length: length})
+	}
+	if got := awaitReply(t, second); got.Outcome != wire.Broken || got.Reason != wire.ReasonTruncated {
+		t.Errorf("got outcome %v (%s) without room for the reply, want a cut one", got.Outcome, got.Reason)
+	}
+	if got, bound := answers.Held(), answers.Bound(); got > bound {
+		t.Errorf("got %d bytes counted, want %d at most", got, bound)
+	}
+	writeMessage(t, socket, &wire.Chunk{ID: dispatches[0].ID, Attempt: dispatches[0].Attempt, Offset: len(half), Data: half})
+	if got := awaitReply(t, first); got.Outcome != wire.Answered || len(got.Body) != length {
+		t.Errorf("got outcome %v (%s) and %d bytes, want the whole reply", got.Outcome, got.Reason, len(got.Body))
+	}
+}
+
+func awaitReply(t *testing.T, o replyObserver) *wire.Reply {
+	t.Helper()
+	select {
+	case r := <-o.replies:
+		return r
+	case <-time.After(30 * time.Second):
+		t.Fatal("got no reply within 30s")
+		return nil
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -50,9 +50,11 @@
 	Requests int
 	// Memory bounds the bodies that the node holds.
 	Memory Memory
+	// Answers bounds the large answers that the node holds.
+	Answers Memory
 }
 
-// Memory provides the bytes of requests' bodies that the node counts and their bound, 0 without one.
+// Memory provides the bytes that the node counts and their bound, 0 without one.
 type Memory interface {
 	Held() int64
 	Bound() int64
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -79,7 +79,7 @@
 // newSet returns a set with all sources and one service.
 func newSet(recorder metrics.Recorder) *metrics.Set {
 	s := metrics.New(metrics.Config{
-		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Requests: 4096, Memory: fakeNode{},
+		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Requests: 4096, Memory: fakeNode{}, Answers: fakeNode{},
 	})
 	s.SetServices(services)
 	return s
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -136,6 +136,10 @@
 		"Bytes that are counted for requests' bodies, with the copies that a request may need.", nil, nil)
 	bodyBytesBoundDesc = prometheus.NewDesc(namespace+"_body_bytes_bound",
 		"Bytes that may be counted for requests' bodies; 0 without a bound.", nil, nil)
+	answerBytesDesc = prometheus.NewDesc(namespace+"_answer_bytes",
+		"Bytes that are counted for large answers until their memory is freed, with the copies that an answer may need.", nil, nil)
+	answerBytesBoundDesc = prometheus.NewDesc(namespace+"_answer_bytes_bound",
+		"Bytes that may be counted for large answers; 0 without a bound.", nil, nil)
 	platformCallsDesc = prometheus.NewDesc(namespace+"_platform_calls_total",
 		"Calls to the platform by what came of them.", []string{"result"}, nil)
 	platformCausesDesc = prometheus.NewDesc(namespace+"_platform_requests_total",
@@ -214,7 +218,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		subscriptionsDesc, platformCausesDesc, bodyBytesDesc, bodyBytesBoundDesc,
+		subscriptionsDesc, platformCausesDesc, bodyBytesDesc, bodyBytesBoundDesc, answerBytesDesc, answerBytesBoundDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc, speedDesc, concurrencyDesc,
 	} {
@@ -235,6 +239,10 @@
 		out <- gauge(bodyBytesDesc, float64(c.Memory.Held()))
 		out <- gauge(bodyBytesBoundDesc, float64(c.Memory.Bound()))
 	}
+	if c.Answers != nil {
+		out <- gauge(answerBytesDesc, float64(c.Answers.Held()))
+		out <- gauge(answerBytesBoundDesc, float64(c.Answers.Bound()))
+	}
 	if c.Platform != nil {
 		collectPlatform(out, c.Platform.PlatformStats())
 	}
--- a/node/gates.go
+++ b/node/gates.go
@@ -89,6 +89,7 @@
 			Address:        u.Address,
 			MaxConnections: u.Connections,
 			MaxBody:        n.settings.Limits.Answer,
+			Answers:        n.answers,
 			Headers:        n.upstreamHeaders,
 			Instance:       u.Name,
 		}),
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,7 @@
 	crashes         *crashTracker
 	quotas          *quotas
 	memory          *memory.Budget
+	answers         *memory.Answers
 	localWaiters    *localWaiters
 	entryPool       *ants.Pool
 	gatePool        *ants.Pool
@@ -211,6 +212,7 @@
 		log:                c.Log.WithField("node", c.Settings.Node),
 		clock:              clock.NewSystem(),
 		incarnation:        randomUint64(),
+		answers:            memory.NewAnswers(int64(c.Settings.Limits.Memory)),
 		memory:             memory.NewBudget(int64(c.Settings.Limits.Memory)),
 		leave:              make(chan struct{}),
 		heartbeatRequested: make(chan struct{}, 1),
@@ -251,6 +253,7 @@
 		LogDrops:  drops,
 		Requests:  n.settings.Limits.Requests,
 		Memory:    n.memory,
+		Answers:   n.answers,
 	})
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -109,6 +109,7 @@
 		Self:              n.identity(),
 		MaxFrame:          n.frameLimit(),
 		MaxReplyBody:      n.settings.Limits.Answer,
+		Answers:           n.answers,
 		HeartbeatInterval: n.settings.HeartbeatInterval,
 		RedialDelay:       min(redialDelay, n.settings.HeartbeatInterval),
 		Seed:              n.seed + uint64(len(n.peers)),
