--- a/fleet/cutanswer_test.go
+++ b/fleet/cutanswer_test.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	text    string
 	isReset bool
+	isKept  bool           // the connection stays open after the text
 	runs    map[string]int // by request id
 }
 
@@ -62,7 +63,7 @@
 		}
 		u.mu.Lock()
 		u.runs[request.Header.Get(gate.HeaderRequest)]++
-		text, isReset := u.text, u.isReset
+		text, isReset, isKept := u.text, u.isReset, u.isKept
 		u.mu.Unlock()
 		isCut := strings.HasSuffix(request.URL.Path, "cut")
 		if !isCut {
@@ -74,7 +75,7 @@
 		if isCut && isReset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-		if isCut {
+		if isCut && !isKept {
 			return
 		}
 	}
@@ -83,7 +84,15 @@
 func (u *cuttingUpstream) setText(text string, isReset bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.text, u.isReset = text, isReset
+	u.text, u.isReset, u.isKept = text, isReset, false
+}
+
+// setWhole sets a text that is a whole answer. The connection ends after it only if its body ends with the
+// connection, so that the next request can't meet a connection that the upstream is closing.
+func (u *cuttingUpstream) setWhole(text string, endsWithConnection bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.text, u.isReset, u.isKept = text, false, !endsWithConnection
 }
 
 func (u *cuttingUpstream) runsOf(id string) int {
@@ -228,7 +237,7 @@
 	}
 	for _, tt := range tests {
 		for place, c := range callers {
-			u.setText(tt.text, false)
+			u.setWhole(tt.text, tt.name == "to the end" || tt.name == "HTTP/1.0")
 			got, header := c.send(t, tt.method, "/conferme/cut")
 			if got.status != tt.status || got.body != tt.body || header.Get("Content-Length") != tt.length {
 				t.Errorf("%s, %s: got %d %s, length %q, %q; want %d, %q, %q", tt.name, place, got.status, got.reason, header.Get("Content-Length"), got.body, tt.status, tt.length, tt.body)
--- a/gate/head.go
+++ b/gate/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 
@@ -26,7 +27,7 @@
 var headEnd = []byte("\r\n\r\n")
 
 // readResponse reads the final response to a request.
-func (c *backendConn) readResponse(response *fasthttp.Response, maxBody int) error {
+func (c *backendConn) readResponse(ctx context.Context, h *HTTP, response *fasthttp.Response) error {
 	response.ResetBody()
 	if err := c.readHead(response); err != nil {
 		return errors.Trace(err)
@@ -34,26 +35,21 @@
 	if isBodiless(response) {
 		return nil
 	}
-	if err := response.ReadBody(c.reader, maxBody); err != nil {
-		return errors.Trace(err)
-	}
-	if response.Header.ContentLength() != chunked {
-		return nil
-	}
-	return c.readTrailer(response)
+	return c.readBody(ctx, h, response)
 }
 
-// readTrailer reads the fields after the last chunk, up to the size of the buffer.
-func (c *backendConn) readTrailer(response *fasthttp.Response) error {
-	err := response.Header.ReadTrailer(c.reader)
-	if err == nil {
-		return nil
-	}
+// chunkError returns the reason for an error of the HTTP library in a body in chunks or its trailer.
+func (c *backendConn) chunkError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) {
+	var broken fasthttp.ErrBrokenChunk
+	switch {
+	case errors.As(err, &small):
 		return errors.Annotatef(ErrTooLarge, "a trailer of more than %d bytes", c.reader.Size())
+	case errors.As(err, &broken):
+		return errors.Trace(err)
+	default:
+		return errors.Trace(unquoted(err))
 	}
-	return errors.Trace(unquoted(err))
 }
 
 // errMalformed means fields that can't be parsed.
