cmd, node: the first and last lines of a process; panics are logged and counted

An end that a process didn't announce couldn't be told from a kill: a stop after a signal and one after an error had lines of their own, a refused port another, a crash none in the log.

The last line is now `process ends`, with the reason, the exit code, the time that the process ran and what it held, after every return of the command that has a logger. The first is `process started`, with the release, the pid and the limits. A node that meets another process at a peer's address, without an announcement that the peer leaves, logs it and counts fuchsiapick_peer_restarts_total.

A crash of the runtime reached standard error alone, and kept the process if that was a pipe which nobody reads: the runtime writes with a blocking call while all goroutines are stopped, so that the process neither ended nor served, and kept its ports.

A pipe at descriptor 2 is opened once more, without blocking, since the flag belongs to the open file that other processes share; the runtime also writes to a pipe or file at standard output. Both cost more than a trace in plain text. Sockets and terminals may still block.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/logging"
@@ -40,16 +41,19 @@
 		return ExitFailure
 	}
 	defer closeLog()
+	end := newEnding(log.WithField("node", s.Node))
+	if err := keepCrashOutput(stdout, stderr); err != nil {
+		log.WithError(err).WithField("node", s.Node).Warn("a crash may leave no line in the log")
+	}
 	config, builder, err := nodeConfig(s, log)
 	if err != nil {
-		log.WithError(err).Error("node not created; the process ends")
-		return ExitFailure
+		return end.announce(errors.Annotate(err, "node not created"), node.Held{})
 	}
 	config.LogDrops = drops
+	config.Panics = logging.NewPanics(log.WithField("node", s.Node), node.Parts...)
 	n, err := node.New(config)
 	if err != nil {
-		log.WithError(err).Error("node not created; the process ends")
-		return ExitFailure
+		return end.announce(errors.Annotate(err, "node not created"), node.Held{})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -59,22 +63,22 @@
 	r := &reloader{path: c.Settings, inForce: s, log: log, tableBuilder: builder}
 	go r.run(ctx, hangups)
 	go func() {
-		leaveOnSignal(signals, n, log.WithField("node", s.Node))
+		leaveOnSignal(signals, n, end, log.WithField("node", s.Node))
 		cancel()
 	}()
-	if err := n.Run(ctx); err != nil {
-		log.WithError(err).WithField("node", s.Node).Error("node failed")
-		return ExitFailure
-	}
-	return ExitOK
+	err = guarded(func() error { return n.Run(ctx) }, func(value any, stack []byte) {
+		config.Panics.Record(node.PartCommand, value, stack)
+	})
+	return end.announce(err, n.Held())
 }
 
 // leaveOnSignal starts the node's shutdown at the first signal and returns when the node is to end
 // immediately. Only a SIGINT asks for that: supervisors repeat SIGTERM, as do plans that overlap.
-func leaveOnSignal(signals <-chan os.Signal, n *node.Node, log logrus.FieldLogger) {
-	<-signals
+func leaveOnSignal(signals <-chan os.Signal, n *node.Node, end *ending, log logrus.FieldLogger) {
+	end.recordSignal(<-signals)
 	n.Leave()
 	for s := range signals {
+		end.recordSignal(s)
 		if s == syscall.SIGINT {
 			log.Warn("second signal: requests in flight are cut")
 			return
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -65,6 +65,7 @@
 			"hangup":    reloadUnlessEnded,
 			"unread":    stopReading,
 			"ended":     awaitExit,
+			"lastline":  checkLastLine,
 			"logged":    awaitLogLine,
 			"relay":     setMode,
 			"mode":      setMode,
--- a/link/dial.go
+++ b/link/dial.go
@@ -111,6 +111,9 @@
 	}
 	if changed {
 		p.log.Info("node was replaced")
+		if p.config.OnReplaced != nil {
+			p.config.OnReplaced()
+		}
 	}
 	for _, pending := range unresolved {
 		_ = conn.Send(newResolve(pending.dispatch)) // if this link fails too, the next one repeats it
--- a/link/peer.go
+++ b/link/peer.go
@@ -90,8 +90,11 @@
 	// Announcements returns what the upstreams beside the peer have announced to this node. It
 	// may be nil.
 	Announcements func() *wire.Announcements
-	Observer      PeerObserver
-	Log           logrus.FieldLogger
+	// OnReplaced is called when another process answers at the peer's address. It may be nil and
+	// must not block.
+	OnReplaced func()
+	Observer   PeerObserver
+	Log        logrus.FieldLogger
 }
 
 // Peer is the dialling side of the links to one node. Run must be called to operate it. It
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,6 +45,8 @@
 	Gates     Gates
 	Quotas    Quotas
 	LogDrops  LogDrops
+	Panics    Panics
+	Restarts  Restarts
 	// Requests is the maximum number of concurrent requests from callers, as set in the
 	// settings.
 	Requests int
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -62,6 +62,9 @@
 
 func (fakeNode) Dropped() (busy, rate, repeated uint64) { return 1, 2, 3 }
 
+func (fakeNode) PanicCounts() map[string]uint64 { return map[string]uint64{"caller": 1, "link": 0} }
+func (fakeNode) PeerRestarts() uint64           { return 4 }
+
 func (fakeNode) Version() uint64 { return 7 }
 func (fakeNode) InFlight() int   { return 2 }
 func (fakeNode) Ready() bool     { return true }
@@ -76,7 +79,7 @@
 // newSet returns a set with all sources and one service.
 func newSet(recorder metrics.Recorder) *metrics.Set {
 	s := metrics.New(metrics.Config{
-		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Requests: 4096,
+		Recorder: recorder, State: fakeNode{}, Readiness: fakeNode{}, Platform: fakeNode{}, Links: fakeNode{}, Gates: fakeNode{}, Quotas: fakeNode{}, LogDrops: fakeNode{}, Panics: fakeNode{}, Restarts: fakeNode{}, Requests: 4096,
 	})
 	s.SetServices(services)
 	return s
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -64,6 +64,17 @@
 	Dropped() (busy, rate, repeated uint64)
 }
 
+// Panics provides the number of panics that didn't end the process, by part of the node.
+type Panics interface {
+	PanicCounts() map[string]uint64
+}
+
+// Restarts provides how often a peer was found to be another process than before, without an
+// announcement that it leaves.
+type Restarts interface {
+	PeerRestarts() uint64
+}
+
 // Links provides the number of links between this node and others.
 type Links interface {
 	Links() LinkCount
@@ -158,6 +169,10 @@
 		"How long ago what is known was the platform's.", nil, nil)
 	logLinesLostDesc = prometheus.NewDesc(namespace+"_log_lines_lost_total",
 		"Log lines left out: the output was busy, over the rate of their message, or repeated.", []string{"cause"}, nil)
+	panicsDesc = prometheus.NewDesc(namespace+"_panics_total",
+		"Panics that the node has recovered from, by part.", []string{"part"}, nil)
+	peerRestartsDesc = prometheus.NewDesc(namespace+"_peer_restarts_total",
+		"Peers that were found to be another process, without having announced that they leave.", nil, nil)
 	peersDesc = prometheus.NewDesc(namespace+"_peers",
 		"Nodes that this one may dial.", nil, nil)
 	subscriptionsDesc = prometheus.NewDesc(namespace+"_subscriptions",
@@ -210,7 +225,7 @@
 // Describe sends the descriptions of all metrics, configured or not.
 func (*nodeCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		subscriptionsDesc, platformCausesDesc,
+		subscriptionsDesc, platformCausesDesc, panicsDesc, peerRestartsDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, quotaUsedDesc, quotaBoundDesc, rateLimitDesc, quotaDesc,
 		readyDesc, requestsBoundDesc, platformCallsDesc, platformBytesDesc, platformCallTimeDesc, platformLagDesc, platformLateDesc, platformUpdatesDesc, copyErrorsDesc, platformIgnoredDesc, platformEraDesc, platformRevisionDesc, platformAgeDesc, logLinesLostDesc, peersDesc, linksDesc, verdictDesc, gateRequestsDesc, gateBoundDesc, retriesDesc, retryBoundDesc, rateLimitDesc, quotaDesc, speedDesc, concurrencyDesc,
 	} {
@@ -236,6 +251,15 @@
 		out <- counter(logLinesLostDesc, rate, "rate")
 		out <- counter(logLinesLostDesc, repeated, "repeated")
 	}
+	if c.Panics != nil {
+		counts := c.Panics.PanicCounts()
+		for _, part := range slices.Sorted(maps.Keys(counts)) {
+			out <- counter(panicsDesc, counts[part], part)
+		}
+	}
+	if c.Restarts != nil {
+		out <- counter(peerRestartsDesc, c.Restarts.PeerRestarts())
+	}
 	if c.Links != nil {
 		l := c.Links.Links()
 		out <- gauge(peersDesc, float64(l.Peers))
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/panjf2000/ants/v2"
@@ -21,6 +22,7 @@
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/referral"
@@ -54,6 +56,8 @@
 	// TableBuilder builds the tables if the platform publishes them in a format of its own.
 	// It is nil if the platform holds tables in this project's format.
 	TableBuilder TableBuilder
+	// Panics recovers the panics of goroutines; nil stands for one that logs to Log.
+	Panics *logging.Panics
 	// LogDrops reports how many log lines were dropped; it may be nil.
 	LogDrops metrics.LogDrops
 	// CallerHeaders and UpstreamHeaders are the platform's names of headers; empty names stand
@@ -71,6 +75,10 @@
 	// upstreamHeaders are the names of the headers that backend servers receive.
 	upstreamHeaders gate.Headers
 	log             logrus.FieldLogger
+	panics          *logging.Panics
+	held            atomic.Pointer[Held]
+	peerRestarts    atomic.Uint64
+	failures        chan error // why the node must end
 	clock           *clock.System
 	incarnation     uint64
 	seed            uint64
@@ -154,6 +162,9 @@
 	if c.UpstreamHeaders == (gate.Headers{}) {
 		c.UpstreamHeaders = gate.DefaultHeaders()
 	}
+	if c.Panics == nil {
+		c.Panics = logging.NewPanics(c.Log.WithField("node", c.Settings.Node), Parts...)
+	}
 	n := newNode(c)
 	n.seed = n.incarnation
 	n.keys = gate.NewKeyStore(n.clock.Now)
@@ -205,6 +216,8 @@
 		upstreamHeaders:    c.UpstreamHeaders,
 		listeners:          c.Listeners,
 		log:                c.Log.WithField("node", c.Settings.Node),
+		panics:             c.Panics,
+		failures:           make(chan error, 1),
 		clock:              clock.NewSystem(),
 		incarnation:        randomUint64(),
 		leave:              make(chan struct{}),
@@ -244,6 +257,8 @@
 		Gates:     n,
 		Quotas:    n.quotas,
 		LogDrops:  drops,
+		Panics:    n.panics,
+		Restarts:  n,
 		Requests:  n.settings.Limits.Requests,
 	})
 }
@@ -317,6 +332,7 @@
 	case <-n.leave:
 		cut = n.drain(ctx)
 	}
+	n.recordHeld(cut)
 	cancel()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		n.log.WithError(err).Warn("supervisor stopped with an error")
@@ -345,5 +361,9 @@
 
 // logSupervisorEvent logs failures and restarts of services.
 func (n *Node) logSupervisorEvent(e suture.Event) {
+	if panicked, ok := e.(suture.EventServicePanic); ok {
+		n.panics.Record(PartService, panicked.ServiceName+": "+panicked.PanicMsg, []byte(panicked.Stacktrace))
+		return
+	}
 	n.log.WithFields(logrus.Fields(e.Map())).Warn("supervisor event")
 }
