entry: a panic while a request is handled is answered, and neither ends the node nor leaks

What callers saw: an empty answer with status 200 and no outcome, a success that never was, for a request whose handling panicked in the pool's job. The pool's library recovers and prints to standard error; the handler then returned an answer that nobody had written. The upstream's count of requests kept the lost attempt for ever. A panic in the handler itself, which no library recovers, ended the process and cut the requests of all callers.

Failed before: TestRequestWhoseHandlingPanicsIsAnsweredAsUnknown: got 200 with outcome "", want 502 and "unknown" TestPanicOfTheRecorderDoesNotEndTheProcess: panic: a fault of this test ... fasthttp.(*workerPool).workerFunc

Now the job and the handlers recover. The answer is 502 with outcome unknown and reason node-fault, or 503 not-run if no attempt was made; an answer that was already written stays. The panic is logged and counted as part `caller`.

Weighed: to let the process end and its supervisor start another. The recovery costs a deferred call for each request; state that the panicking code had half changed stays in use. All locks of package entry are released by deferred calls.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,6 +30,14 @@
 // deadline.
 func (r *request) try(a attempt, untried int) result {
 	r.assignNumber(&a)
+	r.open = &a
+	outcome := r.tryNumbered(a, untried)
+	r.open = nil
+	return outcome
+}
+
+// tryNumbered is try for an attempt that has a number.
+func (r *request) tryNumbered(a attempt, untried int) result {
 	r.sends++
 	r.tried = append(r.tried, a.member)
 	r.lastUpstream, r.forced = a.upstream, a.forced
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -47,6 +47,7 @@
 // AnswerWritten records when the answer to the request was written, and logs one that is late. The
 // request's context may be in use for the next one.
 func (r *request) AnswerWritten(at clock.Millis) {
+	defer r.entry.recoverNotice()
 	d := access.Delivery{
 		Queued:  r.handledAt - r.started,
 		Took:    r.endedAt - r.handledAt,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,7 +110,9 @@
 	// KeyMargin is how much older an idempotency key may be than its caller states; 0
 	// means resend.Margin.
 	KeyMargin clock.Millis
-	Log       logrus.FieldLogger
+	// Panics may be nil.
+	Panics PanicRecorder
+	Log    logrus.FieldLogger
 }
 
 // Entry serves callers' requests. It is safe for concurrent use.
@@ -273,12 +275,14 @@
 	defer e.inFlight.Add(-1)
 	defer e.closeIfLeaving(ctx)
 	defer e.flushAnswer(ctx)
+	defer e.recoverServe(ctx)
 	e.config.Recorder.RequestReceived()
 	r := e.newRequest(ctx)
 	defer r.watchCaller()()
 	done := make(chan struct{})
 	err := e.config.Pool.Submit(func() {
 		defer close(done)
+		defer r.recoverServing()
 		r.serve()
 	})
 	if err != nil {
@@ -310,6 +314,7 @@
 
 // ServeMalformed answers a request that the HTTP library could not parse.
 func (e *Entry) ServeMalformed(ctx *fasthttp.RequestCtx, err error) {
+	defer e.recoverServe(ctx)
 	e.config.Recorder.RequestReceived()
 	r := e.newRequest(ctx)
 	status, reason := fasthttp.StatusBadRequest, access.ReasonCallerFault
--- a/entry/request.go
+++ b/entry/request.go
@@ -97,6 +97,10 @@
 	deadline    clock.Millis // a point in time
 	repeatable  bool
 
+	// open is the attempt that hasn't ended, isAnswered whether the answer is written to ctx.
+	open       *attempt
+	isAnswered bool
+
 	headers       wire.Headers
 	body          []byte
 	tried         []*member
@@ -376,6 +380,7 @@
 func (r *request) finish(f finalAnswer) {
 	r.dropReservation()
 	r.write(&f)
+	r.isAnswered = true
 	r.refundQuota(&f)
 	now := r.entry.config.Now()
 	record := access.Record{
--- a/node/node.go
+++ b/node/node.go
@@ -192,6 +192,7 @@
 		CrashTracker:  n.crashes,
 		Quotas:        n.quotas,
 		KeyMargin:     c.KeyMargin,
+		Panics:        n.panics,
 		Log:           n.log,
 	})
 	if c.Store != nil {
