gate: a panic of a run, a reply or a timer frees its slot, and doesn't end the node

What callers saw: no answer until their deadline, and then, at each later request to the upstream, a slot less. The pool's library recovers a panic of a job and prints it to standard error; nobody replied to the entry, the slot stayed taken and the dispatch pending, so that the node also cut it when it left. A panic of a reply withheld the slot from the next waiter. A panic of a timer's call ended the process.

A panic of the call to the backend server is an error of the run now: the reply is broken, reason node-fault, and it counts neither for nor against the upstream. One before the call is answered as not run. Calls collected under the lock are all made, whichever of them panics. Timers' calls recover, and are tried again after a second, since most of them set their timer again. A connection to the backend server whose call panics is closed.

Weighed: to end the process at each of these, which cuts the runs of all upstreams beside the node. It is kept for the one case in which the gate's state is suspect: a panic with the gate's lock held leaves the lock held, and the next commit ends the node for it, instead of unlocking a half-changed gate.

--- a/entry/panic.go
+++ b/entry/panic.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // PanicRecorder records panics that were recovered. Its method must not block.
@@ -16,9 +17,6 @@
 // panicPart names this part of a node for the PanicRecorder.
 const panicPart = "caller"
 
-// reasonPanic means that a fault of this node ended the handling of the request.
-const reasonPanic = "node-fault"
-
 func (e *Entry) recordPanic(value any) {
 	if e.config.Panics != nil {
 		e.config.Panics.Record(panicPart, value, debug.Stack())
@@ -38,7 +36,7 @@
 	if value := recover(); value != nil {
 		e.recordPanic(value)
 		if len(ctx.Response.Header.Peek(HeaderOutcome)) == 0 {
-			writePanicAnswer(ctx, &finalAnswer{outcome: access.NotRun, status: fasthttp.StatusServiceUnavailable, reason: reasonPanic})
+			writePanicAnswer(ctx, &finalAnswer{outcome: access.NotRun, status: fasthttp.StatusServiceUnavailable, reason: string(wire.ReasonNodeFault)})
 		}
 	}
 }
@@ -72,9 +70,9 @@
 // panicAnswer is the final answer after a panic. The request may have run once it was sent.
 func (r *request) panicAnswer() finalAnswer {
 	if r.sends == 0 {
-		return refused(fasthttp.StatusServiceUnavailable, reasonPanic, 0)
+		return refused(fasthttp.StatusServiceUnavailable, string(wire.ReasonNodeFault), 0)
 	}
-	return finalAnswer{outcome: access.Unknown, status: fasthttp.StatusBadGateway, reason: reasonPanic}
+	return finalAnswer{outcome: access.Unknown, status: fasthttp.StatusBadGateway, reason: string(wire.ReasonNodeFault)}
 }
 
 // writePanicAnswer writes an answer without the help of what may have panicked.
--- a/gate/announcement.go
+++ b/gate/announcement.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"time"
-
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/announcement"
@@ -39,7 +37,7 @@
 		g.notifyChange()
 	}
 	if startsLeaving && !g.config.HasProcessNames && g.upstream.Started == 0 {
-		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(false) })
+		g.after(replacementInterval, func() { g.checkReplaced(false) })
 	}
 	return append(calls, g.applyPace(now)...)
 }
@@ -62,7 +60,7 @@
 		calls = g.forgetAnnouncement(g.config.Now())
 		g.notifyChange()
 	default:
-		time.AfterFunc(replacementInterval.Duration(), func() { g.checkReplaced(hasEnded || isGone) })
+		g.after(replacementInterval, func() { g.checkReplaced(hasEnded || isGone) })
 	}
 	g.mu.Unlock()
 	callAll(calls)
@@ -133,7 +131,7 @@
 	if !ok || g.pacedTimer != nil {
 		return
 	}
-	g.pacedTimer = time.AfterFunc(wait.Duration(), g.startPaced)
+	g.pacedTimer = g.after(wait, g.startPaced)
 }
 
 // startPaced starts the waiters that the backend server's rate limit admits now.
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -151,6 +151,12 @@
 	if err != nil {
 		return Response{}, errors.Trace(err)
 	}
+	isSettled := false
+	defer func() {
+		if !isSettled {
+			h.discard(conn) // after a panic
+		}
+	}()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
@@ -161,10 +167,12 @@
 	response.SkipBody = c.Method == fasthttp.MethodHead
 	err = conn.exchange(ctx, h, request, response, c.ID)
 	if err != nil {
+		isSettled = true
 		h.discard(conn)
 		return Response{}, h.classifyError(ctx, conn, err)
 	}
 	result := h.newResponse(c.Method, response)
+	isSettled = true
 	h.release(conn, response)
 	return result, nil
 }
--- a/gate/capacity_probe.go
+++ b/gate/capacity_probe.go
@@ -96,7 +96,7 @@
 	case limit.Wait:
 		w.ticket, w.arrivedAt = request.Ticket, now
 		g.waiters[request.Ticket] = w
-		w.timer = time.AfterFunc((w.probe.WaitBudget + 1).Duration(), g.expireWaiters)
+		w.timer = g.after(w.probe.WaitBudget+1, g.expireWaiters)
 		return "", 0, true
 	default:
 		return slotRefusal(decision.Result), decision.RetryAfter, false
@@ -136,7 +136,7 @@
 // is called with the gate's lock held.
 func (g *Gate) reserve(w *waiter) {
 	key := w.key
-	g.reservations[key] = time.AfterFunc(w.reservationTTL().Duration(), func() {
+	g.reservations[key] = g.after(w.reservationTTL(), func() {
 		g.mu.Lock()
 		var calls []func()
 		if g.takeReservation(key) {
--- a/gate/crash.go
+++ b/gate/crash.go
@@ -7,7 +7,6 @@
 	"net"
 	"slices"
 	"syscall"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -118,7 +117,7 @@
 	case isTruncated && !isGone && len(g.crash.truncated) < maxTruncated:
 		g.crash.truncated = append(g.crash.truncated, truncatedRun{now, newSuspect(now, j)})
 		if len(g.crash.truncated) == 1 {
-			time.AfterFunc(recheckDelay.Duration(), g.recheckCrash)
+			g.after(recheckDelay, g.recheckCrash)
 		}
 	}
 	return nil
@@ -149,7 +148,7 @@
 	g.crash.isDown, g.wasGone, g.goneAt = true, true, now
 	g.profile.learner = speed.Learner{} // the next process may be another
 	g.notifyChange()
-	time.AfterFunc(recoveryInterval.Duration(), g.checkRecovery)
+	g.after(recoveryInterval, g.checkRecovery)
 	return g.refuseWaiters(now, g.slots.Flush(), wire.ReasonConnectionRefused)
 }
 
@@ -218,7 +217,7 @@
 	case !g.crash.isDown || g.leaving:
 	case isGone:
 		g.wasGone, g.goneAt = true, checkedAt
-		time.AfterFunc(recoveryInterval.Duration(), g.checkRecovery)
+		g.after(recoveryInterval, g.checkRecovery)
 	default:
 		g.crash.isDown = false
 		g.succeeded = nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -94,6 +94,8 @@
 	OnProfile func(p *wire.UpstreamProfile)
 	// Crashes may be nil.
 	Crashes CrashTracker
+	// Panics may be nil.
+	Panics PanicRecorder
 	// Refusals may be nil.
 	Refusals RefusalRecorder
 	// Retries may be nil.
@@ -215,7 +217,7 @@
 	g.inheritAnnouncement(c.Previous)
 	g.keepConnections(&c.Service)
 	if c.RequestWork != nil {
-		time.AfterFunc(workRequestInterval.Duration(), g.requestWork)
+		g.after(workRequestInterval, g.requestWork)
 	}
 	return g
 }
@@ -315,7 +317,7 @@
 		g.start(j)
 	case limit.Wait:
 		g.jobs[j.ticket] = j
-		j.timer = time.AfterFunc((waitUntil - now + 1).Duration(), g.expireWaiters)
+		j.timer = g.after(waitUntil-now+1, g.expireWaiters)
 		expired := g.refuseExpired(now) // the dispatch may have taken the queue position of an expired waiter
 		g.schedulePaced(now)
 		g.mu.Unlock()
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -107,11 +107,14 @@
 	callAll(refused)
 }
 
-// callAll makes the calls that were collected under the gate's lock and must run without it.
+// callAll makes the calls that were collected under the gate's lock and must run without it. A call
+// that panics withholds no slot from the others.
 func callAll(calls []func()) {
-	for _, call := range calls {
-		call()
+	if len(calls) == 0 {
+		return
 	}
+	defer callAll(calls[1:])
+	calls[0]()
 }
 
 // refuseExpired removes the waiters that may wait no longer. It is called with the gate's
--- a/gate/run.go
+++ b/gate/run.go
@@ -24,6 +24,7 @@
 // run sends a job's request to the backend server and reports the outcome, unless the job is
 // parked or may not begin.
 func (g *Gate) run(j *job) {
+	defer g.recoverRun(j)
 	now, reason, isParked := g.begin(j)
 	switch {
 	case isParked:
@@ -35,7 +36,7 @@
 	d := j.dispatch
 	ctx, cancel := g.callContext(j)
 	defer cancel()
-	response, err := g.config.Backend.Do(ctx, &Call{
+	response, err := g.do(ctx, &Call{
 		ID:         wire.RequestName(d.CallerRequestID, d.ID),
 		Caller:     d.Caller,
 		Account:    d.Account,
@@ -159,9 +160,9 @@
 	g.dedup.Finish(j.key, retainedReply(j.dispatch, reply))
 	respond := j.respondUnlessCut(reply)
 	g.mu.Unlock()
+	defer callAll(calls) // also after a panic
 	respond()
 	g.logOutcome(j.dispatch, reply, now-began, err)
-	callAll(calls)
 }
 
 // dependencyFailed reports whether a call that the backend server made failed within a time
@@ -217,8 +218,8 @@
 	calls := append(g.returnSlot(now), g.endTrial(j)...)
 	respond := j.respondUnlessCut(reply)
 	g.mu.Unlock()
+	defer callAll(calls) // also after a panic
 	respond()
-	callAll(calls)
 }
 
 // releaseSlot frees the slot of a completed run and gives it to the next waiter. It is called
@@ -283,7 +284,7 @@
 // healthy upstream would have met.
 func classifyResult(response Response, err error, tooShort bool) health.Result {
 	switch {
-	case errors.Is(err, ErrCancelled):
+	case errors.Is(err, ErrCancelled), errors.Is(err, errPanicked):
 		return health.Cancelled
 	case errors.Is(err, ErrTimeout) && tooShort:
 		return health.ShortDeadline
@@ -320,6 +321,8 @@
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonCallerLeft
 	case errors.Is(err, ErrCrashed):
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonCrashed
+	case errors.Is(err, errPanicked):
+		r.Outcome, r.Reason = wire.Broken, wire.ReasonNodeFault
 	case err != nil:
 		r.Outcome, r.Reason = wire.Broken, wire.ReasonTruncated
 	case response.Shed:
--- a/gate/trial.go
+++ b/gate/trial.go
@@ -3,7 +3,6 @@
 import (
 	"hash/maphash"
 	"slices"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -89,7 +88,7 @@
 	}
 	if g.trialTicket != 0 && g.trialTicket != j.ticket {
 		g.parked = append(g.parked, j)
-		j.timer = time.AfterFunc((j.deadline - g.config.Now() + 1).Duration(), func() { g.expireParked(j) })
+		j.timer = g.after(j.deadline-g.config.Now()+1, func() { g.expireParked(j) })
 		return "", true
 	}
 	g.trialTicket, j.isTrial = j.ticket, true
--- a/gate/watch.go
+++ b/gate/watch.go
@@ -1,8 +1,6 @@
 package gate
 
 import (
-	"time"
-
 	"github.com/juju/errors"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -27,7 +25,7 @@
 		j.run = detector.Begin(now, typicalLatency(j.dispatch))
 		next = detector.NextCheck(now, j.run)
 	}
-	j.timer = time.AfterFunc((next - now).Duration(), func() { g.checkRun(j) })
+	j.timer = g.after(next-now, func() { g.checkRun(j) })
 }
 
 // typicalLatency returns the latency of the dispatch's route as its entry reports it.
--- a/gate/work_request.go
+++ b/gate/work_request.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -65,7 +64,7 @@
 	if needsRequest && !g.config.RequestWork(entry, &wire.WorkRequest{Upstream: name, TTL: workRequestTTL}) {
 		g.forgetSender(entry)
 	}
-	time.AfterFunc(workRequestInterval.Duration(), g.requestWork)
+	g.after(workRequestInterval, g.requestWork)
 }
 
 // nextWorkTarget returns the next entry of the rotation, 0 for any entry. It is called with
--- a/node/ending.go
+++ b/node/ending.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"runtime/debug"
+
 	"github.com/juju/errors"
 )
 
@@ -72,3 +74,9 @@
 func (n *Node) PeerRestarts() uint64 {
 	return n.peerRestarts.Load()
 }
+
+// recordGatePanic records a panic of a job other than a request's in the pool of the gates, a health
+// check.
+func (n *Node) recordGatePanic(value any) {
+	n.panics.Record(PartGate, value, debug.Stack())
+}
--- a/node/gates.go
+++ b/node/gates.go
@@ -106,6 +106,7 @@
 		HasProcessNames:  n.upstreamHeaders.Instance != "",
 		Keys:             n.keys,
 		Crashes:          gateCrashes{n.crashes},
+		Panics:           n.panics,
 		Log:              n.log,
 	})
 	n.applyEarlyAnnouncement(u.Name, n.gates[u.Name])
--- a/node/node.go
+++ b/node/node.go
@@ -270,7 +270,7 @@
 	if err != nil {
 		return errors.Annotate(err, "creating the worker pool of the entry")
 	}
-	n.gatePool, err = ants.NewPool(gateWorkers, ants.WithNonblocking(true))
+	n.gatePool, err = ants.NewPool(gateWorkers, ants.WithNonblocking(true), ants.WithPanicHandler(n.recordGatePanic))
 	return errors.Annotate(err, "creating the worker pool of the gates")
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -194,6 +194,8 @@
 	ReasonCrashed Reason = "backend-crashed"
 	// ReasonNodeStopped means that the gate's node stopped during the run, which it cut.
 	ReasonNodeStopped Reason = "node-stopped"
+	// ReasonNodeFault means that a fault of the gate's node ended the handling of the request.
+	ReasonNodeFault Reason = "node-fault"
 	// ReasonQuarantined means that the request crashes the backend servers that run it.
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonReplyTooLarge Reason = "answer-too-large"
