--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -68,6 +68,7 @@
 			"garbage":   sendGarbage,
 			"unread":    stopReading,
 			"ended":     awaitExit,
+			"lastline":  checkLastLine,
 			"logged":    awaitLogLine,
 			"relay":     setMode,
 			"mode":      setMode,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,9 @@
 	// KeyMargin is how much older an idempotency key may be than its caller states; 0
 	// means resend.Margin.
 	KeyMargin clock.Millis
-	Log       logrus.FieldLogger
+	// Panics may be nil.
+	Panics PanicRecorder
+	Log    logrus.FieldLogger
 }
 
 // Entry serves callers' requests. It is safe for concurrent use.
@@ -274,23 +276,32 @@
 // Serve answers one request of a caller. If the pool is full, it refuses the request
 // immediately.
 func (e *Entry) Serve(ctx *fasthttp.RequestCtx) {
-	defer e.closeIfLeaving(ctx)
-	defer e.flushAnswer(ctx)
+	defer e.recoverServe(ctx)
 	body := receivedBody{budget: e.config.Memory, maxSize: e.config.MaxBody}
 	defer body.release()
 	if err := body.receive(ctx); err != nil {
 		e.refuseBody(ctx, err)
 		return
 	}
+	e.serveReceived(ctx, body.bytes)
+}
+
+// serveReceived answers a request whose body has been received. The request is in flight until its answer
+// is written.
+func (e *Entry) serveReceived(ctx *fasthttp.RequestCtx, body []byte) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	defer e.closeIfLeaving(ctx)
+	defer e.flushAnswer(ctx)
+	defer e.recoverServe(ctx)
 	e.config.Recorder.RequestReceived()
 	r := e.newRequest(ctx)
-	r.body = body.bytes
+	r.body = body
 	defer r.watchCaller()()
 	done := make(chan struct{})
 	err := e.config.Pool.Submit(func() {
 		defer close(done)
+		defer r.recoverServing()
 		r.serve()
 	})
 	if err != nil {
@@ -322,6 +333,7 @@
 
 // ServeMalformed answers a request that the HTTP library could not parse.
 func (e *Entry) ServeMalformed(ctx *fasthttp.RequestCtx, err error) {
+	defer e.recoverServe(ctx)
 	e.config.Recorder.RequestReceived()
 	r := e.newRequest(ctx)
 	status, reason := fasthttp.StatusBadRequest, access.ReasonCallerFault
