wire: text of any bytes is decoded

What callers saw: requests in flight between two nodes had an unknown outcome, or were tried again, whenever any caller sent a target with a byte that is no UTF-8 text, such as /caf\xe9 in Latin-1. One such request ended the link.

Cause: targets, versions and other text from outside travel as CBOR text. The decoder refused text that isn't UTF-8, and a link ends at a malformed frame. The encoder doesn't check, so the sender never noticed.

Weighed: to carry such text as byte strings (another frame format, which nodes of two releases don't share); to replace the bytes at the sender (the upstream gets another target than the caller sent); to accept them at the receiver. No field of a message is left that the check could refuse, so the bound holds for all of them.

Nodes of earlier releases still end the link when they get such a frame.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -115,7 +115,8 @@
 
 // mustDecoder returns a decoder that rejects input over its limits before it allocates
 // memory for it. Unbounded nesting or lengths would let a peer exhaust the node's memory
-// or stack.
+// or stack. It accepts text of any bytes: a peer passes on what callers and upstreams wrote, and a
+// refused frame ends the link with every request in flight on it.
 func mustDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxNestedLevels:   maxDepth,
@@ -123,6 +124,7 @@
 		MaxMapPairs:       MaxItems,
 		IndefLength:       cbor.IndefLengthForbidden,
 		TagsMd:            cbor.TagsForbidden,
+		UTF8:              cbor.UTF8DecodeInvalid,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 	}.DecMode()
 	if err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -206,3 +206,22 @@
 		t.Errorf("got %d crashes, want the %d that were sent, unchanged", len(got), len(want))
 	}
 }
+
+// Guards against frames that a peer refuses, and links that end, because of text that is not UTF-8:
+// callers write any bytes into targets and headers, and upstreams into registrations.
+func TestTextOfAnyBytesIsDecoded(t *testing.T) {
+	for _, text := range []string{"caf\xe9", "\xe2\x98", "\x00", "\xff\xfe", "\xed\xa0\x80"} {
+		frame, err := wire.Encode(&wire.Dispatch{URI: "/" + text, Headers: wire.Headers{}, Body: []byte{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := wire.Decode(frame, len(frame))
+		if err != nil {
+			t.Errorf("got %v for %q, want the message", err, text)
+			continue
+		}
+		if d, ok := got.(*wire.Dispatch); !ok || d.URI != "/"+text {
+			t.Errorf("got %+v, want the target /%q unchanged", got, text)
+		}
+	}
+}
