mirror: values that matter to no reader aren't handed on to other nodes

What callers saw: none of the requests to a node that started while the store was down was served until the store was back, if a few odd values of a megabyte each stood among the registrations: the copy was too large to be sent.

Cause: copies and seeds for other nodes held all values, those under other keys and those that no reader understands too.

Weighed: to drop odd values where they are read (they could no longer be named in the log, and a watch's limit would no longer fit the store's answers), to leave them out where a copy is handed on. Updates between nodes have done so before.

Measured: the test passes, as do the tests of copies and seeds.

--- a/mirror/copy.go
+++ b/mirror/copy.go
@@ -262,6 +262,17 @@
 	delete(c.hashes, key)
 }
 
+// relevantItems returns the values that count now and matter to any reader, sorted by key. Other
+// values may be large, and a copy that is sent to another node needs none of them.
+func (c *Copy) relevantItems(now clock.Millis) []Item {
+	return slices.DeleteFunc(c.Items(now), func(item Item) bool {
+		if held := c.items[item.Key]; held.Revision == item.Revision {
+			return c.hashes[item.Key] == 0
+		}
+		return c.hash(item) == 0 // it is carried in place of the one that is held
+	})
+}
+
 // Items returns the values that count now, sorted by key.
 func (c *Copy) Items(now clock.Millis) []Item {
 	for key, end := range c.expiring {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -275,11 +275,11 @@
 	return f.revision.Load()
 }
 
-// Snapshot returns the values that count now, and the copy's revision.
+// Snapshot returns the values that count now and matter to any reader, and the copy's revision.
 func (f *Follower) Snapshot() ([]Item, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.copy.Items(f.config.Now()), f.copy.Revision()
+	return f.copy.relevantItems(f.config.Now()), f.copy.Revision()
 }
 
 // Seed initializes an empty copy with the copy of another process, and reports whether it
@@ -299,17 +299,17 @@
 	// CurrentAt is a time at which the store was at Revision, as in Update; negative if it isn't
 	// known.
 	CurrentAt clock.Millis
-	// IsExact is true if Items are exactly what the store held at Revision.
+	// IsExact is true if Items are exactly what the store held at Revision and matters to any reader.
 	IsExact bool
 }
 
-// Replica returns the values that count now.
+// Replica returns the values that count now and matter to any reader.
 func (f *Follower) Replica() Replica {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
 	return Replica{
-		Items: f.copy.Items(now), Revision: f.copy.Revision(), CurrentAt: f.schedule.currentAt,
+		Items: f.copy.relevantItems(now), Revision: f.copy.Revision(), CurrentAt: f.schedule.currentAt,
 		IsExact: f.copy.IsExact() && len(f.copy.expiring)+len(f.copy.carried) == 0,
 	}
 }
--- a/mirror/odd_test.go
+++ b/mirror/odd_test.go
@@ -1,9 +1,11 @@
 package mirror_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
 )
 
@@ -29,3 +31,19 @@
 		t.Errorf("got %d wrong values, want the good one that is missing", got)
 	}
 }
+
+// Guards against copies that are too large to be sent because of odd values, which matter to no reader.
+func TestOddValuesAreNotHandedOn(t *testing.T) {
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Now: func() clock.Millis { return 0 }, Hash: hashOfGood, Deliver: func([]mirror.Item, bool) {},
+	})
+	odd := mirror.Item{Key: "odd", Value: []byte("odd"), Revision: 4, Created: 4}
+	f.Seed([]mirror.Item{item("a", 1), odd, item("z", 3)}, 5)
+	want := []string{"a", "z"}
+	if got, revision := f.Snapshot(); !slices.Equal(keys(got), want) || revision != 5 {
+		t.Errorf("got snapshot %v at %d, want %v at 5", keys(got), revision, want)
+	}
+	if got := f.Replica(); !slices.Equal(keys(got.Items), want) {
+		t.Errorf("got replica %v, want %v", keys(got.Items), want)
+	}
+}
