node: parts of a copy fit a frame

What callers saw: a node that started while the store was down got no table, and refused its callers' requests, if values of the store were large and can't be compressed. Each attempt to join ended the link to the node that served it.

Cause: a part of a copy took values until it exceeded 1 MiB, so that it could hold almost 2 MiB, and a frame holds 1 MiB and 64 KiB. The receiver closes the link at a larger frame.

Evidence, on the code before: --- FAIL: TestLargeValuesReachAJoiningNode/large_ones_in_a_row (10.01s) odd_test.go:70: joining: got no table within 10s, want one (a_large_one_last alike)

Weighed: to raise the limit of frames (memory of each link, and nodes of the release before refuse them), to close a part before it exceeds its limit. A value over half a megabyte now has a part of its own, the largest that the store holds fits a frame with its key (TestLargestValueFitsAFrame), and other parts are half of that.

--- a/node/join.go
+++ b/node/join.go
@@ -31,8 +31,10 @@
 	joinAnswerQueue = 8
 	// maxPartItems is the maximum number of values in a part of a copy.
 	maxPartItems = 1000
-	// maxPartBytes limits, in bytes, the values of a part besides its first one.
-	maxPartBytes = 1 << 20
+	// maxPartBytes limits, in bytes, the values of a part that has more than one. With the
+	// encoding, some 50 bytes per value, such a part is smaller than a frame may be, even if
+	// nothing can be compressed.
+	maxPartBytes = maxPlatformValue / 2
 )
 
 // joinAnswer is the answer of a node that was asked to serve this one.
@@ -256,14 +258,17 @@
 	n.log.WithFields(logrus.Fields{"nodes": len(entries), "values": len(copied.Items)}).Debug("copy of the platform's values sent to joining nodes")
 }
 
-// packParts packs values in parts of at most maxPartItems values and about maxPartBytes bytes. An
-// empty copy has one part.
+// packParts packs values in parts of at most maxPartItems values and maxPartBytes bytes. A larger
+// value has a part of its own. An empty copy has one part.
 func packParts(items []mirror.Item) ([][]byte, error) {
 	var parts [][]byte
 	for first := true; first || len(items) > 0; first = false {
 		count, size := 0, 0
-		for count < min(len(items), maxPartItems) && (count == 0 || size < maxPartBytes) {
+		for count < min(len(items), maxPartItems) {
 			size += mirror.SizeOf(items[count : count+1])
+			if count > 0 && size > maxPartBytes {
+				break
+			}
 			count++
 		}
 		body, err := wire.Pack(items[:count])
--- /dev/null
+++ b/node/odd_test.go
@@ -0,0 +1,81 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/mirror"
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/wire"
+)
+
+// largeStore holds values of the given sizes that can't be compressed.
+type largeStore struct{ items []mirror.Item }
+
+func newLargeStore(sizes ...int) largeStore {
+	random := rand.NewChaCha8([32]byte{1})
+	items := make([]mirror.Item, 0, len(sizes))
+	for i, size := range sizes {
+		value := make([]byte, size)
+		_, _ = random.Read(value) // never fails
+		items = append(items, mirror.Item{Key: fmt.Sprintf("servers/%04d", i), Value: value, Revision: 5, Created: 5})
+	}
+	return largeStore{items}
+}
+
+func (s largeStore) List(context.Context) (mirror.Listing, error) {
+	return mirror.Listing{Items: s.items, Revision: 5, IsSnapshot: true}, nil
+}
+
+func (largeStore) Watch(context.Context, uint64, clock.Millis, int) ([]mirror.Event, uint64, error) {
+	return nil, 5, nil
+}
+
+func repeat(size, count int) []int {
+	sizes := make([]int, count)
+	for i := range sizes {
+		sizes[i] = size
+	}
+	return sizes
+}
+
+// Guards against a copy whose parts are larger than a frame may be: the link to the joining node ended
+// with the part, and so did each further attempt.
+func TestLargeValuesReachAJoiningNode(t *testing.T) {
+	tests := map[string][]int{
+		"two of the largest":  repeat(1<<20, 2),
+		"large ones in a row": repeat(900<<10, 4),
+		"a large one last":    append(repeat(1000, 900), 1<<20),
+		"many small ones":     repeat(1000, 3000),
+	}
+	for name, sizes := range tests {
+		t.Run(name, func(t *testing.T) {
+			seedPorts, joiningPorts := listen(t), listen(t)
+			builder := fixedTable{tableOf([]*node.Listeners{seedPorts, joiningPorts})}
+			seeds := []string{seedPorts.Link.Addr().String()}
+			seed := startNodeWith(t, "seed", seedPorts, newLargeStore(sizes...), builder, func(s *settings.Settings) { s.Peers = seeds })
+			awaitTable(t, "seed", seed)
+			joining := startNodeWith(t, "joining", joiningPorts, fakeStore{isUnavailable: true}, builder, func(s *settings.Settings) { s.Peers = seeds })
+			awaitTable(t, "joining", joining)
+		})
+	}
+}
+
+// Guards against frames that a node makes and its peers refuse: each part of a copy must fit a frame.
+func TestLargestValueFitsAFrame(t *testing.T) {
+	store := newLargeStore(1 << 20)
+	store.items[0].Key = "servers/" + strings.Repeat("\xff", 192)
+	packed, err := wire.Pack(store.items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame, err := wire.Encode(&wire.CopyPart{Revision: 1<<64 - 1, Items: packed, IsFirst: true, IsLast: true, Time: 1 << 60, Age: 1 << 60})
+	if want := 1<<20 + wire.MaxOverhead; err != nil || len(frame) > want {
+		t.Errorf("got a frame of %d bytes and error %v, want at most %d bytes", len(frame), err, want)
+	}
+}
