node: values that are too large for a frame aren't sent

What callers saw: while the store was down, links to a node without a table ended about once a heartbeat, and with them the requests in flight on them, if the values that its peers sent were over 1 MiB when they were packed.

Cause: the limit for these values, 3 MiB, counted them before they were packed, on the assumption that they become smaller. The receiver closes the link at a frame over 1 MiB and 64 KiB.

Evidence, on the code before: odd_test.go:117: got the lines ... msg="link ended" ... want one that the values are too large to send, and no link ended (the receiving side: websocket: close 1009 (message too big))

Weighed: to send such values in several messages (the form exists for nodes that ask, not for nodes that are told; it would be a new kind of message), to send none and say so. A node with seeds asks them and gets its copy in parts. Both messages are now checked against the limit of frames, so that neither can end a link. A line about it is printed once per interval rather than at each heartbeat.

Measured: TestLargeValuesEndNoLinkToANodeWithoutTable passes 10 of 10.

--- a/node/join.go
+++ b/node/join.go
@@ -247,6 +247,10 @@
 		n.log.WithError(err).Error("copy of the platform's values not sent to joining nodes; packing it failed")
 		return
 	}
+	if i := slices.IndexFunc(parts, func(body []byte) bool { return !n.fitsFrame(body) }); i >= 0 {
+		n.log.WithField("bytes", len(parts[i])).Error("copy of the platform's values not sent to joining nodes; a value is too large")
+		return
+	}
 	for i, body := range parts {
 		for _, entry := range entries {
 			now, age := n.sendTime(copied.CurrentAt)
--- a/node/node.go
+++ b/node/node.go
@@ -280,6 +280,14 @@
 	return max(n.settings.Limits.Body, wire.ChunkSize, maxPlatformValue) + wire.MaxOverhead
 }
 
+// packedOverhead is more than the size in bytes of a frame's fields besides packed values.
+const packedOverhead = 1 << 10
+
+// fitsFrame reports whether a frame can carry packed values. A peer ends the link at a larger frame.
+func (n *Node) fitsFrame(packed []byte) bool {
+	return len(packed) <= n.frameLimit()-packedOverhead
+}
+
 // maxPlatformValue is the size in bytes of the platform's largest value, which a table
 // version frame has to hold.
 const maxPlatformValue = 1 << 20
--- a/node/odd_test.go
+++ b/node/odd_test.go
@@ -1,11 +1,17 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
@@ -66,6 +72,52 @@
 	}
 }
 
+// lockedBuffer is a buffer that a logger and a test use at the same time.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// Guards against a link that ends with each heartbeat, and the requests in flight on it, because the
+// values for a node without a table are larger than a frame may be.
+func TestLargeValuesEndNoLinkToANodeWithoutTable(t *testing.T) {
+	helperPorts, blankPorts := listen(t), listen(t)
+	builder := fixedTable{tableOf([]*node.Listeners{blankPorts})}
+	callerAddress := helperPorts.Caller.Addr().String()
+	var lines lockedBuffer
+	log := logrus.New()
+	log.SetOutput(&lines)
+	log.SetLevel(logrus.DebugLevel)
+	helper := startNodeWithLog(t, log, "knowing", helperPorts, newLargeStore(repeat(900<<10, 3)...), builder, func(*settings.Settings) {})
+	awaitTable(t, "knowing", helper)
+	startNode(t, "blank", blankPorts, fakeStore{isUnavailable: true}, builder)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + callerAddress + "/turno")
+	if err := fasthttp.DoTimeout(request, response, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	const refused = "too large to send"
+	deadline := time.Now().Add(20 * time.Second)
+	for !strings.Contains(lines.String(), refused) && !strings.Contains(lines.String(), "link ended") && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := lines.String(); strings.Contains(got, "link ended") || !strings.Contains(got, refused) {
+		t.Errorf("got the lines\n%s\nwant one that the values are %s, and no link ended", got, refused)
+	}
+}
+
 // Guards against frames that a node makes and its peers refuse: each part of a copy must fit a frame.
 func TestLargestValueFitsAFrame(t *testing.T) {
 	store := newLargeStore(1 << 20)
--- a/node/platform.go
+++ b/node/platform.go
@@ -205,7 +205,7 @@
 	}
 	items, revision := n.follower.Snapshot()
 	if size := mirror.SizeOf(items); size > maxSeedBytes {
-		n.log.WithFields(logrus.Fields{"values": len(items), "bytes": size}).Warn("peer has no table; the platform's values are too large to send to it")
+		logging.Repeatable(n.log.WithFields(logrus.Fields{"values": len(items), "bytes": size})).Warn(msgSeedTooLarge)
 		return
 	}
 	n.mu.Lock()
@@ -222,9 +222,15 @@
 		n.log.WithError(err).Error("peer has no table; the platform's values can't be packed for it")
 		return
 	}
+	if !n.fitsFrame(body) {
+		logging.Repeatable(n.log.WithFields(logrus.Fields{"values": len(items), "bytes": len(body)})).Warn(msgSeedTooLarge)
+		return
+	}
 	p.link.SendTable(&wire.TableVersion{Version: revision, Text: body})
 }
 
+const msgSeedTooLarge = "peer has no table; the platform's values are too large to send to it"
+
 // maxSeedBytes bounds, in bytes, the values that are sent to a peer. A peer unpacks up to 4
 // MB; the rest is for the encoding, some 50 bytes per value. A larger message would be
 // rejected and sent again at each heartbeat.
--- a/node/seeding_test.go
+++ b/node/seeding_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/clock"
@@ -62,7 +63,12 @@
 // startNodeWith starts a node with settings that adjust changes.
 func startNodeWith(t *testing.T, name string, l *node.Listeners, s mirror.Store, builder fixedTable, adjust func(*settings.Settings)) *node.Node {
 	t.Helper()
-	log := logging.Silent()
+	return startNodeWithLog(t, logging.Silent(), name, l, s, builder, adjust)
+}
+
+// startNodeWithLog starts a node that writes its lines to a log.
+func startNodeWithLog(t *testing.T, log *logrus.Logger, name string, l *node.Listeners, s mirror.Store, builder fixedTable, adjust func(*settings.Settings)) *node.Node {
+	t.Helper()
 	nodeSettings := &settings.Settings{
 		Node: name, Domain: "palermo", Secret: "a secret of this test",
 		Listen:            settings.Listen{Caller: "127.0.0.1:1", Link: l.Link.Addr().String(), Admin: "127.0.0.1:2"},
