mirror: a line about each watch that is too large is printed once a second

What callers saw: nothing. While the answers to watches are too large and lists fail as well, each node logged a line with each call, three a second.

Cause: the line states a lasting condition and wasn't marked as one.

Evidence, on the code before: odd_test.go:76: got 0 lines that a limiter leaves out if they repeat, want 2

Weighed: to log the first of a series only, as for failed calls (a list in between ends the series, so that each would be the first), the limiter of repeated lines. At level debug all lines are printed as before.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -352,7 +352,7 @@
 		return nil
 	}
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) || errors.Is(err, ErrTooLarge) {
-		f.config.Log.WithError(err).WithField("revision", StoreRevision(after)).Info("can't read the changes since this revision; listing all values")
+		logging.Repeatable(f.config.Log.WithError(err).WithField("revision", StoreRevision(after))).Info("can't read the changes since this revision; listing all values")
 		f.countCalls(*cause)
 		*cause = CauseHistory
 		return f.relist(ctx, true)
--- a/mirror/odd_test.go
+++ b/mirror/odd_test.go
@@ -1,10 +1,14 @@
 package mirror_test
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
 
+	"github.com/juju/errors"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/mirror"
 )
@@ -47,3 +51,28 @@
 		t.Errorf("got replica %v, want %v", keys(got.Items), want)
 	}
 }
+
+// Guards against a log that is filled while each answer to a watch is too large: a line with each call.
+func TestWatchesThatAreTooLargeAreLoggedAsRepeatable(t *testing.T) {
+	log, lines := logtest.NewNullLogger()
+	ctx, cancel := context.WithCancel(t.Context())
+	now := clock.NewSystem().Now
+	store := &scriptedStore{
+		lists: [][]mirror.Item{{item("a", 1)}}, watchErrors: []error{mirror.ErrTooLarge, mirror.ErrTooLarge}, now: now, onDone: cancel,
+	}
+	f := mirror.NewFollower(mirror.FollowerConfig{
+		Store: store, Now: now, MaxStaleness: 100, Log: log, Deliver: func([]mirror.Item, bool) {}, OnAvailability: func(error) {},
+	})
+	if err := f.Serve(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want %v", err, context.Canceled)
+	}
+	marked := 0
+	for _, line := range lines.AllEntries() {
+		if strings.Contains(line.Message, "can't read the changes") && line.Data["repeatable"] == true {
+			marked++
+		}
+	}
+	if marked != 2 {
+		t.Errorf("got %d lines that a limiter leaves out if they repeat, want 2", marked)
+	}
+}
