--- a/standin/platformread.go
+++ b/standin/platformread.go
@@ -14,8 +14,12 @@
 // EraHeader carries, in all answers of a platform, how often it was rewound.
 const EraHeader = "Store-Era"
 
-// pageSize is the maximum number of items on one page of a list.
-const pageSize = 50
+// pageSize is the maximum number of items on one page of a list, maxPageValues the size in bytes of
+// their values, unless one item alone is larger.
+const (
+	pageSize      = 50
+	maxPageValues = 1 << 20
+)
 
 // view is the state from which one call is answered.
 type view struct {
@@ -146,8 +150,10 @@
 		}
 	}
 	slices.Sort(keys)
+	size := 0
 	for i, key := range keys {
-		if i == pageSize {
+		size += len(s.items[key].Value)
+		if i == pageSize || (i > 0 && size > maxPageValues) {
 			out.HasMore = true
 			break
 		}
