--- a/node/odd_test.go
+++ b/node/odd_test.go
@@ -111,7 +111,7 @@
 	const refused = "too large to send"
 	deadline := time.Now().Add(20 * time.Second)
 	for !strings.Contains(lines.String(), refused) && !strings.Contains(lines.String(), "link ended") && time.Now().Before(deadline) {
-		time.Sleep(10 * time.Millisecond)
+		<-time.After(10 * time.Millisecond)
 	}
 	if got := lines.String(); strings.Contains(got, "link ended") || !strings.Contains(got, refused) {
 		t.Errorf("got the lines\n%s\nwant one that the values are %s, and no link ended", got, refused)
