node: a port that is taken, or whose listener fails, doesn't end or disable the node

What callers saw: no node at the address. A port for callers, links, admin or metrics that another program had, or the process before that still finished its requests, ended the next process with "listening on the admin address ...: bind: address already in use" and exit code 1; so did each restart as long as the port was taken. A listener that failed for good was served again and again by the supervisor, on the same dead socket: the node lived, and its port refused connections.

Cause: node.Listen returned the error of any port, and services kept the listener of the start.

Two ways for ports that callers and nodes need. Trying for a bounded time, such as the longest grace, and exit code 1 then: whoever restarts nodes sees a failure, but the next process tries the same again, and the links, the platform's values and, with only one of the two ports taken, the callers or runs that are served meanwhile are lost. Trying until the node is asked to stop: the process keeps what it has, is not ready on its admin port, and logs an error that names address and cause once a minute. The second is better for callers and no worse for operators. What trying can't mend (any error that isn't about a taken or missing address or a lack of resources) still ends the start at once with exit code 1. Ports for admin and metrics never do.

A Port opens its address again in Accept, so that services never see an error but its end; a lack of descriptors is waited for there, with bounded pauses, and no restart of the supervisor. A node that isn't ready leaves without lingering, as nobody is sent to it.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -13,8 +13,8 @@
 
 // Node provides the data that the admin address serves.
 type Node interface {
-	// Ready reports whether the node accepts requests: it has a table in force and isn't
-	// leaving.
+	// Ready reports whether the node accepts requests: it has a table in force and its ports
+	// open, and isn't leaving.
 	Ready() bool
 	// Snapshot returns the part of the access log that matches the filter.
 	Snapshot(f access.Filter) access.Snapshot
@@ -93,7 +93,7 @@
 		ctx.SetBodyString("ready\n")
 		return
 	}
-	ctx.Error("no table in force, or leaving\n", fasthttp.StatusServiceUnavailable)
+	ctx.Error("no table in force, a port not open, or leaving\n", fasthttp.StatusServiceUnavailable)
 }
 
 // serveReport answers with the snapshot that matches the filter in the query, or with status
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -64,6 +64,8 @@
 			"sighup":    sendSignals(syscall.SIGHUP),
 			"hangup":    reloadUnlessEnded,
 			"unread":    stopReading,
+			"occupy":    occupyPort,
+			"idle":      openIdle,
 			"ended":     awaitExit,
 			"logged":    awaitLogLine,
 			"relay":     setMode,
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -24,6 +24,8 @@
 	history  map[string][]*process
 	loads    map[string]*load
 	limits   map[string]namedLimit // by backend
+	occupied map[string]net.Listener // by address
+	idle     map[string][]net.Conn   // by the address that they lead to
 	sent     atomic.Int64
 	recorder outcomeRecorder
 }
@@ -36,6 +38,8 @@
 		history:   map[string][]*process{},
 		loads:     map[string]*load{},
 		limits:    map[string]namedLimit{},
+		occupied:  map[string]net.Listener{},
+		idle:      map[string][]net.Conn{},
 		recorder:  outcomeRecorder{results: map[string]callerResult{}},
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -165,7 +165,7 @@
 // AddMember starts one more node, which reads the table from the platform. It doesn't wait
 // until the table is in force.
 func (f *Fleet) AddMember(ctx context.Context, name, domain string) (*Member, error) {
-	listeners, err := node.Listen(ctx, settings.Listen{Caller: loopbackAddress, Link: loopbackAddress, Admin: loopbackAddress})
+	listeners, err := node.Listen(ctx, settings.Listen{Caller: loopbackAddress, Link: loopbackAddress, Admin: loopbackAddress}, f.log)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -12,7 +12,7 @@
 // returns when the new node has the table in force.
 func (f *Fleet) Replace(ctx context.Context, m *Member) error {
 	m.Stop()
-	listeners, err := node.Listen(ctx, m.listenAddresses)
+	listeners, err := node.Listen(ctx, m.listenAddresses, f.log)
 	if err != nil {
 		return errors.Annotatef(err, "replacing node %s", m.Name)
 	}
--- a/node/leave.go
+++ b/node/leave.go
@@ -62,18 +62,18 @@
 // requests that were accepted are finished, and peers close their links once they have all replies.
 // Requests that outlast the grace period are cut; drain returns their number.
 func (n *Node) drain(ctx context.Context) (cut int) {
+	linger, gateLinger := n.linger()
 	n.entry.Leave()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
 	span := n.settings.Grace - n.exitMargin()
 	n.stopIn(span)
 	ctx, cancel := context.WithTimeout(ctx, span.Duration())
 	defer cancel()
-	gateLinger := n.gateLinger()
 	pause(ctx, gateLinger)
 	left := n.clock.Now()
 	n.leaveGates()
-	pause(ctx, n.settings.Linger-gateLinger)
-	callersCtx, stop := context.WithTimeout(ctx, (min(callerDrainTimeout, n.settings.Grace/2) - n.settings.Linger).Duration())
+	pause(ctx, linger-gateLinger)
+	callersCtx, stop := context.WithTimeout(ctx, (min(callerDrainTimeout, n.settings.Grace/2) - linger).Duration())
 	defer stop()
 	_ = n.awaitIdle(callersCtx, n.entry.InFlight) // callers that keep sending requests must not delay the shutdown
 	n.log.WithField("requests", n.InFlight()).Debug("closing the callers' port")
@@ -233,11 +233,20 @@
 	return n.leaving
 }
 
-// Ready reports whether the node has a table in force and isn't leaving.
+// Ready reports whether the node has a table in force and its ports open, and isn't leaving.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table != nil && !n.stopping
+	return n.table != nil && !n.stopping && n.listeners != nil && n.listeners.AreOpen()
+}
+
+// linger returns how long callers are served, and how long gates accept requests, after a shutdown
+// has begun. A node that isn't ready, as it has no table or waits for a port, leaves at once.
+func (n *Node) linger() (callers, gates clock.Millis) {
+	if !n.Ready() {
+		return 0, 0
+	}
+	return n.settings.Linger, n.gateLinger()
 }
 
 // InForce returns a channel that is closed when the first table is in force.
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,7 @@
 	settings     *settings.Settings
 	tableBuilder TableBuilder
 	follower     *mirror.Follower // nil if there is no platform
-	listeners    *Listeners
+	listeners    *Listeners // nil before Run if Config has none
 	// upstreamHeaders are the names of the headers that backend servers receive.
 	upstreamHeaders gate.Headers
 	log             logrus.FieldLogger
@@ -289,15 +289,12 @@
 const ErrRequestsCut = errors.ConstError("requests in flight were cut")
 
 // Run serves until the context ends or the shutdown that Leave began is finished. It returns
-// ErrRequestsCut if requests were still in flight, and an error if a port can't be opened.
+// ErrRequestsCut if requests were still in flight, and an error if a port that the node needs can never
+// be opened.
 func (n *Node) Run(ctx context.Context) error {
-	listeners := n.listeners
-	if listeners == nil {
-		var err error
-		listeners, err = Listen(ctx, n.settings.Listen)
-		if err != nil {
-			return errors.Trace(err)
-		}
+	listeners, err := n.openListeners(ctx)
+	if err != nil {
+		return errors.Trace(err)
 	}
 	defer listeners.Close()
 	n.buildSupervisors(listeners)
@@ -329,6 +326,18 @@
 	return nil
 }
 
+// openListeners returns the listeners of Config, or opens those that the settings name.
+func (n *Node) openListeners(ctx context.Context) (*Listeners, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners != nil {
+		return n.listeners, nil
+	}
+	var err error
+	n.listeners, err = Listen(ctx, n.settings.Listen, n.log)
+	return n.listeners, err
+}
+
 func (n *Node) stop() {
 	n.links.Close()
 	n.mu.Lock()
--- a/node/seeding_test.go
+++ b/node/seeding_test.go
@@ -89,7 +89,7 @@
 func listen(t *testing.T) *node.Listeners {
 	t.Helper()
 	const anyPort = "127.0.0.1:0"
-	l, err := node.Listen(t.Context(), settings.Listen{Caller: anyPort, Link: anyPort, Admin: anyPort})
+	l, err := node.Listen(t.Context(), settings.Listen{Caller: anyPort, Link: anyPort, Admin: anyPort}, logging.Silent())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/services.go
+++ b/node/services.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 	"github.com/valyala/fasthttp"
 
@@ -27,47 +28,55 @@
 	maxCallerHeaders = 32 << 10
 )
 
-// Listeners are a node's open ports.
+// Listeners are a node's ports.
 type Listeners struct {
-	Caller net.Listener
-	Link   net.Listener
-	Admin  net.Listener
+	Caller *Port
+	Link   *Port
+	Admin  *Port
 	// Metrics is nil if metrics have no address of their own.
-	Metrics net.Listener
+	Metrics *Port
 }
 
-// Listen opens the ports that the settings name and skips empty addresses. After an error no
-// port is open.
-func Listen(ctx context.Context, addresses settings.Listen) (*Listeners, error) {
+// Listen opens the ports that the settings name and skips empty addresses. A port that can't be
+// opened now, but later, is tried again when it is served. So is each port that serves neither
+// callers nor other nodes, whatever the error: the node is of use without it. After an error no port
+// is open.
+func Listen(ctx context.Context, addresses settings.Listen, log logrus.FieldLogger) (*Listeners, error) {
 	l := &Listeners{}
-	var err error
 	for _, port := range []struct {
-		name     string
-		address  string
-		listener *net.Listener
+		name    string
+		address string
+		isVital bool
+		port    **Port
 	}{
-		{"caller", addresses.Caller, &l.Caller},
-		{"link", addresses.Link, &l.Link},
-		{"admin", addresses.Admin, &l.Admin},
-		{"metrics", addresses.Metrics, &l.Metrics},
+		{"caller", addresses.Caller, true, &l.Caller},
+		{"link", addresses.Link, true, &l.Link},
+		{"admin", addresses.Admin, false, &l.Admin},
+		{"metrics", addresses.Metrics, false, &l.Metrics},
 	} {
 		if port.address == "" {
 			continue
 		}
-		*port.listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp", port.address)
-		if err != nil {
+		var err error
+		*port.port, err = openPort(ctx, port.name, port.address, log)
+		if err != nil && port.isVital && !mayPass(err) {
 			l.Close()
-			return nil, errors.Annotatef(err, "listening on the %s address %s", port.name, port.address)
+			return nil, errors.Trace(err)
 		}
 	}
 	return l, nil
 }
 
+// AreOpen reports whether the ports for callers and for links are open.
+func (l *Listeners) AreOpen() bool {
+	return l.Caller.IsOpen() && l.Link.IsOpen()
+}
+
 // Close closes the ports.
 func (l *Listeners) Close() {
-	for _, listener := range []net.Listener{l.Caller, l.Link, l.Admin, l.Metrics} {
-		if listener != nil {
-			_ = listener.Close() // its service may have closed it already
+	for _, port := range []*Port{l.Caller, l.Link, l.Admin, l.Metrics} {
+		if port != nil {
+			_ = port.Close() // its service may have closed it already
 		}
 	}
 }
