--- a/document/check.go
+++ b/document/check.go
@@ -32,13 +32,14 @@
 // CheckName records a fault unless the value can be used as a name in logs, metric labels
 // and reports.
 func (d *Document) CheckName(n *Node, key, value string) {
-	if !isName(value) {
+	if !IsName(value) {
 		d.Refuse(n, key, Quote(value),
 			fmt.Sprintf("1 to %d letters, digits, '-', '_' and '.', a letter or digit first", maxNameLength))
 	}
 }
 
-func isName(name string) bool {
+// IsName reports whether a text can be used as a name in logs, metric labels and reports.
+func IsName(name string) bool {
 	if name == "" || len(name) > maxNameLength || !isLetterOrDigit(name[0]) {
 		return false
 	}
--- a/document/node.go
+++ b/document/node.go
@@ -93,6 +93,14 @@
 	return value, err == nil
 }
 
+// Text returns the value of a text, and false for a value of another kind.
+func (n *Node) Text() (string, bool) {
+	if n == nil || n.kind != unstable.String {
+		return "", false
+	}
+	return string(n.scalar), true
+}
+
 // LineOf returns the line of a key, or the line of the table if the key is absent.
 func (n *Node) LineOf(key string) int {
 	if n == nil {
--- a/document/read.go
+++ b/document/read.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 
 	"github.com/juju/errors"
@@ -70,6 +71,12 @@
 	})
 }
 
+// Forgive removes the faults of a key of the table n, for which the caller has a value.
+func (d *Document) Forgive(n *Node, key string) {
+	line, where := n.LineOf(key), n.Where(key)
+	d.faults = slices.DeleteFunc(d.faults, func(f Fault) bool { return f.Line == line && f.Where == where })
+}
+
 // Err returns the faults, ordered by line, as a Faults, or nil if there are none.
 func (d *Document) Err() error {
 	if len(d.faults) == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"os"
 	"strings"
 
 	"github.com/juju/errors"
@@ -49,6 +48,8 @@
 	Linger clock.Millis `toml:"linger"`
 	// Log is the lowest level that is logged: "error", "warn", "info" or "debug".
 	Log string `toml:"log"`
+	// Warnings are the faults that Load has found and replaced by a value that is in force.
+	Warnings document.Faults `toml:"-"`
 }
 
 // Listen holds the addresses on which the node listens, each an IP number and port. Port 0
@@ -130,6 +131,11 @@
 // leaves out. Its error is a document.Faults. Parse doesn't read a secret file; Load
 // does.
 func Parse(text []byte) (*Settings, error) {
+	return parse(text, false)
+}
+
+// parse is Parse. With adjusts, the values that a platform computes may be out of their bounds.
+func parse(text []byte, adjusts bool) (*Settings, error) {
 	doc, err := document.Parse(text, MaxBytes)
 	if err != nil {
 		return nil, err
@@ -138,7 +144,13 @@
 	if !doc.Decode(&s) {
 		return nil, doc.Err()
 	}
+	if adjusts {
+		s.adjust(doc)
+	}
 	s.check(doc)
+	if adjusts {
+		s.keepDomain(doc)
+	}
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
@@ -146,13 +158,15 @@
 }
 
 // Load reads and checks the settings in a file. If they name a secret file, it sets Secret
-// to the content of that file. Errors name the file.
+// to the content of that file. Errors name the file. Unlike Parse, it replaces a value that is out of
+// bounds, but has a safe meaning, and adds a warning: a platform that computes its values would
+// otherwise keep all nodes from starting.
 func Load(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
+	text, err := readFile(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "reading settings")
 	}
-	s, err := Parse(text)
+	s, err := parse(text, true)
 	if err != nil {
 		return nil, errors.Annotatef(err, "settings %s", path)
 	}
@@ -167,7 +181,7 @@
 // loadSecret sets Secret to the content of the secret file, without the line breaks that
 // editors add at the end.
 func (s *Settings) loadSecret() error {
-	text, err := os.ReadFile(s.SecretFile) //nolint:gosec // the settings name the file, and whoever writes them runs the node
+	text, err := readFile(s.SecretFile)
 	if err != nil {
 		return errors.Annotate(err, "reading secretfile")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -124,3 +124,63 @@
 		}
 	})
 }
+
+// Guards against a change that silently weakens the check of what operators write: Load starts a node with
+// these values and a warning, Parse refuses them.
+func TestLoadAdjustsWhatParseRefuses(t *testing.T) {
+	tests := map[string]struct {
+		text, want string
+		inForce    func(s *settings.Settings) bool
+	}{
+		"grace above":   {`grace = "1h"`, "grace: 1h0m0s is out of bounds, 15m0s is in force", func(s *settings.Settings) bool { return s.Grace == settings.MaxGrace }},
+		"fine grace":    {`grace = "4000.5ms"`, "grace: 4.0005s is out of bounds, 4s is in force", func(s *settings.Settings) bool { return s.Grace == 4*clock.Second }},
+		"linger":        {"grace = \"4s\"\nlinger = \"2500ms\"", "linger: 2.5s is out of bounds, 2s is in force", func(s *settings.Settings) bool { return s.Linger == 2*clock.Second }},
+		"fresh":         {`platform.fresh = "250ms"`, "fresh: 250ms is out of bounds, 500ms is in force", func(s *settings.Settings) bool { return s.Platform.MaxStaleness == settings.MinMaxStaleness }},
+		"retries":       {"policy.retries = 1.5", "retries: 1.5 is out of bounds, 1 is in force", func(s *settings.Settings) bool { return s.Policy.Retries == 1 }},
+		"extra":         {"policy.extra = 2e6", "extra: 2e+06 is out of bounds, 1e+06 is in force", func(s *settings.Settings) bool { return s.Policy.Extra == settings.MaxExtra }},
+		"window":        {"policy.extra = 50\npolicy.window = \"5m\"", "window: 5m0s is out of bounds, 1m0s with extra 10 is in force", func(s *settings.Settings) bool { return s.Policy.Extra == 10 && s.Policy.Window == settings.MaxWindow }},
+		"peers":         {`peers = ["10.0.0.2:7000", "node-2:7000", "10.0.0.2:7000"]`, "peers: \"node-2:7000\" is out of bounds, it is left out", func(s *settings.Settings) bool { return len(s.Peers) == 1 }},
+		"metrics":       {`listen.metrics = ":9464"`, "metrics: \":9464\" is out of bounds, no port for metrics alone is in force", func(s *settings.Settings) bool { return s.Listen.Metrics == "" }},
+		"metrics twice": {`listen.metrics = "127.0.0.1:9000"`, "metrics: \"127.0.0.1:9000\" is out of bounds", func(s *settings.Settings) bool { return s.Listen.Metrics == "" }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			text := test.text + `
+node = "palermo-1"
+domain = "palermo"
+secret = "0123456789abcdef"
+listen.caller = "10.0.0.1:8000"
+listen.link = "10.0.0.1:7000"
+listen.admin = "127.0.0.1:9000"
+platform.address = "10.0.1.1:2000"
+`
+			path := filepath.Join(t.TempDir(), "node.toml")
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			got, err := settings.Load(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !test.inForce(got) || len(got.Warnings) == 0 || !strings.Contains(got.Warnings.Error(), test.want) {
+				t.Errorf("got %+v, want the value adjusted and a warning %q", got, test.want)
+			}
+			if _, err := settings.Parse([]byte(text)); !errors.Is(err, settings.ErrInvalid) {
+				t.Errorf("got %v from Parse, want ErrInvalid", err)
+			}
+		})
+	}
+}
+
+// Guards against a negative value that is taken for one that is merely too small.
+func TestLoadRefusesWhatCannotBeMeant(t *testing.T) {
+	for _, line := range []string{`grace = "-1s"`, `grace = "-0.5ms"`, `grace = ""`, "policy.retries = -0.1", "policy.extra = -1", `platform.fresh = "-1s"`} {
+		path := filepath.Join(t.TempDir(), "node.toml")
+		if err := os.WriteFile(path, []byte(line+"\n"+small), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := settings.Load(path); !errors.Is(err, settings.ErrInvalid) {
+			t.Errorf("%s: got %v, want ErrInvalid", line, err)
+		}
+	}
+}
