--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -67,6 +67,8 @@
 			"hangup":    reloadUnlessEnded,
 			"garbage":   sendGarbage,
 			"unread":    stopReading,
+			"occupy":    occupyPort,
+			"idle":      openIdle,
 			"ended":     awaitExit,
 			"lastline":  checkLastLine,
 			"logged":    awaitLogLine,
