port: connections from outside leave descriptors to the node

What callers saw: with 400 connections that send nothing to its caller or admin port, at ulimit -n 200, a node answers on no port: new requests, /readyz and links time out, and requests on open connections fail for want of a descriptor for the backend server.

Cause: the admin, metrics and link ports have no bound, admin and metrics no timeout, and the caller port's follows from the requests alone. At EMFILE the HTTP server ends with an error; the supervisor counts five of these as a failure of all services and holds their restart back for seconds, again and again (supervisor event, current_failures 7.9).

Now each port has a part of the descriptors: half for callers (at most two for each request, as before), an eighth for links whose handshake isn't over, a sixteenth for admin and metrics each, so that a quarter remains for backend servers, open links and the platform. The limit is that of the process, or the new setting limits.descriptors where that is lower. Beyond a part a connection gets 503 at once. Admin and metrics close a connection that sends nothing for 5 s. An accept without a descriptor waits, half a second at most, and tries again; the server doesn't end.

Weighed: a reserved descriptor that is closed to accept and refuse a connection (known from other servers): it answers strangers, and leaves nothing for backend servers. One count over all ports: a flood on one still takes the others' part.

Open: at its bound the caller port doesn't close idle connections first, and its 503 comes from the HTTP server, without an outcome or Retry-After. A second row of descriptors open and allowed isn't needed: the metrics have process_open_fds and process_max_fds.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 // Node provides the data that the admin address serves.
@@ -29,6 +30,9 @@
 	Log  logrus.FieldLogger
 	// Metrics serves /metrics.
 	Metrics fasthttp.RequestHandler
+	// Connections is how many connections may be open to each address; 0 means that they have no
+	// bound.
+	Connections int
 }
 
 // Server creates the HTTP servers of the admin and metrics addresses.
@@ -45,6 +49,21 @@
 // need no body.
 const maxRequestSize = 16 << 10
 
+const (
+	// readTimeout and writeTimeout bound how long a client may take to send a request and to read the
+	// answer. A report of a busy node takes seconds over a slow network.
+	readTimeout  = 5 * clock.Second
+	writeTimeout = clock.Minute
+	// idleTimeout is longer than the usual interval of scrapers.
+	idleTimeout = 75 * clock.Second
+)
+
+// discardLogger drops the log lines of the HTTP library, which any client could write.
+type discardLogger struct{}
+
+// Printf does nothing.
+func (discardLogger) Printf(string, ...any) {}
+
 // HTTP returns the HTTP server of the admin address. It accepts only GET and HEAD requests.
 func (s *Server) HTTP() *fasthttp.Server {
 	return &fasthttp.Server{
@@ -54,6 +73,11 @@
 		MaxRequestBodySize:    maxRequestSize,
 		GetOnly:               true,
 		CloseOnShutdown:       true,
+		Concurrency:           s.config.Connections,
+		ReadTimeout:           readTimeout.Duration(),
+		WriteTimeout:          writeTimeout.Duration(),
+		IdleTimeout:           idleTimeout.Duration(),
+		Logger:                discardLogger{},
 	}
 }
 
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -85,6 +85,7 @@
 			"keep":      keepAliveLoad,
 			"clients":   startClients,
 			"flood":     floodNode,
+			"hold":      holdConnections,
 			"join":      joinLoad,
 			"judge":     checkLedgers,
 			"timely":    checkTimely,
--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -19,7 +19,7 @@
 	"node": "sidecar-palermo-1", "zone": "palermo", "service": "wuno96b",
 	"listen.outbound": "10.1.0.8:8304", "listen.inbound": "10.1.0.8:8300", "listen.ready": "10.1.0.8:8302",
 	"platform.address": "10.200.1.7:8309", "ip": "10.1.0.8",
-	"limits.memoryMb": "284", "bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
+	"limits.memoryMb": "284", "limits.maxFds": "4100", "bounds.grace": "6s", "bounds.configApply": "2000ms", "bounds.retryBudgetRatio": "0.2", "bounds.budgetExtra": "62", "bounds.budgetWindow": "10s",
 }
 
 // An error in the template would stop every node from starting, and would show only at the
@@ -43,6 +43,18 @@
 	}
 }
 
+// The number of descriptors may be scaled with the deployment as well. A value that isn't whole must not keep
+// nodes from starting.
+func TestTemplateGivesTheDescriptors(t *testing.T) {
+	for text, want := range map[string]float64{"4100": 4100, "0": 0, "95.5": 95.5} {
+		changed := maps.Clone(platformFields)
+		changed["limits.maxFds"] = text
+		if got := parseTemplate(t, changed).Limits.Descriptors; got != want {
+			t.Errorf("%s descriptors: got %v, want %v", text, got, want)
+		}
+	}
+}
+
 // The platform scales its limits with the size of a deployment. A fleet once failed to start
 // because its number of extra retries wasn't an integer.
 func TestTemplateAcceptsFractionalRetries(t *testing.T) {
--- a/link/server.go
+++ b/link/server.go
@@ -68,7 +68,9 @@
 type ServerConfig struct {
 	Identity Identity
 	// MaxFrame is the maximum size of a frame in bytes.
-	MaxFrame          int
+	MaxFrame int
+	// Handshakes is how many connections may be open whose links aren't; 0 means that they have no bound.
+	Handshakes        int
 	HeartbeatInterval clock.Millis
 	Now               func() clock.Millis
 	Handler           Handler
@@ -116,6 +118,7 @@
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxHandshakeSize,
 		ReadTimeout:           handshakeTimeout.Duration(),
+		Concurrency:           c.Handshakes,
 		Logger:                discardLogger{},
 		// Otherwise the library ignores that a link is closed until the peer closes it, too.
 		KeepHijackedConns: true,
--- a/node/node.go
+++ b/node/node.go
@@ -194,6 +194,7 @@
 	n.links = link.NewServer(link.ServerConfig{
 		Identity:          n.identity(),
 		MaxFrame:          n.frameLimit(),
+		Handshakes:        n.shares().Handshakes,
 		HeartbeatInterval: c.Settings.HeartbeatInterval,
 		Now:               n.clock.Now,
 		Handler:           n,
--- a/node/services.go
+++ b/node/services.go
@@ -12,6 +12,7 @@
 	"fuchsiapick.example/fuchsiapick/admin"
 	"fuchsiapick.example/fuchsiapick/caller"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/port"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
 
@@ -25,6 +26,9 @@
 	// maxCallerHeaders bounds the headers of a request in bytes. It is twice the 16 KB that
 	// current callers may send.
 	maxCallerHeaders = 32 << 10
+	// connectionsPerRequest is how many connections callers may keep open for each request that the
+	// settings allow.
+	connectionsPerRequest = 2
 )
 
 // Listeners are a node's open ports.
@@ -129,6 +133,8 @@
 // addServing adds the servers for callers, links, admin requests and metrics, and the
 // services that send heartbeats, exchange crashes and probe upstreams.
 func (n *Node) addServing(tree *suture.Supervisor, l *Listeners) {
+	shares := n.shares()
+	links := port.NewListener(l.Link, n.log)
 	n.callerServer = &fasthttp.Server{
 		Handler:                       n.entry.Serve,
 		ErrorHandler:                  n.entry.ServeMalformed,
@@ -138,23 +144,23 @@
 		DisablePreParseMultipartForm:  true, // a parsed body is written again in another form
 		StreamRequestBody:             true, // the entry bounds what it holds
 		ReadBufferSize:                maxCallerHeaders,
-		Concurrency:                   n.settings.Limits.Requests * 2,
+		Concurrency:                   shares.Callers,
 		ReadTimeout:                   callerReadTimeout,
 		WriteTimeout:                  callerWriteTimeout.Duration(),
 		IdleTimeout:                   callerIdleTimeout,
 		CloseOnShutdown:               true,
 		Logger:                        discardLogger{},
 	}
-	tree.Add(n.serveHTTP("callers", n.callerServer, caller.Listener{Listener: l.Caller, Now: n.clock.Now}))
+	tree.Add(n.serveHTTP("callers", n.callerServer, caller.Listener{Listener: port.NewListener(l.Caller, n.log), Now: n.clock.Now}))
 	tree.Add(service{"links", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = links.Close() })
 		defer stop()
-		return n.links.Serve(l.Link)
+		return n.links.Serve(links)
 	}})
-	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
-	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler(), Connections: shares.Admin})
+	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), port.NewListener(l.Admin, n.log)))
 	if l.Metrics != nil {
-		tree.Add(n.serveHTTP("metrics", adminServer.MetricsHTTP(), l.Metrics))
+		tree.Add(n.serveHTTP("metrics", adminServer.MetricsHTTP(), port.NewListener(l.Metrics, n.log)))
 	}
 	tree.Add(service{"news", n.sendRequestedHeartbeats})
 	tree.Add(service{"crashes", n.runCrashUpdates})
@@ -195,6 +201,15 @@
 // Printf discards a log line.
 func (discardLogger) Printf(string, ...any) {}
 
+// shares returns how many connections others may have open to this node.
+func (n *Node) shares() port.Shares {
+	descriptors := port.Descriptors()
+	if limit := int(n.settings.Limits.Descriptors); limit > 0 && (descriptors == 0 || limit < descriptors) {
+		descriptors = limit
+	}
+	return port.NewShares(descriptors, n.settings.Limits.Requests*connectionsPerRequest)
+}
+
 // serveHTTP returns a service that runs an HTTP server. When the context ends, requests in
 // progress have one second to finish.
 func (n *Node) serveHTTP(name string, server *fasthttp.Server, l net.Listener) suture.Service {
--- a/settings/check.go
+++ b/settings/check.go
@@ -24,6 +24,8 @@
 	MaxRequests = 1 << 20
 	// MaxRecords keeps the memory of all records within a few hundred megabytes.
 	MaxRecords = 1_000_000
+	// MaxDescriptors is more than any system allows.
+	MaxDescriptors = 1 << 30
 	// MaxMemory is more than any instance has.
 	MaxMemory = 1e15
 	// MaxGrace is longer than any deadline that a table may set.
@@ -177,5 +179,6 @@
 	document.CheckRange(doc, n, "answer", s.Limits.Answer, 1, MaxBody)
 	document.CheckRange(doc, n, "requests", s.Limits.Requests, 1, MaxRequests)
 	document.CheckRange(doc, n, "records", s.Limits.Records, 1, MaxRecords)
+	document.CheckRange(doc, n, "descriptors", s.Limits.Descriptors, 0, MaxDescriptors)
 	document.CheckRange(doc, n, "memory", s.Limits.Memory, 0, MaxMemory)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -125,6 +125,9 @@
 	// that it isn't known. Bodies may take a part of it, and the runtime frees memory earlier
 	// when it gets short.
 	Memory float64 `toml:"memory"`
+	// Descriptors is how many descriptors the process may have open; 0 means as many as the
+	// system allows, which is the most in any case.
+	Descriptors float64 `toml:"descriptors"`
 }
 
 // MaxBytes bounds the text of settings in bytes, far above the size that they need.
