node: large bodies from other nodes count towards the memory

What callers saw: a gate's node that is killed for its memory, with everything in flight. Not measured with real processes; the bound of each entry leaves it open.

Cause: each entry bounds the bodies that it holds itself. A gate holds those that all entries send it, in its queue and its slots, and they had no bound.

Now a node counts the large bodies of dispatches from links in the same budget, until the garbage collector has freed them, as answers are. Without room the dispatch is refused as not run (full) before its gate knows of it, and its reservation ends; the entry tries another upstream.

Weighed: to stop reading the link until there is room, which holds up heartbeats and all other requests of that entry; to count at the gate, where a duplicate, a refusal and a cut each need their own release.

Test on the code before, TestGateRefusesBodiesThatItHasNoMemoryFor: got 504 unknown (timeout) while another body takes the memory, want 503 not-run; got 2 requests begun, want only the first.

Open: a frame is counted once it has been received whole; one for each link may be on its way, as large as a body.

--- a/memory/answers.go
+++ b/memory/answers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"runtime"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,9 +13,6 @@
 	answerNumerator = 3
 	// retryInterval is the time between two attempts to reserve memory that is in use.
 	retryInterval = 20 * time.Millisecond
-	// collectInterval is the minimum time between two collections for memory that is in use. A
-	// collection takes milliseconds of a core.
-	collectInterval = 200 * time.Millisecond
 )
 
 // Answers counts the bytes of large answers that a node holds, until the garbage collector has freed
@@ -24,11 +20,9 @@
 // SmallBody bytes aren't counted, as the number of requests bounds them. A nil Answers has no bound.
 // It is safe for concurrent use.
 type Answers struct {
-	bound int64
-	held  atomic.Int64
-
-	mu          sync.Mutex // held during a collection; guards collectedAt
-	collectedAt time.Time
+	bound     int64
+	held      atomic.Int64
+	collector collector
 }
 
 // NewAnswers returns the count for an instance with the given memory in bytes, or nil if that isn't
@@ -74,19 +68,6 @@
 	a.held.Add(-bytes)
 }
 
-// collect frees what isn't used any more, unless that was tried a moment ago.
-func (a *Answers) collect() {
-	if !a.mu.TryLock() {
-		return
-	}
-	defer a.mu.Unlock()
-	if time.Since(a.collectedAt) < collectInterval {
-		return
-	}
-	runtime.GC()
-	a.collectedAt = time.Now()
-}
-
 // Buffer returns a buffer that is counted until it is freed, or false if there is no room for it.
 func (a *Answers) Buffer(size int) ([]byte, bool) {
 	if a == nil || size <= SmallBody {
@@ -94,7 +75,7 @@
 	}
 	bytes := int64(size) * Copies
 	if !a.tryReserve(bytes, 0) {
-		a.collect()
+		a.collector.collect()
 		if !a.tryReserve(bytes, 0) {
 			return nil, false
 		}
@@ -136,7 +117,7 @@
 	retry := time.NewTicker(retryInterval)
 	defer retry.Stop()
 	for {
-		h.answers.collect()
+		h.answers.collector.collect()
 		if h.answers.tryReserve(bytes, h.bytes) {
 			return true
 		}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,7 +1,10 @@
 // Package memory bounds the memory that a node holds for callers' requests.
 package memory
 
-import "sync/atomic"
+import (
+	"runtime"
+	"sync/atomic"
+)
 
 const (
 	// bodyNumerator and shareDenominator give the part of the instance's memory that bodies may
@@ -25,8 +28,9 @@
 // Budget counts the bytes of bodies that a node holds, and refuses those that would exceed its
 // bound. A nil budget has no bound. It is safe for concurrent use.
 type Budget struct {
-	bound int64
-	held  atomic.Int64
+	bound     int64
+	held      atomic.Int64
+	collector collector
 }
 
 // NewBudget returns the budget of an instance with the given memory in bytes, or nil if that isn't
@@ -92,6 +96,23 @@
 	}
 }
 
+// Adopt counts a large body that another node has sent, until the garbage collector has freed it: no one
+// place is the last to hold it. Small ones aren't counted, as the slots and queues bound them. It
+// returns false if the budget has no room.
+func (b *Budget) Adopt(body []byte) bool {
+	if b == nil || len(body) <= SmallBody {
+		return true
+	}
+	if !b.Reserve(len(body)) {
+		b.collector.collect()
+		if !b.Reserve(len(body)) {
+			return false
+		}
+	}
+	runtime.AddCleanup(&body[0], b.Release, len(body))
+	return true
+}
+
 // Held returns the bytes that are counted now.
 func (b *Budget) Held() int64 {
 	if b == nil {
--- a/node/gates.go
+++ b/node/gates.go
@@ -4,10 +4,13 @@
 	"maps"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/health"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -249,9 +252,23 @@
 
 // Dispatch handles a request from another node's entry.
 func (n *Node) Dispatch(from uint64, d *wire.Dispatch) {
+	if !n.memory.Adopt(d.Body) {
+		n.refuseForMemory(from, d)
+		return
+	}
 	n.handleDispatch(d, func(r *wire.Reply) { n.links.SendReply(from, r) })
 }
 
+// refuseForMemory refuses a dispatch whose body this node has no memory for, before its gate knows of it.
+func (n *Node) refuseForMemory(from uint64, d *wire.Dispatch) {
+	logging.Repeatable(n.log.WithFields(logrus.Fields{"upstream": d.Upstream, "bytes": len(d.Body)})).
+		Warn("dispatch refused; no memory is left for its body")
+	n.ReleaseReservation(&wire.ReleaseReservation{ID: d.ID, Attempt: d.Attempt, Upstream: d.Upstream})
+	n.links.SendReply(from, &wire.Reply{
+		ID: d.ID, Attempt: d.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonFull, RetryAfter: clock.Second, Time: n.clock.Now(),
+	})
+}
+
 // ProbeCapacity answers a capacity probe of another node's entry.
 func (n *Node) ProbeCapacity(from uint64, probe *wire.CapacityProbe) {
 	n.probeCapacity(probe, func(r *wire.Reservation) { n.links.SendReservation(from, r) })
