--- a/fleet/odd_test.go
+++ b/fleet/odd_test.go
@@ -107,7 +107,11 @@
 	f.platform.Put("servers/"+m.id, []byte(m.registration))
 	m.link = fmt.Sprintf("%s:%d", m.ip, f.linkPort)
 	anyPort := m.ip + ":0"
-	listeners, err := node.Listen(f.t.Context(), settings.Listen{Caller: anyPort, Link: m.link, Admin: anyPort, Metrics: anyPort})
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetLevel(logrus.DebugLevel)
+	log.SetOutput(&f.log)
+	listeners, err := node.Listen(f.t.Context(), settings.Listen{Caller: anyPort, Link: m.link, Admin: anyPort, Metrics: anyPort}, log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -122,10 +126,6 @@
 	for _, other := range f.machines {
 		s.Peers = append(s.Peers, other.link)
 	}
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetLevel(logrus.DebugLevel)
-	log.SetOutput(&f.log)
 	builder := platform.NewTableBuilder(platform.TableBuilderConfig{
 		LinkPort: f.linkPort, Log: log.WithField("node", m.id),
 		Policy: table.Service{
