test(fleet): the stand-in keeps connections that it announces to keep

Its stand-in closed the connection behind each answer, also behind those that don't say so, and the next request met the close. That a request sent on a connection which is being closed ends as unknown is right: nobody knows whether it ran. The test isn't about this, and was wrong.

--- a/fleet/cutanswer_test.go
+++ b/fleet/cutanswer_test.go
@@ -18,15 +18,24 @@
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
-// cuttingUpstream answers requests whose path ends with "cut" with the first bytes of its text and then
-// ends the connection, and others with their own path.
+// ending is what a backend server does with its connection after an answer.
+type ending string
+
+const (
+	kept   ending = "kept"
+	closed ending = "closed"
+	reset  ending = "reset"
+)
+
+// cuttingUpstream answers requests whose path ends with "cut" with its text, and others with their own
+// path on a connection that it keeps.
 type cuttingUpstream struct {
 	address string
 
-	mu      sync.Mutex
-	text    string
-	isReset bool
-	runs    map[string]int // by request id
+	mu     sync.Mutex
+	text   string
+	ending ending         // of the connection after the text
+	runs   map[string]int // by request id
 }
 
 func startCuttingUpstream(t *testing.T) *cuttingUpstream {
@@ -62,28 +71,27 @@
 		}
 		u.mu.Lock()
 		u.runs[request.Header.Get(gate.HeaderRequest)]++
-		text, isReset := u.text, u.isReset
+		text, after := u.text, u.ending
 		u.mu.Unlock()
-		isCut := strings.HasSuffix(request.URL.Path, "cut")
-		if !isCut {
-			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		if !strings.HasSuffix(request.URL.Path, "cut") {
+			after, text = kept, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
 		}
 		if _, err := conn.Write([]byte(text)); err != nil {
 			return
 		}
-		if isCut && isReset {
+		if after == reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-		if isCut {
+		if after != kept {
 			return
 		}
 	}
 }
 
-func (u *cuttingUpstream) setText(text string, isReset bool) {
+func (u *cuttingUpstream) setText(text string, e ending) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.text, u.isReset = text, isReset
+	u.text, u.ending = text, e
 }
 
 func (u *cuttingUpstream) runsOf(id string) int {
@@ -162,8 +170,8 @@
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
 	} {
 		for cut := range text {
-			for _, isReset := range []bool{false, true} {
-				u.setText(text[:cut], isReset)
+			for _, after := range []ending{closed, reset} {
+				u.setText(text[:cut], after)
 				for place, c := range callers {
 					for _, method := range []string{http.MethodGet, http.MethodPost} {
 						got, _ := c.send(t, method, "/conferme/cut")
@@ -175,8 +183,8 @@
 						isUnknown := got.status == http.StatusBadGateway && got.outcome == string(access.Unknown)
 						isNotRun := got.status >= 500 && got.outcome == string(access.NotRun)
 						if !isUnknown && (!isNotRun || runs > 0) {
-							t.Errorf("%s %s, %q, reset %v: got %d %s %s %q after %d runs, want a failure that is true",
-								place, method, text[:cut], isReset, got.status, got.outcome, got.reason, got.body, runs)
+							t.Errorf("%s %s, %q, %s: got %d %s %s %q after %d runs, want a failure that is true",
+								place, method, text[:cut], after, got.status, got.outcome, got.reason, got.body, runs)
 						}
 						if method == http.MethodPost && runs > 1 {
 							t.Errorf("%s %q: got %d runs of a request that may run once, want 1", place, text[:cut], runs)
@@ -206,29 +214,30 @@
 		name, method, text string
 		status             int
 		length, body       string
+		ending             ending
 	}{
-		{"length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", "abcde"},
-		{"empty", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "0", ""},
-		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 200, "5", "abcde"},
-		{"to the end", "GET", "HTTP/1.1 200 OK\r\n\r\nabcde", 200, "5", "abcde"},
-		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n\r\nabcde", 200, "5", "abcde"},
-		{"interim", "GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nabcde", 201, "5", "abcde"},
-		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200, "5", ""},
-		{"HEAD in chunks", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, "", ""},
-		{"HEAD without a length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", 200, "", ""},
-		{"HEAD with a body", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", ""},
-		{"204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", ""},
-		{"204 with a length", "GET", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde", 204, "", ""},
-		{"304", "GET", "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n", 304, "", ""},
-		{"304 with a length", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304, "5", ""},
-		{"304 with a length of 0", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n", 304, "0", ""},
-		{"304 to HEAD", "HEAD", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304, "5", ""},
-		{"304 with a body", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\nabcde", 304, "5", ""},
-		{"long head", "GET", "HTTP/1.1 200 OK\r\nA: " + long + "\r\nB: " + long + "\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", "abcde"},
+		{"length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", "abcde", kept},
+		{"empty", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, "0", "", kept},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n", 200, "5", "abcde", kept},
+		{"to the end", "GET", "HTTP/1.1 200 OK\r\n\r\nabcde", 200, "5", "abcde", closed},
+		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n\r\nabcde", 200, "5", "abcde", closed},
+		{"interim", "GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nabcde", 201, "5", "abcde", kept},
+		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200, "5", "", kept},
+		{"HEAD in chunks", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, "", "", kept},
+		{"HEAD without a length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", 200, "", "", closed},
+		{"HEAD with a body", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", "", kept},
+		{"204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", "", kept},
+		{"204 with a length", "GET", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde", 204, "", "", kept},
+		{"304", "GET", "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n", 304, "", "", kept},
+		{"304 with a length", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304, "5", "", kept},
+		{"304 with a length of 0", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n", 304, "0", "", kept},
+		{"304 to HEAD", "HEAD", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304, "5", "", kept},
+		{"304 with a body", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\nabcde", 304, "5", "", kept},
+		{"long head", "GET", "HTTP/1.1 200 OK\r\nA: " + long + "\r\nB: " + long + "\r\nContent-Length: 5\r\n\r\nabcde", 200, "5", "abcde", kept},
 	}
 	for _, tt := range tests {
 		for place, c := range callers {
-			u.setText(tt.text, false)
+			u.setText(tt.text, tt.ending)
 			got, header := c.send(t, tt.method, "/conferme/cut")
 			if got.status != tt.status || got.body != tt.body || header.Get("Content-Length") != tt.length {
 				t.Errorf("%s, %s: got %d %s, length %q, %q; want %d, %q, %q", tt.name, place, got.status, got.reason, header.Get("Content-Length"), got.body, tt.status, tt.length, tt.body)
