cmd: signals are caught from the first milliseconds; a node asked to stop while it starts exits with 0

What callers saw: a node that was gone after a SIGHUP (a change of its settings) that came while the process started, and one whose end by SIGTERM or SIGINT during the start looked like a failure ("signal: terminated", no line in the log), which those who restart failed nodes answer with a restart.

Cause: SIGHUP was caught in the node command, after the initialisation of all libraries (4 to 16 ms in three runs with GODEBUG=inittrace=1), SIGTERM and SIGINT only after the settings were read and the node was built. A repeated SIGTERM found the default effect again when the handler was removed at the end.

Two ways: catching them first in main, which leaves the initialisation open, or in a package that depends on os/signal alone, which Go initialises before the libraries. The second; it does so for the node command only, so that other commands still end on signals. What comes before, while Go's runtime and parts of its library start, has the default effect and can't be changed by a Go program.

Settings are awaited while they are missing, empty or being written, up to 5 s, and a signal ends that wait. Refused settings leave an error in the log besides the text on standard error.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -5,16 +5,17 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
+	"fuchsiapick.example/fuchsiapick/signals"
 )
 
 type nodeCmd struct {
@@ -25,21 +26,25 @@
 // the process immediately. If the node cut requests in flight, run returns ExitFailure, so that a
 // release procedure notices.
 func (c *nodeCmd) run(stdout, stderr io.Writer) int {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP) // first, since SIGHUP ends a process without a handler
-	defer signal.Stop(hangups)
-	signal.Ignore(syscall.SIGPIPE) // otherwise the process ends when the reader of its log ends
-	s, err := settings.Load(c.Settings)
+	caught := signals.Catch()
+	log, drops, closeLog, err := newLogger(stdout, settings.DefaultLog)
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
 		return ExitFailure
 	}
-	log, drops, closeLog, err := newLogger(stdout, s.Log)
+	defer closeLog()
+	s, err := c.awaitSettings(log, caught.Stops)
+	if errors.Is(err, errStopped) {
+		log.Info("asked to stop before the settings were read; the process ends")
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintf(stderr, "fuchsiapick: %v\n", err)
+		log.WithError(err).Error("settings refused; the process ends")
 		return ExitFailure
 	}
-	defer closeLog()
+	setLevel(log, s.Log)
+	logWarnings(log, s)
 	config, builder, err := nodeConfig(s, log)
 	if err != nil {
 		log.WithError(err).Error("node not created; the process ends")
@@ -53,13 +58,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	r := &reloader{path: c.Settings, inForce: s, log: log, tableBuilder: builder}
-	go r.run(ctx, hangups)
+	go r.run(ctx, caught.Hangups)
 	go func() {
-		leaveOnSignal(signals, n, log.WithField("node", s.Node))
+		leaveOnSignal(caught.Stops, n, log.WithField("node", s.Node))
 		cancel()
 	}()
 	if err := n.Run(ctx); err != nil {
@@ -69,6 +71,40 @@
 	return ExitOK
 }
 
+// errStopped means that a termination signal came before the settings were read.
+const errStopped = errors.ConstError("asked to stop")
+
+// awaitSettings loads the settings. It returns errStopped at the first signal from stops.
+func (c *nodeCmd) awaitSettings(log logrus.FieldLogger, stops <-chan os.Signal) (*settings.Settings, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	isStopped := false
+	var group sync.WaitGroup
+	group.Go(func() {
+		select {
+		case <-stops:
+			isStopped = true
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	s, err := settings.Await(ctx, c.Settings, func(err error) {
+		log.WithError(err).WithField("settings", c.Settings).Warn("settings not read yet; they are tried again")
+	})
+	cancel()
+	group.Wait() // a signal that it has taken must not be lost
+	if isStopped {
+		return nil, errStopped
+	}
+	return s, err
+}
+
+// logWarnings logs what the settings say and the node doesn't follow.
+func logWarnings(log logrus.FieldLogger, s *settings.Settings) {
+	for _, w := range s.Warnings {
+		log.WithField("setting", w.String()).Warn("setting out of its bounds; the node starts all the same")
+	}
+}
+
 // leaveOnSignal starts the node's shutdown at the first signal and returns when the node is to end
 // immediately. Only a SIGINT asks for that: supervisors repeat SIGTERM, as do plans that overlap.
 func leaveOnSignal(signals <-chan os.Signal, n *node.Node, log logrus.FieldLogger) {
@@ -86,6 +122,13 @@
 // logCloseTimeout is how long the process waits at exit for the log to be written.
 const logCloseTimeout = time.Second
 
+// setLevel sets the lowest level that is logged. The settings were checked and have a known one.
+func setLevel(log *logrus.Logger, level string) {
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+}
+
 // newLogger returns a logger that writes JSON lines and never blocks, the counters of
 // lines that it drops, and a function that closes the logger.
 func newLogger(out io.Writer, level string) (*logrus.Logger, logging.DropCounts, func(), error) {
--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -23,7 +23,7 @@
 	// history holds all processes that had a name, the oldest first.
 	history  map[string][]*process
 	loads    map[string]*load
-	limits   map[string]namedLimit // by backend
+	limits   map[string]namedLimit   // by backend
 	occupied map[string]net.Listener // by address
 	idle     map[string][]net.Conn   // by the address that they lead to
 	sent     atomic.Int64
--- a/cmd/starts_test.go
+++ b/cmd/starts_test.go
@@ -16,10 +16,15 @@
 		delete(s.occupied, args[0])
 		return
 	}
-	l, err := net.Listen("tcp", args[0])
-	ts.Check(err)
-	s.occupied[args[0]] = l
-	ts.Defer(func() { _ = l.Close() }) // the script may have closed it already
+	poll(ts, "address "+args[0]+" free", func() (string, bool) { // a connection of another test may have it for a moment
+		l, err := net.Listen("tcp", args[0])
+		if err != nil {
+			return err.Error(), false
+		}
+		s.occupied[args[0]] = l
+		ts.Defer(func() { _ = l.Close() }) // the script may have closed it already
+		return "", true
+	})
 }
 
 // openIdle implements "idle COUNT ADDRESS": it opens connections to an address and sends nothing on
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,7 @@
 	settings     *settings.Settings
 	tableBuilder TableBuilder
 	follower     *mirror.Follower // nil if there is no platform
-	listeners    *Listeners // nil before Run if Config has none
+	listeners    *Listeners       // nil before Run if Config has none
 	// upstreamHeaders are the names of the headers that backend servers receive.
 	upstreamHeaders gate.Headers
 	log             logrus.FieldLogger
--- a/node/port_test.go
+++ b/node/port_test.go
@@ -36,7 +36,8 @@
 func awaitAnswer(t *testing.T, address, path string) {
 	t.Helper()
 	var err error
-	for deadline := time.Now().Add(portTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(portTimeout); time.Now().Before(deadline); {
+		<-time.After(10 * time.Millisecond)
 		// A connection that is kept would answer without the port.
 		client := fasthttp.Client{MaxIdleConnDuration: time.Millisecond, MaxIdemponentCallAttempts: 1}
 		if _, _, err = client.GetTimeout(nil, "http://"+address+path, time.Second); err == nil {
