cmd: settings that are still being written neither end a node nor replace those in force, and are read again

What callers saw: no node, when its settings or its secret were missing, empty or half written at the moment of its start; at run time, edits that were never in force, and errors about files that were being written.

Cause: the file was read once at the start. While the node ran, only its modification time was compared, so that the rest of a file, written within the resolution of that time, went unnoticed. A file that was cut at the end of a line could be taken for whole settings.

A file with a fault that hasn't changed for a second fails at once. While the node runs, size, inode and modification time are compared, and a file that was read within a second of its change is read once more.

--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -12,26 +12,38 @@
 	"fuchsiapick.example/fuchsiapick/settings"
 )
 
-// settingsPollInterval is how often the modification time of the settings file is checked. The
-// file may change without a signal, and an edit must take effect within seconds.
+// settingsPollInterval is how often the settings file is checked for a change. The file may change
+// without a signal, and an edit must take effect within seconds.
 const settingsPollInterval = time.Second
 
+// Causes of a reload.
+const (
+	causeSignal = "signal"
+	causeChange = "file changed"
+)
+
 // reloader applies edits of the settings file while the node runs. It applies the log
 // level and the policy, and logs that other edits need a restart. A file with faults
-// changes nothing.
+// changes nothing, nor does one that is being written.
 type reloader struct {
 	path         string
 	inForce      *settings.Settings
 	log          *logrus.Logger
 	tableBuilder *platform.TableBuilder // nil if the node has none
-	// modTime is the file's modification time at the last check.
-	modTime time.Time
+	// seen is the file at the last load, nil before the first one and while there is none.
+	seen os.FileInfo
+	// last are the settings that were loaded last.
+	last *settings.Settings
+	// isUnsettled is set if the file was loaded so soon after a change that another one may not show
+	// in seen.
+	isUnsettled bool
 }
 
 // run reloads the settings on SIGHUP, which arrives on hangups, and when the file changes, until
 // the context ends.
 func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
-	r.fileChanged()
+	loaded := *r.inForce
+	r.last = &loaded
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -39,39 +51,61 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
-			r.fileChanged()
-			r.reload("signal")
+			r.check(causeSignal)
 		case <-ticker.C:
-			if r.fileChanged() {
-				r.reload("file changed")
-			}
+			r.check(causeChange)
 		}
 	}
 }
 
-// fileChanged reports whether the file's modification time differs from that of the last
-// check.
-func (r *reloader) fileChanged() bool {
+// check loads the file if it has changed, or in any case on a signal.
+func (r *reloader) check(cause string) {
+	log := r.log.WithFields(logrus.Fields{"settings": r.path, "cause": cause})
 	info, err := os.Stat(r.path)
 	if err != nil {
-		r.log.WithError(err).Debug("settings file not checked; the next check is at the next poll")
-		return false
+		r.seen = nil
+		if cause == causeSignal {
+			log.WithError(err).Error("settings rejected; those in force stay")
+			return
+		}
+		log.WithError(err).Debug("settings file not checked; the next check is at the next poll")
+		return
+	}
+	if !info.Mode().IsRegular() {
+		if cause == causeSignal {
+			log.Warn("settings not read again: no regular file; those in force stay")
+		}
+		return
+	}
+	isChanged := r.seen == nil || !settings.SameVersion(r.seen, info)
+	if !isChanged && !r.isUnsettled && cause == causeChange {
+		return
 	}
-	previous := r.modTime
-	r.modTime = info.ModTime()
-	return !previous.Equal(r.modTime)
+	r.seen, r.isUnsettled = info, settings.IsYoung(info, settings.FaultSettleTime)
+	r.reload(log, cause)
 }
 
-func (r *reloader) reload(cause string) {
-	log := r.log.WithFields(logrus.Fields{"settings": r.path, "cause": cause})
+// reload loads the file and applies its settings.
+func (r *reloader) reload(log logrus.FieldLogger, cause string) {
 	next, err := settings.Load(r.path)
-	if err != nil {
+	switch {
+	case err != nil && r.isUnsettled:
+		log.WithError(err).Debug("settings file not settled; it is read again at the next poll")
+		return
+	case err != nil:
 		log.WithError(err).Error("settings rejected; those in force stay")
 		return
+	case settings.IsYoung(r.seen, settings.SettleTime):
+		return // it may be a part of the file; the next poll reads it again
+	case cause == causeChange && reflect.DeepEqual(next, r.last):
+		return
 	}
+	loaded := *next
+	r.last = &loaded
+	logWarnings(log, next)
 	r.apply(next)
 	fixed := *next
-	fixed.Log, fixed.Policy = r.inForce.Log, r.inForce.Policy
+	fixed.Log, fixed.Policy, fixed.Warnings = r.inForce.Log, r.inForce.Policy, r.inForce.Warnings
 	if !reflect.DeepEqual(fixed, *r.inForce) {
 		log.Warn("some changed settings are in force only after a restart")
 	}
@@ -81,9 +115,7 @@
 
 // apply puts into force the settings that can change while the node runs.
 func (r *reloader) apply(next *settings.Settings) {
-	if level, err := logrus.ParseLevel(next.Log); err == nil { // settings.Load accepts known levels only
-		r.log.SetLevel(level)
-	}
+	setLevel(r.log, next.Log)
 	if r.tableBuilder != nil {
 		r.tableBuilder.SetPolicy(policyDefaults(&next.Policy))
 	}
