node: a port without descriptors leaves one line when it fails and one when it accepts again

What operators saw: while connections use up a node's descriptors, "port open" at each try, with the port still failing.

Cause: a port counted as open again as soon as it had a listener, also if only accept had failed.

Two ways: to log nothing on accept, or to count the port as open once it has accepted a connection. The second: the end of a shortage is worth a line. A failure that passes within the minute of the line before leaves none.

--- a/node/port.go
+++ b/node/port.go
@@ -37,8 +37,9 @@
 	listener net.Listener // nil while the port isn't open
 	isClosed bool
 	// failedSince is when the port stopped to accept connections, zero if it does accept them.
-	// loggedAt is when that was logged last.
+	// loggedAt is when that was logged last; isLogged is set if it was since failedSince.
 	failedSince, loggedAt time.Time
+	isLogged              bool
 }
 
 // openPort returns a port after one try to open it, and the error of the try.
@@ -77,14 +78,19 @@
 // Accept waits for the next connection. It returns net.ErrClosed once the port is closed, and no
 // other error.
 func (p *Port) Accept() (net.Conn, error) {
+	var failed net.Listener // the one that failed last
 	for retry := minPortRetry; ; retry = min(2*retry, maxPortRetry) {
 		l, err := p.open(context.Background())
 		if err == nil {
-			p.recordOpen()
+			if l != failed {
+				p.recordOpen()
+			}
 			var conn net.Conn
 			if conn, err = l.Accept(); err == nil {
+				p.recordOpen()
 				return conn, nil
 			}
+			failed = l
 			if !mayPass(err) {
 				p.discard(l)
 			}
@@ -138,21 +144,23 @@
 		p.failedSince = now
 	}
 	if p.loggedAt.IsZero() || now.Sub(p.loggedAt) >= portLogInterval.Duration() {
-		p.loggedAt = now
+		p.loggedAt, p.isLogged = now, true
 		p.log.WithError(err).WithField("since", now.Sub(p.failedSince).String()).Error("port not open; it is tried again until it is")
 	}
 	return true
 }
 
-// recordOpen logs that the port is open after a failure.
+// recordOpen logs that the port is open after a failure that was logged.
 func (p *Port) recordOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.failedSince.IsZero() {
 		return
 	}
-	p.log.WithField("after", time.Since(p.failedSince).String()).Info("port open")
-	p.failedSince = time.Time{}
+	if p.isLogged {
+		p.log.WithField("after", time.Since(p.failedSince).String()).Info("port open")
+	}
+	p.failedSince, p.isLogged = time.Time{}, false
 }
 
 // IsOpen reports whether callers can connect to the port.
