--- a/fleet/odd_test.go
+++ b/fleet/odd_test.go
@@ -434,3 +434,23 @@
 	}
 	f.checkLog(0)
 }
+
+// Guards against thousands of entries with the address of one machine: its heartbeats were larger than
+// a frame may be, and each of its links ended again and again.
+func TestThousandsOfRegistrationsAtOneMachine(t *testing.T) {
+	f := startStoreFleet(t, 2)
+	for i := range 4500 {
+		f.platform.Put(fmt.Sprintf("servers/odd-%04d", i), []byte(registrationOf(fmt.Sprintf("%s:%d", f.machines[0].ip, 1000+i))))
+	}
+	var listed int
+	waitUntil(t, "heartbeats that name many upstreams", func() bool {
+		listed = len(f.machines[1].node.Snapshot(access.Filter{}).Upstreams)
+		return listed >= 1000
+	})
+	for i := range 4500 {
+		f.platform.Delete(fmt.Sprintf("servers/odd-%04d", i))
+	}
+	f.awaitListed("i-0", "i-1")
+	f.check()
+	f.checkLog(1)
+}
