node: a node that serves nobody ends, or says that it isn't ready

What callers saw: nothing at all, from a process that lived on.

Run awaited a signal alone, so that the end of the supervisor went unnoticed; it awaits that as well now, cuts what is left with answers, and returns ErrSupervisorEnded. A service whose port is closed was restarted without effect for ever; the node leaves as on a signal and returns ErrPortClosed. Without the ports for admin and metrics it goes on, and says so.

A panic with a lock held leaves it held where the lock isn't released by a deferred call, above all in a gate, whose state is half changed then. Each panic that was recovered starts a check that takes all locks of the node; if that takes five seconds of running, Run returns ErrLockHeld, without what may wait for the lock.

Weighed: to release all locks by deferred calls, and go on with what is half changed: slots and counts of a gate that are wrong for ever, silently. And to end at each panic: every other request is cut for one. The check costs nothing without a panic.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -93,7 +93,7 @@
 		ctx.SetBodyString("ready\n")
 		return
 	}
-	ctx.Error("no table in force, or leaving\n", fasthttp.StatusServiceUnavailable)
+	ctx.Error("no table in force, not serving, or leaving\n", fasthttp.StatusServiceUnavailable)
 }
 
 // serveReport answers with the snapshot that matches the filter in the query, or with status
--- a/node/ending.go
+++ b/node/ending.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"context"
 	"runtime/debug"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
 )
 
 // Parts of a node in which panics are counted.
@@ -80,3 +84,116 @@
 func (n *Node) recordGatePanic(value any) {
 	n.panics.Record(PartGate, value, debug.Stack())
 }
+
+const (
+	// lockTimeout is how long all locks of a node may take to be released, in ticks of
+	// lockTick. No lock is held while something waits, so that a busy machine takes milliseconds.
+	lockTimeout = 50
+	lockTick    = 100 * time.Millisecond
+)
+
+// checkLocks ends the node if a lock stays held, after a panic. It doesn't wait. Ticks are counted,
+// not the time: a process that was paused gets one for the pause.
+func (n *Node) checkLocks(part string) {
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		defer n.panics.Recover(PartCommand)
+		n.takeLocks()
+	}()
+	go func() {
+		ticker := time.NewTicker(lockTick)
+		defer ticker.Stop()
+		for range lockTimeout {
+			select {
+			case <-released:
+				return
+			case <-ticker.C:
+			}
+		}
+		select {
+		case n.failures <- errors.Annotatef(ErrLockHeld, "in %s", part):
+		default: // the node ends already
+		}
+	}()
+}
+
+// takeLocks takes each lock of the node once.
+func (n *Node) takeLocks() {
+	n.offerMu.Lock()
+	n.offerMu.Unlock() //nolint:staticcheck // the lock is taken to see that it is free
+	n.InFlight()       // the gates' locks, and the node's
+	n.Links()          // those of the links
+	n.links.HeartbeatEchoed(0)
+	n.entry.States()
+	n.quotas.QuotaCounts()
+	if n.follower != nil {
+		n.PlatformStats()
+	}
+}
+
+// awaitEnd waits until the node has left, the context has ended, or the node must end. It returns how
+// many requests are cut. After ErrLockHeld nothing else may be asked of the node.
+func (n *Node) awaitEnd(ctx context.Context, supervisor chan error) (cut int, err error) {
+	ended := make(chan int, 1)
+	go func() {
+		count := 0
+		defer func() { ended <- count }()
+		defer n.panics.Recover(PartCommand)
+		select {
+		case <-ctx.Done():
+			count = n.InFlight()
+		case <-n.leave:
+			count = n.drain(ctx)
+		}
+	}()
+	select {
+	case cut = <-ended:
+		if reason := n.leaveReason.Load(); reason != nil {
+			return cut, *reason
+		}
+		return cut, nil
+	case reason := <-supervisor:
+		if errors.Is(reason, context.Canceled) {
+			supervisor <- reason // for Run, which waits for it
+			return n.InFlight(), nil
+		}
+		n.log.WithError(reason).Error("the supervisor ended by itself")
+		return n.cut(ctx), errors.Trace(ErrSupervisorEnded)
+	case err = <-n.failures:
+		return n.entry.InFlight(), err
+	}
+}
+
+// portClosed returns what the service of a port returns to its supervisor when the port was closed, which a
+// restart can't change. A node that can't be reached any more leaves.
+func (n *Node) portClosed(name string, isVital bool) error {
+	err := errors.Annotate(ErrPortClosed, name)
+	if !isVital {
+		n.log.WithError(err).Error("the node goes on without a port")
+		return suture.ErrDoNotRestart
+	}
+	n.log.WithError(err).Error("the node leaves")
+	n.leaveReason.CompareAndSwap(nil, &err)
+	n.Leave()
+	return suture.ErrDoNotRestart
+}
+
+// serving counts the services that callers and peers need and that run.
+type serving struct {
+	count atomic.Int32
+}
+
+// vitalServices are those of callers and links.
+const vitalServices = 2
+
+// while counts a service while it runs.
+func (s *serving) while(run func() error) error {
+	s.count.Add(1)
+	defer s.count.Add(-1)
+	return run()
+}
+
+func (s *serving) isComplete() bool {
+	return s.count.Load() == vitalServices
+}
--- a/node/leave.go
+++ b/node/leave.go
@@ -233,8 +233,11 @@
 	return n.leaving
 }
 
-// Ready reports whether the node has a table in force and isn't leaving.
+// Ready reports whether the node has a table in force, serves callers and peers, and isn't leaving.
 func (n *Node) Ready() bool {
+	if !n.serving.isComplete() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.table != nil && !n.stopping
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,9 @@
 	panics          *logging.Panics
 	held            atomic.Pointer[Held]
 	peerRestarts    atomic.Uint64
-	failures        chan error // why the node must end
+	failures        chan error            // why the node must end at once
+	leaveReason     atomic.Pointer[error] // why the node leaves by itself
+	serving         serving
 	clock           *clock.System
 	incarnation     uint64
 	seed            uint64
@@ -170,6 +172,7 @@
 	n.keys = gate.NewKeyStore(n.clock.Now)
 	n.crashes = newCrashTracker(n.clock.Now, func(c *wire.CrashReport) { n.links.BroadcastCrashes(c) })
 	n.quotas = newQuotas(n)
+	n.panics.Observe(n.checkLocks)
 	n.metrics = n.newMetrics(c.LogDrops)
 	if err := n.buildPools(); err != nil {
 		return nil, errors.Trace(err)
@@ -305,7 +308,8 @@
 const ErrRequestsCut = errors.ConstError("requests in flight were cut")
 
 // Run serves until the context ends or the shutdown that Leave began is finished. It returns
-// ErrRequestsCut if requests were still in flight, and an error if a port can't be opened.
+// ErrRequestsCut if requests were still in flight, and an error if a port can't be opened or the
+// node has to end by itself.
 func (n *Node) Run(ctx context.Context) error {
 	listeners := n.listeners
 	if listeners == nil {
@@ -320,26 +324,31 @@
 	n.bootstrap()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := n.root.ServeBackground(ctx)
+	done := make(chan error, 1)
+	served := n.root.ServeBackground(ctx)
+	go func() { done <- <-served }()
 	n.log.WithFields(logrus.Fields{
 		"caller": listeners.Caller.Addr().String(),
 		"link":   listeners.Link.Addr().String(),
 		"admin":  listeners.Admin.Addr().String(),
 	}).Info("node started")
-	var cut int
-	select {
-	case <-ctx.Done():
-		cut = n.InFlight()
-	case <-n.leave:
-		cut = n.drain(ctx)
+	cut, reason := n.awaitEnd(ctx, done)
+	if errors.Is(reason, ErrLockHeld) {
+		n.held.Store(&Held{Requests: cut})
+		return reason // what else is to be done may wait for the lock
 	}
 	n.recordHeld(cut)
 	cancel()
-	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
-		n.log.WithError(err).Warn("supervisor stopped with an error")
+	if !errors.Is(reason, ErrSupervisorEnded) {
+		if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+			n.log.WithError(err).Warn("supervisor stopped with an error")
+		}
 	}
 	n.stop()
 	n.log.Info("node stopped")
+	if reason != nil {
+		return reason
+	}
 	if cut > 0 {
 		return errors.Annotatef(ErrRequestsCut, "%d unfinished requests", cut)
 	}
--- a/node/services.go
+++ b/node/services.go
@@ -149,7 +149,11 @@
 	tree.Add(service{"links", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
-		return n.links.Serve(l.Link)
+		err := n.serving.while(func() error { return n.links.Serve(l.Link) })
+		if err == nil && ctx.Err() == nil {
+			return n.portClosed("links", true)
+		}
+		return err
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
 	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
@@ -205,10 +209,21 @@
 			_ = server.ShutdownWithContext(shutdownCtx) // the exit of the process cuts remaining requests
 		})
 		defer stop()
-		err := server.Serve(l)
-		if n.isLeaving() {
+		isVital := server == n.callerServer
+		run := func() error { return server.Serve(l) }
+		var err error
+		if isVital {
+			err = n.serving.while(run)
+		} else {
+			err = run()
+		}
+		switch {
+		case n.isLeaving():
 			return suture.ErrDoNotRestart
+		case err == nil && ctx.Err() == nil:
+			return n.portClosed(name, isVital)
+		default:
+			return err
 		}
-		return err
 	}}
 }
