link, node: a panic while a frame is handled closes its link, and doesn't end the node

What callers saw: all requests of the node cut, for a frame of one link or a question between two nodes. The goroutines of links are the HTTP library's, which doesn't recover, or of their own; so are those of quota questions.

A panic of a frame's handler closes its link, and both ends settle what was under way as after any other end of a link: the dialling side asks for outcomes over the next link. Panics are counted as parts `link` and `quota`.

Weighed: to keep the link and drop the frame. It saves a dial, but the sender of the frame would wait for its answer until its deadline; a new link makes it ask at once.

--- a/link/conn.go
+++ b/link/conn.go
@@ -49,6 +49,7 @@
 	closed chan struct{}
 	once   sync.Once
 	limit  int
+	panics PanicRecorder // set before the first read; may be nil
 	// lastKind is the highest kind of message that the peer accepts.
 	lastKind wire.Kind
 	// peerClock is that of the process at the other end. answeredAt is when a heartbeat of the peer was
@@ -172,6 +173,7 @@
 // write writes queued frames until the link is closed.
 func (c *Conn) write() {
 	defer c.Close()
+	defer recoverPanic(c.panics, nil)
 	for {
 		select {
 		case <-c.closed:
@@ -207,7 +209,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		handle(m)
+		c.handleFrame(handle, m)
 	}
 }
 
--- a/link/dial.go
+++ b/link/dial.go
@@ -53,8 +53,9 @@
 }
 
 func (p *Peer) dial(ctx context.Context) {
+	defer recoverPanic(p.config.Panics, p.endDial)
 	dialledAt := p.config.Now()
-	conn, remote, err := Dial(ctx, p.config.Address, p.config.Self, p.config.MaxFrame)
+	conn, remote, err := dial(ctx, p.config.Address, p.config.Self, p.config.MaxFrame, p.config.Panics)
 	now := p.config.Now()
 	if err != nil {
 		p.log.WithError(err).Debug("link not opened")
@@ -72,6 +73,7 @@
 		}
 		return
 	}
+	defer conn.Close() // after a panic
 	conn.peerClock.RoundTrip(now, dialledAt, remote.Time)
 	conn.onPong(p.handlePong)
 	p.replaceConn(now, conn, remote)
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -43,6 +43,11 @@
 // ErrProof, ErrFormat or ErrWrongPeer if the other side doesn't hold the secret, uses another
 // message format or isn't the node with that address.
 func Dial(ctx context.Context, address string, self Identity, maxFrame int) (*Conn, Remote, error) {
+	return dial(ctx, address, self, maxFrame, nil)
+}
+
+// dial is Dial for a link whose panics are recorded.
+func dial(ctx context.Context, address string, self Identity, maxFrame int, panics PanicRecorder) (*Conn, Remote, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
 	defer cancel()
 	dialer := websocket.Dialer{
@@ -56,6 +61,7 @@
 	}
 	_ = response.Body.Close()
 	c := newConn(socket, maxFrame, parseLastKind(response.Header.Get(headerLastKind)))
+	c.panics = panics
 	remote, err := c.dialHandshake(address, self)
 	if err != nil {
 		c.Close()
--- a/link/peer.go
+++ b/link/peer.go
@@ -94,7 +94,9 @@
 	// must not block.
 	OnReplaced func()
 	Observer   PeerObserver
-	Log        logrus.FieldLogger
+	// Panics may be nil.
+	Panics PanicRecorder
+	Log    logrus.FieldLogger
 }
 
 // Peer is the dialling side of the links to one node. Run must be called to operate it. It
--- a/link/server.go
+++ b/link/server.go
@@ -72,7 +72,9 @@
 	HeartbeatInterval clock.Millis
 	Now               func() clock.Millis
 	Handler           Handler
-	Log               logrus.FieldLogger
+	// Panics may be nil.
+	Panics PanicRecorder
+	Log    logrus.FieldLogger
 }
 
 // Server accepts links from the entries of other nodes. It is safe for concurrent use.
@@ -190,6 +192,8 @@
 
 func (s *Server) serve(socket *websocket.Conn, lastKind wire.Kind) {
 	c := newConn(socket, s.config.MaxFrame, lastKind)
+	c.panics = s.config.Panics
+	defer recoverPanic(s.config.Panics, nil)
 	defer c.Close()
 	log := s.config.Log.WithField("remote", c.Remote().String())
 	session := &session{server: s, conn: c}
--- a/link/session.go
+++ b/link/session.go
@@ -143,6 +143,7 @@
 // depend on the peer's heartbeats: a peer whose frames are lost on the way here learns this
 // from their Echo.
 func (s *session) runHeartbeats(ctx context.Context) {
+	defer recoverPanic(s.conn.panics, s.conn.Close)
 	ticker := time.NewTicker(s.server.config.HeartbeatInterval.Duration())
 	defer ticker.Stop()
 	for {
--- a/node/node.go
+++ b/node/node.go
@@ -207,6 +207,7 @@
 		HeartbeatInterval: c.Settings.HeartbeatInterval,
 		Now:               n.clock.Now,
 		Handler:           n,
+		Panics:            n.panics,
 		Log:               n.log,
 	})
 	return n, nil
--- a/node/peers.go
+++ b/node/peers.go
@@ -116,6 +116,7 @@
 		Status:            n.Status,
 		Announcements:     func() *wire.Announcements { return n.entry.Announcements(address) },
 		Observer:          n,
+		Panics:            n.panics,
 		OnReplaced:        func() { n.recordRestart(address) },
 		Log:               n.log,
 		Start:             func() { go n.runPeer(p.link) }, // a supervisor that is stopping makes Add wait
--- a/node/quotahome.go
+++ b/node/quotahome.go
@@ -90,10 +90,16 @@
 		n.links.SendQuotaGrant(from, n.quotas.answer(message))
 		return
 	}
-	go func() { n.links.SendQuotaGrant(from, n.quotas.answer(message)) }() // answering may wait for another home
+	go func() {
+		defer n.panics.Recover(PartQuota)
+		n.links.SendQuotaGrant(from, n.quotas.answer(message)) // answering may wait for another home
+	}()
 }
 
 // ForwardQuota answers a quota request that another node can't send to its home.
 func (n *Node) ForwardQuota(from uint64, m *wire.QuotaForward) {
-	go func() { n.links.SendQuotaGrant(from, n.quotas.relay(m)) }() // waits for the home
+	go func() {
+		defer n.panics.Recover(PartQuota)
+		n.links.SendQuotaGrant(from, n.quotas.relay(m)) // waits for the home
+	}()
 }
