metrics, node: a panic of a scrape, an admin request or a quota question stays with it

A label that isn't valid text makes the metrics library panic. It recovers that, but answers the scrape without any metrics, and only the answer names the panic. Failed before: TestPanicOfAScrapeLeavesTheOtherMetrics: got "An error has occurred while serving metrics ... label value ... is not valid UTF-8", want the other metrics; got 0 panics recorded, want 1 The collectors recover themselves now, so that a scrape has what they sent before. That such a label ends the node was expected, and isn't so.

A request to the admin address ran without a recovery in the HTTP library's goroutine, and would have ended the process; it gets 500 now. A panic of a question for an account's quota lets the account ask again. Both are from the code, without a test of their own: nothing that a test can replace panics there.

Weighed: to check each label before it is used. Tables are checked already, and a check of each value at each scrape costs more than a deferred call.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -130,7 +130,7 @@
 		deliveries: newDeliveryCounters(),
 	}
 	s.registry.MustRegister(s.received, s.requests, s.attempts, s.requestTime, s.waitTime, s.notRetried, s.events, s.refusals, s.retries, s.displaced, s.crossBytes,
-		&stateCollector{source: c.State}, &nodeCollector{config: c},
+		&stateCollector{source: c.State, panics: c.Panics}, &nodeCollector{config: c},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.registry.MustRegister(s.services.collectors()...)
 	s.registry.MustRegister(s.claims.claims, s.claims.waits)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -63,6 +63,7 @@
 func (fakeNode) Dropped() (busy, rate, repeated uint64) { return 1, 2, 3 }
 
 func (fakeNode) PanicCounts() map[string]uint64 { return map[string]uint64{"caller": 1, "link": 0} }
+func (fakeNode) Record(string, any, []byte)     {}
 func (fakeNode) PeerRestarts() uint64           { return 4 }
 
 func (fakeNode) Version() uint64 { return 7 }
--- a/metrics/node.go
+++ b/metrics/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"runtime/debug"
 	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,6 +68,19 @@
 // Panics provides the number of panics that didn't end the process, by part of the node.
 type Panics interface {
 	PanicCounts() map[string]uint64
+	// Record records a panic that was recovered. It must not block.
+	Record(part string, value any, stack []byte)
+}
+
+// panicPart names this part of a node.
+const panicPart = "metrics"
+
+// recoverScrape must be deferred by collectors. The metrics library recovers their panics as well, but then
+// answers without any metrics. What a collector has not sent by then is missing in this scrape.
+func recoverScrape(panics Panics) {
+	if value := recover(); value != nil && panics != nil {
+		panics.Record(panicPart, value, debug.Stack())
+	}
 }
 
 // Restarts provides how often a peer was found to be another process than before, without an
@@ -235,6 +249,7 @@
 
 // Collect sends the current values of the configured sources.
 func (s *nodeCollector) Collect(out chan<- prometheus.Metric) {
+	defer recoverScrape(s.config.Panics)
 	c := s.config
 	if c.Readiness != nil {
 		out <- gauge(readyDesc, boolValue(c.Readiness.Ready()))
--- a/metrics/states.go
+++ b/metrics/states.go
@@ -15,6 +15,7 @@
 // that the table no longer names disappear.
 type stateCollector struct {
 	source State
+	panics Panics
 }
 
 // Describe sends the descriptions of the gauges.
@@ -26,6 +27,7 @@
 
 // Collect sends the current values of the gauges.
 func (s *stateCollector) Collect(out chan<- prometheus.Metric) {
+	defer recoverScrape(s.panics)
 	for _, u := range s.source.States() {
 		out <- prometheus.MustNewConstMetric(stateDesc, prometheus.GaugeValue, 1, u.Service, u.Name, u.State)
 		out <- prometheus.MustNewConstMetric(severityDesc, prometheus.GaugeValue, u.Severity, u.Service, u.Name)
--- a/node/ending.go
+++ b/node/ending.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/thejerf/suture/v4"
+	"github.com/valyala/fasthttp"
 )
 
 // Parts of a node in which panics are counted.
@@ -18,10 +19,12 @@
 	PartLink    = "link"    // a link with another node
 	PartQuota   = "quota"   // a question between nodes on a client account's quota
 	PartService = "service" // a service that the supervisor restarts
+	PartMetrics = "metrics" // a scrape
+	PartAdmin   = "admin"   // a request to the admin address
 )
 
 // Parts are all parts.
-var Parts = []string{PartCommand, PartCaller, PartGate, PartLink, PartQuota, PartService}
+var Parts = []string{PartCommand, PartCaller, PartGate, PartLink, PartQuota, PartService, PartMetrics, PartAdmin}
 
 // Errors of Run.
 const (
@@ -197,3 +200,18 @@
 func (s *serving) isComplete() bool {
 	return s.count.Load() == vitalServices
 }
+
+// guard makes a server answer 500 to a request whose handling panics. The HTTP library doesn't recover.
+func (n *Node) guard(server *fasthttp.Server) *fasthttp.Server {
+	handle := server.Handler
+	server.Handler = func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if value := recover(); value != nil {
+				n.panics.Record(PartAdmin, value, debug.Stack())
+				ctx.Error("not written\n", fasthttp.StatusInternalServerError)
+			}
+		}()
+		handle(ctx)
+	}
+	return server
+}
--- a/node/quota.go
+++ b/node/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/link"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/metrics"
 	"fuchsiapick.example/fuchsiapick/quota"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -43,6 +45,7 @@
 	// isCutOff reports whether the table is outdated and most nodes are unreachable.
 	isCutOff func() bool
 
+	panics   *logging.Panics
 	sequence atomic.Uint64
 	counts   metrics.QuotaCounts
 
@@ -78,7 +81,7 @@
 		panic(err) // NewLRU fails only for a size below 1
 	}
 	return &quotas{
-		now: n.clock.Now, self: n.address(), peer: n.peerLink, isCutOff: n.isCutOff, random: rand.New(rand.NewPCG(n.seed, 4)),
+		panics: n.panics, now: n.clock.Now, self: n.address(), peer: n.peerLink, isCutOff: n.isCutOff, random: rand.New(rand.NewPCG(n.seed, 4)),
 		allocator: quota.NewAllocator(maxAccounts, n.seed), homes: map[string][]string{}, contacts: quota.NewContacts(), accounts: accounts,
 	}
 }
@@ -183,6 +186,7 @@
 // requestQuota sends quota requests for an account until no request waits for one. Requests
 // that arrive while one is in progress are combined into the next.
 func (q *quotas) requestQuota(account string, state *accountQuota) {
+	defer q.recoverPanic(func() { state.isRequesting = false })
 	for {
 		q.mu.Lock()
 		state.waiting = slices.DeleteFunc(state.waiting, func(w *admission) bool { return w.isAbandoned })
@@ -321,10 +325,23 @@
 	return q.allocator.Grant(now, request)
 }
 
+// recoverPanic must be deferred. It ends a panic, and calls reset with the lock held.
+func (q *quotas) recoverPanic(reset func()) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	q.panics.Record(PartQuota, value, debug.Stack())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	reset()
+}
+
 // checkContact checks the contact with another home by a quota request for no account, which every
 // node answers. It is sent also if the path counts as lost. A node whose machine refuses links
 // grants nothing to others, and counts as reached.
 func (q *quotas) checkContact(home string) {
+	defer q.recoverPanic(func() {}) // the next check is due after its interval
 	peer := q.peer(home)
 	if peer == nil {
 		return
--- a/node/services.go
+++ b/node/services.go
@@ -156,9 +156,9 @@
 		return err
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler()})
-	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), l.Admin))
+	tree.Add(n.serveHTTP("admin", n.guard(adminServer.HTTP()), l.Admin))
 	if l.Metrics != nil {
-		tree.Add(n.serveHTTP("metrics", adminServer.MetricsHTTP(), l.Metrics))
+		tree.Add(n.serveHTTP("metrics", n.guard(adminServer.MetricsHTTP()), l.Metrics))
 	}
 	tree.Add(service{"news", n.sendRequestedHeartbeats})
 	tree.Add(service{"crashes", n.runCrashUpdates})
