test(cmd): a node whose outputs are full pipes serves and leaves

Tried, and not a fault: with standard output and standard error full, and nobody to read them, a node answers 300 requests that each leave a line, and ends on SIGTERM with exit code 0.

--- a/cmd/ending_test.go
+++ b/cmd/ending_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/standin"
 )
@@ -177,3 +178,55 @@
 		}
 	}
 }
+
+// Guards against a node that serves no requests, or doesn't end on a signal, while its outputs are full
+// pipes that nobody reads.
+func TestNodeServesAndLeavesWhileNobodyReadsItsOutputs(t *testing.T) {
+	const requests = 300
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := port.Addr().String()
+	_ = port.Close()
+	node := exec.Command("fuchsiapick", "node", "--settings", writeNodeSettings(t, address, "127.0.0.1:0"))
+	node.Stdout, node.Stderr = newUnreadPipe(t), newUnreadPipe(t)
+	node.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := node.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = node.Wait() // the state tells how it ended
+	}()
+	defer func() {
+		_ = node.Process.Kill() // fails if it has ended
+		<-ended
+	}()
+	served := 0
+	for deadline := time.After(waitTimeout); served < requests; {
+		// Each request is refused for want of a table, and leaves a line.
+		status, _, err := fasthttp.Get(nil, "http://"+address+"/conferme")
+		if err == nil && status == fasthttp.StatusServiceUnavailable {
+			served++
+			continue
+		}
+		select {
+		case <-deadline:
+			t.Fatalf("got %d answers, then %d, %v; want %d", served, status, err, requests)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(waitTimeout):
+		t.Fatal("got a node that doesn't end on a signal, want its end")
+	}
+	if got := node.ProcessState.ExitCode(); got != 0 {
+		t.Errorf("got exit code %d, want 0", got)
+	}
+}
