test(node): a node outlives a reader of the platform that panics after each restart

Tried, and not a fault: seven panics in a row, more than the supervisor allows without a pause, are counted, and the node then has its table, is ready and leaves without an error.

--- a/node/ending_test.go
+++ b/node/ending_test.go
@@ -15,6 +15,7 @@
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/mirror"
 	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/settings"
 	"fuchsiapick.example/fuchsiapick/table"
@@ -215,3 +216,47 @@
 	_ = fasthttp.DoTimeout(request, response, endTimeout) // the node may end before it has answered
 	awaitRunError(t, done, node.ErrLockHeld)
 }
+
+// panickingBuilder panics as long as a count lasts.
+type panickingBuilder struct {
+	fixedTable
+
+	left *atomic.Int64
+}
+
+func (b panickingBuilder) Table(items []mirror.Item) (*table.Table, bool) {
+	if b.left.Add(-1) >= 0 {
+		panic("a fault of this test")
+	}
+	return b.fixedTable.Table(items)
+}
+
+// Guards against a node that ends, or never has a table, because the reader of the platform panics at once
+// after each restart.
+func TestNodeOutlivesAReaderOfThePlatformThatPanics(t *testing.T) {
+	const panics = 7 // more than the supervisor allows without a pause
+	l := listen(t)
+	left := &atomic.Int64{}
+	left.Store(panics)
+	counts := logging.NewPanics(logging.Silent(), node.Parts...)
+	n, err := node.New(node.Config{
+		Log: logging.Silent(), Listeners: l, Panics: counts, Store: fakeStore{},
+		TableBuilder: panickingBuilder{fixedTable{tableOf([]*node.Listeners{l})}, left},
+		Settings: &settings.Settings{
+			Node: "n", Domain: "palermo", Secret: "a secret of this test", HeartbeatInterval: 200, Grace: clock.Second,
+			Listen: settings.Listen{Caller: "127.0.0.1:1", Link: l.Link.Addr().String(), Admin: "127.0.0.1:2"},
+			Limits: settings.Limits{Body: 1 << 20, Answer: 1 << 20, Requests: 16, Records: 16},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Run(t.Context()) }()
+	awaitReady(t, n, true)
+	if got := counts.PanicCounts()[node.PartService]; got != panics {
+		t.Errorf("got %d panics counted, want %d", got, panics)
+	}
+	n.Leave()
+	awaitRunError(t, done, nil)
+}
