cmd, gate: panics of the settings' reload and of a health check leave nothing behind

From the code, without a failing test: nothing that a test can replace panics there. A panic while settings are reloaded would have ended the node, and one of a health check would have kept its connection to the backend server counted as open, which bounds how many there may be.

Weighed for the reload: to recover and stop it, which would leave a node that follows no edit and doesn't say so again.

--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -61,8 +61,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	r := &reloader{path: c.Settings, inForce: s, log: log, tableBuilder: builder}
-	go r.run(ctx, hangups)
+	go r.runGuarded(ctx, hangups, config.Panics)
 	go func() {
+		defer config.Panics.Recover(node.PartCommand)
 		leaveOnSignal(signals, n, end, log.WithField("node", s.Node))
 		cancel()
 	}()
--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -8,6 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/node"
 	"fuchsiapick.example/fuchsiapick/platform"
 	"fuchsiapick.example/fuchsiapick/settings"
 )
@@ -28,6 +30,20 @@
 	modTime time.Time
 }
 
+// runGuarded is run that goes on after a panic: a settings file must not end the node.
+func (r *reloader) runGuarded(ctx context.Context, hangups <-chan os.Signal, panics *logging.Panics) {
+	for ctx.Err() == nil {
+		func() {
+			defer panics.Recover(node.PartCommand)
+			r.run(ctx, hangups)
+		}()
+		select {
+		case <-ctx.Done():
+		case <-time.After(settingsPollInterval):
+		}
+	}
+}
+
 // run reloads the settings on SIGHUP, which arrives on hangups, and when the file changes, until
 // the context ends.
 func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
--- a/gate/backend.go
+++ b/gate/backend.go
@@ -207,6 +207,12 @@
 	if err != nil {
 		return false // the next request meets a refused connection, too
 	}
+	isSettled := false
+	defer func() {
+		if !isSettled {
+			h.discard(conn) // after a panic
+		}
+	}()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
@@ -214,10 +220,12 @@
 	request.SetRequestURI(path)
 	request.Header.SetHost(h.config.Address)
 	if err := conn.exchange(ctx, h, request, response, ""); err != nil {
+		isSettled = true
 		h.discard(conn)
 		return false
 	}
 	ok := response.StatusCode()/100 == fasthttp.StatusOK/100
+	isSettled = true
 	h.release(conn, response)
 	return ok
 }
