cmd: nothing is logged after the last line of a process

Goroutines that end with the process still logged after `process ends`, such as `link ended` at level debug, so that the last line of the log named no reason.

The log drops what comes after the last line, which is written by a logger of its own, also at levels above info: a normal end must not look like a kill because of a setting.

Weighed: to wait for all goroutines. Links and dials end when their timeouts are over, seconds after the node could have ended.

--- a/cmd/ending.go
+++ b/cmd/ending.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"io"
 	"net"
 	"os"
 	"runtime"
@@ -32,14 +33,15 @@
 // ending announces why the process of a node ends. An end without its line was a kill, an error of
 // the runtime or a lack of memory.
 type ending struct {
-	log     logrus.FieldLogger
+	log     *logrus.Logger
+	node    string
 	started time.Time
 	signal  atomic.Value // the name of the last signal that asks for the end; unset before
 }
 
 // newEnding logs the start of the process. A node keeps nothing of the process before.
-func newEnding(log logrus.FieldLogger) *ending {
-	fields := logrus.Fields{"release": Release, "pid": os.Getpid(), "cores": runtime.GOMAXPROCS(0), "predecessor": "not known, nothing is kept"}
+func newEnding(log *logrus.Logger, node string) *ending {
+	fields := logrus.Fields{"node": node, "release": Release, "pid": os.Getpid(), "cores": runtime.GOMAXPROCS(0), "predecessor": "not known, nothing is kept"}
 	var files syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
 		fields["descriptors"] = files.Cur
@@ -51,7 +53,7 @@
 		fields["container_memory"] = strings.TrimSpace(string(limit))
 	}
 	log.WithFields(fields).Info("process started")
-	return &ending{log: log, started: time.Now()}
+	return &ending{log: log, node: node, started: time.Now()}
 }
 
 // recordSignal records a signal that asks for the end of the process.
@@ -59,14 +61,19 @@
 	e.signal.Store(s.String())
 }
 
-// announce logs the last line of the process, and returns its exit code.
+// announce logs the last line of the process, and returns its exit code. The line is written at each
+// level of the log, and lines that goroutines log after it are dropped.
 func (e *ending) announce(err error, held node.Held) int {
 	code, level := ExitOK, logrus.InfoLevel
 	if err != nil {
 		code, level = ExitFailure, logrus.ErrorLevel
 	}
-	log := e.log.WithFields(logrus.Fields{
-		"reason": reasonOf(err), "exit_code": code, "ran": time.Since(e.started).Round(time.Millisecond).String(),
+	last := logrus.New()
+	last.SetFormatter(e.log.Formatter)
+	last.SetOutput(e.log.Out)
+	e.log.SetOutput(io.Discard)
+	log := last.WithFields(logrus.Fields{
+		"node": e.node, "reason": reasonOf(err), "exit_code": code, "ran": time.Since(e.started).Round(time.Millisecond).String(),
 		"requests": held.Requests, "links": held.Links, "connections": held.Connections,
 	})
 	if signal := e.signal.Load(); signal != nil {
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -41,7 +41,7 @@
 		return ExitFailure
 	}
 	defer closeLog()
-	end := newEnding(log.WithField("node", s.Node))
+	end := newEnding(log, s.Node)
 	if err := keepCrashOutput(stdout, stderr); err != nil {
 		log.WithError(err).WithField("node", s.Node).Warn("a crash may leave no line in the log")
 	}
