--- a/admin/admin.go
+++ b/admin/admin.go
@@ -117,7 +117,7 @@
 		ctx.SetBodyString("ready\n")
 		return
 	}
-	ctx.Error("no table in force, a port not open, or leaving\n", fasthttp.StatusServiceUnavailable)
+	ctx.Error("no table in force, a port not open, not serving, or leaving\n", fasthttp.StatusServiceUnavailable)
 }
 
 // serveReport answers with the snapshot that matches the filter in the query, or with status
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -51,7 +51,7 @@
 	}
 	setLevel(log, s.Log)
 	logWarnings(log, s)
-	end.log = log.WithField("node", s.Node)
+	end.node = s.Node
 	config, builder, err := nodeConfig(s, log)
 	if err != nil {
 		return end.announce(errors.Annotate(err, "node not created"), node.Held{})
@@ -68,8 +68,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	r := &reloader{path: c.Settings, inForce: s, log: log, tableBuilder: builder}
-	go r.run(ctx, caught.Hangups)
+	go r.runGuarded(ctx, caught.Hangups, config.Panics)
 	go func() {
+		defer config.Panics.Recover(node.PartCommand)
 		leaveOnSignal(caught.Stops, n, end, log.WithField("node", s.Node))
 		cancel()
 	}()
--- a/node/leave.go
+++ b/node/leave.go
@@ -233,8 +233,12 @@
 	return n.leaving
 }
 
-// Ready reports whether the node has a table in force and its ports open, and isn't leaving.
+// Ready reports whether the node has a table in force, has its ports open and serves them, and isn't
+// leaving.
 func (n *Node) Ready() bool {
+	if !n.serving.isComplete() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.table != nil && !n.stopping && n.listeners != nil && n.listeners.AreOpen()
--- a/node/port_test.go
+++ b/node/port_test.go
@@ -8,7 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/logging"
+	"fuchsiapick.example/fuchsiapick/node"
+	"fuchsiapick.example/fuchsiapick/settings"
 )
 
 // portTimeout is how long a test waits for a port.
@@ -80,3 +85,64 @@
 	}
 	t.Fatalf("got no socket that listens on %s, want one", address)
 }
+
+// listenOnTaken returns ports of which that for callers is taken, and what has taken it.
+func listenOnTaken(t *testing.T) (*node.Listeners, net.Listener) {
+	t.Helper()
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = taken.Close() })
+	const anyPort = "127.0.0.1:0"
+	l, err := node.Listen(t.Context(), settings.Listen{Caller: taken.Addr().String(), Link: anyPort, Admin: anyPort}, logging.Silent())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l, taken
+}
+
+// Guards against a port that ends, and callers that are refused, because it couldn't be opened for a while.
+func TestAcceptWaitsForThePort(t *testing.T) {
+	l, taken := listenOnTaken(t)
+	accepted := make(chan error, 1)
+	go func() {
+		conn, err := l.Caller.Accept()
+		if err == nil {
+			_ = conn.Close()
+		}
+		accepted <- err
+	}()
+	if l.Caller.IsOpen() {
+		t.Error("got an open port, want it taken")
+	}
+	if err := taken.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(portTimeout); time.Now().Before(deadline); <-time.After(10 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", taken.Addr().String()); err == nil {
+			_ = conn.Close()
+			break
+		}
+	}
+	if err := <-accepted; err != nil {
+		t.Errorf("got %v, want the connection", err)
+	}
+}
+
+// Guards against a node that doesn't stop while a port can't be opened.
+func TestCloseEndsTheWaitForAPort(t *testing.T) {
+	l, _ := listenOnTaken(t)
+	done := make(chan error, 1)
+	go func() {
+		_, err := l.Caller.Accept()
+		done <- err
+	}()
+	if err := l.Caller.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got %v, want %v", err, net.ErrClosed)
+	}
+}
--- a/node/services.go
+++ b/node/services.go
@@ -32,13 +32,20 @@
 	connectionsPerRequest = 2
 )
 
+// Listener is one of a node's ports. It returns net.ErrClosed from Accept once it is closed.
+type Listener interface {
+	net.Listener
+	// IsOpen reports whether others can connect to the port.
+	IsOpen() bool
+}
+
 // Listeners are a node's ports.
 type Listeners struct {
-	Caller *Port
-	Link   *Port
-	Admin  *Port
+	Caller Listener
+	Link   Listener
+	Admin  Listener
 	// Metrics is nil if metrics have no address of their own.
-	Metrics *Port
+	Metrics Listener
 }
 
 // Listen opens the ports that the settings name and skips empty addresses. A port that can't be
@@ -51,7 +58,7 @@
 		name    string
 		address string
 		isVital bool
-		port    **Port
+		port    *Listener
 	}{
 		{"caller", addresses.Caller, true, &l.Caller},
 		{"link", addresses.Link, true, &l.Link},
@@ -61,8 +68,8 @@
 		if port.address == "" {
 			continue
 		}
-		var err error
-		*port.port, err = openPort(ctx, port.name, port.address, log)
+		opened, err := openPort(ctx, port.name, port.address, log)
+		*port.port = opened
 		if err != nil && port.isVital && !mayPass(err) {
 			l.Close()
 			return nil, errors.Trace(err)
@@ -78,7 +85,7 @@
 
 // Close closes the ports.
 func (l *Listeners) Close() {
-	for _, port := range []*Port{l.Caller, l.Link, l.Admin, l.Metrics} {
+	for _, port := range []Listener{l.Caller, l.Link, l.Admin, l.Metrics} {
 		if port != nil {
 			_ = port.Close() // its service may have closed it already
 		}
@@ -143,7 +150,6 @@
 // services that send heartbeats, exchange crashes and probe upstreams.
 func (n *Node) addServing(tree *suture.Supervisor, l *Listeners) {
 	shares := n.shares()
-	links := port.NewListener(l.Link, n.log)
 	n.callerServer = &fasthttp.Server{
 		Handler:                       n.entry.Serve,
 		ErrorHandler:                  n.entry.ServeMalformed,
@@ -160,16 +166,20 @@
 		CloseOnShutdown:               true,
 		Logger:                        discardLogger{},
 	}
-	tree.Add(n.serveHTTP("callers", n.callerServer, caller.Listener{Listener: port.NewListener(l.Caller, n.log), Now: n.clock.Now}))
+	tree.Add(n.serveHTTP("callers", n.callerServer, caller.Listener{Listener: l.Caller, Now: n.clock.Now}))
 	tree.Add(service{"links", func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = links.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = l.Link.Close() })
 		defer stop()
-		return n.links.Serve(links)
+		err := n.serving.while(func() error { return n.links.Serve(l.Link) })
+		if err == nil && ctx.Err() == nil {
+			return n.portClosed("links", true)
+		}
+		return err
 	}})
 	adminServer := admin.New(admin.Config{Node: n, Log: n.log, Metrics: n.metrics.Handler(), Connections: shares.Admin})
-	tree.Add(n.serveHTTP("admin", adminServer.HTTP(), port.NewListener(l.Admin, n.log)))
+	tree.Add(n.serveHTTP("admin", n.guard(adminServer.HTTP()), l.Admin))
 	if l.Metrics != nil {
-		tree.Add(n.serveHTTP("metrics", adminServer.MetricsHTTP(), port.NewListener(l.Metrics, n.log)))
+		tree.Add(n.serveHTTP("metrics", n.guard(adminServer.MetricsHTTP()), l.Metrics))
 	}
 	tree.Add(service{"news", n.sendRequestedHeartbeats})
 	tree.Add(service{"crashes", n.runCrashUpdates})
@@ -229,10 +239,21 @@
 			_ = server.ShutdownWithContext(shutdownCtx) // the exit of the process cuts remaining requests
 		})
 		defer stop()
-		err := server.Serve(l)
-		if n.isLeaving() {
+		isVital := server == n.callerServer
+		run := func() error { return server.Serve(l) }
+		var err error
+		if isVital {
+			err = n.serving.while(run)
+		} else {
+			err = run()
+		}
+		switch {
+		case n.isLeaving():
 			return suture.ErrDoNotRestart
+		case err == nil && ctx.Err() == nil:
+			return n.portClosed(name, isVital)
+		default:
+			return err
 		}
-		return err
 	}}
 }
--- a/port/port.go
+++ b/port/port.go
@@ -1,74 +1,7 @@
-// Package port keeps a node's ports open while descriptors are short, and bounds the connections that
-// others may open to each port.
+// Package port bounds the connections that others may open to each port of a node.
 package port
 
-import (
-	"net"
-	"sync"
-	"syscall"
-	"time"
-
-	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
-
-	"fuchsiapick.example/fuchsiapick/logging"
-)
-
-const (
-	// minBackoff and maxBackoff bound the time until the next attempt to accept a connection after
-	// one that failed. It doubles with each failure.
-	minBackoff = 5 * time.Millisecond
-	maxBackoff = 500 * time.Millisecond
-)
-
-// exhausted are the errors of a system without a free descriptor or memory. They pass.
-var exhausted = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
-
-// Listener is a listener whose Accept waits while the process has no descriptor for a connection. An
-// HTTP server ends at such an error.
-type Listener struct {
-	net.Listener
-
-	log       logrus.FieldLogger
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-// NewListener returns a listener that logs when it waits.
-func NewListener(inner net.Listener, log logrus.FieldLogger) *Listener {
-	return &Listener{Listener: inner, log: log, closed: make(chan struct{})}
-}
-
-// Accept waits for the next connection.
-func (l *Listener) Accept() (net.Conn, error) {
-	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
-		conn, err := l.Listener.Accept()
-		if err == nil || !isExhausted(err) {
-			return conn, err //nolint:wrapcheck // callers compare it
-		}
-		logging.Repeatable(l.log.WithError(err)).Warn("connection not accepted; no descriptor is left")
-		select {
-		case <-l.closed:
-			return nil, net.ErrClosed
-		case <-time.After(backoff):
-		}
-	}
-}
-
-// Close closes the port.
-func (l *Listener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return errors.Trace(l.Listener.Close())
-}
-
-func isExhausted(err error) bool {
-	for _, e := range exhausted {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
+import "syscall"
 
 // Shares are how many connections others may have open to each port of a node.
 type Shares struct {
