--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -66,6 +66,8 @@
 			"sighup":    sendSignals(syscall.SIGHUP),
 			"hangup":    reloadUnlessEnded,
 			"garbage":   sendGarbage,
+			"halve":     halveFile,
+			"complete":  completeFile,
 			"unread":    stopReading,
 			"occupy":    occupyPort,
 			"idle":      openIdle,
