--- a/link/dial.go
+++ b/link/dial.go
@@ -53,9 +53,9 @@
 }
 
 func (p *Peer) dial(ctx context.Context) {
-	defer recoverPanic(p.config.Panics, p.endDial)
+	defer recoverPanic(p.shared().Panics, p.endDial)
 	dialledAt := p.config.Now()
-	conn, remote, err := dial(ctx, p.config.Address, p.config.Self, p.config.MaxFrame, p.config.Panics)
+	conn, remote, err := dial(ctx, p.config.Address, p.config.Self, p.config.MaxFrame, p.shared().Panics)
 	now := p.config.Now()
 	if err != nil {
 		p.log.WithError(err).Debug("link not opened")
@@ -113,8 +113,8 @@
 	}
 	if changed {
 		p.log.Info("node was replaced")
-		if p.config.OnReplaced != nil {
-			p.config.OnReplaced()
+		if onReplaced := p.shared().OnReplaced; onReplaced != nil {
+			onReplaced(p.config.Address)
 		}
 	}
 	for _, pending := range unresolved {
--- a/link/panic_test.go
+++ b/link/panic_test.go
@@ -82,7 +82,7 @@
 	var heartbeats atomic.Int64
 	panics := &panicCounter{}
 	peer, stop := runPeer(t, link.PeerConfig{
-		Address: address, Observer: panickingObserver{pathObserver{states: make(chan path.State, 64)}, &heartbeats}, HeartbeatInterval: clock.Second / 5, Panics: panics,
+		Address: address, Observer: panickingObserver{pathObserver{states: make(chan path.State, 64)}, &heartbeats}, HeartbeatInterval: clock.Second / 5, Shared: &link.PeersConfig{Panics: panics},
 	})
 	defer stop()
 	peer.EnsureLink()
--- a/link/peer.go
+++ b/link/peer.go
@@ -74,10 +74,8 @@
 	IdleTimeout clock.Millis
 	// MaxFrame is the maximum size of a frame, MaxReplyBody that of a reply's body, both in
 	// bytes.
-	MaxFrame     int
-	MaxReplyBody int
-	// Answers counts the memory of replies in several frames; nil means that it has no bound.
-	Answers           *memory.Answers
+	MaxFrame          int
+	MaxReplyBody      int
 	HeartbeatInterval clock.Millis
 	// RedialDelay is the approximate delay between a failed dial and the next dial; 0 means
 	// HeartbeatInterval.
@@ -93,13 +91,22 @@
 	// Announcements returns what the upstreams beside the peer have announced to this node. It
 	// may be nil.
 	Announcements func() *wire.Announcements
-	// OnReplaced is called when another process answers at the peer's address. It may be nil and
+	Observer      PeerObserver
+	// Shared is what all peers of a node have in common; nil stands for the zero value.
+	Shared *PeersConfig
+	Log    logrus.FieldLogger
+}
+
+// PeersConfig configures all peers of a node. A node has thousands of peers, most of them without a
+// link.
+type PeersConfig struct {
+	// Answers counts the memory of replies in several frames; nil means that it has no bound.
+	Answers *memory.Answers
+	// OnReplaced is called when another process answers at a peer's address. It may be nil and
 	// must not block.
-	OnReplaced func()
-	Observer   PeerObserver
+	OnReplaced func(address string)
 	// Panics may be nil.
 	Panics PanicRecorder
-	Log    logrus.FieldLogger
 }
 
 // Peer is the dialling side of the links to one node. Run must be called to operate it. It
@@ -154,6 +161,14 @@
 	}
 }
 
+// shared returns what all peers of the node have in common.
+func (p *Peer) shared() PeersConfig {
+	if p.config.Shared == nil {
+		return PeersConfig{}
+	}
+	return *p.config.Shared
+}
+
 // newDetector returns a detector without any history of the peer.
 func (c *PeerConfig) newDetector() *path.Detector {
 	return path.New(path.Config{HeartbeatInterval: c.HeartbeatInterval, RedialDelay: c.RedialDelay, Seed: c.Seed})
--- a/link/probe.go
+++ b/link/probe.go
@@ -40,7 +40,7 @@
 // checkProbe pings the peer if a message has been unanswered for too long, and declares the
 // path lost if the ping is not answered either.
 func (p *Peer) checkProbe() {
-	defer recoverPanic(p.config.Panics, nil)
+	defer recoverPanic(p.shared().Panics, nil)
 	p.mu.Lock()
 	now := p.config.Now()
 	action, after := p.probe.Check(now)
--- a/link/reply.go
+++ b/link/reply.go
@@ -53,7 +53,7 @@
 	if r.Length > p.config.MaxReplyBody {
 		return false
 	}
-	body, ok := p.config.Answers.Buffer(r.Length)
+	body, ok := p.shared().Answers.Buffer(r.Length)
 	if !ok {
 		logging.Repeatable(p.log.WithField("bytes", r.Length)).Log(logrus.WarnLevel, "answer dropped; no memory is left for it")
 		return false
--- a/link/reply_test.go
+++ b/link/reply_test.go
@@ -157,7 +157,7 @@
 	address, sockets := acceptLinks(t)
 	const length = limit // of a reply in several frames
 	answers := memory.NewAnswers(8*memory.Copies*length/3 + 8)
-	peer, _ := runPeer(t, link.PeerConfig{Address: address, HeartbeatInterval: clock.Minute, Observer: workRequestObserver{}, Answers: answers})
+	peer, _ := runPeer(t, link.PeerConfig{Address: address, HeartbeatInterval: clock.Minute, Observer: workRequestObserver{}, Shared: &link.PeersConfig{Answers: answers}})
 	first, second := replyObserver{replies: make(chan *wire.Reply, 1)}, replyObserver{replies: make(chan *wire.Reply, 1)}
 	dispatches := []*wire.Dispatch{newDispatch(1), newDispatch(2)}
 	for i, observer := range []replyObserver{first, second} {
--- a/node/node.go
+++ b/node/node.go
@@ -95,6 +95,7 @@
 	quotas          *quotas
 	memory          *memory.Budget
 	answers         *memory.Answers
+	peersConfig     link.PeersConfig
 	localWaiters    *localWaiters
 	entryPool       *ants.Pool
 	gatePool        *ants.Pool
@@ -206,6 +207,7 @@
 	if c.Store != nil {
 		n.follower = n.newFollower(c.Store)
 	}
+	n.peersConfig = link.PeersConfig{Answers: n.answers, Panics: n.panics, OnReplaced: n.recordRestart}
 	n.links = link.NewServer(link.ServerConfig{
 		Identity:          n.identity(),
 		MaxFrame:          n.frameLimit(),
--- a/node/peers.go
+++ b/node/peers.go
@@ -109,7 +109,6 @@
 		Self:              n.identity(),
 		MaxFrame:          n.frameLimit(),
 		MaxReplyBody:      n.settings.Limits.Answer,
-		Answers:           n.answers,
 		HeartbeatInterval: n.settings.HeartbeatInterval,
 		RedialDelay:       min(redialDelay, n.settings.HeartbeatInterval),
 		Seed:              n.seed + uint64(len(n.peers)),
@@ -117,8 +116,7 @@
 		Status:            n.Status,
 		Announcements:     func() *wire.Announcements { return n.entry.Announcements(address) },
 		Observer:          n,
-		Panics:            n.panics,
-		OnReplaced:        func() { n.recordRestart(address) },
+		Shared:            &n.peersConfig,
 		Log:               n.log,
 		Start:             func() { go n.runPeer(p.link) }, // a supervisor that is stopping makes Add wait
 	})
