memory: answers of unknown length don't wait for each other's memory

Found by a review of the change. What callers saw: large answers in chunks that together exceed the memory for answers all ended at their deadlines, with 502 or a timeout, and held their slots until then: each kept what it had and waited for more.

Failed before: TestResponsesOfUnknownLengthDoNotWaitForEachOther: got 0 whole answers, want some (10 s).

Now one answer that holds memory waits at a time; others that need more end at once as too large, which frees theirs. Weighed: one answer may exceed the bound (up to twice 64 MB on an instance of 284 MB). Answers of a known length hold nothing while they wait, as before.

--- a/gate/response_test.go
+++ b/gate/response_test.go
@@ -1,11 +1,17 @@
 package gate_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -87,3 +93,57 @@
 		})
 	}
 }
+
+// serveChunks starts an upstream that sends each answer in chunks with pauses between them.
+func serveChunks(t *testing.T, chunks, size int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for range chunks {
+					_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", size, strings.Repeat("x", size))
+					<-time.After(10 * time.Millisecond)
+				}
+				_, _ = io.WriteString(conn, "0\r\n\r\n")
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against answers of unknown length that wait for each other's memory until their deadlines, so that
+// all of them are lost.
+func TestResponsesOfUnknownLengthDoNotWaitForEachOther(t *testing.T) {
+	const chunks, size, count = 8, 1 << 18, 4
+	answers := memory.NewAnswers(32 << 20) // three eighths hold three of the answers, each counted twice
+	h := gate.NewHTTP(gate.HTTPConfig{Address: serveChunks(t, chunks, size), MaxConnections: count, MaxBody: 2 * chunks * size, Answers: answers})
+	defer h.Close()
+	var whole atomic.Int64
+	var group sync.WaitGroup
+	for range count {
+		group.Go(func() {
+			response, err := h.Do(t.Context(), &gate.Call{Method: "GET", URI: "/x", Deadline: 10 * clock.Second, Repeatable: true})
+			if err == nil && len(response.Body) == chunks*size {
+				whole.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if got := whole.Load(); got < 1 {
+		t.Errorf("got %d whole answers, want some", got)
+	}
+}
--- a/memory/answers.go
+++ b/memory/answers.go
@@ -20,8 +20,10 @@
 // SmallBody bytes aren't counted, as the number of requests bounds them. A nil Answers has no bound.
 // It is safe for concurrent use.
 type Answers struct {
-	bound     int64
-	held      atomic.Int64
+	bound int64
+	held  atomic.Int64
+	// extending means that an answer that holds memory waits for more.
+	extending atomic.Bool
 	collector collector
 }
 
@@ -111,7 +113,15 @@
 	return true
 }
 
+// await waits for memory. Of the answers that hold some and need more, one waits at a time: if all of them
+// did, none would get on.
 func (h *Holding) await(ctx context.Context, until time.Time, bytes int64) bool {
+	if h.bytes > 0 {
+		if !h.answers.extending.CompareAndSwap(false, true) {
+			return false
+		}
+		defer h.answers.extending.Store(false)
+	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	retry := time.NewTicker(retryInterval)
