node: a node that stops with a lock held since a panic ends; one check of locks at a time

Found by a review of the change. What operators saw: after a panic that left a gate's lock held, SIGTERM and SIGINT within five seconds left a process that never ended: what follows the wait for the end waited for the lock, and nobody read the failure any more.

The loop of checks has no test here.

Now all that ends a node runs beside the wait for that failure, one check of the locks runs at a time, and its own panic requests no other. A panic while the command waits for signals ends the node.

--- a/cmd/ending.go
+++ b/cmd/ending.go
@@ -96,7 +96,7 @@
 		return reasonCut
 	case errors.Is(err, node.ErrSupervisorEnded):
 		return reasonSupervisor
-	case errors.Is(err, node.ErrLockHeld), errors.Is(err, errPanic):
+	case errors.Is(err, node.ErrLockHeld), errors.Is(err, node.ErrPanic), errors.Is(err, errPanic):
 		return reasonPanic
 	case errors.Is(err, node.ErrPortClosed):
 		return reasonPort
--- a/cmd/nodecmd.go
+++ b/cmd/nodecmd.go
@@ -71,8 +71,8 @@
 	go r.runGuarded(ctx, caught.Hangups, config.Panics)
 	go func() {
 		defer config.Panics.Recover(node.PartCommand)
+		defer cancel()
 		leaveOnSignal(caught.Stops, n, end, log.WithField("node", s.Node))
-		cancel()
 	}()
 	err = guarded(func() error { return n.Run(ctx) }, func(value any, stack []byte) {
 		config.Panics.Record(node.PartCommand, value, stack)
--- a/node/ending.go
+++ b/node/ending.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 	"github.com/valyala/fasthttp"
 )
@@ -37,6 +39,8 @@
 	// ErrLockHeld means that a lock wasn't released after a panic: what it guards can't be
 	// used any more.
 	ErrLockHeld = errors.ConstError("a lock is held since a panic")
+	// ErrPanic means that the node has panicked while it ended.
+	ErrPanic = errors.ConstError("the node panicked while it ended")
 )
 
 // Held is what a node held when it stopped.
@@ -95,24 +99,18 @@
 	lockTick    = 100 * time.Millisecond
 )
 
-// checkLocks ends the node if a lock stays held, after a panic. It doesn't wait. Ticks are counted,
-// not the time: a process that was paused gets one for the pause.
+// checkLocks ends the node if a lock stays held, after a panic. It doesn't wait. One check runs at a
+// time, and once more if another was requested meanwhile.
 func (n *Node) checkLocks(part string) {
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		defer n.panics.Recover(PartCommand)
-		n.takeLocks()
-	}()
+	if n.lockChecks.Add(1) > 1 {
+		return
+	}
 	go func() {
-		ticker := time.NewTicker(lockTick)
-		defer ticker.Stop()
-		for range lockTimeout {
-			select {
-			case <-released:
+		for n.areLocksFree() {
+			if n.lockChecks.CompareAndSwap(1, 0) {
 				return
-			case <-ticker.C:
 			}
+			n.lockChecks.Store(1)
 		}
 		select {
 		case n.failures <- errors.Annotatef(ErrLockHeld, "in %s", part):
@@ -121,6 +119,31 @@
 	}()
 }
 
+// areLocksFree reports whether all locks are released within lockTimeout ticks. Ticks are counted, not the
+// time: a process that was paused gets one for the pause.
+func (n *Node) areLocksFree() bool {
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		defer func() { // a panic that is counted would request another check
+			if value := recover(); value != nil {
+				n.log.WithFields(logrus.Fields{"part": PartCommand, "panic": fmt.Sprint(value), "stack": string(debug.Stack())}).Error("panic")
+			}
+		}()
+		n.takeLocks()
+	}()
+	ticker := time.NewTicker(lockTick)
+	defer ticker.Stop()
+	for range lockTimeout {
+		select {
+		case <-released:
+			return true
+		case <-ticker.C:
+		}
+	}
+	return false
+}
+
 // takeLocks takes each lock of the node once.
 func (n *Node) takeLocks() {
 	n.offerMu.Lock()
@@ -136,7 +159,7 @@
 }
 
 // awaitEnd waits until the node has left, the context has ended, or the node must end. It returns how
-// many requests are cut. After ErrLockHeld nothing else may be asked of the node.
+// many requests are cut.
 func (n *Node) awaitEnd(ctx context.Context, supervisor chan error) (cut int, err error) {
 	ended := make(chan int, 1)
 	go func() {
@@ -163,8 +186,6 @@
 		}
 		n.log.WithError(reason).Error("the supervisor ended by itself")
 		return n.cut(ctx), errors.Trace(ErrSupervisorEnded)
-	case err = <-n.failures:
-		return n.entry.InFlight(), err
 	}
 }
 
--- a/node/ending_test.go
+++ b/node/ending_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -217,6 +219,59 @@
 	awaitRunError(t, done, node.ErrLockHeld)
 }
 
+// signallingHook is a panicHook that tells of its panic.
+type signallingHook struct {
+	panicHook
+
+	fired chan struct{}
+	once  sync.Once
+}
+
+func (h *signallingHook) Fire(e *logrus.Entry) error {
+	if e.Message == h.message {
+		h.once.Do(func() { close(h.fired) })
+	}
+	return h.panicHook.Fire(e)
+}
+
+// Guards against a process that never ends, because it is asked to stop while a lock is held since a panic.
+func TestNodeEndsWhenItStopsWithALockHeld(t *testing.T) {
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(gate.HeaderRateLimit, "5") }}
+	go func() { _ = server.Serve(upstream) }() // until the test closes its port
+	defer func() { _ = upstream.Close() }()
+	log := logging.Silent()
+	hook := &signallingHook{panicHook: panicHook{"backend server announced a change"}, fired: make(chan struct{})}
+	log.AddHook(hook)
+	l := listen(t)
+	n, err := node.New(node.Config{Log: log, Listeners: l, Settings: &settings.Settings{
+		Node: "n", Domain: "palermo", Secret: "a secret of this test", HeartbeatInterval: 200, Grace: clock.Second,
+		Listen: settings.Listen{Caller: "127.0.0.1:1", Link: l.Link.Addr().String(), Admin: "127.0.0.1:2"},
+		Limits: settings.Limits{Body: 1 << 20, Answer: 1 << 20, Requests: 16, Records: 16},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	offerTable(t, n, l, upstream.Addr().String())
+	go func() {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + l.Caller.Addr().String() + "/turno")
+		request.Header.SetMethod(fasthttp.MethodPost)
+		_ = fasthttp.DoTimeout(request, response, endTimeout) // the node may end before it has answered
+	}()
+	<-hook.fired
+	n.Leave()
+	cancel()
+	awaitRunError(t, done, node.ErrLockHeld)
+}
+
 // panickingBuilder panics as long as a count lasts.
 type panickingBuilder struct {
 	fixedTable
--- a/node/node.go
+++ b/node/node.go
@@ -96,6 +96,7 @@
 	memory          *memory.Budget
 	answers         *memory.Answers
 	peersConfig     link.PeersConfig
+	lockChecks      atomic.Int32 // requested, of which one runs
 	localWaiters    *localWaiters
 	entryPool       *ants.Pool
 	gatePool        *ants.Pool
@@ -349,11 +350,25 @@
 		"link":   listeners.Link.Addr().String(),
 		"admin":  listeners.Admin.Addr().String(),
 	}).Info("node started")
-	cut, reason := n.awaitEnd(ctx, done)
-	if errors.Is(reason, ErrLockHeld) {
-		n.held.Store(&Held{Requests: cut})
-		return reason // what else is to be done may wait for the lock
+	ended := make(chan error, 1)
+	go func() {
+		defer n.panics.Recover(PartCommand)
+		reason := errors.Trace(ErrPanic)
+		defer func() { ended <- reason }()
+		reason = n.end(ctx, cancel, done)
+	}()
+	select {
+	case reason := <-ended:
+		return reason
+	case reason := <-n.failures: // the rest may wait for the lock
+		n.held.Store(&Held{Requests: n.entry.InFlight()})
+		return reason
 	}
+}
+
+// end waits until the node has left, the context has ended, or the node must end, and then stops it.
+func (n *Node) end(ctx context.Context, cancel context.CancelFunc, done chan error) error {
+	cut, reason := n.awaitEnd(ctx, done)
 	n.recordHeld(cut)
 	cancel()
 	if !errors.Is(reason, ErrSupervisorEnded) {
