cmd: settings are read again once their secret file appears

Found by a review of the change. What operators saw: an edit of the settings wasn't in force until the next edit or SIGHUP, if the secret file was missing while they were read (a rotation); the start waits for it.

Now settings whose file or secret file is missing are read again at each poll, with one line in the log.

--- a/cmd/reload.go
+++ b/cmd/reload.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io/fs"
 	"os"
 	"reflect"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/logging"
@@ -39,6 +41,8 @@
 	// isUnsettled is set if the file was loaded so soon after a change that another one may not show
 	// in seen.
 	isUnsettled bool
+	// rejected is the fault of the file at the last load, empty without one.
+	rejected string
 }
 
 // runGuarded is run that goes on after a panic: a settings file must not end the node.
@@ -97,6 +101,9 @@
 	if !isChanged && !r.isUnsettled && cause == causeChange {
 		return
 	}
+	if isChanged {
+		r.rejected = ""
+	}
 	r.seen, r.isUnsettled = info, settings.IsYoung(info, settings.FaultSettleTime)
 	r.reload(log, cause)
 }
@@ -109,7 +116,11 @@
 		log.WithError(err).Debug("settings file not settled; it is read again at the next poll")
 		return
 	case err != nil:
-		log.WithError(err).Error("settings rejected; those in force stay")
+		if cause == causeSignal || r.rejected != err.Error() {
+			log.WithError(err).Error("settings rejected; those in force stay")
+		}
+		r.rejected = err.Error()
+		r.isUnsettled = errors.Is(err, fs.ErrNotExist) // the secret file may still come
 		return
 	case settings.IsYoung(r.seen, settings.SettleTime):
 		return // it may be a part of the file; the next poll reads it again
@@ -117,7 +128,7 @@
 		return
 	}
 	loaded := *next
-	r.last = &loaded
+	r.last, r.rejected = &loaded, ""
 	logWarnings(log, next)
 	r.apply(next)
 	fixed := *next
