memory: no collection runs with a peer's lock held; memory is freed early

Found by a review of the change. A reply in several frames was given its buffer under its peer's lock, and a count that was full ran a collection there (115 ms with many objects, a trial of the reviewer), which held up all that goes over the link.

Now the collection runs beside it, and already from three quarters of the bound on. Weighed: to allocate without the lock, and look the dispatch up again. Open: a reply that finds no room is still cut, without a second try.

--- a/memory/answers.go
+++ b/memory/answers.go
@@ -13,6 +13,9 @@
 	answerNumerator = 3
 	// retryInterval is the time between two attempts to reserve memory that is in use.
 	retryInterval = 20 * time.Millisecond
+	// earlyNumerator and earlyDenominator give the part of the bound from which memory that isn't used
+	// any more is freed early, so that the next answer finds room.
+	earlyNumerator, earlyDenominator = 3, 4
 )
 
 // Answers counts the bytes of large answers that a node holds, until the garbage collector has freed
@@ -76,11 +79,12 @@
 		return make([]byte, size), true
 	}
 	bytes := int64(size) * Copies
-	if !a.tryReserve(bytes, 0) {
-		a.collector.collect()
-		if !a.tryReserve(bytes, 0) {
-			return nil, false
-		}
+	isReserved := a.tryReserve(bytes, 0)
+	if !isReserved || a.held.Load() > a.bound/earlyDenominator*earlyNumerator {
+		go a.collector.collect() // the caller may hold a lock
+	}
+	if !isReserved {
+		return nil, false
 	}
 	buffer := make([]byte, size)
 	runtime.AddCleanup(&buffer[0], a.release, bytes)
