--- a/node/ending_test.go
+++ b/node/ending_test.go
@@ -30,6 +30,12 @@
 // runNode runs a node that the test ends some other way than by its context. It returns the node, and the
 // channel of Run's error.
 func runNode(t *testing.T, l *node.Listeners, log *logrus.Logger) (*node.Node, <-chan error) {
+	t.Helper()
+	return runNodeUntil(t.Context(), t, l, log)
+}
+
+// runNodeUntil runs a node until the context ends, at the latest.
+func runNodeUntil(ctx context.Context, t *testing.T, l *node.Listeners, log *logrus.Logger) (*node.Node, <-chan error) {
 	t.Helper()
 	n, err := node.New(node.Config{Log: log, Listeners: l, Settings: &settings.Settings{
 		Node: "n", Domain: "palermo", Secret: "a secret of this test", HeartbeatInterval: 200, Grace: clock.Second,
@@ -40,7 +46,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	go func() { done <- n.Run(t.Context()) }()
+	go func() { done <- n.Run(ctx) }()
 	return n, done
 }
 
@@ -247,18 +253,9 @@
 	hook := &signallingHook{panicHook: panicHook{"backend server announced a change"}, fired: make(chan struct{})}
 	log.AddHook(hook)
 	l := listen(t)
-	n, err := node.New(node.Config{Log: log, Listeners: l, Settings: &settings.Settings{
-		Node: "n", Domain: "palermo", Secret: "a secret of this test", HeartbeatInterval: 200, Grace: clock.Second,
-		Listen: settings.Listen{Caller: "127.0.0.1:1", Link: l.Link.Addr().String(), Admin: "127.0.0.1:2"},
-		Limits: settings.Limits{Body: 1 << 20, Answer: 1 << 20, Requests: 16, Records: 16},
-	}})
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
+	n, done := runNodeUntil(ctx, t, l, log)
 	offerTable(t, n, l, upstream.Addr().String())
 	go func() {
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
