node: callers are answered before a node that ends at once has stopped

What callers saw: no answer, when a node got a second signal while it left: TestSecondSignalAnswersAllCallers: got 3 requests without an answer when the node had stopped, want none.

Cause: waits for the end of the shutdown and of the supervisor, whichever comes first; a second signal ends the supervisor at once, and the node stopped while it still answered its callers.

Now the end of the supervisor by the node's own context leads to a wait for the shutdown. A lock that is held meanwhile still ends the node, as its failure is read beside that.

--- a/node/ending.go
+++ b/node/ending.go
@@ -175,18 +175,18 @@
 	}()
 	select {
 	case cut = <-ended:
-		if reason := n.leaveReason.Load(); reason != nil {
-			return cut, *reason
-		}
-		return cut, nil
 	case reason := <-supervisor:
-		if errors.Is(reason, context.Canceled) {
-			supervisor <- reason // for Run, which waits for it
-			return n.InFlight(), nil
+		if !errors.Is(reason, context.Canceled) {
+			n.log.WithError(reason).Error("the supervisor ended by itself")
+			return n.cut(ctx), errors.Trace(ErrSupervisorEnded)
 		}
-		n.log.WithError(reason).Error("the supervisor ended by itself")
-		return n.cut(ctx), errors.Trace(ErrSupervisorEnded)
+		supervisor <- reason // for end, which waits for it
+		cut = <-ended        // callers get their answers until then
+	}
+	if reason := n.leaveReason.Load(); reason != nil {
+		return cut, *reason
 	}
+	return cut, nil
 }
 
 // portClosed returns what the service of a port returns to its supervisor when the port was closed, which a
