head, gate: an answer with a field name that is no token is refused

What callers saw: an upstream in trouble sent a head in which the name of a field held a blank or a control byte. The caller got the answer with that line, with a seal or another field that had a piece of it appended, or with a body that was not the upstream's.

Cause: the HTTP library repairs what other recipients read differently. It takes a name with a blank and passes it on, drops blanks before the colon, appends a line that begins with a blank or a tab to the value of the line before, so that "Seal: s" becomes another seal, and takes a line feed at the start of a line for the end of the head, so that the rest of the head is the body. In a trailer it does the same. The gate checked the status line alone.

Change: the new package head reads heads and trailers. It awaits one as a whole and checks it before the library parses it: the status line, lines that end with CR LF, and names that are tokens (RFC 9110, 5.6.2). The check of HTTP/1.0 with a transfer encoding is part of it. A broken one is refused, not repaired (RFC 9112, 5.1 and 5.2, leave a proxy both): it ends like a cut answer. The outcome is unknown, what may run once isn't sent again, the connection is closed, the detector gets the same observation, and the gate's line names the reason and shows no byte of the answer. The chunks of a body are read with net/http/httputil, since the library reads the trailer by itself behind the last chunk.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -12,6 +12,7 @@
 
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/head"
 	"fuchsiapick.example/fuchsiapick/memory"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -193,7 +194,7 @@
 		return errors.Annotate(ErrCancelled, err.Error())
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
 		return errors.Annotate(ErrTimeout, err.Error())
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, head.ErrTooLarge):
 		return errors.Annotate(ErrTooLarge, err.Error())
 	default:
 		return errors.Annotate(ErrTruncated, err.Error())
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/head"
 )
 
 const (
@@ -27,13 +29,15 @@
 	// maxLateResponses limits the responses that are read for one request: those to earlier
 	// requests on the connection are skipped.
 	maxLateResponses = 4
+	// writeBufferSize is the size in bytes of a connection's buffer for requests.
+	writeBufferSize = 4 << 10
 )
 
 // backendConn is one connection to the backend server.
 type backendConn struct {
 	net.Conn
 
-	reader   *bufio.Reader
+	reader   *head.Reader
 	writer   *bufio.Writer
 	openedAt time.Time // when the connection attempt began
 	deadline time.Time // of the exchange in progress
@@ -76,8 +80,8 @@
 	}
 	conn = &backendConn{
 		Conn:     raw,
-		reader:   bufio.NewReaderSize(raw, bufferSize),
-		writer:   bufio.NewWriterSize(raw, bufferSize),
+		reader:   head.NewReader(raw),
+		writer:   bufio.NewWriterSize(raw, writeBufferSize),
 		openedAt: openedAt,
 		deadline: deadline,
 	}
--- a/gate/response.go
+++ b/gate/response.go
@@ -3,15 +3,44 @@
 import (
 	"context"
 	"io"
+	"net/http/httputil"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapick.example/fuchsiapick/head"
 	"fuchsiapick.example/fuchsiapick/memory"
 )
 
-// maxSegment is the maximum size in bytes of the parts in which a response of unknown length is read.
-const maxSegment = 1 << 20
+// The sizes in bytes of the parts in which a response of unknown length is read.
+const (
+	firstSegment = 4 << 10
+	maxSegment   = 1 << 20
+)
+
+// chunked is what ContentLength returns for a response in chunks.
+const chunked = -1
+
+// readResponse reads the final response to a request.
+func (c *backendConn) readResponse(ctx context.Context, h *HTTP, response *fasthttp.Response) error {
+	response.ResetBody()
+	err := c.reader.ReadHead(&response.Header)
+	switch {
+	case errors.Is(err, head.ErrUpgrade):
+		return errors.Annotate(ErrMismatchedReply, err.Error())
+	case err != nil:
+		return errors.Trace(err)
+	case isBodiless(response):
+		return nil
+	}
+	return c.readBody(ctx, h, response)
+}
+
+// isBodiless reports whether no body follows the head, whatever length the head has.
+func isBodiless(response *fasthttp.Response) bool {
+	status := response.StatusCode()
+	return response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
 
 // readBody reads the body after a head into a buffer of its own, which counts towards the memory for
 // answers: without room the rest stays with the backend server until there is, or the request's deadline
@@ -79,14 +108,14 @@
 
 // readSegments reads a body of unknown length, and the trailer after it, into parts, and then joins them.
 func (r *responseReader) readSegments(ctx context.Context, response *fasthttp.Response) ([]byte, error) {
-	response.StreamBody = true
-	if err := response.ReadBody(r.conn.reader, 0); err != nil {
-		return nil, errors.Trace(err)
+	isChunked := response.Header.ContentLength() == chunked
+	var body io.Reader = r.conn.reader.Reader
+	if isChunked {
+		body = httputil.NewChunkedReader(body)
 	}
-	body := response.BodyStream()
 	var segments [][]byte
 	total := 0
-	for size := bufferSize; ; size = min(2*size, maxSegment) {
+	for size := firstSegment; ; size = min(2*size, maxSegment) {
 		if err := r.grow(ctx, size); err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -97,10 +126,12 @@
 		}
 		segments = append(segments, segment[:n])
 		switch {
+		case errors.Is(err, io.EOF) && isChunked:
+			return join(segments, total), errors.Trace(r.conn.reader.ReadTrailer(&response.Header))
 		case errors.Is(err, io.EOF):
 			return join(segments, total), nil
 		case err != nil:
-			return nil, errors.Annotate(r.conn.chunkError(err), "reading the body")
+			return nil, errors.Annotate(err, "reading the body")
 		}
 	}
 }
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -45,6 +45,24 @@
 	return nil, false
 }
 
+// IsFieldName reports whether a field may have the name: a token of RFC 9110, 5.6.2.
+func IsFieldName(name []byte) bool {
+	for _, c := range name {
+		if !tokenBytes[c] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// tokenBytes marks the bytes of a token.
+var tokenBytes = func() (marks [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		marks[c] = true
+	}
+	return marks
+}()
+
 var hopByHopHeaders = [][]byte{
 	[]byte("Connection"), []byte("Keep-Alive"), []byte("Transfer-Encoding"), []byte("Content-Length"),
 	[]byte("Upgrade"), []byte("TE"), []byte("Trailer"), []byte("Proxy-Connection"),
