entry: an answer that HTTP doesn't allow isn't written to callers

What callers saw: from an entry of this release beside gates of an earlier one, an answer with a field name that holds a blank or a control byte, or with a status that is none.

Cause: the entry wrote the fields and the status of a peer's reply as they came. The HTTP library writes any name, writes status 0 as 200, and writes 1xx as a final answer, behind which a caller waits for the true one.

The record of an earlier send, which a peer returns for a key, was replayed in the same way.

Change: a reply whose status or fields HTTP doesn't allow counts as a broken one where the entry receives it: 502 and unknown, sent once more if it may run again, one line with the request and the upstream. Such a record of a key counts as not kept.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/logging"
 	"fuchsiapick.example/fuchsiapick/retry"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -201,7 +203,7 @@
 	case e.kind == callerGone:
 		return result{kind: retry.NoResponse, reason: string(wire.ReasonCallerLeft)}, true
 	case e.kind == replied:
-		return resultOf(e.reply), true
+		return resultOf(r.checkReply(e.reply)), true
 	case e.kind == revoked:
 		return result{kind: retry.NotRun, reason: string(wire.ReasonRevoked)}, true
 	case e.kind == notSent:
@@ -251,6 +253,25 @@
 	return reason == wire.ReasonFull || reason == wire.ReasonDeadlineTooShort || reason == wire.ReasonRateLimit
 }
 
+// checkReply returns the reply, or a broken one in place of an answer that isn't one in HTTP. Gates of
+// earlier releases hand on what they got.
+func (r *request) checkReply(reply *wire.Reply) *wire.Reply {
+	if reply.Outcome != wire.Answered || isResponse(reply.Status, reply.Headers) {
+		return reply
+	}
+	log := r.entry.config.Log.WithFields(logrus.Fields{"request": wire.RequestName(r.callerRequestID, r.id), "upstream": reply.Upstream.Name})
+	logging.Repeatable(log).Warn("answer dropped; its status or a field is none in HTTP")
+	broken := *reply
+	broken.Outcome, broken.Reason = wire.Broken, wire.ReasonTruncated
+	broken.Headers, broken.Body, broken.Length = nil, nil, 0
+	return &broken
+}
+
+// isResponse reports whether a final response of HTTP may have the status and the headers.
+func isResponse(status int, headers wire.Headers) bool {
+	return fasthttp.StatusOK <= status && status <= 999 && headers.IsWellFormed()
+}
+
 func resultOf(reply *wire.Reply) result {
 	out := result{reply: reply, reason: string(reply.Reason), retryAfter: reply.RetryAfter}
 	switch reply.Outcome {
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -33,6 +33,8 @@
 	handle func(d *fakeGate, m *wire.Dispatch, w link.DispatchObserver)
 	// onResolve handles a question for the outcome of a dispatch; nil answers none.
 	onResolve func()
+	// record is what the gate's node has recorded about every key; nil means that it can't be reached.
+	record *wire.KeyRevocationReply
 	// publish receives the upstream state of a refusal by verdict.
 	publish func(u wire.Upstream)
 
@@ -113,8 +115,12 @@
 func (*fakeGate) Forget(wire.RequestID, uint8)        {}
 func (*fakeGate) Withdraw(wire.RequestID, uint8) bool { return false }
 func (d *fakeGate) Abandon(wire.RequestID, uint8)     { d.abandoned++ }
-func (*fakeGate) RevokeKey(*wire.KeyRevocation, clock.Millis, link.RevocationObserver) error {
-	return link.ErrNoLink
+func (d *fakeGate) RevokeKey(_ *wire.KeyRevocation, _ clock.Millis, w link.RevocationObserver) error {
+	if d.record == nil {
+		return link.ErrNoLink
+	}
+	w.Revoked(d.record)
+	return nil
 }
 func (*fakeGate) ForgetRevocation(wire.RequestID) {}
 
--- a/entry/resend.go
+++ b/entry/resend.go
@@ -178,9 +178,13 @@
 	if a.reply == nil {
 		return resend.LookupResult{}
 	}
+	status := resend.Status(a.reply.KeyStatus)
+	if status == resend.Ran && !isResponse(a.reply.Status, a.reply.Headers) {
+		status = resend.Lost // the record is no answer
+	}
 	return resend.LookupResult{
 		Answered: true,
-		Status:   resend.Status(a.reply.KeyStatus),
+		Status:   status,
 		Covers:   a.reply.Covers + now - a.receivedAt,
 		Version:  a.reply.Version,
 	}
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -55,6 +55,28 @@
 	return len(name) > 0
 }
 
+// isFieldValue reports whether a field may have the value (RFC 9110, 5.5).
+func isFieldValue(value []byte) bool {
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// IsWellFormed reports whether the block holds nothing but fields that HTTP allows.
+func (h Headers) IsWellFormed() bool {
+	for line := range bytes.Lines(h) {
+		field, isLine := bytes.CutSuffix(line, []byte{'\n'})
+		name, value, isField := bytes.Cut(field, []byte{':'})
+		if !isLine || !isField || !IsFieldName(name) || !isFieldValue(value) {
+			return false
+		}
+	}
+	return true
+}
+
 // tokenBytes marks the bytes of a token.
 var tokenBytes = func() (marks [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
