--- a/gate/response.go
+++ b/gate/response.go
@@ -30,18 +30,12 @@
 		return errors.Annotate(ErrMismatchedReply, err.Error())
 	case err != nil:
 		return errors.Trace(err)
-	case isBodiless(response):
+	case head.IsBodiless(response):
 		return nil
 	}
 	return c.readBody(ctx, h, response)
 }
 
-// isBodiless reports whether no body follows the head, whatever length the head has.
-func isBodiless(response *fasthttp.Response) bool {
-	status := response.StatusCode()
-	return response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // readBody reads the body after a head into a buffer of its own, which counts towards the memory for
 // answers: without room the rest stays with the backend server until there is, or the request's deadline
 // has passed.
--- a/head/reader.go
+++ b/head/reader.go
@@ -27,8 +27,8 @@
 // Errors of a Reader, beside those of its source. Their texts quote no part of the response, which may
 // hold secrets.
 const (
-	// ErrMalformed means a head or trailer that breaks the grammar of HTTP/1.
-	ErrMalformed = errors.ConstError("malformed head or trailer")
+	// ErrMalformed means a response that breaks the grammar of HTTP/1.
+	ErrMalformed = errors.ConstError("malformed response")
 	// ErrTooLarge means a head or trailer of more than MaxSize bytes.
 	ErrTooLarge = errors.ConstError("head or trailer is too large")
 	// ErrUpgrade means a response that switches the protocol, which no request asks for.
@@ -48,6 +48,37 @@
 	return &Reader{Reader: bufio.NewReaderSize(source, bufferSize), source: source}
 }
 
+// chunked is what ContentLength returns for a response in chunks.
+const chunked = -1
+
+// IsBodiless reports whether no body follows the head, whatever length the head has.
+func IsBodiless(response *fasthttp.Response) bool {
+	status := response.StatusCode()
+	return response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// ReadResponse reads the final response with a body of at most maxBody bytes. It returns
+// fasthttp.ErrBodyTooLarge for a longer one.
+func (r *Reader) ReadResponse(response *fasthttp.Response, maxBody int) error {
+	if err := r.ReadHead(&response.Header); err != nil {
+		return errors.Trace(err)
+	}
+	if IsBodiless(response) {
+		return nil
+	}
+	isChunked := response.Header.ContentLength() == chunked
+	err := response.ReadBody(r.Reader, maxBody)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return errors.Trace(err)
+	case err != nil:
+		return errors.Annotate(unquoted(err), "reading the body")
+	case isChunked:
+		return r.ReadTrailer(&response.Header)
+	}
+	return nil
+}
+
 // ReadHead reads the head of the final response and skips the interim ones before it.
 func (r *Reader) ReadHead(header *fasthttp.ResponseHeader) error {
 	for range maxInterim {
@@ -97,7 +128,7 @@
 		return fasthttp.ErrTimeout
 	case errors.As(err, &netErr):
 		return netErr
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return io.ErrUnexpectedEOF
 	default:
 		return ErrMalformed
