--- a/cmd/reportcmd.go
+++ b/cmd/reportcmd.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -37,7 +38,7 @@
 		fmt.Fprintf(stderr, "fuchsiapick report: %v\n", err)
 		return ExitUsage
 	}
-	results, err := report.Fetch(report.Query{
+	results, err := report.Fetch(context.Background(), report.Query{
 		Nodes:   slices.Concat(c.Node, c.More),
 		Filter:  access.Filter{Service: c.Service, Caller: c.Caller, Upstream: c.Upstream, Since: c.Since},
 		Timeout: c.Timeout,
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -112,7 +112,7 @@
 	}
 	traffic.stop()
 	s.printf("%s\n", traffic.summary())
-	return errors.Trace(s.writeReport())
+	return errors.Trace(s.writeReport(ctx))
 }
 
 // grayUpstream returns the name of the middle upstream of the second service. Requests to that
@@ -177,7 +177,7 @@
 	s.printf("%s leaves: no new work for it, what it has begun is finished.", name)
 	t.removeNode(m)
 	var err error
-	if s.departedResults, err = report.Fetch(report.Query{Nodes: []string{m.Admin}, Timeout: reportTimeout}); err != nil {
+	if s.departedResults, err = report.Fetch(ctx, report.Query{Nodes: []string{m.Admin}, Timeout: reportTimeout}); err != nil {
 		return errors.Annotate(err, "asking the leaving node")
 	}
 	m.Node.Leave()
@@ -192,7 +192,7 @@
 
 // writeReport fetches the reports of the running nodes, as the report command does, merges
 // them with the report of the node that was shut down, and writes the result.
-func (s *session) writeReport() error {
+func (s *session) writeReport(ctx context.Context) error {
 	addresses := make([]string, 0, len(s.fleet.Members))
 	for _, m := range s.fleet.Members {
 		select {
@@ -201,7 +201,7 @@
 			addresses = append(addresses, m.Admin)
 		}
 	}
-	results, err := report.Fetch(report.Query{Nodes: addresses, Timeout: reportTimeout})
+	results, err := report.Fetch(ctx, report.Query{Nodes: addresses, Timeout: reportTimeout})
 	if err != nil {
 		return errors.Annotate(err, "asking the nodes")
 	}
--- a/report/fetch.go
+++ b/report/fetch.go
@@ -1,10 +1,11 @@
 package report
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/panjf2000/ants/v2"
@@ -12,6 +13,7 @@
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/head"
 )
 
 const (
@@ -64,7 +66,7 @@
 // Fetch queries the nodes concurrently and returns one result for each distinct
 // address, in the order of Nodes. Fetch returns ErrInvalidAddress for a malformed address;
 // the failure of a single node is in its result.
-func Fetch(q Query) ([]NodeResult, error) {
+func Fetch(ctx context.Context, q Query) ([]NodeResult, error) {
 	if err := q.Check(); err != nil {
 		return nil, err
 	}
@@ -79,13 +81,8 @@
 		}
 		seen[address] = true
 	}
-	deadline := time.Now().Add(q.Timeout.Duration())
-	client := &fasthttp.Client{
-		MaxResponseBodySize: maxAnswerSize,
-		ReadTimeout:         q.Timeout.Duration(),
-		WriteTimeout:        q.Timeout.Duration(),
-	}
-	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout.Duration())
+	defer cancel()
 	pool, err := ants.NewPool(min(maxConcurrent, max(len(results), 1)))
 	if err != nil {
 		return nil, errors.Annotate(err, "creating the worker pool")
@@ -96,7 +93,7 @@
 		fetches.Add(1)
 		err := pool.Submit(func() {
 			defer fetches.Done()
-			results[i].Snapshot, results[i].Err = fetchNode(client, results[i].Address, q.Filter, deadline)
+			results[i].Snapshot, results[i].Err = fetchNode(ctx, results[i].Address, q.Filter)
 		})
 		if err != nil {
 			fetches.Done()
@@ -109,12 +106,13 @@
 
 // fetchNode fetches a node's snapshot. It returns ErrInvalidAnswer if the status isn't 200
 // or the body isn't a snapshot of access.Format.
-func fetchNode(client *fasthttp.Client, address string, f access.Filter, deadline time.Time) (*access.Snapshot, error) {
+func fetchNode(ctx context.Context, address string, f access.Filter) (*access.Snapshot, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + reportPath + "?" + f.Query())
-	if err := client.DoDeadline(request, response, deadline); err != nil {
+	request.SetConnectionClose()
+	if err := call(ctx, address, request, response); err != nil {
 		return nil, errors.Annotatef(err, "asking %s", address)
 	}
 	if code := response.StatusCode(); code != fasthttp.StatusOK {
@@ -129,3 +127,25 @@
 	}
 	return &s, nil
 }
+
+// call sends a request on a connection of its own and reads the response.
+func call(ctx context.Context, address string, request *fasthttp.Request, response *fasthttp.Response) error {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = conn.Close() }() // the response has been read or the call has failed
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := conn.SetDeadline(deadline); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if _, err := request.WriteTo(conn); err != nil {
+		return errors.Trace(err)
+	}
+	err = head.NewReader(conn).ReadResponse(response, maxAnswerSize)
+	if errors.Is(err, head.ErrMalformed) || errors.Is(err, head.ErrTooLarge) || errors.Is(err, head.ErrUpgrade) {
+		return errors.Annotate(ErrInvalidAnswer, err.Error())
+	}
+	return errors.Trace(err)
+}
--- a/report/fetch_test.go
+++ b/report/fetch_test.go
@@ -63,7 +63,7 @@
 		Timeout: 500,
 	}
 	q.Nodes = append(q.Nodes, q.Nodes[0])
-	results, err := report.Fetch(q)
+	results, err := report.Fetch(t.Context(), q)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +86,7 @@
 // Nodes are queried by IP address and port only.
 func TestFetchRejectsHostNames(t *testing.T) {
 	for _, address := range []string{"node-1:7302", "127.0.0.1", "", "127.0.0.1:x"} {
-		if _, err := report.Fetch(report.Query{Nodes: []string{address}}); !errors.Is(err, report.ErrInvalidAddress) {
+		if _, err := report.Fetch(t.Context(), report.Query{Nodes: []string{address}}); !errors.Is(err, report.ErrInvalidAddress) {
 			t.Errorf("got error %v for %q, want ErrInvalidAddress", err, address)
 		}
 	}
--- a/report/merge.go
+++ b/report/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"syscall"
 
@@ -90,8 +91,9 @@
 // describeFetchError describes why a node's snapshot is missing. The text completes a
 // sentence about the node.
 func describeFetchError(err error) string {
+	var netErr net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout):
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
 		return "it did not answer in time"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "it refused the connection"
