link: the response to the handshake is checked and bounded before it is parsed

What the fleet saw: a node that dials an address which another program has taken, and which sends bytes without end, kept all of them until the handshake timed out; the memory that it held then is that of all its callers. A response with a field name that holds a blank opened a link.

Cause: the WebSocket library reads the response with net/http, whose reader of a response has no limit on the head, and repairs names as the other library does. Two seconds of the handshake's timeout bound the time alone.

A body and a chunk's size without end were bounded. "X Y: z", "X : y" and a line that ends with a line feed alone, in the response of a real node, opened a link.

Change: the connection that the library reads from checks the head of the response with package head first, which holds 32 KB at most. Once the bytes that arrived with the head are read, it reads from the connection itself.

--- a/head/reader.go
+++ b/head/reader.go
@@ -82,14 +82,7 @@
 // ReadHead reads the head of the final response and skips the interim ones before it.
 func (r *Reader) ReadHead(header *fasthttp.ResponseHeader) error {
 	for range maxInterim {
-		if err := r.skipLineEnds(); err != nil {
-			return errors.Trace(err)
-		}
-		head, err := r.await(headLength)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		if err := checkHead(head); err != nil {
+		if err := r.CheckHead(); err != nil {
 			return errors.Trace(err)
 		}
 		if err := header.Read(r.Reader); err != nil {
@@ -105,6 +98,18 @@
 	return errors.Annotatef(ErrMalformed, "more than %d interim responses", maxInterim)
 }
 
+// CheckHead checks the head of the next response, interim or final, which stays to be read.
+func (r *Reader) CheckHead() error {
+	if err := r.skipLineEnds(); err != nil {
+		return errors.Trace(err)
+	}
+	head, err := r.await(headLength)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(checkHead(head))
+}
+
 // ReadTrailer reads the trailer that follows the last chunk of a body.
 func (r *Reader) ReadTrailer(header *fasthttp.ResponseHeader) error {
 	trailer, err := r.await(trailerLength)
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/head"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -51,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout.Duration())
 	defer cancel()
 	dialer := websocket.Dialer{
-		NetDialContext:  (&net.Dialer{}).DialContext,
+		NetDialContext:  dialChecked,
 		ReadBufferSize:  bufferSize,
 		WriteBufferSize: bufferSize,
 	}
@@ -71,6 +72,42 @@
 	return c, remote, nil
 }
 
+// dialChecked opens a connection on which the head of the response to the handshake is checked, and its size
+// bounded, before the WebSocket library reads it.
+func dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &checkedConn{Conn: conn, response: head.NewReader(conn)}, nil
+}
+
+type checkedConn struct {
+	net.Conn
+
+	// response reads the bytes up to those that arrived with the head; nil after them.
+	response  *head.Reader
+	isChecked bool
+}
+
+// Read returns an error if the connection doesn't begin with the head of a response.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	if c.response == nil {
+		return c.Conn.Read(p)
+	}
+	if !c.isChecked {
+		if err := c.response.CheckHead(); err != nil {
+			return 0, errors.Trace(err)
+		}
+		c.isChecked = true
+	}
+	n, err := c.response.Read(p)
+	if c.response.Buffered() == 0 {
+		c.response = nil
+	}
+	return n, err
+}
+
 // headerLastKind carries, in the request and the response that open a link, the highest kind of
 // message that the sender accepts. Releases without it accept wire.BaseKind.
 const headerLastKind = "Fuchsiapick-Last-Kind"
