head: the size line of a chunk has a limit in the platform's store and reports, too

What the fleet would see: from a store that answers in chunks and never ends the size line of one, a node that reads on without end at full speed. It gets no list and no change any more, and its processor is busy.

Cause: the HTTP library skips the extension of a chunk up to its line's end, however far that is. The time limit of the store's client grows with the bytes of an answer, so that a fast one never reaches it.

--- a/head/reader.go
+++ b/head/reader.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http/httputil"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -66,17 +67,28 @@
 	if IsBodiless(response) {
 		return nil
 	}
-	isChunked := response.Header.ContentLength() == chunked
+	if response.Header.ContentLength() == chunked {
+		return r.readChunks(response, maxBody)
+	}
 	err := response.ReadBody(r.Reader, maxBody)
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return errors.Trace(err)
+	}
+	return errors.Annotate(unquoted(err), "in the body")
+}
+
+// readChunks reads a body in chunks. The HTTP library reads the size line of a chunk to its end, however far
+// that is.
+func (r *Reader) readChunks(response *fasthttp.Response, maxBody int) error {
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.Reader), int64(maxBody)+1))
+	switch {
 	case err != nil:
-		return errors.Annotate(unquoted(err), "reading the body")
-	case isChunked:
-		return r.ReadTrailer(&response.Header)
+		return errors.Annotate(unquoted(err), "in the body")
+	case len(body) > maxBody:
+		return errors.Trace(fasthttp.ErrBodyTooLarge)
 	}
-	return nil
+	response.SetBodyRaw(body)
+	return r.ReadTrailer(&response.Header)
 }
 
 // ReadHead reads the head of the final response and skips the interim ones before it.
