gate: an upstream whose heads are too large is judged like one whose answers are cut

What callers saw: an upstream that sends a head or a trailer without end kept getting requests, all of which failed.

Cause: an answer over a limit counted as the caller's fault, as a body may be what the request asks for. No request asks for a head of more than 32 KB.

Evidence: with the caution for short episodes, an upstream was set aside after 1 cut answer, and still in use after 20 heads, interim heads and trailers of 60 KB.

Change: a head or trailer over its limit is observed as a cut answer is.

Result: the same state after the same number of requests, for both cautions.

--- a/gate/backend.go
+++ b/gate/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -194,7 +195,9 @@
 		return errors.Annotate(ErrCancelled, err.Error())
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
 		return errors.Annotate(ErrTimeout, err.Error())
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, head.ErrTooLarge):
+	case errors.Is(err, head.ErrTooLarge):
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return errors.Annotate(ErrTooLarge, err.Error())
 	default:
 		return errors.Annotate(ErrTruncated, err.Error())
--- a/gate/fieldname_test.go
+++ b/gate/fieldname_test.go
@@ -144,7 +144,7 @@
 
 // runBroken runs requests at a gate whose backend server gives all of them a broken answer, until the gate
 // refuses one or has run twenty. It returns the number of runs, and the gate's state after them.
-func runBroken(t *testing.T, caution table.Caution, repeatable bool, text string) (runs int, state uint8) {
+func runBroken(t *testing.T, caution table.Caution, repeatable bool, text string, reason wire.Reason) (runs int, state uint8) {
 	t.Helper()
 	u := startRawUpstream(t)
 	u.next.Store(&answerText{text: text, ending: fin})
@@ -167,14 +167,14 @@
 		if reply.Outcome == wire.NotRun {
 			break
 		}
-		if reply.Outcome != wire.Broken || reply.Reason != wire.ReasonTruncated || len(reply.Headers) > 0 || len(reply.Body) > 0 {
+		if reply.Outcome != wire.Broken || reply.Reason != reason || len(reply.Headers) > 0 || len(reply.Body) > 0 {
 			t.Fatalf("%q: got outcome %v, reason %q, fields %q, %q; want a broken answer without a part of it", text, reply.Outcome, reply.Reason, reply.Headers, reply.Body)
 		}
 		entry := <-lines
 		for entry.Message != "request not answered by the backend server" {
 			entry = <-lines
 		}
-		if line := fmt.Sprint(entry.Data); !strings.Contains(line, "torn-answer") || strings.Contains(line, "s3cr3t") {
+		if line := fmt.Sprint(entry.Data); !strings.Contains(line, string(reason)) || strings.Contains(line, "s3cr3t") {
 			t.Errorf("%q: got log line %s, want the reason and no part of the answer", text, line)
 		}
 	}
@@ -187,12 +187,12 @@
 	const head = "HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\nContent-Length: 6\r\n"
 	for _, caution := range []table.Caution{table.Fast, table.ShortEpisodes} {
 		for _, repeatable := range []bool{false, true} {
-			wantRuns, wantState := runBroken(t, caution, repeatable, head+"\r\ns3cr")
+			wantRuns, wantState := runBroken(t, caution, repeatable, head+"\r\ns3cr", wire.ReasonTruncated)
 			if caution == table.ShortEpisodes && wantState == uint8(health.InUse) {
 				t.Errorf("%s: got an upstream in use after %d cut answers, want it ejected", caution, wantRuns)
 			}
 			for _, line := range []string{"Set Cookie: s3cr3t\r\n", "Set-Cookie : s3cr3t\r\n", " s3cr3t\r\n", "s3cr3t\r\n", "X: y\ns3cr3t: z\r\n"} {
-				runs, state := runBroken(t, caution, repeatable, head+line+"\r\nabcdef")
+				runs, state := runBroken(t, caution, repeatable, head+line+"\r\nabcdef", wire.ReasonTruncated)
 				if runs != wantRuns || state != wantState {
 					t.Errorf("%s, %q: got state %d after %d runs, want %d after %d", caution, line, state, runs, wantState, wantRuns)
 				}
@@ -200,3 +200,23 @@
 		}
 	}
 }
+
+// Guards against an upstream that keeps its requests although it answers them with heads or trailers that are too
+// large. A body that is too large may be what the request asks for, and doesn't count against the upstream.
+func TestTooLargeHeadCountsLikeACutAnswer(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: b\r\nSeal: s\r\n"
+	long := "X: " + strings.Repeat("s3cr3t", 10_000) + "\r\n"
+	for _, caution := range []table.Caution{table.Fast, table.ShortEpisodes} {
+		wantRuns, wantState := runBroken(t, caution, true, own+"Content-Length: 6\r\n\r\ns3cr", wire.ReasonTruncated)
+		for _, text := range []string{
+			own + long + "\r\n", "HTTP/1.1 103 Early Hints\r\n" + long + "\r\n" + own + "\r\n", own + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + long + "\r\n",
+		} {
+			if runs, state := runBroken(t, caution, true, text, wire.ReasonReplyTooLarge); runs != wantRuns || state != wantState {
+				t.Errorf("%s, %.40q: got state %d after %d runs, want %d after %d", caution, text, state, runs, wantState, wantRuns)
+			}
+		}
+		if runs, state := runBroken(t, caution, true, own+"Content-Length: 200000\r\n\r\n", wire.ReasonReplyTooLarge); runs != 20 || state != uint8(health.InUse) {
+			t.Errorf("%s, body: got state %d after %d runs, want an upstream in use after 20", caution, state, runs)
+		}
+	}
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/head"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -290,8 +291,8 @@
 		return health.ShortDeadline
 	case errors.Is(err, ErrTimeout):
 		return health.Overdue
-	case errors.Is(err, ErrTooLarge):
-		return health.CallerFault
+	case errors.Is(err, ErrTooLarge) && !errors.Is(err, head.ErrTooLarge):
+		return health.CallerFault // the request may have asked for that much
 	case err != nil:
 		return health.Failed
 	case response.Overloaded:
--- a/gate/watch.go
+++ b/gate/watch.go
@@ -5,6 +5,7 @@
 
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/episode"
+	"fuchsiapick.example/fuchsiapick/head"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
@@ -76,7 +77,8 @@
 	if result == health.Failed && err == nil && g.dependencyFailed(j.began, now) {
 		result = health.CallerFault
 	}
-	o := health.Observation{Result: result, Latency: now - j.began, Caller: j.dispatch.Caller, IsTruncated: errors.Is(err, ErrTruncated) || errors.Is(err, ErrCrashed)}
+	isTruncated := errors.Is(err, ErrTruncated) || errors.Is(err, ErrCrashed) || errors.Is(err, head.ErrTooLarge)
+	o := health.Observation{Result: result, Latency: now - j.began, Caller: j.dispatch.Caller, IsTruncated: isTruncated}
 	switch detector, ok := g.detector.(runDetector); {
 	case ok && j.run != nil:
 		detector.End(now, j.run, o)
