--- a/cmd/session_test.go
+++ b/cmd/session_test.go
@@ -152,7 +152,7 @@
 // settings file NAME.toml. The node listens on $C_NAME, $L_NAME and $A_NAME, which it
 // sets if they are empty. The node announces $R_NAME if that is set, else $L_NAME. $GRACE,
 // $LINGER and $POLL are its grace period, linger time and poll interval, by default 10s, 0s and
-// 5s.
+// 5s, $MEMORY the memory of its instance in bytes, by default unknown.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
 	name := args[0]
 	for _, kind := range []string{"C_", "L_", "A_"} {
@@ -170,6 +170,9 @@
 	}
 	text := fmt.Sprintf(settingsTemplate, name, args[1], grace, linger, strings.Join(peers, ", "),
 		ts.Getenv("C_"+name), ts.Getenv("L_"+name), announce, ts.Getenv("A_"+name), args[2], poll)
+	if memory := ts.Getenv("MEMORY"); memory != "" {
+		text += "\n[limits]\nmemory = " + memory + "\n"
+	}
 	ts.Check(os.WriteFile(ts.MkAbs(name+".toml"), []byte(text), 0o600))
 }
 
