entry, gate: a leaving node sends no request that it would cut

What callers saw: in a planned stop, requests that came in the grace period were taken and passed on, and cut when the node stopped: 502 or 504 with an unknown outcome, for requests that may run only once as well.

Cause: gates refuse run-once requests whose deadline lies after the end of their node. A leaving entry shortens the deadline of its own callers' requests to that end, so that its own gate took them all, whatever their runs need. Repeatable ones were taken by all gates.

Change: a leaving entry sends a request that hasn't run only if its run is all but sure to end before the node: by the latency of its route, which entries now learn for every caution, 99 of 100 repeatable and 999 of 1000 other runs, or by the caller's own deadline where the route isn't known. The others are refused at once as not run. A claim for a slot ends with the time from which the run would be too late. Gates ask the same of what they begin, where the entry names the route's latency.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -79,9 +79,13 @@
 }
 
 // startBy returns the latest instant at which it is useful for the request to start: from then
-// on a typical run would end after the deadline.
+// on a typical run would end after the deadline, or one may end after the entry stops.
 func (r *request) startBy() clock.Millis {
-	return r.deadline - r.typicalLatency().Median - r.resolveTimeout()
+	startBy := r.deadline - r.typicalLatency().Median - r.resolveTimeout()
+	if at := clock.Millis(r.entry.stopsAt.Load()); at > 0 {
+		return min(startBy, at-r.longestRun(r.entry.config.Now()))
+	}
+	return startBy
 }
 
 // startForTarget returns the latest instant from which a typical run meets the route's target,
--- a/entry/probe_test.go
+++ b/entry/probe_test.go
@@ -156,6 +156,12 @@
 
 // newClockedEntry is like newServiceEntry with the clock and the seed of a configuration.
 func newClockedEntry(t *testing.T, c entry.Config, s table.Service, repeatable []string, gates ...*fakeGate) *entry.Entry {
+	t.Helper()
+	return newRoutedEntry(t, c, s, table.Route{Prefix: "/", Service: "conferme", Timeout: clock.Hour, LatencyTarget: clock.Hour, Priority: 1, MaxAttempts: 2, Repeatable: repeatable}, gates...)
+}
+
+// newRoutedEntry is newClockedEntry for another route.
+func newRoutedEntry(t *testing.T, c entry.Config, s table.Service, route table.Route, gates ...*fakeGate) *entry.Entry {
 	t.Helper()
 	byName := map[string]*fakeGate{}
 	for _, d := range gates {
@@ -171,7 +177,7 @@
 	e := entry.New(c)
 	e.Update(table.Index(table.Table{
 		Format: table.Format, Version: 1, Services: []table.Service{s},
-		Routes: []table.Route{{Prefix: "/", Service: "conferme", Timeout: clock.Hour, LatencyTarget: clock.Hour, Priority: 1, MaxAttempts: 2, Repeatable: repeatable}},
+		Routes: []table.Route{route},
 	}))
 	return e
 }
--- a/entry/profiles.go
+++ b/entry/profiles.go
@@ -54,21 +54,29 @@
 	if r.config.Caution != table.ShortEpisodes {
 		return episode.TypicalLatency{}
 	}
+	typical := r.routeLatency()
 	p := r.entry.profiles
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	typical := p.routeProfile(r.route).Estimate(r.route.LatencyTarget)
 	if f, ok := p.failures[r.serviceName]; ok {
 		typical.HangShare = f.Published()
 	}
 	return typical
 }
 
+// routeLatency returns the latency of the runs on the request's route.
+func (r *request) routeLatency() episode.TypicalLatency {
+	p := r.entry.profiles
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.routeProfile(r.route).Estimate(r.route.LatencyTarget)
+}
+
 // updateProfile records how long the upstream took to serve the request, or how it
 // failed.
 func (r *request) updateProfile(o *result) {
 	isHung := o.reason == string(wire.ReasonHung)
-	if r.config.Caution != table.ShortEpisodes || (o.reply == nil && !isHung) || (o.reply != nil && o.reply.Replay) {
+	if (o.reply == nil && !isHung) || (o.reply != nil && o.reply.Replay) || (r.config.Caution != table.ShortEpisodes && !o.served) {
 		return
 	}
 	p := r.entry.profiles
--- a/entry/request.go
+++ b/entry/request.go
@@ -200,6 +200,10 @@
 			r.dropReservation()
 			return r.overdueAnswer(now)
 		}
+		if !r.mayHaveRun && r.mayOutlastEntry(now) {
+			r.dropReservation()
+			return r.stoppedAnswer()
+		}
 		if status := r.quarantineStatus(); status.Verdict != quarantine.Free {
 			r.dropReservation()
 			if answer, done := r.tryAsSuspect(now, status); done {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -39,6 +39,34 @@
 	}
 }
 
+// The shares of a route's runs that may take longer than a leaving entry expects of one that it still sends. An
+// upstream gives one run in a hundred several times the time of the others, and nobody knows the outcome of a
+// request that may run only once and is cut.
+const (
+	outlastShare     = 0.01
+	outlastShareOnce = 0.001
+)
+
+// mayOutlastEntry reports whether a run that begins now may still be at work when the entry stops.
+func (r *request) mayOutlastEntry(now clock.Millis) bool {
+	at := clock.Millis(r.entry.stopsAt.Load())
+	return at > 0 && now+r.longestRun(now) > at
+}
+
+// longestRun returns how long a run that begins now takes at most: until its caller's time is over, or as long
+// as nearly all runs on its route.
+func (r *request) longestRun(now clock.Millis) clock.Millis {
+	left := max(r.started+r.budget-now, 0)
+	share := outlastShareOnce
+	if r.repeatable {
+		share = outlastShare
+	}
+	if typical := r.routeLatency(); typical.IsKnown() {
+		return min(typical.UpperQuantile(share), left)
+	}
+	return left
+}
+
 // mustEnd reports whether no further upstream may be tried: the caller has disconnected, or the node
 // stops.
 func (r *request) mustEnd() bool {
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -38,6 +38,18 @@
 	return !isRepeatable && g.stopsAt > 0 && deadline > g.stopsAt
 }
 
+// outlastShare is the share of a route's runs that may take longer than expected of one that a gate still
+// begins before its node stops.
+const outlastShare = 0.01
+
+// isTooLate reports whether a run that begins now may still be at work when the node stops, if the latency of
+// its route is known. An entry of the same node has shortened the deadline to that time. It is called with the
+// gate's lock held.
+func (g *Gate) isTooLate(now clock.Millis, j *job) bool {
+	typical := typicalLatency(j.dispatch)
+	return g.stopsAt > 0 && typical.IsKnown() && now+typical.UpperQuantile(outlastShare) > g.stopsAt
+}
+
 // cancelOutlasting removes the waiting requests that may outlast the node from the queue, and
 // returns their tickets. It is called with the gate's lock held.
 func (g *Gate) cancelOutlasting() []uint64 {
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -42,6 +42,43 @@
 	}
 }
 
+// Guards against a gate that begins a request which its node cuts when it stops, although the latency of its
+// route says so: one that may be repeated, or one whose entry, which stops as well, has shortened its deadline.
+func TestRequestsThatRunTooLongForTheNodeDoNotBegin(t *testing.T) {
+	const span = 10 * clock.Second
+	for _, test := range []struct {
+		name           string
+		median, budget clock.Millis
+		repeatable     bool
+		isRefused      bool
+	}{
+		{"repeatable, short", span / 10, clock.Minute, true, false},
+		{"repeatable, long", span / 2, clock.Minute, true, true},
+		{"once, short", span / 10, span - clock.Second, false, false},
+		{"once, long", span / 2, span - clock.Second, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g, h, _, _ := newGate(t)
+			g.StopAt(span)
+			d := dispatch(1, "first")
+			d.Budget, d.Repeatable, d.MedianTime, d.LogStdDev = test.budget, test.repeatable, test.median, 0.5
+			replies := make(chan *wire.Reply, 1)
+			g.Handle(d, func(r *wire.Reply) { replies <- r })
+			select {
+			case <-h.begun:
+				close(h.end)
+				if test.isRefused {
+					t.Error("got it begun, want it refused")
+				}
+			case got := <-replies:
+				if !test.isRefused || got.Outcome != wire.NotRun || got.Reason != wire.ReasonLeaving {
+					t.Errorf("got outcome %v, reason %q; want refused as leaving %v", got.Outcome, got.Reason, test.isRefused)
+				}
+			}
+		})
+	}
+}
+
 // Guards against requests that wait at a gate for a slot that they can't use any more, as the node stops
 // before their deadline: their entries have time for other upstreams.
 func TestWaitersAreRefusedWhenTheNodeStopsBeforeTheirDeadline(t *testing.T) {
