test(gate): a health check whose answer has a broken field name fails

Cause: health checks read their answers as requests do, so that they had the same fault; no test said so.

--- a/gate/fieldname_test.go
+++ b/gate/fieldname_test.go
@@ -117,6 +117,37 @@
 	}
 }
 
+// Guards against a health check that counts as passed although its answer has a broken field name or a status
+// that is none.
+func TestBrokenProbeFails(t *testing.T) {
+	u := startRawUpstream(t)
+	h := u.backend(t, headerSets()[0])
+	probe := func(text string) bool {
+		u.next.Store(&answerText{text: text, ending: fin})
+		return h.Probe("/health")
+	}
+	if !probe("HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 2\r\n\r\nok") {
+		t.Error("got a failed check for a whole answer, want a passed one")
+	}
+	for _, head := range []string{"HTTP/1.1 000 None\r\n", "HTTP/1.1 099 Low\r\n", "HTTP/1.1 200\nX: y\r\n"} {
+		if probe(head + "Content-Length: 2\r\n\r\nok") {
+			t.Errorf("%q: got a passed check, want a failed one", head)
+		}
+	}
+	for c := range 256 {
+		if isTokenByte(byte(c)) {
+			continue
+		}
+		for _, broken := range brokenNames("Color", byte(c)) {
+			for _, part := range []answerPart{finalHead, interimHead, trailer} {
+				if text := answerWith(part, broken+": red\r\n", 1, ""); probe(text) {
+					t.Errorf("%s, %q: got a passed check, want a failed one", part, text)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a field that is refused for a byte that its name may hold.
 func TestAnswerWithAnyTokenAsFieldNameIsPassedOn(t *testing.T) {
 	u := startRawUpstream(t)
