head, gate, entry: one name for a body in chunks, a plainer log line

Found by reading the diff: the gate had a constant of its own beside that of package head, the limit of a head was exported without use, and the entry's line said "none in HTTP". No change of behaviour.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -253,14 +253,14 @@
 	return reason == wire.ReasonFull || reason == wire.ReasonDeadlineTooShort || reason == wire.ReasonRateLimit
 }
 
-// checkReply returns the reply, or a broken one in place of an answer that isn't one in HTTP. Gates of
+// checkReply returns the reply, or a broken one in place of an answer that HTTP doesn't allow. Gates of
 // earlier releases hand on what they got.
 func (r *request) checkReply(reply *wire.Reply) *wire.Reply {
 	if reply.Outcome != wire.Answered || isResponse(reply.Status, reply.Headers) {
 		return reply
 	}
 	log := r.entry.config.Log.WithFields(logrus.Fields{"request": wire.RequestName(r.callerRequestID, r.id), "upstream": reply.Upstream.Name})
-	logging.Repeatable(log).Warn("answer dropped; its status or a field is none in HTTP")
+	logging.Repeatable(log).Warn("answer dropped; its status or a field name is invalid")
 	broken := *reply
 	broken.Outcome, broken.Reason = wire.Broken, wire.ReasonTruncated
 	broken.Headers, broken.Body, broken.Length = nil, nil, 0
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -136,7 +136,7 @@
 // the connection.
 func (h *HTTP) release(conn *backendConn, response *fasthttp.Response) {
 	length := response.Header.ContentLength()
-	framed := length >= 0 || length == chunked
+	framed := length >= 0 || length == head.Chunked
 	if head.IsBodiless(response) {
 		// Some servers send the body that the head announces, perhaps after the next request.
 		framed = length == 0
--- a/gate/response.go
+++ b/gate/response.go
@@ -18,9 +18,6 @@
 	maxSegment   = 1 << 20
 )
 
-// chunked is what ContentLength returns for a response in chunks.
-const chunked = -1
-
 // readResponse reads the final response to a request.
 func (c *backendConn) readResponse(ctx context.Context, h *HTTP, response *fasthttp.Response) error {
 	response.ResetBody()
@@ -102,7 +99,7 @@
 
 // readSegments reads a body of unknown length, and the trailer after it, into parts, and then joins them.
 func (r *responseReader) readSegments(ctx context.Context, response *fasthttp.Response) ([]byte, error) {
-	isChunked := response.Header.ContentLength() == chunked
+	isChunked := response.Header.ContentLength() == head.Chunked
 	var body io.Reader = r.conn.reader.Reader
 	if isChunked {
 		body = httputil.NewChunkedReader(body)
--- a/head/reader.go
+++ b/head/reader.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// MaxSize limits a head and a trailer, in bytes. Callers' requests have the same limit.
+	// maxSize limits a head and a trailer, in bytes. Callers' requests have the same limit.
 	// Their fields have to fit into a frame, see wire.MaxOverhead.
-	MaxSize = 32 << 10
+	maxSize = 32 << 10
 	// bufferSize is the initial size of a Reader's buffer in bytes, enough for most heads.
 	bufferSize = 4 << 10
 	// maxInterim limits the interim (1xx) responses before a final one.
@@ -30,14 +30,14 @@
 const (
 	// ErrMalformed means a response that breaks the grammar of HTTP/1.
 	ErrMalformed = errors.ConstError("malformed response")
-	// ErrTooLarge means a head or trailer of more than MaxSize bytes.
+	// ErrTooLarge means a head or trailer of more than maxSize bytes.
 	ErrTooLarge = errors.ConstError("head or trailer is too large")
 	// ErrUpgrade means a response that switches the protocol, which no request asks for.
 	ErrUpgrade = errors.ConstError("response switches the protocol")
 )
 
 // Reader reads responses from a connection. Its buffer grows while it awaits the end of a head or a
-// trailer, up to MaxSize; a *bufio.Reader taken from it is then out of date.
+// trailer, up to maxSize; a *bufio.Reader taken from it is then out of date.
 type Reader struct {
 	*bufio.Reader
 
@@ -49,8 +49,8 @@
 	return &Reader{Reader: bufio.NewReaderSize(source, bufferSize), source: source}
 }
 
-// chunked is what ContentLength returns for a response in chunks.
-const chunked = -1
+// Chunked is what ContentLength returns for a response in chunks.
+const Chunked = -1
 
 // IsBodiless reports whether no body follows the head, whatever length the head has.
 func IsBodiless(response *fasthttp.Response) bool {
@@ -67,7 +67,7 @@
 	if IsBodiless(response) {
 		return nil
 	}
-	if response.Header.ContentLength() == chunked {
+	if response.Header.ContentLength() == Chunked {
 		return r.readChunks(response, maxBody)
 	}
 	err := response.ReadBody(r.Reader, maxBody)
@@ -200,7 +200,7 @@
 		}
 		searched = max(len(buffered)-len(sectionEnd)+1, 0)
 		if len(buffered) == r.Size() && !r.grow() {
-			return nil, errors.Annotatef(ErrTooLarge, "over %d bytes", MaxSize)
+			return nil, errors.Annotatef(ErrTooLarge, "over %d bytes", maxSize)
 		}
 		if _, err := r.Peek(len(buffered) + 1); err != nil {
 			return nil, errors.Annotatef(err, "after %d bytes", len(buffered))
@@ -226,7 +226,7 @@
 // grow doubles the size of the buffer; false if it has its maximum.
 func (r *Reader) grow() bool {
 	size := r.Size()
-	if size >= MaxSize {
+	if size >= maxSize {
 		return false
 	}
 	buffered, _ := r.Peek(r.Buffered())
