test(fleet): callers keep no connections to a fleet that is closed

Cause, most likely: the tests share one HTTP client, which keeps connections for ten seconds. A fleet that starts meanwhile may get a port of one that is closed, and the client sends its first POST on the old connection. A trial with two servers at the same port, one after the other, gives the same error, word for word, for a POST, and none for the next one. That the port had been used before isn't recorded: tests that pass print no logs.

Change: the client is the package's own, and drops its idle connections when a fleet is closed. No check changes.

--- a/fleet/account_test.go
+++ b/fleet/account_test.go
@@ -49,7 +49,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Add(headers[i], headers[i+1])
 	}
-	if err := fasthttp.DoTimeout(request, response, waitTimeout); err != nil {
+	if err := sharedClient.DoTimeout(request, response, waitTimeout); err != nil {
 		t.Fatalf("%s: got error %v", path, err)
 	}
 	return answer{status: response.StatusCode(), reason: string(response.Header.Peek("Fuchsiapick-Reason"))}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -64,6 +64,7 @@
 	}
 	t.Cleanup(func() {
 		f.Close()
+		sharedClient.CloseIdleConnections()
 		if t.Failed() {
 			t.Logf("logs of the nodes:\n%s", log.String())
 			logRunsOfUnserved(t, f, log.String())
@@ -102,6 +103,11 @@
 	body    string
 }
 
+// sharedClient keeps its connections open. startFleet drops those that lead to a fleet once it is closed: the next
+// one may listen at the same ports, and a request that must not be repeated fails on a connection to an earlier
+// process.
+var sharedClient fasthttp.Client
+
 func send(t *testing.T, method, address, path, body string) answer {
 	t.Helper()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -110,7 +116,7 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.SetBodyString(body)
-	if err := fasthttp.DoTimeout(request, response, waitTimeout); err != nil {
+	if err := sharedClient.DoTimeout(request, response, waitTimeout); err != nil {
 		t.Fatalf("%s %s: got error %v", method, path, err)
 	}
 	return newAnswer(response)
--- a/fleet/operation_test.go
+++ b/fleet/operation_test.go
@@ -78,7 +78,7 @@
 		request.Header.Set(entry.HeaderResend, resendHeader)
 	}
 	request.SetBodyString(o.body)
-	if err := fasthttp.DoTimeout(request, response, waitTimeout); err != nil {
+	if err := sharedClient.DoTimeout(request, response, waitTimeout); err != nil {
 		t.Errorf("sending %s: got error %v", o.key, err)
 	}
 	return sendResult{
