--- a/review/driver-2/leave.go
+++ b/review/driver-2/leave.go
@@ -26,7 +26,7 @@
 	leaveGrace   = 10 * time.Second
 	leaveAllowed = 3 * time.Second
 	leaveClients = 3
-	// leaveSent are the times after the SIGTERM at which the watched requests are sent.
+	// These are the times after the SIGTERM at which the watched requests are sent.
 	leaveFirst, leaveEvery, leaveLong = 4100 * time.Millisecond, 200 * time.Millisecond, 2
 )
 
@@ -44,6 +44,11 @@
 		return false, err
 	}
 	defer f.close()
+	for _, zone := range []string{"zone-2", "zone-3"} {
+		if err := f.editSettings(zone, "zone-1"); err != nil {
+			return false, err
+		}
+	}
 	if err := f.editSettings(`grace = "6s"`, fmt.Sprintf("grace = %q", leaveGrace)); err != nil {
 		return false, err
 	}
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -18,7 +18,6 @@
 // scripts are the cases that can be run, by name.
 var scripts = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"path":  runPath,
-	"extra": runExtra,
 	"quota": runQuota,
 	"keys":  runKeys,
 	"leave": runLeave,
--- a/review/driver-2/path.go
+++ b/review/driver-2/path.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// lostShare and lostUpstreams are the doses of answer_lost on the day trouble-1 of the site file:
+	// These are the doses of answer_lost on the day trouble-1 of the site file:
 	// two of five answers at three of five upstreams, for lostFor.
 	lostOf, lostEach = 2, 5
 	lostUpstreams    = 3
--- a/review/driver-2/upstream.go
+++ b/review/driver-2/upstream.go
@@ -49,9 +49,6 @@
 	// losesAnswer may be nil. It is called after a run and returns whether its answer is lost with
 	// the connection.
 	losesAnswer func(request *http.Request) bool
-	// before may be nil. It is called with each request that arrives and returns bytes to send
-	// before anything else.
-	before func(u *upstream, conn net.Conn, request *http.Request) []byte
 
 	busy chan struct{}
 }
@@ -112,13 +109,6 @@
 // handle answers one request and returns false if the connection ends.
 func (u *upstream) handle(conn net.Conn, request *http.Request) bool {
 	id := request.Header.Get("Fuchsiapick-Request-Id")
-	if u.before != nil {
-		if bytes := u.before(u, conn, request); len(bytes) > 0 {
-			if _, err := conn.Write(bytes); err != nil {
-				return false
-			}
-		}
-	}
 	if request.URL.Path == "/health" {
 		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nFuchsiapick-Instance-Id: "+u.id+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
