--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -17,10 +17,11 @@
 
 // scripts are the cases that can be run, by name.
 var scripts = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"path":  runPath,
-	"quota": runQuota,
-	"keys":  runKeys,
-	"leave": runLeave,
+	"path":   runPath,
+	"quota":  runQuota,
+	"keys":   runKeys,
+	"leave":  runLeave,
+	"linger": runLinger,
 }
 
 func main() {
