--- a/review/driver-2/fleet.go
+++ b/review/driver-2/fleet.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -148,7 +150,8 @@
 	n.cmd = exec.Command("target/fuchsiapick", "node")
 	n.cmd.Env = []string{"FUCHSIAPICK_CONFIG=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + f.directory, "LANG=C.UTF-8"}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOnThread(n.cmd); err != nil {
 		return err
 	}
 	cmd, ended := n.cmd, make(chan struct{})
@@ -161,6 +164,27 @@
 	return nil
 }
 
+// starts are the starts of commands.
+var starts = make(chan func())
+
+// startOnThread starts a command on a thread that lives as long as this process: a node ends with the
+// thread that has started it, so that it also ends if this process is killed.
+func startOnThread(cmd *exec.Cmd) error {
+	starter.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for start := range starts {
+				start()
+			}
+		}()
+	})
+	result := make(chan error, 1)
+	starts <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+var starter sync.Once
+
 // startAll starts all nodes and waits until they are ready.
 func (f *fleet) startAll() error {
 	f.closeOnSignal()
@@ -220,12 +244,18 @@
 	return nil
 }
 
-// closeOnSignal ends all processes if this one is asked to stop.
+// maxDuration is less than the 120 s that a script may take.
+const maxDuration = 110 * time.Second
+
+// closeOnSignal ends all processes if this one is asked to stop, or takes too long.
 func (f *fleet) closeOnSignal() {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
-		<-asked
+		select {
+		case <-asked:
+		case <-time.After(maxDuration):
+		}
 		f.close()
 		os.Exit(exitNotRun)
 	}()
