entry: log at debug level why a request that may have run is sent again

Neither the logs nor the metrics tell which of these holds: the request is taken for one of another route (1, by its decoded path; 2, by a prefix without its last slash); the retry takes a route's once-only request for a repeatable one (3); a gate or a link sends it again without the entry (4). Change: a line with path, route and whether the request may run once only. The query isn't logged. No change of logic.

--- a/entry/attemptlog.go
+++ b/entry/attemptlog.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"strings"
+
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/access"
@@ -138,3 +140,17 @@
 		r.noRetryReason = retry.NoBudget
 	}
 }
+
+// logRetry logs at debug level why a request that may have run is sent again: the route that it belongs to and
+// the path that it names. The query isn't logged, since it may hold secrets.
+func (r *request) logRetry(o *result) {
+	log, ok := r.entry.config.Log.(*logrus.Entry)
+	if !ok || !r.mayHaveRun || !log.Logger.IsLevelEnabled(logrus.DebugLevel) {
+		return
+	}
+	path, _, _ := strings.Cut(string(r.ctx.RequestURI()), "?")
+	log.WithFields(logrus.Fields{
+		"request": wire.RequestName(r.callerRequestID, r.id), "method": r.method, "path": path, "route": r.route.Prefix,
+		"once": !r.repeatable, "reason": o.reason, "upstream": r.lastUpstream.Name,
+	}).Debug("sending a request that may have run to another upstream")
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -321,6 +321,7 @@
 	}
 	decision := r.decideRetry(r.retryAttempt(&o, untried))
 	if decision.Retry {
+		r.logRetry(&o)
 		return finalAnswer{}, false
 	}
 	r.recordNoRetry(decision)
