table, entry: a request belongs to the route whose prefix begins its target as it was sent

Cause: the entry looked routes up by the HTTP library's path, which is decoded and cleaned, and the lookup compared without the last slash of the prefix. The upstream got the target as it was sent. So a request was taken for one of another route, with what that allows: repeats, no key, another service.

Change: the entry takes the target's bytes once (table.ParseTarget) and chooses, sends on and fingerprints by them; Table.Route takes the longest prefix that begins the path, byte by byte. The project's own format follows the same rule; there a prefix without its last slash takes whole segments. This works since nothing between the caller's bytes and the choice rewrites the path any more.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -7,6 +7,7 @@
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/table"
 )
 
 // callerOf returns the caller's name: the configured service, else the caller header,
@@ -38,7 +39,7 @@
 	if t == nil {
 		return refused(fasthttp.StatusServiceUnavailable, access.ReasonNoTable, clock.Second), false
 	}
-	route, ok := t.Route(hostOf(r.ctx), string(r.ctx.Path()))
+	route, ok := t.Route(hostOf(r.ctx), table.ParseTarget(r.target).Path)
 	if !ok {
 		return refused(fasthttp.StatusNotFound, access.ReasonNoRoute, 0), false
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -104,7 +104,7 @@
 		Caller:          r.caller,
 		Account:         r.accountName(),
 		Method:          r.method,
-		URI:             string(r.ctx.RequestURI()),
+		URI:             r.target,
 		Headers:         r.headers,
 		Body:            r.body,
 		Repeatable:      r.repeatable,
--- a/entry/attemptlog.go
+++ b/entry/attemptlog.go
@@ -1,13 +1,12 @@
 package entry
 
 import (
-	"strings"
-
 	"github.com/sirupsen/logrus"
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/retry"
+	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -148,9 +147,8 @@
 	if !ok || !r.mayHaveRun || !log.Logger.IsLevelEnabled(logrus.DebugLevel) {
 		return
 	}
-	path, _, _ := strings.Cut(string(r.ctx.RequestURI()), "?")
 	log.WithFields(logrus.Fields{
-		"request": wire.RequestName(r.callerRequestID, r.id), "method": r.method, "path": path, "route": r.route.Prefix,
+		"request": wire.RequestName(r.callerRequestID, r.id), "method": r.method, "path": table.ParseTarget(r.target).Path, "route": r.route.Prefix,
 		"once": !r.repeatable, "reason": o.reason, "upstream": r.lastUpstream.Name,
 	}).Debug("sending a request that may have run to another upstream")
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -53,7 +53,7 @@
 }
 
 func (r *request) quarantineRequest() quarantine.Request {
-	req := quarantine.Request{Caller: r.caller, Method: r.method, URI: string(r.ctx.RequestURI()), Body: r.body}
+	req := quarantine.Request{Caller: r.caller, Method: r.method, URI: r.target, Body: r.body}
 	if r.route.Host != "" {
 		req.Host = r.headers.Host()
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -81,6 +81,7 @@
 	callerRequestID string // the id that the caller gave the request
 	caller          string
 	method          string
+	target          string       // the request target as the caller sent it
 	started         clock.Millis // when it had arrived in full
 	handledAt       clock.Millis // when the server turned to it
 	endedAt         clock.Millis // when its answer was decided on
@@ -159,6 +160,7 @@
 		callerRequestID: string(callerRequestID),
 		caller:          e.callerOf(ctx),
 		method:          string(ctx.Method()),
+		target:          string(ctx.RequestURI()),
 		started:         arrivalOf(ctx, now),
 		handledAt:       now,
 	}
--- a/table/index.go
+++ b/table/index.go
@@ -49,45 +49,46 @@
 	t.lookup = x
 }
 
-// Route finds the route of a host with the longest prefix that the path begins
-// with, in whole segments: the prefix /a matches /a, /a/ and /a/b, not /ab. The
-// calling code has to decode and clean the path. If no route of the host matches,
-// Route searches the routes without a host.
+// Route finds the route that a request belongs to: of the routes of its host, the one with the longest prefix
+// that begins the path. The path is that of the target as it was sent (ParseTarget) and is compared byte by byte.
+// The prefix /a/ begins /a/ and /a/b, not /a; a prefix without the trailing slash takes whole segments: /a begins
+// /a, /a/ and /a/b, not /ab. If no route of the host matches, Route searches the routes without a host.
 func (t *Table) Route(host, path string) (*Route, bool) {
-	path = trimSlash(firstSegments(path, t.lookup.depth))
 	if r, ok := t.findRoute(strings.ToLower(host), path); ok {
 		return r, true
 	}
 	return t.findRoute("", path)
 }
 
-// findRoute finds the route of exactly this host with the longest prefix of the path,
-// which has no trailing slash.
+// findRoute finds the route of exactly this host with the longest prefix that begins the path.
 func (t *Table) findRoute(host, path string) (*Route, bool) {
-	for {
-		if i, ok := t.lookup.routes[routeKey{host, path}]; ok {
+	end := segmentsEnd(path, t.lookup.depth)
+	for end >= 0 {
+		if i, ok := t.lookup.routes[routeKey{host, path[:end]}]; ok && t.Routes[i].begins(path, end) {
 			return &t.Routes[i], true
 		}
-		lastSlash := strings.LastIndexByte(path, '/')
-		if lastSlash < 0 {
-			return nil, false
-		}
-		path = path[:lastSlash]
+		end = strings.LastIndexByte(path[:end], '/')
 	}
+	return nil, false
 }
 
-// firstSegments returns the first n segments of a path that begins with a slash.
-func firstSegments(path string, n int) string {
-	for i := range len(path) {
-		if path[i] != '/' {
-			continue
-		}
-		if n == 0 {
-			return path[:i]
+// begins reports whether the route's prefix begins a path whose first end bytes are the prefix without its
+// trailing slash.
+func (r *Route) begins(path string, end int) bool {
+	return end < len(path) || !strings.HasSuffix(r.Prefix, "/")
+}
+
+// segmentsEnd returns where the first n segments of a path that begins with a slash end.
+func segmentsEnd(path string, n int) int {
+	end := 0
+	for range n + 1 {
+		length := strings.IndexByte(path[end:], '/')
+		if length < 0 {
+			return len(path)
 		}
-		n--
+		end += length + 1
 	}
-	return path
+	return end - 1
 }
 
 // Service finds a service by its name.
