entry: refuse a target in absolute form that names another host than the Host field

What callers saw: GET http://b.example/x with Host: a.example ran on the route of a.example, while the backend server got both and may go by either (RFC 9112, 3.2.2, asks for the target's). Without a Host field such a target belonged to no host and got 404.

Cause: the entry looked at the Host field alone.

Change: both must name one host, else 400 with caller-fault and nothing runs; without a Host field the target's counts. RFC 9112 has clients send the same host in both, so that no proper request is refused.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -8,6 +9,7 @@
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
+	"fuchsiapick.example/fuchsiapick/wire"
 )
 
 // callerOf returns the caller's name: the configured service, else the caller header,
@@ -39,7 +41,12 @@
 	if t == nil {
 		return refused(fasthttp.StatusServiceUnavailable, access.ReasonNoTable, clock.Second), false
 	}
-	route, ok := t.Route(hostOf(r.ctx), table.ParseTarget(r.target).Path)
+	target := table.ParseTarget(r.target)
+	host, ok := hostOf(r.ctx, target.Authority)
+	if !ok {
+		return refused(fasthttp.StatusBadRequest, access.ReasonCallerFault, 0), false
+	}
+	route, ok := t.Route(host, target.Path)
 	if !ok {
 		return refused(fasthttp.StatusNotFound, access.ReasonNoRoute, 0), false
 	}
@@ -62,6 +69,17 @@
 	return finalAnswer{}, true
 }
 
+// hostOf returns the host that a request names, without a port: that of its Host field, or without one that of a
+// target in absolute form. It returns false if both name a host and the hosts differ, since some servers go by
+// the one and some by the other.
+func hostOf(ctx *fasthttp.RequestCtx, authority string) (string, bool) {
+	named, field := wire.WithoutPort([]byte(authority)), wire.WithoutPort(ctx.Request.Header.Host())
+	if len(field) == 0 {
+		return string(named), true
+	}
+	return string(field), len(named) == 0 || bytes.EqualFold(named, field)
+}
+
 func limitReason(by string) string {
 	if by == "caller" {
 		return access.ReasonCallerLimit
--- a/entry/disconnect.go
+++ b/entry/disconnect.go
@@ -1,11 +1,5 @@
 package entry
 
-import (
-	"github.com/valyala/fasthttp"
-
-	"fuchsiapick.example/fuchsiapick/wire"
-)
-
 // CloseNotifier is a caller's connection that reports when the caller closes it during a
 // request.
 type CloseNotifier interface {
@@ -35,8 +29,3 @@
 		return false
 	}
 }
-
-// hostOf returns the host that a request names, without a port.
-func hostOf(ctx *fasthttp.RequestCtx) string {
-	return string(wire.WithoutPort(ctx.Request.Header.Host()))
-}
--- a/entry/routing_test.go
+++ b/entry/routing_test.go
@@ -90,3 +90,33 @@
 		}
 	}
 }
+
+// Guards against a request that the entry takes for one host and its backend server for another.
+func TestHostOfTargetAndHostFieldAgree(t *testing.T) {
+	c := newRoutingCaller(t, false, table.Route{Host: "a.example", Prefix: "/"})
+	for _, test := range []struct {
+		target, host string
+		want         int
+	}{
+		{"http://a.example/x", "a.example", http.StatusOK},
+		{"http://A.example:80/x", "a.example", http.StatusOK},
+		{"http://a.example/x", "A.Example:8080", http.StatusOK},
+		{"/x", "a.example", http.StatusOK},
+		{"/http://b.example/x", "a.example", http.StatusOK},
+		{"//b.example/x", "a.example", http.StatusOK},
+		{"http://b.example/x", "a.example", http.StatusBadRequest},
+		{"http://a.example/x", "b.example", http.StatusBadRequest},
+		{"http://u@a.example/x", "a.example", http.StatusBadRequest},
+		{"/x", "b.example", http.StatusNotFound},
+		{"http://a.example", "a.example", http.StatusNotFound},
+		{"ftp://a.example/x", "a.example", http.StatusNotFound},
+	} {
+		status, got := c.exchange(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n", test.target, test.host))
+		if status != test.want || (got != nil) != (test.want == http.StatusOK) {
+			t.Errorf("%s to %s: got %d, sent %v; want %d", test.target, test.host, status, got != nil, test.want)
+		}
+	}
+	if status, _ := c.exchange("GET http://a.example/x HTTP/1.0\r\nConnection: keep-alive\r\n"); status != http.StatusOK {
+		t.Errorf("got %d for a target in absolute form without a Host field, want 200", status)
+	}
+}
