standin: choose endpoints and crashes by the path as it was sent

What tests saw: a backend server of ours took /%68ealthz, //healthz or /x/../load for its own endpoints, and its ledger named another path than the node had sent, so that no test could see a request that was taken for one of another route.

Change: they use table.ParseTarget.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -158,7 +158,7 @@
 }
 
 func (b *Backend) handle(ctx *fasthttp.RequestCtx) {
-	path := string(ctx.Path())
+	path := pathOf(ctx)
 	switch {
 	case path == "/healthz":
 		ctx.SetStatusCode(fasthttp.StatusOK)
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// Guards against a stand-in that takes a request for one of its own endpoints, or for one that crashes it,
+// where a node passes it on as another.
+func TestBackendDecidesByThePathAsSent(t *testing.T) {
+	b := startBackend(t, standin.BackendConfig{Service: 1})
+	paths := []string{"/%68ealthz", "//healthz", "/healthz/", "/x/../load", "/HEALTHZ", "/open%2Fx", "/./open/x"}
+	for _, path := range paths {
+		_ = openRequest(t, b.Address(), path+"?q=/healthz", path)
+	}
+	awaitBackend(t, b, func(totals standin.Totals) bool { return totals.Served == uint64(len(paths)) })
+	for _, e := range b.Ledger() {
+		if e.Path != e.ID {
+			t.Errorf("got path %q in the ledger, want %q", e.Path, e.ID)
+		}
+	}
+}
+
 // A check compares runs with the shutdown of the gate that sent them. Without the time of day of
 // a run, its length and its gate, it couldn't tell which process cut the run.
 func TestBackendRecordsWhenAndFromWhereARequestRan(t *testing.T) {
--- a/standin/crash.go
+++ b/standin/crash.go
@@ -70,7 +70,7 @@
 
 // crashes reports whether the fault crashes the backend server at the request.
 func (f Fault) crashes(ctx *fasthttp.RequestCtx) bool {
-	return f.Kind == Crashes && strings.HasPrefix(string(ctx.Path()), f.Path)
+	return f.Kind == Crashes && strings.HasPrefix(pathOf(ctx), f.Path)
 }
 
 // CrashFor crashes the backend server and restarts it after the given time; 0 means 50 ms.
--- a/standin/platformread.go
+++ b/standin/platformread.go
@@ -40,7 +40,7 @@
 }
 
 func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
-	path := string(ctx.Path())
+	path := pathOf(ctx)
 	if strings.HasPrefix(path, adminPrefix) {
 		p.serveAdmin(ctx, path)
 		return
--- a/standin/relayadmin.go
+++ b/standin/relayadmin.go
@@ -37,7 +37,7 @@
 }
 
 func (a *RelayAdmin) handle(ctx *fasthttp.RequestCtx) {
-	switch path := string(ctx.Path()); {
+	switch path := pathOf(ctx); {
 	case path == statsPath && ctx.IsGet():
 		writeJSON(ctx, a.relay.Stats())
 	case path == modePath:
--- a/standin/request.go
+++ b/standin/request.go
@@ -203,7 +203,7 @@
 		Account:       string(ctx.Request.Header.Peek(AccountHeader)),
 		Authorization: string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)),
 		Method:        string(ctx.Method()),
-		Path:          string(ctx.Path()),
+		Path:          pathOf(ctx),
 		BodyHash:      hex.EncodeToString(hash[:]),
 		Started:       b.clock.Now(),
 		Outcome:       Running,
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,10 @@
 package standin
 
-import "github.com/valyala/fasthttp"
+import (
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapick.example/fuchsiapick/table"
+)
 
 // maxRequestBody is the largest request body, in bytes, that a stand-in accepts. The size of
 // answers has the same bound.
@@ -19,6 +23,11 @@
 	_ = server.Serve(ln)
 }
 
+// pathOf returns the path of a request as it was sent, by which nodes choose routes as well.
+func pathOf(ctx *fasthttp.RequestCtx) string {
+	return table.ParseTarget(string(ctx.RequestURI())).Path
+}
+
 // discardLogger keeps errors of connections that tests break on purpose out of the output.
 type discardLogger struct{}
 
