departure: a leaving node takes late requests by their deadline, not by an estimate

Cause: a leaving entry sent what 99 of 100 runs of the route allow, for as long as its port is open, and a lingering gate began repeatable runs in the same way. A wrong guess is excused by the users' page for requests sent up to 3 s after the SIGTERM; the port is open for half of the grace period, 5 s at most. Ruled out: a gate that cuts (the runs were at a node that stayed), and a deadline that isn't shortened (the 502 came when the entry stopped, 9.51 s after the SIGTERM).

Change: package departure has the plan of a shutdown (the constants of node/leave.go) and one rule for both places. A request whose deadline is before the stop is always taken. One with a later deadline is taken by an estimate only if it arrives within 2.5 s, half a second less than is excused, for the notice of the signal and the way of the request. It works for any grace period since the time is counted from the SIGTERM and not from the end, and the deadline needs no guess. The tests of StopAt use Depart now, with the same checks.

--- /dev/null
+++ b/departure/departure_test.go
@@ -0,0 +1,140 @@
+package departure_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
+	"fuchsiapick.example/fuchsiapick/episode"
+)
+
+// excusedUntil is how long after the signal a request may be sent that the node may end without its answer.
+const excusedUntil = 3 * clock.Second
+
+// casesPerTest is the number of departures that a test draws.
+const casesPerTest = 50_000
+
+// between draws a duration between two bounds.
+func between(r *rand.Rand, low, high clock.Millis) clock.Millis {
+	return low + clock.Millis(r.Int64N(int64(high-low)+1))
+}
+
+// departureCase is a departure after a signal at time 0, and a request that comes in it.
+type departureCase struct {
+	grace   clock.Millis
+	plan    departure.Plan
+	sent    clock.Millis
+	run     departure.Run
+	lasts   clock.Millis // the run, if nothing ends it
+	begins  clock.Millis // the run, after a wait for a slot
+	isOnce  bool
+	isKnown bool
+}
+
+func drawDeparture(r *rand.Rand) departureCase {
+	var c departureCase
+	c.grace = between(r, 2*clock.Second, 30*clock.Second)
+	noticed := between(r, 0, 300)
+	c.plan = departure.NewPlan(noticed, c.grace-noticed, between(r, 0, (c.grace-noticed)/2))
+	c.sent = between(r, 0, c.plan.CallersClose)
+	c.run.Arrived = c.sent + between(r, 0, 100)
+	limit := min(between(r, 1, clock.Minute), between(r, 1, clock.Minute)) // the route's timeout, the caller's
+	c.run.Deadline = c.run.Arrived + limit
+	c.begins = c.run.Arrived + between(r, 0, min(limit, 2*clock.Second)) // after a wait for a slot
+	c.lasts = between(r, 1, clock.Minute)
+	if c.isKnown = r.IntN(2) == 0; c.isKnown {
+		c.run.Typical = episode.TypicalLatency{Median: between(r, 1, 4*clock.Second), Spread: r.Float64()}
+	}
+	c.isOnce = r.IntN(2) == 0
+	c.run.HasOtherNodes = !c.isOnce
+	return c
+}
+
+// forEachDeparture calls check with drawn departures.
+func forEachDeparture(check func(c departureCase)) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range casesPerTest {
+		check(drawDeparture(r))
+	}
+}
+
+// isCut reports whether a part that stops at a given time ends the run without its answer and before its deadline.
+func (c *departureCase) isCut(stops clock.Millis) bool {
+	return c.begins+c.lasts > stops && c.run.Deadline > stops
+}
+
+// Guards against a request that a leaving node takes and then ends, though its upstream is at work and neither
+// its deadline nor an early arrival excuses that.
+func TestLeavingNodeEndsOnlyRequestsThatCameEarly(t *testing.T) {
+	forEachDeparture(func(c departureCase) {
+		stop := c.plan.Entry()
+		isAllowed := stop.AllowsRequest(c.begins, c.run)
+		if c.run.Deadline <= stop.At && !isAllowed {
+			t.Errorf("got a request refused whose deadline %v is before the entry's stop at %v", c.run.Deadline, stop.At)
+		}
+		if !isAllowed || !c.isCut(stop.At) {
+			return
+		}
+		if c.sent > excusedUntil {
+			t.Errorf("got a request taken that was sent %v after the signal, and ended at %v of a grace period of %v", c.sent, stop.At, c.grace)
+		}
+		if stop.At < c.grace*5/6 {
+			t.Errorf("got a request ended at %v, want it in the last sixth of %v", stop.At, c.grace)
+		}
+		if !c.isKnown {
+			t.Error("got a request of an unknown route taken, want it refused")
+		}
+	})
+}
+
+// Guards against a run that a leaving gate begins and then cuts, though it may run only once, or came late.
+func TestLeavingGateCutsOnlyRunsThatHaveOtherNodes(t *testing.T) {
+	forEachDeparture(func(c departureCase) {
+		stop := c.plan.Gates()
+		isAllowed := stop.Admits(c.run) && stop.AllowsDispatch(c.begins, c.run)
+		if isAllowed && c.isCut(stop.At) && (c.isOnce || c.sent > excusedUntil) {
+			t.Errorf("got a run begun at %v and cut at %v; may run once %v, sent at %v", c.begins, stop.At, c.isOnce, c.sent)
+		}
+		if !c.isKnown && !isAllowed && c.run.Deadline <= stop.At {
+			t.Errorf("got a run refused whose deadline %v is before the gate's stop at %v", c.run.Deadline, stop.At)
+		}
+	})
+}
+
+// Guards against a request that waits for a slot beyond the time at which its run could end before the entry.
+func TestWaitEndsWhileTheRunCanEnd(t *testing.T) {
+	forEachDeparture(func(c departureCase) {
+		stop := c.plan.Entry()
+		startBy := stop.StartBy(c.run)
+		if c.isKnown && c.begins <= startBy && startBy < c.run.Deadline && c.run.Arrived <= c.plan.Begins && !stop.AllowsRequest(c.begins, c.run) {
+			t.Errorf("got a request refused at %v that may start by %v", c.begins, startBy)
+		}
+		if c.begins > startBy && c.begins <= c.run.Deadline && c.isKnown && stop.AllowsRequest(c.begins, c.run) {
+			t.Errorf("got a request allowed at %v that had to start by %v", c.begins, startBy)
+		}
+	})
+}
+
+// Guards against a plan whose steps overtake each other, so that a process is killed while it answers.
+func TestPlanIsInOrder(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	for range casesPerTest {
+		now, grace := between(r, 0, clock.Hour), between(r, 0, between(r, 0, 15*clock.Minute))
+		p := departure.NewPlan(now, grace, between(r, 0, grace/2))
+		steps := []clock.Millis{now, p.Begins, p.GatesClose, p.CallersLinger, p.CallersClose, p.EntryStops, p.GatesStop, p.Stops, now + grace}
+		for i := range steps[1:] {
+			if steps[i] > steps[i+1] {
+				t.Fatalf("got %+v for a grace period of %v, want each step after the one before", p, grace)
+			}
+		}
+	}
+}
+
+func TestNodeThatStaysAllowsEverything(t *testing.T) {
+	var stop departure.Stop
+	run := departure.Run{Arrived: clock.Hour, Deadline: 2 * clock.Hour, Typical: episode.TypicalLatency{Median: clock.Hour}}
+	if !stop.AllowsRequest(clock.Hour, run) || !stop.AllowsDispatch(clock.Hour, run) || !stop.Admits(run) || stop.IsSet() {
+		t.Error("got a run refused by a node that isn't leaving, want it allowed")
+	}
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -82,8 +82,8 @@
 // on a typical run would end after the deadline, or one may end after the entry stops.
 func (r *request) startBy() clock.Millis {
 	startBy := r.deadline - r.typicalLatency().Median - r.resolveTimeout()
-	if at := clock.Millis(r.entry.stopsAt.Load()); at > 0 {
-		return min(startBy, at-r.longestRun(r.entry.config.Now()))
+	if stop := r.entry.stop(); stop.IsSet() {
+		return min(startBy, stop.StartBy(r.departureRun()))
 	}
 	return startBy
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/limit"
 	"fuchsiapick.example/fuchsiapick/link"
 	"fuchsiapick.example/fuchsiapick/memory"
@@ -126,7 +127,7 @@
 	sequence        atomic.Uint64
 	inFlight        atomic.Int64
 	leaving         atomic.Bool
-	stopsAt         atomic.Int64 // the time given to StopAt; 0 before
+	departure       atomic.Pointer[departure.Stop] // nil unless the node is leaving
 	stopOnce        sync.Once
 	stopped         chan struct{} // closed by Stop
 	routesChangedAt atomic.Int64  // time of the last change of routes
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/table"
 	"fuchsiapick.example/fuchsiapick/wire"
@@ -20,13 +21,17 @@
 			name    string
 			runs    clock.Millis // how long earlier requests of the route took, 0 without any
 			timeout clock.Millis // the caller's
+			passed  clock.Millis // since the departure began
 			isSent  bool
 		}{
-			{"short route", 200, clock.Minute, true},
-			{"long route", 3 * clock.Second, clock.Minute, false},
-			{"long route, whose caller leaves sooner", 3 * clock.Second, clock.Second, true},
-			{"unknown route", 0, clock.Minute, false},
-			{"unknown route, whose caller leaves sooner", 0, clock.Second, true},
+			{"short route", 200, clock.Minute, 0, true},
+			{"long route", 3 * clock.Second, clock.Minute, 0, false},
+			{"long route, whose caller leaves sooner", 3 * clock.Second, clock.Second, 0, true},
+			{"unknown route", 0, clock.Minute, 0, false},
+			{"unknown route, whose caller leaves sooner", 0, clock.Second, 0, true},
+			{"short route, early", 200, clock.Minute, 2 * clock.Second, true},
+			{"short route, late", 200, clock.Minute, 3 * clock.Second, false},
+			{"short route, late, whose caller leaves sooner", 200, clock.Second, 3 * clock.Second, true},
 		} {
 			for _, method := range []string{"GET", "POST"} {
 				gate := &fakeGate{name: "a", onDispatch: func(m *wire.Dispatch) *wire.Reply {
@@ -52,7 +57,7 @@
 					}
 				}
 				before := gate.dispatched
-				e.StopAt(now() + left)
+				e.Depart(departure.Stop{Begins: now() - tt.passed, At: now() + left})
 				status, reason := request(tt.timeout)
 				if isSent := gate.dispatched > before; isSent != tt.isSent {
 					t.Errorf("%s, %s %s: got sent %v, %d %s; want sent %v", caution, method, tt.name, isSent, status, reason, tt.isSent)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,14 +4,23 @@
 	"time"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
-// StopAt makes the entry stop at the given time, shortly before the node closes its callers'
+// Depart makes the entry stop at a given time, shortly before the node closes its callers'
 // connections. Requests that arrive until then have no later deadline.
-func (e *Entry) StopAt(at clock.Millis) {
-	e.stopsAt.Store(int64(at))
-	time.AfterFunc(max(at-e.config.Now(), 0).Duration(), e.Stop)
+func (e *Entry) Depart(stop departure.Stop) {
+	e.departure.Store(&stop)
+	time.AfterFunc(max(stop.At-e.config.Now(), 0).Duration(), e.Stop)
+}
+
+// stop returns when the entry stops; the zero value unless the node is leaving.
+func (e *Entry) stop() departure.Stop {
+	if stop := e.departure.Load(); stop != nil {
+		return *stop
+	}
+	return departure.Stop{}
 }
 
 // Stop makes the entry answer all requests now. Those that wait are refused, and the gates of those
@@ -23,8 +32,8 @@
 // latestDeadline returns the deadline of a request that arrives now, which ends before the entry
 // stops.
 func (e *Entry) latestDeadline(deadline clock.Millis) clock.Millis {
-	if at := clock.Millis(e.stopsAt.Load()); at > 0 {
-		return min(deadline, at)
+	if stop := e.stop(); stop.IsSet() {
+		return min(deadline, stop.At)
 	}
 	return deadline
 }
@@ -39,24 +48,16 @@
 	}
 }
 
-// outlastShare is the share of a route's runs that may take longer than a leaving entry expects of one that it
-// still sends.
-const outlastShare = 0.01
-
 // mayOutlastEntry reports whether a run that begins now may still be at work when the entry stops.
 func (r *request) mayOutlastEntry(now clock.Millis) bool {
-	at := clock.Millis(r.entry.stopsAt.Load())
-	return at > 0 && now+r.longestRun(now) > at
+	stop := r.entry.stop()
+	return stop.IsSet() && !stop.AllowsRequest(now, r.departureRun())
 }
 
-// longestRun returns how long a run that begins now takes at most: until its caller's time is over, or as long
-// as nearly all runs on its route.
-func (r *request) longestRun(now clock.Millis) clock.Millis {
-	left := max(r.started+r.budget-now, 0)
-	if typical := r.routeLatency(); typical.IsKnown() {
-		return min(typical.UpperQuantile(outlastShare), left)
-	}
-	return left
+// departureRun describes a run that the request begins. Its deadline is that of the caller and of the route: the
+// request's own ends with the entry at the latest.
+func (r *request) departureRun() departure.Run {
+	return departure.Run{Arrived: r.started, Deadline: r.started + r.budget, Typical: r.routeLatency()}
 }
 
 // mustEnd reports whether no further upstream may be tried: the caller has disconnected, or the node
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,6 +15,7 @@
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/announcement"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/episode"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
@@ -139,8 +140,8 @@
 	workRequests int
 	leaving      bool // permanent since endedAt: the node shuts down or has replaced this gate
 	endedAt      clock.Millis
-	// stopsAt is when the node of a leaving gate stops; 0 if it isn't known to stop.
-	stopsAt       clock.Millis
+	// stop is when the node of a leaving gate stops.
+	stop          departure.Stop
 	listedLeaving bool // the instance list marks the instance as leaving
 	leavingSince  clock.Millis
 	state         health.State
@@ -175,6 +176,7 @@
 	respond  func(*wire.Reply)
 	key      lease.Key
 	ticket   uint64
+	arrived  clock.Millis
 	deadline clock.Millis
 	running  bool
 	overdue  bool
@@ -280,9 +282,9 @@
 // can have changed since. It is called with the gate's lock held and unlocks the gate.
 func (g *Gate) runReserved(now clock.Millis, key lease.Key, verdict lease.Verdict, d *wire.Dispatch, respond func(*wire.Reply)) {
 	deadline := dispatchDeadline(now, d)
-	if verdict == lease.Fresh && !g.isLeaving() && !g.mayOutlastNode(d.Repeatable, deadline) && !g.crash.isDown && now < deadline {
+	if verdict == lease.Fresh && !g.isLeaving() && g.stop.Admits(dispatchRun(now, deadline, d)) && !g.crash.isDown && now < deadline {
 		g.lastTicket++
-		j := &job{dispatch: d, respond: respond, key: key, ticket: g.lastTicket, deadline: deadline}
+		j := &job{dispatch: d, respond: respond, key: key, ticket: g.lastTicket, arrived: now, deadline: deadline}
 		g.jobs[j.ticket] = j
 		g.mu.Unlock()
 		g.start(j)
@@ -304,7 +306,7 @@
 // gate's lock held and unlocks the gate.
 func (g *Gate) schedule(now clock.Millis, key lease.Key, d *wire.Dispatch, respond func(*wire.Reply)) {
 	g.lastTicket++
-	j := &job{dispatch: d, respond: respond, key: key, ticket: g.lastTicket, deadline: dispatchDeadline(now, d)}
+	j := &job{dispatch: d, respond: respond, key: key, ticket: g.lastTicket, arrived: now, deadline: dispatchDeadline(now, d)}
 	waitUntil := j.deadline
 	if d.NoQueue {
 		waitUntil = now
--- a/gate/leave.go
+++ b/gate/leave.go
@@ -3,6 +3,7 @@
 import (
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -21,46 +22,43 @@
 	callAll(refused)
 }
 
-// StopAt records when the gate's node stops. From now on the gate begins no request that may run
-// only once and may outlast the node, and refuses those that wait: the node cuts what runs when it
-// stops, and the outcome is then unknown.
-func (g *Gate) StopAt(at clock.Millis) {
+// Depart records when the gate's node stops. From now on the gate begins no request that may still run
+// then, as far as departure.Stop tells, and refuses those that wait: the node cuts what runs when it stops, and
+// the outcome is then unknown.
+func (g *Gate) Depart(stop departure.Stop) {
 	g.mu.Lock()
-	g.stopsAt = at
+	g.stop = stop
 	refused := g.refuseWaiters(g.config.Now(), g.cancelOutlasting(), wire.ReasonLeaving)
 	g.mu.Unlock()
 	callAll(refused)
 }
 
-// mayOutlastNode reports whether a request that must not be repeated may still run when the node
-// stops. It is called with the gate's lock held.
-func (g *Gate) mayOutlastNode(isRepeatable bool, deadline clock.Millis) bool {
-	return !isRepeatable && g.stopsAt > 0 && deadline > g.stopsAt
+// dispatchRun describes the run of a dispatch that has arrived at a given time. Its entry sends a repeatable
+// one elsewhere if the node cuts it.
+func dispatchRun(arrived, deadline clock.Millis, d *wire.Dispatch) departure.Run {
+	return departure.Run{Arrived: arrived, Deadline: deadline, Typical: typicalLatency(d), HasOtherNodes: d.Repeatable}
 }
 
-// outlastShare is the share of a route's runs that may take longer than expected of one that a gate still
-// begins before its node stops.
-const outlastShare = 0.01
+// probeRun describes the run for which a capacity probe that has arrived at a given time asks.
+func probeRun(arrived clock.Millis, probe *wire.CapacityProbe) departure.Run {
+	return departure.Run{Arrived: arrived, Deadline: arrived + probe.Budget, HasOtherNodes: probe.Repeatable}
+}
 
-// isTooLate reports whether a run that begins now may still be at work when the node stops, if the latency of
-// its route is known. An entry of the same node has shortened the deadline to that time. It is called with the
-// gate's lock held.
-func (g *Gate) isTooLate(now clock.Millis, j *job) bool {
-	typical := typicalLatency(j.dispatch)
-	return g.stopsAt > 0 && typical.IsKnown() && now+typical.UpperQuantile(outlastShare) > g.stopsAt
+func (j *job) departureRun() departure.Run {
+	return dispatchRun(j.arrived, j.deadline, j.dispatch)
 }
 
-// cancelOutlasting removes the waiting requests that may outlast the node from the queue, and
+// cancelOutlasting removes the waiting requests that the gate wouldn't admit now from the queue, and
 // returns their tickets. It is called with the gate's lock held.
 func (g *Gate) cancelOutlasting() []uint64 {
 	var tickets []uint64
 	for ticket, j := range g.jobs {
-		if g.mayOutlastNode(j.dispatch.Repeatable, j.deadline) && g.slots.Cancel(ticket) {
+		if !g.stop.Admits(j.departureRun()) && g.slots.Cancel(ticket) {
 			tickets = append(tickets, ticket)
 		}
 	}
 	for ticket, w := range g.waiters {
-		if g.mayOutlastNode(w.probe.Repeatable, w.arrivedAt+w.probe.Budget) && g.slots.Cancel(ticket) {
+		if !g.stop.Admits(probeRun(w.arrivedAt, w.probe)) && g.slots.Cancel(ticket) {
 			tickets = append(tickets, ticket)
 		}
 	}
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/health"
 	"fuchsiapick.example/fuchsiapick/lease"
 	"fuchsiapick.example/fuchsiapick/retry"
@@ -23,15 +24,15 @@
 type admission struct {
 	isRepeatable, isRetry, isForced bool
 	priority                        int
-	deadline                        clock.Millis
+	run                             departure.Run
 }
 
 func newAdmission(now clock.Millis, probe *wire.CapacityProbe) admission {
-	return admission{isRepeatable: probe.Repeatable, isRetry: probe.Retry, isForced: probe.Forced, priority: probe.Priority, deadline: now + probe.Budget}
+	return admission{isRepeatable: probe.Repeatable, isRetry: probe.Retry, isForced: probe.Forced, priority: probe.Priority, run: probeRun(now, probe)}
 }
 
 func dispatchAdmission(now clock.Millis, d *wire.Dispatch) admission {
-	return admission{isRepeatable: d.Repeatable, isRetry: d.Retry, isForced: d.Forced, priority: d.Priority, deadline: dispatchDeadline(now, d)}
+	return admission{isRepeatable: d.Repeatable, isRetry: d.Retry, isForced: d.Forced, priority: d.Priority, run: dispatchRun(now, dispatchDeadline(now, d), d)}
 }
 
 // dispatchDeadline returns when the run of a dispatch that arrives now ends at the latest.
@@ -47,7 +48,7 @@
 		return wire.ReasonStaleLease, 0
 	case v == lease.Revoked:
 		return wire.ReasonRevoked, 0
-	case g.leaving, g.isLeaving() && now-g.leavingSince >= g.service.Drain, g.mayOutlastNode(a.isRepeatable, a.deadline):
+	case g.leaving, g.isLeaving() && now-g.leavingSince >= g.service.Drain, !g.stop.Admits(a.run):
 		return wire.ReasonLeaving, 0
 	case g.crash.isDown:
 		return wire.ReasonConnectionRefused, recoveryInterval
--- a/gate/run.go
+++ b/gate/run.go
@@ -75,7 +75,7 @@
 	if now >= j.deadline {
 		return now, wire.ReasonRevoked, false
 	}
-	if g.mayOutlastNode(j.dispatch.Repeatable, j.deadline) || g.isTooLate(now, j) {
+	if !g.stop.AllowsDispatch(now, j.departureRun()) {
 		g.dedup.Refuse(j.key)
 		return now, wire.ReasonLeaving, false
 	}
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/wire"
 )
 
@@ -25,7 +26,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g, h, _, _ := newGate(t)
-			g.StopAt(span)
+			g.Depart(departure.Stop{At: span})
 			d := dispatch(1, "first")
 			d.Budget, d.Repeatable = test.budget, test.repeatable
 			replies := make(chan *wire.Reply, 1)
@@ -59,7 +60,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g, h, _, _ := newGate(t)
-			g.StopAt(span)
+			g.Depart(departure.Stop{At: span})
 			d := dispatch(1, "first")
 			d.Budget, d.Repeatable, d.MedianTime, d.LogStdDev = test.budget, test.repeatable, test.median, 0.5
 			replies := make(chan *wire.Reply, 1)
@@ -79,6 +80,34 @@
 	}
 }
 
+// Guards against a gate that takes a repeatable run by an estimate late in its node's departure, when a wrong one
+// has no excuse.
+func TestLateRunsBeginOnlyIfTheirDeadlineIsBeforeTheNodeStops(t *testing.T) {
+	for name, test := range map[string]struct {
+		passed, budget clock.Millis
+		isRefused      bool
+	}{
+		"early":                 {2 * clock.Second, clock.Minute, false},
+		"late":                  {3 * clock.Second, clock.Minute, true},
+		"late, a near deadline": {3 * clock.Second, clock.Second, false},
+	} {
+		g, h, _, _ := newGate(t)
+		const left = 10 * clock.Second
+		g.Depart(departure.Stop{Begins: -test.passed, At: left})
+		d := dispatch(1, "first")
+		d.Budget, d.Repeatable, d.MedianTime, d.LogStdDev = test.budget, true, 20, 0.5
+		replies := make(chan *wire.Reply, 1)
+		g.Handle(d, func(r *wire.Reply) { replies <- r })
+		if !test.isRefused {
+			<-h.begun
+			close(h.end)
+		}
+		if got := <-replies; (got.Outcome == wire.NotRun && got.Reason == wire.ReasonLeaving) != test.isRefused {
+			t.Errorf("%s: got outcome %v, reason %q; want refused %v", name, got.Outcome, got.Reason, test.isRefused)
+		}
+	}
+}
+
 // Guards against requests that wait at a gate for a slot that they can't use any more, as the node stops
 // before their deadline: their entries have time for other upstreams.
 func TestWaitersAreRefusedWhenTheNodeStopsBeforeTheirDeadline(t *testing.T) {
@@ -91,7 +120,7 @@
 	repeatable := newCapacityProbe(4)
 	repeatable.Repeatable = true
 	g.ProbeCapacity(repeatable, func(r *wire.Reservation) { reservations <- r })
-	g.StopAt(clock.Second)
+	g.Depart(departure.Stop{At: clock.Second})
 	if got := <-replies; got.Outcome != wire.NotRun || got.Reason != wire.ReasonLeaving {
 		t.Errorf("got outcome %v, reason %q; want the waiting dispatch refused as leaving", got.Outcome, got.Reason)
 	}
@@ -112,7 +141,7 @@
 	if got := probeCapacity(g, &wire.CapacityProbe{ID: d.ID, Attempt: 1, Upstream: "c1", Budget: clock.Minute}); !got.Reserved {
 		t.Fatalf("got no slot (%s), want it reserved", got.Reason)
 	}
-	g.StopAt(clock.Second)
+	g.Depart(departure.Stop{At: clock.Second})
 	replies := make(chan *wire.Reply, 1)
 	g.Handle(d, func(r *wire.Reply) { replies <- r })
 	if got := <-replies; got.Outcome != wire.NotRun || got.Reason != wire.ReasonLeaving {
--- a/node/gates.go
+++ b/node/gates.go
@@ -114,8 +114,8 @@
 		Log:              n.log,
 	})
 	n.applyEarlyAnnouncement(u.Name, n.gates[u.Name])
-	if n.gatesStopAt > 0 {
-		n.gates[u.Name].StopAt(n.gatesStopAt)
+	if n.gatesStop.IsSet() {
+		n.gates[u.Name].Depart(n.gatesStop)
 	}
 	if n.leaving {
 		n.gates[u.Name].Leave()
--- a/node/leave.go
+++ b/node/leave.go
@@ -7,9 +7,9 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"fuchsiapick.example/fuchsiapick/clock"
-
 	"fuchsiapick.example/fuchsiapick/access"
+	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 )
 
 // drainPollInterval is how often a leaving node checks whether it has finished.
@@ -34,46 +34,23 @@
 	n.links.BroadcastHeartbeat()
 }
 
-// callerDrainTimeout bounds how long a leaving node still accepts callers' requests, the
-// linger time included. Half of the grace period bounds it as well, so that accepted requests
-// can finish within the grace period. The node doesn't stop earlier because the instance list
-// lags and callers that follow it need some seconds.
-const callerDrainTimeout = 5 * clock.Second
-
-// shutdownMargin is the part of the grace period that is reserved for the exit of the
-// process. A process that is still there after the grace period is killed, together with
-// connections that were just answered.
-const shutdownMargin = 300 * clock.Millis(1)
-
-// gateShare is the part of the grace period for which the gates of a leaving node still accept
-// requests. The rest is for these requests to finish.
-const gateShare = 1.0 / 3
-
-// gateLinger returns how long gates accept requests after a shutdown has begun. While many nodes
-// are restarted in turn, the slots beside the leaving ones would otherwise be idle, and callers
-// would be refused, for as long as those nodes linger.
-func (n *Node) gateLinger() clock.Millis {
-	return min(n.settings.Linger, clock.Millis(gateShare*float64(n.settings.Grace)))
-}
-
-// drain finishes the requests in flight. After gateLinger, gates refuse new requests, and entries
+// drain finishes the requests in flight, by the plan of departure. Once gates refuse new requests, entries
 // send these to other nodes. Callers are served by upstreams of other nodes until no request
-// has come for idleWindow or callerDrainTimeout is over; then the caller port closes, and the
+// has come for idleWindow, or the plan says so; then the caller port closes, and the
 // requests that were accepted are finished, and peers close their links once they have all replies.
 // Requests that outlast the grace period are cut; drain returns their number.
 func (n *Node) drain(ctx context.Context) (cut int) {
-	linger, gateLinger := n.linger()
+	plan := departure.NewPlan(n.clock.Now(), n.settings.Grace, n.linger())
 	n.entry.Leave()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
-	span := n.settings.Grace - n.exitMargin()
-	n.stopIn(span)
-	ctx, cancel := context.WithTimeout(ctx, span.Duration())
+	n.depart(plan)
+	ctx, cancel := context.WithTimeout(ctx, (plan.Stops - n.clock.Now()).Duration())
 	defer cancel()
-	pause(ctx, gateLinger)
+	n.pauseUntil(ctx, plan.GatesClose)
 	left := n.clock.Now()
 	n.leaveGates()
-	pause(ctx, linger-gateLinger)
-	callersCtx, stop := context.WithTimeout(ctx, (min(callerDrainTimeout, n.settings.Grace/2) - linger).Duration())
+	n.pauseUntil(ctx, plan.CallersLinger)
+	callersCtx, stop := context.WithTimeout(ctx, (plan.CallersClose - n.clock.Now()).Duration())
 	defer stop()
 	_ = n.awaitIdle(callersCtx, n.entry.InFlight) // callers that keep sending requests must not delay the shutdown
 	n.log.WithField("requests", n.InFlight()).Debug("closing the callers' port")
@@ -96,38 +73,20 @@
 	return n.InFlight()
 }
 
-const (
-	// maxReplyMargin is how long before the node stops the last runs of requests that may run only
-	// once have ended, so that their replies arrive before the links close. maxAnswerMargin is how long
-	// before it the entry begins to answer the requests that are not served yet: as long as asking
-	// a gate for an outcome takes, twice, and the way of the answer.
-	maxReplyMargin  = 50 * clock.Millis(1)
-	maxAnswerMargin = 150 * clock.Millis(1)
-	// replyMarginShare and answerMarginShare divide a short grace period: the margins are at most
-	// these fractions of it.
-	replyMarginShare  = 40
-	answerMarginShare = 20
-	// cutReplyShare divides exitMargin: for this fraction of it a node waits for its links to carry
-	// the replies to what it cuts.
-	cutReplyShare = 3
-)
-
-// exitMargin returns the part of the grace period that is kept for the exit of the process.
-func (n *Node) exitMargin() clock.Millis {
-	return min(n.settings.Grace/10, shutdownMargin)
-}
+// cutReplyShare divides the margin for the exit: for this fraction of it a node waits for its links to carry
+// the replies to what it cuts.
+const cutReplyShare = 3
 
-// stopIn tells the gates and the entry that the node stops after a span of time at the latest.
-func (n *Node) stopIn(span clock.Millis) {
-	now := n.clock.Now()
-	gatesStopAt := now + span - min(span/replyMarginShare, maxReplyMargin)
+// depart tells the gates and the entry when the node stops.
+func (n *Node) depart(plan departure.Plan) {
+	stop := plan.Gates()
 	n.mu.Lock()
-	n.gatesStopAt = gatesStopAt
+	n.gatesStop = stop
 	n.mu.Unlock()
 	for _, g := range n.newestGates() {
-		g.StopAt(gatesStopAt)
+		g.Depart(stop)
 	}
-	n.entry.StopAt(now + span - min(span/answerMarginShare, maxAnswerMargin))
+	n.entry.Depart(plan.Entry())
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
@@ -148,7 +107,7 @@
 		log.Info("grace is over; nothing is cut")
 	}
 	n.links.Drain()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), (n.exitMargin() / cutReplyShare).Duration())
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), (departure.ExitMargin(n.settings.Grace) / cutReplyShare).Duration())
 	defer cancel()
 	if err := awaitCondition(ctx, func() bool { return n.entry.InFlight() == 0 && n.links.Drained() }); err != nil {
 		n.log.WithField("links", n.links.OpenLinks()).Debug("a peer has not closed its link")
@@ -156,10 +115,11 @@
 	return requests
 }
 
-// pause returns after a span of time or when the context ends. Callers' requests are served
+// pauseUntil returns at the given time or when the context ends. Callers' requests are served
 // meanwhile: load balancers that watch the node's readiness need the time to send callers to other
 // nodes, and without it callers would find a closed port.
-func pause(ctx context.Context, span clock.Millis) {
+func (n *Node) pauseUntil(ctx context.Context, at clock.Millis) {
+	span := at - n.clock.Now()
 	if span <= 0 {
 		return
 	}
@@ -244,13 +204,13 @@
 	return n.table != nil && !n.stopping && n.listeners != nil && n.listeners.AreOpen()
 }
 
-// linger returns how long callers are served, and how long gates accept requests, after a shutdown
-// has begun. A node that isn't ready, as it has no table or waits for a port, leaves at once.
-func (n *Node) linger() (callers, gates clock.Millis) {
+// linger returns how long callers are served after a shutdown has begun. A node that isn't ready, as it has
+// no table or waits for a port, leaves at once.
+func (n *Node) linger() clock.Millis {
 	if !n.Ready() {
-		return 0, 0
+		return 0
 	}
-	return n.settings.Linger, n.gateLinger()
+	return n.settings.Linger
 }
 
 // InForce returns a channel that is closed when the first table is in force.
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 
 	"fuchsiapick.example/fuchsiapick/access"
 	"fuchsiapick.example/fuchsiapick/clock"
+	"fuchsiapick.example/fuchsiapick/departure"
 	"fuchsiapick.example/fuchsiapick/entry"
 	"fuchsiapick.example/fuchsiapick/gate"
 	"fuchsiapick.example/fuchsiapick/link"
@@ -152,10 +153,9 @@
 	awaitedCopies []uint64
 	sendsCopies   bool
 	stopping      bool // a shutdown has begun
-	// gatesStopAt is when the last runs of requests that may run only once have to end; 0 unless a
-	// shutdown has begun.
-	gatesStopAt clock.Millis
-	leaving     bool // the gates refuse new requests
+	// gatesStop is when the last runs of requests that may run only once have to end.
+	gatesStop departure.Stop
+	leaving   bool // the gates refuse new requests
 	// readRevisions holds the revisions of the values that were applied, by key. Only the
 	// follower's goroutine uses it.
 	readRevisions       map[string]uint64
--- a/purity_test.go
+++ b/purity_test.go
@@ -11,7 +11,7 @@
 
 // decisionPackages must use no goroutines, no channel operations and no global random source.
 // The linter's depguard rule keeps I/O and clocks out of the same packages.
-var decisionPackages = []string{"announcement", "burn", "choice", "difference", "document", "episode", "floor", "freshness", "health", "lease", "limit", "path", "quarantine", "quota", "referral", "relay", "rendezvous", "resend", "retry", "share", "speed", "table", "versionguard", "waiting"}
+var decisionPackages = []string{"announcement", "burn", "choice", "departure", "difference", "document", "episode", "floor", "freshness", "health", "lease", "limit", "path", "quarantine", "quota", "referral", "relay", "rendezvous", "resend", "retry", "share", "speed", "table", "versionguard", "waiting"}
 
 // A decision package that starts a goroutine or uses the global random source gives different
 // results on every run, so a failure found once can't be reproduced.
