--- a/fleet/fieldname_test.go
+++ b/fleet/fieldname_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -43,6 +42,28 @@
 	}
 }
 
+// checkBrokenAnswer sends a request that the upstream answers with the text, which is no valid answer, and then
+// one that it answers well. It returns whether the upstream got the first one.
+func checkBrokenAnswer(t *testing.T, u *cuttingUpstream, caller *callerConn, place, method, text string, after ending) bool {
+	t.Helper()
+	u.setText(text, after)
+	got, header := caller.send(t, method, "/conferme/cut")
+	runs := u.runsOf(got.id)
+	isUnknown := got.status == http.StatusBadGateway && got.outcome == string(access.Unknown)
+	isNotRun := got.status >= 500 && got.outcome == string(access.NotRun)
+	if !isUnknown && (!isNotRun || runs > 0) || strings.Contains(got.body, "abcde") {
+		t.Errorf("%s %s, %q: got %d %s %s %q, %q after %d runs, want a failure that is true", place, method, text, got.status, got.outcome, got.reason, header, got.body, runs)
+	}
+	if method == http.MethodPost && runs > 1 {
+		t.Errorf("%s %q: got %d runs of a request that may run once, want 1", place, text, runs)
+	}
+	path := "/conferme/next-" + got.id
+	if got, _ := caller.send(t, method, path); got.outcome == string(access.Served) && got.body != path {
+		t.Errorf("%s %s after %q: got %d %q, want %q", place, method, text, got.status, got.body, path)
+	}
+	return runs > 0
+}
+
 // Guards against a caller, beside the gate or behind a link, that gets an answer with a name that no field
 // may have, or bytes of it in its next answer, and against a second run of a request that may run once.
 func TestAnswerWithABrokenFieldNameReachesNoCaller(t *testing.T) {
@@ -54,25 +75,10 @@
 			for place, caller := range callers {
 				for _, method := range []string{http.MethodGet, http.MethodPost} {
 					text := drawAnswerWith(random, drawBrokenField(random, byte(c)))
-					u.setText(text, []ending{kept, closed, reset}[random.IntN(3)])
-					got, header := caller.send(t, method, "/conferme/cut")
-					runs := u.runsOf(got.id)
 					requests++
-					if runs == 0 {
+					if !checkBrokenAnswer(t, u, caller, place, method, text, []ending{kept, closed, reset}[random.IntN(3)]) {
 						unsent++
 					}
-					isUnknown := got.status == http.StatusBadGateway && got.outcome == string(access.Unknown)
-					isNotRun := got.status >= 500 && got.outcome == string(access.NotRun)
-					if !isUnknown && (!isNotRun || runs > 0) || strings.Contains(got.body, "abcde") {
-						t.Errorf("%s %s, %q: got %d %s %s %q, %q after %d runs, want a failure that is true", place, method, text, got.status, got.outcome, got.reason, header, got.body, runs)
-					}
-					if method == http.MethodPost && runs > 1 {
-						t.Errorf("%s %q: got %d runs of a request that may run once, want 1", place, text, runs)
-					}
-					path := fmt.Sprintf("/conferme/next-%d", requests)
-					if got, _ := caller.send(t, method, path); got.outcome == string(access.Served) && got.body != path {
-						t.Errorf("%s %s after %q: got %d %q, want %q", place, method, text, got.status, got.body, path)
-					}
 				}
 			}
 		}
