departure: test that a late request is cut by no other leaving node

Cause: the promise of a leaving node was tested at its entry and at its gates, not for a request that goes from the one to the gate of another node in a rolling restart.

It fails if gates take late repeatable runs by an estimate, as before. No product code changed.

--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -102,6 +102,35 @@
 	})
 }
 
+// Guards against a late request that its entry sends to a gate of another leaving node, which cuts it: nodes of
+// one grace period leave one after the other.
+func TestLateRequestsAreCutByNoOtherLeavingNode(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	met := 0
+	for range casesPerTest {
+		c := drawDeparture(r)
+		begins := c.plan.Begins + between(r, -c.grace/3, c.grace/3)
+		other := departure.NewPlan(begins, c.grace, between(r, 0, c.grace/2))
+		isOpen := c.begins <= other.GatesClose
+		if c.sent <= excusedUntil || !isOpen || !c.plan.Entry().AllowsRequest(c.begins, c.run) {
+			continue
+		}
+		met++
+		dispatched := departure.Run{Arrived: c.begins, Deadline: min(c.run.Deadline, c.plan.EntryStops), Typical: c.run.Typical, HasOtherNodes: !c.isOnce}
+		stop := other.Gates()
+		if begins <= c.begins && !stop.AllowsDispatch(c.begins, dispatched) {
+			continue
+		}
+		if c.begins+c.lasts > stop.At && dispatched.Deadline > stop.At {
+			t.Errorf("got a request sent at %v cut at %v, before its deadline %v; its node leaves at %v, the other at %v",
+				c.sent, stop.At, dispatched.Deadline, c.plan.Begins, begins)
+		}
+	}
+	if met < casesPerTest/100 {
+		t.Errorf("got %d late requests that met a gate of a leaving node, want more", met)
+	}
+}
+
 // Guards against a request that waits for a slot beyond the time at which its run could end before the entry.
 func TestWaitEndsWhileTheRunCanEnd(t *testing.T) {
 	forEachDeparture(func(c departureCase) {
