departure: close the callers' port when no route's requests could be taken any more

What callers saw: since a node with a grace period of 10 s refused requests with a deadline of 8 s from 2.5 s to 5 s after its SIGTERM with 503, where a closed port would have sent them to another node at once.

Cause: the time for which the port is open followed the grace period alone, and not what the node can still take.

Change: the plan knows the shortest timeout of the node's routes. The port closes when a request with that timeout would end after the entry's stop, but not before 2.4 s, while estimates decide, nor before the linger time is over.

--- a/departure/departure.go
+++ b/departure/departure.go
@@ -16,6 +16,9 @@
 	// within the grace period. The node doesn't stop earlier because the instance list lags and
 	// callers that follow it need some seconds.
 	maxCallerDrain = 5 * clock.Second
+	// minCallerDrain is how long it accepts them even if its routes allow more time than is left. It ends
+	// before estimateSpan, so that requests on connections that were just accepted come early.
+	minCallerDrain = estimateSpan - 100*clock.Millis(1)
 	// gateShare is the part of the grace period for which the gates of a leaving node still accept
 	// requests. The rest is for these requests to finish.
 	gateShare = 1.0 / 3
@@ -50,16 +53,26 @@
 	EntryStops, GatesStop, Stops clock.Millis
 }
 
-// NewPlan returns the plan of a departure that begins now and is to end within a grace period. A node
-// lingers at most for as long as callers are accepted.
-func NewPlan(now, grace, linger clock.Millis) Plan {
-	span := grace - ExitMargin(grace)
+// Config configures a departure.
+type Config struct {
+	// Grace is the grace period, Linger the time for which callers are served in any case.
+	Grace, Linger clock.Millis
+	// ShortestTimeout is the shortest of the timeouts of the node's routes.
+	ShortestTimeout clock.Millis
+}
+
+// NewPlan returns the plan of a departure that begins now. The callers' port closes once requests of no route
+// could be taken any more: a caller that finds it closed goes to another node at once.
+func NewPlan(now clock.Millis, c Config) Plan {
+	span := c.Grace - ExitMargin(c.Grace)
+	entryStops := span - min(span/answerMarginShare, maxAnswerMargin)
+	useful := max(entryStops-c.ShortestTimeout, minCallerDrain)
 	return Plan{
 		Begins:        now,
-		GatesClose:    now + min(linger, clock.Millis(gateShare*float64(grace))),
-		CallersLinger: now + linger,
-		CallersClose:  now + max(min(maxCallerDrain, grace/2), linger),
-		EntryStops:    now + span - min(span/answerMarginShare, maxAnswerMargin),
+		GatesClose:    now + min(c.Linger, clock.Millis(gateShare*float64(c.Grace))),
+		CallersLinger: now + c.Linger,
+		CallersClose:  now + max(min(maxCallerDrain, c.Grace/2, useful), c.Linger),
+		EntryStops:    now + entryStops,
 		GatesStop:     now + span - min(span/replyMarginShare, maxReplyMargin),
 		Stops:         now + span,
 	}
--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -20,6 +20,11 @@
 	return low + clock.Millis(r.Int64N(int64(high-low)+1))
 }
 
+// newPlan returns a plan with drawn times of the settings and the routes.
+func newPlan(r *rand.Rand, now, grace clock.Millis) departure.Plan {
+	return departure.NewPlan(now, departure.Config{Grace: grace, Linger: between(r, 0, grace/2), ShortestTimeout: between(r, 0, clock.Minute)})
+}
+
 // departureCase is a departure after a signal at time 0, and a request that comes in it.
 type departureCase struct {
 	grace   clock.Millis
@@ -36,7 +41,7 @@
 	var c departureCase
 	c.grace = between(r, 2*clock.Second, 30*clock.Second)
 	noticed := between(r, 0, 300)
-	c.plan = departure.NewPlan(noticed, c.grace-noticed, between(r, 0, (c.grace-noticed)/2))
+	c.plan = newPlan(r, noticed, c.grace-noticed)
 	c.sent = between(r, 0, c.plan.CallersClose)
 	c.run.Arrived = c.sent + between(r, 0, 100)
 	limit := min(between(r, 1, clock.Minute), between(r, 1, clock.Minute)) // the route's timeout, the caller's
@@ -110,7 +115,7 @@
 	for range casesPerTest {
 		c := drawDeparture(r)
 		begins := c.plan.Begins + between(r, -c.grace/3, c.grace/3)
-		other := departure.NewPlan(begins, c.grace, between(r, 0, c.grace/2))
+		other := newPlan(r, begins, c.grace)
 		isOpen := c.begins <= other.GatesClose
 		if c.sent <= excusedUntil || !isOpen || !c.plan.Entry().AllowsRequest(c.begins, c.run) {
 			continue
@@ -150,7 +155,7 @@
 	r := rand.New(rand.NewPCG(3, 4))
 	for range casesPerTest {
 		now, grace := between(r, 0, clock.Hour), between(r, 0, between(r, 0, 15*clock.Minute))
-		p := departure.NewPlan(now, grace, between(r, 0, grace/2))
+		p := newPlan(r, now, grace)
 		steps := []clock.Millis{now, p.Begins, p.GatesClose, p.CallersLinger, p.CallersClose, p.EntryStops, p.GatesStop, p.Stops, now + grace}
 		for i := range steps[1:] {
 			if steps[i] > steps[i+1] {
@@ -160,6 +165,25 @@
 	}
 }
 
+// Guards against a port that stays open for callers whose requests are all refused, and against one that closes on
+// callers whose requests would be taken.
+func TestPortIsOpenWhileRequestsAreTaken(t *testing.T) {
+	const grace = 10 * clock.Second
+	for name, test := range map[string]struct {
+		linger, shortest, want clock.Millis
+	}{
+		"a short route":          {0, clock.Second, 5 * clock.Second},
+		"a route of some length": {0, 5 * clock.Second, 4550},
+		"long routes alone":      {0, 8 * clock.Second, 2400},
+		"long routes, a linger":  {4 * clock.Second, 8 * clock.Second, 4 * clock.Second},
+	} {
+		got := departure.NewPlan(clock.Hour, departure.Config{Grace: grace, Linger: test.linger, ShortestTimeout: test.shortest}).CallersClose
+		if got != clock.Hour+test.want {
+			t.Errorf("%s: got the port closed after %v, want %v", name, got-clock.Hour, test.want)
+		}
+	}
+}
+
 func TestNodeThatStaysAllowsEverything(t *testing.T) {
 	var stop departure.Stop
 	run := departure.Run{Arrived: clock.Hour, Deadline: 2 * clock.Hour, Typical: episode.TypicalLatency{Median: clock.Hour}}
--- a/node/leave.go
+++ b/node/leave.go
@@ -40,7 +40,7 @@
 // requests that were accepted are finished, and peers close their links once they have all replies.
 // Requests that outlast the grace period are cut; drain returns their number.
 func (n *Node) drain(ctx context.Context) (cut int) {
-	plan := departure.NewPlan(n.clock.Now(), n.settings.Grace, n.linger())
+	plan := departure.NewPlan(n.clock.Now(), n.departureConfig())
 	n.entry.Leave()
 	n.log.WithField("grace", n.settings.Grace.String()).Info("leaving")
 	n.depart(plan)
@@ -204,6 +204,16 @@
 	return n.table != nil && !n.stopping && n.listeners != nil && n.listeners.AreOpen()
 }
 
+func (n *Node) departureConfig() departure.Config {
+	c := departure.Config{Grace: n.settings.Grace, Linger: n.linger()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.table != nil {
+		c.ShortestTimeout = n.table.ShortestTimeout()
+	}
+	return c
+}
+
 // linger returns how long callers are served after a shutdown has begun. A node that isn't ready, as it has
 // no table or waits for a port, leaves at once.
 func (n *Node) linger() clock.Millis {
--- a/table/index.go
+++ b/table/index.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"slices"
 	"strings"
+
+	"fuchsiapick.example/fuchsiapick/clock"
 )
 
 // index holds the maps that lookups use. It is built once when a table is accepted and
@@ -111,6 +113,40 @@
 	return service, &service.Upstreams[position.upstream], true
 }
 
+// ShortestTimeout returns the shortest time that a request of any route may take, 0 without a route.
+func (t *Table) ShortestTimeout() clock.Millis {
+	var shortest clock.Millis
+	for i := range t.Routes {
+		if timeout := t.timeout(&t.Routes[i]); shortest == 0 || timeout < shortest {
+			shortest = timeout
+		}
+	}
+	return shortest
+}
+
+// timeout returns a route's timeout, or the shortest deadline of its services if it has none.
+func (t *Table) timeout(r *Route) clock.Millis {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	if len(r.Shares) == 0 {
+		return t.deadline(r.Service)
+	}
+	shortest := t.deadline(r.Shares[0].Service)
+	for _, s := range r.Shares[1:] {
+		shortest = min(shortest, t.deadline(s.Service))
+	}
+	return shortest
+}
+
+func (t *Table) deadline(service string) clock.Millis {
+	s, ok := t.Service(service)
+	if !ok {
+		return DefaultDeadline
+	}
+	return s.Deadline
+}
+
 // MayRepeat reports whether a request by this route with the method may run more
 // than once.
 func (r *Route) MayRepeat(method string) bool {
--- a/table/index_test.go
+++ b/table/index_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"fuchsiapick.example/fuchsiapick/clock"
 	"fuchsiapick.example/fuchsiapick/table"
 )
 
@@ -126,6 +127,24 @@
 	}
 }
 
+func TestShortestTimeout(t *testing.T) {
+	services := []table.Service{{Name: "bacheca", Deadline: 4 * clock.Second}, {Name: "turni", Deadline: 2 * clock.Second}}
+	for name, test := range map[string]struct {
+		routes []table.Route
+		want   clock.Millis
+	}{
+		"no route":          {nil, 0},
+		"a route's timeout": {[]table.Route{{Prefix: "/a/", Service: "bacheca"}, {Prefix: "/b/", Service: "bacheca", Timeout: clock.Second}}, clock.Second},
+		"a longer timeout":  {[]table.Route{{Prefix: "/a/", Service: "turni", Timeout: 3 * clock.Second}}, 3 * clock.Second},
+		"a deadline":        {[]table.Route{{Prefix: "/a/", Service: "bacheca"}}, 4 * clock.Second},
+		"shares":            {[]table.Route{{Prefix: "/a/", Shares: []table.Share{{Service: "bacheca", Weight: 1}, {Service: "turni", Weight: 1}}}}, 2 * clock.Second},
+	} {
+		if got := table.Index(table.Table{Services: services, Routes: test.routes}).ShortestTimeout(); got != test.want {
+			t.Errorf("%s: got %v, want %v", name, got, test.want)
+		}
+	}
+}
+
 // Guards against reads that run twice on a route whose list of repeatable methods is
 // empty, for example because each read is counted. It happens if an empty list is taken
 // for one that was left out.
