test(cmd): write half a settings file halfway between two polls

Traced: the node polls its settings once a second from its start on, and a file with faults counts as being written for a second. The test wrote the half file right after the start, so that the first poll saw it one second old, and rejected it. The log of a failed run has that line 1.0 s after the start, and no other one.

Change: the test writes half a second later. All its checks stay.

--- a/cmd/startsettings_test.go
+++ b/cmd/startsettings_test.go
@@ -94,6 +94,9 @@
 	n := startNode(t, path)
 	n.awaitLine(t, `"message":"node started"`)
 	edited := strings.Replace(nodeSettings(), `log = "debug"`, `log = "info"`, 1)
+	// The node polls the file once a second from its start on, and a file that hasn't changed for a second
+	// counts as written: halfway between two polls neither is near.
+	<-time.After(settings.FaultSettleTime.Duration() / 2)
 	tick := time.Now()
 	writeFile(t, path, edited[:len(edited)/2])
 	mustDo(t, os.Chtimes(path, tick, tick))
