entry: name the planned stop apart from Stop

Cause: the getter stop, the action Stop and the request's stop stood beside each other.

Change: the getter is plannedStop. No change of behaviour.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -82,7 +82,7 @@
 // on a typical run would end after the deadline, or one may end after the entry stops.
 func (r *request) startBy() clock.Millis {
 	startBy := r.deadline - r.typicalLatency().Median - r.resolveTimeout()
-	if stop := r.entry.stop(); stop.IsSet() {
+	if stop := r.entry.plannedStop(); stop.IsSet() {
 		return min(startBy, stop.StartBy(r.departureRun()))
 	}
 	return startBy
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,8 +15,8 @@
 	time.AfterFunc(max(stop.At-e.config.Now(), 0).Duration(), e.Stop)
 }
 
-// stop returns when the entry stops; the zero value unless the node is leaving.
-func (e *Entry) stop() departure.Stop {
+// plannedStop returns when the entry stops; the zero value unless the node is leaving.
+func (e *Entry) plannedStop() departure.Stop {
 	if stop := e.departure.Load(); stop != nil {
 		return *stop
 	}
@@ -32,7 +32,7 @@
 // latestDeadline returns the deadline of a request that arrives now, which ends before the entry
 // stops.
 func (e *Entry) latestDeadline(deadline clock.Millis) clock.Millis {
-	if stop := e.stop(); stop.IsSet() {
+	if stop := e.plannedStop(); stop.IsSet() {
 		return min(deadline, stop.At)
 	}
 	return deadline
@@ -50,7 +50,7 @@
 
 // mayOutlastEntry reports whether a run that begins now may still be at work when the entry stops.
 func (r *request) mayOutlastEntry(now clock.Millis) bool {
-	stop := r.entry.stop()
+	stop := r.entry.plannedStop()
 	return stop.IsSet() && !stop.AllowsRequest(now, r.departureRun())
 }
 
--- a/fleet/target_test.go
+++ b/fleet/target_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a request that is run by a service of another route, or under another target than the one by
-// which its route was chosen.
+// which its route is found.
 func TestTargetReachesTheServiceThatItsRouteNames(t *testing.T) {
 	services := []string{"conferme", "elenco"}
 	start := newTable(1)
