--- a/gate/backend_test.go
+++ b/gate/backend_test.go
@@ -1,7 +1,9 @@
 package gate_test
 
 import (
+	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,12 +48,20 @@
 // closedPort returns an address where nothing listens.
 func closedPort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// A socket that is bound and doesn't listen keeps others from taking the port.
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
 
 // Only a connection that could not be opened proves that the backend server received
